--- /dev/null
+++ b/knotwalk/__init__.py
@@ -0,0 +1,1 @@
+"""knotwalk: a table manager whose controllers assign servers to proxies."""
--- /dev/null
+++ b/knotwalk/decide.py
@@ -0,0 +1,429 @@
+"""All decisions of a controller: which servers the tables of its slices name, and how fast that is told.
+
+A front makes one Conductor(settings, seed) and calls decide(now, inbox, out) once a round with all that
+came in; decisions go straight into `out`. The contract (inbox, Orders, settings) is in interface.py.
+docs/design.md says what follows the paper and what departs from it. A slice is in one share or, when
+hot, in several; a share is the paper's virtual server, the unit that moves.
+"""
+
+import random
+from collections import deque
+
+from knotwalk.interface import Orders, Settings
+
+
+class Server:
+    """A server and the last few samples of what was heard of it."""
+
+    def __init__(self, id: str):
+        self.id = id
+        self.zone, self.state, self.size, self.started = "", "ready", 1.0, 0.0
+        self.moved = 0.0            # when a share last came or went
+        self.health = 1.0           # the part of its capacity that it can be trusted with
+        self.judged = 0.0
+        self.met: list[tuple] = []  # this round's (zone, tries, good share)
+        self.capacities: deque[float] = deque(maxlen=5)  # a few periods: noise of one report is 3 to 15%
+        self.capacity = 0.0         # worked out anew each round, ramp and health included
+        self.load = 0.0
+
+    def __repr__(self) -> str:
+        return f"Server({self.id})"
+
+
+class Slice:
+    """A slice: what came for it lately, the servers of its shares, and what the proxies were last told."""
+
+    def __init__(self, id: int):
+        self.id = id
+        self.samples: deque[tuple] = deque()    # (heard at, seconds, work asked for, RPCs)
+        self.shares: list[Server] = []
+        self.standby: Server | None = None
+        self.told: dict[Server, float] = {}
+        self.urgent = False
+        self.demand = 0.0
+
+
+class Conductor:
+    """One controller."""
+
+    def __init__(self, settings: Settings, seed: int):
+        s = settings
+        self.random = random.Random(seed)
+        # The soft deadline is the settings' only hint of what a method's RPCs cost.
+        self.cost = [m.soft_deadline for m in s.methods] or [1.0]
+        self.late = max(self.cost)
+        self.period = max(s.report_period, 0.1)
+        # Reports this long after a move show the new state: it is told, applied, and one period passes.
+        self.settle = 2 * self.period + s.message_delay
+        self.slices_all, self.asked_list, self.one_owner = s.slices, s.asked_list, s.one_owner
+        self.cold_share, self.cold_time = s.cold_share or 1.0, max(s.cold_time, 0.001)
+        self.head, self.waiting_most = s.lines_per_message, s.lines_waiting_most
+        self.messages_most, self.messages_span = s.messages_most or 10 ** 9, s.messages_span
+        # Ordinary orders use at most half of the messages a proxy may get; without a cap, a fraction of
+        # a second lies between portions.
+        self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
+        self.retries = [self.manner(s, m) for m in s.methods]
+        self.retry_default = s.retry_default
+        self.servers: dict[str, Server] = {}
+        self.slices: dict[int, Slice] = {}
+        self.proxies: dict[int, deque] = {}     # by proxy: (mark, lines) on the way to it
+        self.sent: deque[float] = deque()       # when messages went out, over the last span
+        self.heard_at = 0.0                     # when demand was last heard
+        self.mark = 0
+        self.next_pass = self.next_urgent = self.next_send = self.wake_at = 0.0
+        self.list_wait, self.list_due = 0.5, 0.0 if s.asked_list else float("inf")
+        self.born = False
+
+    @staticmethod
+    def manner(s: Settings, method) -> int:
+        """How proxies may try a method again without a second effect (rule 2).
+
+        A try that may be followed waits first_wait soft deadlines, so a tokened RPC's one repeat must fall
+        within its window, and its group must be all servers, since lines cross zones and cells.
+        """
+        if method.effect == "idempotent":
+            return 2
+        if method.effect == "tokened" and method.token_group == "all" \
+                and s.first_wait * method.soft_deadline < 0.75 * method.token_window:  # a quarter for the way
+            return 2
+        return min(1, s.retry_default)
+
+    # --- one round -------------------------------------------------------------------------------
+
+    def decide(self, now: float, inbox: list, out: Orders) -> None:
+        """Take in all that came, then order what has to change."""
+        self.now = now
+        for handler, arguments in inbox:
+            getattr(self, handler)(*arguments)
+        if not self.born:
+            self.born, self.next_pass = True, now + self.PERIOD
+            for k, retry in enumerate(self.retries):
+                if retry != self.retry_default:
+                    out.admit(k, 1.0, retry)
+        self.measure()
+        self.judge()
+        self.place()
+        self.send(out)
+        if self.asked_list and now >= self.list_due:
+            self.list_due = float("inf")
+            out.watch()
+        due = min(self.next_pass, self.list_due, max(self.next_send, now + 0.05)
+                  if any(s.told != self.lines(s) for s in self.slices.values()) else float("inf"))
+        if not now < self.wake_at <= due:
+            self.wake_at = max(due, now + 0.001)
+            out.wake(self.wake_at)
+
+    # --- what came in ----------------------------------------------------------------------------
+
+    def server(self, id: str) -> Server:
+        if id not in self.servers:
+            self.servers[id] = Server(id)
+        return self.servers[id]
+
+    def listed(self, full: bool, cached: bool, entries: list) -> None:
+        if not cached:
+            self.list_wait = 0.5
+        if full:
+            named = {entry[0] for entry in entries}
+            for server in self.servers.values():
+                if server.id not in named:
+                    server.state = "gone"
+        for id, zone, state, size, started in entries:
+            server = self.server(id)
+            if started > server.started:    # a fresh process: what was known of the old one is void
+                server.health = 1.0
+            server.zone, server.state, server.size, server.started = zone, state, size, started
+
+    def list_failed(self) -> None:
+        """Ask again, after waits that double: the list is one service for all and may be swamped."""
+        self.list_due = self.now + self.list_wait * self.random.uniform(0.5, 1)
+        self.list_wait = min(8.0, 2 * self.list_wait)
+
+    def joined(self, proxy: int) -> None:
+        self.proxies[proxy] = deque()
+
+    def left(self, proxy: int) -> None:
+        self.proxies.pop(proxy, None)
+
+    def given(self, id: int) -> None:
+        self.slices[id] = Slice(id)
+
+    def taken(self, id: int) -> None:
+        self.slices.pop(id, None)
+
+    def held(self, id: int, server: str, weight: float) -> None:
+        s = self.slices.get(id)
+        if s is None:
+            return
+        server = self.server(server)
+        s.told[server] = weight
+        if weight < self.STANDBY * 2:
+            s.standby = server
+        else:
+            s.shares += [server] * max(1, round(weight))
+
+    def wanted(self, id: int, method: int, span: float, rpcs: int) -> None:
+        self.heard_at = self.now
+        if id in self.slices:
+            self.slices[id].samples.append((self.now, span, rpcs * self.cost[method], rpcs))
+
+    def heard(self, id: str, zone: str, span: float, tries: int, aborted: int, latency: float,
+              load: dict) -> None:
+        server = self.server(id)
+        good = 1 - aborted / tries if tries else 1.0
+        # An answer far past the soft deadline is no better than none.
+        server.met.append((zone, tries, good * min(1.0, self.late / latency if latency else 1.0)))
+        if "utilization" in load:
+            server.met[-1] += (load["utilization"],)
+
+    def applied(self, proxy: int, mark: int) -> None:
+        way = self.proxies.get(proxy)
+        if way and any(m == mark for m, _ in way):
+            while way.popleft()[0] != mark:
+                pass
+
+    def woke(self) -> None:
+        pass
+
+    # --- figures ---------------------------------------------------------------------------------
+
+    WINDOW = 8.0    # seconds of demand: a slice of a few RPCs a second needs some twenty for a steady figure
+
+    def measure(self) -> None:
+        """Demand by slice, load and capacity by server, from the samples kept."""
+        known = []
+        for s in self.slices.values():
+            while s.samples and s.samples[0][0] < self.heard_at - self.WINDOW:
+                s.samples.popleft()
+            s.demand = sum(x[2] for x in s.samples) / self.WINDOW
+            recent = [x for x in s.samples if x[0] > self.heard_at - 1.5 * self.period]
+            if recent:
+                span, rpcs = recent[0][1], sum(x[3] for x in recent)
+                # A jump that chance does not explain counts at once.
+                surely = sum(x[2] for x in recent) / max(span, 0.1) * (1 - min(1.0, 1.5 / rpcs ** 0.5 if rpcs else 1))
+                s.demand = max(s.demand, surely)
+            known.append(s.demand)
+        ready = self.ready()
+        for server in self.servers.values():
+            server.load = 0.0
+        for s in self.slices.values():
+            for server in s.shares:
+                server.load += s.demand / len(s.shares)
+        # Other controllers' slices load the servers too; unheard, they count as ours, spread evenly.
+        own = sum(known)
+        others = own * (self.slices_all / max(1, len(known)) - 1) / max(1, len(ready))
+        fresh = 0
+        for server in ready:
+            server.load += others
+            used = [m[3] for m in server.met if len(m) > 3]
+            if used and self.now - server.moved > self.settle and self.now - server.started > self.cold_time:
+                used = sum(used) / len(used)
+                # An idle server's ratio is all noise: it keeps its last estimate.
+                if used > 0.1 and server.load > others:
+                    server.capacities.append(server.load / used)
+                    fresh += 1
+        figures = [sum(x.capacities) / len(x.capacities) for x in ready if x.capacities]
+        self.average = sum(figures) / len(figures) if figures else 0.0
+        for server in ready:
+            base = sum(server.capacities) / len(server.capacities) if server.capacities else self.average
+            # No server's estimate strays far from the fleet's: a lying report must not draw or drive all.
+            base = min(max(base, self.average / 4), self.average * 3)
+            server.capacity = base * server.health * self.ramp(server)
+
+    def ramp(self, server: Server) -> float:
+        """The part of its capacity that a server has for certain: it grows evenly from its start (rule 4)."""
+        age = (self.now - server.started) / self.cold_time if server.started else 1.0
+        return min(1.0, self.cold_share + (1 - self.cold_share) * max(0.0, age))
+
+    def ready(self) -> list[Server]:
+        return [x for x in self.servers.values() if x.state == "ready"]
+
+    # --- health ----------------------------------------------------------------------------------
+
+    def judge(self) -> None:
+        """Lower the trust in servers that answer badly, from what proxies met and not from reports.
+
+        Guards against servers slow, silent or failing fast, whatever the cause. The best zone's word counts:
+        where one zone alone fares badly the way there is cut, not the server. Never more than half of the
+        fleet is distrusted: if most fare badly, the trouble is not theirs.
+        """
+        ready = self.ready()
+        views = {}
+        for server in ready:
+            zones = [m for m in server.met if m[1] >= 3]   # fewer tries tell little
+            if zones:
+                views[server] = max(m[2] for m in zones)
+        usual = sorted(views.values())[len(views) // 2] if views else 1.0
+        distrusted = sum(x.health < 0.5 for x in ready)
+        for server in ready:
+            good = views.get(server)
+            if good is not None and good < 0.6 * usual:
+                if server.health < 0.5 or distrusted < len(ready) // 2:
+                    distrusted += server.health >= 0.5
+                    server.health = max(0.02, server.health * max(0.25, good))
+                    server.judged = self.now
+            elif server.health < 1 and self.now - server.judged > self.RETRIAL:
+                server.health = min(1.0, 2 * server.health)
+                server.judged = self.now
+        for server in self.servers.values():
+            server.met = []
+
+    RETRIAL = 4.0   # seconds between doublings of trust: a distrusted server is back in about 20 s
+
+    # --- the mechanism ---------------------------------------------------------------------------
+
+    PERIOD = 5.0    # seconds between ordinary passes, the design's start
+    STANDBY = 0.01  # weight of a standby line: about one RPC in a hundred
+
+    def fit(self, server: Server, load: float = 0.0) -> float:
+        return (server.load + load) / max(server.capacity, 1e-9)
+
+    def place(self) -> None:
+        """Strip and place shares, by the paper's ReassignVS, when a pass is due."""
+        ready = self.ready()
+        if not ready:
+            return
+        # Shares of gone, draining or failed servers move first, even past capacity.
+        for s in sorted(self.slices.values(), key=lambda s: -s.demand):
+            for k, server in enumerate(s.shares):
+                if server.state != "ready" or server.health < 0.1 and any(x.health >= 0.5 for x in ready):
+                    self.move(s, k, min(ready, key=lambda x: (x.health < 0.1, self.fit(x, s.demand / len(s.shares)))))
+                    s.urgent = True
+            if not s.shares:
+                s.shares.append(min(ready, key=lambda x: self.fit(x, s.demand)))
+                s.shares[0].load += s.demand
+                s.urgent = True
+        if self.average:
+            if self.now >= self.next_pass:
+                self.next_pass = self.now + self.PERIOD
+                self.next_urgent = self.now + self.period
+                self.split()
+                mean = sum(x.load for x in ready) / max(1e-9, sum(x.capacity for x in ready))
+                self.reassign(ready, min(1.0, (1 + mean) / 2), False)
+            elif self.now >= self.next_urgent and any(self.fit(x) > 1 for x in ready):
+                self.next_urgent = self.now + self.period
+                self.split()
+                self.reassign(ready, 1.0, True)
+        elif self.now >= self.next_pass:
+            self.next_pass = self.now + self.PERIOD
+        for s in self.slices.values():
+            self.stand_by(s, ready)
+
+    def split(self) -> None:
+        """Split a slice hotter than half an average server into more shares, and merge them when it cools.
+
+        The paper's directories split the largest virtual server when there are too few; here a share that
+        large could not move, or would fill whatever takes it.
+        """
+        for s in self.slices.values():
+            need = 1 if self.one_owner else min(len(self.ready()), int(2 * s.demand / self.average) + 1)
+            while len(s.shares) < need:
+                server = min((x for x in self.ready() if x not in s.shares), key=self.fit)
+                for x in s.shares:
+                    x.load -= s.demand / len(s.shares) / (len(s.shares) + 1)
+                s.shares.append(server)
+                server.load += s.demand / len(s.shares)
+            if len(s.shares) > 2 * need or need == 1 < len(s.shares) and s.demand < 0.3 * self.average:
+                for x in s.shares:
+                    x.load -= s.demand / len(s.shares)
+                s.shares.sort(key=self.fit)
+                del s.shares[need:]
+                for x in s.shares:
+                    x.load += s.demand / len(s.shares)
+
+    def reassign(self, ready: list[Server], threshold: float, urgent: bool) -> None:
+        pool = []
+        for server in ready:
+            held = sorted(((s.demand / len(s.shares), s) for s in self.slices.values() if server in s.shares),
+                          key=lambda pair: (-pair[0], pair[1].id))
+            left = server.load
+            for load, s in held:
+                if left / max(server.capacity, 1e-9) <= threshold:
+                    break
+                if load > 0:
+                    left -= load
+                    pool.append((load, s, server))
+        pool.sort(key=lambda entry: (-entry[0], entry[1].id))
+        for load, s, server in pool:
+            server.load -= load
+        for load, s, server in pool:
+            server.load += load
+            others = [x for x in ready if x is not server and x not in s.shares]
+            target = min(others, key=lambda x: self.fit(x, load), default=None)
+            if target is None or self.fit(target, load) > min(1.0, self.fit(server)):
+                continue    # skipped: it would overfill, or be no better off
+            self.move(s, s.shares.index(server), target)
+            s.urgent = s.urgent or urgent
+
+    def move(self, s: Slice, k: int, target: Server) -> None:
+        source, load = s.shares[k], s.demand / len(s.shares)
+        source.load -= load
+        target.load += load
+        source.moved = target.moved = self.now
+        s.shares[k] = target
+
+    def stand_by(self, s: Slice, ready: list[Server]) -> None:
+        """Keep one more line of next to no weight, in another zone if there is one.
+
+        A proxy that finds a slice's server failing has then somewhere to go (and to try again) long before
+        the list or the sums tell the controller; a cut zone's proxies too.
+        """
+        if self.one_owner:
+            return
+        zones = {x.zone for x in s.shares}
+        old = s.standby
+        if old and old.state == "ready" and old.health >= 0.5 and old not in s.shares and old.zone not in zones:
+            return
+        able = [x for x in ready if x not in s.shares and x.health >= 0.5 and self.ramp(x) >= 1]
+        if able:
+            able.sort(key=lambda x: (x.zone in zones, self.fit(x)))
+            best = [x for x in able if (x.zone in zones) == (able[0].zone in zones)][:4]
+            if old not in best:
+                s.standby = self.random.choice(best)    # spread: one server must not stand by for all
+        elif old and (old.state != "ready" or old in s.shares):
+            s.standby = None
+
+    # --- telling the proxies ---------------------------------------------------------------------
+
+    def lines(self, s: Slice) -> dict[Server, float]:
+        """What a slice's table should hold."""
+        lines: dict[Server, float] = {}
+        for server in s.shares:
+            lines[server] = lines.get(server, 0.0) + 1.0
+        if s.standby and s.standby not in lines and lines:
+            lines[s.standby] = self.STANDBY
+        return lines
+
+    def send(self, out: Orders) -> None:
+        """Order changed lines only: urgent ones at once, others in portions, under rule 5's caps."""
+        changed = [s for s in self.slices.values() if s.told != self.lines(s)]
+        while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:   # a tenth for a slow channel
+            self.sent.popleft()
+        if not changed or len(self.sent) >= self.messages_most - 1:
+            return
+        urgent = [s for s in changed if s.urgent]
+        if not urgent:
+            if self.now < self.next_send or len(self.sent) >= 0.6 * self.messages_most:
+                return
+            changed = changed[:max(4, len(self.slices) // 10)]
+        changed = urgent or changed
+        waiting = sum(lines for way in self.proxies.values() for _, lines in way)
+        room = (0.8 if urgent else 0.4) * self.waiting_most - waiting
+        message, proxies = self.head + 1, max(1, len(self.proxies))
+        for s in changed:
+            want = self.lines(s)
+            change = [(x, w) for x, w in want.items() if s.told.get(x) != w]
+            change += [(x, 0.0) for x in s.told if x not in want]
+            if (message + len(change)) * proxies > room:
+                break
+            message += len(change)
+            for server, weight in change:
+                out.line(s.id, server.id, weight)
+            s.told, s.urgent = want, False
+        if message > self.head + 1:
+            self.mark = (self.mark + 1) % 65536
+            out.receipt(self.mark)
+            self.sent.append(self.now)
+            self.next_send = self.now + self.gap
+            for way in self.proxies.values():
+                way.append((self.mark, message))
--- /dev/null
+++ b/knotwalk/interface.py
@@ -0,0 +1,87 @@
+"""The contract between the decisions (decide.py) and whatever front carries them.
+
+A front makes one Conductor(settings, seed) for each instance and calls
+decide(now, inbox, out) once a round. Times are float seconds on the front's clock.
+
+The inbox is a list of (handler, arguments) in the order in which things came in:
+
+    listed(full, cached, entries)   the server list: whole or changed entries; each entry is (server,
+                                    zone, state, size, started), state "ready", "draining" or "gone"
+    list_failed()                   asking for the list failed, or its subscription broke
+    joined(proxy), left(proxy)      a proxy's stream is there, or has broken
+    given(slice), taken(slice)      the store puts a slice in our charge, or takes it away
+    held(slice, server, weight)     one line of a slice's table as the store holds it
+    heard(server, zone, span, tries, aborted, latency, load)
+                                    what one zone's proxies met at a server within a span; latency is
+                                    the mean of the good ones, load a dict of what the server reported
+    wanted(slice, method, span, rpcs)
+                                    RPCs of a method (by place in the settings) that came for a slice
+    applied(proxy, mark)            a proxy has taken in the message with that receipt mark
+    woke()                          a timer is due
+
+What a front hears beyond this (probes, peers, proxies' own demand) has no handler yet: it drops it.
+"""
+
+from typing import NamedTuple, Protocol
+
+
+class Method(NamedTuple):
+    """One method of the RPCs served."""
+
+    soft_deadline: float     # seconds: an answer within it earns the full criticality
+    deadline: float          # seconds: the client gives up
+    criticality: float
+    effect: str              # "idempotent", "tokened" or "non-idempotent"
+    token_group: str         # tokened: "all", "zone" or "cell", the servers that drop a repeat
+    token_window: float      # tokened: seconds for which they do
+
+
+class Settings(NamedTuple):
+    """What an instance is told at its start."""
+
+    methods: tuple[Method, ...]
+    slices: int                 # slices in all, whoever has charge of them; 0: a site without slices
+    one_owner: bool             # a table may hold one line only
+    asked_list: bool            # the server list comes only when asked for
+    retry_default: int          # how proxies try again unless told (see Orders.admit)
+    first_wait: float           # a try that may be followed waits this many soft deadlines
+    admits: bool                # shares of methods let in are heeded
+    report_period: float
+    message_delay: float        # mean seconds from the channel to a proxy
+    message_delay_most: float
+    lines_per_second: float     # the channel's usual pace
+    lines_waiting_most: float   # rule 5
+    lines_per_message: float    # what a message costs beside its own lines
+    messages_most: int          # rule 5: messages to a proxy within messages_span; 0: no cap
+    messages_span: float
+    grace: float                # rule 3: seconds for which a drained server may still be sent to
+    cold_share: float           # rule 4: a server starts at this share of its capacity or more
+    cold_time: float            # and is warm after this
+    fall_multiple: float        # and falls over at this multiple of its present capacity
+    fall_time: float            # held for this long
+
+
+class Orders(Protocol):
+    """Where decisions go. All of one round reach a proxy as one message."""
+
+    def line(self, slice_id: int, server: str, weight: float) -> None:
+        """Set one line of a slice's table; weight 0 removes it."""
+
+    def admit(self, method: int, share: float, retry: int) -> None:
+        """For all our slices: the share of a method that proxies let in, and how they try again.
+
+        retry 0: never; 1: once, on proof that the first try never ran; 2: once after any failure;
+        3: twice after any failure.
+        """
+
+    def receipt(self, mark: int) -> None:
+        """Ask every proxy reached this round to answer applied(proxy, mark)."""
+
+    def watch(self) -> None:
+        """Subscribe to the server list."""
+
+    def wake(self, at: float) -> None:
+        """Ask for woke() at that time."""
+
+    def note(self, text: str) -> None:
+        """A line for the operators."""
