--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -401,7 +401,8 @@
             self.sent.popleft()
         if not changed or len(self.sent) >= self.messages_most - 1:
             return
-        urgent = [s for s in changed if s.urgent]
+        # Any line on a gone or draining server has the grace to keep (rule 3), a standby's too.
+        urgent = [s for s in changed if s.urgent or any(x.state != "ready" for x in s.told)]
         if not urgent:
             if self.now < self.next_send or len(self.sent) >= 0.6 * self.messages_most:
                 return
