--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -21,8 +21,9 @@
         self.moved = 0.0            # when a share last came or went
         self.health = 1.0           # the part of its capacity that it can be trusted with
         self.judged = 0.0
-        self.met: list[tuple] = []  # this round's (zone, tries, good share)
-        self.capacities: deque[float] = deque(maxlen=5)  # a few periods: noise of one report is 3 to 15%
+        self.met: deque[tuple] = deque()    # (heard at, zone, tries, good ones, their seconds)
+        self.reports: list[float] = []      # utilizations reported this round
+        self.uses: deque[tuple] = deque(maxlen=10)   # (load, utilization), after the last move
         self.capacity = 0.0         # worked out anew each round, ramp and health included
         self.load = 0.0
 
@@ -132,7 +133,7 @@
             server = self.server(id)
             if started > server.started:    # a fresh process: what was known of the old one is void
                 server.health = 1.0
-            server.zone, server.state, server.size, server.started = zone, state, size, started
+            server.zone, server.state, server.size, server.started = zone, state, size or 1.0, started
 
     def list_failed(self) -> None:
         """Ask again, after waits that double: the list is one service for all and may be swamped."""
@@ -170,11 +171,12 @@
     def heard(self, id: str, zone: str, span: float, tries: int, aborted: int, latency: float,
               load: dict) -> None:
         server = self.server(id)
-        good = 1 - aborted / tries if tries else 1.0
-        # An answer far past the soft deadline is no better than none.
-        server.met.append((zone, tries, good * min(1.0, self.late / latency if latency else 1.0)))
+        server.met.append((self.now, zone, tries, tries - aborted, (tries - aborted) * latency))
+        # Where only RPCs in hand are reported, the registered size stands for how many it works on at once.
         if "utilization" in load:
-            server.met[-1] += (load["utilization"],)
+            server.reports.append(load["utilization"])
+        elif "inflight" in load:
+            server.reports.append(load["inflight"] / server.size)
 
     def applied(self, proxy: int, mark: int) -> None:
         way = self.proxies.get(proxy)
@@ -212,23 +214,25 @@
         # Other controllers' slices load the servers too; unheard, they count as ours, spread evenly.
         own = sum(known)
         others = own * (self.slices_all / max(1, len(known)) - 1) / max(1, len(ready))
-        fresh = 0
         for server in ready:
             server.load += others
-            used = [m[3] for m in server.met if len(m) > 3]
-            if used and self.now - server.moved > self.settle and self.now - server.started > self.cold_time:
-                used = sum(used) / len(used)
-                # An idle server's ratio is all noise: it keeps its last estimate.
-                if used > 0.1 and server.load > others:
-                    server.capacities.append(server.load / used)
-                    fresh += 1
-        figures = [sum(x.capacities) / len(x.capacities) for x in ready if x.capacities]
-        self.average = sum(figures) / len(figures) if figures else 0.0
-        for server in ready:
-            base = sum(server.capacities) / len(server.capacities) if server.capacities else self.average
-            # No server's estimate strays far from the fleet's: a lying report must not draw or drive all.
-            base = min(max(base, self.average / 4), self.average * 3)
+            if server.reports and self.now - server.moved > self.settle and self.now - server.started > self.cold_time:
+                server.uses.append((server.load, sum(server.reports) / len(server.reports)))
+        # Capacity is demand over utilization, each summed over the samples: single reports swing with every
+        # RPC. The fleet's own figure stands for those with few samples, and steadies the rest.
+        for server in self.servers.values():
+            server.reports = []
+        sums = [(x, sum(load for load, _ in x.uses), sum(used for _, used in x.uses)) for x in ready]
+        used_all = sum(used * x.size for x, _, used in sums)
+        self.average = sum(load for _, load, _ in sums) / used_all if used_all else 0.0     # per unit of size
+        usual = used_all / max(1.0, sum(x.size * len(x.uses) for x in ready))
+        for server, load, used in sums:
+            weight = self.PRIOR * usual
+            base = (load + weight * self.average * server.size) / (used + weight) if weight else 0.0
             server.capacity = base * server.health * self.ramp(server)
+        self.average *= sum(x.size for x in ready) / max(1, len(ready))                     # of a server
+
+    PRIOR = 2.0     # samples that the fleet's figure counts for: a server's own outweigh it in a few periods
 
     def ramp(self, server: Server) -> float:
         """The part of its capacity that a server has for certain: it grows evenly from its start (rule 4)."""
@@ -248,25 +252,37 @@
         fleet is distrusted: if most fare badly, the trouble is not theirs.
         """
         ready = self.ready()
-        views = {}
-        for server in ready:
-            zones = [m for m in server.met if m[1] >= 3]   # fewer tries tell little
-            if zones:
-                views[server] = max(m[2] for m in zones)
-        usual = sorted(views.values())[len(views) // 2] if views else 1.0
+        views = {x: self.view(x) for x in ready}
+        known = sorted(good for good in views.values() if good is not None)
+        usual = known[len(known) // 2] if known else 1.0
         distrusted = sum(x.health < 0.5 for x in ready)
         for server in ready:
-            good = views.get(server)
-            if good is not None and good < 0.6 * usual:
+            good = views[server]
+            if good is not None and good < 0.4 * usual:
                 if server.health < 0.5 or distrusted < len(ready) // 2:
                     distrusted += server.health >= 0.5
                     server.health = max(0.02, server.health * max(0.25, good))
                     server.judged = self.now
+                    server.met.clear()      # each answer counts against it once
             elif server.health < 1 and self.now - server.judged > self.RETRIAL:
                 server.health = min(1.0, 2 * server.health)
                 server.judged = self.now
-        for server in self.servers.values():
-            server.met = []
+
+    def view(self, server: Server) -> float | None:
+        """The share of good answers of late, where a mean time past the soft deadline makes them worth less.
+
+        None if there were too few to tell: six tries, since chance alone seldom spoils four of six.
+        """
+        while server.met and server.met[0][0] < self.now - 2.5 * self.period:
+            server.met.popleft()
+        best, tries_all = 0.0, 0
+        for zone in {m[1] for m in server.met}:
+            of = [m for m in server.met if m[1] == zone]
+            tries, good, seconds = (sum(m[k] for m in of) for k in (2, 3, 4))
+            tries_all += tries
+            if tries >= 3:
+                best = max(best, good / tries * min(1.0, self.late * good / seconds if seconds else 1.0))
+        return best if tries_all >= 6 else None
 
     RETRIAL = 4.0   # seconds between doublings of trust: a distrusted server is back in about 20 s
 
