--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -63,7 +63,6 @@
         # Ordinary orders use at most half of the messages a proxy may get; without a cap, a fraction of
         # a second lies between portions.
         self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
-        self.retries = [self.manner(s, m) for m in s.methods]
         self.retry_default = s.retry_default
         self.servers: dict[str, Server] = {}
         self.slices: dict[int, Slice] = {}
@@ -75,20 +74,6 @@
         self.list_wait, self.list_due = 0.5, 0.0 if s.asked_list else float("inf")
         self.born = False
 
-    @staticmethod
-    def manner(s: Settings, method) -> int:
-        """How proxies may try a method again without a second effect (rule 2).
-
-        A try that may be followed waits first_wait soft deadlines, so a tokened RPC's one repeat must fall
-        within its window, and its group must be all servers, since lines cross zones and cells.
-        """
-        if method.effect == "idempotent":
-            return 2
-        if method.effect == "tokened" and method.token_group == "all" \
-                and s.first_wait * method.soft_deadline < 0.75 * method.token_window:  # a quarter for the way
-            return 2
-        return min(1, s.retry_default)
-
     # --- one round -------------------------------------------------------------------------------
 
     def decide(self, now: float, inbox: list, out: Orders) -> None:
@@ -98,9 +83,11 @@
             getattr(self, handler)(*arguments)
         if not self.born:
             self.born, self.next_pass = True, now + self.PERIOD
-            for k, retry in enumerate(self.retries):
-                if retry != self.retry_default:
-                    out.admit(k, 1.0, retry)
+            # Another try only on proof that the first never ran: safe for every method (rule 2). A try
+            # after any failure doubles the work just when all is slow, and its answer comes late anyway.
+            if self.retry_default != self.RETRY:
+                for k in range(len(self.cost)):
+                    out.admit(k, 1.0, self.RETRY)
         self.measure()
         self.judge()
         self.place()
@@ -114,6 +101,8 @@
             self.wake_at = max(due, now + 0.001)
             out.wake(self.wake_at)
 
+    RETRY = 1
+
     # --- what came in ----------------------------------------------------------------------------
 
     def server(self, id: str) -> Server:
