Standby lines are gone: each shed more work onto the rest than it saved

A second line of little weight took the pushed-back RPCs of a slow or full server to the next one and tipped it too.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -38,7 +38,6 @@
         self.id = id
         self.samples: deque[tuple] = deque()    # (heard at, seconds, work asked for, RPCs)
         self.shares: list[Server] = []
-        self.standby: Server | None = None
         self.told: dict[Server, float] = {}
         self.urgent = False
         self.demand = 0.0
@@ -147,10 +146,7 @@
             return
         server = self.server(server)
         s.told[server] = weight
-        if weight < self.STANDBY * 2:
-            s.standby = server
-        else:
-            s.shares += [server] * max(1, round(weight))
+        s.shares += [server] * max(1, round(weight))
 
     def wanted(self, id: int, method: int, span: float, rpcs: int) -> None:
         self.heard_at = self.now
@@ -278,7 +274,6 @@
     # --- the mechanism ---------------------------------------------------------------------------
 
     PERIOD = 5.0    # seconds between ordinary passes, the design's start
-    STANDBY = 0.01  # weight of a standby line: about one RPC in a hundred
 
     def fit(self, server: Server, load: float = 0.0) -> float:
         return (server.load + load) / max(server.capacity, 1e-9)
@@ -311,8 +306,6 @@
                 self.reassign(ready, 1.0, True)
         elif self.now >= self.next_pass:
             self.next_pass = self.now + self.PERIOD
-        for s in self.slices.values():
-            self.stand_by(s, ready)
 
     def split(self) -> None:
         """Split a slice hotter than half an average server into more shares, and merge them when it cools.
@@ -367,27 +360,6 @@
         source.moved = target.moved = self.now
         s.shares[k] = target
 
-    def stand_by(self, s: Slice, ready: list[Server]) -> None:
-        """Keep one more line of next to no weight, in another zone if there is one.
-
-        A proxy that finds a slice's server failing has then somewhere to go (and to try again) long before
-        the list or the sums tell the controller; a cut zone's proxies too.
-        """
-        if self.one_owner:
-            return
-        zones = {x.zone for x in s.shares}
-        old = s.standby
-        if old and old.state == "ready" and old.health >= 0.5 and old not in s.shares and old.zone not in zones:
-            return
-        able = [x for x in ready if x not in s.shares and x.health >= 0.5 and self.ramp(x) >= 1]
-        if able:
-            able.sort(key=lambda x: (x.zone in zones, self.fit(x)))
-            best = [x for x in able if (x.zone in zones) == (able[0].zone in zones)][:4]
-            if old not in best:
-                s.standby = self.random.choice(best)    # spread: one server must not stand by for all
-        elif old and (old.state != "ready" or old in s.shares):
-            s.standby = None
-
     # --- telling the proxies ---------------------------------------------------------------------
 
     def lines(self, s: Slice) -> dict[Server, float]:
@@ -395,8 +367,6 @@
         lines: dict[Server, float] = {}
         for server in s.shares:
             lines[server] = lines.get(server, 0.0) + 1.0
-        if s.standby and s.standby not in lines and lines:
-            lines[s.standby] = self.STANDBY
         return lines
 
     def send(self, out: Orders) -> None:
@@ -406,7 +376,7 @@
             self.sent.popleft()
         if not changed or len(self.sent) >= self.messages_most - 1:
             return
-        # Any line on a gone or draining server has the grace to keep (rule 3), a standby's too.
+        # Any line on a gone or draining server has the grace to keep (rule 3).
         urgent = [s for s in changed if s.urgent or any(x.state != "ready" for x in s.told)]
         if not urgent:
             if self.now < self.next_send or len(self.sent) >= 0.6 * self.messages_most:
