Levels by server where answers bear out that it is overfull; demand over the time heard

Cause: overloaded servers answer all late; early demand summed over a whole window made capacities start low.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -36,11 +36,15 @@
 
     def __init__(self, id: int):
         self.id = id
-        self.samples: deque[tuple] = deque()    # (heard at, seconds, work asked for, RPCs)
+        self.samples: deque[tuple] = deque()    # (heard at, seconds, work asked for, RPCs, method)
         self.shares: list[Server] = []
         self.told: dict[Server, float] = {}
         self.urgent = False
-        self.demand = 0.0
+        self.since = float("inf")   # the start of the first span heard
+        self.demand = 0.0           # work a second
+        self.work: list[float] = [] # the same, by method
+        self.levels: list[float] = []       # shares let in, by method
+        self.told_levels: list[float] = []
 
 
 class Conductor:
@@ -52,6 +56,10 @@
         # The soft deadline is the settings' only hint of what a method's RPCs cost.
         self.cost = [m.soft_deadline for m in s.methods] or [1.0]
         self.late = max(self.cost)
+        self.slow = min(self.cost) / 2      # a mean time past this leaves many answers late
+        # Methods in the order in which they are let in: by criticality a unit of work.
+        self.order = sorted(range(len(s.methods)), key=lambda k: -s.methods[k].criticality / self.cost[k])
+        self.admits = s.admits
         self.period = max(s.report_period, 0.1)
         # Reports this long after a move show the new state: it is told, applied, and one period passes.
         self.settle = 2 * self.period + s.message_delay
@@ -86,16 +94,18 @@
             # after any failure doubles the work just when all is slow, and its answer comes late anyway.
             if self.retry_default != self.RETRY:
                 for k in range(len(self.cost)):
-                    out.admit(k, 1.0, self.RETRY)
+                    out.admit(None, k, 1.0, self.RETRY)
         self.measure()
         self.judge()
         self.place()
+        if self.admits and self.heard_at == now and self.average:
+            self.let_in()
         self.send(out)
         if self.asked_list and now >= self.list_due:
             self.list_due = float("inf")
             out.watch()
         due = min(self.next_pass, self.list_due, max(self.next_send, now + 0.05)
-                  if any(s.told != self.lines(s) for s in self.slices.values()) else float("inf"))
+                  if any(s.told != self.lines(s) or s.levels != s.told_levels for s in self.slices.values()) else float("inf"))
         if not now < self.wake_at <= due:
             self.wake_at = max(due, now + 0.001)
             out.wake(self.wake_at)
@@ -135,7 +145,8 @@
         self.proxies.pop(proxy, None)
 
     def given(self, id: int) -> None:
-        self.slices[id] = Slice(id)
+        s = self.slices[id] = Slice(id)
+        s.levels, s.told_levels = [1.0] * len(self.cost), [1.0] * len(self.cost)   # a giving resets them
 
     def taken(self, id: int) -> None:
         self.slices.pop(id, None)
@@ -151,7 +162,9 @@
     def wanted(self, id: int, method: int, span: float, rpcs: int) -> None:
         self.heard_at = self.now
         if id in self.slices:
-            self.slices[id].samples.append((self.now, span, rpcs * self.cost[method], rpcs))
+            # Until a window has passed, demand is what came since the first report's span began.
+            self.slices[id].since = min(self.slices[id].since, self.now - span)
+            self.slices[id].samples.append((self.now, span, rpcs * self.cost[method], rpcs, method))
 
     def heard(self, id: str, zone: str, span: float, tries: int, aborted: int, latency: float,
               load: dict) -> None:
@@ -182,13 +195,19 @@
         for s in self.slices.values():
             while s.samples and s.samples[0][0] < self.heard_at - self.WINDOW:
                 s.samples.popleft()
-            s.demand = sum(x[2] for x in s.samples) / self.WINDOW
+            s.work = [0.0] * len(self.cost)
+            over = max(self.period, min(self.WINDOW, self.heard_at - s.since))
+            for x in s.samples:
+                s.work[x[4]] += x[2] / over
+            s.demand = sum(s.work)
             recent = [x for x in s.samples if x[0] > self.heard_at - 1.5 * self.period]
             if recent:
                 span, rpcs = recent[0][1], sum(x[3] for x in recent)
                 # A jump that chance does not explain counts at once.
                 surely = sum(x[2] for x in recent) / max(span, 0.1) * (1 - min(1.0, 1.5 / rpcs ** 0.5 if rpcs else 1))
-                s.demand = max(s.demand, surely)
+                if surely > s.demand:
+                    s.work = [w * surely / s.demand for w in s.work]
+                    s.demand = surely
             known.append(s.demand)
         ready = self.ready()
         for server in self.servers.values():
@@ -202,7 +221,9 @@
         for server in ready:
             server.load += others
             if server.reports and self.now - server.moved > self.settle and self.now - server.started > self.cold_time:
-                server.uses.append((server.load, sum(server.reports) / len(server.reports)))
+                # Only work that was answered: what a full server pushed back kept no core busy, and would
+                # make it look the larger the more it is overrun.
+                server.uses.append((server.load * self.answered(server), sum(server.reports) / len(server.reports)))
         # Capacity is demand over utilization, each summed over the samples: single reports swing with every
         # RPC. The fleet's own figure stands for those with few samples, and steadies the rest.
         for server in self.servers.values():
@@ -219,6 +240,12 @@
 
     PRIOR = 2.0     # samples that the fleet's figure counts for: a server's own outweigh it in a few periods
 
+    @staticmethod
+    def answered(server: Server) -> float:
+        """The share of the last tries there that got a good answer."""
+        tries = sum(m[2] for m in server.met)
+        return sum(m[3] for m in server.met) / tries if tries else 1.0
+
     def ramp(self, server: Server) -> float:
         """The part of its capacity that a server has for certain: it grows evenly from its start (rule 4)."""
         age = (self.now - server.started) / self.cold_time if server.started else 1.0
@@ -360,6 +387,45 @@
         source.moved = target.moved = self.now
         s.shares[k] = target
 
+    # --- levels ----------------------------------------------------------------------------------
+
+    def let_in(self) -> None:
+        """Where a server stays overfull after the passes, let in only what it can do, the dearest first.
+
+        Guards against queues in which everything is answered late. Acts on a server past its capacity, and
+        eases off in steps once it is below FULL, so that the levels do not flap.
+        """
+        shares = {}
+        for server in self.ready():
+            server.work = [0.0] * len(self.cost)
+        for s in self.slices.values():
+            for server in s.shares:
+                if server.state == "ready":
+                    for k, work in enumerate(s.work):
+                        server.work[k] += work / len(s.shares)
+        for server in self.ready():
+            over = self.fit(server) > 1 and self.struggles(server)
+            room = server.capacity * self.FULL * sum(server.work) / max(server.load, 1e-9)
+            shares[server] = [1.0] * len(self.cost)
+            for k in self.order if over else ():
+                shares[server][k] = max(self.LEAST, min(1.0, room / server.work[k])) if server.work[k] else 1.0
+                room = max(0.0, room - server.work[k])
+        for s in self.slices.values():
+            for k, old in enumerate(s.levels):
+                new = sum(shares[x][k] for x in s.shares if x in shares) / len(s.shares) if s.shares else 1.0
+                new = min(new, old + self.EASE)
+                if new > 0.99 or abs(new - old) > 0.09:     # a tenth is within the noise of the estimates
+                    s.levels[k] = min(1.0, new)
+
+    def struggles(self, server: Server) -> bool:
+        """Whether what proxies met bears out that a server is overfull: estimates alone close no door."""
+        good, seconds = sum(m[3] for m in server.met), sum(m[4] for m in server.met)
+        return self.answered(server) < 0.8 or seconds > good * self.slow
+
+    FULL = 0.9      # of capacity: room for the swing of arrivals
+    LEAST = 0.05    # enough to go on hearing how a method fares
+    EASE = 0.2      # a round of reports: full again after five
+
     # --- telling the proxies ---------------------------------------------------------------------
 
     def lines(self, s: Slice) -> dict[Server, float]:
@@ -371,7 +437,7 @@
 
     def send(self, out: Orders) -> None:
         """Order changed lines only: urgent ones at once, others in portions, under rule 5's caps."""
-        changed = [s for s in self.slices.values() if s.told != self.lines(s)]
+        changed = [s for s in self.slices.values() if s.told != self.lines(s) or s.levels != s.told_levels]
         while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:   # a tenth for a slow channel
             self.sent.popleft()
         if not changed or len(self.sent) >= self.messages_most - 1:
@@ -390,12 +456,15 @@
             want = self.lines(s)
             change = [(x, w) for x, w in want.items() if s.told.get(x) != w]
             change += [(x, 0.0) for x in s.told if x not in want]
-            if (message + len(change)) * proxies > room:
+            levels = [k for k, share in enumerate(s.levels) if share != s.told_levels[k]]
+            if (message + len(change) + len(levels)) * proxies > room:
                 break
-            message += len(change)
+            message += len(change) + len(levels)
+            for k in levels:
+                out.admit(s.id, k, s.levels[k], self.RETRY)
             for server, weight in change:
                 out.line(s.id, server.id, weight)
-            s.told, s.urgent = want, False
+            s.told, s.told_levels, s.urgent = want, list(s.levels), False
         if message > self.head + 1:
             self.mark = (self.mark + 1) % 65536
             out.receipt(self.mark)
--- a/knotwalk/interface.py
+++ b/knotwalk/interface.py
@@ -67,8 +67,8 @@
     def line(self, slice_id: int, server: str, weight: float) -> None:
         """Set one line of a slice's table; weight 0 removes it."""
 
-    def admit(self, method: int, share: float, retry: int) -> None:
-        """For all our slices: the share of a method that proxies let in, and how they try again.
+    def admit(self, slice_id: int | None, method: int, share: float, retry: int) -> None:
+        """For one slice, or None for all ours: the share of a method let in, and how proxies try again.
 
         retry 0: never; 1: once, on proof that the first try never ran; 2: once after any failure;
         3: twice after any failure.
--- a/knotwalk/wirehost/host.py
+++ b/knotwalk/wirehost/host.py
@@ -89,8 +89,9 @@
     def line(self, slice_id: int, server: str, weight: float) -> None:
         self._put(f"ENDPOINT map_id={slice_id} w={weight:.6g} node={server}")
 
-    def admit(self, method: int, share: float, retry: int) -> None:
-        self._put(f"THROTTLE map_id={EVERY_SLICE} only={1 << method} allowance={share:.6g} on_failure={retry}")
+    def admit(self, slice_id: int | None, method: int, share: float, retry: int) -> None:
+        table = EVERY_SLICE if slice_id is None else slice_id
+        self._put(f"THROTTLE map_id={table} only={1 << method} allowance={share:.6g} on_failure={retry}")
 
     def receipt(self, mark: int) -> None:
         self._put(f"ASK_RECEIPT active=0 epoch={mark}")
