--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -270,7 +270,7 @@
         distrusted = sum(x.health < 0.5 for x in ready)
         for server in ready:
             good = views[server]
-            if good is not None and usual > 0.6 and good < 0.4 * usual:
+            if good is not None and good < 0.4 * usual and (self.fit(server) < 1 or good < 0.1):
                 if server.health < 0.5 or distrusted < len(ready) // 2:
                     distrusted += server.health >= 0.5
                     server.health = max(0.02, server.health * max(0.25, good))
