--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -266,14 +266,14 @@
         ready = self.ready()
         views = {x: self.view(x) for x in ready}
         known = sorted(good for good in views.values() if good is not None)
-        usual = known[len(known) // 2] if known else 1.0
+        usual, best = (known[len(known) // 2], known[3 * len(known) // 4]) if known else (1.0, 1.0)
         distrusted = sum(x.health < 0.5 for x in ready)
         for server in ready:
             good = views[server]
-            if good is not None and good < 0.4 * usual and (self.fit(server) < 1 or good < 0.1):
+            if good is not None and (good < 0.4 * usual and self.fit(server) < 1 or good < 0.1 and best > 0.5):
                 if server.health < 0.5 or distrusted < len(ready) // 2:
                     distrusted += server.health >= 0.5
-                    server.health = max(0.02, server.health * max(0.25, good))
+                    server.health = max(0.02, server.health * max(0.25, good)) if good >= 0.1 else 0.05
                     server.judged = self.now
                     server.met.clear()      # each answer counts against it once
             elif server.health < 1 and self.now - server.judged > self.RETRIAL:
@@ -287,14 +287,14 @@
         """
         while server.met and server.met[0][0] < self.now - 2.5 * self.period:
             server.met.popleft()
-        best, tries_all = 0.0, 0
-        for zone in {m[1] for m in server.met}:
+        views, all_tries = [], 0
+        for zone in sorted({m[1] for m in server.met}):
             of = [m for m in server.met if m[1] == zone]
             tries, good, seconds = (sum(m[k] for m in of) for k in (2, 3, 4))
-            tries_all += tries
+            all_tries += tries
             if tries >= 3:
-                best = max(best, good / tries * min(1.0, self.late * good / seconds if seconds else 1.0))
-        return best if tries_all >= 6 else None
+                views.append(good / tries * min(1.0, self.late * good / seconds if seconds else 1.0))
+        return max(views) if views and all_tries >= 6 else None
 
     RETRIAL = 4.0   # seconds between doublings of trust: a distrusted server is back in about 20 s
 
