--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -247,9 +247,12 @@
         return sum(m[3] for m in server.met) / tries if tries else 1.0
 
     def ramp(self, server: Server) -> float:
-        """The part of its capacity that a server has for certain: it grows evenly from its start (rule 4)."""
-        age = (self.now - server.started) / self.cold_time if server.started else 1.0
-        return min(1.0, self.cold_share + (1 - self.cold_share) * max(0.0, age))
+        """The part of its capacity that a cold server is given (rule 4): what it has for certain, which
+        grows evenly from its start, and at first only half of that, since the estimate may be twice too high
+        and other controllers send there too.
+        """
+        age = min(1.0, (self.now - server.started) / self.cold_time) if server.started else 1.0
+        return (self.cold_share + (1 - self.cold_share) * age) * (1 + age) / 2
 
     def ready(self) -> list[Server]:
         return [x for x in self.servers.values() if x.state == "ready"]
@@ -313,11 +316,15 @@
         # Shares of gone, draining or failed servers move first, even past capacity.
         for s in sorted(self.slices.values(), key=lambda s: -s.demand):
             for k, server in enumerate(s.shares):
-                if server.state != "ready" or server.health < 0.1 and any(x.health >= 0.5 for x in ready):
-                    self.move(s, k, min(ready, key=lambda x: (x.health < 0.1, self.fit(x, s.demand / len(s.shares)))))
-                    s.urgent = True
+                # A cold server that comes back under its old slices would fall over: it must shed them too.
+                if server.state != "ready" or self.fit(server) > 1 > self.ramp(server) \
+                        or server.health < 0.1 and any(x.health >= 0.5 for x in ready):
+                    target = self.refuge(ready, s.demand / len(s.shares))
+                    if target is not server:
+                        self.move(s, k, target)
+                        s.urgent = True
             if not s.shares:
-                s.shares.append(min(ready, key=lambda x: self.fit(x, s.demand)))
+                s.shares.append(self.refuge(ready, s.demand))
                 s.shares[0].load += s.demand
                 s.urgent = True
         if self.average:
@@ -334,6 +341,10 @@
         elif self.now >= self.next_pass:
             self.next_pass = self.now + self.PERIOD
 
+    def refuge(self, ready: list[Server], load: float) -> Server:
+        """Where a share goes that must leave, even past capacity; not past that of a cold or failed server."""
+        return min(ready, key=lambda x: (x.health < 0.1, self.ramp(x) < 1 and self.fit(x, load) > 1, self.fit(x, load)))
+
     def split(self) -> None:
         """Split a slice hotter than half an average server into more shares, and merge them when it cools.
 
