--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -170,11 +170,12 @@
               load: dict) -> None:
         server = self.server(id)
         server.met.append((self.now, zone, tries, tries - aborted, (tries - aborted) * latency))
-        # Where only RPCs in hand are reported, the registered size stands for how many it works on at once.
+        # Where only RPCs in hand are reported, the registered size stands for how many it works on at once;
+        # more than that wait, and no server is busier than full.
         if "utilization" in load:
-            server.reports.append(load["utilization"])
+            server.reports.append(min(1.0, load["utilization"]))
         elif "inflight" in load:
-            server.reports.append(load["inflight"] / server.size)
+            server.reports.append(min(1.0, load["inflight"] / server.size))
 
     def applied(self, proxy: int, mark: int) -> None:
         way = self.proxies.get(proxy)
@@ -215,11 +216,11 @@
         for s in self.slices.values():
             for server in s.shares:
                 server.load += s.demand / len(s.shares)
-        # Other controllers' slices load the servers too; unheard, they count as ours, spread evenly.
-        own = sum(known)
-        others = own * (self.slices_all / max(1, len(known)) - 1) / max(1, len(ready))
+        # Other controllers' slices load the servers too; unheard, they count as ours, spread by size and trust.
+        others = sum(known) * (self.slices_all / max(1, len(known)) - 1)
+        trusted = sum(x.size * x.health * self.ramp(x) for x in ready)
         for server in ready:
-            server.load += others
+            server.load += others * server.size * server.health * self.ramp(server) / trusted
             if server.reports and self.now - server.moved > self.settle and self.now - server.started > self.cold_time:
                 # Only work that was answered: what a full server pushed back kept no core busy, and would
                 # make it look the larger the more it is overrun.
