--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -19,6 +19,7 @@
         self.id = id
         self.zone, self.state, self.size, self.started = "", "ready", 1.0, 0.0
         self.moved = 0.0            # when a share last came or went
+        self.quota = 1.0            # the share of its capacity that may be let in
         self.health = 1.0           # the part of its capacity that it can be trusted with
         self.judged = 0.0
         self.met: deque[tuple] = deque()    # (heard at, zone, tries, good ones, their seconds)
@@ -402,10 +403,11 @@
     # --- levels ----------------------------------------------------------------------------------
 
     def let_in(self) -> None:
-        """Where a server stays overfull after the passes, let in only what it can do, the dearest first.
+        """Where a server's answers come late or not at all, let in only what it can do, the dearest first.
 
-        Guards against queues in which everything is answered late. Acts on a server past its capacity, and
-        eases off in steps once it is below FULL, so that the levels do not flap.
+        Guards against queues in which everything is answered late. Each round of reports in which a server
+        struggles lowers its quota, a share of its capacity, whatever the estimates say: a queue drains only
+        below capacity, and the estimate may be too high. Quotas and levels ease off in steps.
         """
         shares = {}
         for server in self.ready():
@@ -416,8 +418,12 @@
                     for k, work in enumerate(s.work):
                         server.work[k] += work / len(s.shares)
         for server in self.ready():
-            over = self.fit(server) > 1 and self.struggles(server)
-            room = server.capacity * self.FULL * sum(server.work) / max(server.load, 1e-9)
+            if self.struggles(server):
+                server.quota = max(self.LEAST_QUOTA, server.quota * self.TIGHTEN)
+            else:
+                server.quota = min(1.0, server.quota + (1 - self.TIGHTEN) / 2)
+            over = server.quota < 1 and self.fit(server) > server.quota
+            room = server.capacity * server.quota * sum(server.work) / max(server.load, 1e-9)
             shares[server] = [1.0] * len(self.cost)
             for k in self.order if over else ():
                 shares[server][k] = max(self.LEAST, min(1.0, room / server.work[k])) if server.work[k] else 1.0
@@ -432,9 +438,11 @@
     def struggles(self, server: Server) -> bool:
         """Whether what proxies met bears out that a server is overfull: estimates alone close no door."""
         good, seconds = sum(m[3] for m in server.met), sum(m[4] for m in server.met)
-        return self.answered(server) < 0.8 or seconds > good * self.slow
+        busy = bool(server.uses) and server.uses[-1][1] > 0.8
+        return seconds > good * self.slow or busy and self.answered(server) < 0.8
 
-    FULL = 0.9      # of capacity: room for the swing of arrivals
+    TIGHTEN = 0.8       # the steps of a quota: down to half in three rounds, back in twice as many
+    LEAST_QUOTA = 0.3
     LEAST = 0.05    # enough to go on hearing how a method fares
     EASE = 0.2      # a round of reports: full again after five
 
