--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -434,6 +434,7 @@
                 new = min(new, old + self.EASE)
                 if new > 0.99 or abs(new - old) > 0.09:     # a tenth is within the noise of the estimates
                     s.levels[k] = min(1.0, new)
+                    s.urgent = s.urgent or new < old    # a queue that builds up can't wait its turn
 
     def struggles(self, server: Server) -> bool:
         """Whether what proxies met bears out that a server is overfull: estimates alone close no door."""
@@ -467,7 +468,8 @@
         if not urgent:
             if self.now < self.next_send or len(self.sent) >= 0.6 * self.messages_most:
                 return
-            changed = changed[:max(4, len(self.slices) // 10)]
+            # A tenth at a time, or as many as it takes to be done in half a period.
+            changed = changed[:max(4, int(len(self.slices) * max(0.1, 2 * self.gap / self.PERIOD)))]
         changed = urgent or changed
         waiting = sum(lines for way in self.proxies.values() for _, lines in way)
         room = (0.8 if urgent else 0.4) * self.waiting_most - waiting
