--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -106,7 +106,7 @@
             self.list_due = float("inf")
             out.watch()
         due = min(self.next_pass, self.list_due, max(self.next_send, now + 0.05)
-                  if any(s.told != self.lines(s) or s.levels != s.told_levels for s in self.slices.values()) else float("inf"))
+                  if self.changed() else float("inf"))
         if not now < self.wake_at <= due:
             self.wake_at = max(due, now + 0.001)
             out.wake(self.wake_at)
@@ -202,9 +202,9 @@
             for x in s.samples:
                 s.work[x[4]] += x[2] / over
             s.demand = sum(s.work)
-            recent = [x for x in s.samples if x[0] > self.heard_at - 1.5 * self.period]
+            recent = [x for x in s.samples if x[0] > self.heard_at - 0.5 * self.period]
             if recent:
-                span, rpcs = recent[0][1], sum(x[3] for x in recent)
+                span, rpcs = max(x[1] for x in recent), sum(x[3] for x in recent)
                 # A jump that chance does not explain counts at once.
                 surely = sum(x[2] for x in recent) / max(span, 0.1) * (1 - min(1.0, 1.5 / rpcs ** 0.5 if rpcs else 1))
                 if surely > s.demand:
@@ -456,9 +456,12 @@
             lines[server] = lines.get(server, 0.0) + 1.0
         return lines
 
+    def changed(self) -> list[Slice]:
+        return [s for s in self.slices.values() if s.told != self.lines(s) or s.levels != s.told_levels]
+
     def send(self, out: Orders) -> None:
         """Order changed lines only: urgent ones at once, others in portions, under rule 5's caps."""
-        changed = [s for s in self.slices.values() if s.told != self.lines(s) or s.levels != s.told_levels]
+        changed = self.changed()
         while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:   # a tenth for a slow channel
             self.sent.popleft()
         if not changed or len(self.sent) >= self.messages_most - 1:
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,45 @@
+"""State for the tests: settings, a conductor with servers and slices, and a recorder of orders."""
+
+from knotwalk.decide import Conductor
+from knotwalk.interface import Method, Settings
+
+READ = Method(soft_deadline=1.5, deadline=5, criticality=3, effect="idempotent", token_group="all", token_window=5)
+WRITE = Method(soft_deadline=1.0, deadline=3, criticality=9, effect="non-idempotent", token_group="all",
+               token_window=5)
+PLAIN = Settings(
+    methods=(READ, WRITE), slices=4, one_owner=False, asked_list=False, retry_default=1, first_wait=1,
+    admits=True, report_period=1, message_delay=0.2, message_delay_most=0.5, lines_per_second=1000,
+    lines_waiting_most=1000, lines_per_message=10, messages_most=10, messages_span=10, grace=2,
+    cold_share=0.2, cold_time=10, fall_multiple=3, fall_time=3)
+
+
+class Recorder:
+    """Orders as a list of tuples."""
+
+    def __init__(self):
+        self.orders = []
+
+    def __getattr__(self, name):
+        return lambda *arguments: self.orders.append((name, *arguments))
+
+    def of(self, name):
+        return [order[1:] for order in self.orders if order[0] == name]
+
+
+def conductor(now=100.0, capacities=(), demands=(), at=(), **settings):
+    """A conductor at `now`, with servers a, b, ... of these capacities and slices 0, 1, ... of these demands,
+    slice k on server at[k]; nothing of it has to be told to proxy 0."""
+    c = Conductor(PLAIN._replace(**{"slices": len(demands), **settings}), seed=1)
+    c.now, c.heard_at, c.born, c.next_pass, c.list_due = now, now, True, now + 1000, float("inf")
+    c.joined(0)
+    c.listed(True, False, [("abcdefghij"[k], "east", "ready", 1.0, 0.0) for k in range(len(capacities))])
+    for server, capacity in zip(c.servers.values(), capacities):
+        server.capacity = capacity
+    c.average = sum(capacities) / len(capacities) if capacities else 0.0
+    for k, demand in enumerate(demands):
+        c.given(k)
+        s, server = c.slices[k], c.servers[at[k]]
+        c.held(k, at[k], 1.0)
+        s.demand, s.work = demand, [demand / 2, demand / 2]
+        server.load += demand
+    return c
--- /dev/null
+++ b/tests/test_decide.py
@@ -0,0 +1,394 @@
+"""The decisions: each test builds a state and calls one function."""
+
+from helpers import Recorder, conductor
+
+
+def places(c):
+    return {k: [x.id for x in s.shares] for k, s in c.slices.items()}
+
+
+# --- what came in --------------------------------------------------------------------------------
+
+def test_a_server_absent_from_a_whole_list_is_gone():
+    c = conductor(capacities=[1, 1])
+    c.listed(True, False, [("b", "east", "ready", 1.0, 0.0)])
+    assert [x.state for x in c.servers.values()] == ["gone", "ready"]
+
+
+def test_a_change_leaves_the_others_as_they_were():
+    c = conductor(capacities=[1, 1])
+    c.listed(False, False, [("b", "east", "draining", 1.0, 0.0)])
+    assert [x.state for x in c.servers.values()] == ["ready", "draining"]
+
+
+def test_a_fresh_process_is_trusted_again():
+    c = conductor(capacities=[1])
+    c.servers["a"].health = 0.05
+    c.listed(False, False, [("a", "east", "ready", 1.0, 99.0)])
+    assert c.servers["a"].health == 1.0
+
+
+def test_failed_list_calls_wait_longer_each_time():
+    c = conductor(asked_list=True)
+    c.list_failed()
+    first = c.list_due - c.now
+    for _ in range(3):
+        c.list_failed()
+    assert 0 < first < c.list_due - c.now <= 8
+
+
+def test_a_given_slice_takes_its_shares_from_the_store():
+    c = conductor(capacities=[1, 1])
+    c.given(7)
+    c.held(7, "a", 2.0)
+    c.held(7, "b", 1.0)
+    assert places(c) == {7: ["a", "a", "b"]} and not c.changed()
+
+
+def test_a_taken_slice_is_let_go_and_late_lines_of_it_are_harmless():
+    c = conductor(capacities=[1], demands=[1], at="a")
+    c.taken(0)
+    c.held(0, "a", 1.0)
+    c.wanted(0, 0, 1.0, 5)
+    assert not c.slices
+
+
+def test_a_receipt_clears_what_was_sent_before_it():
+    c = conductor()
+    c.proxies[0].extend([(1, 10), (2, 20), (3, 30)])
+    c.applied(0, 2)
+    c.applied(9, 2)     # a proxy never met
+    assert list(c.proxies[0]) == [(3, 30)]
+
+
+# --- estimates -----------------------------------------------------------------------------------
+
+def test_demand_counts_work_over_the_time_heard_not_a_whole_window():
+    c = conductor(capacities=[1], demands=[0], at="a")
+    c.now = c.heard_at = 102.0
+    c.slices[0].since = 100.0
+    c.slices[0].samples.extend([(101.0, 1.0, 15.0, 10, 0), (102.0, 1.0, 15.0, 10, 0)])
+    c.measure()
+    assert c.slices[0].demand == 15.0
+
+
+def test_demand_stays_when_reports_stop():
+    c = conductor(capacities=[1], demands=[0], at="a")
+    c.slices[0].since = 0.0
+    c.slices[0].samples.append((c.heard_at - 4, 1.0, 80.0, 1, 0))
+    c.now += 60
+    c.measure()
+    assert c.slices[0].demand == 10.0
+
+
+def uses(c, *samples):
+    for server, (load, used) in zip(c.servers.values(), samples):
+        server.uses.extend([(load, used)] * 8)
+    c.measure()
+    return [round(x.capacity, 1) for x in c.servers.values()]
+
+
+def test_capacity_is_demand_over_utilization_drawn_a_little_to_the_fleets():
+    slow, fast = uses(conductor(capacities=[1, 1]), (10, 0.5), (30, 0.5))
+    assert 20 < slow < 30 < fast < 60 and slow + fast == 80
+
+
+def test_an_unheard_server_has_the_average_capacity():
+    c = conductor(capacities=[1, 1])
+    assert uses(c, (10, 0.5)) == [20, 20]
+
+
+def test_no_reports_at_all_leave_no_estimate_and_no_moves():
+    c = conductor(capacities=[0, 0], demands=[5, 5], at="aa")
+    c.measure()
+    c.place()
+    assert c.average == 0 and places(c) == {0: ["a"], 1: ["a"]}
+
+
+def test_absurd_reports_are_no_more_than_full():
+    c = conductor(capacities=[1])
+    c.heard("a", "east", 1.0, 5, 0, 0.1, {"utilization": 900.0})
+    c.heard("a", "east", 1.0, 5, 0, 0.1, {"inflight": 900.0, "x": -1.0})
+    assert c.servers["a"].reports == [1.0, 1.0]
+
+
+def test_reports_soon_after_a_move_are_not_used():
+    c = conductor(capacities=[1], demands=[10], at="a")
+    c.servers["a"].moved, c.servers["a"].reports = c.now - 1, [0.5]
+    c.measure()
+    assert not c.servers["a"].uses
+
+
+def test_pushed_back_work_does_not_make_a_server_look_larger():
+    c = conductor(capacities=[1], demands=[10], at="a")
+    server = c.servers["a"]
+    c.slices[0].since, c.slices[0].samples = 99.0, [(100.0, 1.0, 10.0, 100, 0)]
+    c.slices[0].samples = type(server.met)(c.slices[0].samples)
+    c.heard("a", "east", 1.0, 10, 5, 0.1, {"utilization": 1.0})
+    c.measure()
+    assert server.uses[-1] == (5.0, 1.0)
+
+
+def test_a_cold_server_counts_for_less_than_it_has_for_certain():
+    c = conductor(capacities=[1])
+    ramps = []
+    for age in (0, 5, 10, 60):
+        c.servers["a"].started = c.now - age
+        ramps.append(c.ramp(c.servers["a"]))
+    assert ramps == sorted(ramps) and ramps[0] == 0.1 and ramps[1] < 0.6 and ramps[2:] == [1.0, 1.0]
+
+
+# --- health --------------------------------------------------------------------------------------
+
+def fare(conductor, /, **good):
+    """Ten tries a server in each of two zones, of which good[id] of ten went well (a pair: by zone)."""
+    for id, share in good.items():
+        for zone, n in zip(("east", "west"), share if isinstance(share, tuple) else (share, share)):
+            conductor.servers[id].met.append((conductor.now, zone, 10, n, n * 0.1))
+
+
+def test_a_server_that_fails_fast_is_distrusted():
+    c = conductor(capacities=[9, 9, 9])
+    fare(c, a=2, b=10, c=10)
+    c.judge()
+    assert c.servers["a"].health < 0.5 and c.servers["b"].health == 1
+
+
+def test_answers_far_too_late_are_no_answers():
+    c = conductor(capacities=[9, 9, 9])
+    fare(c, b=10, c=10)
+    c.servers["a"].met.append((c.now, "east", 10, 10, 90.0))
+    c.judge()
+    assert c.servers["a"].health < 0.5
+
+
+def test_one_zone_that_cannot_reach_a_server_does_not_condemn_it():
+    c = conductor(capacities=[9, 9, 9])
+    fare(c, a=(0, 10), b=10, c=10)
+    c.judge()
+    assert c.servers["a"].health == 1
+
+
+def test_when_all_fare_badly_nobody_is_condemned():
+    c = conductor(capacities=[9, 9, 9, 9])
+    fare(c, a=1, b=1, c=1, d=1)
+    c.judge()
+    assert all(x.health == 1 for x in c.servers.values())
+
+
+def test_no_more_than_half_are_ever_distrusted():
+    c = conductor(capacities=[9] * 8)
+    fare(c, a=0, b=0, c=0, d=0, e=0, f=0, g=10, h=10)
+    c.judge()
+    assert sum(x.health < 0.5 for x in c.servers.values()) <= 4
+
+
+def test_an_overfull_server_is_not_called_sick():
+    c = conductor(capacities=[9, 9, 9], demands=[20], at="a")
+    fare(c, a=3, b=10, c=10)
+    c.judge()
+    assert c.servers["a"].health == 1
+
+
+def test_few_tries_are_no_verdict():
+    c = conductor(capacities=[9])
+    for zone in ("east", "west", "north"):
+        c.servers["a"].met.append((c.now, zone, 2, 0, 0.0))
+    assert c.view(c.servers["a"]) is None
+
+
+def test_trust_comes_back_in_steps():
+    c = conductor(capacities=[9, 9])
+    server = c.servers["a"]
+    server.health = 0.1
+    for _ in range(9):
+        c.now += 2
+        c.judge()
+    assert 0.5 < server.health <= 1
+
+
+# --- the mechanism -------------------------------------------------------------------------------
+
+def test_a_pass_strips_the_heavy_and_fills_the_least_utilized():
+    c = conductor(capacities=[10, 10, 10], demands=[4.5, 4, 1, 3], at="aaac")
+    c.next_pass = c.now
+    c.place()
+    assert places(c) == {0: ["b"], 1: ["a"], 2: ["a"], 3: ["c"]}
+
+
+def test_a_move_that_would_overfill_is_skipped():
+    c = conductor(capacities=[10, 10], demands=[6, 6, 8], at="aab")
+    c.reassign(c.ready(), 1.0, True)
+    assert places(c) == {0: ["a"], 1: ["a"], 2: ["b"]}
+
+
+def test_a_server_past_capacity_triggers_a_pass_at_once():
+    c = conductor(capacities=[10, 10], demands=[4, 4, 3], at="aaa")
+    c.place()
+    assert places(c) == {0: ["b"], 1: ["a"], 2: ["a"]} and c.slices[0].urgent
+
+
+def test_light_load_moves_nothing():
+    c = conductor(capacities=[10, 10], demands=[2, 2], at="aa")
+    c.next_pass = c.now
+    c.place()
+    assert places(c) == {0: ["a"], 1: ["a"]}
+
+
+def test_slices_of_gone_and_draining_servers_leave_even_past_capacity():
+    for state in ("gone", "draining"):
+        c = conductor(capacities=[10, 1], demands=[5], at="a")
+        c.servers["a"].state = state
+        c.place()
+        assert places(c) == {0: ["b"]} and c.slices[0].urgent
+
+
+def test_a_cold_server_that_comes_back_under_its_slices_sheds_them():
+    c = conductor(capacities=[1, 10], demands=[5, 5], at="aa")
+    c.servers["a"].started = c.now
+    c.place()
+    assert places(c) == {0: ["b"], 1: ["b"]}
+
+
+def test_no_refuge_at_a_cold_server_past_its_capacity():
+    c = conductor(capacities=[10, 1, 10], demands=[5, 12], at="ac")
+    c.servers["a"].state, c.servers["b"].started = "gone", c.now
+    assert c.refuge(c.ready(), 5).id == "c"
+
+
+def test_a_bare_slice_gets_a_line():
+    c = conductor(capacities=[10])
+    c.given(3)
+    c.place()
+    assert places(c) == {3: ["a"]} and c.changed()
+
+
+def test_a_slice_hotter_than_half_a_server_is_split_and_merged_when_it_cools():
+    c = conductor(capacities=[10, 10, 10], demands=[12], at="a")
+    c.split()
+    assert places(c) == {0: ["a", "b", "c"]}
+    c.slices[0].demand = 1.0
+    c.split()
+    assert len(c.slices[0].shares) == 1
+
+
+def test_a_single_owner_is_never_split():
+    c = conductor(capacities=[10, 10], demands=[12], at="a", one_owner=True)
+    c.split()
+    assert places(c) == {0: ["a"]}
+
+
+def test_with_no_server_ready_the_tables_stay():
+    c = conductor(capacities=[10], demands=[5], at="a")
+    c.servers["a"].state = "gone"
+    c.place()
+    assert places(c) == {0: ["a"]}
+
+
+# --- levels --------------------------------------------------------------------------------------
+
+def test_a_struggling_server_lets_in_the_dearest_first():
+    c = conductor(capacities=[10], demands=[16], at="a")
+    c.servers["a"].met.append((c.now, "east", 10, 10, 20.0))
+    c.let_in()
+    read, write = c.slices[0].levels
+    assert write == 1 and 0 < read < 1 and c.slices[0].urgent
+
+
+def test_estimates_alone_close_no_door_and_levels_ease_off_in_steps():
+    c = conductor(capacities=[10], demands=[20], at="a")
+    c.slices[0].levels = [0.1, 1.0]
+    c.let_in()
+    assert 0.1 < c.slices[0].levels[0] < 0.5
+
+
+# --- telling the proxies -------------------------------------------------------------------------
+
+def moved(count=1, **settings):
+    c = conductor(capacities=[10, 10], demands=[1] * count, at="a" * count, **settings)
+    for s in c.slices.values():
+        s.shares = [c.servers["b"]]
+    return c
+
+
+def test_only_changed_lines_go_out():
+    c, out = moved(2), Recorder()
+    c.slices[1].shares = [c.servers["a"]]
+    c.send(out)
+    assert out.of("line") == [(0, "b", 1.0), (0, "a", 0.0)] and len(out.of("receipt")) == 1
+    c.send(again := Recorder())
+    assert not again.orders
+
+
+def test_ordinary_orders_leave_room_under_the_message_cap_for_urgent_ones():
+    c = moved()
+    c.sent.extend([c.now - 1] * 7)
+    c.send(out := Recorder())
+    assert not out.orders
+    c.slices[0].urgent = True
+    c.send(out)
+    assert out.of("line")
+
+
+def test_the_message_cap_holds_for_urgent_orders_too():
+    c = moved()
+    c.slices[0].urgent = True
+    c.sent.extend([c.now - 1] * 9)
+    c.send(out := Recorder())
+    assert not out.orders
+
+
+def test_lines_no_proxy_has_acknowledged_count_as_waiting():
+    c = moved()
+    c.proxies[0].append((5, 990))
+    c.send(out := Recorder())
+    assert not out.orders
+    c.applied(0, 5)
+    c.send(out)
+    assert out.of("line")
+
+
+def test_drained_servers_lines_go_before_the_rest():
+    c = moved(3)
+    c.slices[2].told = {c.servers["a"]: 1.0}
+    for k in (0, 1):
+        c.slices[k].told = {c.servers["b"]: 1.0}
+        c.slices[k].shares = [c.servers["a"]]
+    c.servers["a"].state = "draining"
+    c.next_send = c.now + 9
+    c.send(out := Recorder())
+    assert {order[0] for order in out.of("line")} == {2}
+
+
+# --- one round -----------------------------------------------------------------------------------
+
+def test_a_first_round_with_nothing_known_only_asks():
+    from helpers import PLAIN, Conductor
+    out = Recorder()
+    Conductor(PLAIN._replace(asked_list=True, retry_default=0), 1).decide(5.0, [], out)
+    assert out.of("watch") == [()] and out.of("admit") == [(None, 0, 1.0, 1), (None, 1, 1.0, 1)]
+    assert out.of("wake") and not out.of("line")
+
+
+def test_no_other_retry_than_on_proof_is_ever_ordered():
+    c, out = conductor(capacities=[10], demands=[30], at="a"), Recorder()
+    c.servers["a"].met.append((c.now, "east", 10, 10, 90.0))
+    c.let_in()
+    c.send(out)
+    assert out.of("admit") and all(order[3] <= 1 for order in out.of("admit"))
+
+
+def test_a_clock_that_jumps_ahead_and_a_list_that_empties_are_borne():
+    c, out = moved(3), Recorder()
+    c.decide(c.now + 1e6, [("listed", (True, False, []))], out)
+    c.decide(c.now + 1e6, [("taken", (k,)) for k in range(3)] + [("left", (0,)), ("woke", ())], out)
+    assert len(out.of("line")) <= 6
+
+
+def test_the_same_events_give_the_same_orders():
+    events = [("given", (k,)) for k in range(20)] + [("listed", (True, False, [
+        (id, "east", "ready", 1.0, 0.0) for id in "abcdef"]))]
+    first, second = Recorder(), Recorder()
+    for out in (first, second):
+        conductor(slices=20).decide(101.0, events, out)
+    assert first.orders == second.orders and first.of("line")
