--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -270,23 +270,23 @@
         """
         ready = self.ready()
         views = {x: self.view(x) for x in ready}
-        known = sorted(good for good in views.values() if good is not None)
+        known = sorted(view[1] for view in views.values() if view)
         usual, best = (known[len(known) // 2], known[3 * len(known) // 4]) if known else (1.0, 1.0)
         distrusted = sum(x.health < 0.5 for x in ready)
         for server in ready:
-            good = views[server]
-            if good is not None and (good < 0.4 * usual and self.fit(server) < 1 or good < 0.1 and best > 0.5):
+            answered, good = views[server] or (1.0, 1.0)
+            if good < 0.4 * usual and self.fit(server) < 1 or answered < 0.1 and best > 0.5:
                 if server.health < 0.5 or distrusted < len(ready) // 2:
                     distrusted += server.health >= 0.5
-                    server.health = max(0.02, server.health * max(0.25, good)) if good >= 0.1 else 0.05
+                    server.health = max(0.02, server.health * max(0.25, good)) if answered >= 0.1 else 0.05
                     server.judged = self.now
                     server.met.clear()      # each answer counts against it once
             elif server.health < 1 and self.now - server.judged > self.RETRIAL:
                 server.health = min(1.0, 2 * server.health)
                 server.judged = self.now
 
-    def view(self, server: Server) -> float | None:
-        """The share of good answers of late, where a mean time past the soft deadline makes them worth less.
+    def view(self, server: Server) -> tuple[float, float] | None:
+        """The share of tries answered of late; and the same, worth less for a mean time past the soft deadline.
 
         None if there were too few to tell: six tries, since chance alone seldom spoils four of six.
         """
@@ -298,7 +298,7 @@
             tries, good, seconds = (sum(m[k] for m in of) for k in (2, 3, 4))
             all_tries += tries
             if tries >= 3:
-                views.append(good / tries * min(1.0, self.late * good / seconds if seconds else 1.0))
+                views.append((good / tries, good / tries * min(1.0, self.late * good / seconds if seconds else 1.0)))
         return max(views) if views and all_tries >= 6 else None
 
     RETRIAL = 4.0   # seconds between doublings of trust: a distrusted server is back in about 20 s
