--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -18,7 +18,6 @@
     def __init__(self, id: str):
         self.id = id
         self.zone, self.state, self.size, self.started = "", "ready", 1.0, 0.0
-        self.gained = 0.0
         self.moved = 0.0            # when a share last came or went
         self.quota = 1.0            # the share of its capacity that may be let in
         self.health = 1.0           # the part of its capacity that it can be trusted with
@@ -387,9 +386,7 @@
             server.load -= load
         for load, s, server in pool:
             server.load += load
-            # A target that took something in is measured before it takes more: what seems idle draws all.
-            others = [x for x in ready if x is not server and x not in s.shares
-                      and (self.now - x.gained > self.settle or x.gained == self.now)]
+            others = [x for x in ready if x is not server and x not in s.shares]
             target = min(others, key=lambda x: self.fit(x, load), default=None)
             if target is None or self.fit(target, load) > min(1.0, self.fit(server)):
                 continue    # skipped: it would overfill, or be no better off
@@ -400,7 +397,7 @@
         source, load = s.shares[k], s.demand / len(s.shares)
         source.load -= load
         target.load += load
-        source.moved = target.moved = target.gained = self.now
+        source.moved = target.moved = self.now
         s.shares[k] = target
 
     # --- levels ----------------------------------------------------------------------------------
