--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -407,7 +407,7 @@
 
         Guards against queues in which everything is answered late. Each round of reports in which a server
         struggles lowers its quota, a share of its capacity, whatever the estimates say: a queue drains only
-        below capacity, and the estimate may be too high. Quotas and levels ease off in steps.
+        below capacity, and the estimate may be too high. Quotas ease off in steps.
         """
         shares = {}
         for server in self.ready():
@@ -431,7 +431,6 @@
         for s in self.slices.values():
             for k, old in enumerate(s.levels):
                 new = sum(shares[x][k] for x in s.shares if x in shares) / len(s.shares) if s.shares else 1.0
-                new = min(new, old + self.EASE)
                 if new > 0.99 or abs(new - old) > 0.09:     # a tenth is within the noise of the estimates
                     s.levels[k] = min(1.0, new)
                     s.urgent = s.urgent or new < old    # a queue that builds up can't wait its turn
@@ -445,7 +444,6 @@
     TIGHTEN = 0.8       # the steps of a quota: down to half in three rounds, back in twice as many
     LEAST_QUOTA = 0.3
     LEAST = 0.05    # enough to go on hearing how a method fares
-    EASE = 0.2      # a round of reports: full again after five
 
     # --- telling the proxies ---------------------------------------------------------------------
 
