--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -76,6 +76,7 @@
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, deque] = {}     # by proxy: (mark, lines) on the way to it
         self.sent: deque[float] = deque()       # when messages went out, over the last span
+        self.taken_at = float("-inf")   # when a slice was last taken away
         self.heard_at = 0.0                     # when demand was last heard
         self.mark = 0
         self.next_pass = self.next_urgent = self.next_send = self.wake_at = 0.0
@@ -146,10 +147,16 @@
         self.proxies.pop(proxy, None)
 
     def given(self, id: int) -> None:
+        if not self.slices:
+            # Cut off till now, or just started: what we held against servers may have been the cut's doing.
+            for server in self.servers.values():
+                server.health = server.quota = 1.0
+                server.met.clear()
         s = self.slices[id] = Slice(id)
         s.levels, s.told_levels = [1.0] * len(self.cost), [1.0] * len(self.cost)   # a giving resets them
 
     def taken(self, id: int) -> None:
+        self.taken_at = self.now
         self.slices.pop(id, None)
 
     def held(self, id: int, server: str, weight: float) -> None:
@@ -193,7 +200,7 @@
 
     def measure(self) -> None:
         """Demand by slice, load and capacity by server, from the samples kept."""
-        known = []
+        known, heard_of = [], 0
         for s in self.slices.values():
             while s.samples and s.samples[0][0] < self.heard_at - self.WINDOW:
                 s.samples.popleft()
@@ -211,6 +218,7 @@
                     s.work = [w * surely / s.demand for w in s.work]
                     s.demand = surely
             known.append(s.demand)
+            heard_of += s.since < float("inf")
         ready = self.ready()
         for server in self.servers.values():
             server.load = 0.0
@@ -222,7 +230,9 @@
         trusted = sum(x.size * x.health * self.ramp(x) for x in ready)
         for server in ready:
             server.load += others * server.size * server.health * self.ramp(server) / trusted
-            if server.reports and self.now - server.moved > self.settle and self.now - server.started > self.cold_time:
+            # Nor while slices change hands: a controller that was cut off hears loads it has no slices for.
+            if server.reports and heard_of > 0.5 * len(self.slices) and self.now - server.started > self.cold_time \
+                    and self.now - max(server.moved, self.taken_at) > self.settle:
                 # Only work that was answered: what a full server pushed back kept no core busy, and would
                 # make it look the larger the more it is overrun.
                 server.uses.append((server.load * self.answered(server), sum(server.reports) / len(server.reports)))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -114,7 +114,15 @@
 
 def test_reports_soon_after_a_move_are_not_used():
     c = conductor(capacities=[1], demands=[10], at="a")
-    c.servers["a"].moved, c.servers["a"].reports = c.now - 1, [0.5]
+    c.slices[0].since, c.servers["a"].reports, c.servers["a"].moved = 0.0, [0.5], c.now - 1
+    c.measure()
+    assert not c.servers["a"].uses
+
+
+def test_reports_heard_without_slices_are_not_used():
+    c = conductor(capacities=[1], demands=[10], at="a")     # a cut-off controller whose slices are another's
+    c.taken(0)
+    c.servers["a"].reports = [0.9]
     c.measure()
     assert not c.servers["a"].uses
 
