--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -24,6 +24,7 @@
         self.judged = 0.0
         self.met: deque[tuple] = deque()    # (heard at, zone, tries, good ones, their seconds)
         self.reports: list[float] = []      # utilizations reported this round
+        self.used = 0.0             # their last mean
         self.uses: deque[tuple] = deque(maxlen=10)   # (load, utilization), after the last move
         self.capacity = 0.0         # worked out anew each round, ramp and health included
         self.load = 0.0
@@ -239,7 +240,8 @@
         # Capacity is demand over utilization, each summed over the samples: single reports swing with every
         # RPC. The fleet's own figure stands for those with few samples, and steadies the rest.
         for server in self.servers.values():
-            server.reports = []
+            if server.reports:
+                server.used, server.reports = sum(server.reports) / len(server.reports), []
         sums = [(x, sum(load for load, _ in x.uses), sum(used for _, used in x.uses)) for x in ready]
         used_all = sum(used * x.size for x, _, used in sums)
         self.average = sum(load for _, load, _ in sums) / used_all if used_all else 0.0     # per unit of size
@@ -285,7 +287,8 @@
         distrusted = sum(x.health < 0.5 for x in ready)
         for server in ready:
             answered, good = views[server] or (1.0, 1.0)
-            if good < 0.4 * usual and self.fit(server) < 1 or answered < 0.1 and best > 0.5:
+            overfull = self.fit(server) > 1 and server.used > 0.8
+            if good < 0.4 * usual and usual > 0.7 and not overfull or answered < 0.1 and best > 0.5:
                 if server.health < 0.5 or distrusted < len(ready) // 2:
                     distrusted += server.health >= 0.5
                     server.health = max(0.02, server.health * max(0.25, good)) if answered >= 0.1 else 0.05
@@ -448,8 +451,7 @@
     def struggles(self, server: Server) -> bool:
         """Whether what proxies met bears out that a server is overfull: estimates alone close no door."""
         good, seconds = sum(m[3] for m in server.met), sum(m[4] for m in server.met)
-        busy = bool(server.uses) and server.uses[-1][1] > 0.8
-        return seconds > good * self.slow or busy and self.answered(server) < 0.8
+        return seconds > good * self.slow or server.used > 0.8 and self.answered(server) < 0.8
 
     TIGHTEN = 0.8       # the steps of a quota: down to half in three rounds, back in twice as many
     LEAST_QUOTA = 0.3
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -192,10 +192,12 @@
 
 
 def test_an_overfull_server_is_not_called_sick():
-    c = conductor(capacities=[9, 9, 9], demands=[20], at="a")
-    fare(c, a=3, b=10, c=10)
-    c.judge()
-    assert c.servers["a"].health == 1
+    for used, health in ((1.0, 1.0), (0.2, 0.3)):   # but one that reports itself idle is
+        c = conductor(capacities=[9, 9, 9], demands=[20], at="a")
+        c.servers["a"].used = used
+        fare(c, a=3, b=10, c=10)
+        c.judge()
+        assert c.servers["a"].health == health
 
 
 def test_few_tries_are_no_verdict():
