--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -69,6 +69,7 @@
         self.cold_share, self.cold_time = s.cold_share or 1.0, max(s.cold_time, 0.001)
         self.head, self.waiting_most = s.lines_per_message, s.lines_waiting_most
         self.messages_most, self.messages_span = s.messages_most or 10 ** 9, s.messages_span
+        self.scarce = s.messages_most > 0
         # Ordinary orders use at most half of the messages a proxy may get; without a cap, a fraction of
         # a second lies between portions.
         self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
@@ -474,16 +475,20 @@
         changed = self.changed()
         while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:   # a tenth for a slow channel
             self.sent.popleft()
-        if not changed or len(self.sent) >= self.messages_most - 1:
+        # Any line on a gone or draining server has the grace to keep (rule 3): all messages but one are its own.
+        leave = [s for s in changed if any(x.state != "ready" for x in s.told)]
+        urgent = leave + [s for s in changed if s.urgent and s not in leave]
+        share = 1 - 1 / self.messages_most if leave else 0.8 if urgent else 0.5
+        if not changed or len(self.sent) >= share * self.messages_most or not urgent and self.now < self.next_send:
             return
-        # Any line on a gone or draining server has the grace to keep (rule 3).
-        urgent = [s for s in changed if s.urgent or any(x.state != "ready" for x in s.told)]
-        if not urgent:
-            if self.now < self.next_send or len(self.sent) >= 0.6 * self.messages_most:
-                return
-            # A tenth at a time, or as many as it takes to be done in half a period.
-            changed = changed[:max(4, int(len(self.slices) * max(0.1, 2 * self.gap / self.PERIOD)))]
-        changed = urgent or changed
+        # A tenth at a time, or as many as it takes to be done in half a period. They ride along with urgent ones
+        # where messages are scarce.
+        portion = max(4, int(len(self.slices) * max(0.1, 2 * self.gap / self.PERIOD)))
+        if not urgent or self.scarce:
+            urgent_too = set(map(id, urgent))
+            changed = urgent + [s for s in changed if id(s) not in urgent_too][:portion]
+        else:
+            changed = urgent
         waiting = sum(lines for way in self.proxies.values() for _, lines in way)
         room = (0.8 if urgent else 0.4) * self.waiting_most - waiting
         message, proxies = self.head + 1, max(1, len(self.proxies))
