--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -295,7 +295,7 @@
                     server.health = max(0.02, server.health * max(0.25, good)) if answered >= 0.1 else 0.05
                     server.judged = self.now
                     server.met.clear()      # each answer counts against it once
-            elif server.health < 1 and self.now - server.judged > self.RETRIAL:
+            elif server.health < 1 and good > 0.6 * usual and self.now - server.judged > self.RETRIAL:
                 server.health = min(1.0, 2 * server.health)
                 server.judged = self.now
 
