--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -319,7 +319,8 @@
 
     # --- the mechanism ---------------------------------------------------------------------------
 
-    PERIOD = 5.0    # seconds between ordinary passes, the design's start
+    PERIOD = 5.0    # seconds between ordinary passes, the design's start; 3 s moved more and won nothing
+    URGENT = 2.0    # seconds at least between passes: what one moved begins to show before the next
 
     def fit(self, server: Server, load: float = 0.0) -> float:
         return (server.load + load) / max(server.capacity, 1e-9)
@@ -346,12 +347,12 @@
         if self.average:
             if self.now >= self.next_pass:
                 self.next_pass = self.now + self.PERIOD
-                self.next_urgent = self.now + self.period
+                self.next_urgent = self.now + self.URGENT
                 self.split()
                 mean = sum(x.load for x in ready) / max(1e-9, sum(x.capacity for x in ready))
                 self.reassign(ready, min(1.0, (1 + mean) / 2), False)
             elif self.now >= self.next_urgent and any(self.fit(x) > 1 for x in ready):
-                self.next_urgent = self.now + self.period
+                self.next_urgent = self.now + self.URGENT
                 self.split()
                 self.reassign(ready, 1.0, True)
         elif self.now >= self.next_pass:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -207,6 +207,15 @@
     assert c.view(c.servers["a"]) is None
 
 
+def test_trust_stays_low_while_a_server_goes_on_failing():
+    c = conductor(capacities=[9, 9, 9])
+    c.servers["a"].health, c.servers["a"].used = 0.3, 0.9
+    fare(c, a=1, b=2, c=2)
+    c.now += 1.9
+    c.judge()
+    assert c.servers["a"].health <= 0.3
+
+
 def test_trust_comes_back_in_steps():
     c = conductor(capacities=[9, 9])
     server = c.servers["a"]
@@ -238,6 +247,15 @@
     assert places(c) == {0: ["b"], 1: ["a"], 2: ["a"]} and c.slices[0].urgent
 
 
+def test_the_next_urgent_pass_waits_for_the_last_ones_effect():
+    c = conductor(capacities=[10, 10], demands=[4, 4, 3], at="aaa")
+    c.place()
+    c.servers["a"].capacity = 1.0
+    c.now += 1
+    c.place()
+    assert places(c) == {0: ["b"], 1: ["a"], 2: ["a"]}
+
+
 def test_light_load_moves_nothing():
     c = conductor(capacities=[10, 10], demands=[2, 2], at="aa")
     c.next_pass = c.now
