--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -27,7 +27,8 @@
         self.used = 0.0             # their last mean
         self.uses: deque[tuple] = deque(maxlen=10)   # (load, utilization), after the last move
         self.capacity = 0.0         # worked out anew each round, ramp and health included
-        self.load = 0.0
+        self.load = 0.0             # work a second asked of it
+        self.shut_out = 0.0         # the part of it that levels keep out
 
     def __repr__(self) -> str:
         return f"Server({self.id})"
@@ -223,10 +224,12 @@
             heard_of += s.since < float("inf")
         ready = self.ready()
         for server in self.servers.values():
-            server.load = 0.0
+            server.load = server.shut_out = 0.0
         for s in self.slices.values():
+            shut_out = sum(work * (1 - level) for work, level in zip(s.work, s.told_levels))
             for server in s.shares:
                 server.load += s.demand / len(s.shares)
+                server.shut_out += shut_out / len(s.shares)
         # Other controllers' slices load the servers too; unheard, they count as ours, spread by size and trust.
         others = sum(known) * (self.slices_all / max(1, len(known)) - 1)
         trusted = sum(x.size * x.health * self.ramp(x) for x in ready)
@@ -235,9 +238,10 @@
             # Nor while slices change hands: a controller that was cut off hears loads it has no slices for.
             if server.reports and heard_of > 0.5 * len(self.slices) and self.now - server.started > self.cold_time \
                     and self.now - max(server.moved, self.taken_at) > self.settle:
-                # Only work that was answered: what a full server pushed back kept no core busy, and would
-                # make it look the larger the more it is overrun.
-                server.uses.append((server.load * self.answered(server), sum(server.reports) / len(server.reports)))
+                # Only work that was let in and answered: what was pushed back, by our levels or by a full
+                # server, kept no core busy, and would make it look the larger the more it is overrun.
+                done = (server.load - server.shut_out) * self.answered(server)
+                server.uses.append((done, sum(server.reports) / len(server.reports)))
         # Capacity is demand over utilization, each summed over the samples: single reports swing with every
         # RPC. The fleet's own figure stands for those with few samples, and steadies the rest.
         for server in self.servers.values():
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -130,13 +130,23 @@
 def test_pushed_back_work_does_not_make_a_server_look_larger():
     c = conductor(capacities=[1], demands=[10], at="a")
     server = c.servers["a"]
-    c.slices[0].since, c.slices[0].samples = 99.0, [(100.0, 1.0, 10.0, 100, 0)]
-    c.slices[0].samples = type(server.met)(c.slices[0].samples)
+    c.slices[0].since = 99.0
+    c.slices[0].samples.append((100.0, 1.0, 10.0, 100, 0))
     c.heard("a", "east", 1.0, 10, 5, 0.1, {"utilization": 1.0})
     c.measure()
     assert server.uses[-1] == (5.0, 1.0)
 
 
+def test_work_that_levels_keep_out_does_not_make_a_server_look_larger():
+    c = conductor(capacities=[1], demands=[10], at="a")
+    server = c.servers["a"]
+    c.slices[0].since, c.slices[0].told_levels = 99.0, [0.2, 1.0]
+    c.slices[0].samples.append((100.0, 1.0, 10.0, 100, 0))
+    c.heard("a", "east", 1.0, 10, 0, 0.1, {"utilization": 1.0})
+    c.measure()
+    assert server.uses[-1] == (2.0, 1.0)
+
+
 def test_a_cold_server_counts_for_less_than_it_has_for_certain():
     c = conductor(capacities=[1])
     ramps = []
