--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -17,7 +17,7 @@
 
     def __init__(self, id: str):
         self.id = id
-        self.zone, self.state, self.size, self.started = "", "ready", 1.0, 0.0
+        self.state, self.size, self.started = "ready", 1.0, 0.0
         self.moved = 0.0            # when a share last came or went
         self.quota = 1.0            # the share of its capacity that may be let in
         self.health = 1.0           # the part of its capacity that it can be trusted with
@@ -45,7 +45,7 @@
         self.urgent = False
         self.since = float("inf")   # the start of the first span heard
         self.demand = 0.0           # work a second
-        self.work: list[float] = [] # the same, by method
+        self.work: list[float] = []         # the same, by method
         self.levels: list[float] = []       # shares let in, by method
         self.told_levels: list[float] = []
 
@@ -115,7 +115,7 @@
             self.wake_at = max(due, now + 0.001)
             out.wake(self.wake_at)
 
-    RETRY = 1
+    RETRY = 1       # on proof only; see Orders.admit
 
     # --- what came in ----------------------------------------------------------------------------
 
@@ -136,7 +136,7 @@
             server = self.server(id)
             if started > server.started:    # a fresh process: what was known of the old one is void
                 server.health = 1.0
-            server.zone, server.state, server.size, server.started = zone, state, size or 1.0, started
+            server.state, server.size, server.started = state, size or 1.0, started
 
     def list_failed(self) -> None:
         """Ask again, after waits that double: the list is one service for all and may be swamped."""
@@ -216,7 +216,7 @@
             if recent:
                 span, rpcs = max(x[1] for x in recent), sum(x[3] for x in recent)
                 # A jump that chance does not explain counts at once.
-                surely = sum(x[2] for x in recent) / max(span, 0.1) * (1 - min(1.0, 1.5 / rpcs ** 0.5 if rpcs else 1))
+                surely = sum(x[2] for x in recent) / max(span, 0.1) * max(0.0, 1 - 1.5 / max(1, rpcs) ** 0.5)
                 if surely > s.demand:
                     s.work = [w * surely / s.demand for w in s.work]
                     s.demand = surely
@@ -230,13 +230,14 @@
             for server in s.shares:
                 server.load += s.demand / len(s.shares)
                 server.shut_out += shut_out / len(s.shares)
-        # Other controllers' slices load the servers too; unheard, they count as ours, spread by size and trust.
+        # Other controllers' slices load the servers too; unheard, they count as ours, by size and trust.
         others = sum(known) * (self.slices_all / max(1, len(known)) - 1)
         trusted = sum(x.size * x.health * self.ramp(x) for x in ready)
         for server in ready:
             server.load += others * server.size * server.health * self.ramp(server) / trusted
             # Nor while slices change hands: a controller that was cut off hears loads it has no slices for.
-            if server.reports and heard_of > 0.5 * len(self.slices) and self.now - server.started > self.cold_time \
+            if server.reports and heard_of > 0.5 * len(self.slices) \
+                    and self.now - server.started > self.cold_time \
                     and self.now - max(server.moved, self.taken_at) > self.settle:
                 # Only work that was let in and answered: what was pushed back, by our levels or by a full
                 # server, kept no core busy, and would make it look the larger the more it is overrun.
@@ -304,7 +305,7 @@
                 server.judged = self.now
 
     def view(self, server: Server) -> tuple[float, float] | None:
-        """The share of tries answered of late; and the same, worth less for a mean time past the soft deadline.
+        """The share of tries answered of late; and the same, worth less where the mean time is too long.
 
         None if there were too few to tell: six tries, since chance alone seldom spoils four of six.
         """
@@ -316,7 +317,8 @@
             tries, good, seconds = (sum(m[k] for m in of) for k in (2, 3, 4))
             all_tries += tries
             if tries >= 3:
-                views.append((good / tries, good / tries * min(1.0, self.late * good / seconds if seconds else 1.0)))
+                in_time = min(1.0, self.late * good / seconds) if seconds else 1.0
+                views.append((good / tries, good / tries * in_time))
         return max(views) if views and all_tries >= 6 else None
 
     RETRIAL = 4.0   # seconds between doublings of trust: a distrusted server is back in about 20 s
@@ -363,8 +365,9 @@
             self.next_pass = self.now + self.PERIOD
 
     def refuge(self, ready: list[Server], load: float) -> Server:
-        """Where a share goes that must leave, even past capacity; not past that of a cold or failed server."""
-        return min(ready, key=lambda x: (x.health < 0.1, self.ramp(x) < 1 and self.fit(x, load) > 1, self.fit(x, load)))
+        """Where a share goes that must leave, even past capacity, but not that of a cold or failed server."""
+        return min(ready, key=lambda x: (x.health < 0.1, self.ramp(x) < 1 < self.fit(x, load),
+                                         self.fit(x, load)))
 
     def split(self) -> None:
         """Split a slice hotter than half an average server into more shares, and merge them when it cools.
@@ -445,7 +448,8 @@
             room = server.capacity * server.quota * sum(server.work) / max(server.load, 1e-9)
             shares[server] = [1.0] * len(self.cost)
             for k in self.order if over else ():
-                shares[server][k] = max(self.LEAST, min(1.0, room / server.work[k])) if server.work[k] else 1.0
+                if server.work[k]:
+                    shares[server][k] = max(self.LEAST, min(1.0, room / server.work[k]))
                 room = max(0.0, room - server.work[k])
         for s in self.slices.values():
             for k, old in enumerate(s.levels):
@@ -478,16 +482,19 @@
     def send(self, out: Orders) -> None:
         """Order changed lines only: urgent ones at once, others in portions, under rule 5's caps."""
         changed = self.changed()
-        while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:   # a tenth for a slow channel
+        # A tenth more than the span, for a channel that runs slow.
+        while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:
             self.sent.popleft()
-        # Any line on a gone or draining server has the grace to keep (rule 3): all messages but one are its own.
+        # Lines on gone or draining servers have the grace to keep (rule 3): all messages but one are theirs.
         leave = [s for s in changed if any(x.state != "ready" for x in s.told)]
         urgent = leave + [s for s in changed if s.urgent and s not in leave]
         share = 1 - 1 / self.messages_most if leave else 0.8 if urgent else 0.5
-        if not changed or len(self.sent) >= share * self.messages_most or not urgent and self.now < self.next_send:
+        if not changed or len(self.sent) >= share * self.messages_most:
             return
-        # A tenth at a time, or as many as it takes to be done in half a period. They ride along with urgent ones
-        # where messages are scarce.
+        if not urgent and self.now < self.next_send:
+            return
+        # A tenth at a time, or as many as it takes to be done in half a period. They ride along with urgent
+        # ones where messages are scarce.
         portion = max(4, int(len(self.slices) * max(0.1, 2 * self.gap / self.PERIOD)))
         if not urgent or self.scarce:
             urgent_too = set(map(id, urgent))
--- a/knotwalk/interface.py
+++ b/knotwalk/interface.py
@@ -29,36 +29,26 @@
     """One method of the RPCs served."""
 
     soft_deadline: float     # seconds: an answer within it earns the full criticality
-    deadline: float          # seconds: the client gives up
     criticality: float
-    effect: str              # "idempotent", "tokened" or "non-idempotent"
-    token_group: str         # tokened: "all", "zone" or "cell", the servers that drop a repeat
-    token_window: float      # tokened: seconds for which they do
 
 
 class Settings(NamedTuple):
-    """What an instance is told at its start."""
+    """What decisions need of what an instance is told at its start."""
 
     methods: tuple[Method, ...]
     slices: int                 # slices in all, whoever has charge of them; 0: a site without slices
     one_owner: bool             # a table may hold one line only
     asked_list: bool            # the server list comes only when asked for
     retry_default: int          # how proxies try again unless told (see Orders.admit)
-    first_wait: float           # a try that may be followed waits this many soft deadlines
     admits: bool                # shares of methods let in are heeded
     report_period: float
     message_delay: float        # mean seconds from the channel to a proxy
-    message_delay_most: float
-    lines_per_second: float     # the channel's usual pace
     lines_waiting_most: float   # rule 5
     lines_per_message: float    # what a message costs beside its own lines
     messages_most: int          # rule 5: messages to a proxy within messages_span; 0: no cap
     messages_span: float
-    grace: float                # rule 3: seconds for which a drained server may still be sent to
     cold_share: float           # rule 4: a server starts at this share of its capacity or more
     cold_time: float            # and is warm after this
-    fall_multiple: float        # and falls over at this multiple of its present capacity
-    fall_time: float            # held for this long
 
 
 class Orders(Protocol):
--- a/knotwalk/wirehost/host.py
+++ b/knotwalk/wirehost/host.py
@@ -10,7 +10,6 @@
 from knotwalk.decide import Conductor
 from knotwalk.interface import Method, Settings
 
-EFFECTS = {"repeatable": "idempotent", "by_key": "tokened", "once": "non-idempotent"}
 STATES = {"Running": "ready", "Stopping": "draining", "Deleted": "gone"}
 COLUMNS = {"busy": "utilization", "rif": "inflight", "q": "queue", "rate": "qps", "lat_ms": "latency_ms",
            "fail_rate": "eps"}
@@ -54,23 +53,16 @@
     for k in range(int(number("classes.count"))):
         at = f"classes.{k}."
         methods.append(Method(
-            soft_deadline=seconds(at + "slo_us"), deadline=seconds(at + "give_up_us"),
-            criticality=number(at + "worth"),
-            effect=EFFECTS.get(pairs.get(at + "idempotency", "once"), "non-idempotent"),
-            token_group=pairs.get(at + "group", "cell"), token_window=seconds(at + "window_us")))
+            soft_deadline=seconds(at + "slo_us"), criticality=number(at + "worth")))
     family, rule = "family_info.", "guarantees."
     return Settings(
         methods=tuple(methods), slices=int(number(family + "partitions_n")),
         one_owner=flag(family + "one_owner"), asked_list=pairs.get("discovery") == "on_request",
-        retry_default=int(number(family + "retry_default")), first_wait=number(family + "first_wait"),
-        admits=pairs.get(family + "admit") == "fraction", report_period=seconds(family + "period_us"),
-        message_delay=seconds(family + "push_delay_us"),
-        message_delay_most=seconds(family + "worst_transit_us"),
-        lines_per_second=number(family + "lines_per_s"), lines_waiting_most=number(family + "most_waiting"),
-        lines_per_message=number(family + "fixed_cost"), messages_most=int(number(family + "messages_most")),
-        messages_span=seconds(family + "reload_span_us"), grace=seconds(rule + "stop_sending_within_us"),
-        cold_share=number(rule + "cold_from"), cold_time=seconds(rule + "cold_us"),
-        fall_multiple=number(rule + "tip_multiple"), fall_time=seconds(rule + "fall_us"))
+        retry_default=int(number(family + "retry_default")), admits=pairs.get(family + "admit") == "fraction",
+        report_period=seconds(family + "period_us"), message_delay=seconds(family + "push_delay_us"),
+        lines_waiting_most=number(family + "most_waiting"), lines_per_message=number(family + "fixed_cost"),
+        messages_most=int(number(family + "messages_most")), messages_span=seconds(family + "reload_span_us"),
+        cold_share=number(rule + "cold_from"), cold_time=seconds(rule + "cold_us"))
 
 
 class Writer:
@@ -238,7 +230,8 @@
                 try:
                     instance.conductor.decide(now, inbox, Writer(who, reply))
                 except Exception as fault:  # whatever it is, the wire has one way to say so
-                    reply += [f"AS who={who}", f"FATAL msg={type(fault).__name__}: {' '.join(str(fault).split())}"]
+                    text = " ".join(f"{type(fault).__name__}: {fault}".split())
+                    reply += [f"AS who={who}", f"FATAL msg={text}"]
         reply.append(f"END frame={frame}")
         return reply
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -3,14 +3,12 @@
 from knotwalk.decide import Conductor
 from knotwalk.interface import Method, Settings
 
-READ = Method(soft_deadline=1.5, deadline=5, criticality=3, effect="idempotent", token_group="all", token_window=5)
-WRITE = Method(soft_deadline=1.0, deadline=3, criticality=9, effect="non-idempotent", token_group="all",
-               token_window=5)
+READ = Method(soft_deadline=1.5, criticality=3)
+WRITE = Method(soft_deadline=1.0, criticality=9)
 PLAIN = Settings(
-    methods=(READ, WRITE), slices=4, one_owner=False, asked_list=False, retry_default=1, first_wait=1,
-    admits=True, report_period=1, message_delay=0.2, message_delay_most=0.5, lines_per_second=1000,
-    lines_waiting_most=1000, lines_per_message=10, messages_most=10, messages_span=10, grace=2,
-    cold_share=0.2, cold_time=10, fall_multiple=3, fall_time=3)
+    methods=(READ, WRITE), slices=4, one_owner=False, asked_list=False, retry_default=1, admits=True,
+    report_period=1, message_delay=0.2, lines_waiting_most=1000, lines_per_message=10, messages_most=10,
+    messages_span=10, cold_share=0.2, cold_time=10)
 
 
 class Recorder:
