--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -79,6 +79,7 @@
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, deque] = {}     # by proxy: (mark, lines) on the way to it
         self.sent: deque[float] = deque()       # when messages went out, over the last span
+        self.back = float("-inf")       # when a slice was given while there was none
         self.taken_at = float("-inf")   # when a slice was last taken away
         self.heard_at = 0.0                     # when demand was last heard
         self.mark = 0
@@ -152,9 +153,10 @@
     def given(self, id: int) -> None:
         if not self.slices:
             # Cut off till now, or just started: what we held against servers may have been the cut's doing.
+            # What comes in next is still of that time.
+            self.back = self.now
             for server in self.servers.values():
                 server.health = server.quota = 1.0
-                server.met.clear()
         s = self.slices[id] = Slice(id)
         s.levels, s.told_levels = [1.0] * len(self.cost), [1.0] * len(self.cost)   # a giving resets them
 
@@ -287,6 +289,9 @@
         fleet is distrusted: if most fare badly, the trouble is not theirs.
         """
         ready = self.ready()
+        if self.now - self.back < self.settle:
+            for server in ready:
+                server.met.clear()
         views = {x: self.view(x) for x in ready}
         known = sorted(view[1] for view in views.values() if view)
         usual, best = (known[len(known) // 2], known[3 * len(known) // 4]) if known else (1.0, 1.0)
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -40,4 +40,5 @@
         c.held(k, at[k], 1.0)
         s.demand, s.work = demand, [demand / 2, demand / 2]
         server.load += demand
+    c.back = float("-inf")
     return c
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -220,6 +220,17 @@
         assert c.servers["a"].health == health
 
 
+def test_a_controller_that_got_its_slices_back_judges_only_by_what_came_since():
+    c = conductor(capacities=[9, 9, 9])
+    fare(c, a=0, b=10, c=10)
+    c.servers["b"].health = 0.05
+    c.given(0)
+    c.judge()
+    c.now += c.settle
+    c.judge()
+    assert c.servers["a"].health == c.servers["b"].health == 1
+
+
 def test_few_tries_are_no_verdict():
     c = conductor(capacities=[9])
     c.servers["a"].met.append((c.now, "east", 5, 0, 0.0))
