--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -18,6 +18,7 @@
     def __init__(self, id: str):
         self.id = id
         self.state, self.size, self.started = "ready", 1.0, 0.0
+        self.left_at = 0.0          # when it was first told of as draining or gone
         self.moved = 0.0            # when a share last came or went
         self.quota = 1.0            # the share of its capacity that may be let in
         self.health = 1.0           # the part of its capacity that it can be trusted with
@@ -75,17 +76,21 @@
         # a second lies between portions.
         self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
         self.retry_default = s.retry_default
+        # The receipt, and the way of retrying by method where it differs, are in every message.
+        self.standing = 1 + (len(s.methods) if s.retry_default != self.RETRY else 0)
         self.servers: dict[str, Server] = {}
         self.slices: dict[int, Slice] = {}
-        self.proxies: dict[int, deque] = {}     # by proxy: (mark, lines) on the way to it
+        self.proxies: dict[int, None] = {}
+        self.way: deque[tuple] = deque()    # messages: (mark, lines of each, proxies yet to take it in)
         self.sent: deque[float] = deque()       # when messages went out, over the last span
         self.back = float("-inf")       # when a slice was given while there was none
         self.taken_at = float("-inf")   # when a slice was last taken away
         self.heard_at = 0.0                     # when demand was last heard
         self.mark = 0
-        self.next_pass = self.next_urgent = self.next_send = self.wake_at = 0.0
+        self.next_pass = self.next_urgent = self.next_send = self.next_urgent_send = self.wake_at = 0.0
         self.list_wait, self.list_due = 0.5, 0.0 if s.asked_list else float("inf")
-        self.born = False
+        self.born = self.pending = False    # pending: something is yet to be told
+        self.news = True            # something came that decisions rest on
 
     # --- one round -------------------------------------------------------------------------------
 
@@ -94,6 +99,7 @@
         self.now = now
         for handler, arguments in inbox:
             getattr(self, handler)(*arguments)
+            self.news = self.news or handler != "applied"
         if not self.born:
             self.born, self.next_pass = True, now + self.PERIOD
             # Another try only on proof that the first never ran: safe for every method (rule 2). A try
@@ -101,17 +107,20 @@
             if self.retry_default != self.RETRY:
                 for k in range(len(self.cost)):
                     out.admit(None, k, 1.0, self.RETRY)
-        self.measure()
-        self.judge()
-        self.place()
-        if self.admits and self.heard_at == now and self.average:
-            self.let_in()
-        self.send(out)
+        if self.news or now >= self.next_pass:      # receipts, most of what comes, change no figure
+            self.news, self.pending = False, True
+            self.measure()
+            self.judge()
+            self.place()
+            if self.admits and self.heard_at == now and self.average:
+                self.let_in()
+        if self.pending:
+            self.pending = self.send(out)
         if self.asked_list and now >= self.list_due:
             self.list_due = float("inf")
             out.watch()
         due = min(self.next_pass, self.list_due, max(self.next_send, now + 0.05)
-                  if self.changed() else float("inf"))
+                  if self.pending else float("inf"))
         if not now < self.wake_at <= due:
             self.wake_at = max(due, now + 0.001)
             out.wake(self.wake_at)
@@ -131,12 +140,14 @@
         if full:
             named = {entry[0] for entry in entries}
             for server in self.servers.values():
-                if server.id not in named:
-                    server.state = "gone"
+                if server.id not in named and server.state != "gone":
+                    server.state, server.left_at = "gone", self.now
         for id, zone, state, size, started in entries:
             server = self.server(id)
             if started > server.started:    # a fresh process: what was known of the old one is void
                 server.health = 1.0
+            if state != "ready" and server.state == "ready":
+                server.left_at = self.now
             server.state, server.size, server.started = state, size or 1.0, started
 
     def list_failed(self) -> None:
@@ -145,10 +156,12 @@
         self.list_wait = min(8.0, 2 * self.list_wait)
 
     def joined(self, proxy: int) -> None:
-        self.proxies[proxy] = deque()
+        self.proxies[proxy] = None
 
     def left(self, proxy: int) -> None:
         self.proxies.pop(proxy, None)
+        for _, _, proxies in self.way:
+            proxies.discard(proxy)
 
     def given(self, id: int) -> None:
         if not self.slices:
@@ -191,10 +204,11 @@
             server.reports.append(min(1.0, load["inflight"] / server.size))
 
     def applied(self, proxy: int, mark: int) -> None:
-        way = self.proxies.get(proxy)
-        if way and any(m == mark for m, _ in way):
-            while way.popleft()[0] != mark:
-                pass
+        """Messages leave the channel in succession: all those before one taken in have left it too."""
+        if any(m == mark and proxy in proxies for m, _, proxies in self.way):
+            while self.way[0][0] != mark:
+                self.way.popleft()
+            self.way[0][2].discard(proxy)
 
     def woke(self) -> None:
         pass
@@ -484,48 +498,59 @@
     def changed(self) -> list[Slice]:
         return [s for s in self.slices.values() if s.told != self.lines(s) or s.levels != s.told_levels]
 
-    def send(self, out: Orders) -> None:
-        """Order changed lines only: urgent ones at once, others in portions, under rule 5's caps."""
+    def send(self, out: Orders) -> bool:
+        """Order changed lines only: urgent ones soon, others in portions, under rule 5's caps.
+
+        Whether something is left to tell. Lines that leave gone or draining servers have the grace to keep
+        (rule 3): half of the channel and a fifth of the messages are theirs alone.
+        """
         changed = self.changed()
         # A tenth more than the span, for a channel that runs slow.
         while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:
             self.sent.popleft()
-        # Lines on gone or draining servers have the grace to keep (rule 3): all messages but one are theirs.
-        leave = [s for s in changed if any(x.state != "ready" for x in s.told)]
-        urgent = leave + [s for s in changed if s.urgent and s not in leave]
+        # The longest known first: drains that come in waves would starve what the first wave left.
+        leave = sorted((s for s in changed if any(x.state != "ready" for x in s.told)),
+                       key=lambda s: min(x.left_at for x in s.told if x.state != "ready"))
+        leaving = set(leave)
+        urgent = leave + sorted((s for s in changed if s.urgent and s not in leaving), key=lambda s: -s.demand)
         share = 1 - 1 / self.messages_most if leave else 0.8 if urgent else 0.5
         if not changed or len(self.sent) >= share * self.messages_most:
-            return
-        if not urgent and self.now < self.next_send:
-            return
+            return bool(changed)
+        if self.now < (self.next_urgent_send if urgent else self.next_send):
+            return True
         # A tenth at a time, or as many as it takes to be done in half a period. They ride along with urgent
         # ones where messages are scarce.
         portion = max(4, int(len(self.slices) * max(0.1, 2 * self.gap / self.PERIOD)))
         if not urgent or self.scarce:
-            urgent_too = set(map(id, urgent))
-            changed = urgent + [s for s in changed if id(s) not in urgent_too][:portion]
+            urgent_too = set(urgent)
+            changed = urgent + [s for s in changed if s not in urgent_too][:portion]
         else:
             changed = urgent
-        waiting = sum(lines for way in self.proxies.values() for _, lines in way)
-        room = (0.8 if urgent else 0.4) * self.waiting_most - waiting
-        message, proxies = self.head + 1, max(1, len(self.proxies))
+        waiting = sum(lines * len(proxies) for _, lines, proxies in self.way)
+        message, proxies, told = self.head + self.standing, max(1, len(self.proxies)), 0
         for s in changed:
             want = self.lines(s)
             change = [(x, w) for x, w in want.items() if s.told.get(x) != w]
             change += [(x, 0.0) for x in s.told if x not in want]
-            levels = [k for k, share in enumerate(s.levels) if share != s.told_levels[k]]
-            if (message + len(change) + len(levels)) * proxies > room:
+            levels = [k for k, share in enumerate(s.levels) if share != s.told_levels[k] and s not in leaving]
+            most = 0.95 if told < len(leave) else 0.5 if told < len(urgent) else 0.35
+            if waiting + (message + len(change) + len(levels)) * proxies > most * self.waiting_most:
                 break
+            told += 1
             message += len(change) + len(levels)
             for k in levels:
                 out.admit(s.id, k, s.levels[k], self.RETRY)
             for server, weight in change:
                 out.line(s.id, server.id, weight)
-            s.told, s.told_levels, s.urgent = want, list(s.levels), False
-        if message > self.head + 1:
+            s.told, s.urgent = want, s in leaving and s.levels != s.told_levels
+            for k in levels:
+                s.told_levels[k] = s.levels[k]
+        if told:
             self.mark = (self.mark + 1) % 65536
             out.receipt(self.mark)
             self.sent.append(self.now)
-            self.next_send = self.now + self.gap
-            for way in self.proxies.values():
-                way.append((self.mark, message))
+            self.next_send, self.next_urgent_send = self.now + self.gap, self.now + self.BATCH
+            self.way.append((self.mark, message, set(self.proxies)))
+        return told < len(changed) or bool(self.changed())
+
+    BATCH = 0.25    # seconds between urgent messages: small ones would fill a busy channel with their heads
