--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -19,15 +19,19 @@
         self.id = id
         self.state, self.size, self.started = "ready", 1.0, 0.0
         self.left_at = 0.0          # when it was first told of as draining or gone
+        self.shut = self.once_shut = False      # shut out of all tables, now or ever
         self.moved = 0.0            # when a share last came or went
         self.quota = 1.0            # the share of its capacity that may be let in
         self.health = 1.0           # the part of its capacity that it can be trusted with
         self.judged = 0.0
         self.met: deque[tuple] = deque()    # (heard at, zone, tries, good ones, their seconds)
         self.reports: list[float] = []      # utilizations reported this round
-        self.used = 0.0             # their last mean
-        self.uses: deque[tuple] = deque(maxlen=10)   # (load, utilization), after the last move
-        self.capacity = 0.0         # worked out anew each round, ramp and health included
+        self.used, self.reported = 0.0, 0.0     # their last mean, and when
+        # (heard at, load by our slices, by others' if spread evenly, utilization), after the last move
+        self.uses: deque[tuple] = deque(maxlen=10)
+        self.spread = 0.0           # others' load, if spread evenly
+        self.whole = 0.0            # capacity, worked out anew each round, ramp included
+        self.capacity = 0.0         # the same with trust
         self.load = 0.0             # work a second asked of it
         self.shut_out = 0.0         # the part of it that levels keep out
 
@@ -157,6 +161,9 @@
 
     def joined(self, proxy: int) -> None:
         self.proxies[proxy] = None
+        for server in self.servers.values():
+            # It may hold what was shut out before it left, or not hold what is shut out now: told again.
+            server.shut = server.once_shut and server.state == "ready"
 
     def left(self, proxy: int) -> None:
         self.proxies.pop(proxy, None)
@@ -246,11 +253,13 @@
             for server in s.shares:
                 server.load += s.demand / len(s.shares)
                 server.shut_out += shut_out / len(s.shares)
-        # Other controllers' slices load the servers too; unheard, they count as ours, by size and trust.
+        # Other controllers' slices load the servers too; unheard, they count as ours, by size.
         others = sum(known) * (self.slices_all / max(1, len(known)) - 1)
-        trusted = sum(x.size * x.health * self.ramp(x) for x in ready)
-        for server in ready:
-            server.load += others * server.size * server.health * self.ramp(server) / trusted
+        # They fill what ours leave of an even load: a server is not idle because few of ours are there.
+        even = (sum(known) + others) / max(1e-9, sum(x.size * self.ramp(x) for x in ready))
+        gaps = [max(0.0, even * x.size * self.ramp(x) - x.load) for x in ready]
+        for server, gap in zip(ready, gaps):
+            server.spread = gap * others / max(1e-9, sum(gaps))
             # Nor while slices change hands: a controller that was cut off hears loads it has no slices for.
             if server.reports and heard_of > 0.5 * len(self.slices) \
                     and self.now - server.started > self.cold_time \
@@ -258,22 +267,29 @@
                 # Only work that was let in and answered: what was pushed back, by our levels or by a full
                 # server, kept no core busy, and would make it look the larger the more it is overrun.
                 done = (server.load - server.shut_out) * self.answered(server)
-                server.uses.append((done, sum(server.reports) / len(server.reports)))
+                server.uses.append((self.now, done, server.spread, sum(server.reports) / len(server.reports)))
         # Capacity is demand over utilization, each summed over the samples: single reports swing with every
         # RPC. The fleet's own figure stands for those with few samples, and steadies the rest.
         for server in self.servers.values():
             if server.reports:
-                server.used, server.reports = sum(server.reports) / len(server.reports), []
-        sums = [(x, sum(load for load, _ in x.uses), sum(used for _, used in x.uses)) for x in ready]
+                server.used, server.reported = sum(server.reports) / len(server.reports), self.now
+                server.reports = []
+        sums = [(x, sum(u[1] + u[2] for u in x.uses), sum(u[3] for u in x.uses)) for x in ready]
         used_all = sum(used * x.size for x, _, used in sums)
         self.average = sum(load for _, load, _ in sums) / used_all if used_all else 0.0     # per unit of size
         usual = used_all / max(1.0, sum(x.size * len(x.uses) for x in ready))
         for server, load, used in sums:
             weight = self.PRIOR * usual
             base = (load + weight * self.average * server.size) / (used + weight) if weight else 0.0
-            server.capacity = base * server.health * self.ramp(server)
+            server.whole = base * self.ramp(server)
+            server.capacity = server.whole * server.health
+            # What utilization shows beyond our slices is somebody else's: another controller's slices, a
+            # neighbour, a core grown slow.
+            recent = [used * base - own for at, own, _, used in server.uses if at > self.now - self.RECENT]
+            server.load += max(0.0, sum(recent) / len(recent)) if recent else server.spread
         self.average *= sum(x.size for x in ready) / max(1, len(ready))                     # of a server
 
+    RECENT = 6.0    # seconds of utilization that tell the load of now: less swings with every RPC
     PRIOR = 2.0     # samples that the fleet's figure counts for: a server's own outweigh it in a few periods
 
     @staticmethod
@@ -312,15 +328,17 @@
         distrusted = sum(x.health < 0.5 for x in ready)
         for server in ready:
             answered, good = views[server] or (1.0, 1.0)
-            overfull = self.fit(server) > 1 and server.used > 0.8
-            if good < 0.4 * usual and usual > 0.7 and not overfull or answered < 0.1 and best > 0.5:
+            # A server that says it is busy is full or slow: its estimate falls with what it answers, and the
+            # passes relieve it as others have room. To leave it at once would only pass the queue on.
+            busy = server.used > 0.8 and self.now - server.reported <= 2 * self.period
+            if not busy and (good < 0.4 * usual and usual > 0.7 or answered < 0.1 and best > 0.5):
                 if server.health < 0.5 or distrusted < len(ready) // 2:
                     distrusted += server.health >= 0.5
                     server.health = max(0.02, server.health * max(0.25, good)) if answered >= 0.1 else 0.05
                     server.judged = self.now
                     server.met.clear()      # each answer counts against it once
             elif server.health < 1 and good > 0.6 * usual and self.now - server.judged > self.RETRIAL:
-                server.health = min(1.0, 2 * server.health)
+                server.health = min(1.0, 4 * server.health)
                 server.judged = self.now
 
     def view(self, server: Server) -> tuple[float, float] | None:
@@ -370,6 +388,8 @@
                 s.shares[0].load += s.demand
                 s.urgent = True
         if self.average:
+            if self.now >= self.next_pass or self.now >= self.next_urgent and any(self.fit(x) > 1 for x in ready):
+                self.recall()
             if self.now >= self.next_pass:
                 self.next_pass = self.now + self.PERIOD
                 self.next_urgent = self.now + self.URGENT
@@ -383,6 +403,16 @@
         elif self.now >= self.next_pass:
             self.next_pass = self.now + self.PERIOD
 
+    def recall(self) -> None:
+        """Take back what was decided but not told yet: a new pass decides it again from what is known by now."""
+        for s in self.changed():
+            if all(x.state == "ready" and x.health >= 0.1 for x in s.told) and s.told:
+                for x in s.shares:
+                    x.load -= s.demand / len(s.shares)
+                s.shares = [x for x, weight in s.told.items() for _ in range(max(1, round(weight)))]
+                for x in s.shares:
+                    x.load += s.demand / len(s.shares)
+
     def refuge(self, ready: list[Server], load: float) -> Server:
         """Where a share goes that must leave, even past capacity, but not that of a cold or failed server."""
         return min(ready, key=lambda x: (x.health < 0.1, self.ramp(x) < 1 < self.fit(x, load),
@@ -419,20 +449,27 @@
             for load, s in held:
                 if left / max(server.capacity, 1e-9) <= threshold:
                     break
-                if load > 0:
+                if load > self.LIGHT * self.average:
                     left -= load
                     pool.append((load, s, server))
         pool.sort(key=lambda entry: (-entry[0], entry[1].id))
         for load, s, server in pool:
             server.load -= load
+        # No more than one message can carry: each move is two lines at every proxy.
+        budget = ((0.5 * self.waiting_most - self.waiting()) / max(1, len(self.proxies)) - self.head) / 2
         for load, s, server in pool:
             server.load += load
+            if budget < 1:
+                continue
             others = [x for x in ready if x is not server and x not in s.shares]
             target = min(others, key=lambda x: self.fit(x, load), default=None)
             if target is None or self.fit(target, load) > min(1.0, self.fit(server)):
                 continue    # skipped: it would overfill, or be no better off
             self.move(s, s.shares.index(server), target)
             s.urgent = s.urgent or urgent
+            budget -= 1
+
+    LIGHT = 0.04    # of an average server: lighter shares are not worth two lines at every proxy and cold keys
 
     def move(self, s: Slice, k: int, target: Server) -> None:
         source, load = s.shares[k], s.demand / len(s.shares)
@@ -473,7 +510,8 @@
         for s in self.slices.values():
             for k, old in enumerate(s.levels):
                 new = sum(shares[x][k] for x in s.shares if x in shares) / len(s.shares) if s.shares else 1.0
-                if new > 0.99 or abs(new - old) > 0.09:     # a tenth is within the noise of the estimates
+                # Steps of a fifth: the estimates are no better, and each line goes to every proxy.
+                if new > 0.99 or abs(new - old) > 0.19:
                     s.levels[k] = min(1.0, new)
                     s.urgent = s.urgent or new < old    # a queue that builds up can't wait its turn
 
@@ -495,6 +533,10 @@
             lines[server] = lines.get(server, 0.0) + 1.0
         return lines
 
+    def waiting(self) -> float:
+        """Lines that may still wait in the channel."""
+        return sum(lines * len(proxies) for _, lines, proxies in self.way)
+
     def changed(self) -> list[Slice]:
         return [s for s in self.slices.values() if s.told != self.lines(s) or s.levels != s.told_levels]
 
@@ -505,6 +547,7 @@
         (rule 3): half of the channel and a fifth of the messages are theirs alone.
         """
         changed = self.changed()
+        back = [x for x in self.servers.values() if x.shut and x.state == "ready"]
         # A tenth more than the span, for a channel that runs slow.
         while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:
             self.sent.popleft()
@@ -513,10 +556,10 @@
                        key=lambda s: min(x.left_at for x in s.told if x.state != "ready"))
         leaving = set(leave)
         urgent = leave + sorted((s for s in changed if s.urgent and s not in leaving), key=lambda s: -s.demand)
-        share = 1 - 1 / self.messages_most if leave else 0.8 if urgent else 0.5
-        if not changed or len(self.sent) >= share * self.messages_most:
-            return bool(changed)
-        if self.now < (self.next_urgent_send if urgent else self.next_send):
+        share = 1 - 1 / self.messages_most if leave or back else 0.8 if urgent else 0.5
+        if not changed and not back or len(self.sent) >= share * self.messages_most:
+            return bool(changed or back)
+        if self.now < (self.next_urgent_send if urgent or back else self.next_send):
             return True
         # A tenth at a time, or as many as it takes to be done in half a period. They ride along with urgent
         # ones where messages are scarce.
@@ -526,8 +569,16 @@
             changed = urgent + [s for s in changed if s not in urgent_too][:portion]
         else:
             changed = urgent
-        waiting = sum(lines * len(proxies) for _, lines, proxies in self.way)
+        waiting = self.waiting()
         message, proxies, told = self.head + self.standing, max(1, len(self.proxies)), 0
+        # More leaving lines than the channel takes now: shut the servers out first, a line each. Guards rule 3
+        # where many slices leave at once; till the next messages a slice may have no line (rule 1 has the time).
+        shut = [] if waiting + (message + 2 * len(leave)) * proxies <= 0.95 * self.waiting_most else list(
+            dict.fromkeys(x for s in leave for x in s.told if x.state != "ready" and not x.shut))
+        for server in back + shut:
+            out.withdraw(server.id, server in shut)
+            server.shut, server.once_shut = server in shut, True
+        message += len(back) + len(shut)
         for s in changed:
             want = self.lines(s)
             change = [(x, w) for x, w in want.items() if s.told.get(x) != w]
@@ -545,12 +596,14 @@
             s.told, s.urgent = want, s in leaving and s.levels != s.told_levels
             for k in levels:
                 s.told_levels[k] = s.levels[k]
-        if told:
+        if told or back or shut:
             self.mark = (self.mark + 1) % 65536
             out.receipt(self.mark)
             self.sent.append(self.now)
-            self.next_send, self.next_urgent_send = self.now + self.gap, self.now + self.BATCH
+            self.next_send = self.now + self.gap
+            self.next_urgent_send = self.now + max(self.BATCH, 7 * self.head * proxies / self.waiting_most)
             self.way.append((self.mark, message, set(self.proxies)))
         return told < len(changed) or bool(self.changed())
 
-    BATCH = 0.25    # seconds between urgent messages: small ones would fill a busy channel with their heads
+    # Seconds between urgent messages; more where their heads would take over a seventh of what may wait.
+    BATCH = 0.25
--- a/knotwalk/interface.py
+++ b/knotwalk/interface.py
@@ -64,6 +64,9 @@
         3: twice after any failure.
         """
 
+    def withdraw(self, server: str, shut: bool) -> None:
+        """Keep proxies from sending to a server for our slices, whatever their tables say, or let them again."""
+
     def receipt(self, mark: int) -> None:
         """Ask every proxy reached this round to answer applied(proxy, mark)."""
 
--- a/knotwalk/wirehost/host.py
+++ b/knotwalk/wirehost/host.py
@@ -85,6 +85,9 @@
         table = EVERY_SLICE if slice_id is None else slice_id
         self._put(f"THROTTLE map_id={table} only={1 << method} allowance={share:.6g} on_failure={retry}")
 
+    def withdraw(self, server: str, shut: bool) -> None:
+        self._put(f"WITHDRAW active={int(shut)} node={server}")
+
     def receipt(self, mark: int) -> None:
         self._put(f"ASK_RECEIPT active=0 epoch={mark}")
 
