Others' load told from utilization and rates; busy servers are relieved, never condemned

A server whose fresh report says busy is full or slow: its estimate falls with what it answers, and passes relieve it as others have room. Also catches an ageing or slow machine. Harm: one that lies 'busy' while failing fast is left only as fast as its estimate falls.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -8,6 +8,7 @@
 
 import random
 from collections import deque
+from statistics import fmean as mean
 
 from knotwalk.interface import Orders, Settings
 
@@ -25,7 +26,7 @@
         self.health = 1.0           # the part of its capacity that it can be trusted with
         self.judged = 0.0
         self.met: deque[tuple] = deque()    # (heard at, zone, tries, good ones, their seconds)
-        self.reports: list[float] = []      # utilizations reported this round
+        self.reports: list[tuple] = []      # (utilization, RPCs a second or None) reported this round
         self.used, self.reported = 0.0, 0.0     # their last mean, and when
         # (heard at, load by our slices, by others' if spread evenly, utilization), after the last move
         self.uses: deque[tuple] = deque(maxlen=10)
@@ -206,9 +207,9 @@
         # Where only RPCs in hand are reported, the registered size stands for how many it works on at once;
         # more than that wait, and no server is busier than full.
         if "utilization" in load:
-            server.reports.append(min(1.0, load["utilization"]))
+            server.reports.append((min(1.0, load["utilization"]), load.get("qps")))
         elif "inflight" in load:
-            server.reports.append(min(1.0, load["inflight"] / server.size))
+            server.reports.append((min(1.0, load["inflight"] / server.size), load.get("qps")))
 
     def applied(self, proxy: int, mark: int) -> None:
         """Messages leave the channel in succession: all those before one taken in have left it too."""
@@ -246,6 +247,8 @@
             known.append(s.demand)
             heard_of += s.since < float("inf")
         ready = self.ready()
+        rpcs = [(x[2], x[3]) for s in self.slices.values() for x in s.samples]
+        usual_cost = sum(work for work, _ in rpcs) / max(1, sum(n for _, n in rpcs))
         for server in self.servers.values():
             server.load = server.shut_out = 0.0
         for s in self.slices.values():
@@ -267,12 +270,15 @@
                 # Only work that was let in and answered: what was pushed back, by our levels or by a full
                 # server, kept no core busy, and would make it look the larger the more it is overrun.
                 done = (server.load - server.shut_out) * self.answered(server)
-                server.uses.append((self.now, done, server.spread, sum(server.reports) / len(server.reports)))
+                rates = [rate for _, rate in server.reports if rate is not None]
+                # What a server says it serves is all of its load, whoever sent it.
+                other = max(0.0, mean(rates) * usual_cost - done) if rates and others else server.spread
+                server.uses.append((self.now, done, other, mean(used for used, _ in server.reports)))
         # Capacity is demand over utilization, each summed over the samples: single reports swing with every
         # RPC. The fleet's own figure stands for those with few samples, and steadies the rest.
         for server in self.servers.values():
             if server.reports:
-                server.used, server.reported = sum(server.reports) / len(server.reports), self.now
+                server.used, server.reported = mean(used for used, _ in server.reports), self.now
                 server.reports = []
         sums = [(x, sum(u[1] + u[2] for u in x.uses), sum(u[3] for u in x.uses)) for x in ready]
         used_all = sum(used * x.size for x, _, used in sums)
@@ -388,8 +394,6 @@
                 s.shares[0].load += s.demand
                 s.urgent = True
         if self.average:
-            if self.now >= self.next_pass or self.now >= self.next_urgent and any(self.fit(x) > 1 for x in ready):
-                self.recall()
             if self.now >= self.next_pass:
                 self.next_pass = self.now + self.PERIOD
                 self.next_urgent = self.now + self.URGENT
@@ -403,16 +407,6 @@
         elif self.now >= self.next_pass:
             self.next_pass = self.now + self.PERIOD
 
-    def recall(self) -> None:
-        """Take back what was decided but not told yet: a new pass decides it again from what is known by now."""
-        for s in self.changed():
-            if all(x.state == "ready" and x.health >= 0.1 for x in s.told) and s.told:
-                for x in s.shares:
-                    x.load -= s.demand / len(s.shares)
-                s.shares = [x for x, weight in s.told.items() for _ in range(max(1, round(weight)))]
-                for x in s.shares:
-                    x.load += s.demand / len(s.shares)
-
     def refuge(self, ready: list[Server], load: float) -> Server:
         """Where a share goes that must leave, even past capacity, but not that of a cold or failed server."""
         return min(ready, key=lambda x: (x.health < 0.1, self.ramp(x) < 1 < self.fit(x, load),
@@ -499,7 +493,7 @@
             if self.struggles(server):
                 server.quota = max(self.LEAST_QUOTA, server.quota * self.TIGHTEN)
             else:
-                server.quota = min(1.0, server.quota + (1 - self.TIGHTEN) / 2)
+                server.quota = 1.0 if server.used < 0.7 else min(1.0, server.quota + (1 - self.TIGHTEN) / 2)
             over = server.quota < 1 and self.fit(server) > server.quota
             room = server.capacity * server.quota * sum(server.work) / max(server.load, 1e-9)
             shares[server] = [1.0] * len(self.cost)
@@ -507,11 +501,13 @@
                 if server.work[k]:
                     shares[server][k] = max(self.LEAST, min(1.0, room / server.work[k]))
                 room = max(0.0, room - server.work[k])
+        # A tenth is within the noise of the estimates; a fifth where not all levels fit the channel at once.
+        lines = len(self.slices) * len(self.cost) * len(self.proxies)
+        step = 0.09 if lines < self.waiting_most else 0.19
         for s in self.slices.values():
             for k, old in enumerate(s.levels):
                 new = sum(shares[x][k] for x in s.shares if x in shares) / len(s.shares) if s.shares else 1.0
-                # Steps of a fifth: the estimates are no better, and each line goes to every proxy.
-                if new > 0.99 or abs(new - old) > 0.19:
+                if new > 0.99 or abs(new - old) > step:
                     s.levels[k] = min(1.0, new)
                     s.urgent = s.urgent or new < old    # a queue that builds up can't wait its turn
 
