A list that lies is believed only as answers bear it out; drains go at once; cold ones last refuge

Where gone alone does not bind, a dropped server stays while anything is answered; one the list adds later starts at a tenth of trust and earns the rest by answers. Refuge at a cold server past its capacity only after sick ones.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -8,7 +8,7 @@
 
 import random
 from collections import deque
-from statistics import fmean as mean
+from statistics import fmean
 
 from knotwalk.interface import Orders, Settings
 
@@ -19,12 +19,14 @@
     def __init__(self, id: str):
         self.id = id
         self.state, self.size, self.started = "ready", 1.0, 0.0
+        self.proven = True          # listed from the start, or seen to answer
+        self.dropped = False        # the list has it gone, which may be wrong
         self.left_at = 0.0          # when it was first told of as draining or gone
         self.shut = self.once_shut = False      # shut out of all tables, now or ever
         self.moved = 0.0            # when a share last came or went
         self.quota = 1.0            # the share of its capacity that may be let in
         self.health = 1.0           # the part of its capacity that it can be trusted with
-        self.judged = 0.0
+        self.judged = 0.0           # when that last changed
         self.met: deque[tuple] = deque()    # (heard at, zone, tries, good ones, their seconds)
         self.reports: list[tuple] = []      # (utilization, RPCs a second or None) reported this round
         self.used, self.reported = 0.0, 0.0     # their last mean, and when
@@ -36,9 +38,6 @@
         self.load = 0.0             # work a second asked of it
         self.shut_out = 0.0         # the part of it that levels keep out
 
-    def __repr__(self) -> str:
-        return f"Server({self.id})"
-
 
 class Slice:
     """A slice: what came for it lately, the servers of its shares, and what the proxies were last told."""
@@ -80,9 +79,10 @@
         # Ordinary orders use at most half of the messages a proxy may get; without a cap, a fraction of
         # a second lies between portions.
         self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
-        self.retry_default = s.retry_default
+        self.orders_retry = s.retry_default != self.RETRY
         # The receipt, and the way of retrying by method where it differs, are in every message.
-        self.standing = 1 + (len(s.methods) if s.retry_default != self.RETRY else 0)
+        self.head += 1 + (len(s.methods) if self.orders_retry else 0)
+        self.gone_binds = not s.dropped_stay_open
         self.servers: dict[str, Server] = {}
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, None] = {}
@@ -92,9 +92,11 @@
         self.taken_at = float("-inf")   # when a slice was last taken away
         self.heard_at = 0.0                     # when demand was last heard
         self.mark = 0
-        self.next_pass = self.next_urgent = self.next_send = self.next_urgent_send = self.wake_at = 0.0
+        self.next_pass = self.next_urgent = self.wake_at = 0.0
+        self.next_send = self.next_urgent_send = self.next_leave_send = 0.0
         self.list_wait, self.list_due = 0.5, 0.0 if s.asked_list else float("inf")
-        self.born = self.pending = False    # pending: something is yet to be told
+        self.born = self.listed_once = False
+        self.pending = float("inf")     # when what is yet to be told may go
         self.news = True            # something came that decisions rest on
 
     # --- one round -------------------------------------------------------------------------------
@@ -109,23 +111,22 @@
             self.born, self.next_pass = True, now + self.PERIOD
             # Another try only on proof that the first never ran: safe for every method (rule 2). A try
             # after any failure doubles the work just when all is slow, and its answer comes late anyway.
-            if self.retry_default != self.RETRY:
+            if self.orders_retry:
                 for k in range(len(self.cost)):
                     out.admit(None, k, 1.0, self.RETRY)
         if self.news or now >= self.next_pass:      # receipts, most of what comes, change no figure
-            self.news, self.pending = False, True
+            self.news, self.pending = False, now
             self.measure()
             self.judge()
             self.place()
             if self.admits and self.heard_at == now and self.average:
                 self.let_in()
-        if self.pending:
+        if self.pending < float("inf"):
             self.pending = self.send(out)
         if self.asked_list and now >= self.list_due:
             self.list_due = float("inf")
             out.watch()
-        due = min(self.next_pass, self.list_due, max(self.next_send, now + 0.05)
-                  if self.pending else float("inf"))
+        due = min(self.next_pass, self.list_due, max(self.pending, now + 0.05))
         if not now < self.wake_at <= due:
             self.wake_at = max(due, now + 0.001)
             out.wake(self.wake_at)
@@ -144,16 +145,25 @@
             self.list_wait = 0.5
         if full:
             named = {entry[0] for entry in entries}
-            for server in self.servers.values():
-                if server.id not in named and server.state != "gone":
-                    server.state, server.left_at = "gone", self.now
+            entries = entries + [(x.id, "", "gone", x.size, x.started) for x in self.servers.values()
+                                 if x.id not in named]
         for id, zone, state, size, started in entries:
+            fresh = id not in self.servers and self.listed_once
             server = self.server(id)
-            if started > server.started:    # a fresh process: what was known of the old one is void
+            if fresh:       # what the list adds later may not exist, and earns its slices: see judge
+                server.proven, server.health = False, self.UNPROVEN
+            elif started > server.started:      # a fresh process: what was known of the old one is void
                 server.health = 1.0
+            # Where gone alone does not bind, one that answers need not be left because the list drops it.
+            server.dropped = state == "gone" and server.state == "ready" and not self.gone_binds
+            if server.dropped:
+                continue
             if state != "ready" and server.state == "ready":
                 server.left_at = self.now
             server.state, server.size, server.started = state, size or 1.0, started
+        self.listed_once = self.listed_once or full and not cached
+
+    UNPROVEN = 0.1      # enough for the lightest shares, few enough to lose
 
     def list_failed(self) -> None:
         """Ask again, after waits that double: the list is one service for all and may be swamped."""
@@ -206,10 +216,9 @@
         server.met.append((self.now, zone, tries, tries - aborted, (tries - aborted) * latency))
         # Where only RPCs in hand are reported, the registered size stands for how many it works on at once;
         # more than that wait, and no server is busier than full.
-        if "utilization" in load:
-            server.reports.append((min(1.0, load["utilization"]), load.get("qps")))
-        elif "inflight" in load:
-            server.reports.append((min(1.0, load["inflight"] / server.size), load.get("qps")))
+        used = load.get("utilization", load["inflight"] / server.size if "inflight" in load else None)
+        if used is not None:
+            server.reports.append((min(1.0, used), load.get("qps")))
 
     def applied(self, proxy: int, mark: int) -> None:
         """Messages leave the channel in succession: all those before one taken in have left it too."""
@@ -256,11 +265,12 @@
             for server in s.shares:
                 server.load += s.demand / len(s.shares)
                 server.shut_out += shut_out / len(s.shares)
-        # Other controllers' slices load the servers too; unheard, they count as ours, by size.
+        # Other controllers' slices load the servers too. Unheard, they count as ours and fill what ours
+        # leave of an even load: a server is not idle because few of ours are there.
         others = sum(known) * (self.slices_all / max(1, len(known)) - 1)
-        # They fill what ours leave of an even load: a server is not idle because few of ours are there.
-        even = (sum(known) + others) / max(1e-9, sum(x.size * self.ramp(x) for x in ready))
-        gaps = [max(0.0, even * x.size * self.ramp(x) - x.load) for x in ready]
+        parts = [x.size * x.health * self.ramp(x) for x in ready]
+        even = (sum(known) + others) / max(1e-9, sum(parts))
+        gaps = [max(0.0, even * part - x.load) for x, part in zip(ready, parts)]
         for server, gap in zip(ready, gaps):
             server.spread = gap * others / max(1e-9, sum(gaps))
             # Nor while slices change hands: a controller that was cut off hears loads it has no slices for.
@@ -272,13 +282,13 @@
                 done = (server.load - server.shut_out) * self.answered(server)
                 rates = [rate for _, rate in server.reports if rate is not None]
                 # What a server says it serves is all of its load, whoever sent it.
-                other = max(0.0, mean(rates) * usual_cost - done) if rates and others else server.spread
-                server.uses.append((self.now, done, other, mean(used for used, _ in server.reports)))
+                other = max(0.0, fmean(rates) * usual_cost - done) if rates and others else server.spread
+                server.uses.append((self.now, done, other, fmean(used for used, _ in server.reports)))
         # Capacity is demand over utilization, each summed over the samples: single reports swing with every
         # RPC. The fleet's own figure stands for those with few samples, and steadies the rest.
         for server in self.servers.values():
             if server.reports:
-                server.used, server.reported = mean(used for used, _ in server.reports), self.now
+                server.used, server.reported = fmean(used for used, _ in server.reports), self.now
                 server.reports = []
         sums = [(x, sum(u[1] + u[2] for u in x.uses), sum(u[3] for u in x.uses)) for x in ready]
         used_all = sum(used * x.size for x, _, used in sums)
@@ -305,10 +315,8 @@
         return sum(m[3] for m in server.met) / tries if tries else 1.0
 
     def ramp(self, server: Server) -> float:
-        """The part of its capacity that a cold server is given (rule 4): what it has for certain, which
-        grows evenly from its start, and at first only half of that, since the estimate may be twice too high
-        and other controllers send there too.
-        """
+        """The part of its capacity that a cold server is given (rule 4): what it has for certain, which grows
+        evenly, and at first half of that: the estimate may be too high, and others send there too."""
         age = min(1.0, (self.now - server.started) / self.cold_time) if server.started else 1.0
         return (self.cold_share + (1 - self.cold_share) * age) * (1 + age) / 2
 
@@ -334,6 +342,11 @@
         distrusted = sum(x.health < 0.5 for x in ready)
         for server in ready:
             answered, good = views[server] or (1.0, 1.0)
+            # A list that lies by leaving out is believed of those that do not answer, a list that lies by
+            # adding of those that do.
+            if server.dropped and views[server] and answered < 0.1:
+                server.state, server.left_at, server.dropped = "gone", self.now, False
+            server.proven = server.proven or any(m[3] for m in server.met)
             # A server that says it is busy is full or slow: its estimate falls with what it answers, and the
             # passes relieve it as others have room. To leave it at once would only pass the queue on.
             busy = server.used > 0.8 and self.now - server.reported <= 2 * self.period
@@ -343,15 +356,13 @@
                     server.health = max(0.02, server.health * max(0.25, good)) if answered >= 0.1 else 0.05
                     server.judged = self.now
                     server.met.clear()      # each answer counts against it once
-            elif server.health < 1 and good > 0.6 * usual and self.now - server.judged > self.RETRIAL:
+            elif server.proven and good > 0.6 * usual and self.now - server.judged > self.RETRIAL:
                 server.health = min(1.0, 4 * server.health)
                 server.judged = self.now
 
     def view(self, server: Server) -> tuple[float, float] | None:
         """The share of tries answered of late; and the same, worth less where the mean time is too long.
-
-        None if there were too few to tell: six tries, since chance alone seldom spoils four of six.
-        """
+        None if under six tries, since chance alone seldom spoils four of six."""
         while server.met and server.met[0][0] < self.now - 2.5 * self.period:
             server.met.popleft()
         views, all_tries = [], 0
@@ -364,7 +375,7 @@
                 views.append((good / tries, good / tries * in_time))
         return max(views) if views and all_tries >= 6 else None
 
-    RETRIAL = 4.0   # seconds between doublings of trust: a distrusted server is back in about 20 s
+    RETRIAL = 4.0   # seconds between steps of trust, four times each: one distrusted is back in 8 to 12 s
 
     # --- the mechanism ---------------------------------------------------------------------------
 
@@ -393,23 +404,19 @@
                 s.shares.append(self.refuge(ready, s.demand))
                 s.shares[0].load += s.demand
                 s.urgent = True
-        if self.average:
-            if self.now >= self.next_pass:
-                self.next_pass = self.now + self.PERIOD
-                self.next_urgent = self.now + self.URGENT
-                self.split()
-                mean = sum(x.load for x in ready) / max(1e-9, sum(x.capacity for x in ready))
-                self.reassign(ready, min(1.0, (1 + mean) / 2), False)
-            elif self.now >= self.next_urgent and any(self.fit(x) > 1 for x in ready):
-                self.next_urgent = self.now + self.URGENT
-                self.split()
-                self.reassign(ready, 1.0, True)
-        elif self.now >= self.next_pass:
+        due = self.now >= self.next_pass
+        if due:
             self.next_pass = self.now + self.PERIOD
+        if self.average and (due or self.now >= self.next_urgent and any(self.fit(x) > 1 for x in ready)):
+            self.next_urgent = self.now + self.URGENT
+            self.split()
+            mean = sum(x.load for x in ready) / max(1e-9, sum(x.capacity for x in ready))
+            self.reassign(ready, min(1.0, (1 + mean) / 2) if due else 1.0, not due)
 
     def refuge(self, ready: list[Server], load: float) -> Server:
-        """Where a share goes that must leave, even past capacity, but not that of a cold or failed server."""
-        return min(ready, key=lambda x: (x.health < 0.1, self.ramp(x) < 1 < self.fit(x, load),
+        """Where a share goes that must leave, even past capacity, but not that of a cold or failed server.
+        Cold ones come last: what a failed one is sent is lost, what falls over stays down (rule 4)."""
+        return min(ready, key=lambda x: (self.ramp(x) < 1 < self.fit(x, load), x.health < 0.1,
                                          self.fit(x, load)))
 
     def split(self) -> None:
@@ -437,6 +444,8 @@
     def reassign(self, ready: list[Server], threshold: float, urgent: bool) -> None:
         pool = []
         for server in ready:
+            if self.fit(server) <= threshold:
+                continue
             held = sorted(((s.demand / len(s.shares), s) for s in self.slices.values() if server in s.shares),
                           key=lambda pair: (-pair[0], pair[1].id))
             left = server.load
@@ -463,7 +472,7 @@
             s.urgent = s.urgent or urgent
             budget -= 1
 
-    LIGHT = 0.04    # of an average server: lighter shares are not worth two lines at every proxy and cold keys
+    LIGHT = 0.04    # of an average server: less is not worth two lines at every proxy, and keys gone cold
 
     def move(self, s: Slice, k: int, target: Server) -> None:
         source, load = s.shares[k], s.demand / len(s.shares)
@@ -479,28 +488,27 @@
 
         Guards against queues in which everything is answered late. Each round of reports in which a server
         struggles lowers its quota, a share of its capacity, whatever the estimates say: a queue drains only
-        below capacity, and the estimate may be too high. Quotas ease off in steps.
+        below capacity. Quotas ease off in steps, and at once where a server has room.
         """
         shares = {}
-        for server in self.ready():
-            server.work = [0.0] * len(self.cost)
+        asked = {server: [0.0] * len(self.cost) for server in self.servers.values()}
         for s in self.slices.values():
             for server in s.shares:
-                if server.state == "ready":
-                    for k, work in enumerate(s.work):
-                        server.work[k] += work / len(s.shares)
+                for k, work in enumerate(s.work):
+                    asked[server][k] += work / len(s.shares)
         for server in self.ready():
             if self.struggles(server):
                 server.quota = max(self.LEAST_QUOTA, server.quota * self.TIGHTEN)
             else:
                 server.quota = 1.0 if server.used < 0.7 else min(1.0, server.quota + (1 - self.TIGHTEN) / 2)
             over = server.quota < 1 and self.fit(server) > server.quota
-            room = server.capacity * server.quota * sum(server.work) / max(server.load, 1e-9)
+            room = server.capacity * server.quota * sum(asked[server]) / max(server.load, 1e-9)
             shares[server] = [1.0] * len(self.cost)
             for k in self.order if over else ():
-                if server.work[k]:
-                    shares[server][k] = max(self.LEAST, min(1.0, room / server.work[k]))
-                room = max(0.0, room - server.work[k])
+                work = asked[server][k]
+                if work:
+                    shares[server][k] = max(self.LEAST, min(1.0, room / work))
+                room = max(0.0, room - work)
         # A tenth is within the noise of the estimates; a fifth where not all levels fit the channel at once.
         lines = len(self.slices) * len(self.cost) * len(self.proxies)
         step = 0.09 if lines < self.waiting_most else 0.19
@@ -533,14 +541,18 @@
         """Lines that may still wait in the channel."""
         return sum(lines * len(proxies) for _, lines, proxies in self.way)
 
+    def binds(self, server: Server) -> bool:
+        """Whether rule 3 has its lines leave within the grace."""
+        return server.state == "draining" or server.state == "gone" and self.gone_binds
+
     def changed(self) -> list[Slice]:
         return [s for s in self.slices.values() if s.told != self.lines(s) or s.levels != s.told_levels]
 
-    def send(self, out: Orders) -> bool:
+    def send(self, out: Orders) -> float:
         """Order changed lines only: urgent ones soon, others in portions, under rule 5's caps.
 
-        Whether something is left to tell. Lines that leave gone or draining servers have the grace to keep
-        (rule 3): half of the channel and a fifth of the messages are theirs alone.
+        Tells when the next may go, infinity if nothing is left. Lines that leave gone or draining servers
+        have the grace to keep (rule 3): half of the channel and some messages are theirs alone.
         """
         changed = self.changed()
         back = [x for x in self.servers.values() if x.shut and x.state == "ready"]
@@ -551,26 +563,28 @@
         leave = sorted((s for s in changed if any(x.state != "ready" for x in s.told)),
                        key=lambda s: min(x.left_at for x in s.told if x.state != "ready"))
         leaving = set(leave)
-        urgent = leave + sorted((s for s in changed if s.urgent and s not in leaving), key=lambda s: -s.demand)
-        share = 1 - 1 / self.messages_most if leave or back else 0.8 if urgent else 0.5
-        if not changed and not back or len(self.sent) >= share * self.messages_most:
-            return bool(changed or back)
-        if self.now < (self.next_urgent_send if urgent or back else self.next_send):
-            return True
+        hasty = sorted((s for s in changed if s.urgent and s not in leaving), key=lambda s: -s.demand)
+        urgent = leave + hasty
+        share = 1 - 1 / self.messages_most if leave or back else 0.75 if urgent else 0.5
+        if not changed and not back:
+            return float("inf")
+        if len(self.sent) >= share * self.messages_most:
+            return self.sent[0] + 1.1 * self.messages_span
+        turn = self.next_leave_send if leave else self.next_urgent_send if urgent or back else self.next_send
+        if self.now < turn:
+            return turn
         # A tenth at a time, or as many as it takes to be done in half a period. They ride along with urgent
         # ones where messages are scarce.
         portion = max(4, int(len(self.slices) * max(0.1, 2 * self.gap / self.PERIOD)))
-        if not urgent or self.scarce:
-            urgent_too = set(urgent)
-            changed = urgent + [s for s in changed if s not in urgent_too][:portion]
-        else:
-            changed = urgent
+        hurried = set(urgent)
+        rest = [s for s in changed if s not in hurried] if self.scarce or not urgent else []
+        changed = urgent + rest[:portion]
         waiting = self.waiting()
-        message, proxies, told = self.head + self.standing, max(1, len(self.proxies)), 0
-        # More leaving lines than the channel takes now: shut the servers out first, a line each. Guards rule 3
-        # where many slices leave at once; till the next messages a slice may have no line (rule 1 has the time).
+        message, proxies, told = self.head, max(1, len(self.proxies)), 0
+        # More leaving lines than the channel takes now: shut the servers out first, a line each. Guards rule
+        # 3 where many slices leave at once; till the next messages a slice may lack a line (rule 1 has time).
         shut = [] if waiting + (message + 2 * len(leave)) * proxies <= 0.95 * self.waiting_most else list(
-            dict.fromkeys(x for s in leave for x in s.told if x.state != "ready" and not x.shut))
+            dict.fromkeys(x for s in leave for x in s.told if self.binds(x) and not x.shut))
         for server in back + shut:
             out.withdraw(server.id, server in shut)
             server.shut, server.once_shut = server in shut, True
@@ -597,9 +611,11 @@
             out.receipt(self.mark)
             self.sent.append(self.now)
             self.next_send = self.now + self.gap
+            if leave:
+                self.next_leave_send = self.now + max(self.BATCH, 3 * self.head * proxies / self.waiting_most)
             self.next_urgent_send = self.now + max(self.BATCH, 7 * self.head * proxies / self.waiting_most)
             self.way.append((self.mark, message, set(self.proxies)))
-        return told < len(changed) or bool(self.changed())
+        return self.now + self.BATCH if self.changed() else float("inf")
 
     # Seconds between urgent messages; more where their heads would take over a seventh of what may wait.
     BATCH = 0.25
--- a/knotwalk/interface.py
+++ b/knotwalk/interface.py
@@ -47,6 +47,7 @@
     lines_per_message: float    # what a message costs beside its own lines
     messages_most: int          # rule 5: messages to a proxy within messages_span; 0: no cap
     messages_span: float
+    dropped_stay_open: bool     # rule 3 binds for draining servers only, not for those just gone from the list
     cold_share: float           # rule 4: a server starts at this share of its capacity or more
     cold_time: float            # and is warm after this
 
