--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -268,7 +268,7 @@
         # Other controllers' slices load the servers too. Unheard, they count as ours and fill what ours
         # leave of an even load: a server is not idle because few of ours are there.
         others = sum(known) * (self.slices_all / max(1, len(known)) - 1)
-        parts = [x.size * x.health * self.ramp(x) for x in ready]
+        parts = [x.size * self.ramp(x) * x.proven for x in ready]
         even = (sum(known) + others) / max(1e-9, sum(parts))
         gaps = [max(0.0, even * part - x.load) for x, part in zip(ready, parts)]
         for server, gap in zip(ready, gaps):
