--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -488,7 +488,7 @@
 
         Guards against queues in which everything is answered late. Each round of reports in which a server
         struggles lowers its quota, a share of its capacity, whatever the estimates say: a queue drains only
-        below capacity. Quotas ease off in steps, and at once where a server has room.
+        below capacity. Quotas ease off in steps.
         """
         shares = {}
         asked = {server: [0.0] * len(self.cost) for server in self.servers.values()}
@@ -500,7 +500,7 @@
             if self.struggles(server):
                 server.quota = max(self.LEAST_QUOTA, server.quota * self.TIGHTEN)
             else:
-                server.quota = 1.0 if server.used < 0.7 else min(1.0, server.quota + (1 - self.TIGHTEN) / 2)
+                server.quota = min(1.0, server.quota + (1 - self.TIGHTEN) / 2)
             over = server.quota < 1 and self.fit(server) > server.quota
             room = server.capacity * server.quota * sum(asked[server]) / max(server.load, 1e-9)
             shares[server] = [1.0] * len(self.cost)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -393,17 +393,10 @@
     assert write == 1 and 0 < read < 1 and c.slices[0].urgent
 
 
-def test_a_server_with_room_shuts_nobody_out():
-    c = conductor(capacities=[10], demands=[20], at="a")
-    c.servers["a"].quota, c.servers["a"].used = 0.3, 0.5
-    c.let_in()
-    assert c.slices[0].levels == [1.0, 1.0]
-
-
 def test_levels_move_in_larger_steps_where_the_channel_cannot_hold_them_all():
     for holds, levels in ((1000, True), (1, False)):
         c = conductor(capacities=[10], demands=[16], at="a", lines_waiting_most=holds)
-        c.servers["a"].quota, c.servers["a"].used = 0.5, 0.9
+        c.servers["a"].quota = 0.5
         c.slices[0].levels[1] = 0.9
         c.let_in()
         assert (c.slices[0].levels[1] < 0.8) == levels
@@ -417,7 +410,7 @@
 
 def test_a_quota_eases_off_in_steps_and_a_moved_slice_opens_at_once():
     c = conductor(capacities=[10, 10], demands=[9, 1], at="ab")
-    c.servers["a"].quota, c.servers["a"].used = 0.5, 0.9
+    c.servers["a"].quota = 0.5
     c.slices[1].levels = [0.1, 1.0]
     c.let_in()
     assert 0.5 < c.servers["a"].quota < 0.7 and c.slices[0].levels[0] < 1 and c.slices[1].levels == [1.0, 1.0]
