--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -47,7 +47,7 @@
         self.samples: deque[tuple] = deque()    # (heard at, seconds, work asked for, RPCs, method)
         self.shares: list[Server] = []
         self.told: dict[Server, float] = {}
-        self.urgent = False
+        self.urgent, self.moved = False, float("-inf")
         self.since = float("inf")   # the start of the first span heard
         self.demand = 0.0           # work a second
         self.work: list[float] = []         # the same, by method
@@ -411,7 +411,9 @@
             self.next_urgent = self.now + self.URGENT
             self.split()
             mean = sum(x.load for x in ready) / max(1e-9, sum(x.capacity for x in ready))
-            self.reassign(ready, min(1.0, (1 + mean) / 2) if due else 1.0, not due)
+            # Past capacity it is for the levels, where there are any: a move leaves keys cold and helps none.
+            if mean < 0.95 or not self.admits:
+                self.reassign(ready, min(1.0, (1 + mean) / 2) if due else 1.0, not due)
 
     def refuge(self, ready: list[Server], load: float) -> Server:
         """Where a share goes that must leave, even past capacity, but not that of a cold or failed server.
@@ -452,7 +454,8 @@
             for load, s in held:
                 if left / max(server.capacity, 1e-9) <= threshold:
                     break
-                if load > self.LIGHT * self.average:
+                # A share stays till its new place was measured twice: each move leaves its keys cold.
+                if load > self.LIGHT * self.average and self.now - s.moved > 2 * self.settle:
                     left -= load
                     pool.append((load, s, server))
         pool.sort(key=lambda entry: (-entry[0], entry[1].id))
@@ -478,7 +481,7 @@
         source, load = s.shares[k], s.demand / len(s.shares)
         source.load -= load
         target.load += load
-        source.moved = target.moved = self.now
+        source.moved = target.moved = s.moved = self.now
         s.shares[k] = target
 
     # --- levels ----------------------------------------------------------------------------------
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -326,6 +326,20 @@
     assert places(c) == {0: ["a"], 1: ["b"], 2: ["c"], 3: ["a"]}
 
 
+def test_a_share_just_moved_stays_until_its_new_place_is_measured():
+    c = conductor(capacities=[10, 10], demands=[6, 6], at="aa")
+    c.slices[0].moved = c.now - c.settle
+    c.reassign(c.ready(), 0.5, True)
+    assert places(c) == {0: ["a"], 1: ["b"]}
+
+
+def test_past_capacity_passes_leave_it_to_the_levels_where_there_are_any():
+    for admits, moves in ((True, False), (False, True)):
+        c = conductor(capacities=[2, 10, 10], demands=[1.5, 1.5, 8.4, 9.9], at="aabc", admits=admits, one_owner=True)
+        c.place()
+        assert (places(c)[0] == ["b"]) == moves
+
+
 def test_light_load_moves_nothing():
     c = conductor(capacities=[10, 10], demands=[2, 2], at="aa")
     c.next_pass = c.now
