--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -21,7 +21,7 @@
         self.state, self.size, self.started = "ready", 1.0, 0.0
         self.proven = True          # listed from the start, or seen to answer
         self.dropped = False        # the list has it gone, which may be wrong
-        self.left_at = 0.0          # when it was first told of as draining or gone
+        self.left_at = 0.0          # when it was first told of as draining, gone or started anew
         self.shut = self.once_shut = False      # shut out of all tables, now or ever
         self.moved = 0.0            # when a share last came or went
         self.quota = 1.0            # the share of its capacity that may be let in
@@ -158,7 +158,7 @@
             server.dropped = state == "gone" and server.state == "ready" and not self.gone_binds
             if server.dropped:
                 continue
-            if state != "ready" and server.state == "ready":
+            if state != "ready" and server.state == "ready" or started > server.started:
                 server.left_at = self.now
             server.state, server.size, server.started = state, size or 1.0, started
         self.listed_once = self.listed_once or full and not cached
@@ -544,9 +544,9 @@
         """Lines that may still wait in the channel."""
         return sum(lines * len(proxies) for _, lines, proxies in self.way)
 
-    def binds(self, server: Server) -> bool:
-        """Whether rule 3 has its lines leave within the grace."""
-        return server.state == "draining" or server.state == "gone" and self.gone_binds
+    def leaves(self, s: Slice, x: Server) -> bool:
+        """Whether its line must be off soon: gone or draining (rule 3), or cold and relieved (rule 4)."""
+        return x not in s.shares and (x.state != "ready" or self.ramp(x) < 1)
 
     def changed(self) -> list[Slice]:
         return [s for s in self.slices.values() if s.told != self.lines(s) or s.levels != s.told_levels]
@@ -558,14 +558,14 @@
         have the grace to keep (rule 3): half of the channel and some messages are theirs alone.
         """
         changed = self.changed()
-        back = [x for x in self.servers.values() if x.shut and x.state == "ready"]
         # A tenth more than the span, for a channel that runs slow.
         while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:
             self.sent.popleft()
         # The longest known first: drains that come in waves would starve what the first wave left.
-        leave = sorted((s for s in changed if any(x.state != "ready" for x in s.told)),
-                       key=lambda s: min(x.left_at for x in s.told if x.state != "ready"))
-        leaving = set(leave)
+        leaving = {s: of for s in changed if (of := [x for x in s.told if self.leaves(s, x)])}
+        leave = sorted(leaving, key=lambda s: min(x.left_at for x in leaving[s]))
+        left = dict.fromkeys(x for s in leave for x in leaving[s])
+        back = [x for x in self.servers.values() if x.shut and x.state == "ready" and x not in left]
         hasty = sorted((s for s in changed if s.urgent and s not in leaving), key=lambda s: -s.demand)
         urgent = leave + hasty
         share = 1 - 1 / self.messages_most if leave or back else 0.75 if urgent else 0.5
@@ -584,10 +584,10 @@
         changed = urgent + rest[:portion]
         waiting = self.waiting()
         message, proxies, told = self.head, max(1, len(self.proxies)), 0
-        # More leaving lines than the channel takes now: shut the servers out first, a line each. Guards rule
-        # 3 where many slices leave at once; till the next messages a slice may lack a line (rule 1 has time).
-        shut = [] if waiting + (message + 2 * len(leave)) * proxies <= 0.95 * self.waiting_most else list(
-            dict.fromkeys(x for s in leave for x in s.told if self.binds(x) and not x.shut))
+        # More leaving lines than the channel takes now: shut the servers out first, a line each. Guards rules
+        # 3 and 4 where many leave at once; till the next messages a slice may lack a line (rule 1 has time).
+        fits = waiting + (message + 2 * len(leave)) * proxies <= 0.95 * self.waiting_most
+        shut = [x for x in left if not (fits or x.shut) and (x.state != "gone" or self.gone_binds)]
         for server in back + shut:
             out.withdraw(server.id, server in shut)
             server.shut, server.once_shut = server in shut, True
