--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -108,7 +108,7 @@
             getattr(self, handler)(*arguments)
             self.news = self.news or handler != "applied"
         if not self.born:
-            self.born, self.next_pass = True, now + self.PERIOD
+            self.born, self.next_pass = True, now + self.PERIOD * self.random.uniform(0.6, 1)
             # Another try only on proof that the first never ran: safe for every method (rule 2). A try
             # after any failure doubles the work just when all is slow, and its answer comes late anyway.
             if self.orders_retry:
