Reports of next to no load at a usual load are not believed; timers bring a round, not news

False zero reports made a server look up to ten times as large. A sample that shows under a fifth of the utilization the fleet's figure expects is dropped. Also catches reports that are stuck at idle; a server truly that fast keeps the fleet's figure, no harm.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -76,8 +76,7 @@
         self.head, self.waiting_most = s.lines_per_message, s.lines_waiting_most
         self.messages_most, self.messages_span = s.messages_most or 10 ** 9, s.messages_span
         self.scarce = s.messages_most > 0
-        # Ordinary orders use at most half of the messages a proxy may get; without a cap, a fraction of
-        # a second lies between portions.
+        # Ordinary orders use half of the messages a proxy may get, or come a fraction of a second apart.
         self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
         self.orders_retry = s.retry_default != self.RETRY
         # The receipt, and the way of retrying by method where it differs, are in every message.
@@ -97,6 +96,7 @@
         self.list_wait, self.list_due = 0.5, 0.0 if s.asked_list else float("inf")
         self.born = self.listed_once = False
         self.pending = float("inf")     # when what is yet to be told may go
+        self.unit = self.average = 0.0  # capacity of a server of size 1, and of an average one
         self.news = True            # something came that decisions rest on
 
     # --- one round -------------------------------------------------------------------------------
@@ -183,8 +183,7 @@
 
     def given(self, id: int) -> None:
         if not self.slices:
-            # Cut off till now, or just started: what we held against servers may have been the cut's doing.
-            # What comes in next is still of that time.
+            # Cut off till now, or just started: what we held against servers may be the cut's doing.
             self.back = self.now
             for server in self.servers.values():
                 server.health = server.quota = 1.0
@@ -227,9 +226,6 @@
                 self.way.popleft()
             self.way[0][2].discard(proxy)
 
-    def woke(self) -> None:
-        pass
-
     # --- figures ---------------------------------------------------------------------------------
 
     WINDOW = 8.0    # seconds of demand: a slice of a few RPCs a second needs some twenty for a steady figure
@@ -283,7 +279,10 @@
                 rates = [rate for _, rate in server.reports if rate is not None]
                 # What a server says it serves is all of its load, whoever sent it.
                 other = max(0.0, fmean(rates) * usual_cost - done) if rates and others else server.spread
-                server.uses.append((self.now, done, other, fmean(used for used, _ in server.reports)))
+                used = fmean(used for used, _ in server.reports)
+                # Next to idle by its word at a usual load is no word to go by: it would look huge.
+                if used > self.IDLE * (done + other) / max(self.unit * server.size, 1e-9) or not self.unit:
+                    server.uses.append((self.now, done, other, used))
         # Capacity is demand over utilization, each summed over the samples: single reports swing with every
         # RPC. The fleet's own figure stands for those with few samples, and steadies the rest.
         for server in self.servers.values():
@@ -303,8 +302,11 @@
             # neighbour, a core grown slow.
             recent = [used * base - own for at, own, _, used in server.uses if at > self.now - self.RECENT]
             server.load += max(0.0, sum(recent) / len(recent)) if recent else server.spread
+        self.unit = self.average
         self.average *= sum(x.size for x in ready) / max(1, len(ready))                     # of a server
 
+    IDLE = 0.2      # of the utilization that the fleet's figure expects: chance seldom shows so little
+
     RECENT = 6.0    # seconds of utilization that tell the load of now: less swings with every RPC
     PRIOR = 2.0     # samples that the fleet's figure counts for: a server's own outweigh it in a few periods
 
@@ -342,8 +344,7 @@
         distrusted = sum(x.health < 0.5 for x in ready)
         for server in ready:
             answered, good = views[server] or (1.0, 1.0)
-            # A list that lies by leaving out is believed of those that do not answer, a list that lies by
-            # adding of those that do.
+            # A list that lies is believed of those left out that do not answer and those added that do.
             if server.dropped and views[server] and answered < 0.1:
                 server.state, server.left_at, server.dropped = "gone", self.now, False
             server.proven = server.proven or any(m[3] for m in server.met)
@@ -489,9 +490,8 @@
     def let_in(self) -> None:
         """Where a server's answers come late or not at all, let in only what it can do, the dearest first.
 
-        Guards against queues in which everything is answered late. Each round of reports in which a server
-        struggles lowers its quota, a share of its capacity, whatever the estimates say: a queue drains only
-        below capacity. Quotas ease off in steps.
+        Guards against queues in which all is answered late. Each round of reports in which a server struggles
+        lowers its quota, a share of its capacity: a queue drains only below it. Quotas ease off in steps.
         """
         shares = {}
         asked = {server: [0.0] * len(self.cost) for server in self.servers.values()}
--- a/knotwalk/interface.py
+++ b/knotwalk/interface.py
@@ -17,9 +17,8 @@
     wanted(slice, method, span, rpcs)
                                     RPCs of a method (by place in the settings) that came for a slice
     applied(proxy, mark)            a proxy has taken in the message with that receipt mark
-    woke()                          a timer is due
 
-What a front hears beyond this (probes, peers, proxies' own demand) has no handler yet: it drops it.
+When a timer is due that wake() asked for, decide is called whatever came in, be it nothing. What a front hears beyond this (probes, peers, proxies' own demand) has no handler yet: it drops it.
 """
 
 from typing import NamedTuple, Protocol
@@ -75,7 +74,7 @@
         """Subscribe to the server list."""
 
     def wake(self, at: float) -> None:
-        """Ask for woke() at that time."""
+        """Ask for a round at that time."""
 
     def note(self, text: str) -> None:
         """A line for the operators."""
--- a/knotwalk/wirehost/host.py
+++ b/knotwalk/wirehost/host.py
@@ -159,7 +159,7 @@
         instance.inbox.append(("applied", (int(f["edge"]), int(f["epoch"]))))
 
     def on_reminder(self, instance: Instance, f: Mapping[str, str]) -> None:
-        instance.inbox.append(("woke", ()))
+        """The round itself is all that a timer asks for."""
 
     def on_peers_known(self, instance: Instance, f: Mapping[str, str]) -> None:
         form = f["form"]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -145,6 +145,16 @@
     assert c.servers["a"].reports == [(1.0, None), (1.0, None)]
 
 
+def test_a_server_idle_by_its_word_at_a_usual_load_does_not_look_huge():
+    for used, kept in ((0.02, 0), (0.3, 1)):
+        c = conductor(capacities=[1], demands=[0], at="a")
+        c.slices[0].since, c.unit = 92.0, 20.0
+        c.slices[0].samples.append((c.now, 8.0, 80.0, 80, 0))
+        c.servers["a"].reports = [(used, None)]
+        c.measure()
+        assert len(c.servers["a"].uses) == kept
+
+
 def test_reports_soon_after_a_move_are_not_used():
     c = conductor(capacities=[1], demands=[10], at="a")
     c.slices[0].since, c.servers["a"].reports, c.servers["a"].moved = 0.0, [(0.5, None)], c.now - 1
@@ -619,7 +629,7 @@
 def test_a_clock_that_jumps_ahead_and_a_list_that_empties_are_borne():
     c, out = moved(3), Recorder()
     c.decide(c.now + 1e6, [("listed", (True, False, []))], out)
-    c.decide(c.now + 1e6, [("taken", (k,)) for k in range(3)] + [("left", (0,)), ("woke", ())], out)
+    c.decide(c.now + 1e6, [("taken", (k,)) for k in range(3)] + [("left", (0,))], out)
     assert len(out.of("line")) <= 6
 
 
