--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -88,6 +88,12 @@
     assert c.slices[0].demand == 10.0
 
 
+def asked(c):
+    """Ten units of work a second for slice 0."""
+    c.slices[0].since = c.now - 8
+    c.slices[0].samples.append((c.now, 8.0, 80.0, 80, 0))
+
+
 def uses(c, *samples):
     for server, (load, used) in zip(c.servers.values(), samples):
         server.uses.extend([(c.now, load, 0.0, used)] * 8)
@@ -111,16 +117,14 @@
 
 def test_others_slices_fill_what_ours_leave_of_an_even_load():
     c = conductor(capacities=[1, 1], demands=[0], at="a", slices=2)
-    c.slices[0].since = 92.0
-    c.slices[0].samples.append((c.now, 8.0, 80.0, 80, 0))
+    asked(c)
     c.measure()
     assert [x.spread for x in c.servers.values()] == [0, 10]
 
 
 def test_the_rate_a_server_reports_tells_all_of_its_load():
     c = conductor(capacities=[1, 1], demands=[0], at="a", slices=2)
-    c.slices[0].since = 92.0
-    c.slices[0].samples.append((c.now, 8.0, 80.0, 80, 0))
+    asked(c)
     c.heard("a", "east", 1.0, 10, 0, 0.1, {"utilization": 0.5, "qps": 25.0})
     c.measure()
     assert c.servers["a"].uses[-1] == (c.now, 10.0, 15.0, 0.5)
@@ -148,56 +152,33 @@
 def test_a_server_idle_by_its_word_at_a_usual_load_does_not_look_huge():
     for used, kept in ((0.02, 0), (0.3, 1)):
         c = conductor(capacities=[1], demands=[0], at="a")
-        c.slices[0].since, c.unit = 92.0, 20.0
-        c.slices[0].samples.append((c.now, 8.0, 80.0, 80, 0))
+        asked(c)
+        c.unit = 20.0
         c.servers["a"].reports = [(used, None)]
         c.measure()
         assert len(c.servers["a"].uses) == kept
 
 
-def test_reports_soon_after_a_move_are_not_used():
-    c = conductor(capacities=[1], demands=[10], at="a")
-    c.slices[0].since, c.servers["a"].reports, c.servers["a"].moved = 0.0, [(0.5, None)], c.now - 1
-    c.measure()
-    assert not c.servers["a"].uses
-
-
-def test_reports_heard_without_slices_are_not_used():
-    c = conductor(capacities=[1], demands=[10], at="a")     # a cut-off controller whose slices are another's
-    c.taken(0)
-    c.servers["a"].reports = [(0.9, None)]
-    c.measure()
-    assert not c.servers["a"].uses
-
-
-def test_reports_are_not_used_just_after_a_slice_was_taken_or_before_slices_are_heard_of():
-    c = conductor(capacities=[1], demands=[5, 5], at="aa")
-    c.servers["a"].reports = [(0.9, None)]
-    c.measure()
-    c.slices[0].since, c.servers["a"].reports = 0.0, [(0.9, None)]
-    c.taken(1)
-    c.measure()
-    assert not c.servers["a"].uses
+def test_reports_are_not_used_soon_after_a_move_or_while_slices_change_hands():
+    for moved_at, taken, heard in ((99.0, None, True), (0.0, 1, True), (0.0, None, False), (0.0, 0, True)):
+        c = conductor(capacities=[1], demands=[5, 5], at="aa")
+        c.servers["a"].reports, c.servers["a"].moved = [(0.9, None)], moved_at
+        for s in c.slices.values():
+            s.since = 0.0 if heard else s.since
+        if taken is not None:
+            c.taken(taken)
+        c.measure()
+        assert not c.servers["a"].uses
 
 
 def test_pushed_back_work_does_not_make_a_server_look_larger():
-    c = conductor(capacities=[1], demands=[10], at="a")
-    server = c.servers["a"]
-    c.slices[0].since = 99.0
-    c.slices[0].samples.append((100.0, 1.0, 10.0, 100, 0))
-    c.heard("a", "east", 1.0, 10, 5, 0.1, {"utilization": 1.0})
-    c.measure()
-    assert server.uses[-1] == (c.now, 5.0, 0.0, 1.0)
-
-
-def test_work_that_levels_keep_out_does_not_make_a_server_look_larger():
-    c = conductor(capacities=[1], demands=[10], at="a")
-    server = c.servers["a"]
-    c.slices[0].since, c.slices[0].told_levels = 99.0, [0.2, 1.0]
-    c.slices[0].samples.append((100.0, 1.0, 10.0, 100, 0))
-    c.heard("a", "east", 1.0, 10, 0, 0.1, {"utilization": 1.0})
-    c.measure()
-    assert server.uses[-1] == (c.now, 2.0, 0.0, 1.0)
+    for aborted, level, done in ((5, 1.0, 5.0), (0, 0.2, 2.0)):     # by a full server, or by our levels
+        c = conductor(capacities=[1], demands=[10], at="a")
+        asked(c)
+        c.slices[0].told_levels = [level, 1.0]
+        c.heard("a", "east", 1.0, 10, aborted, 0.1, {"utilization": 1.0})
+        c.measure()
+        assert c.servers["a"].uses[-1] == (c.now, done, 0.0, 1.0)
 
 
 def test_a_cold_server_counts_for_less_than_it_has_for_certain():
@@ -462,24 +443,6 @@
     assert again.of("line") == [(0, "a", 1.0)]
 
 
-def test_ordinary_orders_leave_room_under_the_message_cap_for_urgent_ones():
-    c = moved()
-    c.sent.extend([c.now - 1] * 6)
-    c.send(out := Recorder())
-    assert not out.orders
-    c.slices[0].urgent = True
-    c.send(out)
-    assert out.of("line")
-
-
-def test_the_message_cap_holds_for_urgent_orders_too():
-    c = moved()
-    c.slices[0].urgent = True
-    c.sent.extend([c.now - 1] * 8)
-    c.send(out := Recorder())
-    assert not out.orders
-
-
 def test_lines_no_proxy_has_acknowledged_count_as_waiting():
     c = moved()
     c.way.append((5, 990, {0}))
@@ -600,12 +563,15 @@
     assert again.of("withdraw") == [("x1", False)]
 
 
-def test_one_message_is_kept_back_even_from_drains():
-    c = moved()
-    c.servers["a"].state = "draining"
-    c.sent.extend([c.now - 1] * 9)
-    c.send(out := Recorder())
-    assert not out.orders
+def test_messages_are_kept_back_for_what_cannot_wait():
+    """Of ten, ordinary orders may use five, urgent ones eight, lines off drained servers nine."""
+    for state, urgent, most in (("ready", False, 5), ("ready", True, 8), ("draining", True, 9)):
+        for sent in (most - 1, most):
+            c, out = moved(), Recorder()
+            c.servers["a"].state, c.slices[0].urgent = state, urgent
+            c.sent.extend([c.now - 1] * sent)
+            c.send(out)
+            assert bool(out.of("line")) == (sent < most)
 
 
 # --- one round -----------------------------------------------------------------------------------
