--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -394,8 +394,8 @@
         # Shares of gone, draining or failed servers move first, even past capacity.
         for s in sorted(self.slices.values(), key=lambda s: -s.demand):
             for k, server in enumerate(s.shares):
-                # A cold server that comes back under its old slices would fall over: it must shed them too.
-                if server.state != "ready" or self.fit(server) > 1 > self.ramp(server) \
+                # A cold server under its old slices would fall over: it sheds them too, and those not heard of.
+                if server.state != "ready" or self.ramp(server) < 1 and (not s.demand or self.fit(server) > 1) \
                         or server.health < 0.1 and any(x.health >= 0.5 for x in ready):
                     target = self.refuge(ready, s.demand / len(s.shares))
                     if target is not server:
@@ -419,8 +419,8 @@
     def refuge(self, ready: list[Server], load: float) -> Server:
         """Where a share goes that must leave, even past capacity, but not that of a cold or failed server.
         Cold ones come last: what a failed one is sent is lost, what falls over stays down (rule 4)."""
-        return min(ready, key=lambda x: (self.ramp(x) < 1 < self.fit(x, load), x.health < 0.1,
-                                         self.fit(x, load)))
+        return min(ready, key=lambda x: (self.ramp(x) < 1 and (not load or self.fit(x, load) > 1),
+                                         x.health < 0.1, self.fit(x, load)))
 
     def split(self) -> None:
         """Split a slice hotter than half an average server into more shares, and merge them when it cools.
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -347,10 +347,11 @@
 
 
 def test_a_cold_server_that_comes_back_under_its_slices_sheds_them():
-    c = conductor(capacities=[1, 10], demands=[5, 5], at="aa")
-    c.servers["a"].started = c.now
-    c.place()
-    assert places(c) == {0: ["b"], 1: ["b"]}
+    for demand in (5, 0):       # 0: given just now, nothing heard of it yet
+        c = conductor(capacities=[1, 10], demands=[demand, demand], at="aa")
+        c.servers["a"].started = c.now
+        c.place()
+        assert places(c) == {0: ["b"], 1: ["b"]}
 
 
 def test_no_refuge_at_a_cold_server_past_its_capacity_be_the_others_sick():
