--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -394,9 +394,9 @@
         # Shares of gone, draining or failed servers move first, even past capacity.
         for s in sorted(self.slices.values(), key=lambda s: -s.demand):
             for k, server in enumerate(s.shares):
-                # A cold server under its old slices would fall over: it sheds them too, and those not heard of.
-                if server.state != "ready" or self.ramp(server) < 1 and (not s.demand or self.fit(server) > 1) \
-                        or server.health < 0.1 and any(x.health >= 0.5 for x in ready):
+                # A cold server under its old slices would fall over: it sheds these and any not heard of.
+                if server.state != "ready" \
+                        or self.ramp(server) < 1 and (not s.demand or self.fit(server) > 1) or server.health < 0.1 and any(x.health >= 0.5 for x in ready):
                     target = self.refuge(ready, s.demand / len(s.shares))
                     if target is not server:
                         self.move(s, k, target)
