--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -391,12 +391,13 @@
         ready = self.ready()
         if not ready:
             return
+        others_fare = any(x.health >= 0.5 for x in ready)
         # Shares of gone, draining or failed servers move first, even past capacity.
         for s in sorted(self.slices.values(), key=lambda s: -s.demand):
             for k, server in enumerate(s.shares):
                 # A cold server under its old slices would fall over: it sheds these and any not heard of.
-                if server.state != "ready" \
-                        or self.ramp(server) < 1 and (not s.demand or self.fit(server) > 1) or server.health < 0.1 and any(x.health >= 0.5 for x in ready):
+                cold = self.ramp(server) < 1 and (not s.demand or self.fit(server) > 1)
+                if server.state != "ready" or cold or others_fare and server.health < 0.1:
                     target = self.refuge(ready, s.demand / len(s.shares))
                     if target is not server:
                         self.move(s, k, target)
@@ -513,8 +514,7 @@
                     shares[server][k] = max(self.LEAST, min(1.0, room / work))
                 room = max(0.0, room - work)
         # A tenth is within the noise of the estimates; a fifth where not all levels fit the channel at once.
-        lines = len(self.slices) * len(self.cost) * len(self.proxies)
-        step = 0.09 if lines < self.waiting_most else 0.19
+        step = 0.09 if len(self.slices) * len(self.cost) * len(self.proxies) < self.waiting_most else 0.19
         for s in self.slices.values():
             for k, old in enumerate(s.levels):
                 new = sum(shares[x][k] for x in s.shares if x in shares) / len(s.shares) if s.shares else 1.0
