--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -87,8 +87,7 @@
         self.proxies: dict[int, None] = {}
         self.way: deque[tuple] = deque()    # messages: (mark, lines of each, proxies yet to take it in)
         self.sent: deque[float] = deque()       # when messages went out, over the last span
-        self.back = float("-inf")       # when a slice was given while there was none
-        self.taken_at = float("-inf")   # when a slice was last taken away
+        self.back = self.taken_at = float("-inf")   # when the first slice was given, and any taken away, last
         self.heard_at = 0.0                     # when demand was last heard
         self.mark = 0
         self.next_pass = self.next_urgent = self.wake_at = 0.0
@@ -295,9 +294,11 @@
             base = (load + weight * self.average * server.size) / (used + weight) if weight else 0.0
             server.whole = base * self.ramp(server)
             server.capacity = server.whole * server.health
-            # Utilization beyond our slices is another controller's, a neighbour's, or a core grown slow.
+            # Utilization beyond our slices is another controller's, a neighbour's, or a slow core's doing.
+            # Where it is unheard of, our part is ours to fill: if each waited for the others none would.
             recent = [used * base - own for at, own, _, used in server.uses if at > self.now - self.RECENT]
-            server.load += max(0.0, sum(recent) / len(recent)) if recent else server.spread
+            unheard = min(server.spread, server.whole * (1 - len(known) / max(1, self.slices_all)))
+            server.load += max(0.0, sum(recent) / len(recent)) if recent else unheard
         self.unit = self.average
         self.average *= sum(x.size for x in ready) / max(1, len(ready))                     # of a server
 
