--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -74,7 +74,7 @@
         self.slices_all, self.asked_list, self.one_owner = s.slices, s.asked_list, s.one_owner
         self.cold_share, self.cold_time = s.cold_share or 1.0, max(s.cold_time, 0.001)
         self.head, self.waiting_most = s.lines_per_message, s.lines_waiting_most
-        self.messages_most, self.messages_span = s.messages_most or 10 ** 9, s.messages_span
+        self.messages_most, self.messages_span = s.messages_most or 10 ** 9, 1.1 * s.messages_span
         self.scarce = s.messages_most > 0
         # Ordinary orders use half of the messages a proxy may get, or come a fraction of a second apart.
         self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
@@ -558,8 +558,7 @@
         have the grace to keep (rule 3): half of the channel and some messages are theirs alone.
         """
         changed = self.changed()
-        # A tenth more than the span, for a channel that runs slow.
-        while self.sent and self.sent[0] <= self.now - 1.1 * self.messages_span:
+        while self.sent and self.sent[0] <= self.now - self.messages_span:
             self.sent.popleft()
         # The longest known first: drains that come in waves would starve what the first wave left.
         leaving = {s: of for s in changed if (of := [x for x in s.told if self.leaves(s, x)])}
@@ -572,7 +571,7 @@
         if not changed and not back:
             return float("inf")
         if len(self.sent) >= share * self.messages_most:
-            return self.sent[0] + 1.1 * self.messages_span
+            return self.sent[0] + self.messages_span
         turn = self.next_leave_send if leave else self.next_urgent_send if urgent or back else self.next_send
         if self.now < turn:
             return turn
@@ -613,11 +612,12 @@
             out.receipt(self.mark)
             self.sent.append(self.now)
             self.next_send = self.now + self.gap
+            # Evenly, over a tenth more than the span: a burst leaves the next drain no message in its grace.
+            pace, heads = self.messages_span / self.messages_most, self.head * proxies / self.waiting_most
             if leave:
-                self.next_leave_send = self.now + max(self.BATCH, 3 * self.head * proxies / self.waiting_most)
-            self.next_urgent_send = self.now + max(self.BATCH, 7 * self.head * proxies / self.waiting_most)
+                self.next_leave_send = self.now + max(self.BATCH, 3 * heads, pace)
+            self.next_urgent_send = self.now + max(self.BATCH, 7 * heads, pace / 0.75)
             self.way.append((self.mark, message, set(self.proxies)))
         return self.now + self.BATCH if self.changed() else float("inf")
 
-    # Seconds between urgent messages; more where their heads would take over a seventh of what may wait.
-    BATCH = 0.25
+    BATCH = 0.25    # seconds between urgent messages at least: every one has a head for each proxy
