--- a/knotwalk/interface.py
+++ b/knotwalk/interface.py
@@ -18,7 +18,8 @@
                                     RPCs of a method (by place in the settings) that came for a slice
     applied(proxy, mark)            a proxy has taken in the message with that receipt mark
 
-When a timer is due that wake() asked for, decide is called whatever came in, be it nothing. What a front hears beyond this (probes, peers, proxies' own demand) has no handler yet: it drops it.
+When a timer is due that wake() asked for, decide is called whatever came in, be it nothing. What a front
+hears beyond this (probes, peers, proxies' own demand) has no handler yet: it drops it.
 """
 
 from typing import NamedTuple, Protocol
@@ -46,7 +47,7 @@
     lines_per_message: float    # what a message costs beside its own lines
     messages_most: int          # rule 5: messages to a proxy within messages_span; 0: no cap
     messages_span: float
-    dropped_stay_open: bool     # rule 3 binds for draining servers only, not for those just gone from the list
+    dropped_stay_open: bool     # rule 3 binds for draining servers only, not for those just gone
     cold_share: float           # rule 4: a server starts at this share of its capacity or more
     cold_time: float            # and is warm after this
 
@@ -65,7 +66,7 @@
         """
 
     def withdraw(self, server: str, shut: bool) -> None:
-        """Keep proxies from sending to a server for our slices, whatever their tables say, or let them again."""
+        """Keep proxies from a server for our slices, whatever their tables say, or let them again."""
 
     def receipt(self, mark: int) -> None:
         """Ask every proxy reached this round to answer applied(proxy, mark)."""
--- a/knotwalk/wirehost/host.py
+++ b/knotwalk/wirehost/host.py
@@ -62,7 +62,8 @@
         report_period=seconds(family + "period_us"), message_delay=seconds(family + "push_delay_us"),
         lines_waiting_most=number(family + "most_waiting"), lines_per_message=number(family + "fixed_cost"),
         messages_most=int(number(family + "messages_most")), messages_span=seconds(family + "reload_span_us"),
-        dropped_stay_open=flag(rule + "dropped_stay_open"), cold_share=number(rule + "cold_from"), cold_time=seconds(rule + "cold_us"))
+        dropped_stay_open=flag(rule + "dropped_stay_open"),
+        cold_share=number(rule + "cold_from"), cold_time=seconds(rule + "cold_us"))
 
 
 class Writer:
