--- /dev/null
+++ b/knotwalk/__main__.py
@@ -0,0 +1,31 @@
+"""knotwalk: a table manager whose controllers assign servers to proxies.
+
+Usage:
+  knotwalk serve
+  knotwalk version
+  knotwalk (-h | --help)
+
+Commands:
+  serve    Run one conductor, as the environment and its configuration say, until SIGTERM.
+  version  Print the version.
+"""
+
+import os
+import sys
+
+from docopt import docopt
+
+VERSION = "0.2.0"
+
+
+def main(argv: list[str]) -> int:
+    arguments = docopt(__doc__, argv)
+    if arguments["version"]:
+        print(f"knotwalk {VERSION}")
+        return 0
+    from knotwalk.net.conductor import serve
+    return serve(os.environ)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/knotwalk/net/discovery.py
@@ -0,0 +1,105 @@
+"""Discovery: the watch on the list of servers.
+
+Owns the list's version and the rhythm of the watch. It must never change an entry beyond its words and units,
+and never decide what a missing answer means for a server.
+"""
+
+import json
+from collections.abc import Callable, Mapping
+
+from knotwalk.net import http
+from knotwalk.net.ending import Ending, Outcome, Role, outcome
+from knotwalk.net.log import Log
+from knotwalk.net.loop import Link, Loop, Unreadable
+from knotwalk.told import STATES, plain
+
+CONNECT = 0.25      # seconds: the agent is on the same machine
+WAIT = 2.0          # seconds that a watch may wait: a change counts as told 2 s after, whether it came or not
+LATE = 0.7          # seconds past the wait after which a watch is silent; an answer that must come at once, too
+AGAIN_FIRST, AGAIN_MOST = 0.02, 0.5     # seconds before the next connection; doubles: no hammering
+LIST_MOST = 1 << 22     # bytes of an answer: some ten thousand servers
+
+
+def entry(f: Mapping) -> tuple:
+    """One list entry as the module has it.
+
+    >>> entry({"id": "s", "zone": "cork", "state": "leaving", "weight": 1.5, "started_ms": 2500})
+    ('s', 'cork', 'draining', 1.5, 2.5)
+    """
+    if f["state"] not in STATES:
+        raise ValueError(f"no such state '{f['state']}'")
+    return (str(f["id"]), str(f.get("zone", "")), STATES[f["state"]], float(f.get("weight", 1)),
+            float(f.get("started_ms") or 0) / 1e3)
+
+
+class Watch:
+    """The watch: one call after the other on one connection."""
+
+    def __init__(self, loop: Loop, address: tuple[str, int], known: int, tell: Callable, log: Log):
+        self.loop, self.address, self.tell, self.log = loop, address, tell, log
+        self.host = "%s:%d" % address
+        self.version = known
+        self.link: Link | None = None
+        self.answers, self.status, self.body = http.Answers(LIST_MOST), 0, b""
+        self.whole = True       # the next call asks for the whole list
+        self.silence = None
+        self.wait = AGAIN_FIRST
+
+    def start(self) -> None:
+        self.loop.connect(self.address, self, CONNECT)
+
+    def ask(self, link: Link) -> None:
+        query = None if self.whole else {"since": self.version, "timeout_ms": int(WAIT * 1e3)}
+        self.status, self.body = 0, b""
+        self.silence = self.loop.after(LATE + (0 if self.whole else WAIT), lambda: link.end(Ending.SILENT))
+        link.write(http.request(self.host, "GET", "/v1/servers", query))
+
+    def opened(self, link: Link) -> None:
+        self.link = link
+        self.answers = http.Answers(LIST_MOST)
+        # After a gap the whole list: changes may have been told to a connection that is gone.
+        self.whole = True
+        self.ask(link)
+
+    def fed(self, link: Link, data: memoryview) -> None:
+        for kind, value in self.answers.feed(data):
+            if kind == "status":
+                self.status = value
+            elif kind == "piece":
+                self.body += value
+            else:
+                if self.silence:
+                    self.silence.cancel()
+                self.answered()
+                if value and not link.over:
+                    self.ask(link)
+                else:
+                    link.end(Ending.LEFT)
+
+    def answered(self) -> None:
+        if self.status != 200:
+            raise Unreadable(f"answer {self.status}: {self.body[:100]!r}")
+        try:
+            told = json.loads(self.body)
+            version, full, servers = int(told["version"]), bool(told["full"]), told["servers"]
+            entries = [entry(f) for f in servers]
+        except (ValueError, TypeError, AttributeError, KeyError) as fault:
+            raise Unreadable(f"no list: {plain(fault)}") from None
+        self.wait = AGAIN_FIRST
+        if full:
+            self.whole = False
+            self.tell("listed", True, False, entries)
+        elif version < self.version:
+            self.whole = True       # restarted with an older list: changes to that are none to ours
+        elif entries:
+            self.tell("listed", False, False, entries)
+        self.version = version
+
+    def ended(self, link: Link | None, ending: Ending) -> None:
+        if self.silence:
+            self.silence.cancel()
+        self.link = None
+        means = outcome(Role.LIST, ending)
+        self.log("list lost", f"{ending.value}: {means.value} {link.fault if link else ''}")
+        self.loop.after(self.wait, self.start)
+        self.wait = min(AGAIN_MOST, 2 * self.wait)
--- /dev/null
+++ b/knotwalk/net/loop.py
@@ -0,0 +1,234 @@
+"""The loop: selectors, timers, sockets and the clock. The one driver of all that reads or writes.
+
+Owns every socket, moves bytes between sockets and rings, and tells each connection's peer object of its bytes
+and of its one Ending. It must never read meaning into bytes, decide anything, or wait in any call but select.
+"""
+
+import errno
+import heapq
+import selectors
+import socket
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from knotwalk.net.ending import Ending
+from knotwalk.net.ring import Ring
+
+IN_MOST = 1 << 16       # bytes read at once: machines take all they are fed, so the ring never holds more
+OUT_MOST = 1 << 17      # bytes a peer may leave unread: what the platform's own side allows
+ACCEPTS = 64            # new connections a turn: a flood must not starve those that are there
+
+
+class Unreadable(Exception):
+    """A peer's bytes make no sense; the text says why."""
+
+    ending = Ending.MALFORMED
+
+
+class TooLong(Unreadable):
+    """A peer's message passes its limit."""
+
+    ending = Ending.TOO_LONG
+
+
+class Peer(Protocol):
+    """The meaning of one connection."""
+
+    def opened(self, link: "Link") -> None:
+        """It has come up."""
+
+    def fed(self, link: "Link", data: memoryview) -> None:
+        """Bytes came; all are to be taken. Raises Unreadable."""
+
+    def ended(self, link: "Link", ending: Ending) -> None:
+        """It is over; told once."""
+
+
+class Timer:
+    """A call due at a time."""
+
+    __slots__ = ("call",)
+
+    def __init__(self, call: Callable[[], None]):
+        self.call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        self.call = None
+
+
+class Link:
+    """One connection: a socket, a ring a direction, and the peer that gives it meaning."""
+
+    def __init__(self, loop: "Loop", sock: socket.socket, peer: Peer, up: bool):
+        self.loop, self.sock, self.peer, self.up = loop, sock, peer, up
+        self.into, self.out = Ring(IN_MOST), Ring(OUT_MOST)
+        self.over, self.timer = False, None
+        self.fault = ""         # what was wrong with its bytes, for the log
+        self.events = selectors.EVENT_READ if up else selectors.EVENT_WRITE
+        loop.selector.register(sock, self.events, self)
+
+    def write(self, data: bytes) -> None:
+        """Send now what goes, the rest as the peer reads."""
+        if self.over:
+            return
+        if not self.out.put(data):
+            self.end(Ending.UNREAD)
+        elif self.up:
+            self.flush()
+
+    def end(self, ending: Ending) -> None:
+        if self.over:
+            return
+        self.over = True
+        if self.timer:
+            self.timer.cancel()
+        self.loop.selector.unregister(self.sock)
+        self.sock.close()
+        self.peer.ended(self, ending)
+
+    # --- called by the loop ---
+
+    def turn(self, events: int) -> None:
+        if not self.up:
+            self.come_up()
+        elif events & selectors.EVENT_READ:
+            self.read()
+        if not self.over and self.up and events & selectors.EVENT_WRITE:
+            self.flush()
+
+    def come_up(self) -> None:
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self.end(Ending.REFUSED if code == errno.ECONNREFUSED else
+                     Ending.TIMED_OUT if code == errno.ETIMEDOUT else
+                     Ending.RESET if code == errno.ECONNRESET else Ending.UNREACHABLE)
+            return
+        self.up = True
+        if self.timer:
+            self.timer.cancel()
+        self.peer.opened(self)
+        if not self.over:
+            self.flush()
+
+    def read(self) -> None:
+        try:
+            count = self.sock.recv_into(self.into.room())
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError:
+            self.end(Ending.RESET)
+            return
+        if not count:
+            self.end(Ending.CLOSED)
+            return
+        self.into.wrote(count)
+        while self.into.size and not self.over:
+            with self.into.data() as data:
+                count = len(data)
+                try:
+                    self.peer.fed(self, data)
+                except Unreadable as fault:
+                    self.fault = str(fault)
+                    self.end(fault.ending)
+            self.into.took(count)
+
+    def flush(self) -> None:
+        while self.out.size:
+            try:
+                with self.out.data() as data:
+                    count = self.sock.send(data)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:
+                self.end(Ending.RESET)
+                return
+            self.out.took(count)
+        events = selectors.EVENT_READ | (selectors.EVENT_WRITE if self.out.size else 0)
+        if events != self.events:
+            self.events = events
+            self.loop.selector.modify(self.sock, events, self)
+
+
+class Listener:
+    """The address where others connect."""
+
+    def __init__(self, loop: "Loop", sock: socket.socket, accept: Callable[[], Peer]):
+        self.loop, self.sock, self.accept = loop, sock, accept
+
+    def turn(self, _events: int) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                sock, _address = self.sock.accept()
+            except OSError:     # nobody waits, or one that waited has left, or no descriptor is to be had
+                return
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            link = Link(self.loop, sock, self.accept(), up=True)
+            link.peer.opened(link)
+
+
+class Loop:
+    """All connections and timers of the program."""
+
+    def __init__(self):
+        self.selector = selectors.DefaultSelector()
+        self.timers: list[tuple[float, int, Timer]] = []
+        self.count = 0
+        # Unix time at the start, carried on by the clock that never steps back.
+        self.epoch = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        return self.epoch + time.monotonic()
+
+    def at(self, when: float, call: Callable[[], None]) -> Timer:
+        timer = Timer(call)
+        self.count += 1
+        heapq.heappush(self.timers, (when, self.count, timer))
+        return timer
+
+    def after(self, seconds: float, call: Callable[[], None]) -> Timer:
+        return self.at(self.now() + seconds, call)
+
+    def connect(self, address: tuple[str, int], peer: Peer, within: float) -> None:
+        """Open a connection; the peer hears of it, or of its end if it is not up within that time."""
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError:         # no descriptor is to be had: as if nobody answered
+            peer.ended(None, Ending.UNREACHABLE)
+            return
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = Link(self, sock, peer, up=False)
+        link.timer = self.after(within, lambda: link.end(Ending.TIMED_OUT))
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS, errno.EWOULDBLOCK):
+            link.end(Ending.REFUSED if code == errno.ECONNREFUSED else Ending.UNREACHABLE)
+
+    def listen(self, address: tuple[str, int], accept: Callable[[], Peer]) -> Listener:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.bind(address)
+            sock.listen(512)
+        except OSError:
+            sock.close()
+            raise
+        sock.setblocking(False)
+        listener = Listener(self, sock, accept)
+        self.selector.register(sock, selectors.EVENT_READ, listener)
+        return listener
+
+    def turn(self) -> None:
+        """One turn: whatever can be read or written, then the timers that are due."""
+        while self.timers and self.timers[0][2].call is None:
+            heapq.heappop(self.timers)
+        wait = max(0.0, self.timers[0][0] - self.now()) if self.timers else None
+        for key, events in self.selector.select(wait):
+            if key.fileobj.fileno() >= 0:       # not ended earlier in this turn
+                key.data.turn(events)
+        now = self.now()
+        while self.timers and self.timers[0][0] <= now:
+            call = heapq.heappop(self.timers)[2].call
+            if call is not None:
+                call()
--- /dev/null
+++ b/knotwalk/told.py
@@ -0,0 +1,89 @@
+"""What both wires tell in the same words or nearly so: settings, list states, load columns.
+
+Owns the translation of those words into the module's; it must never decide anything or change a figure beyond
+its unit.
+"""
+
+from collections.abc import Mapping
+
+from knotwalk.interface import Method, Settings
+
+STATES = {"Running": "ready", "Stopping": "draining", "Deleted": "gone",
+          "active": "ready", "leaving": "draining", "left": "gone"}
+LOADS = {"busy": "utilization", "util": "utilization", "rif": "inflight", "q": "queue", "rate": "qps",
+         "lat_ms": "latency_ms", "fail_rate": "eps"}
+
+
+class Malformed(Exception):
+    """Something told that cannot be read; its text says what is wrong."""
+
+
+def plain(fault: Exception) -> str:
+    """What was wrong, in words.
+
+    >>> plain(KeyError("node"))
+    "'node' is missing"
+    """
+    return f"'{fault.args[0]}' is missing" if isinstance(fault, KeyError) else str(fault)
+
+
+def flattened(told: object, at: str = "") -> dict[str, str]:
+    """Nested settings as the pairs that the simulator's wire has.
+
+    >>> flattened({"a": {"b": True, "c": [1, 2.5]}, "d": [{"e": "x"}]})
+    {'a.b': 'true', 'a.c': '1,2.5', 'd.count': '1', 'd.0.e': 'x'}
+    """
+    if isinstance(told, dict):
+        parts = [(str(name), value) for name, value in told.items()]
+    elif isinstance(told, list) and any(isinstance(x, (dict, list)) for x in told):
+        parts = [("count", len(told)), *((str(k), value) for k, value in enumerate(told))]
+    elif isinstance(told, list):
+        return {at: ",".join(flattened(x, "x")["x"] for x in told)}
+    else:
+        return {at: ("true" if told else "false") if isinstance(told, bool) else
+                "" if told is None else str(told)}
+    pairs: dict[str, str] = {}
+    for name, value in parts:
+        pairs.update(flattened(value, f"{at}.{name}" if at else name))
+    return pairs
+
+
+def number(pairs: Mapping[str, str], path: str, default: float = 0.0) -> float:
+    try:
+        return float(pairs.get(path) or default)
+    except ValueError:
+        raise Malformed(f"setting {path}={pairs[path]} is not a number") from None
+
+
+def read_settings(pairs: Mapping[str, str]) -> Settings:
+    """Put the settings into our words; what is absent counts as 0, no or the plain case."""
+    def seconds(path: str) -> float:
+        return number(pairs, path) / 1e6
+
+    def flag(path: str) -> bool:
+        return pairs.get(path, "false") in ("true", "1")
+
+    methods = []
+    for k in range(int(number(pairs, "classes.count"))):
+        at = f"classes.{k}."
+        methods.append(Method(
+            soft_deadline=seconds(at + "slo_us"), criticality=number(pairs, at + "worth")))
+    family, rule = "family_info.", "guarantees."
+    return Settings(
+        methods=tuple(methods), slices=int(number(pairs, family + "partitions_n")),
+        one_owner=flag(family + "one_owner"), asked_list=pairs.get("discovery") == "on_request",
+        retry_default=int(number(pairs, family + "retry_default")),
+        admits=pairs.get(family + "admit") == "fraction", report_period=seconds(family + "period_us"),
+        message_delay=seconds(family + "push_delay_us"),
+        lines_waiting_most=number(pairs, family + "most_waiting"),
+        lines_per_message=number(pairs, family + "fixed_cost"),
+        messages_most=int(number(pairs, family + "messages_most")),
+        messages_span=seconds(family + "reload_span_us"),
+        dropped_stay_open=flag(rule + "dropped_stay_open"),
+        cold_share=number(pairs, rule + "cold_from"), cold_time=seconds(rule + "cold_us"))
+
+
+def read_methods(pairs: Mapping[str, str]) -> dict[str, int]:
+    """The methods' places by name."""
+    count = int(number(pairs, "classes.count"))
+    return {pairs.get(f"classes.{k}.name", ""): k for k in range(count)}
--- a/knotwalk/wirehost/host.py
+++ b/knotwalk/wirehost/host.py
@@ -8,18 +8,11 @@
 from typing import BinaryIO, TextIO
 
 from knotwalk.decide import Conductor
-from knotwalk.interface import Method, Settings
+from knotwalk.told import LOADS, STATES, Malformed, plain, read_methods, read_settings
 
-STATES = {"Running": "ready", "Stopping": "draining", "Deleted": "gone"}
-COLUMNS = {"busy": "utilization", "rif": "inflight", "q": "queue", "rate": "qps", "lat_ms": "latency_ms",
-           "fail_rate": "eps"}
 EVERY_SLICE = 65535
 
 
-class Malformed(Exception):
-    """A line of input that cannot be read; its text says what is wrong."""
-
-
 def fields_of(parts: list[str]) -> dict[str, str]:
     """Split name=value parts.
 
@@ -35,37 +28,6 @@
     return fields
 
 
-def read_settings(pairs: Mapping[str, str]) -> Settings:
-    """Put the wire's settings into our words; what is absent counts as 0, no or the plain case."""
-    def number(path: str, default: float = 0.0) -> float:
-        try:
-            return float(pairs.get(path, default))
-        except ValueError:
-            raise Malformed(f"setting {path}={pairs[path]} is not a number") from None
-
-    def seconds(path: str) -> float:
-        return number(path) / 1e6
-
-    def flag(path: str) -> bool:
-        return pairs.get(path, "false") in ("true", "1")
-
-    methods = []
-    for k in range(int(number("classes.count"))):
-        at = f"classes.{k}."
-        methods.append(Method(
-            soft_deadline=seconds(at + "slo_us"), criticality=number(at + "worth")))
-    family, rule = "family_info.", "guarantees."
-    return Settings(
-        methods=tuple(methods), slices=int(number(family + "partitions_n")),
-        one_owner=flag(family + "one_owner"), asked_list=pairs.get("discovery") == "on_request",
-        retry_default=int(number(family + "retry_default")), admits=pairs.get(family + "admit") == "fraction",
-        report_period=seconds(family + "period_us"), message_delay=seconds(family + "push_delay_us"),
-        lines_waiting_most=number(family + "most_waiting"), lines_per_message=number(family + "fixed_cost"),
-        messages_most=int(number(family + "messages_most")), messages_span=seconds(family + "reload_span_us"),
-        dropped_stay_open=flag(rule + "dropped_stay_open"),
-        cold_share=number(rule + "cold_from"), cold_time=seconds(rule + "cold_us"))
-
-
 class Writer:
     """Orders, written as the wire's actions."""
 
@@ -106,11 +68,9 @@
     """One hosted conductor: its settings' words and what came in for it this batch."""
 
     def __init__(self, seed: int, pairs: Mapping[str, str]):
-        settings = read_settings(pairs)
-        self.conductor = Conductor(settings, seed)
-        self.columns = [COLUMNS.get(name, name) for name in pairs.get("stats.columns", "").split(",")]
-        count = len(settings.methods)
-        self.methods = {pairs.get(f"classes.{k}.name", ""): k for k in range(count)}
+        self.conductor = Conductor(read_settings(pairs), seed)
+        self.columns = [LOADS.get(name, name) for name in pairs.get("stats.columns", "").split(",")]
+        self.methods = read_methods(pairs)
         self.inbox: list[tuple[str, tuple]] = []
 
 
@@ -240,15 +200,6 @@
         return reply
 
 
-def plain(fault: Exception) -> str:
-    """What was wrong, in words.
-
-    >>> plain(KeyError("node"))
-    "'node' is missing"
-    """
-    return f"'{fault.args[0]}' is missing" if isinstance(fault, KeyError) else str(fault)
-
-
 def serve(source: BinaryIO, sink: BinaryIO, errors: TextIO) -> int:
     """Answer batches until the input ends; the exit code."""
     def complain(text: str) -> None:
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -2,7 +2,8 @@
 
 import io
 
-from knotwalk.wirehost.host import Host, Malformed, read_settings, serve
+from knotwalk.told import Malformed, read_settings
+from knotwalk.wirehost.host import Host, serve
 
 BORN = ("BORN random_seed=7 classes.count=1 classes.0.name=read classes.0.slo_us=1500000 "
         "family_info.partitions_n=1 family_info.retry_default=1 family_info.admit=fraction "
