--- a/knotwalk/net/collectors.py
+++ b/knotwalk/net/collectors.py
@@ -8,11 +8,10 @@
 
 from knotwalk.net.ending import Ending
 from knotwalk.net.log import Log
-from knotwalk.net.loop import Link, Loop, Unreadable
+from knotwalk.net.loop import Link, Loop
 from knotwalk.net.resp import Resp, packed
-from knotwalk.told import LOADS, plain
+from knotwalk.told import LOADS, figure, plain
 
-SEATS = 600     # connections at once, of the 1,024 descriptors that the platform gives
 ALIVE = packed("alive")
 
 
@@ -34,71 +33,100 @@
     {'inflight': 7.0, 'utilization': 0.61}
     """
     pairs = [part.partition(":") for part in text.split(",") if part]
-    return {LOADS.get(name, name): float(value) for name, _, value in pairs}
+    return {LOADS.get(name, name): figure(value) for name, _, value in pairs}
 
 
 class Callers:
-    """All that have connected."""
+    """All that have connected, within so many seats and so many bytes of unfinished messages."""
 
-    def __init__(self, loop: Loop, methods: Mapping[str, int], tell: Callable, ready: Callable[[], bool],
-                 log: Log):
-        self.loop, self.methods, self.tell, self.ready, self.log = loop, methods, tell, ready, log
-        self.seats: dict["Caller", Link] = {}       # the one not heard of for longest first
+    def __init__(self, loop: Loop, methods: Mapping[str, int], knows: Callable[[str], bool], tell: Callable,
+                 log: Log, seats: int, room: int):
+        self.loop, self.methods, self.knows, self.tell, self.log = loop, methods, knows, tell, log
+        self.seats, self.room = seats, room
+        self.ready = False
+        self.links: dict["Caller", Link] = {}       # the one not heard of for longest first
+        self.held = 0                               # bytes of unfinished messages
 
     def accept(self) -> "Caller":
         return Caller(self)
 
-    def seat(self, caller: "Caller", link: Link) -> None:
-        self.seats[caller] = link
-        if len(self.seats) > SEATS:
-            # Strangers that say nothing must not keep collectors out: those that never spoke go first.
-            oldest = next((x for x in self.seats if not x.spoke), next(iter(self.seats)))
-            self.seats[oldest].end(Ending.CROWDED)
+    def serve(self) -> None:
+        """From now on probes are answered, and those that wait are at once."""
+        if not self.ready:
+            self.ready = True
+            for caller, link in list(self.links.items()):
+                if caller.asked:
+                    link.write(ALIVE)
+
+    def crowd_out(self, among: list["Caller"]) -> None:
+        """End the one that is least of a loss: a stranger that says nothing must not cost a collector its seat."""
+        if among:
+            self.links[min(among, key=lambda x: (x.agent, x.spoke))].end(Ending.CROWDED)
 
 
 class Caller:
     """One that has connected."""
 
     def __init__(self, callers: Callers):
-        self.all, self.resp, self.spoke, self.zone = callers, Resp(), False, ""
-        self.asked = False      # a probe waits for its answer
+        self.all, self.resp = callers, Resp()
+        self.spoke = self.agent = self.asked = False
+        self.zone, self.held = "", 0
 
     def opened(self, link: Link) -> None:
-        self.all.seat(self, link)
+        self.all.links[self] = link
+        if len(self.all.links) > self.all.seats:
+            self.all.crowd_out([x for x in self.all.links if x is not self])
 
     def fed(self, link: Link, data: memoryview) -> None:
         for items in self.resp.feed(data):
             self.spoke = True
+            self.all.links[self] = self.all.links.pop(self)
             if items:
                 try:
                     self.message(link, items)
                 except (ValueError, KeyError) as fault:
                     self.all.log("message dropped", f"{' '.join(items)[:120]}: {plain(fault)}")
+            if link.over:
+                return
+        self.hold(self.resp.weight())
+
+    def hold(self, weight: int) -> None:
+        """Half messages must not fill the memory: past the room, the ones that hold most are ended."""
+        self.all.held += weight - self.held
+        self.held = weight
+        while self.all.held > self.all.room:
+            most = max(x.held for x in self.all.links)
+            self.all.crowd_out([x for x in self.all.links if x.held == most])
 
     def message(self, link: Link, items: list[str]) -> None:
         kind = items[0]
         if kind == "probe":
-            if self.all.ready():
+            self.asked = True
+            if self.all.ready:
                 link.write(ALIVE)
-            else:
-                self.asked = True
             return
         f = fields(items)
         if kind == "outcomes":
-            tries, aborted = int(f["tries"]), int(f.get("failed", 0))
-            self.all.tell("heard", f["server"], f.get("zone", self.zone), float(f["span_ms"]) / 1e3, tries,
-                          aborted, float(f.get("mean_ms", 0)) / 1e3, load_of(f.get("load", "")))
+            if not self.all.knows(f["server"]):
+                raise ValueError(f"no such server '{f['server']}'")
+            tries, aborted = int(figure(f["tries"])), int(figure(f.get("failed", 0)))
+            if aborted > tries:
+                raise ValueError("more failed than were tried")
+            self.all.tell("heard", f["server"], f.get("zone", self.zone), figure(f["span_ms"]) / 1e3, tries,
+                          aborted, figure(f.get("mean_ms", 0)) / 1e3, load_of(f.get("load", "")))
         elif kind == "hot":
             if f["class"] not in self.all.methods:
                 raise ValueError(f"no such method '{f['class']}'")
-            self.all.tell("wanted", int(f["slice"]), self.all.methods[f["class"]],
-                          float(f["span_ms"]) / 1e3, int(f["tries"]))
+            self.all.tell("wanted", int(figure(f["slice"])), self.all.methods[f["class"]],
+                          figure(f["span_ms"]) / 1e3, int(figure(f["tries"])))
         elif kind == "agent":
-            self.zone = f.get("zone", "")
+            self.agent, self.zone = True, f.get("zone", "")
         else:
             raise ValueError("no such message")
 
     def ended(self, link: Link, ending: Ending) -> None:
-        self.all.seats.pop(self, None)
+        self.all.links.pop(self, None)
+        self.all.held -= self.held
+        self.held = 0
         if ending not in (Ending.CLOSED, Ending.LEFT):
             self.all.log("caller ended", f"{ending.value} {link.fault}")
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -5,7 +5,6 @@
 """
 
 import json
-import os
 import signal
 import sys
 import traceback
@@ -17,7 +16,11 @@
 from knotwalk.net.log import Log
 from knotwalk.net.loop import Loop, Timer
 from knotwalk.net.relay import Calls, News
-from knotwalk.told import Malformed, flattened, number, plain, read_methods, read_settings
+from knotwalk.told import Malformed, figure, flattened, number, plain, read_methods, read_settings
+
+
+SEATS = 0.8     # of the sockets allowed, for those that connect to us: our own peers take a dozen
+ROOM = 0.25     # of the memory allowed, for their unfinished messages: the program itself takes under 40 MB
 
 
 class Misfit(Exception):
@@ -61,6 +64,9 @@
             pairs = flattened(told["settings"])
             self.settings, self.methods = read_settings(pairs), read_methods(pairs)
             self.tick = number(pairs, "tick_us") / 1e6
+            limits = told.get("limits") or {}
+            self.seats = int(SEATS * figure(limits.get("sockets", 1024)))
+            self.room = int(ROOM * 1e6 * figure(limits.get("memory_mb", 192)))
         except Misfit:
             raise
         except (Malformed, KeyError, ValueError, TypeError, AttributeError) as fault:
@@ -102,48 +108,58 @@
     """One conductor: its module, its peers, its rounds."""
 
     def __init__(self, config: Config, log: Log):
-        self.log, self.loop = log, Loop()
-        self.config = config
+        self.config, self.log, self.loop = config, log, Loop()
         self.names = {k: name for name, k in config.methods.items()}
         self.module = Conductor(config.settings, config.seed)
+        self.starts = 1
         self.inbox: list[tuple[str, tuple]] = []
         self.last = float("-inf")       # when the last round was
         self.timer: Timer | None = None
-        self.calls = Calls(self.loop, config.relay, log)
         self.news = News(self.loop, config.relay, self.tell, log)
-        self.watch = Watch(self.loop, config.discovery, config.known_version, self.tell, log)
-        self.callers = Callers(self.loop, config.methods, self.tell, self.ready, log)
+        self.calls = Calls(self.loop, config.relay, self.news, log)
+        self.watch = Watch(self.loop, config.discovery, config.known_version, config.known, self.tell, log)
+        self.callers = Callers(self.loop, config.methods, self.knows, self.tell, log, config.seats, config.room)
 
     def tell(self, handler: str, *arguments: object) -> None:
         """Something for the next round."""
         self.inbox.append((handler, arguments))
 
-    def ready(self) -> bool:
-        """Whether we can serve: what stands has been heard."""
-        return self.news.standing
+    def knows(self, server: str) -> bool:
+        """Whether a server was ever listed or in a line: the module would take any other for a new one."""
+        return server in self.watch.entries or server in self.module.servers
 
     def wake(self, at: float) -> None:
-        self.loop.at(at, lambda: self.round(due=True))
+        self.loop.at(at, self.round)
 
-    def round(self, due: bool = False) -> None:
-        """Hand all that came in to the module; not sooner after the last round than the platform's tick."""
-        if not due and not self.inbox:
-            return
+    def round(self) -> None:
+        """Hand all that came in to the module, not sooner after the last round than the platform's tick."""
         now = self.loop.now()
         if now < self.last + self.config.tick:
             if self.timer is None:
-                self.timer = self.loop.at(self.last + self.config.tick, self.overdue)
+                self.timer = self.loop.at(self.last + self.config.tick, self.next_round)
             return
         self.last = now
         inbox, self.inbox = self.inbox, []
         out = Writer(self)
-        self.module.decide(now, inbox, out)
-        if out.orders:
+        try:
+            self.module.decide(now, inbox, out)
+        except Exception:       # whatever it is: see restart
+            self.restart(inbox)
+        else:
             self.calls.order(out.orders)
 
-    def overdue(self) -> None:
+    def next_round(self) -> None:
         self.timer = None
-        self.round(due=True)
+        self.round()
+
+    def restart(self, inbox: list) -> None:
+        """The decisions failed. A module that was left halfway may hold anything, so a new one starts from what
+        stands, as after a crash, but without the seconds that one takes; what came in is dropped."""
+        self.log("decisions failed", f"{traceback.format_exc(limit=-3)} on {inbox}")
+        self.module = Conductor(self.config.settings, self.config.seed + self.starts)
+        self.starts += 1
+        self.tell("listed", True, True, list(self.watch.entries.values()))
+        self.news.repeat()
 
     def run(self) -> None:
         self.tell("listed", True, True, self.config.known)
@@ -153,23 +169,21 @@
         self.news.start()
         while True:
             self.loop.turn()
-            self.round()
-            for caller, link in list(self.callers.seats.items()):
-                if caller.asked and self.ready():
-                    caller.asked = False
-                    caller.message(link, ["probe"])
+            if self.inbox:
+                self.round()
+            if self.news.heard:
+                self.callers.serve()
 
 
 def serve(environ: Mapping[str, str]) -> int:
     """Serve until SIGTERM; the exit code."""
-    log = Log()
-
     def stop(_number: int, _frame: object) -> None:
-        sys.exit(0)
+        sys.exit(0)     # nothing is owed to anybody: the store holds the tables, proxies go elsewhere
 
     signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
-        host = Host(Config(environ), log)
+        host = Host(Config(environ), Log())
     except Misfit as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
@@ -177,5 +191,4 @@
         host.run()
     except OSError as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
-        return 1
-    return 0
+    return 1
--- a/knotwalk/net/discovery.py
+++ b/knotwalk/net/discovery.py
@@ -8,14 +8,14 @@
 from collections.abc import Callable, Mapping
 
 from knotwalk.net import http
-from knotwalk.net.ending import Ending, Outcome, Role, outcome
+from knotwalk.net.ending import Ending, Role, outcome
 from knotwalk.net.log import Log
 from knotwalk.net.loop import Link, Loop, Unreadable
-from knotwalk.told import STATES, plain
+from knotwalk.told import STATES, figure, plain
 
 CONNECT = 0.25      # seconds: the agent is on the same machine
-WAIT = 2.0          # seconds that a watch may wait: a change counts as told 2 s after, whether it came or not
-LATE = 0.7          # seconds past the wait after which a watch is silent; an answer that must come at once, too
+WAIT = 1.0          # seconds that a watch may wait: a change counts as told 2 s after, whether it came or not
+LATE = 0.5          # seconds past the wait after which a watch is silent; an answer that must come at once, too
 AGAIN_FIRST, AGAIN_MOST = 0.02, 0.5     # seconds before the next connection; doubles: no hammering
 LIST_MOST = 1 << 22     # bytes of an answer: some ten thousand servers
 
@@ -28,17 +28,19 @@
     """
     if f["state"] not in STATES:
         raise ValueError(f"no such state '{f['state']}'")
-    return (str(f["id"]), str(f.get("zone", "")), STATES[f["state"]], float(f.get("weight", 1)),
-            float(f.get("started_ms") or 0) / 1e3)
+    return (str(f["id"]), str(f.get("zone", "")), STATES[f["state"]], figure(f.get("weight", 1)),
+            figure(f.get("started_ms") or 0) / 1e3)
 
 
 class Watch:
     """The watch: one call after the other on one connection."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int], known: int, tell: Callable, log: Log):
+    def __init__(self, loop: Loop, address: tuple[str, int], version: int, known: list[tuple], tell: Callable,
+                 log: Log):
         self.loop, self.address, self.tell, self.log = loop, address, tell, log
         self.host = "%s:%d" % address
-        self.version = known
+        self.version = version
+        self.entries = {x[0]: x for x in known}     # the list as now held; what has gone stays by its id
         self.link: Link | None = None
         self.answers, self.status, self.body = http.Answers(LIST_MOST), 0, b""
         self.whole = True       # the next call asks for the whole list
@@ -86,13 +88,15 @@
         except (ValueError, TypeError, AttributeError, KeyError) as fault:
             raise Unreadable(f"no list: {plain(fault)}") from None
         self.wait = AGAIN_FIRST
+        if not full and version < self.version:
+            self.whole = True       # restarted with an older list: changes to that are none to ours
+            return
         if full:
             self.whole = False
-            self.tell("listed", True, False, entries)
-        elif version < self.version:
-            self.whole = True       # restarted with an older list: changes to that are none to ours
-        elif entries:
-            self.tell("listed", False, False, entries)
+            self.entries = {k: (*x[:2], "gone", *x[3:]) for k, x in self.entries.items()}
+        self.entries.update({x[0]: x for x in entries})
+        if full or entries:
+            self.tell("listed", full, False, entries)
         self.version = version
 
     def ended(self, link: Link | None, ending: Ending) -> None:
--- a/knotwalk/net/loop.py
+++ b/knotwalk/net/loop.py
@@ -17,6 +17,7 @@
 
 IN_MOST = 1 << 16       # bytes read at once: machines take all they are fed, so the ring never holds more
 OUT_MOST = 1 << 17      # bytes a peer may leave unread: what the platform's own side allows
+PAUSE = 0.1             # seconds without new connections once no descriptor is to be had: others end meanwhile
 ACCEPTS = 64            # new connections a turn: a flood must not starve those that are there
 
 
@@ -160,7 +161,9 @@
         for _ in range(ACCEPTS):
             try:
                 sock, _address = self.sock.accept()
-            except OSError:     # nobody waits, or one that waited has left, or no descriptor is to be had
+            except OSError as fault:
+                if fault.errno in (errno.EMFILE, errno.ENFILE):     # it stays readable: no spinning on it
+                    self.pause()
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -168,6 +171,11 @@
             link.peer.opened(link)
 
 
+    def pause(self) -> None:
+        self.loop.selector.unregister(self.sock)
+        self.loop.after(PAUSE, lambda: self.loop.selector.register(self.sock, selectors.EVENT_READ, self))
+
+
 class Loop:
     """All connections and timers of the program."""
 
--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -1,77 +1,101 @@
 """The relay: calls that carry orders, and news of proxies and slices.
 
-Owns the order of calls, one under way at a time, and what the news said last. It must never drop an order whose
-fate is unknown, tell anything that stood all along as new, or choose which orders to give.
+Owns the order of calls, one under way at a time, and what stands by the news and by the orders taken. It must
+never drop an order whose fate is unknown, tell anything that stood all along as new, or choose which orders to give.
 """
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from knotwalk.net import http
 from knotwalk.net.ending import Ending, Outcome, Role, outcome
 from knotwalk.net.log import Log
-from knotwalk.net.loop import Link, Loop, TooLong, Unreadable
+from knotwalk.net.loop import Link, Loop, Timer, TooLong, Unreadable
+from knotwalk.told import figure, plain
 
 CALL_MOST = 60_000      # bytes of orders in a call, as the protocol has it
-CONNECT = 0.25          # seconds for a connection on the same network to come up
+CONNECT = 0.25          # seconds for a connection on the same network to come up: the way and one lost packet
 ANSWER = 0.15           # an answer comes within 50 ms or never; the rest is for a late loop
 STANDING = 1.0          # seconds a connection is kept for the next call: the relay closes idle ones by itself
 ANSWER_MOST = 1 << 16   # bytes of an answer: it holds one number
 AGAIN_FIRST, AGAIN_MOST = 0.02, 0.5     # seconds before a failed call goes again; doubles: no hammering
 THROTTLED = 0.1         # seconds before a call turned away before the run goes again
-LIFE = 2.3              # a sign of life comes every second: two missed, and some for a late loop
+LIFE = 1.8              # a sign of life comes every second: one missed, and some for a late loop
 NEWS_MOST = 1 << 20     # bytes of one line of news
+LOOK = 1.5              # seconds for a look at what stands: a sign of life, its end at the latest, comes in one
+
+
+def key(order: dict) -> tuple:
+    """What an order sets: a later one of the same key takes its place."""
+    if order["do"] == "SYNC":
+        return ("SYNC",)
+    if order["do"] in ("OUT", "IN"):
+        return ("OUT", order["server"])
+    return (order["do"], order.get("group"), order.get("server"), *order.get("classes", ()))
 
 
 class Calls:
     """Orders on their way, as calls one after the other."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int], log: Log):
-        self.loop, self.address, self.log = loop, address, log
+    def __init__(self, loop: Loop, address: tuple[str, int], news: "News", log: Log):
+        self.loop, self.address, self.news, self.log = loop, address, news, log
         self.host = "%s:%d" % address
-        self.queue: list[dict] = []     # orders not yet in a call
-        self.under_way: list[dict] | None = None
+        self.queue: dict[tuple, dict] = {}      # orders not yet in a call
+        self.under_way: list[dict] = []         # those of the call that waits for its answer
+        self.doubtful: list[dict] = []          # those of a call whose outcome is unknown
         self.link: Link | None = None
         self.connecting = False
-        self.answers = http.Answers(ANSWER_MOST)
-        self.status, self.body = 0, b""
-        self.silence = self.idle = self.again = None
+        self.answers, self.status, self.body = http.Answers(ANSWER_MOST), 0, b""
+        self.silence: Timer | None = None
+        self.idle: Timer | None = None
+        self.again: Timer | None = None
         self.wait = AGAIN_FIRST
-        self.count = 0
+        news.calls = self
 
     def order(self, orders: list[dict]) -> None:
-        """Add a round's orders; they go at once or with the next call."""
-        self.queue += orders
+        """Add a round's orders; they go at once, or with the next call."""
+        for order in orders:
+            self.queue.pop(key(order), None)
+            self.queue[key(order)] = order
         self.pump()
 
+    def forget(self, slice_id: int) -> None:
+        """Drop what is not yet sent for a slice: it was taken from us, or given anew with other lines."""
+        for k in [k for k, order in self.queue.items() if order.get("group") == slice_id]:
+            del self.queue[k]
+
+    def put_back(self, orders: list[dict]) -> None:
+        """Orders that were not carried out go first again, unless newer ones took their place."""
+        newer = self.queue
+        self.queue = {key(order): order for order in orders if key(order) not in newer}
+        self.queue.update(newer)
+
     def pump(self) -> None:
-        if self.under_way is not None or not self.queue or self.again is not None:
+        if self.under_way or self.doubtful or not self.queue or self.again is not None:
             return
         if self.link is None:
             if not self.connecting:
                 self.connecting = True
                 self.loop.connect(self.address, self, CONNECT)
             return
-        if self.idle:
-            self.idle.cancel()
-            self.idle = None
+        self.stop("idle")
         parts, size = [], 0
-        for order in self.queue:
+        for order in self.queue.values():
             text = json.dumps(order, separators=(",", ":"))
             size += len(text) + 1
             if size > CALL_MOST and parts:
                 break
             parts.append(text)
-        self.under_way, self.queue = self.queue[:len(parts)], self.queue[len(parts):]
-        body = '{"orders":[%s]}' % ",".join(parts)
+        self.under_way = [self.queue.pop(k) for k in list(self.queue)[:len(parts)]]
         self.status, self.body = 0, b""
-        self.count += 1
-        self.silence = self.loop.after(ANSWER, self.silent)
-        self.link.write(http.request(self.host, "POST", "/v1/batches", body=body.encode()))
+        link = self.link
+        self.silence = self.loop.after(ANSWER, lambda: link.end(Ending.SILENT))
+        link.write(http.request(self.host, "POST", "/v1/batches", body=b'{"orders":[%s]}' % ",".join(parts).encode()))
 
-    def silent(self) -> None:
-        if self.link:
-            self.link.end(Ending.SILENT)
+    def stop(self, timer: str) -> None:
+        if getattr(self, timer):
+            getattr(self, timer).cancel()
+            setattr(self, timer, None)
 
     def retry(self, wait: float) -> None:
         def go() -> None:
@@ -88,151 +112,316 @@
 
     def fed(self, link: Link, data: memoryview) -> None:
         for kind, value in self.answers.feed(data):
-            if self.under_way is None:
+            if not self.under_way:
                 raise Unreadable("an answer to no call")
             if kind == "status":
                 self.status = value
             elif kind == "piece":
                 self.body += value
             else:
-                self.answered(link, value)
+                self.answered(link, keep=value)
 
     def answered(self, link: Link, keep: bool) -> None:
         try:
             told = json.loads(self.body)
             error = told.get("error")
-            accepted = int(told.get("accepted", 0))
-            if error is None and "accepted" not in told:
-                raise ValueError("neither accepted nor error")
-        except (ValueError, TypeError, AttributeError) as fault:
-            raise Unreadable(f"no answer to a call: {fault}") from None
-        orders, self.under_way = self.under_way or [], None
-        if self.silence:
-            self.silence.cancel()
+            accepted = int(told["accepted"]) if error is None else 0
+        except (ValueError, TypeError, AttributeError, KeyError) as fault:
+            raise Unreadable(f"no answer to a call: {plain(fault)}") from None
+        orders, self.under_way = self.under_way, []
+        self.stop("silence")
         self.wait = AGAIN_FIRST
-        if error is not None:
-            if isinstance(error, dict):
-                error = error.get("code") or error.get("type") or json.dumps(error)
-            if error == "invalid":
-                self.log("orders refused", f"the relay calls {len(orders)} orders invalid: {orders[:3]}")
-            else:
-                self.log("call turned away", f"{error}; tried again")
-                self.queue[:0] = orders
-                self.retry(THROTTLED)
-        elif accepted < len(orders):
-            self.log("order refused", f"{orders[accepted]}")
-            self.queue[:0] = orders[accepted + 1:]
-        if not keep:
-            link.end(Ending.LEFT)
+        if isinstance(error, dict):
+            error = error.get("code") or error.get("type") or str(error)
+        if error == "invalid":
+            self.log("orders refused", f"the relay cannot read this call of {len(orders)}: {orders[:3]}")
+        elif error is not None:
+            self.log("call turned away", f"{error}, tried again")
+            self.put_back(orders)
+            self.retry(THROTTLED)
         else:
+            self.news.took(orders[:accepted])
+            if accepted < len(orders):
+                self.log("order refused", f"{orders[accepted]}")
+                self.put_back(orders[accepted + 1:])
+        if keep:
             self.idle = self.loop.after(STANDING, lambda: link.end(Ending.LEFT))
-        self.pump()
+            self.pump()
+        else:
+            link.end(Ending.LEFT)
 
     def ended(self, link: Link | None, ending: Ending) -> None:
-        sent = link is not None and self.link is link and not link.out.size
+        sent = self.link is link is not None and not link.out.size
         self.link, self.connecting = None, False
-        for timer in (self.silence, self.idle):
-            if timer:
-                timer.cancel()
-        self.silence = self.idle = None
-        if self.under_way is not None:
-            orders, self.under_way = self.under_way, None
-            means = outcome(Role.CALL, ending, sent)
-            self.log("call failed", f"{ending.value}: {means.value} ({len(orders)})")
-            self.queue[:0] = orders
-        elif ending is not Ending.LEFT and ending is not Ending.CLOSED:
-            self.log("call connection", ending.value)
-        if self.queue and ending is not Ending.LEFT:
+        self.stop("silence")
+        self.stop("idle")
+        orders, self.under_way = self.under_way, []
+        if orders and outcome(Role.CALL, ending, sent) is Outcome.UNSURE:
+            self.log("call in doubt", f"{ending.value}; {len(orders)} orders stand or not")
+            self.doubtful = orders
+            Doubt(self)
+            return
+        if orders:
+            self.put_back(orders)
+        if orders or ending not in (Ending.LEFT, Ending.CLOSED, Ending.RESET):
+            self.log("call failed", f"{ending.value}, tried again")
+        if ending is Ending.LEFT:
+            self.pump()
+        elif self.queue:
             self.retry(self.wait)
             self.wait = min(AGAIN_MOST, 2 * self.wait)
+
+    def settled(self, done: bool) -> None:
+        """The orders in doubt are known to stand, or are given again as if they did not."""
+        orders, self.doubtful = self.doubtful, []
+        if done:
+            self.news.took(orders)
+        else:
+            self.put_back(orders)
         self.pump()
 
 
+class Lines:
+    """The machine of a stream of news: objects out of bytes in any pieces."""
+
+    def __init__(self):
+        self.answers, self.rest, self.status = http.Answers(0), b"", 0
+
+    def feed(self, data: bytes | memoryview) -> list[tuple[str, dict]]:
+        """Kind and object of each line that these bytes finish; a sign of life has the kind "".
+
+        >>> Lines().feed(b'HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n3\\r\\n{}\\n\\r\\n')
+        [('', {})]
+        """
+        told = []
+        for kind, value in self.answers.feed(data):
+            if kind == "status":
+                if value != 200:
+                    raise Unreadable(f"answer {value} in place of news")
+            elif kind == "end":
+                raise Unreadable("the news ended in order, which it never does")
+            else:
+                lines = (self.rest + value).split(b"\n")
+                self.rest = lines.pop()
+                if len(self.rest) > NEWS_MOST:
+                    raise TooLong(f"a line of news of over {NEWS_MOST} bytes")
+                told += [self.line(line) for line in lines if line.strip()]
+        return told
+
+    @staticmethod
+    def line(line: bytes) -> tuple[str, dict]:
+        try:
+            told = json.loads(line)
+            kind, f = told.get("type", ""), told.get("object", {})
+            if not (isinstance(kind, str) and isinstance(f, dict)):
+                raise ValueError("no type and object")
+        except (ValueError, AttributeError) as fault:
+            raise Unreadable(f"no news: {fault}: {line[:80]!r}") from None
+        return kind, f
+
+
+class Doubt:
+    """A look at what stands, on a connection of its own, to learn whether a call was carried out.
+
+    A call is carried out whole or not at all, so one line that it changed tells for all of it, and so does a
+    receipt that it asked for. Where neither shows, the orders are given again: they set and do not add.
+    """
+
+    def __init__(self, calls: Calls):
+        self.calls, self.lines = calls, Lines()
+        self.over, self.link = False, None
+        self.slice: object = None       # the one whose lines are being read
+        self.wanted = next(((f["group"], f["server"], f["weight"]) for f in calls.doubtful if f["do"] == "SET"
+                            and calls.news.slices.get(f["group"], {}).get(f["server"], 0.0) != f["weight"]), None)
+        self.marks = {f["ticket"] for f in calls.doubtful if f["do"] == "SYNC"}
+        calls.news.doubt = self
+        calls.loop.after(LOOK, lambda: self.settle(False))
+        if self.wanted:
+            calls.loop.connect(calls.address, self, CONNECT)
+
+    def receipt(self, mark: int) -> None:
+        if mark in self.marks:
+            self.settle(True)
+
+    def settle(self, done: bool) -> None:
+        if self.over:
+            return
+        self.over, self.calls.news.doubt = True, None
+        if self.link:
+            self.link.end(Ending.LEFT)
+        self.calls.log("doubt settled", "carried out" if done else "given again")
+        self.calls.settled(done)
+
+    def opened(self, link: Link) -> None:
+        self.link = link
+        link.write(http.request(self.calls.host, "GET", "/v1/stream"))
+
+    def fed(self, link: Link, data: memoryview) -> None:
+        slice_id, server, weight = self.wanted
+        for kind, f in self.lines.feed(data):
+            if kind != "line" and self.slice == slice_id:
+                self.settle(weight == 0)        # all its lines have been read, and this is none of them
+            elif not kind and self.slice is not None:
+                self.settle(True)               # the slice is no longer ours: orders for it change nothing
+            elif kind == "line" and f.get("slice") == slice_id and f.get("server") == server:
+                self.settle(f.get("weight") == weight)
+            elif kind == "lease":
+                self.slice = f.get("slice")
+            if self.over:
+                return
+
+    def ended(self, link: Link | None, ending: Ending) -> None:
+        self.link = None
+        if not self.over:       # nothing learnt: look again until the time is up
+            self.lines, self.slice = Lines(), None
+            self.calls.loop.after(AGAIN_MOST / 5, lambda: self.over or self.calls.loop.connect(
+                self.calls.address, self, CONNECT))
+
+
 class News:
-    """The stream of news, and what stands by it."""
+    """The stream of news, and what stands by it and by the orders taken.
+
+    A connection begins with what stands; that has been read when a sign of life follows it (seen: no other mark
+    shows its end, and the first sign of life may come ahead of it). Until then slices are compared with what was
+    known, one by one, and only what differs is told.
+    """
 
     def __init__(self, loop: Loop, address: tuple[str, int], tell: Callable, log: Log):
         self.loop, self.address, self.tell, self.log = loop, address, tell, log
         self.host = "%s:%d" % address
+        self.calls: Calls | None = None
+        self.doubt: Doubt | None = None
         self.proxies: set[int] = set()
-        self.slices: dict[int, dict[str, float]] = {}
-        self.link: Link | None = None
-        self.standing = False       # whether what stands has been read
-        self.answers, self.rest, self.status = http.Answers(0), b"", 0
-        self.life = None
+        self.slices: dict[int, dict[str, float]] = {}       # lines by server
+        self.heard = False      # whether a stream has ever come up
+        self.reading = False    # whether what stands is still being read
+        self.signs = 0          # signs of life on this connection
+        self.seen: set[tuple[str, int]] = set()     # what stands, as far as it has been read
+        self.current: tuple[int, dict[str, float]] | None = None   # the slice whose lines are being read
+        self.lines = Lines()
+        self.life: Timer | None = None
         self.wait = AGAIN_FIRST
 
     def start(self) -> None:
         self.loop.connect(self.address, self, CONNECT)
 
-    def alive(self) -> None:
-        """Something came: the connection is not silent."""
-        if self.life:
-            self.life.cancel()
-        link = self.link
-        self.life = self.loop.after(LIFE, lambda: link.end(Ending.SILENT))
+    def took(self, orders: list[dict]) -> None:
+        """Orders that the relay has carried out."""
+        for f in orders:
+            lines = self.slices.get(f.get("group"))
+            if f["do"] == "SET" and lines is not None:
+                lines.pop(f["server"], None)
+                if f["weight"]:
+                    lines[f["server"]] = f["weight"]
+
+    def repeat(self) -> None:
+        """Tell all that stands, to a module that starts from nothing."""
+        for proxy in self.proxies:
+            self.tell("joined", proxy)
+        for slice_id, lines in self.slices.items():
+            self.give(slice_id, lines)
+
+    # --- as a peer ---
 
     def opened(self, link: Link) -> None:
-        self.link, self.standing = link, False
-        self.answers, self.rest, self.status = http.Answers(0), b"", 0
-        self.alive()
+        self.lines, self.reading, self.signs, self.seen, self.current = Lines(), True, 0, set(), None
+        self.stay_awake(link)
         link.write(http.request(self.host, "GET", "/v1/stream"))
 
+    def stay_awake(self, link: Link) -> None:
+        if self.life:
+            self.life.cancel()
+        self.life = self.loop.after(LIFE, lambda: link.end(Ending.SILENT))
+
     def fed(self, link: Link, data: memoryview) -> None:
-        self.alive()
-        for kind, value in self.answers.feed(data):
-            if kind == "status":
-                self.status = value
-            elif kind == "piece":
-                import os
-                if os.environ.get("KW_DUMP"):
-                    print("NEWS", self.loop.now(), value[:3000], flush=True)
-                lines = (self.rest + value).split(b"\n")
-                self.rest = lines.pop()
-                if len(self.rest) > NEWS_MOST:
-                    raise TooLong(f"a line of news of over {NEWS_MOST} bytes")
-                if self.status == 200:
-                    for line in lines:
-                        self.line(line)
-            else:
-                if self.status != 200:
-                    self.log("news refused", f"{self.status} {self.rest[:100]!r}")
-                link.end(Ending.LEFT)
+        self.stay_awake(link)
+        for kind, f in self.lines.feed(data):
+            self.heard, self.wait = True, AGAIN_FIRST
+            try:
+                if kind != "line":
+                    self.slice_read()
+                getattr(self, f"on_{kind or 'sign'}", self.on_unknown)(f)
+            except (ValueError, TypeError, KeyError) as fault:
+                raise Unreadable(f"no news: {kind}: {plain(fault)}") from None
 
-    def line(self, line: bytes) -> None:
-        try:
-            told = json.loads(line) if line.strip() else {}
-            kind, f = told.get("type"), told.get("object", {})
-            if kind == "hello":
-                if f["proxy"] not in self.proxies:
-                    self.proxies.add(f["proxy"])
-                    self.tell("joined", f["proxy"])
-            elif kind == "bye":
-                if f["proxy"] in self.proxies:
-                    self.proxies.discard(f["proxy"])
-                    self.tell("left", f["proxy"])
-            elif kind == "ack":
-                self.tell("applied", f["proxy"], f["mark"])
-            elif kind == "lease":
-                if f["on"]:
-                    self.slices[f["slice"]] = {}
-                    self.tell("given", f["slice"])
-                elif self.slices.pop(f["slice"], None) is not None:
-                    self.tell("taken", f["slice"])
-            elif kind == "line":
-                self.tell("held", f["slice"], f["server"], float(f["weight"]))
-            elif kind is not None:
-                self.log("news unknown", f"{kind}")
-        except (ValueError, TypeError, AttributeError, KeyError) as fault:
-            raise Unreadable(f"no news: {fault} in {line[:80]!r}") from None
-        self.wait = AGAIN_FIRST
-        if kind is None:
-            self.standing = True
+    def on_unknown(self, f: dict) -> None:
+        self.log("news unknown", f"{f}")
+
+    def on_sign(self, _f: dict) -> None:
+        self.signs += 1
+        if self.reading and (self.seen or self.signs > 1):
+            self.reading = False
+            for proxy in [x for x in self.proxies if ("hello", x) not in self.seen]:
+                self.on_bye({"proxy": proxy})
+            for slice_id in [x for x in self.slices if ("lease", x) not in self.seen]:
+                self.lose(slice_id)
+
+    def on_hello(self, f: dict) -> None:
+        proxy = int(f["proxy"])
+        self.seen.add(("hello", proxy))
+        if proxy not in self.proxies:
+            self.proxies.add(proxy)
+            self.tell("joined", proxy)
+
+    def on_bye(self, f: dict) -> None:
+        proxy = int(f["proxy"])
+        self.seen.discard(("hello", proxy))
+        if proxy in self.proxies:
+            self.proxies.discard(proxy)
+            self.tell("left", proxy)
+
+    def on_ack(self, f: dict) -> None:
+        self.tell("applied", int(f["proxy"]), int(f["mark"]))
+        if self.doubt:
+            self.doubt.receipt(int(f["mark"]))
+
+    def on_lease(self, f: dict) -> None:
+        slice_id = int(f["slice"])
+        if not f["on"]:
+            self.seen.discard(("lease", slice_id))
+            self.lose(slice_id)
+        elif self.reading:
+            self.seen.add(("lease", slice_id))
+            self.current = slice_id, {}
+        else:
+            self.give(slice_id, {})
+
+    def on_line(self, f: dict) -> None:
+        slice_id, server, weight = int(f["slice"]), str(f["server"]), figure(f["weight"])
+        if self.current and self.current[0] == slice_id:
+            self.current[1][server] = weight
+        elif slice_id in self.slices:
+            self.slices[slice_id][server] = weight
+            self.tell("held", slice_id, server, weight)
+
+    def slice_read(self) -> None:
+        """All lines of a slice that stands are there: nothing is told if they are the ones that we left."""
+        if self.current is None:
+            return
+        slice_id, lines = self.current
+        self.current = None
+        moving = any(order.get("group") == slice_id for order in self.calls.under_way + self.calls.doubtful)
+        # Other lines than ours: another conductor had it in the meantime, and what was thought of it is void.
+        if slice_id not in self.slices or self.slices[slice_id] != lines and not moving:
+            self.lose(slice_id)
+            self.give(slice_id, lines)
+
+    def give(self, slice_id: int, lines: dict[str, float]) -> None:
+        self.calls.forget(slice_id)
+        self.slices[slice_id] = dict(lines)
+        self.tell("given", slice_id)
+        for server, weight in lines.items():
+            self.tell("held", slice_id, server, weight)
+
+    def lose(self, slice_id: int) -> None:
+        if self.slices.pop(slice_id, None) is not None:
+            self.calls.forget(slice_id)
+            self.tell("taken", slice_id)
 
     def ended(self, link: Link | None, ending: Ending) -> None:
         if self.life:
             self.life.cancel()
-        self.link = None
-        self.log("news lost", f"{ending.value}: {outcome(Role.NEWS, ending).value} {link.fault if link else ''}")
+        means = outcome(Role.NEWS, ending).value
+        self.log("news lost", f"{ending.value}: {means} {link.fault if link else ''}")
         self.loop.after(self.wait, self.start)
         self.wait = min(AGAIN_MOST, 2 * self.wait)
--- a/knotwalk/net/resp.py
+++ b/knotwalk/net/resp.py
@@ -8,7 +8,8 @@
 
 MOST = 1 << 20          # bytes of a message, as the protocol has it
 HEAD_MOST = 24          # bytes of a count or a length: no legal one is longer
-ITEMS_MOST = 1 << 16    # a message of this many items could not fit MOST
+ITEMS_MOST = 1 << 12    # a message has some twenty items; every one costs memory beside its bytes
+ITEM = 64               # bytes of that
 
 
 class Resp:
@@ -55,6 +56,10 @@
         del held[:at]
         return messages
 
+    def weight(self) -> int:
+        """Bytes of memory that the unfinished message takes, about."""
+        return len(self.held) + self.size + ITEM * len(self.items)
+
     def head(self, line: bytes) -> None:
         mark, number = line[:1], line[1:]
         if mark != (b"*" if self.count is None else b"$") or not number.isdigit():
--- a/knotwalk/told.py
+++ b/knotwalk/told.py
@@ -48,6 +48,18 @@
     return pairs
 
 
+def figure(text: object) -> float:
+    """A figure as a peer tells it: finite, and never below 0.
+
+    >>> figure("1.5")
+    1.5
+    """
+    value = float(text)     # type: ignore[arg-type]
+    if not 0 <= value < float("inf"):
+        raise ValueError(f"'{text}' is no figure")
+    return value
+
+
 def number(pairs: Mapping[str, str], path: str, default: float = 0.0) -> float:
     try:
         return float(pairs.get(path) or default)
