--- a/knotwalk/net/collectors.py
+++ b/knotwalk/net/collectors.py
@@ -13,6 +13,10 @@
 from knotwalk.told import LOADS, figure, plain
 
 ALIVE = packed("alive")
+# Collectors send the sums of a period as a burst of messages, which the module is to see as a whole: it judges
+# servers by the period. A burst is over after the first, seconds of quiet (ten times what its pieces lie apart on a
+# busy core), and handed on after the second at the latest (a tenth of the shortest period between bursts).
+QUIET, BURST = 0.02, 0.1
 
 
 def fields(items: list[str]) -> dict[str, str]:
@@ -46,6 +50,8 @@
         self.ready = False
         self.links: dict["Caller", Link] = {}       # the one not heard of for longest first
         self.held = 0                               # bytes of unfinished messages
+        self.burst: list[tuple] = []                # reports of a burst that is not over yet
+        self.begun = self.latest = 0.0              # when its first and its last came
 
     def accept(self) -> "Caller":
         return Caller(self)
@@ -58,6 +64,23 @@
                 if caller.asked:
                     link.write(ALIVE)
 
+    def report(self, handler: str, *arguments: object) -> None:
+        """A report, which goes on with the others of its burst."""
+        self.latest = self.loop.now()
+        if not self.burst:
+            self.begun = self.latest
+            self.loop.after(QUIET, self.burst_over)
+        self.burst.append((handler, *arguments))
+
+    def burst_over(self) -> None:
+        due = min(self.latest + QUIET, self.begun + BURST)
+        if self.loop.now() < due:
+            self.loop.at(due, self.burst_over)
+            return
+        burst, self.burst = self.burst, []
+        for report in burst:
+            self.tell(*report)
+
     def crowd_out(self, among: list["Caller"]) -> None:
         """End the one that is least of a loss: a stranger that says nothing must not cost a collector its seat."""
         if among:
@@ -112,13 +135,13 @@
             tries, aborted = int(figure(f["tries"])), int(figure(f.get("failed", 0)))
             if aborted > tries:
                 raise ValueError("more failed than were tried")
-            self.all.tell("heard", f["server"], f.get("zone", self.zone), figure(f["span_ms"]) / 1e3, tries,
-                          aborted, figure(f.get("mean_ms", 0)) / 1e3, load_of(f.get("load", "")))
+            self.all.report("heard", f["server"], f.get("zone", self.zone), figure(f["span_ms"]) / 1e3, tries,
+                            aborted, figure(f.get("mean_ms", 0)) / 1e3, load_of(f.get("load", "")))
         elif kind == "hot":
             if f["class"] not in self.all.methods:
                 raise ValueError(f"no such method '{f['class']}'")
-            self.all.tell("wanted", int(figure(f["slice"])), self.all.methods[f["class"]],
-                          figure(f["span_ms"]) / 1e3, int(figure(f["tries"])))
+            self.all.report("wanted", int(figure(f["slice"])), self.all.methods[f["class"]],
+                            figure(f["span_ms"]) / 1e3, int(figure(f["tries"])))
         elif kind == "agent":
             self.agent, self.zone = True, f.get("zone", "")
         else:
--- a/knotwalk/net/loop.py
+++ b/knotwalk/net/loop.py
@@ -15,7 +15,8 @@
 from knotwalk.net.ending import Ending
 from knotwalk.net.ring import Ring
 
-IN_MOST = 1 << 16       # bytes read at once: machines take all they are fed, so the ring never holds more
+IN_MOST = 1 << 14       # bytes read at once: machines take all they are fed, so the ring never holds more
+READS = 4               # reads of one link a turn: a burst in one turn, and no peer starves the others
 OUT_MOST = 1 << 17      # bytes a peer may leave unread: what the platform's own side allows
 PAUSE = 0.1             # seconds without new connections once no descriptor is to be had: others end meanwhile
 ACCEPTS = 64            # new connections a turn: a flood must not starve those that are there
@@ -63,7 +64,7 @@
 
     def __init__(self, loop: "Loop", sock: socket.socket, peer: Peer, up: bool):
         self.loop, self.sock, self.peer, self.up = loop, sock, peer, up
-        self.into, self.out = Ring(IN_MOST), Ring(OUT_MOST)
+        self.into, self.out = Ring(IN_MOST, IN_MOST), Ring(OUT_MOST)
         self.over, self.timer = False, None
         self.fault = ""         # what was wrong with its bytes, for the log
         self.events = selectors.EVENT_READ if up else selectors.EVENT_WRITE
@@ -94,7 +95,9 @@
         if not self.up:
             self.come_up()
         elif events & selectors.EVENT_READ:
-            self.read()
+            reads = 0
+            while not self.over and reads < READS and self.read():
+                reads += 1
         if not self.over and self.up and events & selectors.EVENT_WRITE:
             self.flush()
 
@@ -112,27 +115,30 @@
         if not self.over:
             self.flush()
 
-    def read(self) -> None:
-        try:
-            count = self.sock.recv_into(self.into.room())
-        except (BlockingIOError, InterruptedError):
-            return
-        except OSError:
-            self.end(Ending.RESET)
-            return
-        if not count:
-            self.end(Ending.CLOSED)
-            return
+    def read(self) -> bool:
+        """Read once; whether there may be more."""
+        with self.into.room() as room:
+            asked = len(room)
+            try:
+                count = self.sock.recv_into(room)
+            except (BlockingIOError, InterruptedError):
+                return False
+            except OSError:
+                count = -1
+        if count <= 0:
+            self.end(Ending.RESET if count else Ending.CLOSED)
+            return False
         self.into.wrote(count)
         while self.into.size and not self.over:
             with self.into.data() as data:
-                count = len(data)
+                taken = len(data)
                 try:
                     self.peer.fed(self, data)
                 except Unreadable as fault:
                     self.fault = str(fault)
                     self.end(fault.ending)
-            self.into.took(count)
+            self.into.took(taken)
+        return count == asked
 
     def flush(self) -> None:
         while self.out.size:
--- a/knotwalk/net/ring.py
+++ b/knotwalk/net/ring.py
@@ -3,7 +3,7 @@
 Owns the memory between a socket and a protocol machine, and its bound. It must never know what the bytes mean.
 """
 
-FIRST = 4096    # bytes at the start: a collector's report or an order's answer fits; it doubles at need
+FIRST = 1024    # bytes at the start: an ordinary call or an answer to a probe fits; it doubles at need
 
 
 class Ring:
@@ -16,9 +16,9 @@
     (True, b'efgh', False)
     """
 
-    def __init__(self, most: int):
+    def __init__(self, most: int, first: int = FIRST):
         self.most = most
-        self.buffer = bytearray(min(FIRST, most))
+        self.buffer = bytearray(min(first, most))
         self.start = self.size = 0
 
     def data(self) -> memoryview:
