The store ends as ordered however the relay breaks: two wrong conclusions mended

Causes, from its trace: (1) Doubt chose a line by what we thought stands; after an earlier doubt left open the store had that line already, and a call that was not carried out passed for carried out (relay.py, Doubt.wanted). (2) News took lines for another conductor's that were those of our own call in doubt, or from before a call answered while what stands was being read (News.slice_read). Now lines of slices in doubt prove nothing and are adopted in silence.

--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -45,6 +45,7 @@
         self.under_way: list[dict] = []         # those of the call that waits for its answer
         self.doubtful: list[dict] = []          # those of a call whose outcome is unknown
         self.lost: set[int] = set()             # slices lost since that call went out
+        self.unsure: set[int] = set()           # slices that a doubt was left about, till their orders are taken
         self.link: Link | None = None
         self.connecting = False
         self.answers, self.status, self.body = http.Answers(ANSWER_MOST), 0, b""
@@ -145,6 +146,8 @@
             self.retry(THROTTLED)
         else:
             self.news.took(orders[:accepted])
+            if not self.queue:
+                self.unsure.clear()
             if accepted < len(orders):
                 self.log("order refused", f"{orders[accepted]}")
                 self.put_back(orders[accepted + 1:])
@@ -182,8 +185,13 @@
             self.news.took(orders)
         else:
             self.put_back(orders)
+            self.unsure.update(f["group"] for f in orders if "group" in f)
         self.pump()
 
+    def moves(self, slice_id: int) -> bool:
+        """Whether a slice's lines may be as ordered already, or not yet."""
+        return slice_id in self.unsure or any(f.get("group") == slice_id for f in self.under_way + self.doubtful)
+
 
 class Lines:
     """The machine of a stream of news: objects out of bytes in any pieces."""
@@ -235,7 +243,9 @@
         self.calls, self.lines = calls, Lines()
         self.over, self.link = False, None
         self.slice: object = None       # the one whose lines are being read
+        # A line that the call alone changed; where an earlier doubt was left open, the store may have held it before.
         self.wanted = next(((f["group"], f["server"], f["weight"]) for f in calls.doubtful if f["do"] == "SET"
+                            and f["group"] not in calls.unsure
                             and calls.news.slices.get(f["group"], {}).get(f["server"], 0.0) != f["weight"]), None)
         self.marks = {f["ticket"] for f in calls.doubtful if f["do"] == "SYNC"}
         calls.news.doubt = self
@@ -305,6 +315,7 @@
         self.signs = 0          # signs of life on this connection
         self.seen: set[tuple[str, int]] = set()     # what stands, as far as it has been read
         self.current: tuple[int, dict[str, float]] | None = None   # the slice whose lines are being read
+        self.touched: set[int] = set()      # slices ordered since this connection came up: it may tell them as before
         self.lines = Lines()
         self.life: Timer | None = None
         self.wait = AGAIN_FIRST
@@ -316,6 +327,7 @@
         """Orders that the relay has carried out."""
         for f in orders:
             lines = self.slices.get(f.get("group"))
+            self.touched.add(f.get("group"))
             if f["do"] == "SET" and lines is not None:
                 lines.pop(f["server"], None)
                 if f["weight"]:
@@ -332,6 +344,7 @@
 
     def opened(self, link: Link) -> None:
         self.lines, self.reading, self.signs, self.seen, self.current = Lines(), True, 0, set(), None
+        self.touched = set()
         self.stay_awake(link)
         link.write(http.request(self.host, "GET", "/v1/stream"))
 
@@ -407,11 +420,14 @@
             return
         slice_id, lines = self.current
         self.current = None
-        moving = any(order.get("group") == slice_id for order in self.calls.under_way + self.calls.doubtful)
+        if slice_id in self.slices and (self.slices[slice_id] == lines or slice_id in self.touched):
+            return
+        if slice_id in self.slices and self.calls.moves(slice_id):
+            self.slices[slice_id] = lines
+            return
         # Other lines than ours: another conductor had it in the meantime, and what was thought of it is void.
-        if slice_id not in self.slices or self.slices[slice_id] != lines and not moving:
-            self.lose(slice_id)
-            self.give(slice_id, lines)
+        self.lose(slice_id)
+        self.give(slice_id, lines)
 
     def give(self, slice_id: int, lines: dict[str, float]) -> None:
         self.calls.forget(slice_id)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,6 +1,7 @@
 """The peers of the real conductor, fed bytes: no sockets, a clock that the test moves."""
 
 import json
+from random import Random
 
 from helpers import Clock, Wire, answer, lines
 
@@ -297,6 +298,19 @@
     assert told == []
 
 
+def test_lines_ordered_while_what_stands_is_read_are_ours():
+    """Guards against a slice told anew with the lines it had before our order."""
+    calls, news, _, told = relay()
+    Wire(news).feed(lines(*STANDS, ("", {})))
+    told.clear()
+    wire = Wire(news)
+    wire.feed(lines(*STANDS))
+    calls.order([line(3, "b")])
+    Wire(calls).feed(answer({"accepted": 1}))
+    wire.feed(lines(("", {}), head=False))
+    assert told == [] and news.slices == {3: {"a": 1.0, "b": 1.0}}
+
+
 def test_orders_not_yet_sent_for_a_slice_that_is_lost_are_dropped():
     calls, news, _, _ = relay()
     wire = Wire(news)
@@ -391,3 +405,78 @@
         assert wire.over is (Ending.MALFORMED if bad else Ending.SILENT) and not told
         clock.move(1)
         assert clock.connects == [peer]
+
+
+# --- all of it together --------------------------------------------------------------------------
+
+class RoughRelay:
+    """A relay whose connections break in every way, drawn by chance, until it is well again."""
+
+    def __init__(self, chance, clock, store):
+        self.chance, self.clock, self.store = chance, clock, store
+        self.wires, self.well = {}, False       # bytes answered by wire
+
+    def step(self):
+        while self.clock.connects:
+            peer = self.clock.connects.pop()
+            if self.well or self.chance.random() < 0.7:
+                self.wires[Wire(peer)] = 0
+            else:
+                peer.ended(None, self.chance.choice([Ending.REFUSED, Ending.TIMED_OUT, Ending.UNREACHABLE]))
+        for wire in list(self.wires):
+            while not wire.over and len(wire.written) > self.wires[wire]:
+                asked = wire.written[self.wires[wire]:]
+                self.wires[wire] = len(wire.written)
+                self.stream(wire) if asked.startswith(b"GET") else self.take(wire, asked)
+            if wire.over or not self.well and self.chance.random() < 0.02:
+                wire.end(Ending.RESET)
+                del self.wires[wire]
+            elif isinstance(wire.peer, News):
+                wire.feed(lines(("", {}), head=False))
+
+    def stream(self, wire):
+        data = lines(*(x for k, held in self.store.items() for x in [("lease", {"slice": k, "on": True}), *(
+            ("line", {"slice": k, "server": s, "weight": w}) for s, w in held.items())]))
+        if self.well or self.chance.random() < 0.7:
+            wire.feed(data)
+            wire.feed(lines(("", {}), head=False))
+        else:       # part of it, and then nothing more, or nonsense
+            wire.feed(data[:self.chance.randrange(len(data))])
+            wire.feed(b"\0junk") if self.chance.random() < 0.5 else wire.end(Ending.CLOSED)
+
+    def take(self, wire, asked):
+        fate = 0 if self.well else self.chance.choice([0, 0, 0, 1, 2, 3, 4, 5])
+        given = json.loads(asked.split(b"\r\n\r\n")[1])["orders"]
+        if fate in (0, 1, 2, 3):
+            for f in given:
+                if f["do"] == "SET" and f["group"] in self.store:
+                    self.store[f["group"]].pop(f["server"], None)
+                    if f["weight"]:
+                        self.store[f["group"]][f["server"]] = f["weight"]
+        if fate in (1, 4):
+            wire.end(Ending.RESET)
+        elif fate == 0:
+            wire.feed(answer({"accepted": len(given)}))
+        elif fate == 2:
+            wire.feed(answer("{}"))     # 3 and 5: nothing is ever answered
+
+
+def test_the_store_ends_as_ordered_however_the_relay_breaks():
+    for seed in range(60):
+        chance = Random(seed)
+        calls, news, clock, told = relay()
+        believed = {k: {"a": 1.0} for k in range(4)}
+        rough = RoughRelay(chance, clock, {k: dict(v) for k, v in believed.items()})
+        news.start()
+        for step in range(400):
+            rough.well = step > 300 or step < 3
+            if 3 < step < 300 and chance.random() < 0.1 and len(news.slices) == 4:
+                k, server = chance.randrange(4), chance.choice("abc")
+                orders = [line(k, x, 0.0) for x in believed[k] if x != server] + [line(k, server)]
+                believed[k] = {server: 1.0}
+                calls.order([*orders, {"do": "SYNC", "ticket": step, "on": 0}])
+            rough.step()
+            clock.move(0.05)
+        assert rough.store == believed == news.slices, seed
+        assert not (calls.queue or calls.under_way or calls.doubtful)
+        assert [x for x in told if x[0] == "taken"] == [], seed
