--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -9,6 +9,7 @@
 import sys
 import traceback
 from collections.abc import Mapping
+from ipaddress import IPv4Address
 
 from knotwalk.decide import Conductor
 from knotwalk.net.collectors import Callers
@@ -32,9 +33,13 @@
     >>> address_of("10.0.0.4:3000", "EDGE_LISTEN")
     ('10.0.0.4', 3000)
     """
-    host, colon, port = str(text).rpartition(":")
-    if not (colon and host and port.isdigit() and int(port) < 65536):
-        raise Misfit(f"{what} is no address: '{text}'")
+    host, _, port = str(text).rpartition(":")
+    try:
+        IPv4Address(host)       # names cannot be used: the platform has no DNS, and asking it would block the loop
+        if not 0 <= int(port) < 65536:
+            raise ValueError
+    except ValueError:
+        raise Misfit(f"{what} is no address with a port: '{text}'") from None
     return host, int(port)
 
 
--- a/knotwalk/net/discovery.py
+++ b/knotwalk/net/discovery.py
@@ -59,8 +59,6 @@
     def opened(self, link: Link) -> None:
         self.link = link
         self.answers = http.Answers(LIST_MOST)
-        # After a gap the whole list: changes may have been told to a connection that is gone.
-        self.whole = True
         self.ask(link)
 
     def fed(self, link: Link, data: memoryview) -> None:
@@ -73,10 +71,11 @@
                 if self.silence:
                     self.silence.cancel()
                 self.answered()
-                if value and not link.over:
+                if value:
                     self.ask(link)
-                else:
+                else:       # an agent that closes after each answer: the watch goes on over the next connection
                     link.end(Ending.LEFT)
+                    return
 
     def answered(self) -> None:
         if self.status != 200:
@@ -87,7 +86,8 @@
             entries = [entry(f) for f in servers]
         except (ValueError, TypeError, AttributeError, KeyError) as fault:
             raise Unreadable(f"no list: {plain(fault)}") from None
-        self.wait = AGAIN_FIRST
+        if not self.whole:
+            self.wait = AGAIN_FIRST
         if not full and version < self.version:
             self.whole = True       # restarted with an older list: changes to that are none to ours
             return
@@ -103,7 +103,14 @@
         if self.silence:
             self.silence.cancel()
         self.link = None
+        if ending is Ending.LEFT:
+            self.start()
+            return
+        # After a gap the whole list: changes may have been told to a connection that is gone.
+        self.whole = True
         means = outcome(Role.LIST, ending)
         self.log("list lost", f"{ending.value}: {means.value} {link.fault if link else ''}")
-        self.loop.after(self.wait, self.start)
-        self.wait = min(AGAIN_MOST, 2 * self.wait)
+        # Out of reach, the time it took not to come up is wait enough: a cut that ends is to be seen at once.
+        self.loop.after(AGAIN_FIRST if ending is Ending.TIMED_OUT else self.wait, self.start)
+        if ending is not Ending.TIMED_OUT:
+            self.wait = min(AGAIN_MOST, 2 * self.wait)
--- a/knotwalk/net/loop.py
+++ b/knotwalk/net/loop.py
@@ -218,7 +218,10 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         link = Link(self, sock, peer, up=False)
         link.timer = self.after(within, lambda: link.end(Ending.TIMED_OUT))
-        code = sock.connect_ex(address)
+        try:
+            code = sock.connect_ex(address)
+        except OSError as fault:
+            code = fault.errno
         if code not in (0, errno.EINPROGRESS, errno.EWOULDBLOCK):
             link.end(Ending.REFUSED if code == errno.ECONNREFUSED else Ending.UNREACHABLE)
 
--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -140,6 +140,7 @@
             error = error.get("code") or error.get("type") or str(error)
         if error == "invalid":
             self.log("orders refused", f"the relay cannot read this call of {len(orders)}: {orders[:3]}")
+            self.news.resync(orders)
         elif error is not None:
             self.log("call turned away", f"{error}, tried again")
             self.put_back(orders)
@@ -149,14 +150,23 @@
             if not self.queue:
                 self.unsure.clear()
             if accepted < len(orders):
-                self.log("order refused", f"{orders[accepted]}")
-                self.put_back(orders[accepted + 1:])
+                self.refused(orders[accepted], orders[accepted + 1:])
         if keep:
             self.idle = self.loop.after(STANDING, lambda: link.end(Ending.LEFT))
             self.pump()
         else:
             link.end(Ending.LEFT)
 
+    def refused(self, bad: dict, rest: list[dict]) -> None:
+        """One order cannot be used: the rest goes on, but for what belongs to it. Guards against a slice left
+        with no line when only the one that was to replace it is refused, and against a call for each of many."""
+        self.log("order refused", f"{bad}")
+        slices = {bad.get("group")} | {f["group"] for f in rest if f["do"] == "SET" and f["weight"]
+                                       and f["server"] == bad.get("server")}
+        slices.discard(None)
+        self.put_back([f for f in rest if f.get("group") not in slices])
+        self.news.resync([bad] + [f for f in rest if f.get("group") in slices])
+
     def ended(self, link: Link | None, ending: Ending) -> None:
         sent = self.link is link is not None and not link.out.size
         self.link, self.connecting = None, False
@@ -175,8 +185,9 @@
         if ending is Ending.LEFT:
             self.pump()
         elif self.queue:
-            self.retry(self.wait)
-            self.wait = min(AGAIN_MOST, 2 * self.wait)
+            self.retry(AGAIN_FIRST if ending is Ending.TIMED_OUT else self.wait)
+            if ending is not Ending.TIMED_OUT:
+                self.wait = min(AGAIN_MOST, 2 * self.wait)
 
     def settled(self, done: bool) -> None:
         """The orders in doubt are known to stand, or are given again as if they did not."""
@@ -333,6 +344,13 @@
                 if f["weight"]:
                     lines[f["server"]] = f["weight"]
 
+    def resync(self, orders: list[dict]) -> None:
+        """Orders that were not taken: the module hears what stands for their slices in place of them."""
+        for slice_id in dict.fromkeys(f["group"] for f in orders if f.get("group") in self.slices):
+            lines = self.slices[slice_id]
+            self.lose(slice_id)
+            self.give(slice_id, lines)
+
     def repeat(self) -> None:
         """Tell all that stands, to a module that starts from nothing."""
         for proxy in self.proxies:
@@ -379,6 +397,8 @@
     def on_hello(self, f: dict) -> None:
         proxy = int(f["proxy"])
         self.seen.add(("hello", proxy))
+        if not self.reading:
+            self.on_bye(f)      # one that joins is on a new stream, whether or not the end of the old one was told
         if proxy not in self.proxies:
             self.proxies.add(proxy)
             self.tell("joined", proxy)
@@ -448,4 +468,5 @@
         self.log("news lost", f"{ending.value}: {means} {link.fault if link else ''}")
         # Out of reach, the time it took not to come up is wait enough: a cut that ends is to be seen at once.
         self.loop.after(AGAIN_FIRST if ending is Ending.TIMED_OUT else self.wait, self.start)
-        self.wait = min(AGAIN_MOST, 2 * self.wait)
+        if ending is not Ending.TIMED_OUT:
+            self.wait = min(AGAIN_MOST, 2 * self.wait)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -162,6 +162,17 @@
     assert bodies(wire)[1] == [line(3, "a")] and "order refused" in told.log[0] and "'q'" in told.log[0]
 
 
+def test_a_refused_line_takes_the_rest_of_its_slice_and_of_its_server_with_it():
+    """Guards against a slice left without a line, and against a message for each line to a server not known there."""
+    calls, news, _, told = relay()
+    news.slices = {1: {"a": 1.0}, 2: {"a": 1.0}, 3: {"a": 1.0}}
+    calls.order([x for k, to in ((1, "q"), (2, "q"), (3, "b")) for x in (line(k, to), line(k, "a", 0.0))])
+    wire = Wire(calls)
+    wire.feed(answer({"accepted": 0}))
+    assert bodies(wire)[1:] == [[line(3, "b"), line(3, "a", 0.0)]]
+    assert told == [x for k in (1, 2) for x in (("taken", k), ("given", k), ("held", k, "a", 1.0))]
+
+
 def test_calls_turned_away_before_the_run_wait_and_newer_orders_win():
     calls, _, clock, _ = relay()
     calls.order([line(1, "a"), line(2, "a")])
@@ -272,6 +283,12 @@
     return told
 
 
+def test_a_proxy_that_joins_again_unannounced_is_on_a_new_stream():
+    _, news, _, told = relay()
+    Wire(news).feed(lines(*STANDS, ("", {}), STANDS[0]))
+    assert told == GIVEN + [("left", 1), ("joined", 1)]
+
+
 def test_what_stood_all_along_is_not_told_again():
     assert again(("", {}), *STANDS, ("", {})) == []
 
@@ -387,6 +404,18 @@
     assert asked[3].startswith(b"/v1/servers?since=43&")
 
 
+def test_an_agent_that_closes_after_each_answer_is_watched_all_the_same():
+    """Guards against the whole list being asked for over and over."""
+    peer, clock, told = watch()
+    peer.start()
+    for version in (41, 41, 41):
+        wire = Wire(clock.connects.pop())
+        wire.feed(listing(version, version == 41 and not told, ("s", "active")).replace(
+            b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+        assert wire.over is Ending.LEFT
+    assert b"since=41" in wire.written and not told.log and len(clock.connects) == 1
+
+
 def test_a_list_older_than_ours_is_asked_for_whole():
     peer, _, told = watch()
     wire = Wire(peer)
