--- a/knotwalk/net/collectors.py
+++ b/knotwalk/net/collectors.py
@@ -80,7 +80,7 @@
             self.loop.at(due, self.burst_over)
             return
         burst, self.burst = self.burst, []
-        for report in burst:
+        for report in burst if self.ready else ():      # before that nothing is in our charge that they could be on
             self.tell(*report)
 
     def crowd_out(self, among: list["Caller"]) -> None:
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -175,12 +175,12 @@
         while True:
             try:
                 self.loop.turn()
-                if self.inbox:
+                # The module's life begins, and its first waits run, when there is somebody to order.
+                if self.inbox and self.news.heard:
+                    self.callers.serve()
                     self.round()
             except Exception:   # a fault of ours in one turn is no reason to leave the proxies alone
                 self.log("fault", traceback.format_exc(limit=-3))
-            if self.news.heard:
-                self.callers.serve()
 
 
 def check(environ: Mapping[str, str]) -> int:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -32,7 +32,9 @@
 
 def callers(seats=9, room=10 ** 6):
     told, clock = Told(), Clock()
-    return Callers(clock, {"read": 0}, {"s"}.__contains__, told.tell, told.note, seats, room), clock, told
+    all_ = Callers(clock, {"read": 0}, {"s"}.__contains__, told.tell, told.note, seats, room)
+    all_.ready = True
+    return all_, clock, told
 
 
 def relay():
@@ -83,6 +85,7 @@
 
 def test_a_probe_is_answered_once_we_can_serve():
     all_, _, _ = callers()
+    all_.ready = False
     early, late = Wire(all_.accept()), Wire(all_.accept())
     early.feed(packed("probe"))
     assert not early.written
