Results on sockets; news ahead of an unreadable line are taken in

Lines.feed hands out each line as it is read, so what came before nonsense counts; an answer with a figure below 0 is unreadable and its call in doubt.

--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -1,12 +1,12 @@
 """The relay: calls that carry orders, and news of proxies and slices.
 
-Owns the order of calls, one under way at a time, and what stands by the news and by the orders taken. It must
-never drop an order whose fate is unknown, tell anything that stood all along as new, or choose which orders to
-give.
+Owns the order of calls, one under way at a time, and what stands by the news and by the orders taken. It
+must never drop an order whose fate is unknown, tell anything that stood all along as new, or choose which
+orders to give.
 """
 
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from knotwalk.net import http
 from knotwalk.net.ending import Ending, Outcome, Role, outcome
@@ -133,7 +133,7 @@
         try:
             told = json.loads(self.body)
             error = None if "accepted" in told else told["error"]
-            accepted = int(told.get("accepted", 0))
+            accepted = int(figure(told.get("accepted", 0)))
         except (ValueError, TypeError, AttributeError, KeyError) as fault:
             raise Unreadable(f"no answer to a call: {plain(fault)}") from None
         orders, self.under_way = self.under_way, []
@@ -214,13 +214,14 @@
     def __init__(self):
         self.answers, self.rest, self.status = http.Answers(0), b"", 0
 
-    def feed(self, data: bytes | memoryview) -> list[tuple[str, dict]]:
-        """Kind and object of each line that these bytes finish; a sign of life has the kind "".
+    def feed(self, data: bytes | memoryview) -> Iterator[tuple[str, dict]]:
+        """Kind and object of each line that these bytes finish, up to one that cannot be read; a sign of life
+        has the kind "".
 
-        >>> Lines().feed(b'HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n3\\r\\n{}\\n\\r\\n')
+        >>> head = b"HTTP/1.1 200 OK\\r\\nTransfer-Encoding: chunked\\r\\n\\r\\n"
+        >>> list(Lines().feed(head + b"3\\r\\n{}\\n\\r\\n"))
         [('', {})]
         """
-        told = []
         for kind, value in self.answers.feed(data):
             if kind == "status":
                 if value != 200:
@@ -232,8 +233,7 @@
                 self.rest = lines.pop()
                 if len(self.rest) > NEWS_MOST:
                     raise TooLong(f"a line of news of over {NEWS_MOST} bytes")
-                told += [self.line(line) for line in lines if line.strip()]
-        return told
+                yield from (self.line(line) for line in lines if line.strip())
 
     @staticmethod
     def line(line: bytes) -> tuple[str, dict]:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -243,8 +243,9 @@
 
 def run(environ, *arguments, stderr=subprocess.PIPE):
     """The program."""
-    return subprocess.Popen([sys.executable, "-m", "knotwalk", *(arguments or ("serve",))], env=environ,
-                            cwd=Path(__file__).parent.parent, stdout=subprocess.PIPE, stderr=stderr, text=True)
+    command = [sys.executable, "-m", "knotwalk", *(arguments or ("serve",))]
+    return subprocess.Popen(command, env=environ, cwd=Path(__file__).parent.parent, stdout=subprocess.PIPE,
+                            stderr=stderr, text=True)
 
 
 def call(address, data, count=0, seconds=20):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -226,7 +226,7 @@
 
 def test_a_doubtful_call_that_stands_is_not_given_again():
     for how in ({"ending": Ending.RESET}, {}, {"feed": answer("{}")}, {"feed": answer("junk")},
-                {"feed": b"junk"}):
+                {"feed": b"junk"}, {"feed": answer({"accepted": -1})}):
         calls, news, _, _, look = doubt(**how)
         look.feed(lines(("lease", {"slice": 1, "on": True}),
                         ("line", {"slice": 1, "server": "b", "weight": 1.0})))
@@ -272,7 +272,8 @@
         _, news, _, told = relay()
         wire, data = Wire(news), lines(*STANDS, ("", {}), ("ack", {"proxy": 1, "mark": 9, "took_ms": 1.5}),
                                        ("line", {"slice": 3, "server": "b", "weight": 2}),
-                                       ("bye", {"proxy": 1}), ("lease", {"slice": 3, "on": False}), ("future", {}))
+                                       ("bye", {"proxy": 1}), ("lease", {"slice": 3, "on": False}),
+                                       ("future", {}))
         for at in range(0, len(data), size):
             wire.feed(data[at:at + size])
         assert told == GIVEN + [("applied", 1, 9), ("held", 3, "b", 2.0), ("left", 1), ("taken", 3)]
@@ -374,6 +375,13 @@
     assert bodies(Wire(calls)) == [[line(4, "b")]]
 
 
+def test_news_before_a_line_that_cannot_be_read_are_taken_in():
+    _, news, _, told = relay()
+    wire = Wire(news)
+    wire.feed(lines(*STANDS, ("", {})) + b"5\r\njunk\n\r\n")
+    assert wire.over is Ending.MALFORMED and told == GIVEN
+
+
 def test_a_relay_that_was_away_for_long_and_gave_nothing_to_others_finds_all_as_it_was():
     _, news, clock, told = relay()
     Wire(news).feed(lines(*STANDS, ("", {})))
@@ -385,8 +393,8 @@
 
 
 def test_news_that_cannot_be_read_end_the_connection():
-    for bad in (lines(("hello", {})), lines(("hello", {"proxy": "x"})), lines(("hello", {"proxy": float("inf")})),
-                lines(("line", {"slice": 1, "server": "a", "weight": float("nan")})), lines(("lease", [])),
+    for bad in (lines(("hello", {})), lines(("hello", {"proxy": "x"})),
+                lines(("hello", {"proxy": float("inf")})), lines(("line", {"slice": 1, "server": "a", "weight": float("nan")})), lines(("lease", [])),
                 answer("x", "404 Not Found"), answer("{}\n"), b"junk\r\n\r\n"):
         wire = Wire(relay()[1])
         wire.feed(bad)
