--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -4,6 +4,7 @@
 import os
 import socket
 import time
+from random import Random
 
 from helpers import SETTINGS, StandIn, call, run
 
@@ -94,6 +95,41 @@
     assert stand.program.poll() is None and stand.stop() == 0
 
 
+def test_it_starts_again_from_nothing_after_a_kill():
+    stand = StandIn()
+    address = stand.start()
+    assert alive(stand, address)
+    stand.program.kill()
+    stand.program.wait(20)
+    drain(stand)
+    assert stand.start("%s:%d" % address) == address and alive(stand, address)
+    stand.until(lambda: stand.slices[0] == {"b": 1.0})
+    assert stand.stop() == 0
+
+
+def test_a_drain_is_kept_while_everything_breaks():
+    """Links end at every moment and calls are carried out or not; what stands in the end is what was decided."""
+    stand, chance = StandIn(), Random(3)
+    address = stand.start()
+    assert alive(stand, address)
+    stand.fate = lambda given: chance.choice([True, None, False])
+    collector, _ = call(address, packed("agent", "zone", "z"))
+    report = packed("hot", "slice", "0", "class", "read", "tries", "40", "failed", "0", "span_ms", "2000")
+    for step in range(100):
+        if step == 30:
+            drain(stand)
+        collector.sendall(report)
+        open_links = [link for link in stand.links if not link.over]
+        if open_links and chance.random() < 0.3:
+            chance.choice(open_links).end(Ending.LEFT)
+        stand.loop.after(0.02, lambda: None)
+        stand.loop.turn()
+    stand.fate = lambda given: True
+    stand.until(lambda: stand.slices == {0: {"b": 1.0}, 1: {"b": 1.0}})
+    assert alive(stand, address) and stand.stop() == 0
+    collector.close()
+
+
 def test_strangers_and_garbage_do_not_keep_it_from_serving():
     stand = StandIn()
     address = stand.start()
