--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -19,7 +19,6 @@
 from knotwalk.net.relay import Calls, News
 from knotwalk.told import Malformed, figure, flattened, number, plain, read_methods, read_settings
 
-
 SEATS = 0.8     # of the sockets allowed, for those that connect to us: our own peers take a dozen
 ROOM = 0.25     # of the memory allowed, for their unfinished messages: the program itself takes under 40 MB
 
@@ -135,7 +134,8 @@
         return server in self.watch.entries or server in self.module.servers
 
     def wake(self, at: float) -> None:
-        self.loop.at(at, self.round)
+        """A round at that time, unless one comes between it and the timer."""
+        self.loop.at(at, lambda: self.last >= at or self.round())
 
     def round(self) -> None:
         """Hand all that came in to the module, not sooner after the last round than the platform's tick."""
@@ -166,6 +166,7 @@
         self.starts += 1
         self.tell("listed", True, True, list(self.watch.entries.values()))
         self.news.repeat()
+        self.loop.after(self.config.tick, self.round)
 
     def run(self) -> None:
         self.tell("listed", True, True, self.config.known)
@@ -216,5 +217,5 @@
     try:
         host.run()
     except OSError as fault:
-        print(f"knotwalk: {fault}", file=sys.stderr)
+        print("knotwalk: cannot listen on %s:%d:" % host.config.listen, fault.strerror, file=sys.stderr)
     return 1
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -226,6 +226,17 @@
     assert len(rounds) == 2 and rounds[1] >= rounds[0] + h.config.tick and h.timer is None
 
 
+def test_timers_for_one_time_are_one_round(tmp_path):
+    h = host(tmp_path)
+    rounds = []
+    h.module.decide = lambda now, inbox, out: rounds.append(now)
+    for _ in range(3):
+        h.wake(h.loop.now() + 0.005)
+    while len(rounds) < 1 or h.loop.timers:
+        h.loop.turn()
+    assert len(rounds) <= 2
+
+
 def test_figures_in_the_configuration_that_make_no_sense(tmp_path):
     for changes in ({"limits": {"sockets": "many"}}, {"seed": "xyz"}, {"settings": {"tick_us": "soon"}},
                     {"known": {"version": 1, "servers": [{}]}}, {"discovery": "here:1"},
