--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -162,7 +162,9 @@
         """The decisions failed. A module that was left halfway may hold anything, so a new one starts from
         what stands, as after a crash, but without the seconds that one takes; what came in is dropped."""
         self.log("decisions failed", f"{traceback.format_exc(limit=-3)} on {inbox}")
-        self.module = Conductor(self.config.settings, self.config.seed + self.starts)
+        failed, self.module = self.module, Conductor(self.config.settings, self.config.seed + self.starts)
+        # The streams go on, so what was sent on them still counts (rule 5), and receipts of it may yet come.
+        self.module.sent, self.module.mark = failed.sent, failed.mark
         self.starts += 1
         self.tell("listed", True, True, list(self.watch.entries.values()))
         self.news.repeat()
@@ -193,8 +195,8 @@
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
     s = config.settings
-    print(f"{config.name} listens on %s:%d, discovery is at %s:%d, the relay at %s:%d" % (
-        *config.listen, *config.discovery, *config.relay))
+    print("%s listens on %s:%d, discovery is at %s:%d, the relay at %s:%d" % (
+        config.name, *config.listen, *config.discovery, *config.relay))
     methods = ", ".join(config.methods) or "none"
     print(f"{s.slices} slices, {len(config.known)} servers known, methods: {methods}")
     print(f"a round every {config.tick * 1e3:g} ms at most, {config.seats} connections at most, "
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -205,8 +205,10 @@
     h.news.proxies, h.news.slices = {4}, {0: {"a": 1.0}}
     failed = h.module
     failed.decide = lambda *_: 1 / 0
+    failed.sent.append(7.0)
+    failed.mark = 40
     h.round()
-    assert h.module is not failed
+    assert h.module is not failed and list(h.module.sent) == [7.0] and h.module.mark == 40
     assert h.inbox == [("listed", (True, True, [("a", "", "ready", 1.0, 0.0)])), ("joined", (4,)),
                        ("given", (0,)), ("held", (0, "a", 1.0))]
     h.last = 0.0
