A zone out of reach whose proxies are not heard is cut off, not dead: its slices stay

Cause: Conductor.judge (decide.py) condemned every server of the other zone once the last good reports of that zone's own proxies had left the window; place moved all their slices (0.9 moves a slice) to the zone in reach; when the cut ended all proxies read those tables and half of the servers had the whole load, with cold keys. Ruled out: the front (simulated and real alike), late news (the end of the cut was seen within 0.3 s). Now a zone of whose servers hardly one answers, and of whose proxies none reports, is left alone.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -107,9 +107,8 @@
         if not self.born:
             self.born, self.next_pass = True, now + self.PERIOD * self.random.uniform(0.6, 1)
             # Another try only on proof that the first never ran (rule 2): more would feed an overload.
-            if self.orders_retry:
-                for k in range(len(self.cost)):
-                    out.admit(None, k, 1.0, self.RETRY)
+            for k in range(len(self.cost) if self.orders_retry else 0):
+                out.admit(None, k, 1.0, self.RETRY)
         if self.news or now >= self.next_pass:      # receipts, most of what comes, change no figure
             self.news, self.pending = False, now
             self.measure()
@@ -132,9 +131,7 @@
     # --- what came in ----------------------------------------------------------------------------
 
     def server(self, id: str) -> Server:
-        if id not in self.servers:
-            self.servers[id] = Server(id)
-        return self.servers[id]
+        return self.servers.get(id) or self.servers.setdefault(id, Server(id))
 
     def listed(self, full: bool, cached: bool, entries: list) -> None:
         if not cached:
@@ -178,8 +175,7 @@
             proxies.discard(proxy)
 
     def given(self, id: int) -> None:
-        if not self.slices:
-            # Cut off till now, or just started: what we held against servers may be the cut's doing.
+        if not self.slices:     # cut off till now, or just started: distrust may be the cut's doing
             self.back = self.now
             for server in self.servers.values():
                 server.health = server.quota = 1.0
@@ -191,8 +187,7 @@
         self.slices.pop(id, None)
 
     def held(self, id: int, server: str, weight: float) -> None:
-        s = self.slices.get(id)
-        if s is None:
+        if (s := self.slices.get(id)) is None:
             return
         server = self.server(server)
         s.told[server] = weight
@@ -327,7 +322,7 @@
         """Lower the trust in servers that answer badly, from what proxies met and not from reports.
 
         Guards against servers slow, silent or failing fast, whatever the cause. The best zone's word counts:
-        where one zone alone fares badly the way there is cut. If most fare badly, the trouble is not theirs.
+        where one zone alone fares badly the way there is cut. If most do, the trouble is not theirs.
         """
         ready = self.ready()
         if self.now - self.back < self.settle:
@@ -336,6 +331,11 @@
         views = {x: self.view(x) for x in ready}
         known = sorted(view[1] for view in views.values() if view)
         usual, best = (known[len(known) // 2], known[3 * len(known) // 4]) if known else (1.0, 1.0)
+        # A zone whose servers hardly answer, and whose proxies are not heard, is cut off, not dead: its own
+        # proxies may be served there, and slices moved off for that overfill the rest when the cut ends.
+        seen = {zone: sorted(views[x][0] for x in ready if views[x] and x.zone == zone)
+                for zone in {x.zone for x in ready} - {m[1] for x in ready for m in x.met}}
+        cut = {zone for zone, of in seen.items() if len(of) > 2 and of[3 * len(of) // 4] < 0.1}
         for server in ready:
             answered, good = views[server] or (1.0, 1.0)
             # A list that lies is believed of those left out that do not answer and those added that do.
@@ -344,8 +344,8 @@
             server.proven = server.proven or any(m[3] for m in server.met)
             # A server that says it is busy is full or slow: its estimate falls with what it answers, and the
             # passes relieve it as others have room. To leave it at once would only pass the queue on.
-            busy = server.used > 0.8 and self.now - server.reported <= 2 * self.period
-            if not busy and (good < 0.4 * usual and usual > 0.7 or answered < 0.1 and best > 0.5):
+            spared = server.zone in cut or server.used > 0.8 and self.now - server.reported <= 2 * self.period
+            if not spared and (good < 0.4 * usual and usual > 0.7 or answered < 0.1 and best > 0.5):
                 server.health = max(0.02, server.health * max(0.25, good)) if answered >= 0.1 else 0.05
                 server.judged = self.now
                 server.met.clear()      # each answer counts against it once
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -228,6 +228,18 @@
     assert c.servers["a"].health == 1
 
 
+def test_a_zone_out_of_reach_is_not_condemned_unless_its_own_proxies_fare_badly_too():
+    """Guards against all slices of a cut zone crowding the rest, which they overfill when the cut ends."""
+    for dead, zone_heard, sick in (("abc", "east", False), ("abc", "west", True), ("ab", "east", True)):
+        c = conductor(capacities=[9] * 7)   # two servers of a zone may well die together
+        for id, server in c.servers.items():
+            server.zone = "west" if id in dead else "east"
+            server.met.append((c.now, "east", 10, 0 if id in dead else 10, 0.1))
+            server.met.append((c.now, zone_heard, 10, 0 if id in dead else 10, 0.1))
+        c.judge()
+        assert [c.servers[id].health < 0.5 for id in dead + "g"] == [sick] * len(dead) + [False]
+
+
 def test_when_all_fare_badly_nobody_is_condemned():
     c = conductor(capacities=[9, 9, 9, 9])
     fare(c, a=1, b=1, c=1, d=1)
