A cut zone is told by the last reports alone: no server condemned as the cut begins

Cause: while older reports of the cut zone's own proxies were in the window, the zone was held to be heard, and servers without a recent RPC of their own zone were condemned one by one. Now the last batch of reports alone tells.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -189,9 +189,8 @@
     def held(self, id: int, server: str, weight: float) -> None:
         if (s := self.slices.get(id)) is None:
             return
-        server = self.server(server)
-        s.told[server] = weight
-        s.shares += [server] * max(1, round(weight))
+        s.told[self.server(server)] = weight
+        s.shares += [self.server(server)] * max(1, round(weight))
 
     def wanted(self, id: int, method: int, span: float, rpcs: int) -> None:
         self.heard_at = self.now
@@ -333,9 +332,10 @@
         usual, best = (known[len(known) // 2], known[3 * len(known) // 4]) if known else (1.0, 1.0)
         # A zone whose servers hardly answer, and whose proxies are not heard, is cut off, not dead: its own
         # proxies may be served there, and slices moved off for that overfill the rest when the cut ends.
-        seen = {zone: sorted(views[x][0] for x in ready if views[x] and x.zone == zone)
-                for zone in {x.zone for x in ready} - {m[1] for x in ready for m in x.met}}
-        cut = {zone for zone, of in seen.items() if len(of) > 2 and of[3 * len(of) // 4] < 0.1}
+        latest = max((m[0] for x in ready for m in x.met), default=0.0) - 0.5 * self.period
+        last = [(x.zone, *m[1:4]) for x in ready for m in x.met if m[0] > latest]
+        cut = {z for z in {f[0] for f in last} - {f[1] for f in last} if sum(f[0] == z for f in last) > 2
+               and sum(f[3] for f in last if f[0] == z) < 0.1 * sum(f[2] for f in last if f[0] == z)}
         for server in ready:
             answered, good = views[server] or (1.0, 1.0)
             # A list that lies is believed of those left out that do not answer and those added that do.
