--- a/knotwalk/net/collectors.py
+++ b/knotwalk/net/collectors.py
@@ -75,7 +75,8 @@
 
     def burst_over(self) -> None:
         now, end = self.loop.now(), self.begun + BURST
-        half = any(x.agent and x.held for x in self.links)
+        # Half a message that was left there long ago is a silent connection's: nothing more is to come.
+        half = any(x.agent and x.held and x.latest > now - BURST for x in self.links)
         due = min(now + QUIET if half else self.latest + QUIET, end)
         if now < due:
             self.loop.at(due, self.burst_over)
@@ -97,6 +98,7 @@
         self.all, self.resp = callers, Resp()
         self.spoke = self.agent = self.asked = False
         self.zone, self.held = "", 0
+        self.latest = 0.0       # when bytes last came
 
     def opened(self, link: Link) -> None:
         self.all.links[self] = link
@@ -104,6 +106,7 @@
             self.all.crowd_out([x for x in self.all.links if x is not self])
 
     def fed(self, link: Link, data: memoryview) -> None:
+        self.latest = self.all.loop.now()
         for items in self.resp.feed(data):
             self.spoke = True
             self.all.links[self] = self.all.links.pop(self)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -74,6 +74,16 @@
         3 * [("wanted", 3, 0, 2.0, 9)]
 
 
+def test_a_collector_that_fell_silent_in_a_message_does_not_hold_back_the_others():
+    all_, clock, told = callers()
+    silent, other = Wire(all_.accept()), Wire(all_.accept())
+    silent.feed(packed("agent", "zone", "a") + HEARD[:40])
+    clock.move(1)
+    other.feed(WANTED)
+    clock.move(0.03)
+    assert told == [("wanted", 3, 0, 2.0, 9)]
+
+
 def test_a_burst_without_end_is_told_all_the_same():
     all_, clock, told = callers()
     wire = Wire(all_.accept())
