SIGHUP reloads the configuration; news and list move to new addresses before the old go

Ruled out: a fault in the program (no traceback, the log ends at the signal). Signals now reach the loop as one more descriptor; the file is read whole and applied or refused. Reconnecting of news and list is one class, Kept.

--- a/knotwalk/net/collectors.py
+++ b/knotwalk/net/collectors.py
@@ -54,6 +54,12 @@
         self.burst: list[tuple] = []                # reports of a burst that is not over yet
         self.begun = self.latest = 0.0              # when its first and its last came
 
+    def bound(self, seats: int, room: int) -> None:
+        """Other bounds from now on; what is past them ends."""
+        self.seats, self.room = seats, room
+        while len(self.links) > seats:
+            self.crowd_out(list(self.links))
+
     def accept(self) -> "Caller":
         return Caller(self)
 
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -59,6 +59,7 @@
         try:
             self.name = str(environ.get("EDGE_NAME") or told["name"])
             self.listen = address_of(environ.get("EDGE_LISTEN") or told["listen"], "EDGE_LISTEN")
+            self.discovery_told = told.get("discovery")     # as the file has it
             self.discovery = address_of(environ.get("EDGE_DISCOVERY") or told["discovery"], "EDGE_DISCOVERY")
             self.relay = address_of(told["hub"]["address"], "hub.address")
             self.seed = int(str(told["seed"]), 16)
@@ -77,6 +78,15 @@
             raise Misfit(f"EDGE_CONFIG: {path}: {plain(fault)}") from None
 
 
+    def follow(self, old: "Config") -> None:
+        """Take another's place in a running conductor, or raise what stands against it."""
+        if (self.name, self.listen) != (old.name, old.listen):
+            raise Misfit("name and listen cannot change in a running conductor")
+        # The environment is that of the start: it must not hide an address that the file has changed since.
+        self.discovery = (old.discovery if self.discovery_told == old.discovery_told
+                          else address_of(self.discovery_told, "discovery"))
+
+
 class Writer:
     """Orders of one round, in the relay's words."""
 
@@ -113,6 +123,7 @@
 
     def __init__(self, config: Config, log: Log):
         self.config, self.log, self.loop = config, log, Loop()
+        self.stopped = False
         self.names = {k: name for name, k in config.methods.items()}
         self.module = Conductor(config.settings, config.seed)
         self.starts = 1
@@ -162,21 +173,54 @@
         """The decisions failed. A module that was left halfway may hold anything, so a new one starts from
         what stands, as after a crash, but without the seconds that one takes; what came in is dropped."""
         self.log("decisions failed", f"{traceback.format_exc(limit=-3)} on {inbox}")
-        failed, self.module = self.module, Conductor(self.config.settings, self.config.seed + self.starts)
+        self.renew()
+
+    def renew(self) -> None:
+        """A new module, that starts from what stands; what came in for the old one is void."""
+        old, self.module = self.module, Conductor(self.config.settings, self.config.seed + self.starts)
         # The streams go on, so what was sent on them still counts (rule 5), and receipts of it may yet come.
-        self.module.sent, self.module.mark = failed.sent, failed.mark
+        self.module.sent, self.module.way, self.module.mark = old.sent, old.way, old.mark
         self.starts += 1
+        self.inbox, self.callers.burst = [], []
         self.tell("listed", True, True, list(self.watch.entries.values()))
         self.news.repeat()
         self.loop.after(self.config.tick, self.round)
 
+    def signalled(self, number: int, environ: Mapping[str, str]) -> None:
+        if number == signal.SIGHUP:
+            self.reload(environ)
+        else:
+            self.stopped = True     # nothing is owed to anybody: the store holds the tables, proxies go elsewhere
+
+    def reload(self, environ: Mapping[str, str]) -> None:
+        """Put the configuration as it is now in place of the one in use, whole or not at all."""
+        old = self.config
+        try:
+            config = Config(environ)
+            config.follow(old)
+        except Misfit as fault:
+            self.log("reload refused", f"{fault}; the old configuration stays")
+            return
+        self.config = config
+        self.log("reloaded", "discovery is at %s:%d, the relay at %s:%d" % (*config.discovery, *config.relay))
+        self.callers.bound(config.seats, config.room)
+        if config.discovery != old.discovery:
+            self.watch.move(config.discovery)
+        if config.relay != old.relay:
+            self.calls.move(config.relay)
+            self.news.move(config.relay)
+        if (config.settings, config.methods) != (old.settings, old.methods):
+            self.names = {k: name for name, k in config.methods.items()}
+            self.callers.methods = config.methods
+            self.renew()
+
     def run(self) -> None:
         self.tell("listed", True, True, self.config.known)
         listener = self.loop.listen(self.config.listen, self.callers.accept)
         self.log("serving", "%s at %s:%d" % (self.config.name, *listener.sock.getsockname()))
         self.watch.start()
         self.news.start()
-        while True:
+        while not self.stopped:
             try:
                 self.loop.turn()
                 # The module's life begins, and its first waits run, when there is somebody to order.
@@ -206,18 +250,15 @@
 
 def serve(environ: Mapping[str, str]) -> int:
     """Serve until SIGTERM; the exit code."""
-    def stop(_number: int, _frame: object) -> None:
-        sys.exit(0)     # nothing is owed to anybody: the store holds the tables, proxies go elsewhere
-
-    signal.signal(signal.SIGTERM, stop)
-    signal.signal(signal.SIGINT, stop)
     try:
         host = Host(Config(environ), Log())
     except Misfit as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
+    host.loop.signals((signal.SIGHUP, signal.SIGTERM, signal.SIGINT), lambda n: host.signalled(n, environ))
     try:
         host.run()
     except OSError as fault:
         print("knotwalk: cannot listen on %s:%d:" % host.config.listen, fault.strerror, file=sys.stderr)
-    return 1
+        return 1
+    return 0
--- a/knotwalk/net/discovery.py
+++ b/knotwalk/net/discovery.py
@@ -10,13 +10,11 @@
 from knotwalk.net import http
 from knotwalk.net.ending import Ending, Role, outcome
 from knotwalk.net.log import Log
-from knotwalk.net.loop import Link, Loop, Timer, Unreadable
+from knotwalk.net.loop import AGAIN_FIRST, Kept, Link, Loop, Timer, Unreadable
 from knotwalk.told import STATES, figure, plain
 
-CONNECT = 0.25      # seconds: the agent is on the same machine
 WAIT = 1.0          # seconds that a watch may wait: a change counts as told 2 s after, whether it came or not
 LATE = 0.5          # seconds past its wait after which a call is silent; the whole list has none
-AGAIN_FIRST, AGAIN_MOST = 0.02, 0.5     # seconds before the next connection; doubles: no hammering
 LIST_MOST = 1 << 22     # bytes of an answer: some ten thousand servers
 
 
@@ -32,32 +30,26 @@
             figure(f.get("started_ms") or 0) / 1e3)
 
 
-class Watch:
+class Watch(Kept):
     """The watch: one call after the other on one connection."""
 
     def __init__(self, loop: Loop, address: tuple[str, int], version: int, known: list[tuple], tell: Callable,
                  log: Log):
-        self.loop, self.address, self.tell, self.log = loop, address, tell, log
-        self.host = "%s:%d" % address
+        super().__init__(loop, address)
+        self.tell, self.log = tell, log
         self.version = version
         self.entries = {x[0]: x for x in known}     # the list as now held; what has gone stays by its id
-        self.link: Link | None = None
         self.answers, self.status, self.body = http.Answers(LIST_MOST), 0, b""
         self.whole = True       # the next call asks for the whole list
         self.silence: Timer | None = None
-        self.wait = AGAIN_FIRST
-
-    def start(self) -> None:
-        self.loop.connect(self.address, self, CONNECT)
 
     def ask(self, link: Link) -> None:
         query = None if self.whole else {"since": self.version, "timeout_ms": int(WAIT * 1e3)}
         self.status, self.body = 0, b""
         self.silence = self.loop.after(LATE + (0 if self.whole else WAIT), lambda: link.end(Ending.SILENT))
-        link.write(http.request(self.host, "GET", "/v1/servers", query))
+        link.write(http.request("%s:%d" % link.address, "GET", "/v1/servers", query))
 
-    def opened(self, link: Link) -> None:
-        self.link = link
+    def up(self, link: Link) -> None:
         self.answers = http.Answers(LIST_MOST)
         self.ask(link)
 
@@ -99,18 +91,15 @@
             self.tell("listed", full, False, entries)
         self.version = version
 
-    def ended(self, link: Link | None, ending: Ending) -> None:
+    def lost(self, link: Link | None, ending: Ending) -> None:
         if self.silence:
             self.silence.cancel()
-        self.link = None
-        if ending is Ending.LEFT:
-            self.start()
-            return
-        # After a gap the whole list: changes may have been told to a connection that is gone.
-        self.whole = True
-        means = outcome(Role.LIST, ending)
-        self.log("list lost", f"{ending.value}: {means.value} {link.fault if link else ''}")
-        # Out of reach, the time it took not to come up is wait enough: a cut that ends is to be seen at once.
-        self.loop.after(AGAIN_FIRST if ending is Ending.TIMED_OUT else self.wait, self.start)
-        if ending is not Ending.TIMED_OUT:
-            self.wait = min(AGAIN_MOST, 2 * self.wait)
+        if ending is not Ending.LEFT:
+            # After a gap the whole list: changes may have been told to a connection that is gone.
+            self.whole = True
+            means = outcome(Role.LIST, ending)
+            self.log("list lost", f"{ending.value}: {means.value} {link.fault if link else ''}")
+
+    def move(self, address: tuple[str, int]) -> None:
+        self.whole = True       # versions there may differ
+        super().move(address)
--- a/knotwalk/net/loop.py
+++ b/knotwalk/net/loop.py
@@ -7,9 +7,10 @@
 import errno
 import heapq
 import selectors
+import signal
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 
 from knotwalk.net.ending import Ending
@@ -20,6 +21,8 @@
 OUT_MOST = 1 << 17      # bytes a peer may leave unread: what the platform's own side allows
 PAUSE = 0.1             # seconds without new connections once no descriptor is to be had: others end by then
 ACCEPTS = 64            # new connections a turn: a flood must not starve those that are there
+CONNECT = 0.25          # seconds for a connection on the same network to come up: the way and one lost packet
+AGAIN_FIRST, AGAIN_MOST = 0.02, 0.5     # seconds before the next connection; doubles: no hammering
 
 
 class Unreadable(Exception):
@@ -62,8 +65,8 @@
 class Link:
     """One connection: a socket, a ring a direction, and the peer that gives it meaning."""
 
-    def __init__(self, loop: "Loop", sock: socket.socket, peer: Peer, up: bool):
-        self.loop, self.sock, self.peer, self.up = loop, sock, peer, up
+    def __init__(self, loop: "Loop", sock: socket.socket, peer: Peer, up: bool, address: tuple[str, int]):
+        self.loop, self.sock, self.peer, self.up, self.address = loop, sock, peer, up, address
         self.into, self.out = Ring(IN_MOST, IN_MOST), Ring(OUT_MOST)
         self.over = False
         self.timer: Timer | None = None
@@ -170,22 +173,102 @@
     def turn(self, _events: int) -> None:
         for _ in range(ACCEPTS):
             try:
-                sock, _address = self.sock.accept()
+                sock, address = self.sock.accept()
             except OSError as fault:
                 if fault.errno in (errno.EMFILE, errno.ENFILE):     # it stays readable: no spinning on it
                     self.pause()
                 return
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            link = Link(self.loop, sock, self.accept(), up=True)
+            link = Link(self.loop, sock, self.accept(), True, address)
             link.peer.opened(link)
 
-
     def pause(self) -> None:
         self.loop.selector.unregister(self.sock)
         self.loop.after(PAUSE, lambda: self.loop.selector.register(self.sock, selectors.EVENT_READ, self))
 
 
+class Kept:
+    """A connection that is kept up by its peer: opened anew whenever it ends, after waits that double, and moved
+    to another address by way of a new connection that is up before the old one goes."""
+
+    def __init__(self, loop: "Loop", address: tuple[str, int]):
+        self.loop, self.address = loop, address
+        self.link: Link | None = None       # the one that is up
+        self.trying = False                 # whether another is on its way or waits for its turn
+        self.again: Timer | None = None
+        self.wait = AGAIN_FIRST
+
+    def up(self, link: Link) -> None:
+        """It has come up."""
+
+    def lost(self, link: Link | None, ending: Ending) -> None:
+        """The one that was up has ended, or a new one did not come up."""
+
+    def start(self) -> None:
+        if not self.trying:
+            self.trying = True
+            self.connect()
+
+    def connect(self) -> None:
+        self.again = None
+        self.loop.connect(self.address, self, CONNECT)
+
+    def move(self, address: tuple[str, int]) -> None:
+        self.address, self.wait = address, AGAIN_FIRST
+        if self.again:      # waiting to try the old address once more
+            self.again.cancel()
+            self.connect()
+        self.start()
+
+    def opened(self, link: Link) -> None:
+        if link.address != self.address:
+            link.end(Ending.LEFT)       # moved meanwhile: on to the new address
+            return
+        self.trying = False
+        old, self.link = self.link, link
+        if old:
+            old.end(Ending.LEFT)
+        self.up(link)
+
+    def ended(self, link: Link | None, ending: Ending) -> None:
+        if link is not None and link is self.link:
+            self.link = None
+        elif self.trying:
+            self.trying = False
+        else:
+            return      # the old one, left for a new one
+        self.lost(link, ending)
+        if self.trying or self.link and self.link.address == self.address:
+            return
+        if ending is Ending.LEFT:
+            self.start()
+            return
+        # Out of reach, the time it took not to come up is wait enough: a cut that ends is to be seen at once.
+        self.trying = True
+        self.again = self.loop.after(AGAIN_FIRST if ending is Ending.TIMED_OUT else self.wait, self.connect)
+        if ending is not Ending.TIMED_OUT:
+            self.wait = min(AGAIN_MOST, 2 * self.wait)
+
+
+class Signals:
+    """Signals as one more descriptor to read: they are told between rounds, never in the midst of one."""
+
+    def __init__(self, numbers: Iterable[int], tell: Callable[[int], None]):
+        self.sock, self.into = socket.socketpair()
+        self.tell = tell
+        for sock in (self.sock, self.into):
+            sock.setblocking(False)
+        signal.set_wakeup_fd(self.into.fileno(), warn_on_full_buffer=False)
+        for number in numbers:
+            signal.signal(number, lambda *_: None)
+
+    def turn(self, _events: int) -> None:
+        """Each that came, once: several of a kind in a row ask for the same."""
+        for number in dict.fromkeys(self.sock.recv(4096)):
+            self.tell(number)
+
+
 class Loop:
     """All connections and timers of the program."""
 
@@ -217,7 +300,7 @@
             return
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        link = Link(self, sock, peer, up=False)
+        link = Link(self, sock, peer, False, address)
         link.timer = self.after(within, lambda: link.end(Ending.TIMED_OUT))
         try:
             code = sock.connect_ex(address)
@@ -240,6 +323,11 @@
         self.selector.register(sock, selectors.EVENT_READ, listener)
         return listener
 
+    def signals(self, numbers: Iterable[int], tell: Callable[[int], None]) -> None:
+        """Hear these signals from now on."""
+        signals = Signals(numbers, tell)
+        self.selector.register(signals.sock, selectors.EVENT_READ, signals)
+
     def turn(self) -> None:
         """One turn: whatever can be read or written, then the timers that are due."""
         while self.timers and self.timers[0][2].call is None:
--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -11,15 +11,13 @@
 from knotwalk.net import http
 from knotwalk.net.ending import Ending, Outcome, Role, outcome
 from knotwalk.net.log import Log
-from knotwalk.net.loop import Link, Loop, Timer, TooLong, Unreadable
+from knotwalk.net.loop import AGAIN_FIRST, AGAIN_MOST, CONNECT, Kept, Link, Loop, Timer, TooLong, Unreadable
 from knotwalk.told import figure, plain
 
 CALL_MOST = 60_000      # bytes of orders in a call, as the protocol has it
-CONNECT = 0.25          # seconds for a connection on the same network to come up: the way and one lost packet
 ANSWER = 0.15           # an answer comes within 50 ms or never; the rest is for a late loop
 STANDING = 1.0          # seconds a connection is kept for the next call: the relay closes idle ones by itself
 ANSWER_MOST = 1 << 16   # bytes of an answer: it holds one number
-AGAIN_FIRST, AGAIN_MOST = 0.02, 0.5     # seconds before a failed call goes again; doubles: no hammering
 THROTTLED = 0.1         # seconds before a call turned away before the run goes again
 LIFE = 1.8              # a sign of life comes every second: one missed, and some for a late loop
 NEWS_MOST = 1 << 20     # bytes of one line of news
@@ -41,7 +39,6 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int], news: "News", log: Log):
         self.loop, self.address, self.news, self.log = loop, address, news, log
-        self.host = "%s:%d" % address
         self.queue: dict[tuple, dict] = {}      # orders not yet in a call
         self.under_way: list[dict] = []         # those of the call that waits for its answer
         self.doubtful: list[dict] = []          # those of a call whose outcome is unknown
@@ -98,7 +95,7 @@
         link = self.link
         self.silence = self.loop.after(ANSWER, lambda: link.end(Ending.SILENT))
         body = b'{"orders":[%s]}' % ",".join(parts).encode()
-        link.write(http.request(self.host, "POST", "/v1/batches", body=body))
+        link.write(http.request("%s:%d" % link.address, "POST", "/v1/batches", body=body))
 
     def stop(self, timer: str) -> None:
         if getattr(self, timer):
@@ -111,9 +108,20 @@
             self.pump()
         self.again = self.again or self.loop.after(wait, go)
 
+    def move(self, address: tuple[str, int]) -> None:
+        """From now on calls go there; the one under way is settled where it went."""
+        self.address, self.wait = address, AGAIN_FIRST
+        self.stop("again")
+        if self.link and not self.under_way:
+            self.link.end(Ending.LEFT)
+        self.pump()
+
     # --- as a peer ---
 
     def opened(self, link: Link) -> None:
+        if link.address != self.address:
+            link.end(Ending.LEFT)       # moved meanwhile
+            return
         self.connecting, self.link = False, link
         self.answers = http.Answers(ANSWER_MOST)
         self.pump()
@@ -154,7 +162,7 @@
                 self.unsure.clear()
             if accepted < len(orders):
                 self.refused(orders[accepted], orders[accepted + 1:])
-        if keep:
+        if keep and link.address == self.address:
             self.idle = self.loop.after(STANDING, lambda: link.end(Ending.LEFT))
             self.pump()
         else:
@@ -290,7 +298,7 @@
 
     def opened(self, link: Link) -> None:
         self.link = link
-        link.write(http.request(self.calls.host, "GET", "/v1/stream"))
+        link.write(http.request("%s:%d" % link.address, "GET", "/v1/stream"))
 
     def fed(self, link: Link, data: memoryview) -> None:
         slice_id, server, weight = self.wanted or (None, None, None)
@@ -312,7 +320,7 @@
             self.calls.loop.after(SURE, self.look)
 
 
-class News:
+class News(Kept):
     """The stream of news, and what stands by it and by the orders taken.
 
     A connection begins with what stands; that has been read when a sign of life follows it (seen: no other
@@ -321,8 +329,8 @@
     """
 
     def __init__(self, loop: Loop, address: tuple[str, int], tell: Callable, log: Log):
-        self.loop, self.address, self.tell, self.log = loop, address, tell, log
-        self.host = "%s:%d" % address
+        super().__init__(loop, address)
+        self.tell, self.log = tell, log
         self.calls: Calls       # sets itself
         self.doubt: Doubt | None = None
         self.proxies: set[int] = set()
@@ -335,10 +343,6 @@
         self.touched: set[int] = set()      # slices ordered since the connection came up: it may be behind
         self.lines = Lines()
         self.life: Timer | None = None
-        self.wait = AGAIN_FIRST
-
-    def start(self) -> None:
-        self.loop.connect(self.address, self, CONNECT)
 
     def took(self, orders: list[dict]) -> None:
         """Orders that the relay has carried out."""
@@ -366,11 +370,11 @@
 
     # --- as a peer ---
 
-    def opened(self, link: Link) -> None:
+    def up(self, link: Link) -> None:
         self.lines, self.reading, self.signs, self.seen, self.current = Lines(), True, 0, set(), None
         self.touched = set()
         self.stay_awake(link)
-        link.write(http.request(self.host, "GET", "/v1/stream"))
+        link.write(http.request("%s:%d" % link.address, "GET", "/v1/stream"))
 
     def stay_awake(self, link: Link) -> None:
         if self.life:
@@ -467,12 +471,9 @@
             self.calls.forget(slice_id)
             self.tell("taken", slice_id)
 
-    def ended(self, link: Link | None, ending: Ending) -> None:
-        if self.life:
+    def lost(self, link: Link | None, ending: Ending) -> None:
+        if self.life and self.link is None:
             self.life.cancel()
-        means = outcome(Role.NEWS, ending).value
-        self.log("news lost", f"{ending.value}: {means} {link.fault if link else ''}")
-        # Out of reach, the time it took not to come up is wait enough: a cut that ends is to be seen at once.
-        self.loop.after(AGAIN_FIRST if ending is Ending.TIMED_OUT else self.wait, self.start)
-        if ending is not Ending.TIMED_OUT:
-            self.wait = min(AGAIN_MOST, 2 * self.wait)
+        if ending is not Ending.LEFT:
+            means = outcome(Role.NEWS, ending).value
+            self.log("news lost", f"{ending.value}: {means} {link.fault if link else ''}")
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,6 +1,7 @@
 """For the tests: states of the module, a clock, links without sockets, stand-ins for relay and discovery."""
 
 import json
+import signal
 import socket
 import subprocess
 import sys
@@ -88,8 +89,9 @@
 class Wire:
     """A link without a socket: what is written and how it ended."""
 
-    def __init__(self, peer):
+    def __init__(self, peer, address=("127.0.0.1", 1)):
         self.peer, self.written, self.over, self.out, self.fault = peer, b"", False, Ring(1 << 17), ""
+        self.address = address
         peer.opened(self)
 
     def write(self, data):
@@ -130,8 +132,8 @@
 class StandIn:
     """Relay and discovery for one conductor, on one loop that the test turns."""
 
-    def __init__(self):
-        self.loop = Loop()
+    def __init__(self, loop=None):
+        self.loop = loop or Loop()
         self.calls, self.links, self.news = [], [], []
         self.servers = [{"id": id, "zone": "z", "state": "active"} for id in ("a", "b")]
         self.version, self.slices, self.proxies = 1, {0: {"a": 1.0}, 1: {"b": 1.0}}, [1]
@@ -169,18 +171,25 @@
 
     def start(self, listen="127.0.0.1:0", stderr=subprocess.PIPE):
         """The program, and its address once it says so."""
-        told = {"name": "n0", "listen": listen, "discovery": self.address, "seed": "5",
-                "limits": {"memory_mb": 192, "sockets": 64}, "hub": {"address": self.address},
-                "known": {"version": 1, "full": True, "servers": self.servers}, "settings": SETTINGS}
+        self.told = {"name": "n0", "listen": listen, "discovery": self.address, "seed": "5",
+                     "limits": {"memory_mb": 192, "sockets": 64}, "hub": {"address": self.address},
+                     "known": {"version": 1, "full": True, "servers": self.servers}, "settings": SETTINGS}
         self.config = tempfile.NamedTemporaryFile("w", suffix=".json")
-        json.dump(told, self.config)
-        self.config.flush()
-        self.program = run({"EDGE_CONFIG": self.config.name}, stderr=stderr)
+        self.configure()
+        self.program = run({"EDGE_CONFIG": self.config.name, "EDGE_DISCOVERY": self.address}, stderr=stderr)
         if self.program.stderr:
             listen = self.program.stderr.readline().split()[-1]
         host, _, port = listen.rpartition(":")
         return host, int(port)
 
+    def configure(self, **changes):
+        """Write the configuration's file, with these changes."""
+        Path(self.config.name).write_text(json.dumps({**self.told, **changes}))
+
+    def reload(self, **changes):
+        self.configure(**changes)
+        self.program.send_signal(signal.SIGHUP)
+
     def stop(self):
         """SIGTERM; the exit code."""
         self.program.terminate()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -411,6 +411,44 @@
         assert wire.over is Ending.MALFORMED, bad
 
 
+AWAY = ("127.0.0.2", 2)
+
+
+def test_the_news_at_another_address_are_up_before_the_old_ones_go():
+    _, news, clock, told = relay()
+    old = Wire(news)
+    old.feed(lines(*STANDS, ("", {})))
+    news.move(AWAY)
+    assert not old.over and clock.connects == [news]
+    old.feed(lines(("bye", {"proxy": 1}), head=False))
+    new = Wire(news, AWAY)
+    assert old.over is Ending.LEFT and told == [*GIVEN, ("left", 1)]
+    new.feed(lines(*STANDS, ("", {})))
+    assert told[4:] == [("joined", 1)] and len(clock.connects) == 1
+
+
+def test_a_try_at_the_old_address_goes_on_at_the_new_one():
+    _, news, clock, _ = relay()
+    news.start()
+    news.move(AWAY)
+    stale = Wire(clock.connects.pop())
+    assert stale.over is Ending.LEFT and not stale.written and clock.connects == [news]
+    news.ended(None, Ending.REFUSED)
+    news.move(HOME)     # while it waits: at once, not when the wait is over
+    assert len(clock.connects) == 2
+
+
+def test_calls_go_to_the_new_address_and_one_under_way_is_settled_where_it_went():
+    calls, _, clock, _ = relay()
+    calls.order([line(1, "a")])
+    old = Wire(calls)
+    calls.move(AWAY)
+    calls.order([line(2, "a")])
+    assert not old.over
+    old.feed(answer({"accepted": 1}))
+    assert old.over is Ending.LEFT and bodies(Wire(calls, AWAY)) == [[line(2, "a")]]
+
+
 # --- discovery -----------------------------------------------------------------------------------
 
 def listing(version, full, *servers):
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -2,8 +2,10 @@
 
 import json
 import os
+import signal
 import socket
 import time
+from pathlib import Path
 from random import Random
 
 from helpers import SETTINGS, StandIn, call, run
@@ -107,6 +109,37 @@
     assert stand.stop() == 0
 
 
+def test_a_new_configuration_moves_to_other_addresses():
+    """Guards against an end at SIGHUP, and the start's environment hiding where things are now."""
+    stand = StandIn()
+    other = StandIn(stand.loop)
+    other.slices = stand.slices
+    address = stand.start()
+    assert alive(stand, address)
+    stand.reload(discovery=other.address, hub={"address": other.address})
+    stand.until(lambda: other.news and not stand.news)
+    drain(other)
+    stand.until(lambda: orders(other))
+    assert orders(other) == OFF_A and not orders(stand) and all(link.over for link in stand.links)
+    assert stand.stop() == 0
+
+
+def test_a_new_configuration_that_cannot_be_used_leaves_the_old_in_place():
+    stand = StandIn()
+    address = stand.start()
+    assert alive(stand, address)
+    for changes in ({"hub": {"address": "nowhere"}}, {"name": "n9"}, {"settings": {"tick_us": "x"}}):
+        stand.reload(**changes)
+        line = stand.program.stderr.readline()
+        assert "reload refused" in line and "Traceback" not in line
+    Path(stand.config.name).write_text("{")
+    stand.program.send_signal(signal.SIGHUP)
+    assert "reload refused" in stand.program.stderr.readline()
+    drain(stand)
+    stand.until(lambda: orders(stand) == OFF_A)
+    assert stand.stop() == 0
+
+
 def test_a_drain_is_kept_while_everything_breaks():
     """Links end at every moment and calls are carried out or not; what stands in the end is what was decided."""
     stand, chance = StandIn(), Random(3)
@@ -216,6 +249,19 @@
     assert h.module.slices[0].told == {h.module.servers["a"]: 1.0} and h.inbox == []
 
 
+def test_new_settings_make_a_new_module_that_starts_from_what_stands(tmp_path):
+    h = host(tmp_path)
+    h.news.slices, old = {0: {"a": 1.0}}, h.module
+    old.way.append((7, 30, {1}))
+    told = json.loads((tmp_path / "config.json").read_text())
+    told["settings"]["classes"].append({"name": "write", "slo_us": 1, "worth": 9})
+    told["limits"] = {"sockets": 100}
+    (tmp_path / "config.json").write_text(json.dumps(told))
+    h.reload({"EDGE_CONFIG": str(tmp_path / "config.json")})
+    assert h.module is not old and len(h.module.cost) == 2 and h.module.way == old.way
+    assert h.names == {0: "read", 1: "write"} and h.callers.seats == 80 and ("given", (0,)) in h.inbox
+
+
 def test_rounds_keep_the_tick(tmp_path):
     h = host(tmp_path)
     rounds = []
