--- a/knotwalk/net/collectors.py
+++ b/knotwalk/net/collectors.py
@@ -4,13 +4,13 @@
 connection cost the others theirs.
 """
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Set
 
 from knotwalk.net.ending import Ending
 from knotwalk.net.log import Log
-from knotwalk.net.loop import Link, Loop
+from knotwalk.net.loop import Link, Loop, Unreadable
 from knotwalk.net.resp import Resp, packed
-from knotwalk.told import LOADS, figure, plain
+from knotwalk.told import LOADS, Bounds, count, figure, plain
 
 ALIVE = packed("alive")
 # Collectors send the sums of a period as a burst of messages, which the module is to see as a whole: it
@@ -18,6 +18,8 @@
 # lie apart on a busy core) with no message half there, and handed on after the second at the latest (a
 # quarter of a period of 1 s).
 QUIET, BURST = 0.02, 0.25
+JOIN = 1.0      # seconds to join: the protocol lets a connection be closed after that
+GONE = 10.0     # seconds of silence after which a zone's collector is let go, if another has joined for it
 
 
 def fields(items: list[str]) -> dict[str, str]:
@@ -31,22 +33,26 @@
     return dict(zip(items[1::2], items[2::2]))
 
 
-def load_of(text: str) -> dict[str, float]:
+def load_of(text: str, bounds: Bounds) -> dict[str, float]:
     """A load report.
 
-    >>> load_of("inflight:7,util:0.61")
+    >>> load_of("inflight:7,util:0.61", Bounds(frozenset(), 1, 100, 5))
     {'inflight': 7.0, 'utilization': 0.61}
     """
     pairs = [part.partition(":") for part in text.split(",") if part]
-    return {LOADS.get(name, name): figure(value) for name, _, value in pairs}
+    load = {LOADS.get(name, name): figure(value) for name, _, value in pairs}
+    figure(load.get("utilization", 0), bounds.utilization)
+    figure(load.get("qps", 0), bounds.rate)
+    return load
 
 
 class Callers:
     """All that have connected, within so many seats and so many bytes of unfinished messages."""
 
-    def __init__(self, loop: Loop, methods: Mapping[str, int], knows: Callable[[str], bool], tell: Callable,
-                 log: Log, seats: int, room: int):
-        self.loop, self.methods, self.knows, self.tell, self.log = loop, methods, knows, tell, log
+    def __init__(self, loop: Loop, methods: Mapping[str, int], bounds: Bounds, knows: Callable[[str], bool],
+                 zones: Callable[[], Set[str]], tell: Callable, log: Log, seats: int, room: int):
+        self.loop, self.methods, self.bounds, self.tell, self.log = loop, methods, bounds, tell, log
+        self.knows, self.zones = knows, zones
         self.seats, self.room = seats, room
         self.ready = False
         self.links: dict["Caller", Link] = {}       # the one not heard of for longest first
@@ -108,9 +114,28 @@
 
     def opened(self, link: Link) -> None:
         self.all.links[self] = link
+        link.timer = self.all.loop.after(JOIN, lambda: self.stayed(link))
         if len(self.all.links) > self.all.seats:
             self.all.crowd_out([x for x in self.all.links if x is not self])
 
+    def stayed(self, link: Link) -> None:
+        """It has had its time to join. Guards against strangers that keep their connections for good."""
+        if self.asked and not self.all.ready:       # it waits for us, not we for it
+            link.timer = self.all.loop.after(JOIN, lambda: self.stayed(link))
+        else:
+            link.end(Ending.STRANGER)
+
+    def join(self, link: Link, zone: str) -> None:
+        if zone not in self.all.zones():
+            raise ValueError(f"no such zone '{zone}'")
+        self.agent, self.zone = True, zone
+        if link.timer:
+            link.timer.cancel()
+        # A machine that was cut off leaves its old connections open and silent: they would pile up.
+        for other, old in list(self.all.links.items()):
+            if other.agent and other.zone == zone and other.latest < self.latest - GONE:
+                old.end(Ending.SILENT)
+
     def fed(self, link: Link, data: memoryview) -> None:
         self.latest = self.all.loop.now()
         for items in self.resp.feed(data):
@@ -120,6 +145,8 @@
                 try:
                     self.message(link, items)
                 except (ValueError, KeyError) as fault:
+                    if not self.agent:      # spoilt reports come from collectors alone: it is a stranger
+                        raise Unreadable(f"unjoined, {items[0][:40]}: {plain(fault)}") from None
                     self.all.log("message dropped", f"{' '.join(items)[:120]}: {plain(fault)}")
             if link.over:
                 return
@@ -140,25 +167,37 @@
             if self.all.ready:
                 link.write(ALIVE)
             return
-        f = fields(items)
-        if kind == "outcomes":
+        f, bounds = fields(items), self.all.bounds
+        if kind == "agent":
+            self.join(link, f["zone"])
+        elif not self.agent:
+            raise ValueError("it has not joined")
+        elif kind == "outcomes":
             if not self.all.knows(f["server"]):
                 raise ValueError(f"no such server '{f['server']}'")
-            tries, aborted = int(figure(f["tries"])), int(figure(f.get("failed", 0)))
-            if aborted > tries:
-                raise ValueError("more failed than were tried")
-            self.all.report("heard", f["server"], f.get("zone", self.zone), figure(f["span_ms"]) / 1e3, tries,
-                            aborted, figure(f.get("mean_ms", 0)) / 1e3, load_of(f.get("load", "")))
+            if f["zone"] not in self.all.zones():
+                raise ValueError(f"no such zone '{f['zone']}'")
+            span, tries, aborted = self.tries(f)
+            latency = figure(f["mean_ms"]) / 1e3 if aborted < tries else 0.0
+            self.all.report("heard", f["server"], f["zone"], span, tries, aborted,
+                            figure(latency, bounds.latency), load_of(f.get("load", ""), bounds))
         elif kind == "hot":
             if f["class"] not in self.all.methods:
                 raise ValueError(f"no such method '{f['class']}'")
-            self.all.report("wanted", int(figure(f["slice"])), self.all.methods[f["class"]],
-                            figure(f["span_ms"]) / 1e3, int(figure(f["tries"])))
-        elif kind == "agent":
-            self.agent, self.zone = True, f.get("zone", "")
+            span, tries, _ = self.tries(f)
+            self.all.report("wanted", count(f["slice"], bounds.slices - 1), self.all.methods[f["class"]],
+                            span, tries)
         else:
             raise ValueError("no such message")
 
+    def tries(self, f: Mapping[str, str]) -> tuple[float, int, int]:
+        """Seconds, tries in them, and those that were aborted."""
+        span = figure(f["span_ms"], 1e3 * self.all.bounds.span) / 1e3
+        if not span:
+            raise ValueError("a span of nothing")
+        tries = count(f["tries"], self.all.bounds.rate * span)
+        return span, tries, count(f["failed"], tries)
+
     def ended(self, link: Link | None, ending: Ending) -> None:
         self.all.links.pop(self, None)
         self.all.held -= self.held
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -8,7 +8,7 @@
 import signal
 import sys
 import traceback
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from ipaddress import IPv4Address
 
 from knotwalk.decide import Conductor
@@ -17,7 +17,8 @@
 from knotwalk.net.log import Log
 from knotwalk.net.loop import Loop, Timer
 from knotwalk.net.relay import Calls, News
-from knotwalk.told import Malformed, figure, flattened, number, plain, read_methods, read_settings
+from knotwalk.told import (
+    Malformed, figure, flattened, number, plain, read_bounds, read_methods, read_settings)
 
 SEATS = 0.8     # of the sockets allowed, for those that connect to us: our own peers take a dozen
 ROOM = 0.25     # of the memory allowed, for their unfinished messages: the program itself takes under 40 MB
@@ -68,6 +69,7 @@
             self.known = [entry(f) for f in known["servers"]]
             pairs = flattened(told["settings"])
             self.settings, self.methods = read_settings(pairs), read_methods(pairs)
+            self.bounds = read_bounds(pairs)
             self.tick = number(pairs, "tick_us") / 1e6
             limits = told.get("limits") or {}
             self.seats = int(SEATS * figure(limits.get("sockets", 1024)))
@@ -133,8 +135,8 @@
         self.news = News(self.loop, config.relay, self.tell, log)
         self.calls = Calls(self.loop, config.relay, self.news, log)
         self.watch = Watch(self.loop, config.discovery, config.known_version, config.known, self.tell, log)
-        self.callers = Callers(self.loop, config.methods, self.knows, self.tell, log, config.seats,
-                               config.room)
+        self.callers = Callers(self.loop, config.methods, config.bounds, self.knows, self.zones, self.tell,
+                               log, config.seats, config.room)
 
     def tell(self, handler: str, *arguments: object) -> None:
         """Something for the next round."""
@@ -144,6 +146,10 @@
         """Whether a server was ever listed or in a line: the module would take any other for a new one."""
         return server in self.watch.entries or server in self.module.servers
 
+    def zones(self) -> Set[str]:
+        """The zones that exist: as the settings have them, else those of servers and joined proxies."""
+        return self.config.bounds.zones or self.news.zones | {x[1] for x in self.watch.entries.values()}
+
     def wake(self, at: float) -> None:
         """A round at that time, unless one comes between it and the timer."""
         self.loop.at(at, lambda: self.last >= at or self.round())
@@ -190,7 +196,7 @@
         if number == signal.SIGHUP:
             self.reload(environ)
         else:
-            self.stopped = True     # nothing is owed to anybody: the store holds the tables, proxies go elsewhere
+            self.stopped = True     # nothing is owed to anybody: the store holds the tables
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """Put the configuration as it is now in place of the one in use, whole or not at all."""
@@ -211,7 +217,7 @@
             self.news.move(config.relay)
         if (config.settings, config.methods) != (old.settings, old.methods):
             self.names = {k: name for name, k in config.methods.items()}
-            self.callers.methods = config.methods
+            self.callers.methods, self.callers.bounds = config.methods, config.bounds
             self.renew()
 
     def run(self) -> None:
--- a/knotwalk/net/ending.py
+++ b/knotwalk/net/ending.py
@@ -20,6 +20,7 @@
     TOO_LONG = "too long"
     UNREAD = "left unread what it was sent"
     CROWDED = "left to make room"
+    STRANGER = "did not join in time"
     LEFT = "left by us"
 
 
--- a/knotwalk/net/loop.py
+++ b/knotwalk/net/loop.py
@@ -189,8 +189,8 @@
 
 
 class Kept:
-    """A connection that is kept up by its peer: opened anew whenever it ends, after waits that double, and moved
-    to another address by way of a new connection that is up before the old one goes."""
+    """A connection that is kept up by its peer: opened anew whenever it ends, after waits that double, and
+    moved to another address by way of a new connection that is up before the old one goes."""
 
     def __init__(self, loop: "Loop", address: tuple[str, int]):
         self.loop, self.address = loop, address
--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -12,7 +12,7 @@
 from knotwalk.net.ending import Ending, Outcome, Role, outcome
 from knotwalk.net.log import Log
 from knotwalk.net.loop import AGAIN_FIRST, AGAIN_MOST, CONNECT, Kept, Link, Loop, Timer, TooLong, Unreadable
-from knotwalk.told import figure, plain
+from knotwalk.told import count, figure, plain
 
 CALL_MOST = 60_000      # bytes of orders in a call, as the protocol has it
 ANSWER = 0.15           # an answer comes within 50 ms or never; the rest is for a late loop
@@ -140,15 +140,17 @@
     def answered(self, link: Link, keep: bool) -> None:
         try:
             told = json.loads(self.body)
-            error = None if "accepted" in told else told["error"]
-            accepted = int(figure(told.get("accepted", 0)))
+            error = told.get("error")
+            if error not in (None, "throttled", "invalid"):
+                raise ValueError(f"no such error: {error!r}"[:80])
+            if error is None and (self.status != 200 or type(told["accepted"]) is not int):
+                raise ValueError(f"{self.status} {self.body[:80]!r}")
+            accepted = 0 if error else count(told["accepted"], len(self.under_way))
         except (ValueError, TypeError, AttributeError, KeyError) as fault:
             raise Unreadable(f"no answer to a call: {plain(fault)}") from None
         orders, self.under_way = self.under_way, []
         self.stop("silence")
         self.wait = AGAIN_FIRST
-        if isinstance(error, dict):
-            error = error.get("code") or error.get("type") or str(error)
         if error == "invalid":
             self.log("orders refused", f"the relay cannot read this call of {len(orders)}: {orders[:3]}")
             self.news.resync(orders)
@@ -334,6 +336,7 @@
         self.calls: Calls       # sets itself
         self.doubt: Doubt | None = None
         self.proxies: set[int] = set()
+        self.zones: set[str] = set()        # of the proxies that joined
         self.slices: dict[int, dict[str, float]] = {}       # lines by server
         self.heard = False      # whether a stream has ever come up
         self.reading = False    # whether what stands is still being read
@@ -405,7 +408,8 @@
                 self.lose(slice_id)
 
     def on_hello(self, f: dict) -> None:
-        proxy = int(f["proxy"])
+        proxy = count(f["proxy"])
+        self.zones.add(str(f.get("zone", "")))
         self.seen.add(("hello", proxy))
         if not self.reading:
             self.on_bye(f)      # one that joins is on a new stream, though the end of the old was not told
@@ -414,19 +418,24 @@
             self.tell("joined", proxy)
 
     def on_bye(self, f: dict) -> None:
-        proxy = int(f["proxy"])
+        proxy = count(f["proxy"])
         self.seen.discard(("hello", proxy))
         if proxy in self.proxies:
             self.proxies.discard(proxy)
             self.tell("left", proxy)
 
     def on_ack(self, f: dict) -> None:
-        self.tell("applied", int(f["proxy"]), int(f["mark"]))
+        try:
+            proxy, mark = count(f["proxy"]), count(f["mark"])
+        except (ValueError, TypeError, KeyError) as fault:      # another's answer to it tells as much
+            self.log("answer to a mark dropped", plain(fault))
+            return
+        self.tell("applied", proxy, mark)
         if self.doubt:
-            self.doubt.receipt(int(f["mark"]))
+            self.doubt.receipt(mark)
 
     def on_lease(self, f: dict) -> None:
-        slice_id = int(f["slice"])
+        slice_id = count(f["slice"])
         if not f["on"]:
             self.seen.discard(("lease", slice_id))
             self.lose(slice_id)
@@ -437,7 +446,7 @@
             self.give(slice_id, {})
 
     def on_line(self, f: dict) -> None:
-        slice_id, server, weight = int(f["slice"]), str(f["server"]), figure(f["weight"])
+        slice_id, server, weight = count(f["slice"]), str(f["server"]), figure(f["weight"])
         if self.current and self.current[0] == slice_id:
             self.current[1][server] = weight
         elif slice_id in self.slices:
--- a/knotwalk/told.py
+++ b/knotwalk/told.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Mapping
+from typing import NamedTuple
 
 from knotwalk.interface import Method, Settings
 
@@ -48,18 +49,33 @@
     return pairs
 
 
-def figure(text: object) -> float:
+MOST = 1e300    # of any figure: sums of them stay finite
+
+
+def figure(text: object, most: float = MOST) -> float:
     """A figure as a peer tells it: finite, and never below 0.
 
     >>> figure("1.5")
     1.5
     """
-    value = float(text)     # type: ignore[arg-type]
-    if not 0 <= value < float("inf"):
+    value = -1.0 if isinstance(text, bool) else float(text)     # type: ignore[arg-type]
+    if not 0 <= value <= most:
         raise ValueError(f"'{text}' is no figure")
     return value
 
 
+def count(text: object, most: float = MOST) -> int:
+    """A figure that counts things.
+
+    >>> count("12")
+    12
+    """
+    value = figure(text, most)
+    if value != int(value):
+        raise ValueError(f"'{text}' is no whole number")
+    return int(value)
+
+
 def number(pairs: Mapping[str, str], path: str, default: float = 0.0) -> float:
     try:
         return float(pairs.get(path) or default)
@@ -67,6 +83,29 @@
         raise Malformed(f"setting {path}={pairs[path]} is not a number") from None
 
 
+class Bounds(NamedTuple):
+    """What a report may say at most, as protocol and settings have it: more is no figure but a spoilt one."""
+
+    zones: frozenset[str]       # empty: not told
+    slices: int
+    rate: float                 # tries a second
+    latency: float              # seconds that a try can have taken
+    span: float = 3600.0        # seconds that a report may be about: an hour, past any outage's end
+    # Of a server's capacity: its report is a noisy one, and one that is full says a little over 1.
+    utilization: float = 2.0
+
+
+def read_bounds(pairs: Mapping[str, str]) -> Bounds:
+    waits = [number(pairs, f"classes.{k}.give_up_us") for k in range(int(number(pairs, "classes.count")))]
+    return Bounds(
+        zones=frozenset(x for x in pairs.get("zones", "").split(",") if x),
+        slices=int(number(pairs, "family_info.partitions_n")),
+        # No proxy sends more than a try a millisecond: the clock of the protocol shows no less.
+        rate=1000 * (number(pairs, "family_info.data_plane_size") or 1000),
+        # None is waited for longer than its client waits; twice that, for what proxies hold back before.
+        latency=2e-6 * max(waits, default=0) or 3600.0)
+
+
 def read_settings(pairs: Mapping[str, str]) -> Settings:
     """Put the settings into our words; what is absent counts as 0, no or the plain case."""
     def seconds(path: str) -> float:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -98,6 +98,8 @@
         self.written += data
 
     def feed(self, data):
+        if self.over:
+            return
         try:
             self.peer.fed(self, memoryview(data))
         except Unreadable as fault:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -10,6 +10,7 @@
 from knotwalk.net.ending import Ending
 from knotwalk.net.relay import Calls, News
 from knotwalk.net.resp import packed
+from knotwalk.told import Bounds
 
 HOME = ("127.0.0.1", 1)
 HEARD = packed("outcomes", "zone", "a", "server", "s", "tries", "9", "failed", "1", "mean_ms", "40",
@@ -17,6 +18,10 @@
 WANTED = packed("hot", "slice", "3", "class", "read", "tries", "9", "failed", "0", "span_ms", "2000.0")
 
 
+JOIN = packed("agent", "zone", "a")
+BOUNDS = Bounds(frozenset({"a"}), 9, 1000, 10)
+
+
 class Told(list):
     """What was told, and what was logged."""
 
@@ -32,7 +37,8 @@
 
 def callers(seats=9, room=10 ** 6):
     told, clock = Told(), Clock()
-    all_ = Callers(clock, {"read": 0}, {"s"}.__contains__, told.tell, told.note, seats, room)
+    all_ = Callers(clock, {"read": 0}, BOUNDS, {"s"}.__contains__, lambda: {"a"}, told.tell, told.note, seats,
+                   room)
     all_.ready = True
     return all_, clock, told
 
@@ -63,7 +69,7 @@
     """Guards against a period judged several times over: the module lowers levels once a report."""
     all_, clock, told = callers()
     wire = Wire(all_.accept())
-    wire.feed(packed("agent", "zone", "a"))
+    wire.feed(JOIN)
     data = HEARD + 3 * WANTED
     for at in range(0, len(data), 50):
         wire.feed(data[at:at + 50])
@@ -76,10 +82,11 @@
 
 def test_a_collector_that_fell_silent_in_a_message_does_not_hold_back_the_others():
     all_, clock, told = callers()
-    silent, other = Wire(all_.accept()), Wire(all_.accept())
-    silent.feed(packed("agent", "zone", "a") + HEARD[:40])
+    silent = Wire(all_.accept())
+    silent.feed(JOIN + HEARD[:40])
     clock.move(1)
-    other.feed(WANTED)
+    other = Wire(all_.accept())
+    other.feed(JOIN + WANTED)
     clock.move(0.03)
     assert told == [("wanted", 3, 0, 2.0, 9)]
 
@@ -87,6 +94,7 @@
 def test_a_burst_without_end_is_told_all_the_same():
     all_, clock, told = callers()
     wire = Wire(all_.accept())
+    wire.feed(JOIN)
     for _ in range(30):
         wire.feed(WANTED)
         clock.move(0.01)
@@ -105,19 +113,85 @@
     assert early.written == packed("alive") and late.written == packed("alive") * 2
 
 
-def test_messages_that_make_no_sense_are_dropped_and_the_connection_stays():
+def spoilt(message, *names):
+    """A message with each of these fields left out, and with all that a figure can't be in its place."""
+    words = message.decode().split("\r\n")[2::2]
+    for at in [words.index(name) for name in names]:
+        yield words[:at] + words[at + 2:]
+        for value in ("", "-3", "nan", "inf", "1e30", "38654705664", "s-zz", "[1]", "1.5x"):
+            yield [*words[:at + 1], value, *words[at + 2:]]
+
+
+def test_a_spoilt_message_of_a_collector_costs_itself_alone():
     """Guards the module's figures against what no collector could mean; it takes a new name for a server."""
-    all_, clock, told = callers()
-    wire = Wire(all_.accept())
-    for bad in (packed("what"), packed("hot", "slice"), packed("hot", "slice", "x"),
-                HEARD.replace(b"$1\r\ns", b"$1\r\nq"),
-                HEARD.replace(b"$2\r\n40", b"$3\r\nnan"), HEARD.replace(b"$1\r\n9", b"$2\r\n-9"),
-                HEARD.replace(b"$1\r\n9", b"$1\r\n0"), WANTED.replace(b"read", b"rave"), b"*0\r\n",
-                packed("hot", "slice", "1e999", "class", "read", "tries", "1", "span_ms", "1")):
-        wire.feed(bad)
-    wire.feed(WANTED)
-    clock.move(1)
-    assert not wire.over and told == [("wanted", 3, 0, 2.0, 9)] and len(told.log) == 9
+    for message, names in ((HEARD, ("zone", "server", "tries", "failed", "mean_ms", "span_ms")),
+                           (WANTED, ("slice", "class", "tries", "failed", "span_ms"))):
+        for bad in spoilt(message, *names):
+            all_, clock, told = callers()
+            wire = Wire(all_.accept())
+            wire.feed(JOIN + WANTED + packed(*bad) + WANTED)
+            clock.move(1)
+            assert not wire.over and told == 2 * [("wanted", 3, 0, 2.0, 9)] and len(told.log) == 1, bad
+    for bad in (packed("what"), packed("hot", "slice"), packed("hot"), packed("agent", "zone", "b"),
+                HEARD.replace(b"$1\r\n9", b"$1\r\n0"), HEARD.replace(b"$1\r\n9", b"$3\r\n9.5"),
+                HEARD.replace(b"util:0.5", b"util:4.0"), HEARD.replace(b"util:0.5,qps:7", b"util:,qps:0007"),
+                WANTED.replace(b"$6\r\n2000.0", b"$1\r\n0"), WANTED.replace(b"$1\r\n3", b"$1\r\n9"),
+                WANTED.replace(b"tries\r\n$1\r\n9", b"tries\r\n$7\r\n1000000")):
+        all_, clock, told = callers()
+        wire = Wire(all_.accept())
+        wire.feed(JOIN + bad + b"*0\r\n" + WANTED)
+        clock.move(1)
+        assert not wire.over and told == [("wanted", 3, 0, 2.0, 9)] and len(told.log) == 1, bad
+
+
+def test_whoever_speaks_without_joining_is_ended_at_once():
+    for said in (WANTED, HEARD, packed("hello", "proxy", "1", "zone", "a"), packed("agent", "zone", "nowhere"),
+                 packed("agent"), packed("push"), packed("demand", "proxy", "7", "tries", "5")):
+        all_, clock, told = callers()
+        wire = Wire(all_.accept())
+        wire.feed(said)
+        clock.move(0.5)
+        assert wire.over is Ending.MALFORMED and not told and not all_.links, said
+
+
+def test_whoever_does_not_join_in_time_is_ended():
+    """Guards against strangers that say nothing, drip bytes or ask once, and stay for good."""
+    all_, clock, _ = callers()
+    silent, asked, half, joined = (Wire(all_.accept()) for _ in range(4))
+    asked.feed(packed("probe"))
+    joined.feed(JOIN)
+    for byte in packed("agent", "zone", "a")[:15]:
+        half.feed(bytes([byte]))
+        clock.move(0.1)
+    assert [x.over for x in (silent, asked, half, joined)] == 3 * [Ending.STRANGER] + [False]
+    assert asked.written == packed("alive") and len(all_.links) == 1 and not all_.held
+
+
+def test_one_that_waits_for_us_to_be_ready_is_not_ended():
+    all_, clock, _ = callers()
+    all_.ready = False
+    waits, silent = Wire(all_.accept()), Wire(all_.accept())
+    waits.feed(packed("probe"))
+    clock.move(5)
+    assert silent.over and not waits.over
+    all_.serve()
+    assert waits.written == packed("alive")
+    clock.move(2)
+    assert waits.over is Ending.STRANGER
+
+
+def test_a_zones_old_connections_that_fell_silent_are_let_go():
+    all_, clock, _ = callers()
+    old = Wire(all_.accept())
+    old.feed(JOIN)
+    clock.move(5)
+    second = Wire(all_.accept())
+    second.feed(JOIN)
+    clock.move(8)
+    second.feed(WANTED)
+    third = Wire(all_.accept())
+    third.feed(JOIN)
+    assert old.over is Ending.SILENT and not second.over and len(all_.links) == 2
 
 
 def test_what_is_no_message_ends_the_connection():
@@ -131,7 +205,7 @@
 def test_strangers_that_say_nothing_make_room_for_collectors():
     all_, _, _ = callers(seats=3)
     collector = Wire(all_.accept())
-    collector.feed(packed("agent", "zone", "a"))
+    collector.feed(JOIN)
     strangers = [Wire(all_.accept()) for _ in range(8)]
     assert not collector.over and len(all_.links) == 3
     assert [x.over for x in strangers] == 6 * [Ending.CROWDED] + 2 * [False]
@@ -140,7 +214,7 @@
 def test_half_messages_do_not_fill_the_memory():
     all_, _, _ = callers(room=10_000)
     collector, small, large = (Wire(all_.accept()) for _ in range(3))
-    collector.feed(packed("agent", "zone", "a") + b"*2\r\n$3\r\nhot")
+    collector.feed(JOIN + b"*2\r\n$3\r\nhot")
     small.feed(b"*1\r\n$9000\r\n" + 2000 * b"x")
     large.feed(b"*1\r\n$9000\r\n" + 8500 * b"x")
     assert large.over is Ending.CROWDED and not small.over and not collector.over and all_.held < 3000
@@ -236,7 +310,8 @@
 
 def test_a_doubtful_call_that_stands_is_not_given_again():
     for how in ({"ending": Ending.RESET}, {}, {"feed": answer("{}")}, {"feed": answer("junk")},
-                {"feed": b"junk"}, {"feed": answer({"accepted": -1})}):
+                {"feed": b"junk"}, {"feed": answer({"accepted": 3}, "500 Oh")}, {"feed": answer({"error": 17})},
+                *({"feed": answer({"accepted": x})} for x in (-1, 4, "3", 1.5, True, None, [3]))):
         calls, news, _, _, look = doubt(**how)
         look.feed(lines(("lease", {"slice": 1, "on": True}),
                         ("line", {"slice": 1, "server": "b", "weight": 1.0})))
@@ -402,9 +477,19 @@
     assert told == []
 
 
+def test_a_spoilt_answer_to_a_mark_costs_itself_alone():
+    for bad in ({}, {"proxy": 1}, {"proxy": 1, "mark": 9.5}, {"proxy": "x", "mark": 9}, {"proxy": 1, "mark": -3},
+                {"proxy": None, "mark": 9}, {"proxy": 1, "mark": [9]}):
+        _, news, _, told = relay()
+        wire = Wire(news)
+        wire.feed(lines(*STANDS, ("", {}), ("ack", bad), ("ack", {"proxy": 1, "mark": 9})))
+        assert told == [*GIVEN, ("applied", 1, 9)] and not wire.over, bad
+
+
 def test_news_that_cannot_be_read_end_the_connection():
     for bad in (lines(("hello", {})), lines(("hello", {"proxy": "x"})),
-                lines(("hello", {"proxy": float("inf")})), lines(("line", {"slice": 1, "server": "a", "weight": float("nan")})), lines(("lease", [])),
+                lines(("hello", {"proxy": float("inf")})), lines(("lease", [])),
+                lines(("line", {"slice": 1, "server": "a", "weight": float("nan")})),
                 answer("x", "404 Not Found"), answer("{}\n"), b"junk\r\n\r\n"):
         wire = Wire(relay()[1])
         wire.feed(bad)
