--- a/knotwalk/net/collectors.py
+++ b/knotwalk/net/collectors.py
@@ -178,6 +178,7 @@
             if f["zone"] not in self.all.zones():
                 raise ValueError(f"no such zone '{f['zone']}'")
             span, tries, aborted = self.tries(f)
+            count(aborted, tries)
             latency = figure(f["mean_ms"]) / 1e3 if aborted < tries else 0.0
             self.all.report("heard", f["server"], f["zone"], span, tries, aborted,
                             figure(latency, bounds.latency), load_of(f.get("load", ""), bounds))
@@ -195,8 +196,9 @@
         span = figure(f["span_ms"], 1e3 * self.all.bounds.span) / 1e3
         if not span:
             raise ValueError("a span of nothing")
-        tries = count(f["tries"], self.all.bounds.rate * span)
-        return span, tries, count(f["failed"], tries)
+        most = self.all.bounds.rate * span
+        # Of a slice more may have failed than were begun (seen): tries end in a later span than they begin.
+        return span, count(f["tries"], most), count(f["failed"], most)
 
     def ended(self, link: Link | None, ending: Ending) -> None:
         self.all.links.pop(self, None)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -144,6 +144,15 @@
         assert not wire.over and told == [("wanted", 3, 0, 2.0, 9)] and len(told.log) == 1, bad
 
 
+def test_more_tries_at_a_slice_may_fail_than_were_begun():
+    """Guards against demand unheard wherever RPCs take longer than a span."""
+    all_, clock, told = callers()
+    wire = Wire(all_.accept())
+    wire.feed(JOIN + WANTED.replace(b"failed\r\n$1\r\n0", b"failed\r\n$2\r\n12"))
+    clock.move(1)
+    assert told == [("wanted", 3, 0, 2.0, 9)]
+
+
 def test_whoever_speaks_without_joining_is_ended_at_once():
     for said in (WANTED, HEARD, packed("hello", "proxy", "1", "zone", "a"), packed("agent", "zone", "nowhere"),
                  packed("agent"), packed("push"), packed("demand", "proxy", "7", "tries", "5")):
