Servers gone for good are forgotten, in the list, the module and the timers

A server gone for 30 s that no table names is freed; a late report makes no new one; a line to a server that the list lacks is on one that has gone.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -1,9 +1,8 @@
 """All decisions of a controller: which servers the tables of its slices name, and how fast that is told.
 
 A front makes one Conductor(settings, seed) and calls decide(now, inbox, out) once a round with all that
-came in; decisions go straight into `out`. The contract (inbox, Orders, settings) is in interface.py.
-docs/design.md says what follows the paper and what departs from it. A slice is in one share or, when
-hot, in several; a share is the paper's virtual server, the unit that moves.
+came in; decisions go straight into `out`. The contract is in interface.py; docs/design.md says what departs
+from the paper. A slice is in one share or, when hot, in several; a share is the paper's virtual server.
 """
 
 import random
@@ -67,21 +66,18 @@
         self.slow = min(self.cost) / 2      # a mean time past this leaves many answers late
         # Methods in the order in which they are let in: by criticality a unit of work.
         self.order = sorted(range(len(s.methods)), key=lambda k: -s.methods[k].criticality / self.cost[k])
-        self.admits = s.admits
-        self.period = max(s.report_period, 0.1)
+        self.admits, self.period, self.scarce = s.admits, max(s.report_period, 0.1), s.messages_most > 0
         # Reports this long after a move show the new state: it is told, applied, and one period passes.
         self.settle = 2 * self.period + s.message_delay
         self.slices_all, self.asked_list, self.one_owner = s.slices, s.asked_list, s.one_owner
         self.cold_share, self.cold_time = s.cold_share or 1.0, max(s.cold_time, 0.001)
         self.head, self.waiting_most = s.lines_per_message, s.lines_waiting_most
         self.messages_most, self.messages_span = s.messages_most or 10 ** 9, 1.1 * (s.messages_span or 10)
-        self.scarce = s.messages_most > 0
         # Ordinary orders use half of the messages a proxy may get, or come a fraction of a second apart.
         self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
-        self.orders_retry = s.retry_default != self.RETRY
+        self.orders_retry, self.gone_binds = s.retry_default != self.RETRY, not s.dropped_stay_open
         # The receipt, and the way of retrying by method where it differs, are in every message.
         self.head += 1 + (len(s.methods) if self.orders_retry else 0)
-        self.gone_binds = not s.dropped_stay_open
         self.servers: dict[str, Server] = {}
         self.slices: dict[int, Slice] = {}
         self.proxies: dict[int, None] = {}
@@ -92,11 +88,11 @@
         self.next_pass = self.next_urgent = self.wake_at = 0.0
         self.next_send = self.next_urgent_send = self.next_leave_send = 0.0
         self.list_wait, self.list_due = 0.5, 0.0 if s.asked_list else float("inf")
-        self.born = self.listed_once = False
+        self.born = self.listed_once = self.list_fresh = False
         self.pending = float("inf")     # when what is yet to be told may go
         self.way_time: dict[tuple, float] = {}      # see on_the_way
         self.unit = self.average = 0.0  # capacity of a server of size 1, and of an average one
-        self.news = True            # something came that decisions rest on
+        self.news = True        # something came that decisions rest on
 
     def decide(self, now: float, inbox: list, out: Orders) -> None:
         """Take in all that came, then order what has to change."""
@@ -111,6 +107,7 @@
                 out.admit(None, k, 1.0, self.RETRY)
         if self.news or now >= self.next_pass:      # receipts, most of what comes, change no figure
             self.news, self.pending = False, now
+            self.forget()
             self.measure()
             self.judge()
             self.place()
@@ -135,7 +132,7 @@
 
     def listed(self, full: bool, cached: bool, entries: list) -> None:
         if not cached:
-            self.list_wait = 0.5
+            self.list_wait, self.list_fresh = 0.5, True
         if full:
             named = {entry[0] for entry in entries}
             entries = entries + [(x.id, "", "gone", x.size, x.started) for x in self.servers.values()
@@ -189,6 +186,8 @@
     def held(self, id: int, server: str, weight: float) -> None:
         if (s := self.slices.get(id)) is None:
             return
+        if self.list_fresh and server not in self.servers:      # it has gone, unheard of or forgotten
+            self.server(server).state, self.server(server).left_at = "gone", self.now
         s.told[self.server(server)] = weight
         s.shares += [self.server(server)] * max(1, round(weight))
 
@@ -201,7 +200,8 @@
 
     def heard(self, id: str, zone: str, span: float, tries: int, aborted: int, latency: float,
               load: dict) -> None:
-        server = self.server(id)
+        if (server := self.servers.get(id)) is None:
+            return      # forgotten: a late report makes no server
         server.met.append((self.now, zone, tries, tries - aborted, (tries - aborted) * latency))
         # RPCs in hand count against the registered size; more than that wait: none is busier than full.
         used = load.get("utilization", load["inflight"] / server.size if "inflight" in load else None)
@@ -215,13 +215,25 @@
                 self.way.popleft()
             self.way[0][2].discard(proxy)
 
+    FORGET = 30.0   # seconds: longer than a list errs, so one that it drops and names again keeps its history
+
+    def forget(self) -> None:
+        """Free what is kept of servers gone for good: replaced all day, they would fill the memory."""
+        over = [x for x in self.servers.values() if self.over(x) and not x.shut]
+        for s in self.slices.values() if over else ():
+            over = [x for x in over if x not in s.shares and x not in s.told]
+        for x in over:
+            del self.servers[x.id]
+
+    def over(self, x: Server) -> bool:
+        return x.state == "gone" and self.now - x.left_at > self.FORGET
+
     # --- figures ---------------------------------------------------------------------------------
 
     WINDOW = 8.0    # seconds of demand: a slice of a few RPCs a second needs some twenty for a steady figure
 
     def measure(self) -> None:
         """Demand by slice, load and capacity by server, from the samples kept."""
-        known, heard_of = [], 0
         for s in self.slices.values():
             while s.samples and s.samples[0][0] < self.heard_at - self.WINDOW:
                 s.samples.popleft()
@@ -238,8 +250,8 @@
                 if surely > s.demand:
                     s.work = [w * surely / s.demand for w in s.work]
                     s.demand = surely
-            known.append(s.demand)
-            heard_of += s.since < float("inf")
+        known = [s.demand for s in self.slices.values()]
+        heard_of = sum(s.since < float("inf") for s in self.slices.values())
         ready = self.ready()
         rpcs = [(x[2], x[3]) for s in self.slices.values() for x in s.samples]
         usual_cost = sum(work for work, _ in rpcs) / max(1, sum(n for _, n in rpcs))
@@ -358,15 +370,14 @@
         None if under six tries, since chance alone seldom spoils four of six."""
         while server.met and server.met[0][0] < self.now - 2.5 * self.period:
             server.met.popleft()
-        views, all_tries = [], 0
+        views = []
         for zone in sorted({m[1] for m in server.met}):
             of = [m for m in server.met if m[1] == zone]
             tries, good, seconds = (sum(m[k] for m in of) for k in (2, 3, 4))
-            all_tries += tries
             if tries >= 3:
                 in_time = min(1.0, self.late * good / seconds) if seconds else 1.0
                 views.append((good / tries, good / tries * in_time))
-        return max(views) if views and all_tries >= 6 else None
+        return max(views) if views and sum(m[2] for m in server.met) >= 6 else None
 
     RETRIAL = 4.0   # seconds between steps of trust, four times each: one distrusted is back in 8 to 12 s
 
@@ -428,36 +439,30 @@
             if len(s.shares) > 2 * need or need == 1 < len(s.shares) and s.demand < 0.3 * self.average:
                 for x in s.shares:
                     x.load -= s.demand / len(s.shares)
-                s.shares.sort(key=self.fit)
-                del s.shares[need:]
+                s.shares = sorted(s.shares, key=self.fit)[:need]
                 for x in s.shares:
                     x.load += s.demand / len(s.shares)
 
     def reassign(self, ready: list[Server], threshold: float, urgent: bool) -> None:
         pool = []
         for server in ready:
-            if self.fit(server) <= threshold:
-                continue
             held = sorted(((s.demand / len(s.shares), s) for s in self.slices.values() if server in s.shares),
                           key=lambda pair: (-pair[0], pair[1].id))
-            left = server.load
             for load, s in held:
-                if left / max(server.capacity, 1e-9) <= threshold:
+                if self.fit(server) <= threshold:
                     break
                 # A share stays till its new place was measured twice: each move leaves its keys cold.
                 if load > self.LIGHT * self.average and self.now - s.moved > 2 * self.settle:
-                    left -= load
+                    server.load -= load
                     pool.append((load, s, server))
         pool.sort(key=lambda entry: (-entry[0], entry[1].id))
-        for load, s, server in pool:
-            server.load -= load
         # No more than one message can carry: each move is two lines at every proxy.
         budget = ((0.5 * self.waiting_most - self.waiting()) / max(1, len(self.proxies)) - self.head) / 2
         for load, s, server in pool:
             server.load += load
             if budget < 1:
                 continue
-            others = [x for x in ready if x is not server and x not in s.shares]
+            others = (x for x in ready if x not in s.shares)
             target = min(others, key=lambda x: self.fit(x, load), default=None)
             if target is None or self.fit(target, load) > min(1.0, self.fit(server)):
                 continue    # skipped: it would overfill, or be no better off
@@ -535,10 +540,7 @@
 
     def lines(self, s: Slice) -> dict[Server, float]:
         """What a slice's table should hold."""
-        lines: dict[Server, float] = {}
-        for server in s.shares:
-            lines[server] = lines.get(server, 0.0) + 1.0
-        return lines
+        return {x: float(s.shares.count(x)) for x in s.shares}
 
     def waiting(self) -> float:
         """Lines that may still wait in the channel: none after a span without messages, receipts get lost."""
@@ -564,7 +566,8 @@
         leaving = {s: of for s in changed if (of := [x for x in s.told if self.leaves(s, x)])}
         leave = sorted(leaving, key=lambda s: min(x.left_at for x in leaving[s]))
         left = dict.fromkeys(x for s in leave for x in leaving[s])
-        back = [x for x in self.servers.values() if x.shut and x.state == "ready" and x not in left]
+        back = [x for x in self.servers.values() if x.shut and x not in left
+                and (x.state == "ready" or self.over(x))]
         hasty = sorted((s for s in changed if s.urgent and s not in leaving), key=lambda s: -s.demand)
         urgent = leave + hasty
         share = 1 - 1 / self.messages_most if leave or back else 0.75 if urgent else 0.5
@@ -617,7 +620,7 @@
             if leave:
                 self.next_leave_send = self.now + max(self.BATCH, 3 * heads, pace)
             self.next_urgent_send = self.now + max(self.BATCH, 7 * heads, pace / 0.75)
-            self.way.append((self.mark, message, set(self.proxies)))
+            self.way += [(self.mark, message, set(self.proxies))] if self.proxies else []
         return self.now + self.BATCH if self.changed() else float("inf")
 
     BATCH = 0.25    # seconds between urgent messages at least: every one has a head for each proxy
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -143,7 +143,7 @@
         self.inbox.append((handler, arguments))
 
     def knows(self, server: str) -> bool:
-        """Whether a server was ever listed or in a line: the module would take any other for a new one."""
+        """Whether a server is listed or still known to the module: another name is a spoilt one."""
         return server in self.watch.entries or server in self.module.servers
 
     def zones(self) -> Set[str]:
@@ -188,8 +188,9 @@
         self.module.sent, self.module.way, self.module.mark = old.sent, old.way, old.mark
         self.starts += 1
         self.inbox, self.callers.burst = [], []
-        self.tell("listed", True, True, list(self.watch.entries.values()))
         self.news.repeat()
+        # After the lines, which may be on servers that have gone: those are not in the list, and so known.
+        self.tell("listed", True, False, list(self.watch.entries.values()))
         self.loop.after(self.config.tick, self.round)
 
     def signalled(self, number: int, environ: Mapping[str, str]) -> None:
--- a/knotwalk/net/discovery.py
+++ b/knotwalk/net/discovery.py
@@ -38,7 +38,7 @@
         super().__init__(loop, address)
         self.tell, self.log = tell, log
         self.version = version
-        self.entries = {x[0]: x for x in known}     # the list as now held; what has gone stays by its id
+        self.entries = {x[0]: x for x in known if x[2] != "gone"}   # the list as now held
         self.answers, self.status, self.body = http.Answers(LIST_MOST), 0, b""
         self.whole = True       # the next call asks for the whole list
         self.silence: Timer | None = None
@@ -84,9 +84,11 @@
             self.whole = True       # restarted with an older list: changes to that are none to ours
             return
         if full:
-            self.whole = False
-            self.entries = {k: (*x[:2], "gone", *x[3:]) for k, x in self.entries.items()}
-        self.entries.update({x[0]: x for x in entries})
+            self.whole, self.entries = False, {}
+        for x in entries:       # what has gone is let go: a list that is renewed all day would fill the memory
+            self.entries.pop(x[0], None)
+            if x[2] != "gone":
+                self.entries[x[0]] = x
         if full or entries:
             self.tell("listed", full, False, entries)
         self.version = version
--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -346,6 +346,7 @@
         self.touched: set[int] = set()      # slices ordered since the connection came up: it may be behind
         self.lines = Lines()
         self.life: Timer | None = None
+        self.latest = 0.0       # when bytes last came
 
     def took(self, orders: list[dict]) -> None:
         """Orders that the relay has carried out."""
@@ -376,16 +377,21 @@
     def up(self, link: Link) -> None:
         self.lines, self.reading, self.signs, self.seen, self.current = Lines(), True, 0, set(), None
         self.touched = set()
+        self.latest = self.loop.now()
         self.stay_awake(link)
         link.write(http.request("%s:%d" % link.address, "GET", "/v1/stream"))
 
     def stay_awake(self, link: Link) -> None:
+        """One timer at a time: one for each piece of news would fill the memory."""
         if self.life:
             self.life.cancel()
-        self.life = self.loop.after(LIFE, lambda: link.end(Ending.SILENT))
+        if self.loop.now() >= self.latest + LIFE:
+            link.end(Ending.SILENT)
+        else:
+            self.life = self.loop.at(self.latest + LIFE, lambda: self.stay_awake(link))
 
     def fed(self, link: Link, data: memoryview) -> None:
-        self.stay_awake(link)
+        self.latest = self.loop.now()
         for kind, f in self.lines.feed(data):
             self.heard, self.wait = True, AGAIN_FIRST
             try:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -28,6 +28,33 @@
     assert c.servers["a"].health == 1.0
 
 
+def test_servers_gone_for_good_are_forgotten_but_not_while_a_table_names_them():
+    """Guards against memory that grows where servers are replaced all day."""
+    c = conductor(capacities=[1, 1], demands=[1], at="a")
+    for k in range(3000):
+        c.now += 1
+        c.listed(False, False, [(f"s{k}", "east", "ready", 1.0, 0.0), (f"s{k - 1}", "east", "gone", 1.0, 0.0)])
+        c.forget()
+    assert len(c.servers) < 40
+    c.listed(True, False, [("b", "east", "ready", 1.0, 0.0)])
+    c.servers["s2990"].shut = True
+    c.now += 60
+    c.forget()
+    assert list(c.servers) == ["a", "b", "s2990"]   # a slice is told to be on a, and s2990 is yet to be let in
+    c.heard("s2999", "east", 1.0, 9, 0, 0.1, {})
+    assert "s2999" not in c.servers
+    out = Recorder()
+    c.send(out)
+    assert out.of("withdraw") == [("s2990", False)]
+
+
+def test_a_line_to_a_server_that_the_list_does_not_have_is_on_one_that_has_gone():
+    c = conductor(capacities=[1])
+    c.given(0)
+    c.held(0, "z", 1.0)
+    assert c.servers["z"].state == "gone" and c.servers["z"].left_at == c.now
+
+
 def test_failed_list_calls_wait_longer_each_time():
     c = conductor(asked_list=True)
     c.list_failed()
