Lines whose receipts are lost leave the channel by its rate: no drain waits for them

Ruled out: the call (accepted), the pace of messages (5 of 12 sent), the list (told in time). At fault: waiting() counted what is unacknowledged for a whole span.

--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -22,20 +22,17 @@
         self.dropped = False        # the list has it gone, which may be wrong
         self.left_at = 0.0          # when it was first told of as draining, gone or started anew
         self.shut = self.once_shut = False      # shut out of all tables, now or ever
-        self.moved = 0.0            # when a share last came or went
         self.quota = 1.0            # the share of its capacity that may be let in
         self.health = 1.0           # the part of its capacity that it can be trusted with
-        self.judged = 0.0           # when that last changed
+        self.judged = self.moved = 0.0      # when that last changed, and when a share last came or went
         self.met: deque[tuple] = deque()    # (heard at, zone, tries, good ones, their seconds)
         self.reports: list[tuple] = []      # (utilization, RPCs a second or None) reported this round
         self.used, self.reported = 0.0, 0.0     # their last mean, and when
         # (heard at, load by our slices, by others' if spread evenly, utilization), after the last move
         self.uses: deque[tuple] = deque(maxlen=10)
         self.spread = 0.0           # others' load, if spread evenly
-        self.whole = 0.0            # capacity, worked out anew each round, ramp included
-        self.capacity = 0.0         # the same with trust
-        self.load = 0.0             # work a second asked of it
-        self.shut_out = 0.0         # the part of it that levels keep out
+        self.whole = self.capacity = 0.0    # capacity, worked out anew each round; the same with trust
+        self.load = self.shut_out = 0.0     # work a second asked of it; the part that levels keep out
 
 
 class Slice:
@@ -50,8 +47,7 @@
         self.since = float("inf")   # the start of the first span heard
         self.demand = 0.0           # work a second
         self.work: list[float] = []         # the same, by method
-        self.levels: list[float] = []       # shares let in, by method
-        self.told_levels: list[float] = []
+        self.levels, self.told_levels = [], []      # shares let in, by method, and what of it was told
 
 
 class Conductor:
@@ -71,7 +67,7 @@
         self.settle = 2 * self.period + s.message_delay
         self.slices_all, self.asked_list, self.one_owner = s.slices, s.asked_list, s.one_owner
         self.cold_share, self.cold_time = s.cold_share or 1.0, max(s.cold_time, 0.001)
-        self.head, self.waiting_most = s.lines_per_message, s.lines_waiting_most
+        self.head, self.waiting_most, self.rate = s.lines_per_message, s.lines_waiting_most, s.lines_rate / 2
         self.messages_most, self.messages_span = s.messages_most or 10 ** 9, 1.1 * (s.messages_span or 10)
         # Ordinary orders use half of the messages a proxy may get, or come a fraction of a second apart.
         self.gap = max(0.25, 2 * s.messages_span / s.messages_most if s.messages_most else 0)
@@ -86,7 +82,7 @@
         self.back = self.taken_at = float("-inf")   # when the first slice was given, and any taken away, last
         self.heard_at, self.mark = 0.0, 0       # when demand was last heard; the last receipt asked for
         self.next_pass = self.next_urgent = self.wake_at = 0.0
-        self.next_send = self.next_urgent_send = self.next_leave_send = 0.0
+        self.next_send = self.next_urgent_send = self.next_leave_send = self.receipt_at = 0.0
         self.list_wait, self.list_due = 0.5, 0.0 if s.asked_list else float("inf")
         self.born = self.listed_once = self.list_fresh = False
         self.pending = float("inf")     # when what is yet to be told may go
@@ -214,6 +210,14 @@
             while self.way[0][0] != mark:
                 self.way.popleft()
             self.way[0][2].discard(proxy)
+            self.receipt_at = self.now
+
+    def receipts_lost(self) -> None:
+        """From the last one on, count what waits by half the channel's rate: on some days it is slower.
+        Guards against a drain held back (rule 3) for messages that have long been taken in."""
+        waiting, dark = self.waiting(), self.way and self.way[0][0] is None
+        self.receipt_at = self.now if dark else max([self.receipt_at, *self.sent])
+        self.way = deque([(None, waiting, {None})])
 
     FORGET = 30.0   # seconds: longer than a list errs, so one that it drops and names again keeps its history
 
@@ -336,9 +340,8 @@
         where one zone alone fares badly the way there is cut. If most do, the trouble is not theirs.
         """
         ready = self.ready()
-        if self.now - self.back < self.settle:
-            for server in ready:
-                server.met.clear()
+        for server in ready if self.now - self.back < self.settle else ():
+            server.met.clear()
         views = {x: self.view(x) for x in ready}
         known = sorted(view[1] for view in views.values() if view)
         usual, best = (known[len(known) // 2], known[3 * len(known) // 4]) if known else (1.0, 1.0)
@@ -391,8 +394,7 @@
 
     def place(self) -> None:
         """Strip and place shares, by the paper's ReassignVS, when a pass is due."""
-        ready = self.ready()
-        if not ready:
+        if not (ready := self.ready()):
             return
         others_fare = any(x.health >= 0.5 for x in ready)
         # Shares of gone, draining or failed servers move first, even past capacity.
@@ -460,11 +462,9 @@
         budget = ((0.5 * self.waiting_most - self.waiting()) / max(1, len(self.proxies)) - self.head) / 2
         for load, s, server in pool:
             server.load += load
-            if budget < 1:
-                continue
             others = (x for x in ready if x not in s.shares)
             target = min(others, key=lambda x: self.fit(x, load), default=None)
-            if target is None or self.fit(target, load) > min(1.0, self.fit(server)):
+            if budget < 1 or target is None or self.fit(target, load) > min(1.0, self.fit(server)):
                 continue    # skipped: it would overfill, or be no better off
             self.move(s, s.shares.index(server), target)
             s.urgent = s.urgent or urgent
@@ -487,8 +487,7 @@
         Guards against queues in which all is answered late. Each round of reports in which a server struggles
         lowers its quota, a share of its capacity: a queue drains only below it. Quotas ease off in steps.
         """
-        shares = {}
-        asked = {server: [0.0] * len(self.cost) for server in self.servers.values()}
+        shares, asked = {}, {server: [0.0] * len(self.cost) for server in self.servers.values()}
         for s in self.slices.values():
             for server in s.shares:
                 for k, work in enumerate(s.work):
@@ -544,7 +543,9 @@
 
     def waiting(self) -> float:
         """Lines that may still wait in the channel: none after a span without messages, receipts get lost."""
-        return sum(lines * len(proxies) for _, lines, proxies in self.way) if self.sent else 0.0
+        left = self.rate * (self.now - self.receipt_at)     # see receipts_lost
+        return sum(max(0.0, lines - left * (mark is None)) * len(proxies)
+                   for mark, lines, proxies in self.way) if self.sent else 0.0
 
     def leaves(self, s: Slice, x: Server) -> bool:
         """Whether its line must be off soon: gone or draining (rule 3), or cold and relieved (rule 4)."""
--- a/knotwalk/interface.py
+++ b/knotwalk/interface.py
@@ -17,6 +17,7 @@
     wanted(slice, method, span, rpcs)
                                     RPCs of a method (by place in the settings) that came for a slice
     applied(proxy, mark)            a proxy has taken in the message with that receipt mark
+    receipts_lost()                 what brings receipts has broken: some of what was asked for may never come
 
 When a timer is due that wake() asked for, decide is called whatever came in, be it nothing. What a front
 hears beyond this (probes, peers, proxies' own demand) has no handler yet: it drops it.
@@ -45,6 +46,7 @@
     message_delay: float        # mean seconds from the channel to a proxy
     lines_waiting_most: float   # rule 5
     lines_per_message: float    # what a message costs beside its own lines
+    lines_rate: float           # lines a second that leave the channel, as a rule
     messages_most: int          # rule 5: messages to a proxy within messages_span; 0: no cap
     messages_span: float
     dropped_stay_open: bool     # rule 3 binds for draining servers only, not for those just gone
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -185,7 +185,8 @@
         """A new module, that starts from what stands; what came in for the old one is void."""
         old, self.module = self.module, Conductor(self.config.settings, self.config.seed + self.starts)
         # The streams go on, so what was sent on them still counts (rule 5), and receipts of it may yet come.
-        self.module.sent, self.module.way, self.module.mark = old.sent, old.way, old.mark
+        for state in ("sent", "way", "mark", "receipt_at"):
+            setattr(self.module, state, getattr(old, state))
         self.starts += 1
         self.inbox, self.callers.burst = [], []
         self.news.repeat()
--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -375,6 +375,8 @@
     # --- as a peer ---
 
     def up(self, link: Link) -> None:
+        if self.heard:
+            self.tell("receipts_lost")      # as are those of what was ordered meanwhile
         self.lines, self.reading, self.signs, self.seen, self.current = Lines(), True, 0, set(), None
         self.touched = set()
         self.latest = self.loop.now()
@@ -491,4 +493,5 @@
             self.life.cancel()
         if ending is not Ending.LEFT:
             means = outcome(Role.NEWS, ending).value
+            self.tell("receipts_lost")
             self.log("news lost", f"{ending.value}: {means} {link.fault if link else ''}")
--- a/knotwalk/told.py
+++ b/knotwalk/told.py
@@ -128,6 +128,7 @@
         message_delay=seconds(family + "push_delay_us"),
         lines_waiting_most=number(pairs, family + "most_waiting"),
         lines_per_message=number(pairs, family + "fixed_cost"),
+        lines_rate=number(pairs, family + "lines_per_s"),
         messages_most=int(number(pairs, family + "messages_most")),
         messages_span=seconds(family + "reload_span_us"),
         dropped_stay_open=flag(rule + "dropped_stay_open"),
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -55,6 +55,29 @@
     assert c.servers["z"].state == "gone" and c.servers["z"].left_at == c.now
 
 
+def test_messages_whose_receipts_are_lost_leave_the_channel_by_its_rate():
+    """Guards against a drain held back past its grace after the news fell silent."""
+    c = conductor(demands=())
+    c.sent.extend([95.0, 98.0])
+    c.way.extend([(1, 10, {0, 1, 2}), (2, 50, {0, 1, 2, 3, 4, 5, 6, 7})])
+    c.applied(0, 2)     # now: 100; 350 lines wait
+    c.now = 101.0
+    assert c.waiting() == 350
+    c.receipts_lost()   # half of 200 lines a second since
+    assert c.waiting() == 250
+    c.applied(1, 2)     # a straggler's tells nothing of the others
+    c.now = 102.0
+    assert c.waiting() == 150
+    c.way.append((3, 10, {0, 1}))
+    c.receipts_lost()
+    assert c.waiting() == 170
+    c.now = 103.0
+    assert c.waiting() == 70
+    c.way.append((4, 10, {0, 1}))
+    c.applied(0, 4)
+    assert c.waiting() == 10
+
+
 def test_failed_list_calls_wait_longer_each_time():
     c = conductor(asked_list=True)
     c.list_failed()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -26,10 +26,13 @@
     """What was told, and what was logged."""
 
     def __init__(self):
-        self.log = []
+        self.log, self.lost = [], 0
 
     def tell(self, *told):
-        self.append(told)
+        if told == ("receipts_lost",):
+            self.lost += 1
+        else:
+            self.append(told)
 
     def note(self, kind, text=""):
         self.log.append(f"{kind}: {text}")
@@ -487,6 +490,17 @@
     assert wire.over is Ending.MALFORMED and told == GIVEN
 
 
+def test_receipts_lost_with_the_news_are_told_as_such():
+    """Those of what was ordered before the news broke, and of what was ordered until they were back."""
+    _, news, clock, told = relay()
+    Wire(news).feed(lines(*STANDS, ("", {})))
+    assert told.lost == 0
+    clock.move(2)
+    assert told.lost == 1 and news.link is None
+    Wire(news)
+    assert told.lost == 2
+
+
 def test_a_relay_that_was_away_for_long_and_gave_nothing_to_others_finds_all_as_it_was():
     _, news, clock, told = relay()
     Wire(news).feed(lines(*STANDS, ("", {})))
