--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -458,8 +458,10 @@
                     server.load -= load
                     pool.append((load, s, server))
         pool.sort(key=lambda entry: (-entry[0], entry[1].id))
-        # No more than one message can carry: each move is two lines at every proxy.
-        budget = ((0.5 * self.waiting_most - self.waiting()) / max(1, len(self.proxies)) - self.head) / 2
+        # No more than one message can carry beside what is untold: each move is two lines at every proxy. What
+        # waits just now is no matter: levels told ahead of each pass would leave overfull servers full.
+        budget = (0.5 * self.waiting_most / max(1, len(self.proxies)) - self.head) / 2 - sum(
+            s.told != self.lines(s) for s in self.slices.values())
         for load, s, server in pool:
             server.load += load
             others = (x for x in ready if x not in s.shares)
@@ -494,10 +496,8 @@
                     asked[server][k] += work / len(s.shares)
         self.way_time = self.on_the_way()
         for server in self.ready():
-            if self.struggles(server):
-                server.quota = max(self.LEAST_QUOTA, server.quota * self.TIGHTEN)
-            else:
-                server.quota = min(1.0, server.quota + (1 - self.TIGHTEN) / 2)
+            server.quota = (max(self.LEAST_QUOTA, server.quota * self.TIGHTEN) if self.struggles(server)
+                            else min(1.0, server.quota + (1 - self.TIGHTEN) / 2))
             over = server.quota < 1 and self.fit(server) > server.quota
             room = server.capacity * server.quota * sum(asked[server]) / max(server.load, 1e-9)
             shares[server] = [1.0] * len(self.cost)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -78,6 +78,16 @@
     assert c.waiting() == 10
 
 
+def test_a_pass_moves_whatever_waits_in_the_channel_but_no_more_than_a_message_takes():
+    """Guards against levels, told ahead of each pass, that leave an overfull server as it is."""
+    c = conductor(capacities=[10, 90], demands=[5, 5, 5, 5], at="aaaa", lines_waiting_most=32)
+    c.way.append((1, 12, {0}))
+    c.reassign(c.ready(), 1.0, True)
+    assert places(c) == {0: ["b"], 1: ["b"], 2: ["a"], 3: ["a"]}
+    c.reassign(c.ready(), 0.5, True)
+    assert places(c)[2] == ["a"]    # two moves are untold as yet
+
+
 def test_failed_list_calls_wait_longer_each_time():
     c = conductor(asked_list=True)
     c.list_failed()
