--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -458,9 +458,9 @@
                     server.load -= load
                     pool.append((load, s, server))
         pool.sort(key=lambda entry: (-entry[0], entry[1].id))
-        # No more than one message can carry beside what is untold: each move is two lines at every proxy. What
+        # No more than a message can carry beside what is untold: each move is two lines at every proxy. What
         # waits just now is no matter: levels told ahead of each pass would leave overfull servers full.
-        budget = (0.5 * self.waiting_most / max(1, len(self.proxies)) - self.head) / 2 - sum(
+        budget = (self.URGENT_PART * self.waiting_most / max(1, len(self.proxies)) - self.head) / 2 - sum(
             s.told != self.lines(s) for s in self.slices.values())
         for load, s, server in pool:
             server.load += load
@@ -569,7 +569,9 @@
         left = dict.fromkeys(x for s in leave for x in leaving[s])
         back = [x for x in self.servers.values() if x.shut and x not in left
                 and (x.state == "ready" or self.over(x))]
-        hasty = sorted((s for s in changed if s.urgent and s not in leaving), key=lambda s: -s.demand)
+        # Moves before mere levels, which change with each report and would take all the lines there are.
+        hasty = sorted((s for s in changed if s.urgent and s not in leaving),
+                       key=lambda s: (s.told == self.lines(s), -s.demand))
         urgent = leave + hasty
         share = 1 - 1 / self.messages_most if leave or back else 0.75 if urgent else 0.5
         if not changed and not back:
@@ -599,7 +601,7 @@
             change = [(x, w) for x, w in want.items() if s.told.get(x) != w]
             change += [(x, 0.0) for x in s.told if x not in want]
             levels = [k for k, share in enumerate(s.levels) if share != s.told_levels[k] and s not in leaving]
-            most = 0.9 if told < len(leave) else 0.5 if told < len(urgent) else 0.35
+            most = 0.9 if told < len(leave) else self.URGENT_PART if told < len(urgent) else 0.5
             if waiting + (message + len(change) + len(levels)) * proxies > most * self.waiting_most:
                 break
             told += 1
@@ -624,4 +626,5 @@
             self.way += [(self.mark, message, set(self.proxies))] if self.proxies else []
         return self.now + self.BATCH if self.changed() else float("inf")
 
+    URGENT_PART = 0.65      # of the channel: leaves a drain room for its heads where proxies are many
     BATCH = 0.25    # seconds between urgent messages at least: every one has a head for each proxy
