--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -45,7 +45,7 @@
         self.told: dict[Server, float] = {}
         self.urgent, self.moved = False, float("-inf")
         self.since = float("inf")   # the start of the first span heard
-        self.demand = 0.0           # work a second
+        self.demand, self.unsure = 0.0, True    # work a second; whether none was heard of lately
         self.work: list[float] = []         # the same, by method
         self.levels, self.told_levels = [], []      # shares let in, by method, and what of it was told
 
@@ -234,6 +234,7 @@
 
     # --- figures ---------------------------------------------------------------------------------
 
+    UNHEARD = 1e-6  # demand where nothing was heard of any slice: next to none, but it adds up
     WINDOW = 8.0    # seconds of demand: a slice of a few RPCs a second needs some twenty for a steady figure
 
     def measure(self) -> None:
@@ -246,6 +247,7 @@
             for x in s.samples:
                 s.work[x[4]] += x[2] / over
             s.demand = sum(s.work)
+            s.unsure = not s.demand
             recent = [x for x in s.samples if x[0] > self.heard_at - 0.5 * self.period]
             if recent:
                 span, rpcs = max(x[1] for x in recent), sum(x[3] for x in recent)
@@ -254,8 +256,11 @@
                 if surely > s.demand:
                     s.work = [w * surely / s.demand for w in s.work]
                     s.demand = surely
+        heard_of = [s.demand for s in self.slices.values() if s.since < float("inf")]
+        # A slice just given is as the others are: at no demand, many would go to one and the same server.
+        for s in self.slices.values():
+            s.demand = s.demand if s.since < float("inf") else fmean(heard_of or [self.UNHEARD])
         known = [s.demand for s in self.slices.values()]
-        heard_of = sum(s.since < float("inf") for s in self.slices.values())
         ready = self.ready()
         rpcs = [(x[2], x[3]) for s in self.slices.values() for x in s.samples]
         usual_cost = sum(work for work, _ in rpcs) / max(1, sum(n for _, n in rpcs))
@@ -275,7 +280,7 @@
         for server, gap in zip(ready, gaps):
             server.spread = gap * others / max(1e-9, sum(gaps))
             # Nor while slices change hands: a controller that was cut off hears loads it has no slices for.
-            if server.reports and heard_of > 0.5 * len(self.slices) \
+            if server.reports and len(heard_of) > 0.5 * len(self.slices) \
                     and self.now - server.started > self.cold_time \
                     and self.now - max(server.moved, self.taken_at) > self.settle:
                 # Only work let in and answered: what was pushed back kept no core busy.
@@ -304,8 +309,7 @@
             # Utilization beyond our slices is another controller's, a neighbour's, or a slow core's doing.
             # Where it is unheard of, our part is ours to fill: if each waited for the others none would.
             recent = [used * base - own for at, own, _, used in server.uses if at > self.now - self.RECENT]
-            # At a cold one it is theirs for certain (rule 4).
-            theirs = server.whole * (1 - len(known) / max(1, self.slices_all))
+            theirs = server.whole * (1 - len(known) / max(1, self.slices_all))  # at a cold one, for certain
             unheard = theirs if self.ramp(server) < 1 else min(server.spread, theirs)
             server.load += max(0.0, sum(recent) / len(recent)) if recent else unheard
         self.unit = self.average
@@ -337,8 +341,7 @@
         """Lower the trust in servers that answer badly, from what proxies met and not from reports.
 
         Guards against servers slow, silent or failing fast, whatever the cause. The best zone's word counts:
-        where one zone alone fares badly the way there is cut. If most do, the trouble is not theirs.
-        """
+        where one zone alone fares badly the way there is cut. If most do, the trouble is not theirs."""
         ready = self.ready()
         for server in ready if self.now - self.back < self.settle else ():
             server.met.clear()
@@ -401,18 +404,16 @@
         for s in sorted(self.slices.values(), key=lambda s: -s.demand):
             for k, server in enumerate(s.shares):
                 # A cold server under its old slices would fall over: it sheds these and any not heard of.
-                cold = self.ramp(server) < 1 and (not s.demand or self.fit(server) > 1)
+                cold = self.ramp(server) < 1 and (s.unsure or self.fit(server) > 1)
                 if server.state != "ready" or cold or others_fare and server.health < 0.1:
-                    target = self.refuge(ready, s.demand / len(s.shares))
-                    if target is not server:
+                    if (target := self.refuge(ready, s)) is not server:
                         self.move(s, k, target)
                         s.urgent = True
             if not s.shares:
-                s.shares.append(self.refuge(ready, s.demand))
+                s.shares.append(self.refuge(ready, s))
                 s.shares[0].load += s.demand
                 s.urgent = True
-        due = self.now >= self.next_pass
-        if due:
+        if due := self.now >= self.next_pass:
             self.next_pass = self.now + self.PERIOD
         if self.average and (due or self.now >= self.next_urgent and any(self.fit(x) > 1 for x in ready)):
             self.next_urgent = self.now + self.URGENT
@@ -422,10 +423,11 @@
             if mean < 0.95 or not self.admits:
                 self.reassign(ready, min(1.0, (1 + mean) / 2) if due else 1.0, not due)
 
-    def refuge(self, ready: list[Server], load: float) -> Server:
+    def refuge(self, ready: list[Server], s: Slice) -> Server:
         """Where a share goes that must leave, even past capacity, but not that of a cold or failed server.
         Cold ones come last: what a failed one is sent is lost, what falls over stays down (rule 4)."""
-        return min(ready, key=lambda x: (self.ramp(x) < 1 and (not load or self.fit(x, load) > 1),
+        load = s.demand / max(1, len(s.shares))
+        return min(ready, key=lambda x: (self.ramp(x) < 1 and (s.unsure or self.fit(x, load) > 1),
                                          x.health < 0.1, self.fit(x, load)))
 
     def split(self) -> None:
@@ -454,12 +456,12 @@
                 if self.fit(server) <= threshold:
                     break
                 # A share stays till its new place was measured twice: each move leaves its keys cold.
-                if load > self.LIGHT * self.average and self.now - s.moved > 2 * self.settle:
+                if load > self.LIGHT * self.average and not s.unsure and self.now - s.moved > 2 * self.settle:
                     server.load -= load
                     pool.append((load, s, server))
         pool.sort(key=lambda entry: (-entry[0], entry[1].id))
-        # No more than a message can carry beside what is untold: each move is two lines at every proxy. What
-        # waits just now is no matter: levels told ahead of each pass would leave overfull servers full.
+        # No more than a message carries beside what is untold. What waits just now is no matter: levels told
+        # ahead of each pass would leave overfull servers full. A move is two lines at every proxy.
         budget = (self.URGENT_PART * self.waiting_most / max(1, len(self.proxies)) - self.head) / 2 - sum(
             s.told != self.lines(s) for s in self.slices.values())
         for load, s, server in pool:
@@ -487,8 +489,7 @@
         """Where a server's answers come late or not at all, let in only what it can do, the dearest first.
 
         Guards against queues in which all is answered late. Each round of reports in which a server struggles
-        lowers its quota, a share of its capacity: a queue drains only below it. Quotas ease off in steps.
-        """
+        lowers its quota, a share of its capacity: a queue drains only below it. Quotas ease off in steps."""
         shares, asked = {}, {server: [0.0] * len(self.cost) for server in self.servers.values()}
         for s in self.slices.values():
             for server in s.shares:
@@ -558,14 +559,13 @@
         """Order changed lines only: urgent ones soon, others in portions, under rule 5's caps.
 
         Tells when the next may go, infinity if nothing is left. Lines that leave gone or draining servers
-        have the grace to keep (rule 3): half of the channel and some messages are theirs alone.
-        """
+        have the grace to keep (rule 3): half of the channel and some messages are theirs alone."""
         changed = self.changed()
         while self.sent and self.sent[0] <= self.now - self.messages_span:
             self.sent.popleft()
         # The longest known first: drains that come in waves would starve what the first wave left.
         leaving = {s: of for s in changed if (of := [x for x in s.told if self.leaves(s, x)])}
-        leave = sorted(leaving, key=lambda s: min(x.left_at for x in leaving[s]))
+        leave = sorted(leaving, key=lambda s: (min(x.left_at for x in leaving[s]), -s.demand))
         left = dict.fromkeys(x for s in leave for x in leaving[s])
         back = [x for x in self.servers.values() if x.shut and x not in left
                 and (x.state == "ready" or self.over(x))]
