--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -368,8 +368,7 @@
                 server.judged = self.now
                 server.met.clear()      # each answer counts against it once
             elif server.proven and good > 0.6 * usual and self.now - server.judged > self.RETRIAL:
-                server.health = min(1.0, 4 * server.health)
-                server.judged = self.now
+                server.health, server.judged = min(1.0, 4 * server.health), self.now
 
     def view(self, server: Server) -> tuple[float, float] | None:
         """The share of tries answered of late; and the same, worth less where the mean time is too long.
@@ -503,8 +502,7 @@
             room = server.capacity * server.quota * sum(asked[server]) / max(server.load, 1e-9)
             shares[server] = [1.0] * len(self.cost)
             for k in self.order if over else ():
-                work = asked[server][k]
-                if work:
+                if work := asked[server][k]:
                     shares[server][k] = max(self.LEAST, min(1.0, room / work))
                 room = max(0.0, room - work)
         # A tenth is within the noise of the estimates; a fifth where not all levels fit the channel at once.
@@ -521,8 +519,7 @@
         met = [(m[1], x.zone, m[3], m[4]) for x in self.ready() for m in x.met]
         times = {}
         for pair in dict.fromkeys(m[:2] for m in met):
-            good = sum(m[2] for m in met if m[:2] == pair)
-            if good >= 20:      # a figure of the way and not of a server or two
+            if (good := sum(m[2] for m in met if m[:2] == pair)) >= 20:     # a figure of the way and not of a server or two
                 times[pair] = sum(m[3] for m in met if m[:2] == pair) / good
         return {pair: time - min(times[q] for q in times if q[1] == pair[1]) for pair, time in times.items()}
 
