--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -38,8 +38,8 @@
 class Slice:
     """A slice: what came for it lately, the servers of its shares, and what the proxies were last told."""
 
-    def __init__(self, id: int):
-        self.id = id
+    def __init__(self, id: int, given_at: float):
+        self.id, self.given_at = id, given_at
         self.samples: deque[tuple] = deque()    # (heard at, seconds, work asked for, RPCs, method)
         self.shares: list[Server] = []
         self.told: dict[Server, float] = {}
@@ -172,7 +172,7 @@
             self.back = self.now
             for server in self.servers.values():
                 server.health = server.quota = 1.0
-        s = self.slices[id] = Slice(id)
+        s = self.slices[id] = Slice(id, self.now)
         s.levels, s.told_levels = [1.0] * len(self.cost), [1.0] * len(self.cost)   # a giving resets them
 
     def taken(self, id: int) -> None:
@@ -246,8 +246,7 @@
             over = max(self.period, min(self.WINDOW, self.heard_at - s.since))
             for x in s.samples:
                 s.work[x[4]] += x[2] / over
-            s.demand = sum(s.work)
-            s.unsure = not s.demand
+            s.demand, s.unsure = sum(s.work), not any(s.work)
             recent = [x for x in s.samples if x[0] > self.heard_at - 0.5 * self.period]
             if recent:
                 span, rpcs = max(x[1] for x in recent), sum(x[3] for x in recent)
@@ -259,7 +258,8 @@
         heard_of = [s.demand for s in self.slices.values() if s.since < float("inf")]
         # A slice just given is as the others are: at no demand, many would go to one and the same server.
         for s in self.slices.values():
-            s.demand = s.demand if s.since < float("inf") else fmean(heard_of or [self.UNHEARD])
+            if s.since == float("inf") and self.heard_at < s.given_at + self.period:
+                s.demand = fmean(heard_of or [self.UNHEARD])
         known = [s.demand for s in self.slices.values()]
         ready = self.ready()
         rpcs = [(x[2], x[3]) for s in self.slices.values() for x in s.samples]
@@ -519,7 +519,7 @@
         met = [(m[1], x.zone, m[3], m[4]) for x in self.ready() for m in x.met]
         times = {}
         for pair in dict.fromkeys(m[:2] for m in met):
-            if (good := sum(m[2] for m in met if m[:2] == pair)) >= 20:     # a figure of the way and not of a server or two
+            if (good := sum(m[2] for m in met if m[:2] == pair)) >= 20:     # of the way, not of a server
                 times[pair] = sum(m[3] for m in met if m[:2] == pair) / good
         return {pair: time - min(times[q] for q in times if q[1] == pair[1]) for pair, time in times.items()}
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -444,6 +444,9 @@
         c.place()
         held = [x for s in c.slices.values() for x in s.shares]
         assert max(held.count(x) for x in c.ready()) <= 4, known
+        c.heard_at += c.period      # by then what is still not heard of is not in use
+        c.measure()
+        assert sum(s.unsure and not s.demand for s in c.slices.values()) == (9 if known else 10)
 
 
 def test_a_bare_slice_gets_a_line():
