--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -352,7 +352,6 @@
         last = [(x.zone, *m[1:4]) for x in ready for m in x.met if m[0] > latest]
         cut = {z for z in {f[0] for f in last} - {f[1] for f in last} if sum(f[0] == z for f in last) > 2
                and sum(f[3] for f in last if f[0] == z) < 0.1 * sum(f[2] for f in last if f[0] == z)}
-        full = sum(x.load for x in ready) > 0.7 * sum(x.capacity for x in ready)    # k_p of a fleet 0.4 full
         for server in ready:
             answered, good = views[server] or (1.0, 1.0)
             # A list that lies is believed of those left out that do not answer and those added that do.
@@ -360,9 +359,8 @@
                 server.state, server.left_at, server.dropped = "gone", self.now, False
             server.proven = server.proven or any(m[3] for m in server.met)
             # A server that says it is busy is full or slow: its estimate falls with what it answers, and the
-            # passes relieve it. To leave it at once would pass the queue on, but for one all but lost.
-            spared = server.zone in cut or (full or answered >= 0.1) and (
-                server.used > 0.8 and self.now - server.reported <= 2 * self.period)
+            # passes relieve it as others have room. To leave it at once would only pass the queue on.
+            spared = server.zone in cut or server.used > 0.8 and self.now - server.reported <= 2 * self.period
             if not spared and (good < 0.4 * usual and usual > 0.7 or answered < 0.1 and best > 0.5):
                 server.health = max(0.02, server.health * max(0.25, good)) if answered >= 0.1 else 0.05
                 server.judged = self.now
