--- /dev/null
+++ b/deploy/knotwalk.hcl
@@ -0,0 +1,11 @@
+# The operator's own file, read by `knotwalk serve --operator deploy/knotwalk.hcl`. The platform's `run` does not name it.
+
+# Records all that the conductor meets and orders, for `knotwalk replay` (docs/guides/replay.md).
+record {
+  enabled     = false
+  path        = "/var/lib/knotwalk/recordings"
+  budget      = "20GiB" # whole old files go when all take more
+  segment     = "64MiB" # of one file
+  segment_age = "1h"
+  checkpoint  = "60s" # a replay may start at each
+}
--- a/knotwalk/__main__.py
+++ b/knotwalk/__main__.py
@@ -1,7 +1,7 @@
 """knotwalk: a table manager whose controllers assign servers to proxies.
 
 Usage:
-  knotwalk serve
+  knotwalk serve [--operator FILE]
   knotwalk check
   knotwalk version
   knotwalk (-h | --help)
@@ -10,6 +10,9 @@
   serve    Run one conductor, as the environment and its configuration say, until SIGTERM.
   check    Read the environment and the configuration, say what they hold, and end.
   version  Print the version.
+
+Options:
+  --operator FILE  The operator's own file (HCL): what is switched on beside the platform's configuration.
 """
 
 import os
@@ -26,7 +29,9 @@
         print(f"knotwalk {__version__}")
         return 0
     from knotwalk.net import conductor
-    return conductor.check(os.environ) if arguments["check"] else conductor.serve(os.environ)
+    if arguments["check"]:
+        return conductor.check(os.environ)
+    return conductor.serve(os.environ, arguments["--operator"])
 
 
 if __name__ == "__main__":
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -4,21 +4,32 @@
 call the module other than once a round with all that came in.
 """
 
+import hashlib
 import json
+import os
 import signal
 import sys
 import traceback
 from collections.abc import Mapping, Set
 from ipaddress import IPv4Address
+from typing import TYPE_CHECKING
 
+from knotwalk import decide, interface
 from knotwalk.decide import Conductor
 from knotwalk.net.collectors import Callers
 from knotwalk.net.discovery import Watch, entry
 from knotwalk.net.log import Log
 from knotwalk.net.loop import Loop, Timer
 from knotwalk.net.relay import Calls, News
+from knotwalk.state import carry
+from knotwalk.tape import Through
 from knotwalk.told import (
-    Malformed, figure, flattened, number, plain, read_bounds, read_methods, read_settings)
+    Malformed, figure, flattened, number, plain, read_bounds, read_limits, read_methods, read_settings)
+
+if TYPE_CHECKING:
+    from knotwalk.record.feed import Feed
+    from knotwalk.record.recorder import Recorder
+    from knotwalk.settings.operator import Record
 
 SEATS = 0.8     # of the sockets allowed, for those that connect to us: our own peers take a dozen
 ROOM = 0.25     # of the memory allowed, for their unfinished messages: the program itself takes under 40 MB
@@ -69,7 +80,7 @@
             self.known = [entry(f) for f in known["servers"]]
             pairs = flattened(told["settings"])
             self.settings, self.methods = read_settings(pairs), read_methods(pairs)
-            self.bounds = read_bounds(pairs)
+            self.bounds, self.rules = read_bounds(pairs), read_limits(pairs)
             self.tick = number(pairs, "tick_us") / 1e6
             limits = told.get("limits") or {}
             self.seats = int(SEATS * figure(limits.get("sockets", 1024)))
@@ -120,10 +131,19 @@
         self.host.log("note", text)
 
 
+def policy_digest() -> str:
+    """What tells one text of the policy from another."""
+    digest = hashlib.sha256()
+    for module in (decide, interface):
+        with open(str(module.__file__), "rb") as file:
+            digest.update(file.read())
+    return digest.hexdigest()[:16]
+
+
 class Host:
-    """One conductor: its module, its peers, its rounds."""
+    """One conductor: its module, its peers, its rounds, and if it is wanted the recording of them."""
 
-    def __init__(self, config: Config, log: Log):
+    def __init__(self, config: Config, log: Log, record: "Record | None" = None):
         self.config, self.log, self.loop = config, log, Loop()
         self.stopped = False
         self.names = {k: name for name, k in config.methods.items()}
@@ -137,6 +157,28 @@
         self.watch = Watch(self.loop, config.discovery, config.known_version, config.known, self.tell, log)
         self.callers = Callers(self.loop, config.methods, config.bounds, self.knows, self.zones, self.tell,
                                log, config.seats, config.room)
+        self.recorder: Recorder | None = None
+        self.feed: Feed | None = None
+        if record and record.enabled:
+            self.record(record)
+
+    def record(self, wanted: "Record") -> None:
+        """Record from the start on; what that takes is loaded only here."""
+        from knotwalk.record.feed import Feed
+        from knotwalk.record.recorder import Recorder
+        # Names this life of the process for good: the clock may be set back, and a process number comes again.
+        incarnation = f"{int(self.loop.now() * 1e3):x}-{os.urandom(4).hex()}"
+        self.recorder = Recorder(self.config.name, incarnation, policy_digest(), wanted.checkpoint)
+        self.feed = Feed(self.loop, self.recorder, [
+            wanted.path, self.config.name, incarnation, str(int(wanted.segment)), str(wanted.segment_age),
+            str(int(wanted.budget))], self.log)
+
+    def lives(self, why: str) -> None:
+        """A new life of the module begins."""
+        if self.recorder and self.feed:
+            self.recorder.life(self.loop.now(), self.module, self.config.settings, self.config.rules,
+                               self.config.seed + self.starts - 1, why)
+            self.feed.poke()
 
     def tell(self, handler: str, *arguments: object) -> None:
         """Something for the next round."""
@@ -164,12 +206,18 @@
         self.last = now
         inbox, self.inbox = self.inbox, []
         out = Writer(self)
+        tape = Through(out) if self.recorder else None
         try:
-            self.module.decide(now, inbox, out)
+            self.module.decide(now, inbox, tape or out)
         except Exception:       # whatever it is: see restart
+            if tape and self.recorder:
+                self.recorder.failed(now, inbox, tape.orders, traceback.format_exc(limit=-3))
             self.restart(inbox)
         else:
             self.calls.order(out.orders)
+            if tape and self.recorder and self.feed:
+                self.recorder.round(now, inbox, tape.orders, self.module)
+                self.feed.poke()
 
     def next_round(self) -> None:
         self.timer = None
@@ -179,15 +227,14 @@
         """The decisions failed. A module that was left halfway may hold anything, so a new one starts from
         what stands, as after a crash, but without the seconds that one takes; what came in is dropped."""
         self.log("decisions failed", f"{traceback.format_exc(limit=-3)} on {inbox}")
-        self.renew()
+        self.renew("failed")
 
-    def renew(self) -> None:
+    def renew(self, why: str) -> None:
         """A new module, that starts from what stands; what came in for the old one is void."""
         old, self.module = self.module, Conductor(self.config.settings, self.config.seed + self.starts)
-        # The streams go on, so what was sent on them still counts (rule 5), and receipts of it may yet come.
-        for state in ("sent", "way", "mark", "receipt_at"):
-            setattr(self.module, state, getattr(old, state))
+        carry(old, self.module)
         self.starts += 1
+        self.lives(why)
         self.inbox, self.callers.burst = [], []
         self.news.repeat()
         # After the lines, which may be on servers that have gone: those are not in the list, and so known.
@@ -220,9 +267,10 @@
         if (config.settings, config.methods) != (old.settings, old.methods):
             self.names = {k: name for name, k in config.methods.items()}
             self.callers.methods, self.callers.bounds = config.methods, config.bounds
-            self.renew()
+            self.renew("reload")
 
     def run(self) -> None:
+        self.lives("start")
         self.tell("listed", True, True, self.config.known)
         listener = self.loop.listen(self.config.listen, self.callers.accept)
         self.log("serving", "%s at %s:%d" % (self.config.name, *listener.sock.getsockname()))
@@ -237,6 +285,8 @@
                     self.round()
             except Exception:   # a fault of ours in one turn is no reason to leave the proxies alone
                 self.log("fault", traceback.format_exc(limit=-3))
+        if self.feed:
+            self.feed.close()
 
 
 def check(environ: Mapping[str, str]) -> int:
@@ -256,10 +306,18 @@
     return 0
 
 
-def serve(environ: Mapping[str, str]) -> int:
-    """Serve until SIGTERM; the exit code."""
+def serve(environ: Mapping[str, str], operator: str | None = None) -> int:
+    """Serve until SIGTERM, with what the operator's file asks for if one is named; the exit code."""
+    record = None
+    if operator:
+        from knotwalk.settings.operator import Refused, load
+        try:
+            record = load(operator).record
+        except Refused as fault:
+            print(f"knotwalk: {fault}", file=sys.stderr)
+            return 2
     try:
-        host = Host(Config(environ), Log())
+        host = Host(Config(environ), Log(), record)
     except Misfit as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/knotwalk/tape.py
@@ -0,0 +1,70 @@
+"""Writers of orders that note a round down.
+
+Owns the list of one round. It must never change, hold back or reorder what it passes on.
+"""
+
+from knotwalk.interface import Orders
+
+
+class Tape:
+    """Notes orders as (name, arguments)."""
+
+    def __init__(self) -> None:
+        self.orders: list[tuple[str, tuple]] = []
+
+    def line(self, *f: object) -> None:
+        self.orders.append(("line", f))
+
+    def admit(self, *f: object) -> None:
+        self.orders.append(("admit", f))
+
+    def withdraw(self, *f: object) -> None:
+        self.orders.append(("withdraw", f))
+
+    def receipt(self, *f: object) -> None:
+        self.orders.append(("receipt", f))
+
+    def watch(self) -> None:
+        self.orders.append(("watch", ()))
+
+    def wake(self, *f: object) -> None:
+        self.orders.append(("wake", f))
+
+    def note(self, *f: object) -> None:
+        self.orders.append(("note", f))
+
+
+class Through(Tape):
+    """Notes orders on their way to the writer that carries them out."""
+
+    def __init__(self, out: Orders):
+        super().__init__()
+        self.out = out
+
+    def line(self, slice_id: int, server: str, weight: float) -> None:
+        self.orders.append(("line", (slice_id, server, weight)))
+        self.out.line(slice_id, server, weight)
+
+    def admit(self, slice_id: int | None, method: int, share: float, retry: int) -> None:
+        self.orders.append(("admit", (slice_id, method, share, retry)))
+        self.out.admit(slice_id, method, share, retry)
+
+    def withdraw(self, server: str, shut: bool) -> None:
+        self.orders.append(("withdraw", (server, shut)))
+        self.out.withdraw(server, shut)
+
+    def receipt(self, mark: int) -> None:
+        self.orders.append(("receipt", (mark,)))
+        self.out.receipt(mark)
+
+    def watch(self) -> None:
+        self.orders.append(("watch", ()))
+        self.out.watch()
+
+    def wake(self, at: float) -> None:
+        self.orders.append(("wake", (at,)))
+        self.out.wake(at)
+
+    def note(self, text: str) -> None:
+        self.orders.append(("note", (text,)))
+        self.out.note(text)
--- a/knotwalk/told.py
+++ b/knotwalk/told.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from knotwalk.interface import Method, Settings
+from knotwalk.rules import Limits
 
 STATES = {"Running": "ready", "Stopping": "draining", "Deleted": "gone",
           "active": "ready", "leaving": "draining", "left": "gone"}
@@ -135,6 +136,17 @@
         cold_share=number(pairs, rule + "cold_from"), cold_time=seconds(rule + "cold_us"))
 
 
+def read_limits(pairs: Mapping[str, str]) -> Limits:
+    """The rules' own figures."""
+    once = tuple(k for k in range(int(number(pairs, "classes.count")))
+                 if pairs.get(f"classes.{k}.idempotency") == "once")
+    return Limits(
+        unserved_most=number(pairs, "family_info.unserved_max_us") / 1e6,
+        grace=number(pairs, "guarantees.stop_sending_within_us") / 1e6, once=once,
+        tip_multiple=number(pairs, "guarantees.tip_multiple"),
+        fall_time=number(pairs, "guarantees.fall_us") / 1e6)
+
+
 def read_methods(pairs: Mapping[str, str]) -> dict[str, int]:
     """The methods' places by name."""
     count = int(number(pairs, "classes.count"))
