What if: a model inferred from the recording answers other settings, with its error and rules

`knotwalk replay` and `knotwalk record info|verify|export`, an HTML page, Parquet. The operator's HCL file switches recording on; a restart, a kill, a reload and a failed decision are recorded from the started program and replayed exactly in tests.

--- a/knotwalk/__main__.py
+++ b/knotwalk/__main__.py
@@ -2,17 +2,34 @@
 
 Usage:
   knotwalk serve [--operator FILE]
-  knotwalk check
+  knotwalk check [--operator FILE]
+  knotwalk record (info | verify) [--conductor NAME] [--json] RECORDING...
+  knotwalk record export --into FOLDER [--conductor NAME] [--json] RECORDING...
+  knotwalk replay [--set SETTING]... [--policy FILE] [--from T] [--to T] [--jobs N] [--html FILE]
+                  [--conductor NAME] [--json] RECORDING...
   knotwalk version
   knotwalk (-h | --help)
 
 Commands:
   serve    Run one conductor, as the environment and its configuration say, until SIGTERM.
   check    Read the environment and the configuration, say what they hold, and end.
+  record   Say what recordings hold, read them whole, or write them as Parquet.
+  replay   Replay a recorded day: exactly as it was, or under other settings (docs/guides/replay.md).
   version  Print the version.
 
 Options:
-  --operator FILE  The operator's own file (HCL): what is switched on beside the platform's configuration.
+  --operator FILE   The operator's own file (HCL): what is switched on beside the platform's configuration.
+  --conductor NAME  Whose recording, where there are several.
+  --json            Print one JSON object in place of lines.
+  --into FOLDER     Where the Parquet files go.
+  --set SETTING     NAME=VALUE: a setting, or a tuned value of the policy, to try in place of the recorded one.
+  --policy FILE     Another text of the policy to try.
+  --from T          Where to begin: seconds or 1h30m from the recording's start, or Unix time.
+  --to T            Where to end.
+  --jobs N          Processes at once; all cores unless told.
+  --html FILE       Write the what-if as a page.
+
+Exit codes of replay: 0 exact, or a what-if without a broken rule; 3 diverged; 4 a rule broken; 2 unusable.
 """
 
 import os
@@ -28,10 +45,15 @@
     if arguments["version"]:
         print(f"knotwalk {__version__}")
         return 0
+    if arguments["record"]:
+        from knotwalk.record.command import record
+        return record(arguments)
+    if arguments["replay"]:
+        from knotwalk.replay.command import replay
+        return replay(arguments)
     from knotwalk.net import conductor
-    if arguments["check"]:
-        return conductor.check(os.environ)
-    return conductor.serve(os.environ, arguments["--operator"])
+    run = conductor.check if arguments["check"] else conductor.serve
+    return run(os.environ, arguments["--operator"])
 
 
 if __name__ == "__main__":
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -289,10 +289,24 @@
             self.feed.close()
 
 
-def check(environ: Mapping[str, str]) -> int:
+def wanted_of(operator: str | None) -> "Record | None":
+    """What the operator's file asks for; raises Misfit."""
+    if not operator:
+        return None
+    try:
+        from knotwalk.settings.operator import Refused, load
+    except ImportError as fault:
+        raise Misfit(f"--operator wants {fault.name}; pip install 'knotwalk[operator]' brings it") from None
+    try:
+        return load(operator).record
+    except Refused as fault:
+        raise Misfit(str(fault)) from None
+
+
+def check(environ: Mapping[str, str], operator: str | None = None) -> int:
     """Read the configuration and say what it holds; the exit code."""
     try:
-        config = Config(environ)
+        config, record = Config(environ), wanted_of(operator)
     except Misfit as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
@@ -303,21 +317,16 @@
     print(f"{s.slices} slices, {len(config.known)} servers known, methods: {methods}")
     print(f"a round every {config.tick * 1e3:g} ms at most, {config.seats} connections at most, "
           f"{s.messages_most or 'any number of'} messages to a proxy in {s.messages_span:g} s")
+    if record and record.enabled:
+        print(f"records into {record.path}: {record.budget / 2 ** 30:g} GiB at most, a checkpoint every "
+              f"{record.checkpoint:g} s")
     return 0
 
 
 def serve(environ: Mapping[str, str], operator: str | None = None) -> int:
     """Serve until SIGTERM, with what the operator's file asks for if one is named; the exit code."""
-    record = None
-    if operator:
-        from knotwalk.settings.operator import Refused, load
-        try:
-            record = load(operator).record
-        except Refused as fault:
-            print(f"knotwalk: {fault}", file=sys.stderr)
-            return 2
     try:
-        host = Host(Config(environ), Log(), record)
+        host = Host(Config(environ), Log(), wanted_of(operator))
     except Misfit as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
--- a/knotwalk/rules.py
+++ b/knotwalk/rules.py
@@ -13,13 +13,15 @@
 
 
 class Limits(NamedTuple):
-    """The rules' own figures, which no decision needs; 0: not told, and the rule is not judged."""
+    """What a day is judged by beside the settings, and no decision needs; 0 or empty: not told, not judged."""
 
     unserved_most: float = 0.0      # rule 1: seconds without a line
     grace: float = 0.0              # rules 3 and 4: seconds until sending stops
     once: tuple[int, ...] = ()      # rule 2: the methods that are not idempotent, by place
     tip_multiple: float = 0.0       # rule 4: times its capacity, over
     fall_time: float = 0.0          # so many seconds, at which a cold server falls
+    give_up: tuple[float, ...] = ()     # by method: seconds that a client waits
+    late_share: tuple[float, ...] = ()  # by method: what an answer past its soft deadline still earns
 
 
 class Break(NamedTuple):
@@ -102,6 +104,12 @@
         else:
             self.more += 1
 
+    def start(self) -> None:
+        """A new life of the program: streams, tables and receipts begin anew; what was found stands."""
+        found = self.breaks, self.more, self.waited_most, self.sent_most
+        self.__init__(self.settings, self.limits)       # type: ignore[misc]
+        self.breaks, self.more, self.waited_most, self.sent_most = found
+
     def follow(self, settings: Settings, limits: Limits) -> None:
         """A reload: other figures from now on; what was told and sent stands."""
         self.settings, self.limits = settings, limits
@@ -142,8 +150,10 @@
                 del self.servers[id]
 
     def on_joined(self, now: float, proxy: int) -> None:
-        # It reads the store by itself, so it holds what was ordered till now; messages count from here.
-        self.proxies[proxy] = Proxy(now, self.message)
+        # It reads the store by itself, so it holds what was ordered till now; messages count from here. One that is
+        # told again without having left is told to a module that starts anew: its stream goes on.
+        if proxy not in self.proxies:
+            self.proxies[proxy] = Proxy(now, self.message)
 
     def on_left(self, _now: float, proxy: int) -> None:
         self.proxies.pop(proxy, None)
--- a/knotwalk/state.py
+++ b/knotwalk/state.py
@@ -123,6 +123,20 @@
     return module
 
 
+def standing(told: Mapping) -> list[tuple[str, tuple]]:
+    """What stands by a snapshot, as an inbox would tell it: list, proxies, slices and the lines that were told."""
+    told = converted(told)
+    at = {name: k for k, name in enumerate(SERVER)}
+    servers = [row[0] for row in told["servers"]]
+    inbox: list[tuple[str, tuple]] = [("listed", (True, False, [
+        tuple(x[at[name]] for name in ("id", "zone", "state", "size", "started")) for x in servers]))]
+    inbox += [("joined", (proxy,)) for proxy in told["proxies"]]
+    for plain, _, _, _, _, _, lines in told["slices"]:
+        inbox.append(("given", (plain[0],)))
+        inbox += [("held", (plain[0], servers[k][0], weight)) for k, weight in lines]
+    return inbox
+
+
 def carry(old: Conductor, new: Conductor) -> None:
     """What a new module takes over from the one it follows in the same process: the streams go on, so what was
     sent on them still counts (rule 5), and receipts of it may yet come."""
--- a/knotwalk/told.py
+++ b/knotwalk/told.py
@@ -137,14 +137,16 @@
 
 
 def read_limits(pairs: Mapping[str, str]) -> Limits:
-    """The rules' own figures."""
-    once = tuple(k for k in range(int(number(pairs, "classes.count")))
-                 if pairs.get(f"classes.{k}.idempotency") == "once")
+    """What a day is judged by."""
+    methods = range(int(number(pairs, "classes.count")))
+    once = tuple(k for k in methods if pairs.get(f"classes.{k}.idempotency") == "once")
     return Limits(
         unserved_most=number(pairs, "family_info.unserved_max_us") / 1e6,
         grace=number(pairs, "guarantees.stop_sending_within_us") / 1e6, once=once,
         tip_multiple=number(pairs, "guarantees.tip_multiple"),
-        fall_time=number(pairs, "guarantees.fall_us") / 1e6)
+        fall_time=number(pairs, "guarantees.fall_us") / 1e6,
+        give_up=tuple(number(pairs, f"classes.{k}.give_up_us") / 1e6 for k in methods),
+        late_share=tuple(number(pairs, f"classes.{k}.late_share") for k in methods))
 
 
 def read_methods(pairs: Mapping[str, str]) -> dict[str, int]:
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -172,14 +172,15 @@
                 if f["weight"]:
                     held[f["server"]] = f["weight"]
 
-    def start(self, listen="127.0.0.1:0", stderr=subprocess.PIPE):
+    def start(self, listen="127.0.0.1:0", stderr=subprocess.PIPE, arguments=()):
         """The program, and its address once it says so."""
         self.told = {"name": "n0", "listen": listen, "discovery": self.address, "seed": "5",
                      "limits": {"memory_mb": 192, "sockets": 64}, "hub": {"address": self.address},
                      "known": {"version": 1, "full": True, "servers": self.servers}, "settings": SETTINGS}
         self.config = tempfile.NamedTemporaryFile("w", suffix=".json")
         self.configure()
-        self.program = run({"EDGE_CONFIG": self.config.name, "EDGE_DISCOVERY": self.address}, stderr=stderr)
+        self.program = run({"EDGE_CONFIG": self.config.name, "EDGE_DISCOVERY": self.address},
+                           "serve", *arguments, stderr=stderr)
         if self.program.stderr:
             listen = self.program.stderr.readline().split()[-1]
         host, _, port = listen.rpartition(":")
--- a/tests/standins/day.py
+++ b/tests/standins/day.py
@@ -21,6 +21,7 @@
 ZONES = ("east", "west")
 LIST_LATE = 2.0     # seconds until the list tells of a death or a start
 SPAN = 10.0         # seconds by which service is kept
+TURNED_AWAY = 8.0   # seconds of wait at which a server takes no more: the work that waits is bounded
 LEASE_LATE = 1.0    # seconds until a new life of the conductor has its proxies and slices
 
 
@@ -49,7 +50,8 @@
         self.id, self.zone, self.cores, self.speed, self.started = id, zone, cores, speed, started
         self.slow = 1.0             # its speed is divided by that
         self.alive, self.state = True, "ready"
-        self.free = self.idle = 0.0
+        self.free = [0.0] * cores   # by core: when its work is done
+        self.busy = 0.0             # core seconds of work begun, less what is yet to be done
         self.met: dict[str, list] = {}      # by zone: tries, aborted, seconds of the good ones
 
     def entry(self) -> tuple:
@@ -74,7 +76,7 @@
     def __init__(self, seed: int, size: Size = Size(), settings: Settings | None = None, script: list = (),
                  make: Callable = Conductor, witness: Callable | None = None, lives: Callable | None = None,
                  start: float = 1e6):
-        self.random, self.size, self.seed = Random(seed), size, seed
+        self.random, self.coming, self.size, self.seed = Random(seed), Random(seed + 0.5), size, seed
         self.settings, self.make, self.witness, self.lives = settings or settings_of(size), make, witness, lives
         r = self.random
         self.machines: dict[str, Machine] = {}
@@ -159,33 +161,34 @@
         now, span = self.now, self.now - self.since
         inbox = []
         for x in self.machines.values():
-            if x.alive:
-                x.idle += max(0.0, now - x.free)
-                x.free = max(x.free, now)
-            busy = min(1.0, max(0.0, 1 - x.idle / span))
+            ahead = sum(max(0.0, free - now) for free in x.free)
+            busy = min(1.0, max(0.0, x.busy - ahead) / (x.cores * span))
+            x.busy = ahead
             tries = sum(m[0] for m in x.met.values())
             load = {"utilization": round(busy, 3), "qps": round(tries * self.size.parts / span, 1)}
             for zone, (tried, aborted, seconds) in x.met.items():
                 good = tried - aborted
                 inbox.append(("heard", (x.id, zone, span, tried, aborted, seconds / good if good else 0.0,
                                         load if good else {})))
-            x.met, x.idle = {}, 0.0
+            x.met = {}
         inbox += [("wanted", (k, m, span, n)) for (k, m), n in self.wanted.items()]
         self.wanted, self.since = Counter(), now
         self.at(now + self.random.uniform(0.24, 1.0), lambda: self.round(inbox))
         self.at(now + self.settings.report_period, self.report)
 
     def rpc(self, t: float) -> None:
-        r = self.random.random
+        # What comes is drawn apart from what the tables make of it: another setting meets the same day.
+        r = self.coming.random
         method = 0 if r() < SHARE[0] else 1
         slice_id = bisect(self.sums, r() * self.sums[-1])
         edge = self.edges[bisect(self.edge_sums, r() * self.edge_sums[-1])]
+        work, let_in, r = WORK[method] * self.coming.gammavariate(4, 0.25), r(), self.random.random
         self.wanted[slice_id, method] += 1
         row = self.service.get(int((t - self.start) / SPAN))
         if row is None:
             row = self.service[int((t - self.start) / SPAN)] = [0, 0.0, 0, 0.0]
         row[2 * method] += 1
-        if r() >= edge.levels.get((slice_id, method), 1.0) or not edge.lines[slice_id]:
+        if let_in >= edge.levels.get((slice_id, method), 1.0) or not edge.lines[slice_id]:
             return
         names, sums = edge.lines[slice_id]
         x = self.machines[names[bisect(sums, r() * sums[-1]) if len(names) > 1 else 0]]
@@ -198,13 +201,13 @@
             return
         age = (t - x.started) / self.settings.cold_time if x.started else 1.0
         speed = x.speed / x.slow * (1 if age >= 1 else self.settings.cold_share + (1 - self.settings.cold_share) * age)
-        work = WORK[method] * self.random.gammavariate(4, 0.25)
-        if x.free < t:
-            x.idle += t - x.free
-            x.free = t
-        wait = x.free - t
-        if wait < 8:        # more is turned away: the work that waits is bounded
-            x.free += work / (x.cores * speed) * self.size.parts
+        core = min(range(x.cores), key=x.free.__getitem__)
+        wait = max(0.0, x.free[core] - t)
+        if wait > TURNED_AWAY:
+            met[1] += 1
+            return
+        x.free[core] = t + wait + work / speed * self.size.parts
+        x.busy += work / speed * self.size.parts
         latency = wait + work / speed
         if latency > DEADLINE[method]:
             met[1] += 1
@@ -215,13 +218,13 @@
     def run(self, seconds: float) -> "Day":
         """Go on for so long."""
         end = self.now + seconds
-        coming = self.now + self.random.expovariate(self.rate)
+        coming = self.now + self.coming.expovariate(self.rate)
         while True:
             event = self.heap[0][0] if self.heap else end
             until = min(event, end)
             while coming < until:
                 self.rpc(coming)
-                coming += self.random.expovariate(self.rate)
+                coming += self.coming.expovariate(self.rate)
             if event > end:
                 self.now = end
                 return self
@@ -274,7 +277,6 @@
         old = self.machines.get(server)
         x = Machine(server, old.zone if old else ZONES[len(self.machines) % 2], old.cores if old else 4,
                     old.speed if old else 1.2, self.now)
-        x.free = self.now
         self.machines[server] = x
         self.at(self.now + LIST_LATE / 2, lambda: self.round([("listed", (False, False, [x.entry()]))]))
 
--- a/tests/standins/tapes.py
+++ b/tests/standins/tapes.py
@@ -1,13 +1,28 @@
 """Recordings made without a conductor or sockets: a day's rounds through recorder and writer into a folder."""
 
+import time
+
+from knotwalk.record.reader import Recording
 from knotwalk.record.recorder import LENGTH, Recorder
 from knotwalk.record.writer import Writer
+from knotwalk.replay.exact import replay
 from knotwalk.rules import Limits
 
-LIMITS = Limits(unserved_most=0.8, grace=3.0, once=(1,), tip_multiple=2.0, fall_time=1.0)
+LIMITS = Limits(unserved_most=0.8, grace=3.0, once=(1,), tip_multiple=2.0, fall_time=1.0, give_up=(5.0, 2.5),
+                late_share=(0.1, 0.1))
 BIG = 1 << 40
 
 
+def replayed(folder):
+    """A folder's recording, replayed exactly, once its writers have ended."""
+    for _ in range(200):        # a killed conductor's writer ends by itself
+        outcome = replay(Recording([folder]))
+        if all(x.whole for x in Recording([folder]).segments):
+            break
+        time.sleep(0.05)
+    return outcome
+
+
 class Tapes:
     """Recorder and writer of one incarnation at a time; `witness` and `lives` are what a Day calls."""
 
--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -235,12 +235,12 @@
     fed, chance = Fed(tmp_path), Random(5)
     for _ in range(5):
         fed.until(lambda: fed.feed.sock)
-        fed.rounds(3.0)
+        fed.rounds(10.0)
         fed.turn(chance.uniform(0, 0.2))
         fed.feed.process.kill()
         fed.until(lambda: fed.recorder.gap)
     fed.until(lambda: fed.feed.sock)
-    fed.rounds(3.0)
+    fed.rounds(20.0)
     fed.close()
     outcome = replay(Recording([tmp_path]))
     assert not outcome.divergences and outcome.rounds
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -9,11 +9,13 @@
 from random import Random
 
 from helpers import SETTINGS, StandIn, call, run
+from standins.tapes import replayed
 
 from knotwalk.net.conductor import Config, Host, Misfit
 from knotwalk.net.ending import Ending
 from knotwalk.net.log import Log
 from knotwalk.net.resp import packed
+from knotwalk.settings.operator import Record
 
 ALIVE = packed("alive")
 
@@ -295,3 +297,83 @@
             assert len(str(fault).splitlines()) == 1
         else:
             assert False, changes
+
+
+def recording(folder):
+    """An operator's file that records."""
+    path = folder / "operator.hcl"
+    path.write_text(f'record {{\n  enabled = true\n  path = "{folder}/r"\n  checkpoint = "1s"\n}}\n')
+    return "--operator", str(path)
+
+
+def reports(address):
+    """A collector's word on both servers, a period's worth."""
+    sock, _ = call(address, packed("agent", "zone", "z"))
+    for server in "ab":
+        sock.sendall(packed("outcomes", "zone", "z", "server", server, "tries", "40", "failed", "1", "mean_ms", "50",
+                            "span_ms", "2000.0", "load", "util:0.5"))
+    for slice_id in "01":
+        sock.sendall(packed("hot", "slice", slice_id, "class", "read", "tries", "40", "failed", "0", "span_ms",
+                            "2000.0"))
+    return sock
+
+
+def test_lives_with_a_restart_a_kill_and_a_reload_are_recorded_and_replay_exactly(tmp_path):
+    stand = StandIn()
+    address = stand.start(arguments=recording(tmp_path))
+    assert alive(stand, address)
+    told = reports(address)
+    drain(stand)
+    stand.until(lambda: orders(stand))
+    changed = {**SETTINGS, "family_info": {**SETTINGS["family_info"], "messages_most": 6}}
+    stand.reload(settings=changed)
+    stand.until(lambda: "reloaded" in stand.program.stderr.readline())
+    drain(stand, "none")
+    turned = time.monotonic()
+    stand.until(lambda: time.monotonic() > turned + 1)
+    assert stand.stop() == 0
+    stand.start("%s:%d" % address, arguments=recording(tmp_path))
+    assert alive(stand, address)
+    drain(stand, "b")
+    begun = time.monotonic()
+    stand.until(lambda: time.monotonic() > begun + 3)       # past a block's age
+    stand.program.kill()
+    stand.program.wait(20)
+    stand.start("%s:%d" % address, arguments=recording(tmp_path))
+    assert alive(stand, address) and stand.stop() == 0
+    told.close()
+    outcome = replayed(tmp_path / "r")
+    assert outcome.exact and outcome.lives == 4, outcome
+    assert all(x.until == float("inf") for x in outcome.losses) and len(outcome.losses) <= 1
+
+
+def test_decisions_that_fail_are_recorded_and_fail_again(tmp_path):
+    """In this process, so that the module can be spoilt: a fault in it is not to be had from outside."""
+    stand = StandIn()
+    stand.start()
+    stand.program.kill()
+    config = Config({"EDGE_CONFIG": stand.config.name})
+    host = Host(config, Log(open(os.devnull, "w")), Record(True, str(tmp_path / "r"), checkpoint=1.0))
+    host.lives("start")
+    assert host.recorder.life_told["why"] == "start"
+    host.tell("given", 0)
+    host.tell("held", 0, "a", "heavy")
+    host.round()
+    host.last = float("-inf")
+    host.round()
+    writer = host.feed.process
+    host.feed.close()
+    assert writer.wait(20) == 0
+    outcome = replayed(tmp_path / "r")
+    assert outcome.exact and outcome.failures == 1 and outcome.lives == 2
+
+
+def test_an_operators_file_that_cannot_be_used_is_told_in_lines(tmp_path):
+    stand = StandIn()
+    path = tmp_path / "operator.hcl"
+    path.write_text("record {\n  budget = 5\n  colour = 1\n}\n")
+    stand.start()
+    stand.program.kill()
+    program = run({"EDGE_CONFIG": stand.config.name}, "check", "--operator", str(path))
+    lines = program.communicate(timeout=20)[1].splitlines()
+    assert program.returncode == 2 and len(lines) == 2 and f"{path}:2: 'record.budget'" in lines[0]
