--- a/knotwalk/decide.py
+++ b/knotwalk/decide.py
@@ -460,7 +460,7 @@
         # No more than a message carries beside what is untold. What waits just now is no matter: levels told
         # ahead of each pass would leave overfull servers full. A move is two lines at every proxy.
         budget = (self.URGENT_PART * self.waiting_most / max(1, len(self.proxies)) - self.head) / 2 - sum(
-            s.told != self.lines(s) for s in self.slices.values())
+            self.untold(s) for s in self.slices.values())
         for load, s, server in pool:
             server.load += load
             others = (x for x in ready if x not in s.shares)
@@ -547,8 +547,14 @@
         """Whether its line must be off soon: gone or draining (rule 3), or cold and relieved (rule 4)."""
         return x not in s.shares and (x.state != "ready" or self.ramp(x) < 1)
 
+    def untold(self, s: Slice) -> bool:
+        """Whether its table differs from what was told; the plain case first, since every round asks it."""
+        if len(s.shares) == 1:
+            return len(s.told) != 1 or s.told.get(s.shares[0]) != 1.0
+        return s.told != self.lines(s)
+
     def changed(self) -> list[Slice]:
-        return [s for s in self.slices.values() if s.told != self.lines(s) or s.levels != s.told_levels]
+        return [s for s in self.slices.values() if s.levels != s.told_levels or self.untold(s)]
 
     def send(self, out: Orders) -> float:
         """Order changed lines only: urgent ones soon, others in portions, under rule 5's caps.
@@ -566,7 +572,7 @@
                 and (x.state == "ready" or self.over(x))]
         # Moves before mere levels, which change with each report and would take all the lines there are.
         hasty = sorted((s for s in changed if s.urgent and s not in leaving),
-                       key=lambda s: (s.told == self.lines(s), -s.demand))
+                       key=lambda s: (not self.untold(s), -s.demand))
         urgent = leave + hasty
         share = 1 - 1 / self.messages_most if leave or back else 0.75 if urgent else 0.5
         if not changed and not back:
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -184,10 +184,9 @@
 
     def lives(self, why: str) -> None:
         """A new life of the module begins."""
-        if self.recorder and self.feed:
+        if self.recorder:
             self.recorder.life(self.loop.now(), self.module, self.config.settings, self.config.rules,
                                self.config.seed + self.starts - 1, why)
-            self.feed.poke()
 
     def tell(self, handler: str, *arguments: object) -> None:
         """Something for the next round."""
@@ -224,9 +223,8 @@
             self.restart(inbox)
         else:
             self.calls.order(out.orders)
-            if tape and self.recorder and self.feed:
+            if tape and self.recorder:
                 self.recorder.round(now, inbox, tape.orders, self.module)
-                self.feed.poke()
 
     def next_round(self) -> None:
         self.timer = None
--- a/knotwalk/record/feed.py
+++ b/knotwalk/record/feed.py
@@ -18,7 +18,6 @@
 from knotwalk.record.recorder import Recorder
 
 PACE = 0.1                      # seconds between sends: what a kill -9 of the conductor may cost
-FULL = 1 << 16                  # bytes that go before that
 AGAIN_FIRST, AGAIN_MOST = 0.5, 30.0     # seconds before a writer that died is started again; doubles
 STEADY = 60.0                   # seconds after which one that runs has proven itself
 CLOSE = 0.4                     # seconds that an orderly end waits for the last bytes: SIGKILL comes 0.7 s later
@@ -31,9 +30,10 @@
         self.loop, self.recorder, self.log, self.arguments = loop, recorder, log, arguments
         self.sock: socket.socket | None = None
         self.process: subprocess.Popen | None = None
-        self.wait, self.begun, self.timed, self.told_lost = AGAIN_FIRST, 0.0, False, False
+        self.wait, self.begun, self.told_lost = AGAIN_FIRST, 0.0, False
         self.said = msgpack.Unpacker(max_buffer_size=1 << 16)
         self.start()
+        self.due()
 
     def start(self) -> None:
         try:
@@ -97,27 +97,18 @@
         code = self.process.poll()      # a zombie, if it has not quite ended: the next start reaps it
         self.again(f"the writer ended, exit code {code}")
 
-    def poke(self) -> None:
-        """Something was recorded: it goes soon, or at once if there is much."""
-        if self.recorder.gap and not self.told_lost:
+    def due(self) -> None:
+        """Every PACE: say what has changed, and send what was recorded since."""
+        self.flush()
+        if self.recorder.gap:
             self.lose(self.recorder.gap[1])
-        elif self.told_lost and not self.recorder.gap and self.sock:
+        elif self.told_lost and self.sock:
             self.told_lost = False
             self.log("recording goes on", f"{self.recorder.lost_all} rounds lost so far")
-        if len(self.recorder.waiting) >= FULL:
-            self.flush()
-        elif not self.timed and self.recorder.waiting:
-            self.timed = True
-            self.loop.after(PACE, self.due)
-
-    def due(self) -> None:
-        self.timed = False
-        self.flush()
-        if self.recorder.waiting and self.sock:
-            self.timed = True
-            self.loop.after(PACE, self.due)
+        self.loop.after(PACE, self.due)
 
     def flush(self) -> None:
+        self.recorder.settle()
         waiting = self.recorder.waiting
         while waiting and self.sock:
             try:
--- a/knotwalk/record/recorder.py
+++ b/knotwalk/record/recorder.py
@@ -14,7 +14,8 @@
 from knotwalk.record.format import CHECK, END, FAILED, GAP, LIFE, ROUND
 from knotwalk.rules import Limits
 
-ROOM = 3 << 19          # bytes that may wait: 1.5 MB, some seconds of a storm at the grown size
+ROOM = 1 << 20          # bytes that may wait: some seconds of a storm at the grown size
+ROUNDS = 4096           # that may wait to be packed: a loop does fewer in the tenth of a second that they wait
 LENGTH = struct.Struct("<I")
 
 
@@ -24,6 +25,7 @@
     def __init__(self, name: str, incarnation: str, policy: str, every: float, room: int = ROOM):
         self.name, self.incarnation, self.policy, self.every, self.room = name, incarnation, policy, every, room
         self.waiting = bytearray()
+        self.rounds: list[tuple] = []   # not yet packed: that is done between rounds
         self.number = 0                 # of the next frame
         self.gap: tuple[float, str] | None = None       # since when rounds are dropped, and why
         self.lost = self.lost_all = 0   # rounds dropped in this gap, and in those that are over
@@ -50,28 +52,45 @@
         self.lost += 1
         return False
 
+    def settle(self) -> None:
+        """Pack the rounds that wait for it."""
+        rounds, self.rounds = self.rounds, []
+        for now, inbox, orders in rounds:
+            if self.gap:
+                self.number += 1
+                self.lost += 1
+            else:
+                self.put(ROUND, now, inbox, orders)
+
     def life(self, now: float, module: Conductor, settings: Settings, limits: Limits, seed: int, why: str) -> None:
         """A module's life begins, in the state in which it is; `why`: start, reload or failed."""
         self.life_told = {"why": why, "seed": f"{seed:x}", "settings": state.settings_told(settings),
                           "limits": limits._asdict(), "policy": self.policy}
+        self.settle()
         if self.gap is None and self.put(LIFE, now, self.life_told):
             self.check(now, module)
 
     def check(self, now: float, module: Conductor) -> None:
+        self.settle()
         self.checked = now
         self.put(CHECK, now, state.snapshot(module), self.life_told)
 
     def round(self, now: float, inbox: list, orders: list, module: Conductor) -> None:
-        """A round, after it: what came in, and what was ordered as (order, arguments)."""
+        """A round, after it: what came in, and what was ordered as (order, arguments). Neither may change later."""
         if self.gap:
             self.number += 1
             self.lost += 1
             self.resume(now, module)
-        elif self.put(ROUND, now, inbox, orders) and now >= self.checked + self.every:
-            self.check(now, module)
+            return
+        self.rounds.append((now, inbox, orders))
+        if now >= self.checked + self.every or len(self.rounds) >= ROUNDS:
+            self.settle()
+            if not self.gap and now >= self.checked + self.every:
+                self.check(now, module)
 
     def failed(self, now: float, inbox: list, orders: list, text: str) -> None:
         """A round in which the decisions failed; a new life follows."""
+        self.settle()
         if self.gap:
             self.number += 1
             self.lost += 1
@@ -92,6 +111,7 @@
 
     def hold(self, now: float, why: str) -> None:
         """The disk takes nothing: rounds are dropped until release()."""
+        self.settle()
         self.gap, self.held = self.gap or (now, why), True
 
     def release(self) -> None:
@@ -99,10 +119,12 @@
 
     def cut(self, now: float, why: str) -> None:
         """The writer is gone, and what waits for it, perhaps in the midst of a frame, is void."""
+        self.settle()
         self.waiting.clear()
         self.gap, self.held = self.gap or (now, why), False
 
     def end(self, now: float) -> None:
         """The program ends in order."""
+        self.settle()
         if self.gap is None:
             self.put(END, now)
--- a/knotwalk/tape.py
+++ b/knotwalk/tape.py
@@ -9,6 +9,8 @@
 class Tape:
     """Notes orders as (name, arguments)."""
 
+    __slots__ = ("orders",)
+
     def __init__(self) -> None:
         self.orders: list[tuple[str, tuple]] = []
 
@@ -37,9 +39,10 @@
 class Through(Tape):
     """Notes orders on their way to the writer that carries them out."""
 
+    __slots__ = ("out",)
+
     def __init__(self, out: Orders):
-        super().__init__()
-        self.out = out
+        self.orders, self.out = [], out
 
     def line(self, slice_id: int, server: str, weight: float) -> None:
         self.orders.append(("line", (slice_id, server, weight)))
