--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -1,8 +1,8 @@
 """Recording and replay measured: python -m benchmarks.replay [--quick] [--hours H]
 
 Prints as its last line: exact, rounds, realtime_x (on one core), jobs_x (all cores over one), seconds (of the replay
-on all cores), round_ratio (median and 99th percentile of a conductor's round with recording over one without, and all of
-them with what goes on between), memory_mb (of recording in the conductor), bytes_per_hour, kills and lost_unsaid (a
+on all cores), round_ratio (median and 99th percentile of a conductor's round with recording over one without, and all
+of them with what goes on between), memory_mb (of recording in the conductor), bytes_per_hour, kills and lost_unsaid (a
 writer killed at random moments), stalled_ratio (rounds while the writer stands still over rounds while it runs), pairs,
 model_error (of service), ranked, ranked_wrong, cannot_tell. The days are simulated.
 """
@@ -19,8 +19,8 @@
 from statistics import fmean, median
 
 from docopt import docopt
-from helpers import StandIn
 from standins.day import Day, Size, settings_of, storm
+from standins.platform import StandIn
 from standins.tapes import LIMITS, Tapes
 
 from knotwalk.decide import Conductor
--- /dev/null
+++ b/tests/standins/platform.py
@@ -0,0 +1,225 @@
+"""The platform's side: a clock that the test moves, links without sockets, and a relay and discovery on one loop."""
+
+import json
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import httptools
+
+from knotwalk.net.ending import Ending
+from knotwalk.net.loop import Loop, Timer, Unreadable
+from knotwalk.net.ring import Ring
+
+
+class Clock:
+    """A loop without sockets: timers go off as the time is moved, and connections are only noted."""
+
+    def __init__(self):
+        self.time, self.timers, self.connects = 1000.0, [], []
+
+    def now(self):
+        return self.time
+
+    def at(self, when, call):
+        timer = Timer(call)
+        self.timers.append((when, timer))
+        return timer
+
+    def after(self, seconds, call):
+        return self.at(self.time + seconds, call)
+
+    def connect(self, address, peer, within):
+        self.connects.append(peer)
+
+    def move(self, seconds):
+        until = self.time + seconds
+        while due := sorted(((when, k) for k, (when, timer) in enumerate(self.timers) if when <= until)):
+            self.time, timer = max(self.time, due[0][0]), self.timers.pop(due[0][1])[1]
+            if timer.call:
+                timer.call()
+        self.time = until
+
+
+class Wire:
+    """A link without a socket: what is written and how it ended."""
+
+    def __init__(self, peer, address=("127.0.0.1", 1)):
+        self.peer, self.written, self.over, self.out, self.fault = peer, b"", False, Ring(1 << 17), ""
+        self.address = address
+        peer.opened(self)
+
+    def write(self, data):
+        self.written += data
+
+    def feed(self, data):
+        if self.over:
+            return
+        try:
+            self.peer.fed(self, memoryview(data))
+        except Unreadable as fault:
+            self.end(fault.ending)
+
+    def end(self, ending):
+        if not self.over:
+            self.over = ending
+            self.peer.ended(self, ending)
+
+
+def answer(body, status="200 OK"):
+    """An HTTP answer."""
+    text = body if isinstance(body, str) else json.dumps(body)
+    return f"HTTP/1.1 {status}\r\nContent-Length: {len(text)}\r\n\r\n{text}".encode()
+
+
+def lines(*objects, head=True):
+    """News, a chunk a line; "" stands for a sign of life."""
+    out = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" if head else ""
+    for kind, f in objects:
+        text = json.dumps({"type": kind, "object": f} if kind else {}) + "\n"
+        out += f"{len(text):x}\r\n{text}\r\n"
+    return out.encode()
+
+
+SETTINGS = {"classes": [{"name": "read", "slo_us": 1500000, "worth": 3.0}], "tick_us": 1000, "family_info": {
+    "partitions_n": 2, "admit": "fraction", "retry_default": 1, "period_us": 2000000, "push_delay_us": 200000,
+    "most_waiting": 20000, "fixed_cost": 16, "messages_most": 12, "reload_span_us": 10000000}}
+
+
+class StandIn:
+    """Relay and discovery for one conductor, on one loop that the test turns."""
+
+    def __init__(self, loop=None):
+        self.loop = loop or Loop()
+        self.calls, self.links, self.news = [], [], []
+        self.servers = [{"id": id, "zone": "z", "state": "active"} for id in ("a", "b")]
+        self.version, self.slices, self.proxies = 1, {0: {"a": 1.0}, 1: {"b": 1.0}}, [1]
+        self.fate = lambda orders: True     # whether a call is carried out; None: it is, and the link breaks
+        self.address = "%s:%d" % self.loop.listen(("127.0.0.1", 0), lambda: Session(self)).sock.getsockname()
+
+    def until(self, true, seconds=20.0):
+        """Turn the loop until something holds."""
+        end = self.loop.now() + seconds
+        while not (value := true()):
+            assert self.loop.now() < end, "never came"
+            self.loop.after(0.02, lambda: None)
+            self.loop.turn()
+        return value
+
+    def tell(self, *objects):
+        for link in self.news:
+            link.write(lines(*objects, head=False))
+
+    def stand(self):
+        """What stands, as news."""
+        told = [("hello", {"proxy": x, "zone": "z", "weight": 1.0, "fresh": True}) for x in self.proxies]
+        for slice_id, held in self.slices.items():
+            told.append(("lease", {"slice": slice_id, "on": True}))
+            told += [("line", {"slice": slice_id, "server": x, "weight": w}) for x, w in held.items()]
+        return told
+
+    def carry_out(self, orders):
+        for f in orders:
+            if f["do"] == "SET":
+                held = self.slices[f["group"]]
+                held.pop(f["server"], None)
+                if f["weight"]:
+                    held[f["server"]] = f["weight"]
+
+    def start(self, listen="127.0.0.1:0", stderr=subprocess.PIPE, arguments=()):
+        """The program, and its address once it says so."""
+        self.told = {"name": "n0", "listen": listen, "discovery": self.address, "seed": "5",
+                     "limits": {"memory_mb": 192, "sockets": 64}, "hub": {"address": self.address},
+                     "known": {"version": 1, "full": True, "servers": self.servers}, "settings": SETTINGS}
+        self.config = tempfile.NamedTemporaryFile("w", suffix=".json")
+        self.configure()
+        self.program = run({"EDGE_CONFIG": self.config.name, "EDGE_DISCOVERY": self.address},
+                           "serve", *arguments, stderr=stderr)
+        if self.program.stderr:
+            listen = self.program.stderr.readline().split()[-1]
+        host, _, port = listen.rpartition(":")
+        return host, int(port)
+
+    def configure(self, **changes):
+        """Write the configuration's file, with these changes."""
+        Path(self.config.name).write_text(json.dumps({**self.told, **changes}))
+
+    def reload(self, **changes):
+        self.configure(**changes)
+        self.program.send_signal(signal.SIGHUP)
+
+    def stop(self):
+        """SIGTERM; the exit code."""
+        self.program.terminate()
+        return self.program.wait(20)
+
+
+class Session:
+    """One connection to the stand-in."""
+
+    def __init__(self, stand):
+        self.stand, self.body, self.path = stand, b"", ""
+        self.parser = httptools.HttpRequestParser(self)
+
+    def opened(self, link):
+        self.link = link
+        self.stand.links.append(link)
+
+    def fed(self, link, data):
+        self.parser.feed_data(data)
+
+    def on_url(self, url):
+        self.path, self.body = url.decode(), b""
+
+    def on_body(self, body):
+        self.body += body
+
+    def on_message_complete(self):
+        stand, link = self.stand, self.link
+        if self.path.startswith("/v1/servers"):
+            full, version = "since" not in self.path, stand.version
+            if not full and int(self.path.split("since=")[1].split("&")[0]) == version:
+                nothing = answer({"version": version, "full": False, "servers": []})
+                stand.loop.after(0.1, lambda: link.write(nothing))
+            else:
+                link.write(answer({"version": version, "full": full, "servers": stand.servers}))
+        elif self.path == "/v1/stream":
+            stand.news.append(link)
+            link.write(lines(*stand.stand(), ("", {})))
+            self.sign()
+        else:
+            orders = json.loads(self.body)["orders"]
+            stand.calls.append(orders)
+            fate = stand.fate(orders)
+            if fate is not False:
+                stand.carry_out(orders)
+            if fate:
+                link.write(answer({"accepted": len(orders)}))
+            else:
+                link.end(Ending.LEFT)
+
+    def sign(self):
+        if not self.link.over:
+            self.link.write(lines(("", {}), head=False))
+            self.stand.loop.after(1.0, self.sign)
+
+    def ended(self, link, ending):
+        if link in self.stand.news:
+            self.stand.news.remove(link)
+
+
+def run(environ, *arguments, stderr=subprocess.PIPE):
+    """The program."""
+    command = [sys.executable, "-m", "knotwalk", *(arguments or ("serve",))]
+    return subprocess.Popen(command, env=environ, cwd=Path(__file__).parent.parent.parent, stdout=subprocess.PIPE,
+                            stderr=stderr, text=True)
+
+
+def call(address, data, count=0, seconds=20):
+    """Bytes to the program, and what it answers."""
+    sock = socket.create_connection(address, seconds)
+    sock.sendall(data)
+    return sock, sock.recv(count) if count else b""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,7 +3,7 @@
 import json
 from random import Random
 
-from helpers import Clock, Wire, answer, lines
+from standins.platform import Clock, Wire, answer, lines
 
 from knotwalk.net.collectors import Callers
 from knotwalk.net.discovery import Watch
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from random import Random
 
-from helpers import SETTINGS, StandIn, call, run
+from standins.platform import SETTINGS, StandIn, call, run
 from standins.tapes import replayed
 
 from knotwalk.net.conductor import Config, Host, Misfit
