--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -34,7 +34,7 @@
 from knotwalk.replay import change, exact, verdict
 from knotwalk.replay.model import Model
 from knotwalk.replay.past import Past
-from knotwalk.settings.operator import Record
+from knotwalk.settings.operator import Operator, Record
 from knotwalk.told import Bounds
 
 GROWN = Size(servers=66, proxies=130, slices=130, rate=220.0, parts=3)      # one of three conductors' part
@@ -87,7 +87,7 @@
         path = Path(folder, "config.json")
         path.write_text(json.dumps(stand.told))
         hosts = []
-        for record in (None, Record(True, folder + "/r")):
+        for record in (None, Operator(Record(True, folder + "/r"))):
             config = Config({"EDGE_CONFIG": str(path)})
             config.settings, config.tick = day.settings, 0.0
             config.methods = {"m0": 0, "m1": 1}
--- a/knotwalk/__main__.py
+++ b/knotwalk/__main__.py
@@ -7,6 +7,8 @@
   knotwalk record export --into FOLDER [--conductor NAME] [--json] RECORDING...
   knotwalk replay [--set SETTING]... [--policy FILE] [--from T] [--to T] [--jobs N] [--html FILE]
                   [--conductor NAME] [--json] RECORDING...
+  knotwalk subscribe [--slices LIST] [--zone ZONE] [--name NAME] [--key FILE] [--ca FILE] [--cert FILE]
+                     [--cert-key FILE] [--server-name NAME] [--once] [--json] ADDRESS...
   knotwalk version
   knotwalk (-h | --help)
 
@@ -15,6 +17,7 @@
   check    Read the environment and the configuration, say what they hold, and end.
   record   Say what recordings hold, read them whole, or write them as Parquet.
   replay   Replay a recorded day: exactly as it was, or under other settings (docs/guides/replay.md).
+  subscribe  Print the table that a publisher has, and its changes.
   version  Print the version.
 
 Options:
@@ -27,6 +30,15 @@
   --from T          Where to begin: seconds or 1h30m from the recording's start, or Unix time.
   --to T            Where to end.
   --jobs N          Processes at once; all cores unless told.
+  --slices LIST     Only these slices: 3,5-7.
+  --zone ZONE       Only lines to servers of a zone.
+  --name NAME       The subscriber's name.
+  --key FILE        A file with the subscriber's key.
+  --ca FILE         TLS, with the publisher's certificate signed by this.
+  --cert FILE       The subscriber's own certificate.
+  --cert-key FILE   And its key.
+  --server-name NAME  The name that the publisher's certificate is of.
+  --once            End when the table is whole.
   --html FILE       Write the what-if as a page.
 
 Exit codes of replay: 0 exact, or a what-if without a broken rule; 3 diverged; 4 a rule broken; 2 unusable.
@@ -51,6 +63,9 @@
     if arguments["replay"]:
         from knotwalk.replay.command import replay
         return replay(arguments)
+    if arguments["subscribe"]:
+        from knotwalk.pubsub.command import subscribe
+        return subscribe(arguments)
     from knotwalk.net import conductor
     run = conductor.check if arguments["check"] else conductor.serve
     return run(os.environ, arguments["--operator"])
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -36,9 +36,11 @@
 )
 
 if TYPE_CHECKING:
+    from knotwalk.pubsub.front import Publisher
+    from knotwalk.pubsub.keep import Keeper
     from knotwalk.record.feed import Feed
     from knotwalk.record.recorder import Recorder
-    from knotwalk.settings.operator import Record
+    from knotwalk.settings.operator import Operator, Pubsub, Record
 
 SEATS = 0.8     # of the sockets allowed, for those that connect to us: our own peers take a dozen
 ROOM = 0.25     # of the memory allowed, for their unfinished messages: the program itself takes under 40 MB
@@ -150,9 +152,9 @@
 
 
 class Host:
-    """One conductor: its module, its peers, its rounds, and if it is wanted the recording of them."""
+    """One conductor: its module, its peers, its rounds, and what else the operator wants at the same seam."""
 
-    def __init__(self, config: Config, log: Log, record: "Record | None" = None):
+    def __init__(self, config: Config, log: Log, operator: "Operator | None" = None):
         self.config, self.log, self.loop = config, log, Loop()
         self.stopped = False
         self.names = {k: name for name, k in config.methods.items()}
@@ -168,8 +170,12 @@
                                log, config.seats, config.room)
         self.recorder: Recorder | None = None
         self.feed: Feed | None = None
-        if record and record.enabled:
-            self.record(record)
+        self.publisher: Publisher | None = None
+        self.keeper: Keeper | None = None
+        if operator and operator.record.enabled:
+            self.record(operator.record)
+        if operator and operator.pubsub.enabled:
+            self.publish(operator.pubsub)
 
     def record(self, wanted: "Record") -> None:
         """Record from the start on; what that takes is loaded only here."""
@@ -182,6 +188,44 @@
             wanted.path, self.config.name, incarnation, str(int(wanted.segment)), str(wanted.segment_age),
             str(int(wanted.budget))], self.log)
 
+    def publish(self, wanted: "Pubsub") -> None:
+        """Open the publisher's port; what that takes is loaded only here. Raises Misfit."""
+        from pathlib import Path
+
+        from knotwalk.pubsub import front, keep, wire
+        from knotwalk.pubsub.hub import Hub
+        from knotwalk.pubsub.versions import Table
+        self.access_files = wanted.secrets, wanted.certificate, wanted.private_key, wanted.client_ca
+        table, key = Table(os.urandom(8).hex()), os.urandom(32)
+        try:
+            access = front.Access(*self.access_files)
+            if wanted.keep:
+                path = Path(wanted.keep) / f"{self.config.name}.kwt"
+                path.parent.mkdir(parents=True, exist_ok=True)
+                try:
+                    lock = keep.locked(path)
+                    try:
+                        table, key = keep.load(path) or (table, key)
+                    except keep.Unkept as fault:    # it is only of use: a new epoch does without
+                        self.log("kept table not used", f"{path}: {fault}; a new epoch begins")
+                    self.keeper = keep.Keeper(self.loop, path, lock, table, key, self.log)
+                except keep.Unkept as fault:
+                    self.log("table not kept", f"{path}: {fault}; a new epoch begins, and ends with this process")
+        except front.Misfit as fault:
+            raise Misfit(f"pubsub: {fault}") from None
+        except OSError as fault:
+            raise Misfit(f"pubsub.keep: {fault.filename}: {fault.strerror}") from None
+        hub = Hub(table, self.config.settings, key, wire.encoded, self.config.seed)
+        self.publisher = front.Publisher(
+            self.loop, hub, access, self.tell, lambda proxy: proxy in self.news.proxies, self.log,
+            min(int(wanted.subscribers), self.config.seats), self.loop.now(),
+            lambda: self.news.heard and not self.news.reading)
+        try:
+            address = self.publisher.listen(address_of(wanted.listen, "pubsub.listen"))
+        except OSError as fault:
+            raise Misfit(f"pubsub.listen: {wanted.listen}: {fault.strerror}") from None
+        self.log("publishing", "at %s:%d, epoch %s from version %d" % (*address, table.epoch, table.version))
+
     def lives(self, why: str) -> None:
         """A new life of the module begins."""
         if self.recorder:
@@ -214,7 +258,7 @@
         self.last = now
         inbox, self.inbox = self.inbox, []
         out = Writer(self)
-        tape = Through(out) if self.recorder else None
+        tape = Through(out) if self.recorder or self.publisher else None
         try:
             self.module.decide(now, inbox, tape or out)
         except Exception:       # whatever it is: see restart
@@ -225,6 +269,12 @@
             self.calls.order(out.orders)
             if tape and self.recorder:
                 self.recorder.round(now, inbox, tape.orders, self.module)
+            if tape and self.publisher:
+                if out.orders:      # one account a proxy over all fronts
+                    self.publisher.hub.charge(now, self.news.proxies)
+                self.publisher.round(now, inbox, tape.orders)
+                if self.keeper:
+                    self.keeper.watch(self.publisher.anew)
 
     def next_round(self) -> None:
         self.timer = None
@@ -266,6 +316,8 @@
         self.config = config
         self.log("reloaded", "discovery is at %s:%d, the relay at %s:%d" % (*config.discovery, *config.relay))
         self.callers.bound(config.seats, config.room)
+        if self.publisher:
+            self.follow_keys()
         if config.discovery != old.discovery:
             self.watch.move(config.discovery)
         if config.relay != old.relay:
@@ -274,8 +326,19 @@
         if (config.settings, config.methods) != (old.settings, old.methods):
             self.names = {k: name for name, k in config.methods.items()}
             self.callers.methods, self.callers.bounds = config.methods, config.bounds
+            if self.publisher:
+                self.publisher.hub.settings = config.settings
             self.renew("reload")
 
+    def follow_keys(self) -> None:
+        """Read the publisher's keys and certificates anew, whole or not at all; streams that are up stay."""
+        from knotwalk.pubsub import front
+        assert self.publisher is not None
+        try:
+            self.publisher.reload(front.Access(*self.access_files))
+        except front.Misfit as fault:
+            self.log("reload refused", f"pubsub: {fault}; the old keys stay")
+
     def run(self) -> None:
         self.lives("start")
         self.tell("listed", True, True, self.config.known)
@@ -294,9 +357,11 @@
                 self.log("fault", traceback.format_exc(limit=-3))
         if self.feed:
             self.feed.close()
+        if self.keeper:
+            self.keeper.close()
 
 
-def wanted_of(operator: str | None) -> "Record | None":
+def wanted_of(operator: str | None) -> "Operator | None":
     """What the operator's file asks for; raises Misfit."""
     if not operator:
         return None
@@ -305,7 +370,7 @@
     except ImportError as fault:
         raise Misfit(f"--operator wants {fault.name}; pip install 'knotwalk[operator]' brings it") from None
     try:
-        return load(operator).record
+        return load(operator)
     except Refused as fault:
         raise Misfit(str(fault)) from None
 
@@ -313,7 +378,7 @@
 def check(environ: Mapping[str, str], operator: str | None = None) -> int:
     """Read the configuration and say what it holds; the exit code."""
     try:
-        config, record = Config(environ), wanted_of(operator)
+        config, wanted = Config(environ), wanted_of(operator)
     except Misfit as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
@@ -324,6 +389,9 @@
     print(f"{s.slices} slices, {len(config.known)} servers known, methods: {methods}")
     print(f"a round every {config.tick * 1e3:g} ms at most, {config.seats} connections at most, "
           f"{s.messages_most or 'any number of'} messages to a proxy in {s.messages_span:g} s")
+    record, pubsub = (wanted.record, wanted.pubsub) if wanted else (None, None)
+    if pubsub and pubsub.enabled:
+        print(f"publishes at {pubsub.listen}")
     if record and record.enabled:
         print(f"records into {record.path}: {record.budget / 2 ** 30:g} GiB at most, a checkpoint every "
               f"{record.checkpoint:g} s")
--- a/knotwalk/settings/operator.py
+++ b/knotwalk/settings/operator.py
@@ -27,10 +27,24 @@
     checkpoint: float = 60.0            # seconds between checkpoints
 
 
+class Pubsub(NamedTuple):
+    """The publisher's port, as the operator wants it."""
+
+    enabled: bool = False
+    listen: str = ""
+    secrets: str = ""           # files
+    certificate: str = ""
+    private_key: str = ""
+    client_ca: str = ""
+    keep: str = ""              # folder in which epoch and versions outlive the process; empty: a new epoch each time
+    subscribers: float = 4096   # streams at most
+
+
 class Operator(NamedTuple):
     """All that the file says."""
 
     record: Record = Record()
+    pubsub: Pubsub = Pubsub()
 
 
 def unit(units: dict[str, float], what: str, example: str) -> Callable[[Any], float]:
@@ -54,6 +68,19 @@
     return value
 
 
+def address(value: Any) -> str:
+    host, _, port = text(value).rpartition(":")
+    if not host or not port.isdigit() or not int(port) < 65536:
+        raise ValueError('is no address with a port; "127.0.0.1:3100" would be one')
+    return value
+
+
+def number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError("is no whole number; 4096 would be one")
+    return value
+
+
 size, seconds = unit(SIZES, "size", '"64MiB"'), unit(TIMES, "time", '"60s"')
 
 # By block: the fields, how each is read, and its least and most.
@@ -61,6 +88,9 @@
     "record": {"enabled": (flag, 0, 1), "path": (text, 0, 0), "budget": (size, 1 << 20, 1 << 50),
                "segment": (size, 1 << 16, 1 << 32), "segment_age": (seconds, 1, 86400 * 7),
                "checkpoint": (seconds, 1, 3600)},
+    "pubsub": {"enabled": (flag, 0, 1), "listen": (address, 0, 0), "secrets": (text, 0, 0),
+               "certificate": (text, 0, 0), "private_key": (text, 0, 0), "client_ca": (text, 0, 0),
+               "keep": (text, 0, 0), "subscribers": (number, 1, 100_000)},
 }
 
 
@@ -111,9 +141,14 @@
         faults.append(f"{file}: record is enabled without a path; path = \"/folder\" would say where")
     if not faults and record.segment > record.budget / 2:
         faults.append(f"{file}: record.segment is more than half of record.budget; two segments must fit")
+    pubsub = Pubsub(**found.get("pubsub", {}))
+    if not faults and pubsub.enabled and not pubsub.listen:
+        faults.append(f"{file}: pubsub is enabled without an address; listen = \"127.0.0.1:3100\" would be one")
+    if not faults and pubsub.client_ca and not pubsub.certificate:
+        faults.append(f"{file}: pubsub.client_ca wants pubsub.certificate too, since it is for TLS")
     if faults:
         raise Refused("\n".join(faults))
-    return Operator(record)
+    return Operator(record, pubsub)
 
 
 def block(node: Any, name: str, file: str, faults: list[str]) -> dict[str, Any]:
--- /dev/null
+++ b/tests/standins/hubs.py
@@ -0,0 +1,159 @@
+"""A hub and subscribers without sockets: messages as bytes, in pipes that may lose, hold back or break."""
+
+import json
+from random import Random
+
+from knotwalk.pubsub import wire
+from knotwalk.pubsub.hub import Hub, Later, Refused
+from knotwalk.pubsub.subscriber import Subscriber
+from knotwalk.pubsub.versions import Table
+from standins.day import Size, settings_of
+
+KEY = b"k" * 32
+SMALL = settings_of(Size())
+
+
+class Pipe:
+    """One stream: what is on its way to the subscriber and back."""
+
+    def __init__(self, cursor, subscriber):
+        self.cursor, self.subscriber = cursor, subscriber
+        self.down, self.up = [], []
+
+
+class World:
+    """A publisher and its subscribers on a clock that the test moves."""
+
+    def __init__(self, settings=SMALL, table=None, seed=1, born=1.0):
+        self.now, self.settings, self.random = 1000.0, settings, Random(seed)
+        self.table = table or Table("e1")
+        self.hub = Hub(self.table, settings, KEY, wire.encoded, seed)
+        self.born = born
+        self.pipes = {}             # by the subscriber's name
+        self.inbox, self.notes, self.ended = [], [], []
+        self.sent = {}              # by proxy: times
+        self.waiting_most = 0
+        self.bytes = 0
+
+    # --- as the hub's sender ---
+
+    def send(self, cursor, message):
+        pipe = self.pipes.get(cursor.name)
+        assert pipe is not None and pipe.cursor is cursor
+        pipe.down.append(message)
+        self.bytes += len(message)
+        if cursor.proxy is not None:
+            self.sent.setdefault(cursor.proxy, []).append(self.now)
+        waiting = sum(self.hub.waiting.values()) + cursor_lines(message, self.settings)
+        self.waiting_most = max(self.waiting_most, waiting)
+
+    def end(self, cursor, why):
+        self.ended.append((cursor.name, why))
+        self.cut(cursor.name)
+
+    def told(self, handler, *arguments):
+        self.inbox.append((handler, arguments))
+
+    def note(self, kind, text):
+        self.notes.append((kind, text))
+
+    # --- streams ---
+
+    def join(self, subscriber):
+        """A new stream; what the publisher says to its hello."""
+        hello = wire.Hello(json.loads(subscriber.hello()))
+        try:
+            cursor = self.hub.hello(self.now, hello.name, hello.proxy, hello.wanted, hello.of_zone, hello.token,
+                                    hello.usable)
+        except (Later, Refused) as fault:
+            subscriber.refused(str(fault)) if isinstance(fault, Refused) else None
+            return fault
+        self.pipes[subscriber.name] = Pipe(cursor, subscriber)
+        subscriber.message(self.now, {"t": "welcome", "epoch": self.table.epoch, "born": self.born})
+        return cursor
+
+    def cut(self, name):
+        """A stream ends; what was on its way is lost."""
+        pipe = self.pipes.pop(name, None)
+        if pipe is not None:
+            self.hub.left(pipe.cursor)
+
+    def deliver(self, name, count=1 << 30):
+        """Messages reach a subscriber, and its answers the hub."""
+        pipe = self.pipes.get(name)
+        while pipe is not None and pipe.down and count:
+            count -= 1
+            pipe.up += pipe.subscriber.message(self.now, json.loads(pipe.down.pop(0)))
+        while pipe is not None and pipe.up:
+            self.answer(pipe, json.loads(pipe.up.pop(0)))
+
+    def answer(self, pipe, told):
+        if told["t"] == "ack":
+            self.hub.ack(self.now, pipe.cursor, told["n"], wire.need_of(told), self)
+        else:
+            self.hub.nack(self.now, pipe.cursor, told["n"], told["why"], self)
+
+    # --- time ---
+
+    def order(self, *orders, inbox=()):
+        self.hub.ordered(self.now, inbox, orders)
+
+    def turn(self):
+        return self.hub.turn(self.now, self)
+
+    def quiet(self, seconds=120.0, step=0.05):
+        """Go on until nothing is under way; the seconds that it took."""
+        begun = self.now
+        while self.now < begun + seconds:
+            due = self.turn()
+            moved = False
+            for name in list(self.pipes):
+                moved = moved or bool(self.pipes[name].down)
+                self.deliver(name)
+            if not moved and due > self.now:
+                if due == float("inf"):
+                    return self.now - begun
+                self.now = min(max(due, self.now + 0.001), self.now + 1.0)
+        raise AssertionError("never quiet")
+
+    def run(self, seconds, step=0.05):
+        end = self.now + seconds
+        while self.now < end:
+            self.turn()
+            for name in list(self.pipes):
+                self.deliver(name)
+            self.now += step
+
+    def caps_kept(self):
+        """Rule 5 by what was sent, not by the hub's own account."""
+        span, most = self.settings.messages_span, self.settings.messages_most
+        for times in self.sent.values():
+            for k in range(len(times)):
+                inside = sum(1 for t in times[k:k + most + 2] if t < times[k] + span)
+                if most and inside > most:
+                    return False
+        return not self.settings.lines_waiting_most or self.waiting_most <= self.settings.lines_waiting_most
+
+
+def cursor_lines(message, settings):
+    """Lines of a message that is just being sent, as a checker counts them."""
+    d = json.loads(message)["d"]
+    return settings.lines_per_message + sum(len(p[2]) + len(p[3]) for p in d["s"]) + len(d["shut"]) + len(d["levels"])
+
+
+def filled(slices=60, servers=10, epoch="e1"):
+    """A table."""
+    table = Table(epoch)
+    for k in range(slices):
+        table.line(k, f"s{k % servers}", 1.0)
+    return table
+
+
+def proxies(count, seed=0):
+    return [Subscriber(f"p{k}", seed + k, proxy=k) for k in range(count)]
+
+
+def alike(world, subscribers):
+    """Whether all hold the publisher's table."""
+    want = sorted(world.table.rows())
+    return all(s.place is None and sorted(s.rows()) == want for s in subscribers)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -139,7 +139,11 @@
         self.program = run({"EDGE_CONFIG": self.config.name, "EDGE_DISCOVERY": self.address},
                            "serve", *arguments, stderr=stderr)
         if self.program.stderr:
-            listen = self.program.stderr.readline().split()[-1]
+            while not (line := self.program.stderr.readline()).startswith("knotwalk serving"):
+                assert line, "it ended"
+                if line.startswith("knotwalk publishing"):
+                    self.published = line.split()[3].rstrip(",")
+            listen = line.split()[-1]
         host, _, port = listen.rpartition(":")
         return host, int(port)
 
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -15,7 +15,7 @@
 from knotwalk.net.ending import Ending
 from knotwalk.net.log import Log
 from knotwalk.net.resp import packed
-from knotwalk.settings.operator import Record
+from knotwalk.settings.operator import Operator, Record
 
 ALIVE = packed("alive")
 
@@ -353,7 +353,7 @@
     stand.start()
     stand.program.kill()
     config = Config({"EDGE_CONFIG": stand.config.name})
-    host = Host(config, Log(open(os.devnull, "w")), Record(True, str(tmp_path / "r"), checkpoint=1.0))
+    host = Host(config, Log(open(os.devnull, "w")), Operator(Record(True, str(tmp_path / "r"), checkpoint=1.0)))
     host.lives("start")
     assert host.recorder.life_told["why"] == "start"
     host.tell("given", 0)
