--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -95,7 +95,7 @@
     def __init__(self, loop=None):
         self.loop = loop or Loop()
         self.calls, self.links, self.news = [], [], []
-        self.sockets = 64           # that the program may hold
+        self.sockets, self.settings = 64, SETTINGS      # that the program may hold, and is told
         self.servers = [{"id": id, "zone": "z", "state": "active"} for id in ("a", "b")]
         self.version, self.slices, self.proxies = 1, {0: {"a": 1.0}, 1: {"b": 1.0}}, [1]
         self.fate = lambda orders: True     # whether a call is carried out; None: it is, and the link breaks
@@ -134,7 +134,8 @@
         """The program, and its address once it says so."""
         self.told = {"name": "n0", "listen": listen, "discovery": self.address, "seed": "5",
                      "limits": {"memory_mb": 192, "sockets": self.sockets}, "hub": {"address": self.address},
-                     "known": {"version": 1, "full": True, "servers": self.servers}, "settings": SETTINGS}
+                     "known": {"version": 1, "full": True, "servers": self.servers},
+                     "settings": self.settings}
         self.config = tempfile.NamedTemporaryFile("w", suffix=".json")
         self.configure()
         self.program = run({"EDGE_CONFIG": self.config.name, "EDGE_DISCOVERY": self.address},
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -13,7 +13,7 @@
 import pytest
 from standins.edges import Site, certificates, most_within
 from standins.hubs import SMALL, filled
-from standins.platform import StandIn
+from standins.platform import SETTINGS, StandIn
 from standins.tapes import replayed
 
 from knotwalk.net.loop import Loop
@@ -241,6 +241,32 @@
     assert outcome.exact and outcome.lives == 4
 
 
+def test_a_conductor_killed_in_the_midst_of_snapshots_leaves_all_subscribers_alike(tmp_path):
+    stand, chance = StandIn(), Random(7)
+    family = {**SETTINGS["family_info"], "partitions_n": 700, "most_waiting": 4000, "messages_most": 100}
+    stand.settings = {**SETTINGS, "family_info": family}
+    stand.slices = {k: {"ab"[k % 2]: 1.0} for k in range(700)}
+    publishing(stand, tmp_path, keep=str(tmp_path / "kept"))
+    port = stand.published
+    site = Site(SMALL, Table("x"))
+    site.loop, site.address = stand.loop, ("127.0.0.1", int(port.rpartition(":")[2]))
+    edges, midst = [site.edge(f"p{k}", k, k) for k in range(20)], 0
+    for k in range(4):
+        if k == 0:      # surely in the midst; later at random, when what is left of it goes on
+            stand.until(lambda: any((e.subscriber.place or 0) > 0 for e in edges))
+        else:
+            stand.until(lambda: any(e.link for e in edges))
+            end = time.monotonic() + chance.uniform(0, 0.3)
+            stand.until(lambda: time.monotonic() > end)
+        stand.program.kill()
+        stand.program.wait(20)
+        midst += sum(0 < (e.subscriber.place or 0) for e in edges)
+        publishing(stand, tmp_path, keep=str(tmp_path / "kept"), listen=port)
+    stand.until(lambda: all(e.link and e.subscriber.place is None for e in edges))
+    assert all(e.subscriber.tables == stand.slices for e in edges) and midst > 0
+    assert all(e.subscriber.applied == len(e.came) for e in edges) and stand.stop() == 0
+
+
 def test_a_publisher_that_cannot_open_is_one_plain_line(tmp_path):
     stand = StandIn()
     stand.start()
