--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -67,7 +67,14 @@
     site = Site(QUICK, filled(300), seats=60)
     edges = site.proxies(5)
     site.until(site.alike)
-    silent = [socket.create_connection(site.address) for _ in range(120)]
+    silent = []
+    for k in range(1000):       # the oldest go as they come: it holds sixty
+        silent.append(socket.create_connection(site.address))
+        if k % 50 == 49:
+            site.turn()
+            for sock in silent[:-100]:
+                sock.close()
+            del silent[:-100]
     loud = [socket.create_connection(site.address) for _ in range(5)]
     for sock, data in zip(loud, (b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 9000, b'{"t":"ack","n":1}\n', b"[]\n",
                                  b'{"t":"hello","v":1,"name":"' + b"x" * 20_000)):
