--- a/knotwalk/replay/model.py
+++ b/knotwalk/replay/model.py
@@ -40,15 +40,13 @@
 class Server:
     """A server in the model."""
 
-    __slots__ = ("id", "host", "free", "busy", "met", "cores", "latest", "foreign")
+    __slots__ = ("id", "host", "free", "busy", "met", "cores")
 
     def __init__(self, id: str, past: Past):
         self.id, self.host = id, past.hosts[id]
         self.cores = max(1, round(self.host.size))
         self.free = [0.0] * self.cores
         self.busy = 0.0
-        self.latest = 0.0           # up to when others' work has been put in
-        self.foreign = 0            # RPCs of others in this period
         self.met: dict[str, list] = {}
 
 
@@ -85,9 +83,6 @@
         self.zones = list(past.zones) or [""]
         self.zone_sums = list(accumulate(max(1, n) for n in past.zones.values())) or [1]
         self.usual = past.usual()
-        wanted = [sum(n for r in past.reports for (_, m), n in r.wanted.items() if m == k)
-                  for k in range(len(past.work))]
-        self.mean = sum(n * w for n, w in zip(wanted, past.work)) / max(1, sum(wanted))
         self.delays = past.delays[:: max(1, len(past.delays) // 997)] or [self.recorded.message_delay]
         self.give_up = [*self.limits.give_up, *[GIVE_UP] * 99]
         self.late_share = [*self.limits.late_share, *[0.0] * 99]
@@ -296,15 +291,16 @@
         self.unseen += t - host.speed.when(t) > SEEN
         speed = (host.speed.at(t) or (host.speed.values[0] if host.speed.values else self.usual)) \
             * host.ramp(t, self.recorded)
-        self.crowd(x, t, speed)
+        others = host.others.at(t, 0.0)
+        rate = speed * max(0.05, 1 - others)
         free = x.free
         core = min(range(x.cores), key=free.__getitem__) if x.cores > 1 else 0
         wait = max(0.0, free[core] - t)
         if wait > WAIT_MOST:
             met[1] += 1
             return
-        free[core] = t + wait + work / speed
-        x.busy += work / speed
+        free[core] = t + wait + work / rate
+        x.busy += work / rate
         latency = wait + work / speed
         if latency > self.give_up[method]:
             met[1] += 1
@@ -312,40 +308,21 @@
         met[2] += latency
         row[2 * method + 1] += 1.0 if latency <= self.deadlines[method] else self.late_share[method]
 
-    def crowd(self, x: Server, t: float, speed: float) -> None:
-        """Put in the work that is not ours since the last time: other conductors' slices, as so many RPCs of mean
-        work. Guards against counting it as a slower core, which made each of ours wait and last twice as long."""
-        since, x.latest = max(x.latest, t - WAIT_MOST), t
-        others = x.host.others.at(t, 0.0)
-        if others <= 0 or not self.mean:
-            return
-        took = self.mean / speed
-        rate, at, r = min(0.98, others) * x.cores / took, since, self.random
-        while (at := at + r.expovariate(rate)) < t:
-            core = min(range(x.cores), key=x.free.__getitem__) if x.cores > 1 else 0
-            if x.free[core] - at > WAIT_MOST:
-                break
-            seconds = r.gammavariate(SHAPE, took / SHAPE)
-            x.free[core] = max(x.free[core], at) + seconds
-            x.busy += seconds
-            x.foreign += 1
-
     def close(self, k: int, report: Report) -> None:
         """A period is over: its sums come in when the recorded ones did."""
         now, span = self.now, report.until - report.since
         inbox: list = []
         used = self.used.setdefault(int((now - self.past.since) / SPAN), {})
         for x in self.servers.values():
-            self.crowd(x, now, (x.host.speed.at(now) or self.usual) * x.host.ramp(now, self.recorded))
             ahead = sum(max(0.0, free - now) for free in x.free)
+            others = float(x.host.others.at(now, 0.0))
             busy = min(1.0, max(0.0, x.busy - ahead) / (x.cores * span))
             x.busy = ahead
             if not x.host.alive.at(now, True):
                 x.free, x.busy = [0.0] * x.cores, 0.0
             used[x.id] = busy
             tries = sum(m[0] for m in x.met.values())
-            load = {"utilization": min(1.0, busy), "qps": (tries + x.foreign) / span}
-            x.foreign = 0
+            load = {"utilization": min(1.0, busy), "qps": tries / span / max(0.05, 1 - others)}
             if not self.rate_told():
                 del load["qps"]
             for zone, (tried, aborted, seconds) in x.met.items():
--- a/knotwalk/replay/past.py
+++ b/knotwalk/replay/past.py
@@ -437,8 +437,7 @@
                 high += 1
             near = points[low:high + 1]
             x.speed.put(middle - 0.5 * settings.report_period, sum(p[1] for p in near) / sum(p[2] for p in near))
-            # What a report says of the moment (rate, utilization) is noisier than what was counted: averaged too.
-            x.others.put(middle - 0.5 * settings.report_period, fmean(p[4] for p in near))
+            x.others.put(middle - 0.5 * settings.report_period, points[k][4])
         for at, (condition, started) in zip(x.states.times, x.states.values):
             if condition == "gone" and x.alive.at(at):
                 self.insert(x.alive, at, False)
