Edges call cores by a light caller of their own; no aiohttp and no ssl at their start

Cause: aiohttp took 100 of the 189 ms that an edge's imports take (-X importtime), for one waiting call to a core; asyncio had loaded ssl before it was put out of reach. After a loss of all, edges' starts are time in which nobody serves.

Ruled out: absl.logging without absl.flags (it imports it itself); dacite (2 ms, checks settings).

--- a/knotwalk/mast/call.py
+++ b/knotwalk/mast/call.py
@@ -1,4 +1,7 @@
-"""The one way to call a peer: JSON over HTTP/1.1 by aiohttp, bounded in time, errors with step and peer."""
+"""How cores and the command line call a peer: JSON over HTTP/1.1 by aiohttp, bounded in time, errors with step and peer.
+
+Edges have a lighter one of their own, `windvane.caller`.
+"""
 
 import asyncio
 import json
--- a/knotwalk/windvane/__main__.py
+++ b/knotwalk/windvane/__main__.py
@@ -2,20 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
-import os
 import sys
-from zlib import crc32
 
-# No TLS is spoken here; with it, aiohttp loads the system's certificates when it is imported: half of an edge's start.
+# No TLS is spoken here, and asyncio does without it: it is a part of an edge's start, and of its memory.
 sys.modules.setdefault("ssl", None)     # type: ignore[arg-type]
 
+import asyncio
+import os
+from zlib import crc32
+
 from knotwalk.lookout.picture import Picture
-from knotwalk.mast.call import Caller
 from knotwalk.mast.journal import clock, tell
 from knotwalk.mast.life import Ending, live
 from knotwalk.mast.settings import Settings
 from knotwalk.windvane import ready
+from knotwalk.windvane.caller import Caller
 from knotwalk.windvane.front import Front
 from knotwalk.windvane.link import Link
 
@@ -28,7 +29,7 @@
         settings.at("data_plane"), settings.at("readiness")     # said before anything is begun
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
         self.picture = Picture()
-        self.caller = Caller(16)
+        self.caller = Caller()
         self.front = Front(settings, self.picture, clock, seed)
         port = settings.ports[0]
         self.link = Link(settings.node_name, self.picture, self.caller, [f"{ip}:{port}" for ip, _ in settings.seeds],
--- /dev/null
+++ b/knotwalk/windvane/caller.py
@@ -0,0 +1,169 @@
+"""An edge's calls to a core: JSON over HTTP/1.1 on httptools, with the interface of `mast.call.Caller.json`.
+
+An edge makes one call at a time, and starts and memory are priced: aiohttp was over half of what an edge imports.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from enum import Enum
+from typing import Any
+from urllib.parse import urlsplit
+
+import httptools
+
+from knotwalk.mast.errors import StationError
+
+# Seconds after which an idle connection is not used again: less than half of what a core keeps one open for.
+IDLE = 8.0
+PATIENCE = 1.0      # as other calls between stations have it
+MOST = 64 * 1024 * 1024     # bytes of an answer, as of a call's body at a core
+
+
+class Line(Enum):
+    """States of a connection to a core."""
+
+    IDLE = "idle"
+    WAITING = "waiting"         # a call was sent, its answer is not whole
+    CLOSED = "closed"
+
+
+LINES = {Line.IDLE: {Line.WAITING, Line.CLOSED}, Line.WAITING: {Line.IDLE, Line.CLOSED}, Line.CLOSED: set()}
+
+
+class Connection(asyncio.Protocol):
+    """One connection, one call at a time. Bytes that no call waits for end it, as does an answer that is not understood."""
+
+    def __init__(self) -> None:
+        self.line = Line.IDLE
+        self.idle_since = asyncio.get_running_loop().time()
+        self.transport: asyncio.Transport | None = None
+        self.future: asyncio.Future[tuple[int, bytes]] | None = None
+        self._renew()
+
+    def _renew(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.body: list[bytes] = []
+        self.size = 0
+
+    def _to(self, line: Line) -> None:
+        """The one place where the state changes."""
+        if line not in LINES[self.line]:
+            raise StationError("connection to a core", "", f"from {self.line.value} to {line.value}")
+        self.line = line
+
+    def fit(self) -> bool:
+        """Whether a call may be sent on it."""
+        return (self.line is Line.IDLE and self.transport is not None and not self.transport.is_closing()
+                and asyncio.get_running_loop().time() - self.idle_since < IDLE)
+
+    def send(self, data: bytes) -> asyncio.Future[tuple[int, bytes]]:
+        """Send a call: its answer's status and body, or an OSError."""
+        assert self.transport is not None
+        self._to(Line.WAITING)
+        self.future = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        return self.future
+
+    def end(self, why: str) -> None:
+        """End the connection; whoever waits is told why."""
+        if self.line is not Line.CLOSED:
+            self._to(Line.CLOSED)
+        if self.future is not None and not self.future.done():
+            self.future.set_exception(ConnectionError(why))
+        if self.transport is not None:
+            self.transport.abort()
+
+    # -- from the loop
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.end(str(error) if error else "the connection ended before the answer")
+
+    def data_received(self, data: bytes) -> None:
+        if self.line is not Line.WAITING:
+            self.end("bytes that belong to no answer")
+            return
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.end(f"not an answer: {error}")
+
+    # -- from the parser
+
+    def on_body(self, data: bytes) -> None:
+        self.size += len(data)
+        if self.size > MOST:
+            self.end("the answer is too large")
+        else:
+            self.body.append(data)
+
+    def on_message_complete(self) -> None:
+        status = self.parser.get_status_code()
+        if self.line is not Line.WAITING or status < 200:       # a second answer in one piece, or not the answer yet
+            self.end("bytes that belong to no answer")
+            return
+        assert self.future is not None
+        if not self.future.done():
+            self.future.set_result((status, b"".join(self.body)))
+        if not self.parser.should_keep_alive():
+            self.end("")
+            return
+        self._to(Line.IDLE)
+        self.idle_since = asyncio.get_running_loop().time()
+        asyncio.get_running_loop().call_soon(self._renew)       # not while the parser runs
+
+
+class Caller:
+    """Calls cores, one connection kept to each; each call has one limit of time for all of it."""
+
+    def __init__(self) -> None:
+        self.kept: dict[tuple[str, int], Connection] = {}
+
+    async def json(self, method: str, url: str, body: Any = None, patience: float = PATIENCE, step: str = "call") -> Any:
+        """The JSON value of a 200 from `http://ip:port/path`; StationError for any other answer or none in `patience` s."""
+        parts = urlsplit(url)
+        at = parts.hostname or "", parts.port or 80
+        data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
+        head = (f"{method} {parts.path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
+                f"Content-Length: {len(data)}\r\n\r\n")
+        connection: Connection | None = None
+        try:
+            async with asyncio.timeout(patience):
+                connection = await self._connection(at)
+                status, told = await connection.send(head.encode() + data)
+        except TimeoutError:
+            raise StationError(step, url, f"no answer within {patience:g} s") from None
+        except OSError as error:
+            raise StationError(step, url, f"{type(error).__name__} {error}") from None
+        finally:
+            if connection is not None and connection.line is Line.WAITING:
+                connection.end("given up")      # a late answer must not be taken for the next call's
+        if connection.line is Line.IDLE:
+            self.kept[at] = connection
+        if status != 200:
+            raise StationError(step, url, f"status {status}")
+        try:
+            return json.loads(told)
+        except ValueError as error:
+            raise StationError(step, url, f"no JSON: {error}") from None
+
+    async def _connection(self, at: tuple[str, int]) -> Connection:
+        """The one kept to a core, taken out, if it is fit; else a new one. OSError if there is none."""
+        kept = self.kept.pop(at, None)
+        if kept is not None:
+            if kept.fit():
+                return kept
+            kept.end("idle for long")
+        _, connection = await asyncio.get_running_loop().create_connection(Connection, *at)
+        return connection
+
+    async def close(self) -> None:
+        """End all connections."""
+        for connection in self.kept.values():
+            connection.end("the edge ends")
+        self.kept.clear()
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/windvane/front.py
@@ -13,7 +13,7 @@
 from collections import deque
 from collections.abc import Callable, Coroutine
 from enum import Enum
-from http.client import responses
+from http import HTTPStatus
 
 import httptools
 
@@ -49,7 +49,7 @@
 OURS = HOP | {b"content-length", b"deadline-ms", b"target-instance", b"expect"}
 KEPT = frozenset({b"host", b"attempt-id", b"shard-key"})   # no Connection header takes these away
 BODILESS = frozenset({204, 304})
-REASONS = {status: reason.encode() for status, reason in responses.items()}
+REASONS = {int(one): one.phrase.encode() for one in HTTPStatus}
 
 
 class Door(Enum):
--- /dev/null
+++ b/tests/system/test_caller.py
@@ -0,0 +1,106 @@
+"""An edge's calls to a core on loopback: every way in which an answer fails to come, at each byte, and the call after it."""
+
+import asyncio
+import json
+import unittest
+
+from knotwalk.mast.errors import StationError
+from knotwalk.windvane.caller import Caller
+
+WELL = b'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{"a":1}'
+CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{"a\r\n4\r\n":1}\r\n0\r\n\r\n'
+
+
+class CallerCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.loop = asyncio.get_running_loop()
+        self.loop.set_debug(False)
+        self.errors, self.script, self.asked, self.writers = [], [], [], []
+        self.loop.set_exception_handler(lambda loop, context: self.errors.append(context))
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.url = f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}/picture"
+        self.caller = Caller()
+
+    async def asyncTearDown(self):
+        self.server.close()
+        await self.caller.close()
+        for writer in self.writers:
+            writer.close()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        self.assertEqual(self.errors, [])
+
+    async def _serve(self, reader, writer):
+        """Each call gets the next of the script: bytes, and whether the connection then ends."""
+        self.writers.append(writer)
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                size = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+                self.asked.append((len(self.writers), head, await reader.readexactly(size)))
+                data, ends = self.script.pop(0)
+                writer.write(data)
+                if ends:
+                    writer.close()
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def call(self, *script, patience=5.0, url=None):
+        self.script[:] = script
+        return await self.caller.json("POST", url or self.url, {"edge": "e"}, patience, "picture")
+
+    async def test_a_connection_is_kept_and_a_call_is_whole(self):
+        for answer in (WELL, CHUNKED, WELL):
+            self.assertEqual(await self.call((answer, False)), {"a": 1})
+            self.assertEqual(json.loads(self.asked[-1][2]), {"edge": "e"})
+        self.assertEqual({number for number, _, _ in self.asked}, {1})
+        self.assertEqual(await self.call((WELL.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"), False)), {"a": 1})
+        self.assertEqual(await self.call((WELL, False)), {"a": 1})
+        self.assertEqual(self.asked[-1][0], 2)
+
+    async def test_an_answer_cut_at_each_byte_is_none_and_the_next_call_is_well(self):
+        for answer in (WELL, CHUNKED):
+            for point in range(len(answer)):
+                with self.subTest(point=point), self.assertRaises(StationError) as met:
+                    await self.call((answer[:point], True))
+                self.assertEqual((met.exception.step, met.exception.peer), ("picture", self.url))
+                self.assertEqual(await self.call((WELL, False)), {"a": 1})
+
+    async def test_what_is_no_answer_fails_the_call_and_ends_the_connection(self):
+        bad = [b"nonsense\r\n\r\n", b"\0" * 40, WELL + WELL, WELL.replace(b"7", b"x"), WELL.replace(b"200 OK", b"100 Continue"),
+               WELL.replace(b"{", b"["), WELL.replace(b"200 OK", b"503 No"), WELL.replace(b"200 OK", b"307 No")]
+        for data in bad:
+            with self.subTest(data), self.assertRaises(StationError):
+                await self.call((data, False))
+                if data == WELL + WELL:     # the call itself has its answer; what belongs to none must reach no other
+                    self.assertEqual(self.caller.kept, {})
+                    raise StationError("", "", "")
+            self.assertEqual(await self.call((WELL, False)), {"a": 1})
+
+    async def test_a_late_answer_is_never_the_next_calls(self):
+        with self.assertRaises(StationError) as met:
+            await self.call((b"", False), patience=0.02)
+        self.assertIn("no answer within", str(met.exception))
+        self.writers[0].write(WELL.replace(b"1", b"9"))
+        self.assertEqual(await self.call((WELL, False)), {"a": 1})
+
+    async def test_bytes_and_ends_while_idle_cost_no_call(self):
+        for disturb in (lambda writer: writer.write(WELL.replace(b"1", b"9")), lambda writer: writer.close()):
+            await self.call((WELL, False))
+            (kept,) = self.caller.kept.values()
+            disturb(self.writers[-1])
+            while kept.fit():
+                await asyncio.sleep(0)
+            self.assertEqual(await self.call((WELL, False)), {"a": 1})
+
+    async def test_nobody_listens(self):
+        self.server.close()
+        await self.server.wait_closed()
+        with self.assertRaises(StationError) as met:
+            await self.call()
+        self.assertIn("ConnectionRefused", str(met.exception))
+
+
+if __name__ == "__main__":
+    unittest.main()
