Edges that start with all cores serve by what a disk surely holds until there is a leader

Cause: after a loss of all (power_off_all, kill_all) edges listen 0.63 s after the fault, cores 0.66 s, and a leader comes at 1.1 to 1.2 s, since no vote counts before a life before can have answered a leader. What is in force is known earlier.

Ruled out: a shorter election (docs/design/system.md says why); an uncommitted tail of the log told as well, which may have lost its race.

Change: a save tells how far the log is known as committed, and a start gives that out at once (logbook).

--- a/knotwalk/almanac/past.py
+++ b/knotwalk/almanac/past.py
@@ -12,8 +12,9 @@
 def export(data_dir: str) -> dict[str, Any]:
     """The configuration, whole, and where it stands; StoreBroken, or ValueError for a later format.
 
-    A disk does not tell which of its last entries were agreed on. `sure` is the version that certainly was: the one of
-    the snapshot; a configuration from a later entry was acknowledged if a majority of the cores' disks has that entry.
+    A disk does not tell of its last entries which were agreed on. `sure` is the version that certainly was: the one as of
+    the snapshot, or of the last entry known then as committed; a configuration from a later entry was acknowledged if a
+    majority of the cores' disks has that entry.
     `history` has the versions whose whole text is here, oldest first: that of the snapshot and those after it. Of earlier
     ones the system keeps no text, and none of when a version was taken or by whom.
     """
@@ -30,6 +31,7 @@
     note()
     for entry in saved.entries:
         record.apply(entry.index, entry.body if entry.kind == "command" else {})
+        sure = record.version if entry.index <= saved.commit else sure
         note()
     last = saved.entries[-1] if saved.entries else None
     return {
--- a/knotwalk/barometer/stations.py
+++ b/knotwalk/barometer/stations.py
@@ -136,11 +136,12 @@
         if asked.get("report"):
             self.loads.add(now, asked["report"], True)
         until, patient = now + min(WAIT_MOST, asked.get("wait", 0.0)), now + STALE_WAIT
+        provisional = await self.provisional() if asked.get("bare") else None
         while True:
             now = clock()
             fresh = now < self.fresh_until and not self.leaving
             message = self.board.since(asked, now) if fresh else None
-            if message is not None or now >= until or self.leaving or not fresh and now >= patient:
+            if message is not None or now >= until or self.leaving or not fresh and (provisional or now >= patient):
                 break
             news = self.news
             try:
@@ -149,7 +150,23 @@
                     await asyncio.sleep(GATHER)
             except TimeoutError:
                 pass
-        return answer({"fresh": fresh, "zone": self.steward.settings.zone, "edges": self.loads.count(now), **({"news": message} if message else {})})
+        told = {"fresh": fresh, "zone": self.steward.settings.zone, "edges": self.loads.count(now)}
+        if message:
+            told["news"] = message
+        elif provisional and not fresh:
+            told["provisional"] = provisional
+        return answer(told)
+
+    async def provisional(self) -> dict | None:
+        """What an edge that has nothing may serve by until there is a leader: what the disk here holds as committed, and
+        the list as read here. None from a core that was fresh in this life, or has heard a leader and is about to be."""
+        if self.fresh_until or self.leaving or self.agreement.machine.leader or self.board.config is None:
+            return None
+        try:
+            nodes = await asyncio.wait_for(self.steward.own_nodes(), STALE_WAIT)
+        except TimeoutError:
+            return None
+        return self.board.provisional(nodes, clock())
 
     # --- operators --------------------------------------------------------------------------------
 
--- a/knotwalk/barometer/steward.py
+++ b/knotwalk/barometer/steward.py
@@ -10,7 +10,7 @@
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
 from knotwalk.lookout.listing import Listing, Unusable
-from knotwalk.lookout.picture import Board, entry, node_of
+from knotwalk.lookout.picture import Board, Node, entry, node_of
 from knotwalk.mast.call import Caller
 from knotwalk.mast.errors import StationError
 from knotwalk.mast.journal import clock, tell, warn
@@ -27,6 +27,8 @@
         self.settings, self.agreement, self.board, self.caller, self.me = settings, agreement, board, caller, me
         self.tenure: Tenure | None = None
         self.turn_of_list = 0
+        self.own_list: asyncio.Task | None = None
+        self.own_list_at = float("-inf")
         self.on_nodes: Callable[[], None] = lambda: None
 
     def role(self, leads: bool) -> None:
@@ -119,6 +121,18 @@
                 self.on_nodes()
                 asyncio.get_running_loop().create_task(self.tell_cores())
 
+    async def own_nodes(self) -> dict[str, Node]:
+        """The list as this machine read it itself, for edges that start while nobody leads; empty if it can't be read.
+        All who ask within POLL share a reading: of three cores that start at once none asks more often than a leader."""
+        if self.settings.platform.address is None:
+            return {}
+        if self.own_list is None or clock() - self.own_list_at >= POLL:
+            self.own_list, self.own_list_at = asyncio.get_running_loop().create_task(self.read()), clock()
+        try:
+            return (await asyncio.shield(self.own_list)).nodes
+        except (StationError, Unusable):
+            return {}
+
     async def read(self) -> Listing:
         host, port = self.settings.platform.address
         listing, token = Listing(), ""
--- a/knotwalk/logbook/machine.py
+++ b/knotwalk/logbook/machine.py
@@ -6,7 +6,7 @@
 A driver calls the methods with the time of its steady clock, in seconds, then takes and clears `orders` and carries
 them out in their order. It writes one Save at a time, in order, and tells `kept`; a Save refused is told by `failed`
 and written again, unchanged, until it is kept. At start the application loads Saved.snapshot by itself; every entry
-after it comes by Apply, all kinds, once a life.
+after it comes by Apply, all kinds, once a life: at once as far as the disk holds them as committed.
 
 Two rules carry the safety. A vote, and a request for votes, waits in `_held` for its Save; an answer to entries says
 how far they are kept (`match`) and received (`have`), and leaders count only `match`.
@@ -69,12 +69,13 @@
     snapshot: dict | None = None
     members: dict[str, str] = field(default_factory=dict)
     entries: list[Entry] = field(default_factory=list)
+    commit: int = 0         # known by the last Save as committed, and so for ever; 0 where a file does not tell
 
 
 @dataclass(frozen=True)
 class Save:
     """One transaction: drop entries from `cut_from` on, put `entries`; `snapshot` is (index, term, members, state) and
-    drops the entries up to its index."""
+    drops the entries up to its index. The log then kept reaches `commit`, which is known as committed, or further."""
 
     number: int
     term: int
@@ -82,6 +83,7 @@
     entries: list[Entry]
     cut_from: int | None
     snapshot: tuple[int, int, dict[str, str], dict] | None
+    commit: int = 0
 
 
 @dataclass(frozen=True)
@@ -251,7 +253,7 @@
         # A life before may have answered a leader just before this one began, and a lease may rest on that.
         self._sticky_from = now if born is None else born
         self._lonely_since = now
-        self._agreed = self.commit                  # the log is the leader's of this term up to here
+        self._agreed = 0                            # the log is the leader's of this term up to here
         self._owed = False
         self._stamp: float | None = None
         self._round_seen = 0
@@ -275,6 +277,8 @@
         self._handed: str | None = None
         self._handed_at = NEVER
         self._void = False                              # handed over: no lease any more
+        self._advance(saved.commit)
+        self._agreed = self.commit
         self._close(now)
 
     # ---- what others read
@@ -482,7 +486,7 @@
             cut = first if first <= self._issued else None
             entries = self.log.entries[first - self.log.base - 1:]
             self.orders.append(Save(self._number, self.term, self.vote, entries, cut,
-                                    self.snapshot if self._new_snapshot else None))   # type: ignore[arg-type]
+                                    self.snapshot if self._new_snapshot else None, self.commit))  # type: ignore[arg-type]
             self._flight = Flight(self._number, self.log.last, self.term, self.vote)
             self._issued = self.log.last
             self._dirty, self._dirty_from, self._new_snapshot = False, None, False
--- a/knotwalk/logbook/store.py
+++ b/knotwalk/logbook/store.py
@@ -305,7 +305,11 @@
             entries.append(Entry(row[0], row[1], row[2], json.loads(row[3])))
         if [one.index for one in entries] != list(range(index + 1, state.last + 1)):
             raise self._broken(f"entries {index + 1} to {state.last} are not all there, or others are")
-        return Saved(meta["me"], state.term, state.vote, index, term, json.loads(body), json.loads(members), entries)
+        commit = int(meta.get("commit", "0"))       # not there in files of the time before
+        if commit > state.last:
+            raise self._broken(f"entry {commit} is committed, and the last is {state.last}")
+        return Saved(meta["me"], state.term, state.vote, index, term, json.loads(body), json.loads(members), entries,
+                     max(commit, index))
 
     # ---- writing
 
@@ -355,6 +359,8 @@
                     raise StoreBroken(self.path, f"entry {save.entries[0].index} does not follow {state.last}")
                 state.last = max(state.last, save.entries[-1].index)
             self._put_state(state)
+            if save.commit:
+                self._put("meta", "commit", str(save.commit))
             execute("COMMIT")
         except (sqlite3.Error, StoreBroken) as error:
             self._doubt = True
--- a/knotwalk/lookout/picture.py
+++ b/knotwalk/lookout/picture.py
@@ -2,6 +2,8 @@
 
 A `Board` stands in each core program; a `Picture` in each edge program. Every topic has an order that only rises (the
 index in the agreed log; for nodes the poller's term and turn), so a picture never goes back, whichever core it hears.
+A picture that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders, so
+whatever a fresh core tells replaces it.
 """
 
 from __future__ import annotations
@@ -87,12 +89,33 @@
         self.nodes_order: tuple[int, int] = (-1, -1)
         self.lines_order = -1
         self.epoch, self.at = "", 0     # the board last heard, and how far
+        self.provisional = False        # configuration or nodes are still those of a core that only just started
         self.fault = ""     # why the newest configuration told was not taken; the old one is then in force
 
     @property
     def whole(self) -> bool:
         """Whether there is enough to serve by."""
-        return self.configuration is not None and self.nodes_order >= (0, 0)
+        return self.configuration is not None and (self.provisional or self.nodes_order >= (0, 0))
+
+    @property
+    def bare(self) -> bool:
+        """Whether nothing was taken yet, so that a provisional picture is better than none."""
+        return not self.provisional and (self.config_order, self.nodes_order, self.lines_order) == (-1, (-1, -1), -1)
+
+    def provide(self, now: float, message: dict) -> set[str]:
+        """Take a provisional picture, whole, or nothing: only who is bare does. Topics changed, as of `apply`.
+
+        No order is taken with it, so any fresh core sends the whole of each topic. ValueError if it can't be taken."""
+        if not self.bare:
+            return set()
+        made = Picture()
+        changed = made.apply(now, {"epoch": "", "at": 0, **message})
+        if not made.whole:
+            raise ValueError(made.fault or "a provisional picture that is not whole")
+        self.configuration, self.index, self.shardings = made.configuration, made.index, made.shardings
+        self.nodes, self.by_service, self.cores = made.nodes, made.by_service, made.cores or self.cores
+        self.provisional = True
+        return changed
 
     def apply(self, now: float, message: dict) -> set[str]:
         """Take what a core's board sent; topics changed among `config`, `nodes`, `lines`, `cores`.
@@ -118,6 +141,7 @@
                 self.fault = f"{type(error).__name__} {error}"
         if not self.fault:
             self.epoch, self.at = message["epoch"], message["at"]
+        self.provisional &= self.config_order < 0 or self.nodes_order < (0, 0)
         return changed
 
     def _config(self, topic: dict) -> None:
@@ -153,6 +177,8 @@
         self.nodes_order = tuple(topic["order"])
 
     def _lines(self, topic: dict) -> None:
+        if self.lines_order < 0:
+            self.shardings = {}     # provisional ones
         for service, runs in topic["set"].items():
             sharding = self.shardings.setdefault(service, Sharding())
             for first, last, owner, opened in runs:
@@ -163,7 +189,7 @@
     def ask(self) -> dict:
         """What to tell a core so that it sends only what is new; after a fault the configuration is wanted whole."""
         return {"epoch": self.epoch, "at": self.at, "config": -1 if self.fault else self.config_order,
-                "nodes": self.nodes_order, "lines": self.lines_order}
+                "nodes": self.nodes_order, "lines": self.lines_order} | ({"bare": True} if self.bare else {})
 
 
 class Board:
@@ -265,6 +291,14 @@
                 if (found := runs(self.lines[service], orders, order))}}
         return message
 
+    def provisional(self, nodes: dict[str, Node], now: float) -> dict | None:
+        """All that stands here for a picture that is bare, with `nodes` where no leader's list came; None if that would
+        serve nothing."""
+        message = self.since({"epoch": "", "at": 0}, now) or {}
+        if "nodes" not in message:
+            message["nodes"] = {"order": [0, 0], "full": True, "gone": [], "set": {id: entry(n, now) for id, n in nodes.items()}}
+        return message if "config" in message and message["nodes"]["set"] else None
+
     def _config(self, has: int) -> dict:
         """The changes from the order that a picture `has`, if all of them are kept; else the document."""
         changes = [change for base, change, _ in self.changes if base >= has]
--- a/knotwalk/windvane/link.py
+++ b/knotwalk/windvane/link.py
@@ -71,6 +71,17 @@
         known = [at for at in self.picture.cores if self.zones.get(at, self.zone) == self.zone and at not in self.left]
         return self.random.choice(known) if known else core
 
+    def begin(self, now: float, core: str, provisional: dict | None) -> None:
+        """Serve for now by what a core that only just started holds, if there is nothing yet to serve by."""
+        try:
+            changed = self.picture.provide(now, provisional) if provisional else set()
+        except (KeyError, TypeError, ValueError) as error:
+            warn("news not understood", core=core, why=f"{type(error).__name__} {error}")
+            return
+        if changed:
+            tell("provisional", core=core, version=self.picture.configuration.version)
+            self.on_news(changed, 0)        # a core that just started has not heard of all edges
+
     async def turn(self, core: str) -> bool:
         """One call; whether the core is fit to be asked again."""
         now = clock()
@@ -92,6 +103,7 @@
         self.left = {at: when for at, when in self.left.items() if now - when < AVOID}
         if not told["fresh"]:
             self.left[core] = now
+            self.begin(now, core, told.get("provisional"))
             return False
         changed: set[str] = set()
         if news := told.get("news"):
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -41,7 +41,7 @@
             index, term, members, state = json.loads(json.dumps(save.snapshot))
             saved.snapshot_index, saved.snapshot_term, saved.members, saved.snapshot = index, term, members, state
         saved.entries = [one for one in entries if one.index > saved.snapshot_index]
-        saved.term, saved.vote = save.term, save.vote
+        saved.term, saved.vote, saved.commit = save.term, save.vote, save.commit
         numbers = [one.index for one in saved.entries]
         if numbers != list(range(saved.snapshot_index + 1, saved.snapshot_index + 1 + len(numbers))):
             raise Violation(f"{saved.me} wrote {numbers} after {saved.snapshot_index}")
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_barometer.py
@@ -13,6 +13,7 @@
 from knotwalk.atlas.read import document, patched, read_configuration
 from knotwalk.barometer.agree import Agreement, NotLeader, opened
 from knotwalk.barometer.conductor import LANES, Conductor
+from knotwalk.barometer.stations import Stations
 from knotwalk.barometer.steward import Steward
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.lookout.loads import Loads, merge
@@ -222,6 +223,84 @@
             self.assertEqual(waits, [FIRST_WAIT, WAIT, FIRST_WAIT])     # one that is not known to live is not waited for long
 
 
+    async def test_a_core_that_never_gets_fresh_is_served_by_and_others_are_asked_all_the_while(self):
+        """What an edge that just started has from a core that just started is better than nothing, and no more."""
+        board = Board("b")
+        board.set_config(5, DOCUMENT)
+        nodes = {"x": Node("x", "s", ("10.0.1.1", 80), "z", 2)}
+        asked, heard = [], []
+
+        class Cores:
+            async def json(self, method, url, body, patience, step):
+                asked.append((url, body.get("bare", False)))
+                if len(asked) == 9:
+                    raise asyncio.CancelledError
+                told = {"fresh": False, "zone": "z", "edges": 1}
+                if len(asked) == 1:
+                    return told | {"provisional": {"config": {"order": 5}, "nodes": {}}}      # not understood
+                return told | {"provisional": json.loads(json.dumps(board.provisional(nodes, 0.0)))}
+
+        link = Link("e", Picture(), Cores(), ADDRESSES, 1, "z", dict, lambda changed, edges: heard.append(edges))
+        with self.assertRaises(asyncio.CancelledError), mock.patch("knotwalk.windvane.link.PAUSE_MOST", 0.0), \
+                self.assertLogs(level="WARNING") as logs:
+            await link.run()
+        self.assertEqual([bare for _, bare in asked], [True, True] + [False] * 7)
+        self.assertEqual(({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/picture" for at in ADDRESSES}, 1))
+        self.assertEqual((heard, link.picture.whole, link.picture.config_order), ([0], True, -1))
+
+
+class ProvisionalCase(unittest.IsolatedAsyncioTestCase):
+    """What a core that only just started tells an edge that has nothing."""
+
+    async def asyncSetUp(self):
+        self.calls, entry = 0, {"service": "s", "address": "10.0.1.1:80", "zone": "z", "capacity": 2, "state": "draining",
+                                "config_version": "v1", "warmup_left": "0ms"}
+        owner = self
+
+        class Platform:
+            status = 200
+
+            async def send(self, *_):
+                owner.calls += 1
+                await asyncio.sleep(0)
+                return self.status, {}, json.dumps({"instances": {"i-1": entry}, "next_token": None}).encode()
+
+        self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(leader=None)
+        agreement = SimpleNamespace(machine=self.machine)
+        steward = Steward(SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"), agreement, self.board,
+                          self.platform, "me")
+        self.stations = Stations("me", agreement, steward, None, self.board, Loads(), None)
+
+    async def ask(self, **more):
+        asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
+        return json.loads((await self.stations.picture(SimpleNamespace(body=asked))).body)
+
+    async def test_only_a_bare_edge_is_told_and_only_before_a_leader_is_known(self):
+        self.assertNotIn("provisional", await self.ask())
+        self.assertEqual(self.calls, 0)         # nothing on the disk: nothing is asked for
+        self.board.set_config(5, DOCUMENT)
+        told = await asyncio.gather(self.ask(), self.ask(), self.ask())
+        self.assertEqual(self.calls, 1)         # a platform's call for all
+        for one in told:
+            self.assertFalse(one["fresh"])
+            picture = Picture()
+            self.assertEqual(picture.provide(0.0, one["provisional"]), {"config", "nodes"})
+            self.assertTrue(picture.whole and picture.nodes["i-1"].draining)
+        self.assertNotIn("provisional", await self.ask(bare=False))
+        self.machine.leader = "a:1"
+        self.assertNotIn("provisional", await self.ask())
+        self.machine.leader, self.stations.fresh_until = None, 1.0
+        self.assertNotIn("provisional", await self.ask())
+        self.assertEqual(self.calls, 1)
+
+    async def test_a_list_that_cannot_be_read_is_none(self):
+        self.board.set_config(5, DOCUMENT)
+        self.platform.status = 429
+        for _ in range(3):
+            self.assertNotIn("provisional", await self.ask())
+        self.assertEqual(self.calls, 1)         # no more often than a leader would ask
+
+
 class BoardCase(unittest.TestCase):
     """A picture never goes back, whichever of two boards it hears."""
 
@@ -261,6 +340,31 @@
         board.set_config(order, document(patched(before, {
             "config_version": f"r{before.version + 1}", "upsert": {"objects": [route]}})))
 
+    def test_a_provisional_picture_is_replaced_by_any_fresh_one_and_never_follows_one(self):
+        old, fresh, picture = Board("a"), Board("b"), Picture()
+        old.set_config(50, {**DOCUMENT, "config_version": "r9"})
+        old.set_lines(51, "s", {0: ("x", True), 9: ("gone", True)})
+        old.set_lines(52, "dropped", {0: ("x", True)})
+        provisional = json.loads(json.dumps(old.provisional(self.nodes("x", "gone"), 0.0)))
+        self.assertTrue(picture.ask()["bare"])
+        self.assertEqual(picture.provide(0.0, provisional), {"config", "nodes", "lines"})
+        self.assertEqual(picture.provide(0.0, provisional | {"nodes": {}}), set())       # one is enough
+        self.assertEqual((picture.whole, picture.shardings["s"].lines[9].node.id), (True, "gone"))
+        self.assertEqual({k: v for k, v in picture.ask().items() if k != "at"},
+                         {"epoch": "", "config": -1, "nodes": (-1, -1), "lines": -1})
+        fresh.set_config(5, DOCUMENT)           # a fresh core before its leader has read the list
+        fresh.set_lines(7, "s", {0: ("x", True), 1: ("y", True)})
+        self.assertEqual(self.tell(fresh, picture), {"config", "lines"})
+        self.assertEqual((picture.whole, picture.provisional, set(picture.nodes)), (True, True, {"x", "gone"}))
+        self.assertEqual((picture.configuration.version, set(picture.shardings)), (3, {"s"}))
+        self.assertEqual(picture.shardings["s"].lines[9].owner, "")
+        fresh.set_nodes((1, 1), self.nodes("x", "y"))
+        self.assertEqual(self.tell(fresh, picture), {"nodes"})
+        self.assertEqual((picture.whole, picture.provisional, set(picture.nodes)), (True, False, {"x", "y"}))
+        self.assertEqual(picture.shardings["s"].lines[1].node.id, "y")
+        self.assertEqual(picture.provide(0.0, provisional), set())
+        self.assertEqual(picture.configuration.version, 3)
+
     def test_changes_alone_or_the_whole_by_what_the_picture_has_whichever_board_it_heard(self):
         one, two = Board("a"), Board("b")
         pictures = [Picture(), Picture(), Picture()]
--- a/tests/system/test_logbook.py
+++ b/tests/system/test_logbook.py
@@ -5,7 +5,7 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from knotwalk.logbook.machine import Answer, Entry, Machine, Pace, Save, Saved, Send
+from knotwalk.logbook.machine import Answer, Apply, Entry, Machine, Pace, Save, Saved, Send
 from knotwalk.logbook.members import Standing, change
 from tests.system.cluster import Cluster, Node, Violation, trouble
 
@@ -313,6 +313,23 @@
         machine.kept(0.71, save.number)
         self.assertEqual([(one.to_address, one.message["granted"]) for one in machine.orders], [("B", True)])
 
+    def test_a_start_gives_out_what_the_disk_holds_as_committed_and_no_more(self) -> None:
+        members = {"a": "A", "b": "B", "c": "C"}
+        for known in range(5):      # at each point up to which the log may be known as committed
+            entries = [Entry(index, 1, "command", {"n": index}) for index in range(1, 5)]
+            machine = Machine(Saved("a", 1, None, 0, 0, None, members, entries, known), Pace(), 0, 0.0)
+            machine.tick(0.1)
+            given = [one.entry.body["n"] for one in machine.orders if isinstance(one, Apply)]
+            self.assertEqual((given, machine.commit), (list(range(1, known + 1)), known))
+            machine.orders.clear()
+            machine.receive(0.2, {"type": "append", "from": "b", "at": "B", "to": "a", "term": 2, "prev": known,
+                                  "prev_term": 1 if known else 0, "entries": [[known + 1, 2, "command", {"n": "other"}]],
+                                  "commit": known + 1, "stamp": 7.0, "round": 3})
+            given = [one.entry.body["n"] for one in machine.orders if isinstance(one, Apply)]
+            self.assertEqual(given, ["other"], "the tail lost its race")
+            save = next(one for one in machine.orders if isinstance(one, Save))
+            self.assertEqual((save.commit, machine.log.last), (known + 1, known + 1))
+
     def test_an_answer_tells_what_is_kept_apart_from_what_came(self) -> None:
         machine = self.machine()
         append = {"type": "append", "from": "b", "at": "B", "to": "a", "term": 1, "prev": 1, "prev_term": 1,
--- a/tests/system/test_logbook_store.py
+++ b/tests/system/test_logbook_store.py
@@ -289,6 +289,23 @@
         saved = self.open()[1]
         self.assertEqual((saved.snapshot_index, [one.index for one in saved.entries]), (100, [101]))
 
+    def test_how_far_the_log_is_committed_is_read_and_a_file_that_does_not_tell_is_whole(self) -> None:
+        store, saved = self.open()
+        self.assertEqual(saved.commit, 0)
+        store.write(Save(1, 1, None, save(1, 6).entries, None, None, 4))
+        store.close()
+        store, saved = self.open()
+        self.assertEqual(saved.commit, 4)
+        store._connection.execute("DELETE FROM meta WHERE key = 'commit'")      # as the text before this row left it
+        store.write(Save(2, 1, None, [], None, (2, 1, {}, {})))
+        store.close()
+        store, saved = self.open()
+        self.assertEqual((saved.commit, len(saved.entries)), (2, 4))
+        store._put("meta", "commit", "7")
+        store.close()
+        with self.assertRaisesRegex(Damaged, "entry 7 is committed"):
+            self.open()
+
     def test_a_save_may_be_repeated_and_must_follow(self) -> None:
         store, _ = self.open()
         store.write(save(1, 3))
