--- a/tests/system/test_village.py
+++ b/tests/system/test_village.py
@@ -181,6 +181,28 @@
         await village.calm()
         await self.served(village.edges[0], key=3)
 
+    @here
+    async def test_an_edge_serves_by_what_one_core_holds_for_sure_until_there_is_a_leader(self, village):
+        edge, core = village.edges[0], village.cores[0]
+        for program in village.cores + [edge]:
+            program.send(signal.SIGKILL)
+        for program in village.cores + [edge]:
+            program.kill()
+        found = len(edge.events("core found"))
+        core.start(initial_boot=False)
+        edge.start(initial_boot=False)
+        await village.until(lambda: village.ready(edge), "the edge ready")
+        self.assertEqual((await self.served(edge, "/desk/x")).service, "desk")
+        self.assertFalse((await village.status(core))["fresh"])
+        self.assertEqual(len(edge.events("core found")), found)
+        for other in village.cores[1:]:
+            other.start(initial_boot=False)
+        await village.until(lambda: len(edge.events("core found")) > found, "a fresh core found")
+        await village.calm()
+        await self.patch([route("after", "/after/", "desk")])
+        await village.until(lambda: self.all(self.status(edge, "/after/x"), 200), "the new route at the edge")
+        await self.patch(remove=["after"])
+
     # -- nodes and edges
 
     @here
