Keys are laid out within zones first, so that most renewals cross none

Three conductors each spread their third over all nodes, so three of four renewals crossed zones.

Change: the first laying-out begins with nodes of the conductor's own zone, each its share of the whole service; what is left goes half a second later to where others left room. Among targets nearly as good (0.1 of utilization) one of the own zone is taken. Runs are as long as before, so the busy keys start on as many nodes.

--- a/knotwalk/barometer/__main__.py
+++ b/knotwalk/barometer/__main__.py
@@ -53,7 +53,8 @@
         self.steward = Steward(settings, self.agreement, self.board, self.caller, self.me)
         self.granter = Caller(resets=True)
         self.conductor = Conductor(self.me, self.agreement, self.board, self.loads, self.granter,
-                                   keeper.Pace(hold=min(6.0, settings.bounds.max_hold)), seed, self.propose)
+                                   keeper.Pace(hold=min(6.0, settings.bounds.max_hold)), seed,
+                                   self.propose, settings.zone)
         self.stations = Stations(self.me, self.agreement, self.steward, self.conductor, self.board, self.loads, self.caller)
         self.control = Control(self.agreement, settings.at("control")[1])
         self.agreement.on_config = self.configured
--- a/knotwalk/barometer/conductor.py
+++ b/knotwalk/barometer/conductor.py
@@ -28,11 +28,11 @@
     """Acts only on slices that the agreed log leases to `me`, and only while its lease is proven."""
 
     def __init__(self, me: str, agreement: Agreement, board: Board, loads: Loads, caller: Caller, pace: Pace, seed: int,
-                 propose: Callable[[dict], Awaitable[str | None]]):
+                 propose: Callable[[dict], Awaitable[str | None]], zone: str = ""):
         self.me, self.agreement, self.board, self.loads, self.caller = me, agreement, board, loads, caller
         self.pace, self.propose = pace, propose
         self.keeper = Keeper(me, pace, seed, clock())
-        self.placer = Placer(me, seed)
+        self.placer = Placer(me, seed, zone)
         self.timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task] = set()
         self.lanes: dict[tuple[tuple[str, int], str], asyncio.Semaphore] = {}   # by a node's address and the call
--- a/knotwalk/isobar/placer.py
+++ b/knotwalk/isobar/placer.py
@@ -6,6 +6,9 @@
 brings a pass on at once. Conductors do not ask each other: each strips its own part of a node's excess, and counts what
 it has proposed as moved. Ordinary moves go out a tenth of the own slices at a time. The passes' text is passes.py's.
 
+Where keys are laid out first, and among targets nearly as good, nodes of the conductor's own zone come first: renewals
+are calls, and calls between zones are priced.
+
 Departures: an empty node at under half of the mean is filled by the passes only where others are above k_p, as the
 paper has it; moving keys costs their share, and requests on them wait, so evenness alone is not worth it.
 """
@@ -36,6 +39,12 @@
 # Busy keys sit close together: laid out in so many rounds by each of three conductors, the busiest thirtieth of the keys
 # starts on eight nodes of 26 instead of one or two; each round is a run a node, so a renewal's call more.
 ROUNDS = 3
+# A first laying-out begins with the nodes of the own zone, of which each gets its share of the whole service at once. What
+# is left of the own slices goes so much later (s) to where others left room: theirs are in the ledger by then.
+REMAINDER = 0.5
+# Renewals stay within a zone where conductor and node are in one, and are the most of the own bytes between zones: so much
+# (of utilization) worse a target of the own zone may be than one of another.
+NEAR = 0.1
 LOOK = 0.3              # s between looks for loads alone: a third of EVERY; each edge reports once a second
 GATHER, GATHER_MOST = 1.0, 4.0  # s without a new node, and in all, before the first laying-out
 EQUAL = 1e-9            # of utilization: a slice moved for less would soon be moved back
@@ -55,6 +64,13 @@
     id: str
     capacity: float
     load: float = 0.0
+    near: bool = False      # in the conductor's own zone
+
+
+def _room(of: Mapping[str, Load], fleet: Mapping[str, Load], whole: float) -> dict[str, float]:
+    """What each node lacks of its capacity's share of the whole load."""
+    capacity = sum(x.capacity for x in fleet.values())
+    return {id: max(0.0, whole * x.capacity / capacity - x.load) for id, x in of.items()}
 
 
 def own_part(loads: Iterable[Load], threshold: float, own: Mapping[str, list[tuple[float, int]]]) -> Callable:
@@ -81,15 +97,23 @@
     return fit(node, load) + EQUAL
 
 
+def targets(loads: Iterable[Load]) -> list[Load]:
+    """Those of the own zone, unless the best of them is much worse than the best of all."""
+    found = list(loads)
+    near = [x for x in found if x.near]
+    return near if near and fit(min(near, key=fit)) <= fit(min(found, key=fit)) + NEAR else found
+
+
 class Placer:
     """Placement by conductor `me`. Ask `due` several times a second, and call `place` if it says so."""
 
-    def __init__(self, me: str, seed: int) -> None:
-        self.me = me
+    def __init__(self, me: str, seed: int, zone: str = "") -> None:
+        self.me, self.zone = me, zone
         self.capacities = Capacities()
         self._random = random.Random(seed)
         self._last: float | None = None                     # the last pass
         self._first: float | None = None                    # when there were nodes first
+        self._laid: dict[str, float] = {}                   # services laid out in the own zone, and when
         self._batch_at = float("-inf")
         self._queue: deque[Move] = deque()
         self._pending: dict[tuple[str, int], tuple[float, int, str]] = {}   # proposed: (when, fence seen, target)
@@ -137,7 +161,7 @@
             for id, load in loads.items():
                 fleet[id].load = load
             left = [k for k in self._mine[service] if owners[service][k] not in fleet]
-            urgent += self._settle(service, left, demand[service], fleet, owners[service])
+            urgent += self._settle(now, service, left, demand[service], fleet, owners[service])
         if self._last is None:
             self._last = now - PERIOD * self._random.random()
         hot = any(fit(x) > K_E for fleet in fleets.values() for x in fleet.values())
@@ -150,7 +174,9 @@
         commands = self._command(now, ledger, urgent + self._staged(now, ledger, fleets, demand))
         self._wake = min(self._last + (EMERGENCY_REST if hot else PERIOD),
                          self._batch_at + BATCH_PAUSE if self._queue else float("inf"),
-                         min((at for at, *_ in self._pending.values()), default=float("inf")) + AGAIN)
+                         min((at for at, *_ in self._pending.values()), default=float("inf")) + AGAIN,
+                         min((at + REMAINDER for at in self._laid.values() if at + REMAINDER > now),
+                             default=float("inf")))
         return commands
 
     # --- what is known ---
@@ -224,43 +250,56 @@
         fleet = {}
         for id in sorted(live):
             capacity = estimates[id] or 2 * whole * max(1, nodes[id].capacity) / slots
-            fleet[id] = Load(id, capacity * (RAMP_SHARE if id in cold else 1.0))
+            fleet[id] = Load(id, capacity * (RAMP_SHARE if id in cold else 1.0), near=nodes[id].zone == self.zone)
         return fleet
 
     # --- slices that must go ---
 
-    def _settle(self, service: str, left: list[int], demand: list[float], fleet: dict[str, Load],
+    def _settle(self, now: float, service: str, left: list[int], demand: list[float], fleet: dict[str, Load],
                 owners: list[str]) -> list[Move]:
         """Places for slices that have none: many at once as runs of neighbours (a run is one grant), few one by one."""
         if not left:
             return []
-        if len(left) >= 2 * len(fleet) and not any(owners[k] for k in left):
-            return self._spread(service, left, demand, fleet)
+        first = not any(owners[k] for k in left)
+        if first and now < self._laid.get(service, float("-inf")) + REMAINDER:
+            return []
+        if first and (len(left) >= 2 * len(fleet) or service in self._laid):
+            near = {id: x for id, x in fleet.items() if x.near}
+            if self.zone and service not in self._laid:
+                self._laid[service] = now
+                return self._spread(service, left, demand, near, _room(near, fleet, sum(demand)),
+                                    round(ROUNDS * len(fleet) / len(near))) if near else []
+            whole = sum(demand[k] for k in left) + sum(x.load for x in fleet.values())
+            return self._spread(service, left, demand, fleet, _room(fleet, fleet, whole), ROUNDS)
         moves = []
         tie = {id: 1 + TIE * self._random.random() for id in fleet}
         for k in sorted(left, key=lambda k: (-demand[k], k)):
-            target = min(fleet.values(), key=lambda x: fit(x, demand[k]) * tie[x.id])
+            target = min(fleet.values(), key=lambda x: fit(x, demand[k]) * tie[x.id] - NEAR * x.near)
             target.load += demand[k]
             moves.append(Move(service, k, target.id))
         return moves
 
-    def _spread(self, service: str, left: list[int], demand: list[float], fleet: dict[str, Load]) -> list[Move]:
-        """Runs of neighbours, to each node as much as its capacity's share, less what it has."""
-        whole = sum(demand[k] for k in left) + sum(x.load for x in fleet.values())
-        capacity = sum(x.capacity for x in fleet.values())
-        room = {x.id: max(0.0, whole * x.capacity / capacity - x.load) for x in fleet.values()}
-        scale = sum(demand[k] for k in left) / (sum(room.values()) or 1.0)
+    def _spread(self, service: str, left: list[int], demand: list[float], fleet: dict[str, Load],
+                room: dict[str, float], rounds: int) -> list[Move]:
+        """Runs of neighbours in so many rounds, to each node of `fleet` its part of the room; where there is less room than
+        slices, the last of each round stay."""
+        whole, most = sum(demand[k] for k in left), sum(room.values()) or 1.0
+        part = min(1.0, most / whole)
+        room = {id: x * min(1.0, whole / most) for id, x in room.items()}
         moves: list[Move] = []
-        for part in range(ROUNDS):
-            mine = left[part * len(left) // ROUNDS:(part + 1) * len(left) // ROUNDS]
+        for turn in range(rounds):
+            mine = left[turn * len(left) // rounds:(turn + 1) * len(left) // rounds]
             order = sorted(fleet)
             self._random.shuffle(order)
+            most = part * sum(demand[k] for k in mine) if part < 1 - EQUAL else float("inf")
             filled, n = 0.0, 0
-            border = room[order[0]] * scale / ROUNDS
+            border = room[order[0]] / rounds
             for k in mine:
+                if filled + demand[k] / 2 > most:
+                    break
                 while filled + demand[k] / 2 > border and n < len(order) - 1:
                     n += 1
-                    border += room[order[n]] * scale / ROUNDS
+                    border += room[order[n]] / rounds
                 filled += demand[k]
                 fleet[order[n]].load += demand[k]
                 moves.append(Move(service, k, order[n]))
@@ -276,10 +315,10 @@
             if (x.conductor == self.me and x.open and k not in urgent and (service, k) not in self._rested
                     and (service, k) not in self._pending):
                 own.setdefault(x.owner, []).append((demand[k], k))
-        loads = [Load(x.id, x.capacity, x.load) for x in fleet.values()]    # planned apart: moves go out by and by
+        loads = [Load(x.id, x.capacity, x.load, x.near) for x in fleet.values()]    # apart: moves go out by and by
         threshold = (1 + mean) / 2
         pool = strip(loads, lambda x: own.get(x.id, ()), threshold, may_go=own_part(loads, threshold, own))
-        moves = place(pool, lambda _, source: (x for x in loads if x is not source), worse)
+        moves = place(pool, lambda _, source: targets(x for x in loads if x is not source), worse)
         return [Move(service, k, target.id) for k, _, target in moves]
 
     def _staged(self, now: float, ledger: Ledger, fleets: Mapping[str, dict[str, Load]],
--- a/tests/system/test_isobar.py
+++ b/tests/system/test_isobar.py
@@ -5,8 +5,8 @@
 
 from knotwalk.isobar.capacity import Capacities, Report, utilizations
 from knotwalk.isobar.passes import place, strip
-from knotwalk.isobar.placer import (AGAIN, BATCH, BATCH_PAUSE, GATHER_MOST, LOOK, PERIOD, RAMP, REST, ROUNDS, Load, Placer, own_part,
-                                    worse)
+from knotwalk.isobar.placer import (AGAIN, BATCH, BATCH_PAUSE, GATHER_MOST, LOOK, NEAR, PERIOD, RAMP, REMAINDER, REST,
+                                    ROUNDS, Load, Placer, own_part, targets, worse)
 from knotwalk.leases.ledger import Ledger
 from knotwalk.lookout.picture import SLICES, Node
 
@@ -16,13 +16,13 @@
 class Fleet:
     """Nodes of one service, slices shared out to conductors, and true capacities that placement does not see."""
 
-    def __init__(self, nodes=8, conductors=("a",), seed=1, capacities=None):
+    def __init__(self, nodes=8, conductors=("a",), seed=1, capacities=None, zones="z", homes=None):
         self.ledger, self.index, self.now = Ledger(), 0, 100.0
         self.conductors = list(conductors)
-        self.placers = {name: Placer(name, seed + n) for n, name in enumerate(conductors)}
+        self.placers = {name: Placer(name, seed + n, (homes or {}).get(name, "")) for n, name in enumerate(conductors)}
         self.nodes, self.failed = {}, set()
         for n in range(nodes):
-            self.add(f"n{n}")
+            self.add(f"n{n}", zones[n % len(zones)])
         self.capacities = capacities or {}
         self.demand = {k: UNIT for k in range(SLICES)}
         self.told = {}
@@ -34,8 +34,8 @@
         self.step()             # the first laying-out waits for nodes that start at the same time
         self.now += GATHER_MOST
 
-    def add(self, id, **more):
-        self.nodes[id] = Node(id, "s", ("10.0.0.1", len(self.nodes)), "z", 2, **more)
+    def add(self, id, zone="z", **more):
+        self.nodes[id] = Node(id, "s", ("10.0.0.1", len(self.nodes)), zone, 2, **more)
 
     def apply(self, command):
         self.index += 1
@@ -101,6 +101,28 @@
         self.assertLessEqual(runs, 3 * ROUNDS * 26)
         self.assertEqual(fleet.step(), [])
 
+    def near(self, fleet, homes):
+        """The share of slices that node and conductor have in one zone."""
+        return sum(fleet.nodes[x.owner].zone == homes[x.conductor] for x in fleet.line) / SLICES
+
+    def test_a_fresh_service_is_laid_out_within_zones_and_as_evenly(self):
+        homes = {"a": "x", "b": "y", "c": "z"}
+        for zones, least in (("xyz", 0.95), ("xyzw", 0.7), ("xxxxy", 0.5), ("xy", 0.6)):   # also zones without the other
+            fleet = Fleet(26, "abc", zones=zones, homes=homes)
+            fleet.step()
+            self.assertEqual(fleet.step(), [], "what is left waits for what the others lay out")
+            fleet.now += REMAINDER
+            fleet.step()
+            self.assertTrue(all(16 <= load <= 24 for load in fleet.loads().values()), (zones, fleet.loads()))
+            self.assertGreaterEqual(self.near(fleet, homes), least, zones)
+            self.assertEqual(fleet.step(), [])
+
+    def test_a_target_of_the_own_zone_is_taken_unless_much_worse(self):
+        x, y, z = Load("x", 10.0, 5.5, True), Load("y", 10.0, 5.0), Load("z", 10.0, 7.0, True)
+        self.assertEqual(targets([x, y, z]), [x, z])
+        x.load += 10 * NEAR
+        self.assertEqual(targets([x, y, z]), [x, y, z])
+
     def test_slices_of_the_gone_the_failed_and_the_draining_go_at_once_even_past_capacity(self):
         fleet = Fleet(5, "ab", capacities=dict.fromkeys((f"n{n}" for n in range(5)), 105.0))
         fleet.run(20.0)
