--- a/knotwalk/windvane/link.py
+++ b/knotwalk/windvane/link.py
@@ -7,15 +7,16 @@
 from collections.abc import Callable
 
 from knotwalk.lookout.picture import Picture
-from knotwalk.mast.call import Caller
 from knotwalk.mast.errors import StationError
 from knotwalk.mast.journal import clock, tell, warn
+from knotwalk.windvane.caller import Caller
 
 WAIT = 1.0          # seconds a core holds a call without news: also the pace of reports
 FIRST_WAIT = 0.25   # the same for the first call to a core, which may be dark: as long as a core waits to be fresh
 PATIENCE = 0.6      # beyond the wait; then the core is left for another
 PAUSE = 0.03        # between tries at cores, growing to
 PAUSE_MOST = 0.3
+PAUSE_BARE = 0.06   # the same while there is nothing to serve by: a port that refuses costs a millisecond to ask
 AVOID = 10.0        # seconds in which a core that failed is not chosen only because it is near
 
 
@@ -59,7 +60,7 @@
             if self.core is None or not await self.turn(self.core):
                 self.core = None
                 await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
-                pause = min(PAUSE_MOST, 1.5 * pause)
+                pause = min(PAUSE_BARE if self.picture.bare else PAUSE_MOST, 1.5 * pause)
             else:
                 pause, self.tried = PAUSE, []
                 self.core = self.nearer(self.core)
@@ -71,6 +72,17 @@
         known = [at for at in self.picture.cores if self.zones.get(at, self.zone) == self.zone and at not in self.left]
         return self.random.choice(known) if known else core
 
+    def begin(self, now: float, core: str, provisional: dict | None) -> None:
+        """Serve for now by what a core that only just started holds, if there is nothing yet to serve by."""
+        try:
+            changed = self.picture.provide(now, provisional) if provisional else set()
+        except (KeyError, TypeError, ValueError) as error:
+            warn("news not understood", core=core, why=f"{type(error).__name__} {error}")
+            return
+        if changed:
+            tell("provisional", core=core, version=self.picture.configuration.version)
+            self.on_news(changed, 0)        # a core that just started has not heard of all edges
+
     async def turn(self, core: str) -> bool:
         """One call; whether the core is fit to be asked again."""
         now = clock()
@@ -92,6 +104,7 @@
         self.left = {at: when for at, when in self.left.items() if now - when < AVOID}
         if not told["fresh"]:
             self.left[core] = now
+            self.begin(now, core, told.get("provisional"))
             return False
         changed: set[str] = set()
         if news := told.get("news"):
