Fences of a core founded anew are lifted past those that nodes have seen

Cause: a fence is an index of the log. A core founded anew on empty folders begins at 1; nodes of the old one that live on have seen higher fences and answer 409, each of which led to one move and so one index more: after a log of 100,000 entries, as many refusals.

Ruled out: asking nodes for what they have seen (no call tells it); a first index by the time of day (it jumps).

Change: the move that follows a refusal says so, and the ledger doubles a lift that all later fences have, once for each lift that was refused.

Counted in memory: 18 refusals pass 100 million.

--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -517,7 +517,7 @@
                 else:
                     again.append([x.service, x.slice, x.slice, x.fence, x.owner])
         if again:
-            self.orders.append(Propose({"do": "move", "by": self.me, "moves": again}))
+            self.orders.append(Propose({"do": "move", "by": self.me, "moves": again, "outbid": True}))
 
     # --- to be seen ---
 
--- a/knotwalk/leases/ledger.py
+++ b/knotwalk/leases/ledger.py
@@ -5,8 +5,13 @@
 
     {"do": "shard", "services": [name, ...]}                            slices exist from now on, leased by nobody
     {"do": "lease", "from": conductor, "to": conductor, "early": bool, "slices": {service: [[first, last], ...]}}
-    {"do": "move", "by": conductor, "moves": [[service, first, last, fence seen, node], ...]}
+    {"do": "move", "by": conductor, "moves": [[service, first, last, fence seen, node], ...], "outbid": bool}
     {"do": "granted", "by": conductor, "fence": fence, "slices": {service: [[first, last], ...]}}
+
+A fence is the index of its move's entry and a lift, which is nothing until a node is found to have seen a higher one. That
+is so where a core was founded anew and its log began at 1 while nodes of the old one live on: they refuse its grants, and
+nobody tells how high to go. So each time a fence of the last lift is refused the lift is doubled: some seventeen refusals
+pass a hundred million entries.
 """
 
 from __future__ import annotations
@@ -17,6 +22,9 @@
 
 from knotwalk.lookout.picture import SLICES
 
+# The first lift, about as many entries as a quarter of an hour brings; and the last, well within what JSON carries exactly.
+LIFT, LIFT_MOST = 1024, 2 ** 52
+
 
 @dataclass(slots=True)
 class Slice:
@@ -25,7 +33,7 @@
     conductor: str = ""     # the core member that leases it
     since: int = 0          # the entry that leased it: another one is another lease, though the conductor be the same
     owner: str = ""         # a node's id, or "" before the first move
-    fence: int = 0          # the entry of the last move
+    fence: int = 0          # the entry of the last move, and the lift
     open: bool = False      # the owner has been granted the keys under this fence
     before: list[tuple[str, int]] = field(default_factory=list)     # (node, its fence): who may hold them besides
     early: bool = False     # leased while a conductor before may still act by an older log (`tenure`)
@@ -48,6 +56,7 @@
 
     def __init__(self) -> None:
         self.index = 0
+        self.lift, self.lifted = 0, 0       # and the first fence that has it
         self.slices: dict[str, list[Slice]] = {}
         self.touched: list[tuple[str, int]] = []
 
@@ -76,6 +85,7 @@
 
     def _move(self, index: int, command: dict) -> list[Change]:
         by, changes = _text(command.get("by")), []
+        lift = self.lift
         for move in _items(command.get("moves")):
             if not isinstance(move, (list, tuple)) or len(move) != 5 or not _text(move[4]):
                 continue
@@ -83,11 +93,14 @@
             for service, k, x in self._named({service: [[first, last]]} if isinstance(service, str) else {}):
                 if not by or x.conductor != by or x.fence != fence:
                     continue
+                if command.get("outbid") and x.fence >= self.lifted and lift == self.lift:
+                    self.lift = min(LIFT_MOST, max(LIFT, 2 * lift))
+                    self.lifted = index + self.lift
                 if x.owner:
                     x.before.append((x.owner, x.fence))
                 # The owner is itself counted as a holder, so it is no foreign one; each other node counts once.
                 x.before = [(id, f) for id, f in dict(x.before).items() if id != target]
-                x.owner, x.fence, x.open = target, index, False
+                x.owner, x.fence, x.open = target, index + self.lift, False
                 self.touched.append((service, k))
                 changes.append(Change(service, k, target, False))
         return changes
@@ -128,13 +141,14 @@
                 else:
                     rows.append([1, *row])
             services[service] = rows
-        return {"index": self.index, "services": services}
+        return {"index": self.index, "services": services} | ({"lift": [self.lift, self.lifted]} if self.lift else {})
 
     @classmethod
     def from_dict(cls, raw: dict) -> Ledger:
         """The ledger of a snapshot; all of it counts as touched. KeyError or ValueError if it is none."""
         ledger = cls()
         ledger.index = raw["index"]
+        ledger.lift, ledger.lifted = raw.get("lift", (0, 0))
         for service, rows in raw["services"].items():
             line = ledger.slices[service] = []
             for count, conductor, since, owner, fence, opened, before, *early in rows:
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -10,7 +10,7 @@
 import unittest
 
 from knotwalk.leases.keeper import (REFUSED, REFUSED_SPAN, SLOW, Grant, Keeper, Pace, Propose, Release, State)
-from knotwalk.leases.ledger import Change, Ledger, ranges
+from knotwalk.leases.ledger import LIFT, Change, Ledger, ranges
 from knotwalk.leases.tenure import CALM, HAND, LACK, Tenure, hand_over, reassign
 from knotwalk.lookout.picture import SLICES, WIDTH, Node
 
@@ -708,7 +708,27 @@
         self.assertEqual(self.orders(1.5), [])
         (again,) = self.orders(2.2)     # the proposal was lost
         (grant,) = self.apply(2.3, again.command)
-        self.assertEqual((grant.node, grant.fence), ("n", 4))
+        self.assertEqual((grant.node, grant.fence), ("n", 4 + LIFT))
+
+    def test_fences_of_a_core_founded_anew_soon_pass_those_of_the_old_one(self):
+        (grant,) = self.move(1.0, 0, 1, "n")
+        seen, rounds = 100_000_000, 0
+        while grant.fence < seen:
+            (propose,) = self.answer(1.0 + rounds, grant, 409)
+            before = grant.fence
+            (grant,) = self.apply(1.01 + rounds, propose.command)
+            self.assertGreater(grant.fence, before)
+            rounds += 1
+        self.assertLess(rounds, 20)
+        (propose,) = self.answer(1.0 + rounds, grant, 200)
+        self.apply(1.0 + rounds, propose.command)
+        self.assertTrue(self.ledger.slices["s"][1].open)
+        lift = self.ledger.lift
+        old = {"do": "move", "by": "a", "moves": [["s", 5, 5, 0, "m"]], "outbid": True}
+        self.apply(2.0 + rounds, old)       # a refusal from before the last lift lifts no further
+        self.assertEqual(self.ledger.lift, lift)
+        again = Ledger.from_dict(json.loads(json.dumps(self.ledger.to_dict())))
+        self.assertEqual((again.lift, again.lifted), (self.ledger.lift, self.ledger.lifted))
 
     def test_a_taken_over_slice_is_renewed_at_once_and_moved_late(self):
         self.opened(1.0, 0, 0, "n")
