Nodes listed before the first laying-out get equal shares of it

Cause: the list has nodes that start with us over some seconds, and the first laying-out waits for them; but those that came after the first look counted as newcomers, at half their capacity for 10 s. So nine nodes of ten were laid out with half of what the first page's got (mean use 0.91 at 0.9 s where all unknown should be 0.5), and the next seconds' passes moved keys to make up for it.

Change: who is listed before a conductor's first laying-out, or its first look at owned slices, is no newcomer.

--- a/knotwalk/isobar/placer.py
+++ b/knotwalk/isobar/placer.py
@@ -29,7 +29,8 @@
 PERIOD = 5.0            # s between passes (the paper's 60: days here last minutes)
 EMERGENCY_REST = 2.0    # s from a pass to one that a node above k_e brings on: the last must show first
 K_E = 1.0
-RAMP, RAMP_SHARE = 10.0, 0.5    # s; a node up for less counts at this share of its capacity
+# s; a node first seen so lately counts at this share of its capacity. Not those of the first laying-out: nobody has worked yet.
+RAMP, RAMP_SHARE = 10.0, 0.5
 REST = 4.0              # s that a slice rests after a move: its new place is then measured twice
 BATCH, BATCH_PAUSE = 0.1, 0.5   # share of the own slices in a batch of ordinary moves; s between batches
 GAIN = 0.05             # of a node's capacity: an excess under this is left (a move costs keys and a wait)
@@ -127,6 +128,7 @@
         self._rested: dict[tuple[str, int], float] = {}     # slices moved lately, and when
         self._moved: dict[str, float] = {}                  # nodes that a slice came to or left, and when
         self._born: dict[str, float] = {}                   # nodes by when they were first seen
+        self._begun: float | None = None                    # when nodes were gathered; who was there is no newcomer
 
     def due(self, now: float, news: object) -> bool:
         """Whether `place` has anything to do: `news` (the ledger's entry, the list, the failed) is not what it was, loads
@@ -141,8 +143,10 @@
         self._follow(now, ledger, nodes)
         if self._gathering(now, ledger, nodes):
             return []
+        if self._begun is None:
+            self._begun = now
         cold = {id for id, node in nodes.items()
-                if node.cold_until > now or now - self._born[id] < RAMP}
+                if node.cold_until > now or self._begun < self._born[id] and now - self._born[id] < RAMP}
         demand = self._demand(ledger, report)
         owners = {service: self._counted(service, line) for service, line in ledger.slices.items()}
         self._hear(nodes, owners, demand, report, cold)
@@ -194,12 +198,11 @@
         return now < self._first + GATHER_MOST and now < max(newest, self._first) + GATHER
 
     def _follow(self, now: float, ledger: Ledger, nodes: Mapping[str, Node]) -> None:
-        first = not self._born
         for id in self._born.keys() - nodes.keys():
             del self._born[id]
             self._moved.pop(id, None)
         for id in nodes:
-            self._born.setdefault(id, float("-inf") if first else now)
+            self._born.setdefault(id, now)
         for service, line in ledger.slices.items() if (ledger, ledger.index) != (self._ledger, self._index) else ():
             self._mine[service] = [k for k, x in enumerate(line) if x.conductor == self.me]
             fences, owners = [x.fence for x in line], [x.owner for x in line]
--- a/tests/system/test_isobar.py
+++ b/tests/system/test_isobar.py
@@ -101,6 +101,14 @@
         self.assertLessEqual(runs, 3 * ROUNDS * 26)
         self.assertEqual(fleet.step(), [])
 
+    def test_nodes_listed_one_by_one_before_the_first_laying_out_get_equal_shares(self):
+        """The list has them over some seconds; those of the first page got twice as many keys as the others."""
+        fleet = Fleet(4)
+        for n in range(4, 8):
+            fleet.add(f"n{n}")
+        fleet.step()
+        self.assertTrue(all(60 <= load <= 68 for load in fleet.loads().values()), fleet.loads())
+
     def near(self, fleet, homes):
         """The share of slices that node and conductor have in one zone."""
         return sum(fleet.nodes[x.owner].zone == homes[x.conductor] for x in fleet.line) / SLICES
