Edges tell every 10 s how requests ended, by cause and rank

Cause: an edge's counts went to its core with each report (bytes between zones) and were dropped there; nobody could see why requests were late or refused. And an owner that was not reached was told as one that turned the request away: the node had been tried, and that was asked first.

Change: a line `requests` in the edge's log each 10 s, and at its end. Late ones by what they met with on their way to the node (tried again, waited at the edge, a cold node, a busy one, one with room), refused and unknown ones by cause, each by its route's rank; tries sent. Counts no longer travel. A shunned owner is told as not reached, whoever found it so.

Ruled out: counting per kind of route (names are the operator's and many; ranks are few).

--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/windvane/forward.py
@@ -38,6 +38,8 @@
 HANDS_WAIT = 0.1
 # Causes of a refusal that mean too much work, not a missing node.
 FULL = frozenset({"full", End.TURNED_AWAY.value})
+# Of the aim: a request that was not sent for longer counts as one that waited at the edge.
+HELD_PART = 0.05
 # Connections to one node that an edge may always open.
 LEAST_CONNECTIONS = 2
 
@@ -68,7 +70,7 @@
 
     __slots__ = ("stage", "begun", "until", "method", "attempt", "head", "length", "chunked", "body", "body_whole",
                  "body_gone", "size", "route", "service", "key", "connection", "waiter", "expired", "gone", "timer",
-                 "status", "retry_after", "answer", "settled", "keep", "modern", "expects", "starve", "task", "text")
+                 "status", "retry_after", "answer", "settled", "keep", "modern", "expects", "starve", "task", "text", "way")
 
     def __init__(self, begun: float, method: bytes, settled: Callable[[Exchange], None]):
         self.stage = Stage.READING
@@ -87,6 +89,7 @@
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
         self.status, self.retry_after, self.text = 0, 0.0, ""
+        self.way = ""       # what its last try met with, one of those of `Forwarder._way`
         self.answer: Answer | None = None
         self.settled = settled
         self.keep, self.modern, self.expects = True, True, False
@@ -232,7 +235,7 @@
                     future.set_result(None)
 
     def report(self) -> dict:
-        """Requests by service and slice, load told by each node, counts by cause; since the call before."""
+        """Requests by service and slice, load told by each node; since the call before."""
         nodes = {}
         for node in self.picture.nodes.values():
             known: Seen | None = node.seen     # type: ignore[assignment]
@@ -245,8 +248,12 @@
             known.load_sum = known.load_count = known.ok = known.failed = known.refused = 0
             known.busy = 0.0
         demand, self.demand = self.demand, {}
+        return {"demand": demand, "nodes": nodes}
+
+    def tally(self) -> dict[str, int]:
+        """How requests ended, by cause and rank, and what was met with; since the call before."""
         counts, self.counts = self.counts, Counts()
-        return {"demand": demand, "nodes": nodes, "counts": dict(counts)}
+        return dict(counts)
 
     def age(self) -> None:
         """Close connections that idled long; call now and then."""
@@ -316,21 +323,33 @@
             self.counts["again"] += 1
         self._settle(x, move(end, x.route.idempotent, may_have_run, False, answer.status if answer else 0), answer, why)
 
+    def _note(self, x: Exchange, cause: str) -> None:
+        """Count how a request ended, by the rank of its route."""
+        assert x.route is not None
+        self.counts[f"{cause}, rank {x.route.priority}"] += 1
+
     def _settle(self, x: Exchange, what: Move, answer: Answer | None, why: str) -> None:
+        assert x.route is not None
         if what is Move.PASS_ON:
             assert answer is not None
+            if answer.end is not End.ANSWERED:
+                self._note(x, f"failed at a node: {answer.status}")
+            elif self.clock() - x.begun <= x.route.target_latency:
+                self._note(x, "in time")
+            else:
+                self._note(x, f"after its aim: {x.way}")
             x.passed_on(answer)
             return
         if answer is not None and answer.stream is not None:
             answer.stream.abort("not passed on")
         if what is Move.COME_BACK:
-            self.counts[f"refused {why}"] += 1
+            self._note(x, f"refused: {why}")
             x.own(503, why, come_back(self._wait(x) if why in FULL else HANDS_WAIT, self.luck.random()))
         elif what is Move.LATE:
-            self.counts["late"] += 1
+            self._note(x, f"no answer by the deadline: {x.way}")
             x.own(504, "the deadline passed")
         else:
-            self.counts["unknown"] += 1
+            self._note(x, f"unknown: {why}")
             x.own(502, why or "the node's answer was lost")
 
     def _wait(self, x: Exchange) -> float:
@@ -385,11 +404,11 @@
         if line is None or line.node is None or not line.open or line.node.service != x.service:
             return None, "keys change hands"
         node = line.node
-        if node.id in tried:
-            return None, "its owner turned it away"
         known = seen(node)
         if known.shunned_until > now:
             return None, "its owner is not reached"
+        if node.id in tried:
+            return None, "its owner turned it away"
         if known.silent(now):
             return None, "its owner is silent"
         if not self._stays(node, now):
@@ -457,6 +476,18 @@
 
     # -- a try
 
+    @staticmethod
+    def _way(x: Exchange, again: bool, now: float, cold: bool, quiet: bool) -> str:
+        """What a request met with on its way to a node: the first of these that holds says most of why it is late."""
+        assert x.route is not None
+        if again:
+            return "tried again"
+        if now - x.begun > x.route.target_latency * HELD_PART:
+            return "waited at the edge"
+        if cold:
+            return "a cold node"
+        return "a node with room" if quiet else "a busy node"
+
     async def _try(self, x: Exchange, node: Node, fresh: bool) -> tuple[Answer, bool]:
         """Offer the request to a node: how that ended, and whether a byte was sent."""
         assert x.route is not None
@@ -485,6 +516,8 @@
                 return Answer(End.UNREACHED, "too late"), False
         now = self.clock()
         quiet = known.in_hand(now) < node.capacity
+        x.way = self._way(x, fresh, now, now < node.cold_until, quiet)
+        self.counts["sent"] += 1
         known.sent(now)
         answer = await x.sent_on(connection, max(1, int((x.until - now) * 1000)), node.id)
         took = self.clock() - now
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/windvane/front.py
@@ -32,6 +32,8 @@
 DEPTH = 16
 # Seconds between looks at idle connections: the bounds they keep are whole seconds.
 SWEEP = 0.5
+# Seconds between lines of the log that tell how requests ended: few enough to keep, often enough to see a trouble.
+TALLY = 10.0
 # Seconds that a connection stays open behind its last answer, so that unread bytes don't destroy it on the way.
 LINGER = 1.0
 # Seconds by which the time told to clients lies before our own end of an idle connection.
@@ -617,6 +619,7 @@
         self.gate: socket.socket | None = None      # where connections wait to be accepted
         self._shut_until: asyncio.TimerHandle | None = None     # while none is accepted
         self._sweep: asyncio.TimerHandle | None = None
+        self._tallied = clock()     # when it was last told how requests ended
         self._tasks: set[asyncio.Task] = set()
         self._calm: asyncio.Event = asyncio.Event()
 
@@ -744,8 +747,15 @@
         for client in list(self.clients):
             client.look(now)
         self.forwarder.age()
+        if now - self._tallied >= TALLY:
+            self._tell_tally(now)
         self._sweep = asyncio.get_running_loop().call_later(SWEEP, self._look)
 
+    def _tell_tally(self, now: float) -> None:
+        seconds, self._tallied = round(now - self._tallied, 1), now
+        if counts := self.forwarder.tally():
+            tell("requests", seconds=seconds, counts=counts)
+
     def drain(self) -> None:
         """Accept no more connections; answers tell clients to leave; what was read is finished."""
         if self.draining:
@@ -770,6 +780,7 @@
             await asyncio.sleep(0.01)
         if self._sweep is not None:
             self._sweep.cancel()
+        self._tell_tally(self.clock())
         for pool in list(self.forwarder.pools.values()):
             pool.close()
 
--- a/tests/system/test_windvane.py
+++ b/tests/system/test_windvane.py
@@ -401,7 +401,23 @@
         self.assertEqual(found["nodes"]["i-0"], [2, 1, 4])
         self.assertEqual(found["nodes"]["i-1"][:6], [0, 0, 4, 1, 0, 0])
         self.assertGreater(found["nodes"]["i-1"][6], 0.0)       # the answered one's seconds: all that it is judged by
-        self.assertEqual(self.front.report(0.0), {"demand": {}, "nodes": {}, "counts": {}})
+        self.assertEqual(self.front.report(0.0), {"demand": {}, "nodes": {}})
+
+    async def test_tally(self):
+        """How requests ended, by cause and rank; a dead owner is one that was not reached, also to who finds it so."""
+        await self.begin(1, "k", table=routes(aim=0.1))
+        self.nodes[0].script = [ELSEWHERE, SHED, None]
+        for _ in range(4):
+            await self.ask("/kn/", headers=self.key(0))
+        self.picture.nodes["i-0"].address = ("127.0.0.1", 9)
+        self.front.forwarder.pools["i-0"].close()
+        await self.ask("/kn/", headers=self.key(0))
+        found = self.front.forwarder.tally()
+        self.assertEqual({cause: count for cause, count in found.items() if "rank" in cause}, {
+            "refused: its owner turned it away, rank 0": 1, "refused: turned away, rank 0": 1,
+            "unknown: connection closed, rank 0": 1, "in time, rank 0": 1, "refused: its owner is not reached, rank 0": 1})
+        self.assertEqual((found["sent"], found["not connected"]), (4, 1))
+        self.assertEqual(self.front.forwarder.tally(), {})
 
     async def test_full_by_what_is_known(self):
         """An owner that told a long queue is not offered more than can be done in time."""
