A refusal for want of a node reaches its client within a quarter of the aim

Change: a request that no node has had waits for a quarter of its aim less 20 ms for the way, counted from its start, whatever it waits for. After a try that a node has had it waits anew, as before.

--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/windvane/forward.py
@@ -22,8 +22,10 @@
 from knotwalk.windvane.choose import load, pick, seen, service_of, wait_at
 from knotwalk.windvane.upstream import Answer, Connection, Docks, Pool
 
-# Of the aim, how long a request waits without being offered to a node; a quarter is what clients' owners accept.
-WAIT_PART = 0.22
+# Of the aim, how long a request may wait without being offered to a node, as its client sees it: later refusals are held
+# against us, and what comes back after an early one may still earn. Seconds of it that the way to the client and back
+# takes: nobody tells it; ten each way, as far as a region is wide.
+WAIT_PART, CLIENT_WAY = 0.25, 0.02
 # Seconds within which a connection to a node comes up: links take milliseconds, a lost opening packet a second.
 CONNECT = 1.0
 # Seconds below which opening a connection is not cut: a busy machine answers late.
@@ -283,7 +285,7 @@
         may_have_run = False
         end, answer, why = End.UNREACHED, None, "nothing"
         while True:
-            node, why = await self._node(x, tried, may_have_run)
+            node, why = await self._node(x, tried, may_have_run, arrivals > 0)
             again = node is not None
             if again and arrivals:
                 again = self.budget(x.service).take(self.clock(), self.edges)
@@ -380,12 +382,10 @@
 
     # -- a node
 
-    async def _node(self, x: Exchange, tried: set[str], may_have_run: bool) -> tuple[Node | None, str]:
-        """The node to offer the request to, waiting briefly if there is none; or None and the cause."""
-        assert x.route is not None
-        hold = min(self.clock() + x.route.target_latency * WAIT_PART, x.until - TOO_LATE)
-        if not tried:
-            hold = min(hold, x.begun + x.route.target_latency * WAIT_PART)
+    async def _node(self, x: Exchange, tried: set[str], may_have_run: bool, offered: bool) -> tuple[Node | None, str]:
+        """The node to offer the request to, waiting briefly if there is none; or None and the cause. `offered`: whether a
+        node has had it already; only then does a further wait begin."""
+        hold = min(_patience(x, self.clock() if offered else x.begun), x.until - TOO_LATE)
         while True:
             now = self.clock()
             if x.until - now <= TOO_LATE:
@@ -454,7 +454,7 @@
             if idle is not None:
                 idle.abort("room for another")
                 await asyncio.sleep(0)      # its descriptor is free after a turn of the loop
-            elif not await self._waited(x, self.docks.waiting, min(x.begun + x.route.target_latency * WAIT_PART, x.until)):
+            elif not await self._waited(x, self.docks.waiting, min(_patience(x, x.begun), x.until)):
                 return False
         return True
 
@@ -504,7 +504,7 @@
                 return Answer(End.UNREACHED, "full"), False
             if not await self._docked(x):
                 return Answer(End.UNREACHED, "full"), False
-            patience = max(CONNECT_LEAST, x.route.target_latency * WAIT_PART)
+            patience = max(CONNECT_LEAST, _patience(x, x.begun) - self.clock())
             try:
                 connection = await pool.open(min(CONNECT, patience, max(0.0, x.until - self.clock())))
             except StationError:
@@ -533,6 +533,12 @@
         return answer, True
 
 
+def _patience(x: Exchange, since: float) -> float:
+    """When a request that waits for a node since then is refused at the latest."""
+    assert x.route is not None
+    return since + max(0.0, x.route.target_latency * WAIT_PART - CLIENT_WAY)
+
+
 def _wake(future: asyncio.Future) -> None:
     if not future.done():
         future.set_result(None)
--- a/tests/system/test_windvane.py
+++ b/tests/system/test_windvane.py
@@ -320,6 +320,25 @@
         self.assertLess(self.loop.time() - begun, 0.5)
         self.assertLess(float(headers["retry-after"]), 0.3)
 
+    async def test_a_refusal_reaches_its_client_within_a_quarter_of_the_aim(self):
+        """Whatever a request waits for that no node has had: its whole wait, and the way to the client, count together."""
+        await self.begin(1, "k", table=routes(aim=0.4))
+        waits = []
+
+        async def waited(x, among, until):
+            waits.append(until - x.begun)
+            return False
+
+        self.front.forwarder._waited = waited
+        line = self.picture.shardings["k"].line(0)
+        line.open = False
+        self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 503)
+        line.open = True
+        self.picture.nodes["i-0"].address = ("127.0.0.1", 9)        # nobody listens
+        self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 503)
+        self.assertEqual(len(waits), 2)
+        self.assertLess(max(waits), 0.1 - 0.016)
+
     async def test_after_421_only_another_owner(self):
         """The owner says that it has not the key: nobody is asked until the line changes."""
         await self.begin(2, "k", table=routes(aim=4.0))
