No keys are moved by demand that is not heard yet

Change: a service is passed over once its demand is heard of; by a conductor that finds slices laid out once it was heard for 2.5 s, when a sample of capacity is there: by slots alone fast nodes look full. What must go still goes at once.

--- a/knotwalk/isobar/placer.py
+++ b/knotwalk/isobar/placer.py
@@ -29,6 +29,10 @@
 PERIOD = 5.0            # s between passes (the paper's 60: days here last minutes)
 EMERGENCY_REST = 2.0    # s from a pass to one that a node above k_e brings on: the last must show first
 K_E = 1.0
+# Seconds that a service's demand must have been heard for before its slices are passed over: the least that is told, so any
+# report will do. A conductor that finds slices laid out waits for a sample of capacity more: by slots alone fast nodes
+# look full, and what others learned would be undone.
+HEARD, HEARD_LATE = 1.0, 2.5
 # s; a node first seen so lately counts at this share of its capacity. Not those of the first laying-out: nobody has worked yet.
 RAMP, RAMP_SHARE = 10.0, 0.5
 REST = 4.0              # s that a slice rests after a move: its new place is then measured twice
@@ -129,6 +133,7 @@
         self._moved: dict[str, float] = {}                  # nodes that a slice came to or left, and when
         self._born: dict[str, float] = {}                   # nodes by when they were first seen
         self._begun: float | None = None                    # when nodes were gathered; who was there is no newcomer
+        self._wanted = HEARD                                # seconds of demand heard that a pass wants
 
     def due(self, now: float, news: object) -> bool:
         """Whether `place` has anything to do: `news` (the ledger's entry, the list, the failed) is not what it was, loads
@@ -145,6 +150,8 @@
             return []
         if self._begun is None:
             self._begun = now
+            if any(x.owner for line in ledger.slices.values() for x in line):
+                self._wanted = HEARD_LATE
         cold = {id for id, node in nodes.items()
                 if node.cold_until > now or self._begun < self._born[id] and now - self._born[id] < RAMP}
         demand = self._demand(ledger, report)
@@ -168,15 +175,18 @@
             urgent += self._settle(now, service, left, demand[service], fleet, owners[service])
         if self._last is None:
             self._last = now - PERIOD * self._random.random()
-        hot = any(fit(x) > K_E for fleet in fleets.values() for x in fleet.values())
-        if now >= self._last + (EMERGENCY_REST if hot else PERIOD):
+        heard = {service: fleet for service, fleet in fleets.items() if report.spans.get(service, 0.0) >= self._wanted}
+        hot = any(fit(x) > K_E for fleet in heard.values() for x in fleet.values())
+        due = self._last + (EMERGENCY_REST if hot else PERIOD)
+        if heard and now >= due:
             self._last = now
+            due = now + (EMERGENCY_REST if hot else PERIOD)
             self._queue.clear()
-            for service, fleet in fleets.items():
+            for service, fleet in heard.items():
                 self._queue.extend(self._pass(now, service, ledger.slices[service], demand[service], fleet,
                                               {move.slice for move in urgent if move.service == service}))
         commands = self._command(now, ledger, urgent + self._staged(now, ledger, fleets, demand))
-        self._wake = min(self._last + (EMERGENCY_REST if hot else PERIOD),
+        self._wake = min(due if heard else float("inf"),
                          self._batch_at + BATCH_PAUSE if self._queue else float("inf"),
                          min((at for at, *_ in self._pending.values()), default=float("inf")) + AGAIN,
                          min((at + REMAINDER for at in self._laid.values() if at + REMAINDER > now),
--- a/tests/system/test_isobar.py
+++ b/tests/system/test_isobar.py
@@ -5,8 +5,8 @@
 
 from knotwalk.isobar.capacity import SETTLE, Capacities, Report, utilizations
 from knotwalk.isobar.passes import place, strip
-from knotwalk.isobar.placer import (AGAIN, BATCH, BATCH_PAUSE, GATHER_MOST, LOOK, NEAR, PERIOD, RAMP, REMAINDER, REST,
-                                    ROUNDS, Load, Placer, own_part, targets, worse)
+from knotwalk.isobar.placer import (AGAIN, BATCH, BATCH_PAUSE, GATHER_MOST, HEARD, HEARD_LATE, LOOK, NEAR, PERIOD, RAMP,
+                                    REMAINDER, REST, ROUNDS, Load, Placer, own_part, targets, worse)
 from knotwalk.leases.ledger import Ledger
 from knotwalk.lookout.picture import SLICES, Node
 
@@ -26,6 +26,7 @@
         self.capacities = capacities or {}
         self.demand = {k: UNIT for k in range(SLICES)}
         self.told = {}
+        self.spans = {"s": 4.0}
         self.moves = []         # (when, by, slice, target) of all commands
         self.apply({"do": "shard", "services": ["s"]})
         for n, name in enumerate(conductors):
@@ -69,7 +70,7 @@
         made = []
         for name in only or self.conductors:
             report = Report({"s": dict(self.demand)}, dict(self.told),
-                            {id: self.now for id in self.told}, self.failed)
+                            {id: self.now for id in self.told}, self.failed, self.spans)
             for command in self.placers[name].place(self.now, self.ledger, self.nodes, report):
                 made.append(command)
                 if obey:
@@ -109,6 +110,22 @@
         fleet.step()
         self.assertTrue(all(60 <= load <= 68 for load in fleet.loads().values()), fleet.loads())
 
+    def test_nothing_is_passed_over_by_loads_that_are_not_heard_yet(self):
+        """A core that came back took all slices for alike, and moved dozens off nodes that had more of them."""
+        fleet = Fleet(4)
+        fleet.step()
+        heavy = [k for k, x in enumerate(fleet.line) if x.owner == "n0"]
+        fleet.demand.update(dict.fromkeys(heavy[::8], 20 * UNIT))
+        late = Placer("a", 5)
+        for placer, wanted in ((late, HEARD_LATE), (fleet.placers["a"], HEARD)):
+            fleet.placers["a"] = placer
+            for fleet.spans in ({}, {"s": wanted - 0.1}):
+                fleet.now += 2 * PERIOD
+                self.assertEqual(fleet.step(), [], (wanted, fleet.spans))
+            fleet.spans = {"s": wanted}
+            fleet.now += 2 * PERIOD
+            self.assertTrue(fleet.step(obey=False))
+
     def near(self, fleet, homes):
         """The share of slices that node and conductor have in one zone."""
         return sum(fleet.nodes[x.owner].zone == homes[x.conductor] for x in fleet.line) / SLICES
