--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -4,14 +4,15 @@
 
 `route_us`, `route_ratio`: benchmarks/atlas.py. `commit_us`: from a proposal to its answer with three machines and
 three real files on this disk, middle. `election_s`: simulated, from a leader's death to an entry committed by the
-next, middle and `election_most_s` the worst; `election_ticks` the middle in heartbeats. `model_states`: states of the small models in which nothing is broken
-(`model_broken`), `seeded_found` of `seeded` mistakes that the models show. `lost`, `twice`: of commands told
-committed in seeded clusters with crashes, cuts, freezes and wiped disks, those that are not in the log in the end, or
-more than once. `owner_overlaps`: grants of a key that another node that is up holds, in seeded worlds of leases.
-`recovery_ratio`: all core machines die and two of three come back after 10 s; until all keys are held again, over the
-least that elections and leases allow; `recovery_all_s` and `recovery_all_ratio` if all three come back: no lease has
-to end then, since each takes up its own. `reopen_ms`: from a start to a whole record, by entries of the log that the
-core was killed with; `reopen_each`: of the last two lengths, time for an entry in the longer over that in the shorter.
+next, middle and `election_most_s` the worst; `election_ticks` the middle in heartbeats. `model_states`: states of the
+small models in which nothing is broken (`model_broken`), `seeded_found` of `seeded` mistakes that the models show.
+`lost`, `twice`: of commands told committed in seeded clusters with crashes, cuts, freezes and wiped disks, those that
+are not in the log in the end, or more than once. `owner_overlaps`: grants of a key that another node that is up holds,
+in seeded worlds of leases. `recovery_ratio`: all core machines die and two of three come back after 10 s; until all
+keys are held again, over the least that elections and leases allow; `recovery_all_s` and `recovery_all_ratio` if all
+three come back: no lease has to end then, since each takes up its own. `reopen_ms`: from a start to a whole record, by
+entries of the log that the core was killed with; `reopen_each`: of the last two lengths, time for an entry in the
+longer over that in the shorter.
 """
 
 import contextlib
--- a/knotwalk/almanac/__main__.py
+++ b/knotwalk/almanac/__main__.py
@@ -172,8 +172,8 @@
 
 
 def whole(path: str, history: bool) -> list[dict]:
-    """The configurations to offer from a file, oldest first: a configuration, or what `export --json` printed; ends with
-    2 where it can't be read, with 1 and a line a mistake where one is wrong."""
+    """The configurations to offer from a file, oldest first: a configuration, or what `export --json` printed; ends
+    with 2 where it can't be read, with 1 and a line a mistake where one is wrong."""
     try:
         value = parsed(read(path))
     except Unreadable as error:
@@ -237,8 +237,8 @@
     """Offer a configuration to a running system; without --apply only tell what would change.
 
     The file is checked as by `check` first. Then it is PUT on top of what is in force at that moment, again until an
-    answer is clear, and read back: it is taken whole or not at all, and somebody else's change in between is never lost.
-    Exit code 0: in force, or would be sent; 1: mistakes, or refused, with one line why; 2: no answer.
+    answer is clear, and read back: it is taken whole or not at all, and somebody else's change in between is never
+    lost. Exit code 0: in force, or would be sent; 1: mistakes, or refused, with one line why; 2: no answer.
 
     Args:
         file: path of a configuration, or of what `export --json` printed.
--- a/knotwalk/almanac/offer.py
+++ b/knotwalk/almanac/offer.py
@@ -39,7 +39,8 @@
         """One call, sent again unchanged until a core answers clearly; NoAnswer otherwise."""
         last = ""
         for _ in range(TRIES):
-            url, heads = f"http://{self.address}/configuration", {} if base is None else {"If-Match": version_text(base)}
+            url = f"http://{self.address}/configuration"
+            heads = {} if base is None else {"If-Match": version_text(base)}
             try:
                 for _ in range(HOPS + 1):
                     status, headers, data = await self.caller.send(method, url, body, PATIENCE, "configuration", heads)
--- a/knotwalk/almanac/past.py
+++ b/knotwalk/almanac/past.py
@@ -12,11 +12,11 @@
 def export(data_dir: str) -> dict[str, Any]:
     """The configuration, whole, and where it stands; StoreBroken, or ValueError for a later format.
 
-    A disk does not tell of its last entries which were agreed on. `sure` is the version that certainly was: the one as of
-    the snapshot, or of the last entry known then as committed; a configuration from a later entry was acknowledged if a
-    majority of the cores' disks has that entry.
-    `history` has the versions whose whole text is here, oldest first: that of the snapshot and those after it. Of earlier
-    ones the system keeps no text, and none of when a version was taken or by whom.
+    A disk does not tell of its last entries which were agreed on. `sure` is the version that certainly was: the one as
+    of the snapshot, or of the last entry known then as committed; a configuration from a later entry was acknowledged
+    if a majority of the cores' disks has that entry.
+    `history` has the versions whose whole text is here, oldest first: that of the snapshot and those after it. Of
+    earlier ones the system keeps no text, and none of when a version was taken or by whom.
     """
     saved = read(data_dir)
     record = Record.from_dict(saved.snapshot) if saved.snapshot else Record()
--- a/knotwalk/barometer/__main__.py
+++ b/knotwalk/barometer/__main__.py
@@ -1,4 +1,5 @@
-"""python -m knotwalk.barometer: one core machine's program, until SIGTERM. The platform's settings file says the rest."""
+"""python -m knotwalk.barometer: one core machine's program, until SIGTERM. The platform's settings file says the
+rest."""
 
 from __future__ import annotations
 
@@ -18,10 +19,10 @@
 from knotwalk.barometer.stations import Stations
 from knotwalk.barometer.steward import Steward
 from knotwalk.leases import keeper
-from knotwalk.lookout.loads import Loads
-from knotwalk.lookout.picture import Board
 from knotwalk.logbook.machine import Pace
 from knotwalk.logbook.store import Store, StoreBroken
+from knotwalk.lookout.loads import Loads
+from knotwalk.lookout.picture import Board
 from knotwalk.mast import journal
 from knotwalk.mast.call import Caller
 from knotwalk.mast.journal import tell
@@ -44,8 +45,8 @@
         self.me = saved.me
         self.caller = Caller()
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
-        self.agreement = Agreement(self.store, saved, self.caller, Pace(target=2 * settings.tolerance.machines + 1), seed,
-                                   BORN)
+        self.agreement = Agreement(self.store, saved, self.caller, Pace(target=2 * settings.tolerance.machines + 1),
+                                   seed, BORN)
         self.agreement.machine.address = own
         self.agreement.machine.contacts = [at for at in founders.values() if at != own]
         self.board = Board(os.urandom(6).hex())
@@ -55,7 +56,8 @@
         self.conductor = Conductor(self.me, self.agreement, self.board, self.loads, self.granter,
                                    keeper.Pace(hold=min(6.0, settings.bounds.max_hold)), seed,
                                    self.propose, settings.zone)
-        self.stations = Stations(self.me, self.agreement, self.steward, self.conductor, self.board, self.loads, self.caller)
+        self.stations = Stations(self.me, self.agreement, self.steward, self.conductor, self.board, self.loads,
+                                 self.caller)
         self.control = Control(self.agreement, settings.at("control")[1])
         self.agreement.on_config = self.configured
         self.agreement.on_change = self.lines_changed
--- a/knotwalk/barometer/agree.py
+++ b/knotwalk/barometer/agree.py
@@ -194,7 +194,8 @@
         try:
             while letters := self.mail.pop(address, None):
                 try:
-                    answers = await self.caller.json("POST", f"http://{address}/agreement", letters, PATIENCE, "agreement")
+                    answers = await self.caller.json("POST", f"http://{address}/agreement", letters, PATIENCE,
+                                                     "agreement")
                 except StationError:
                     continue
                 self.receive(answers)
--- a/knotwalk/barometer/control.py
+++ b/knotwalk/barometer/control.py
@@ -73,7 +73,8 @@
                 if verdict.status != 200 or verdict.same:
                     tell("change", method=request.method, status=verdict.status, why=verdict.message, same=verdict.same)
                     return answer(verdict.body(), verdict.status)
-                command = {"do": "configure", "base": verdict.base, "version": verdict.version, "digest": verdict.digest}
+                command = {"do": "configure", "base": verdict.base, "version": verdict.version,
+                           "digest": verdict.digest}
                 less = difference(document(record.configuration), verdict.document) if record.configuration else None
                 command |= {"difference": less} if less else {"document": verdict.document}
                 said = await self.agreement.propose(command, PATIENCE)
--- a/knotwalk/barometer/record.py
+++ b/knotwalk/barometer/record.py
@@ -11,8 +11,8 @@
 from knotwalk.atlas.read import Invalid, apply_difference, document, read_configuration
 from knotwalk.leases.ledger import Change, Ledger
 
-# Of snapshots; raised when older programs could not read them. 2: rows of the ledger tell of an `early` lease. 3: fences may
-# have a lift; only those that have say so.
+# Of snapshots; raised when older programs could not read them. 2: rows of the ledger tell of an `early` lease. 3:
+# fences may have a lift; only those that have say so.
 FORMAT = 3
 
 
@@ -52,7 +52,8 @@
 
     def to_dict(self) -> dict:
         """A snapshot, JSON-able."""
-        return {"format": FORMAT if self.ledger.lift else 2, "applied": self.applied, "order": self.order, "history": self.history.to_dict(),
+        return {"format": FORMAT if self.ledger.lift else 2, "applied": self.applied, "order": self.order,
+                "history": self.history.to_dict(),
                 "configuration": document(self.configuration) if self.configuration else None,
                 "ledger": self.ledger.to_dict()}
 
--- a/knotwalk/barometer/stations.py
+++ b/knotwalk/barometer/stations.py
@@ -28,8 +28,8 @@
 class Stations:
     """The port on which this core is called by edges and other cores, and its own calls to the leader."""
 
-    def __init__(self, me: str, agreement: Agreement, steward: Steward, conductor: Conductor, board: Board, loads: Loads,
-                 caller: Caller):
+    def __init__(self, me: str, agreement: Agreement, steward: Steward, conductor: Conductor, board: Board,
+                 loads: Loads, caller: Caller):
         self.me, self.agreement, self.steward, self.conductor = me, agreement, steward, conductor
         self.board, self.loads, self.caller = board, loads, caller
         self.news = asyncio.Event()
@@ -158,8 +158,9 @@
         return answer(told)
 
     async def provisional(self) -> dict | None:
-        """What an edge that has nothing may serve by until there is a leader: what the disk here holds as committed, and
-        the list as read here. None from a core that was fresh in this life, or has heard a leader and is about to be."""
+        """What an edge that has nothing may serve by until there is a leader: what the disk here holds as committed,
+        and the list as read here. None from a core that was fresh in this life, or has heard a leader and is about to
+        be."""
         if self.fresh_until or self.leaving or self.agreement.machine.leader or self.board.config is None:
             return None
         try:
@@ -173,8 +174,8 @@
     async def status(self, request: Request) -> HTTPResponse:
         """This core's account of itself; nothing changes by it."""
         now = clock()
-        return answer(account.status(now, self.me, self.agreement.machine, self.agreement.record, self.board, self.loads,
-                                     now < self.fresh_until and not self.leaving, self.asked))
+        return answer(account.status(now, self.me, self.agreement.machine, self.agreement.record, self.board,
+                                     self.loads, now < self.fresh_until and not self.leaving, self.asked))
 
     async def explain(self, request: Request) -> HTTPResponse:
         """Where this core holds that a request belongs."""
--- a/knotwalk/barometer/steward.py
+++ b/knotwalk/barometer/steward.py
@@ -123,7 +123,8 @@
 
     async def own_nodes(self) -> dict[str, Node]:
         """The list as this machine read it itself, for edges that start while nobody leads; empty if it can't be read.
-        All who ask within POLL share a reading: of three cores that start at once none asks more often than a leader."""
+        All who ask within POLL share a reading: of three cores that start at once none asks more often than a
+        leader."""
         if self.settings.platform.address is None:
             return {}
         if self.own_list is None or clock() - self.own_list_at >= POLL:
--- a/knotwalk/gust/admission.py
+++ b/knotwalk/gust/admission.py
@@ -8,9 +8,9 @@
 
 # Seconds after which what a node told of others' requests counts for nothing: about the longest usual work.
 FADE = 0.6
-# What others usually have in hand at a node, a running mean of what was told, is kept longer: seconds, and the weight of
-# one more word. An edge of twelve hears of a node about once a second, so that by FADE alone a full one looks idle. At 4 s
-# it outlived the moves that relieve a node, and cost what it gained.
+# What others usually have in hand at a node, a running mean of what was told, is kept longer: seconds, and the weight
+# of one more word. An edge of twelve hears of a node about once a second, so that by FADE alone a full one looks idle.
+# At 4 s it outlived the moves that relieve a node, and cost what it gained.
 FORGET, USUAL = 1.5, 0.5
 # Requests that a node takes, running and waiting, for each slot: a node queues a few more than it runs.
 DEEP = 5
@@ -29,9 +29,10 @@
 SILENT_WORKS, SILENT_LEAST = 5.0, 0.4
 # Of the time left, what a request may expect to spend before its answer; each rank below the first gives up earlier.
 TIME_PART, RANK_PART, LEAST_PART = 0.95, 0.1, 0.5
-# From this rank on (0 is highest) a request yields at a busy node: it is offered only if an answer is expected within so
-# many aims, by what the node usually has in hand. Late it earns little, and it takes the slot of one that would be in time.
-# In a stand-in of a node and twelve edges worth rose by 0.010 to 0.015; by the usual load for all ranks it did not.
+# From this rank on (0 is highest) a request yields at a busy node: it is offered only if an answer is expected within
+# so many aims, by what the node usually has in hand. Late it earns little, and it takes the slot of one that would be
+# in time. In a stand-in of a node and twelve edges worth rose by 0.010 to 0.015; by the usual load for all ranks it did
+# not.
 YIELDS, AIM_PART = 2, 1.5
 
 # Seconds that a refused client is told to wait, at least and at most: clients heed a third of the time they have left,
@@ -76,13 +77,14 @@
     def told(self, now: float, running: int, waiting: int, slots: int) -> None:
         """The node told its load in an answer, the answered request among it: that one is taken off, and this edge's
         own, which it counts exactly. What an answer leaves behind is what a node has in hand at any time (arrivals see
-        time averages). For the mean, who waits counts up to half a round: whole queues say nothing of capacity (a node of
-        9 requests a second came out at 0.35), none at all leaves nodes where every third request waits."""
+        time averages). For the mean, who waits counts up to half a round: whole queues say nothing of capacity (a node
+        of 9 requests a second came out at 0.35), none at all leaves nodes where every third request waits."""
         left = max(0, running + waiting - 1)
         self.usual *= max(0.0, 1.0 - (now - self.others_at) / FORGET)
         self.others, self.others_at = float(max(0, left - self.flying)), now
         self.usual += (self.others - self.usual) * USUAL
-        self.load_sum, self.load_count, self.slots = self.load_sum + min(slots + slots // 2, left), self.load_count + 1, slots
+        self.load_sum, self.load_count = self.load_sum + min(slots + slots // 2, left), self.load_count + 1
+        self.slots = slots
 
     def worked(self, seconds: float) -> None:
         """A request took so long at the node."""
@@ -135,9 +137,9 @@
 
 def worth_offering(in_hand: float, capacity: int, cold: bool, work: float, left: float, priority: int,
                    once: bool = False, aim: float = math.inf) -> bool:
-    """Whether a node would likely answer within `left` seconds; lower ranks (higher `priority`) give up earlier, those that
-    yield where the answer would come well after their `aim` (seconds), and requests that may run `once` go only where the
-    node has room beyond doubt.
+    """Whether a node would likely answer within `left` seconds; lower ranks (higher `priority`) give up earlier, those
+    that yield where the answer would come well after their `aim` (seconds), and requests that may run `once` go only
+    where the node has room beyond doubt.
 
     A node with a free slot is always worth it, whatever the mean says: else a wrong mean would never be put right."""
     if in_hand >= capacity * (DEEP_ONCE if once else DEEP):
--- a/knotwalk/isobar/capacity.py
+++ b/knotwalk/isobar/capacity.py
@@ -36,8 +36,8 @@
 
 @dataclass
 class Report:
-    """What was heard of loads. Utilization: (running + waiting) / slots, a mean over the last seconds; who waits counts up
-    to half a round."""
+    """What was heard of loads. Utilization: (running + waiting) / slots, a mean over the last seconds; who waits counts
+    up to half a round."""
 
     demand: dict[str, dict[int, float]] = field(default_factory=dict)       # by service and slice, of the last seconds
     utilization: dict[str, float] = field(default_factory=dict)             # by node
@@ -47,7 +47,8 @@
     spans: dict[str, float] = field(default_factory=dict)       # by service: the seconds that its demand was heard over
 
 
-def utilizations(rows: Mapping[str, Sequence[float]], spans: Mapping[str, float], nodes: Mapping[str, Node]) -> dict[str, float]:
+def utilizations(rows: Mapping[str, Sequence[float]], spans: Mapping[str, float],
+                 nodes: Mapping[str, Node]) -> dict[str, float]:
     """Utilization by node, from edges' sums of the last seconds, so many by service (rows as in `lookout.loads`); nodes
     that nothing can be said of are left out."""
     rows = {id: row for id, row in rows.items() if id in nodes}
@@ -100,8 +101,9 @@
              moved: Mapping[str, float], cold: Iterable[str]) -> None:
         """Take a report: `work` is the demand of each node's slices, `moved` when one last came or went.
 
-        Counted are reports that are new, of warm nodes, settled since the node's last move, and not of idle ones; none of
-        a service whose demand has just begun. It comes by edges' reports a second apart, and is uneven until each sent two."""
+        Counted are reports that are new, of warm nodes, settled since the node's last move, and not of idle ones; none
+        of a service whose demand has just begun. It comes by edges' reports a second apart, and is uneven until each
+        sent two."""
         cold = set(cold)
         for id in self._records.keys() - nodes.keys():
             del self._records[id]
--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -54,12 +54,12 @@
 class Pace:
     """Times in seconds. `call_timeout`: a grant without an answer is given up, and its connection reset, so long after
     it was begun. `slack`: so long after that its bytes may still arrive. `longest`: the longest hold that any life of
-    any conductor gives. A release may be waited for longer (it is answered when work has ended): `release_timeout`. `lease`: so
-    long after an entry of the log a lease that was answered before it may last (clocks of both may be off).
+    any conductor gives. A release may be waited for longer (it is answered when work has ended): `release_timeout`.
+    `lease`: so long after an entry of the log a lease that was answered before it may last (clocks of both may be off).
 
-    `renew` leaves 3.6 s of the hold when a conductor dies just before it renews. Its lease ends after 2.2 s; a leader's own,
-    by who is elected after 0.75 s at most, after 3.4, and a look and a commit come on top. Renewals are a tenth of the bytes
-    between zones, so no more of them than that needs."""
+    `renew` leaves 3.6 s of the hold when a conductor dies just before it renews. Its lease ends after 2.2 s; a leader's
+    own, by who is elected after 0.75 s at most, after 3.4, and a look and a commit come on top. Renewals are a tenth of
+    the bytes between zones, so no more of them than that needs."""
 
     hold: float = 6.0
     renew: float = 2.4
--- a/knotwalk/leases/ledger.py
+++ b/knotwalk/leases/ledger.py
@@ -8,10 +8,10 @@
     {"do": "move", "by": conductor, "moves": [[service, first, last, fence seen, node], ...], "outbid": bool}
     {"do": "granted", "by": conductor, "fence": fence, "slices": {service: [[first, last], ...]}}
 
-A fence is the index of its move's entry and a lift, which is nothing until a node is found to have seen a higher one. That
-is so where a core was founded anew and its log began at 1 while nodes of the old one live on: they refuse its grants, and
-nobody tells how high to go. So each time a fence of the last lift is refused the lift is doubled: some seventeen refusals
-pass a hundred million entries.
+A fence is the index of its move's entry and a lift, which is nothing until a node is found to have seen a higher one.
+That is so where a core was founded anew and its log began at 1 while nodes of the old one live on: they refuse its
+grants, and nobody tells how high to go. So each time a fence of the last lift is refused the lift is doubled: some
+seventeen refusals pass a hundred million entries.
 """
 
 from __future__ import annotations
@@ -22,7 +22,8 @@
 
 from knotwalk.lookout.picture import SLICES
 
-# The first lift, about as many entries as a quarter of an hour brings; and the last, well within what JSON carries exactly.
+# The first lift, about as many entries as a quarter of an hour brings; and the last, well within what JSON carries
+# exactly.
 LIFT, LIFT_MOST = 1024, 2 ** 52
 
 
--- a/knotwalk/leases/tenure.py
+++ b/knotwalk/leases/tenure.py
@@ -5,12 +5,12 @@
 Only a leader that a majority answered a moment ago may answer (see `may_answer`); a new one first waits a whole lease.
 
 Slices of a conductor whose lease has ended go to the others (`reassign`); once all is calm, those that bear more than
-their share hand some to one that has less (`hand_over`), a few at a time. Owner and fence stay, so no key moves. The one
-that hands over may not have heard of it, and act by the log before for a lease more. What it may do is grant the owner
-that both know under the fence that both know, which harms nobody until the other one moves the slice; so who leases a
-slice `early` lets a lease pass before a release counts (`Keeper._take_over`). It is the leader that tells, for all that
-it leases within a lease of such a hand-over: the new conductor may itself leave at once. A new leader knows of no
-hand-overs, so it does the same for its first lease.
+their share hand some to one that has less (`hand_over`), a few at a time. Owner and fence stay, so no key moves. The
+one that hands over may not have heard of it, and act by the log before for a lease more. What it may do is grant the
+owner that both know under the fence that both know, which harms nobody until the other one moves the slice; so who
+leases a slice `early` lets a lease pass before a release counts (`Keeper._take_over`). It is the leader that tells, for
+all that it leases within a lease of such a hand-over: the new conductor may itself leave at once. A new leader knows of
+no hand-overs, so it does the same for its first lease.
 """
 
 from collections import Counter
@@ -32,7 +32,8 @@
 # conductors is whole in half a minute a service.
 HAND, HAND_PAUSE = 32, 1.0
 LACK = 0.1          # of an even share: who lacks no more is left alone
-PROOF = 0.35         # a majority's answers older than this no longer prove leadership; below the least election time-out
+# A majority's answers older than this (s) no longer prove leadership; below the least election time-out.
+PROOF = 0.35
 
 
 @dataclass
@@ -64,8 +65,9 @@
         return now < max(self.since + PROOF, self.handed) + LEASE * DRIFT + MARGIN
 
     def replaced(self, now: float, conductors: Iterable[str], members: Mapping[str, str]) -> None:
-        """Note which conductors have ended by who the members are now: an identity is an address and a life of its disk,
-        and two processes can't listen at one address, so another life there proves that the one before is over."""
+        """Note which conductors have ended by who the members are now: an identity is an address and a life of its
+        disk, and two processes can't listen at one address, so another life there proves that the one before is
+        over."""
         taken = set(members.values())
         for conductor in set(conductors) - members.keys():
             if conductor.partition("#")[0] in taken and not self.ended(now, conductor):
--- a/knotwalk/logbook/store.py
+++ b/knotwalk/logbook/store.py
@@ -31,7 +31,8 @@
 from knotwalk.logbook.machine import Entry, Save, Saved
 
 NAME = "logbook.sqlite"
-ASIDE = NAME + ".broken"        # what a damaged file is renamed to; while it is there, no identity of a founder is given
+# What a damaged file is renamed to; while it is there, no identity of a founder is given.
+ASIDE = NAME + ".broken"
 ENDS = ("", "-wal", "-journal")
 FORMAT = "1"
 JOURNALS = {"wal": "FULL", "truncate": "FULL", "persist": "FULL"}     # the least that is safe; delete: EXTRA
@@ -329,8 +330,8 @@
     def write(self, save: Save) -> None:
         """One transaction, durable on return; may be repeated unchanged.
 
-        Refused where the disk refuses or the files would pass `disk_mb`, Damaged where the file makes no sense any more,
-        StoreBroken where the save does not follow what is here: nothing of it is then written.
+        Refused where the disk refuses or the files would pass `disk_mb`, Damaged where the file makes no sense any
+        more, StoreBroken where the save does not follow what is here: nothing of it is then written.
         """
         bodies = [_text(entry.body) for entry in save.entries]
         size = sum(len(body.encode()) + 64 for body in bodies)
--- a/knotwalk/lookout/ailing.py
+++ b/knotwalk/lookout/ailing.py
@@ -1,8 +1,8 @@
 """Which nodes ail, by what all edges together meet with at them. Pure.
 
-An edge of many meets a node seldom: of fifty edges each sends one of eighty nodes some eight requests a minute, so what one edge
-learns of a node comes too late for most requests. A core hears of all edges each second and judges for all. A node's
-health answer is not asked: it may be good while requests fail, and the other way round.
+An edge of many meets a node seldom: of fifty edges each sends one of eighty nodes some eight requests a minute, so what
+one edge learns of a node comes too late for most requests. A core hears of all edges each second and judges for all. A
+node's health answer is not asked: it may be good while requests fail, and the other way round.
 
 A node ails if, of its tries of the last seconds, more were bad than its better peers' rate explains: the chance of so
 many is under ERROR. Bad is a try that was lost, kept silent, failed by the node's own trouble, or turned away by a node
--- a/knotwalk/lookout/loads.py
+++ b/knotwalk/lookout/loads.py
@@ -82,7 +82,8 @@
             merge(self.fresh, raw)
         self.ailing.hear(now, raw)
         there = self.total.get("demand", {})
-        self.begun |= {service: now for service, slices in raw.get("demand", {}).items() if slices and not there.get(service)}
+        self.begun |= {service: now for service, slices in raw.get("demand", {}).items()
+                       if slices and not there.get(service)}
         merge(self.total, raw)
         if self.window and now - self.window[-1][0] < 0.25:
             merge(self.window[-1][1], raw)
@@ -106,9 +107,9 @@
         return told
 
     def sums(self, now: float) -> tuple[dict, dict[str, float]]:
-        """The sums of the last SPAN seconds, not to be changed, and by service the seconds that they are of: fewer where
-        its demand began meanwhile. That the first report is of the second before and the last are some tenths old makes up
-        for each other within a fifth, once each edge has sent two."""
+        """The sums of the last SPAN seconds, not to be changed, and by service the seconds that they are of: fewer
+        where its demand began meanwhile. That the first report is of the second before and the last are some tenths old
+        makes up for each other within a fifth, once each edge has sent two."""
         while self.window and self.window[0][0] < now - SPAN:
             take_off(self.total, self.window.popleft()[1])
         span = now - self.window[0][0] if self.window else SPAN
--- a/knotwalk/mast/call.py
+++ b/knotwalk/mast/call.py
@@ -1,4 +1,5 @@
-"""How cores and the command line call a peer: JSON over HTTP/1.1 by aiohttp, bounded in time, errors with step and peer.
+"""How cores and the command line call a peer: JSON over HTTP/1.1 by aiohttp, bounded in time, errors with step and
+peer.
 
 Edges have a lighter one of their own, `windvane.caller`.
 """
@@ -10,10 +11,12 @@
 import sys
 from typing import Any
 
-# No TLS is spoken here; with it, aiohttp loads the system's certificates when it is imported, a tenth of a core's start.
+# No TLS is spoken here; with it, aiohttp loads the system's certificates when it is imported, a tenth of a core's
+# start.
 kept = sys.modules.get("ssl")
 sys.modules["ssl"] = None   # type: ignore[assignment]
 import aiohttp
+
 if kept is None:
     del sys.modules["ssl"]
 else:
@@ -42,7 +45,8 @@
 
     def __init__(self, connections: int = 256, resets: bool = False):
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=connections, limit_per_host=0, use_dns_cache=False, keepalive_timeout=8.0,
+            connector=aiohttp.TCPConnector(limit=connections, limit_per_host=0, use_dns_cache=False,
+                                           keepalive_timeout=8.0,
                                            socket_factory=resetting if resets else None),
             cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
             skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"))
@@ -65,7 +69,8 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise StationError(step, url, f"{type(error).__name__} {error}") from None
 
-    async def json(self, method: str, url: str, body: Any = None, patience: float = PATIENCE, step: str = "call") -> Any:
+    async def json(self, method: str, url: str, body: Any = None, patience: float = PATIENCE,
+                   step: str = "call") -> Any:
         """The JSON value of a 200; StationError for any other answer or none."""
         status, _, data = await self.send(method, url, body, patience, step)
         if status != 200:
--- a/knotwalk/mast/life.py
+++ b/knotwalk/mast/life.py
@@ -1,7 +1,7 @@
 """A program's life: from its settings file to SIGTERM, and the exit code. The same for every program of the system.
 
-0: ended as asked; 1: an error, logged; 2: the settings, or what lies on the disk, can't be used: one line on standard error
-names place and mistake.
+0: ended as asked; 1: an error, logged; 2: the settings, or what lies on the disk, can't be used: one line on standard
+error names place and mistake.
 """
 
 from __future__ import annotations
@@ -29,7 +29,8 @@
 
 
 class Ending:
-    """Asked for by SIGTERM or SIGINT. SIGHUP, or another file in place of the settings' one, has `reload` take it up."""
+    """Asked for by SIGTERM or SIGINT. SIGHUP, or another file in place of the settings' one, has `reload` take it
+    up."""
 
     def __init__(self, reload: Callable[[Settings], None]):
         self._asked, self._reload = asyncio.Event(), reload
@@ -76,7 +77,8 @@
 
 
 def live(name: str, make: Callable[[Settings], Program], *unusable: type[Exception]) -> int:
-    """Read the settings, make the program, run it: the exit code. `unusable`: what else `make` may find, told in one line."""
+    """Read the settings, make the program, run it: the exit code. `unusable`: what else `make` may find, told in one
+    line."""
     journal.start()
 
     async def whole() -> int:
--- a/knotwalk/mast/settings.py
+++ b/knotwalk/mast/settings.py
@@ -127,7 +127,8 @@
     try:
         return dacite.from_dict(kind, data)
     except dacite.WrongTypeError as error:
-        raise SettingsError(f"{where}.{error.field_path}", f"{error.value!r} is no {error.field_type.__name__}") from None
+        raise SettingsError(f"{where}.{error.field_path}",
+                            f"{error.value!r} is no {error.field_type.__name__}") from None
     except dacite.DaciteError as error:
         raise SettingsError(where, error) from None
 
@@ -142,8 +143,8 @@
         raise SettingsError("", "the file holds no object")
     if not isinstance(raw.get("node_name"), str) or not raw["node_name"]:
         raise SettingsError("node_name", "missing or no text")
-    plain = {k: raw[k] for k in ("node_name", "role", "machine_class", "serves", "ip_address", "zone", "region", "zones",
-                                 "initial_boot", "quorum_member", "data_dir") if k in raw}
+    plain = {k: raw[k] for k in ("node_name", "role", "machine_class", "serves", "ip_address", "zone", "region",
+                                 "zones", "initial_boot", "quorum_member", "data_dir") if k in raw}
     listen = raw.get("listen_addresses", {})
     if not isinstance(listen, dict):
         raise SettingsError("listen_addresses", "not an object")
--- a/knotwalk/windvane/caller.py
+++ b/knotwalk/windvane/caller.py
@@ -36,7 +36,8 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection, one call at a time. Bytes that no call waits for end it, as does an answer that is not understood."""
+    """One connection, one call at a time. Bytes that no call waits for end it, as does an answer that is not
+    understood."""
 
     def __init__(self) -> None:
         self.line = Line.IDLE
@@ -127,8 +128,10 @@
     def __init__(self) -> None:
         self.kept: dict[tuple[str, int], Connection] = {}
 
-    async def json(self, method: str, url: str, body: Any = None, patience: float = PATIENCE, step: str = "call") -> Any:
-        """The JSON value of a 200 from `http://ip:port/path`; StationError for any other answer or none in `patience` s."""
+    async def json(self, method: str, url: str, body: Any = None, patience: float = PATIENCE,
+                   step: str = "call") -> Any:
+        """The JSON value of a 200 from `http://ip:port/path`; StationError for any other answer or none in `patience`
+        s."""
         parts = urlsplit(url)
         at = parts.hostname or "", parts.port or 80
         data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/windvane/forward.py
@@ -22,9 +22,9 @@
 from knotwalk.windvane.choose import load, pick, seen, service_of, wait_at
 from knotwalk.windvane.upstream import Answer, Connection, Docks, Pool
 
-# Of the aim, how long a request may wait without being offered to a node, as its client sees it: later refusals are held
-# against us, and what comes back after an early one may still earn. Seconds of it that the way to the client and back
-# takes: nobody tells it; ten each way, as far as a region is wide.
+# Of the aim, how long a request may wait without being offered to a node, as its client sees it: later refusals are
+# held against us, and what comes back after an early one may still earn. Seconds of it that the way to the client and
+# back takes: nobody tells it; ten each way, as far as a region is wide.
 WAIT_PART, CLIENT_WAY = 0.25, 0.02
 # Seconds within which a connection to a node comes up: links take milliseconds, a lost opening packet a second.
 CONNECT = 1.0
@@ -72,7 +72,8 @@
 
     __slots__ = ("stage", "begun", "until", "method", "attempt", "head", "length", "chunked", "body", "body_whole",
                  "body_gone", "size", "route", "service", "key", "connection", "waiter", "expired", "gone", "timer",
-                 "status", "retry_after", "answer", "settled", "keep", "modern", "expects", "starve", "task", "text", "way")
+                 "status", "retry_after", "answer", "settled", "keep", "modern", "expects", "starve", "task", "text",
+                 "way")
 
     def __init__(self, begun: float, method: bytes, settled: Callable[[Exchange], None]):
         self.stage = Stage.READING
@@ -374,8 +375,8 @@
         return min((wait_at(node, now) for node in nodes if not node.draining), default=HANDS_WAIT)
 
     def _learn(self, known: Seen, end: End, for_nothing: bool, last: float) -> None:
-        """Note how a try ended, and whether a refusal was `for_nothing`; a node in trouble is shunned for `last` seconds at
-        most."""
+        """Note how a try ended, and whether a refusal was `for_nothing`; a node in trouble is shunned for `last`
+        seconds at most."""
         now = self.clock()
         if end in (End.LOST, End.UNREACHED, End.SILENT):
             known.failed += not known.hung      # that was told while it hung
@@ -394,8 +395,8 @@
     # -- a node
 
     async def _node(self, x: Exchange, tried: set[str], may_have_run: bool, offered: bool) -> tuple[Node | None, str]:
-        """The node to offer the request to, waiting briefly if there is none; or None and the cause. `offered`: whether a
-        node has had it already; only then does a further wait begin."""
+        """The node to offer the request to, waiting briefly if there is none; or None and the cause. `offered`: whether
+        a node has had it already; only then does a further wait begin."""
         hold = min(_patience(x, self.clock() if offered else x.begun), x.until - TOO_LATE)
         while True:
             now = self.clock()
@@ -437,7 +438,8 @@
         node = pick(nodes, now, self.settings.zone, self.luck, tried, size)
         if node is None:
             assert x.route is not None
-            node = pick(nodes, now, self.settings.zone, self.luck, (), size) if x.route.idempotent and may_have_run else None
+            if x.route.idempotent and may_have_run:
+                node = pick(nodes, now, self.settings.zone, self.luck, (), size)
             if node is None and not tried:
                 node = min((n for n in nodes if n.draining and self._stays(n, now)), key=lambda n: load(n, now),
                            default=None)
@@ -458,11 +460,12 @@
                               x.route.priority, not x.route.idempotent, x.route.target_latency)
 
     async def _docked(self, x: Exchange) -> bool:
-        """Have a descriptor for one more connection to a node: an idle one's, the one that has idled longest, or one that
-        comes free while the request may wait."""
+        """Have a descriptor for one more connection to a node: an idle one's, the one that has idled longest, or one
+        that comes free while the request may wait."""
         assert x.route is not None
         while self.docks.full:
-            idle = min((pool.idle[0] for pool in self.pools.values() if pool.idle), key=lambda c: c.idle_since, default=None)
+            idle = min((pool.idle[0] for pool in self.pools.values() if pool.idle), key=lambda c: c.idle_since,
+                       default=None)
             if idle is not None:
                 idle.abort("room for another")
                 await asyncio.sleep(0)      # its descriptor is free after a turn of the loop
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/windvane/front.py
@@ -38,9 +38,9 @@
 LINGER = 1.0
 # Seconds by which the time told to clients lies before our own end of an idle connection.
 KEEP_MARGIN = 1
-# Seconds between looks for a descriptor while clients wait for one to be accepted, and how many before those who wait are
-# reset, to go elsewhere: a request takes some 0.15 s. Behind its last answer a connection lies one look at least, or what
-# the client sent meanwhile would destroy the answer on its way.
+# Seconds between looks for a descriptor while clients wait for one to be accepted, and how many before those who wait
+# are reset, to go elsewhere: a request takes some 0.15 s. Behind its last answer a connection lies one look at least,
+# or what the client sent meanwhile would destroy the answer on its way.
 CROWD_LOOK, CROWD_LOOKS = 0.05, 3
 # A client that came before there was a picture is read once there is; after so many seconds it is let go, unread.
 STARTING, STARTING_MOST = "starting", 0.9
--- a/tests/standins/disk.py
+++ b/tests/standins/disk.py
@@ -1,9 +1,9 @@
 """A disk under SQLite that counts what is done to it, and at any count refuses, tears or loses power.
 
-A VFS of SQLite's own kind, by way of ctypes: files are real, locks are granted and do nothing, and each write, change of
-length, sync, removal and renaming is noted by number. `left` says what a loss of power after any number may leave of it:
-what the last sync of a file covered, and of later writes each there, missing or torn, or none; names as of the last sync
-of their folder.
+A VFS of SQLite's own kind, by way of ctypes: files are real, locks are granted and do nothing, and each write, change
+of length, sync, removal and renaming is noted by number. `left` says what a loss of power after any number may leave of
+it: what the last sync of a file covered, and of later writes each there, missing or torn, or none; names as of the last
+sync of their folder.
 """
 
 import atexit
@@ -172,7 +172,8 @@
     # ---- after a loss of power
 
     def left(self, number: int, chance: random.Random, none: bool) -> dict[str, bytes]:
-        """The files after a loss of power that follows what was done up to `number`; `none`: no unsynced write lasts."""
+        """The files after a loss of power that follows what was done up to `number`; `none`: no unsynced write
+        lasts."""
         names: dict[str, int] = {}
         lasting: dict[str, int] = {}        # names as the folder has them for sure
         files: list[tuple[bytearray, list[tuple]]] = []
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -12,7 +12,16 @@
 from typing import Any
 
 from knotwalk.logbook.machine import (
-    Answer, Apply, Entry, Machine, Pace, Restore, Role, Save, Saved, Send,
+    Answer,
+    Apply,
+    Entry,
+    Machine,
+    Pace,
+    Restore,
+    Role,
+    Save,
+    Saved,
+    Send,
 )
 
 
--- a/tests/system/test_atlas.py
+++ b/tests/system/test_atlas.py
@@ -7,15 +7,22 @@
 import unittest
 
 import yaml
-from hypothesis import given, settings
-from hypothesis import strategies as some
+from hypothesis import given, settings, strategies as some
 
 from knotwalk.atlas import control
 from knotwalk.atlas.control import History, judge, parsed, reading
 from knotwalk.atlas.index import Index, canonical_host
 from knotwalk.atlas.objects import Configuration, Limits, Route, Service
-from knotwalk.atlas.read import (Invalid, apply_difference, difference, document, patched, read_configuration,
-                                 version_number, version_text)
+from knotwalk.atlas.read import (
+    Invalid,
+    apply_difference,
+    difference,
+    document,
+    patched,
+    read_configuration,
+    version_number,
+    version_text,
+)
 
 OPENAPI = pathlib.Path(__file__).parents[2] / "openapi" / "control.yaml"
 
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_barometer.py
@@ -16,10 +16,10 @@
 from knotwalk.barometer.stations import Stations
 from knotwalk.barometer.steward import Steward
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
-from knotwalk.lookout.loads import Loads, merge
-from knotwalk.lookout.picture import Board, Node, Picture
 from knotwalk.logbook.machine import Pace, Save, Saved
 from knotwalk.logbook.store import NAME, Damaged, Refused, Store
+from knotwalk.lookout.loads import Loads, merge
+from knotwalk.lookout.picture import Board, Node, Picture
 from knotwalk.mast.errors import StationError
 from knotwalk.windvane.link import FIRST_WAIT, WAIT, Link
 
@@ -470,7 +470,8 @@
 
 class LanesCase(unittest.IsolatedAsyncioTestCase):
     async def test_a_few_grants_at_once_to_a_node_and_none_begun_past_its_lease(self):
-        """A conductor that took slices over granted 118 runs to one node at once, which reset what was over its bound."""
+        """A conductor that took slices over granted 118 runs to one node at once, which reset what was over its
+        bound."""
         begun, ends, now, free = [], [], [1.0], asyncio.Event()
 
         class Node:
@@ -520,7 +521,8 @@
                         self.assertAlmostEqual(a, b)
 
     def test_demand_that_begins_is_counted_over_the_time_since(self):
-        """Divided by all of the window, capacities were learned as a quarter of what they are in a service's first seconds."""
+        """Divided by all of the window, capacities were learned as a quarter of what they are in a service's first
+        seconds."""
         loads = Loads()
         for step in range(96):
             now, edge = step / 8, step % 8              # eight edges, a report a second each; 80 requests a second from 5.0
--- a/tests/system/test_caller.py
+++ b/tests/system/test_caller.py
@@ -1,4 +1,5 @@
-"""An edge's calls to a core on loopback: every way in which an answer fails to come, at each byte, and the call after it."""
+"""An edge's calls to a core on loopback: every way in which an answer fails to come, at each byte, and the call after
+it."""
 
 import asyncio
 import json
--- a/tests/system/test_gust.py
+++ b/tests/system/test_gust.py
@@ -121,7 +121,8 @@
         self.assertEqual(known.in_hand(10.1 + FADE), 2)
 
     def test_a_node_that_is_always_full_is_not_taken_for_an_idle_one(self):
-        """An edge among many hears of a node once a second; by then its last word has faded, what it usually says has not."""
+        """An edge among many hears of a node once a second; by then its last word has faded, what it usually says has
+        not."""
         known = Seen()
         for second in range(6):
             known.told(float(second), running=2, waiting=5, slots=2)
--- a/tests/system/test_isobar.py
+++ b/tests/system/test_isobar.py
@@ -5,8 +5,26 @@
 
 from knotwalk.isobar.capacity import SETTLE, Capacities, Report, utilizations
 from knotwalk.isobar.passes import place, strip
-from knotwalk.isobar.placer import (AGAIN, BATCH, BATCH_PAUSE, GATHER_MOST, HEARD, HEARD_LATE, LOOK, NEAR, PERIOD, RAMP,
-                                    REMAINDER, REST, ROUNDS, Load, Placer, own_part, targets, worse)
+from knotwalk.isobar.placer import (
+    AGAIN,
+    BATCH,
+    BATCH_PAUSE,
+    GATHER_MOST,
+    HEARD,
+    HEARD_LATE,
+    LOOK,
+    NEAR,
+    PERIOD,
+    RAMP,
+    REMAINDER,
+    REST,
+    ROUNDS,
+    Load,
+    Placer,
+    own_part,
+    targets,
+    worse,
+)
 from knotwalk.leases.ledger import Ledger
 from knotwalk.lookout.picture import SLICES, Node
 
--- a/tests/system/test_logbook_store.py
+++ b/tests/system/test_logbook_store.py
@@ -187,7 +187,8 @@
             store.write(save(number, term=number, size=(10, 300, 3000)[number % 3]))
 
     def life(self, disk: FaultyDisk, told: dict[int, int]) -> Store:
-        """Three lives on one folder, the last left open; whatever is refused is tried again. `told`: done -> act kept."""
+        """Three lives on one folder, the last left open; whatever is refused is tried again. `told`: done -> act
+        kept."""
         def until(work: Callable[[], Any]) -> Any:
             for _ in range(9):
                 with contextlib.suppress(Refused):
@@ -244,7 +245,7 @@
             times = chance.choice((1, 2, 4))
             disk.refuse = lambda at, kind: codes[number % 2](kind) or 0 if number <= at < number + times else 0
             with disk.own(self.folder), self.subTest(number):
-                store = self.life(disk, told)
+                store = self.life(disk, told)       # noqa: F841  not closed: the disk fails under a life that goes on
             with FaultyDisk(), self.subTest(number):
                 self.holds(self.files(), 3 * self.ACTS, 3 * self.ACTS)
                 for cut in (number, number + times, *(chance.randrange(number, len(disk.done)) for _ in range(2))):
--- a/tests/system/test_windvane.py
+++ b/tests/system/test_windvane.py
@@ -322,7 +322,8 @@
         self.assertLess(float(headers["retry-after"]), 0.3)
 
     async def test_a_refusal_reaches_its_client_within_a_quarter_of_the_aim(self):
-        """Whatever a request waits for that no node has had: its whole wait, and the way to the client, count together."""
+        """Whatever a request waits for that no node has had: its whole wait, and the way to the client, count
+        together."""
         await self.begin(1, "k", table=routes(aim=0.4))
         waits = []
 
