--- a/knotwalk/isobar/capacity.py
+++ b/knotwalk/isobar/capacity.py
@@ -43,10 +43,12 @@
     utilization: dict[str, float] = field(default_factory=dict)             # by node
     heard: dict[str, float] = field(default_factory=dict)                   # by node: when (the caller's clock, s)
     failed: set[str] = field(default_factory=set)       # listed, but known to be gone (Keeper.dead)
+    ailing: frozenset[str] = frozenset()                # listed and there, but most that goes there goes wrong
     spans: dict[str, float] = field(default_factory=dict)       # by service: the seconds that its demand was heard over
 
 
-def utilizations(rows: Mapping[str, Sequence[float]], spans: Mapping[str, float], nodes: Mapping[str, Node]) -> dict[str, float]:
+def utilizations(rows: Mapping[str, Sequence[float]], spans: Mapping[str, float],
+                 nodes: Mapping[str, Node]) -> dict[str, float]:
     """Utilization by node, from edges' sums of the last seconds, so many by service (rows as in `lookout.loads`); nodes
     that nothing can be said of are left out."""
     rows = {id: row for id, row in rows.items() if id in nodes}
@@ -99,8 +101,9 @@
              moved: Mapping[str, float], cold: Iterable[str]) -> None:
         """Take a report: `work` is the demand of each node's slices, `moved` when one last came or went.
 
-        Counted are reports that are new, of warm nodes, settled since the node's last move, and not of idle ones; none of
-        a service whose demand has just begun. It comes by edges' reports a second apart, and is uneven until each sent two."""
+        Counted are reports that are new, of warm nodes, settled since the node's last move, and not of idle ones; none
+        of a service whose demand has just begun. It comes by edges' reports a second apart, and is uneven until each
+        sent two."""
         cold = set(cold)
         for id in self._records.keys() - nodes.keys():
             del self._records[id]
--- a/knotwalk/lookout/picture.py
+++ b/knotwalk/lookout/picture.py
@@ -2,6 +2,8 @@
 
 A `Board` stands in each core program; a `Picture` in each edge program. Every topic has an order that only rises (the
 index in the agreed log; for nodes the poller's term and turn), so a picture never goes back, whichever core it hears.
+A picture that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders,
+so whatever a fresh core tells replaces it.
 """
 
 from __future__ import annotations
@@ -16,7 +18,8 @@
 
 KEYS = 65536
 # Slices of a sharded service. Measured on a calm day: a hundredth of the keys takes a third of the requests, and of 512
-# slices the busiest alone was more than a node; of 2,048 it is a third of one. Lines travel as runs, so most cost nothing.
+# slices the busiest alone was more than a node; of 2,048 it is a third of one. Lines travel as runs, so most cost
+# nothing.
 SLICES = 2048
 WIDTH = KEYS // SLICES
 # Changes of the configuration kept to be sent alone. Together they stay smaller than the whole, so a board
@@ -39,6 +42,7 @@
     draining: bool = False
     cold_until: float = 0.0     # steady clock of this machine
     software: str = ""
+    ailing: bool = False        # as all edges together meet with it (`lookout.ailing`)
     seen: object = None
 
 
@@ -83,19 +87,41 @@
         self.by_service: dict[str, list[Node]] = {}
         self.shardings: dict[str, Sharding] = {}
         self.cores: list[str] = []
+        self.ailing: frozenset[str] = frozenset()
         self.config_order = -1
         self.nodes_order: tuple[int, int] = (-1, -1)
         self.lines_order = -1
         self.epoch, self.at = "", 0     # the board last heard, and how far
+        self.provisional = False        # configuration or nodes are still those of a core that only just started
         self.fault = ""     # why the newest configuration told was not taken; the old one is then in force
 
     @property
     def whole(self) -> bool:
         """Whether there is enough to serve by."""
-        return self.configuration is not None and self.nodes_order >= (0, 0)
+        return self.configuration is not None and (self.provisional or self.nodes_order >= (0, 0))
+
+    @property
+    def bare(self) -> bool:
+        """Whether nothing was taken yet, so that a provisional picture is better than none."""
+        return not self.provisional and (self.config_order, self.nodes_order, self.lines_order) == (-1, (-1, -1), -1)
+
+    def provide(self, now: float, message: dict) -> set[str]:
+        """Take a provisional picture, whole, or nothing: only who is bare does. Topics changed, as of `apply`.
+
+        No order is taken with it, so any fresh core sends the whole of each topic. ValueError if it can't be taken."""
+        if not self.bare:
+            return set()
+        made = Picture()
+        changed = made.apply(now, {"epoch": "", "at": 0, **message})
+        if not made.whole:
+            raise ValueError(made.fault or "a provisional picture that is not whole")
+        self.configuration, self.index, self.shardings = made.configuration, made.index, made.shardings
+        self.nodes, self.by_service, self.cores = made.nodes, made.by_service, made.cores or self.cores
+        self.provisional = True
+        return changed
 
     def apply(self, now: float, message: dict) -> set[str]:
-        """Take what a core's board sent; topics changed among `config`, `nodes`, `lines`, `cores`.
+        """Take what a core's board sent; topics changed among `config`, `nodes`, `lines`, `cores`, `ailing`.
 
         What is older than what stands is left out, topic by topic. Only when all was taken does the picture count as
         having heard so far; a configuration that can't be taken leaves `fault`, and is asked for whole."""
@@ -109,6 +135,14 @@
         if (topic := message.get("lines")) and topic["order"] > self.lines_order:
             self._lines(topic)
             changed.add("lines")
+        # Each core judges for itself; what another one told before does not count beside the word of this one.
+        ailing = frozenset(message.get("ailing", self.ailing if message["epoch"] == self.epoch else ()))
+        if ailing != self.ailing:
+            self.ailing = ailing
+            changed.add("ailing")
+        if changed & {"nodes", "ailing"}:
+            for node in self.nodes.values():
+                node.ailing = node.id in self.ailing
         self.fault = ""
         if (topic := message.get("config")) and topic["order"] > self.config_order:
             try:
@@ -118,6 +152,7 @@
                 self.fault = f"{type(error).__name__} {error}"
         if not self.fault:
             self.epoch, self.at = message["epoch"], message["at"]
+        self.provisional &= self.config_order < 0 or self.nodes_order < (0, 0)
         return changed
 
     def _config(self, topic: dict) -> None:
@@ -153,6 +188,8 @@
         self.nodes_order = tuple(topic["order"])
 
     def _lines(self, topic: dict) -> None:
+        if self.lines_order < 0:
+            self.shardings = {}     # provisional ones
         for service, runs in topic["set"].items():
             sharding = self.shardings.setdefault(service, Sharding())
             for first, last, owner, opened in runs:
@@ -163,7 +200,7 @@
     def ask(self) -> dict:
         """What to tell a core so that it sends only what is new; after a fault the configuration is wanted whole."""
         return {"epoch": self.epoch, "at": self.at, "config": -1 if self.fault else self.config_order,
-                "nodes": self.nodes_order, "lines": self.lines_order}
+                "nodes": self.nodes_order, "lines": self.lines_order} | ({"bare": True} if self.bare else {})
 
 
 class Board:
@@ -185,6 +222,8 @@
         self.line_order: dict[str, list[int]] = {}      # order of each line's last change, as far as is known here
         self.cores: list[str] = []
         self.cores_at = 0
+        self.ailing: frozenset[str] = frozenset()
+        self.ailing_at = 0
 
     def _turn(self) -> int:
         self.at += 1
@@ -214,6 +253,13 @@
         if cores != self.cores:
             self.cores, self.cores_at = cores, self._turn()
 
+    def set_ailing(self, ailing: frozenset[str]) -> bool:
+        """The nodes that this core holds ailing; says whether they are others than before."""
+        if ailing == self.ailing:
+            return False
+        self.ailing, self.ailing_at = ailing, self._turn()
+        return True
+
     def set_nodes(self, order: tuple[int, int], nodes: dict[str, Node], read: bool = False) -> bool:
         """A newer whole list; says whether it differs from what stood. One that this machine `read` itself and that
         is like its last one keeps that one's order: at a new one every other core would ask for it again."""
@@ -244,13 +290,16 @@
             lines[slice], at[slice] = line, order
 
     def since(self, asked: dict, now: float) -> dict | None:
-        """What the picture lacks that `asked`, or None. By its orders; only the cores go by the turns of this board."""
+        """What the picture lacks that `asked`, or None. By its orders; cores and ailing nodes go by the turns of this
+        board."""
         at = asked["at"] if asked["epoch"] == self.epoch and asked["at"] <= self.at else 0
         if at >= self.at:
             return None
         message: dict = {"epoch": self.epoch, "at": self.at}
         if self.cores_at > at:
             message["cores"] = self.cores
+        if self.ailing_at > at:
+            message["ailing"] = sorted(self.ailing)
         if self.config is not None and (has := asked.get("config", -1)) < self.config[0]:
             message["config"] = {"order": self.config[0]} | self._config(has)
         if (held := tuple(asked.get("nodes", (-1, -1)))) < self.nodes_order:
@@ -265,6 +314,15 @@
                 if (found := runs(self.lines[service], orders, order))}}
         return message
 
+    def provisional(self, nodes: dict[str, Node], now: float) -> dict | None:
+        """All that stands here for a picture that is bare, with `nodes` where no leader's list came; None if that would
+        serve nothing."""
+        message = self.since({"epoch": "", "at": 0}, now) or {}
+        if "nodes" not in message:
+            found = {id: entry(n, now) for id, n in nodes.items()}
+            message["nodes"] = {"order": [0, 0], "full": True, "gone": [], "set": found}
+        return message if "config" in message and message["nodes"]["set"] else None
+
     def _config(self, has: int) -> dict:
         """The changes from the order that a picture `has`, if all of them are kept; else the document."""
         changes = [change for base, change, _ in self.changes if base >= has]
--- a/knotwalk/mast/call.py
+++ b/knotwalk/mast/call.py
@@ -1,12 +1,23 @@
-"""The one way to call a peer: JSON over HTTP/1.1 by aiohttp, bounded in time, errors with step and peer."""
+"""How cores and the command line call a peer: JSON over HTTP/1.1 by aiohttp, bounded in time, errors with step and peer.
+
+Edges have a lighter one of their own, `windvane.caller`.
+"""
 
 import asyncio
 import json
 import socket
 import struct
+import sys
 from typing import Any
 
+# No TLS is spoken here; with it, aiohttp loads the system's certificates when it is imported, a tenth of a core's start.
+kept = sys.modules.get("ssl")
+sys.modules["ssl"] = None   # type: ignore[assignment]
 import aiohttp
+if kept is None:
+    del sys.modules["ssl"]
+else:
+    sys.modules["ssl"] = kept
 
 from knotwalk.mast.errors import StationError
 
