--- a/tests/system/test_isobar.py
+++ b/tests/system/test_isobar.py
@@ -88,7 +88,7 @@
         made = []
         for name in only or self.conductors:
             report = Report({"s": dict(self.demand)}, dict(self.told),
-                            {id: self.now for id in self.told}, self.failed, self.ailing, self.spans)
+                            {id: self.now for id in self.told}, self.failed, self.ailing, spans=self.spans)
             for command in self.placers[name].place(self.now, self.ledger, self.nodes, report):
                 made.append(command)
                 if obey:
