--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/windvane/forward.py
@@ -22,9 +22,9 @@
 from knotwalk.windvane.choose import load, pick, seen, service_of, wait_at
 from knotwalk.windvane.upstream import Answer, Connection, Docks, Pool
 
-# Of the aim, how long a request may wait without being offered to a node, as its client sees it: later refusals are held
-# against us, and what comes back after an early one may still earn. Seconds of it that the way to the client and back
-# takes: nobody tells it; ten each way, as far as a region is wide.
+# Of the aim, how long a request may wait without being offered to a node, as its client sees it: later refusals are
+# held against us, and what comes back after an early one may still earn. Seconds of it that the way to the client and
+# back takes: nobody tells it; ten each way, as far as a region is wide.
 WAIT_PART, CLIENT_WAY = 0.25, 0.02
 # Seconds within which a connection to a node comes up: links take milliseconds, a lost opening packet a second.
 CONNECT = 1.0
@@ -72,7 +72,8 @@
 
     __slots__ = ("stage", "begun", "until", "method", "attempt", "head", "length", "chunked", "body", "body_whole",
                  "body_gone", "size", "route", "service", "key", "connection", "waiter", "expired", "gone", "timer",
-                 "status", "retry_after", "answer", "settled", "keep", "modern", "expects", "starve", "task", "text", "way")
+                 "status", "retry_after", "answer", "settled", "keep", "modern", "expects", "starve", "task", "text",
+                 "way")
 
     def __init__(self, begun: float, method: bytes, settled: Callable[[Exchange], None]):
         self.stage = Stage.READING
@@ -237,12 +238,20 @@
                     future.set_result(None)
 
     def report(self) -> dict:
-        """Requests by service and slice, load told by each node; since the call before."""
-        nodes = {}
+        """Requests by service and slice, load told by each node, bad tries; since the call before."""
+        nodes, bad, now = {}, {}, self.clock()
         for node in self.picture.nodes.values():
             known: Seen | None = node.seen     # type: ignore[assignment]
-            if known is None or not (known.load_count or known.ok or known.failed or known.refused):
+            if known is None:
                 continue
+            if known.silent(now) and not known.hung:    # what hangs there will hardly end well
+                known.hung = True
+                known.failed += 1
+            if not (known.load_count or known.ok or known.failed or known.refused):
+                continue
+            if known.failed:
+                tries = known.ok + known.failed + known.refused
+                bad[node.id] = [known.failed, max(0, tries - known.load_count) if known.load_count else 0]
             row = [known.load_sum, known.load_count, known.slots or node.capacity]
             if not known.load_count:
                 row += [known.ok, known.failed, known.refused, round(known.busy, 4)]
@@ -250,7 +259,7 @@
             known.load_sum = known.load_count = known.ok = known.failed = known.refused = 0
             known.busy = 0.0
         demand, self.demand = self.demand, {}
-        return {"demand": demand, "nodes": nodes}
+        return {"demand": demand, "nodes": nodes, "bad": bad}
 
     def tally(self) -> dict[str, int]:
         """How requests ended, by cause and rank, and what was met with; since the call before."""
@@ -312,7 +321,7 @@
                 x.own(502, "the client is gone")
                 return
             if why != "full" and why != "too late":
-                self._learn(known, end, SHUN_OWNER if x.key >= 0 else SHUN_LAST)
+                self._learn(known, end, answer.for_nothing, SHUN_OWNER if x.key >= 0 else SHUN_LAST)
             allowed = (arrivals < x.route.retry_count and misses <= MISSES and not x.body_gone
                        and x.until - self.clock() > TOO_LATE and not x.expired)
             if x.key >= 0 and (why == "full" or end is End.TURNED_AWAY and answer.status != 421):
@@ -365,14 +374,17 @@
         now = self.clock()
         return min((wait_at(node, now) for node in nodes if not node.draining), default=HANDS_WAIT)
 
-    def _learn(self, known: Seen, end: End, last: float) -> None:
-        """Note how a try ended; a node in trouble is shunned for `last` seconds at most."""
+    def _learn(self, known: Seen, end: End, for_nothing: bool, last: float) -> None:
+        """Note how a try ended, and whether a refusal was `for_nothing`; a node in trouble is shunned for `last`
+        seconds at most."""
         now = self.clock()
         if end in (End.LOST, End.UNREACHED, End.SILENT):
-            known.failed += 1
+            known.failed += not known.hung      # that was told while it hung
+            known.hung = False
             known.trouble(now, end is not End.UNREACHED, last)
         elif end is End.TURNED_AWAY:
-            known.refused += 1
+            known.failed += for_nothing
+            known.refused += not for_nothing
             known.well()
         elif end is End.FAILED:
             known.failed += 1
@@ -383,8 +395,8 @@
     # -- a node
 
     async def _node(self, x: Exchange, tried: set[str], may_have_run: bool, offered: bool) -> tuple[Node | None, str]:
-        """The node to offer the request to, waiting briefly if there is none; or None and the cause. `offered`: whether a
-        node has had it already; only then does a further wait begin."""
+        """The node to offer the request to, waiting briefly if there is none; or None and the cause. `offered`: whether
+        a node has had it already; only then does a further wait begin."""
         hold = min(_patience(x, self.clock() if offered else x.begun), x.until - TOO_LATE)
         while True:
             now = self.clock()
@@ -426,7 +438,8 @@
         node = pick(nodes, now, self.settings.zone, self.luck, tried, size)
         if node is None:
             assert x.route is not None
-            node = pick(nodes, now, self.settings.zone, self.luck, (), size) if x.route.idempotent and may_have_run else None
+            if x.route.idempotent and may_have_run:
+                node = pick(nodes, now, self.settings.zone, self.luck, (), size)
             if node is None and not tried:
                 node = min((n for n in nodes if n.draining and self._stays(n, now)), key=lambda n: load(n, now),
                            default=None)
@@ -447,11 +460,12 @@
                               x.route.priority, not x.route.idempotent, x.route.target_latency)
 
     async def _docked(self, x: Exchange) -> bool:
-        """Have a descriptor for one more connection to a node: an idle one's, the one that has idled longest, or one that
-        comes free while the request may wait."""
+        """Have a descriptor for one more connection to a node: an idle one's, the one that has idled longest, or one
+        that comes free while the request may wait."""
         assert x.route is not None
         while self.docks.full:
-            idle = min((pool.idle[0] for pool in self.pools.values() if pool.idle), key=lambda c: c.idle_since, default=None)
+            idle = min((pool.idle[0] for pool in self.pools.values() if pool.idle), key=lambda c: c.idle_since,
+                       default=None)
             if idle is not None:
                 idle.abort("room for another")
                 await asyncio.sleep(0)      # its descriptor is free after a turn of the loop
--- a/tests/system/test_isobar.py
+++ b/tests/system/test_isobar.py
@@ -3,10 +3,28 @@
 import random
 import unittest
 
-from knotwalk.isobar.capacity import Capacities, Report, utilizations
+from knotwalk.isobar.capacity import SETTLE, Capacities, Report, utilizations
 from knotwalk.isobar.passes import place, strip
-from knotwalk.isobar.placer import (AGAIN, BATCH, BATCH_PAUSE, GATHER_MOST, LOOK, NEAR, PERIOD, RAMP, REMAINDER, REST,
-                                    ROUNDS, Load, Placer, own_part, targets, worse)
+from knotwalk.isobar.placer import (
+    AGAIN,
+    BATCH,
+    BATCH_PAUSE,
+    GATHER_MOST,
+    HEARD,
+    HEARD_LATE,
+    LOOK,
+    NEAR,
+    PERIOD,
+    RAMP,
+    REMAINDER,
+    REST,
+    ROUNDS,
+    Load,
+    Placer,
+    own_part,
+    targets,
+    worse,
+)
 from knotwalk.leases.ledger import Ledger
 from knotwalk.lookout.picture import SLICES, Node
 
@@ -20,12 +38,13 @@
         self.ledger, self.index, self.now = Ledger(), 0, 100.0
         self.conductors = list(conductors)
         self.placers = {name: Placer(name, seed + n, (homes or {}).get(name, "")) for n, name in enumerate(conductors)}
-        self.nodes, self.failed = {}, set()
+        self.nodes, self.failed, self.ailing = {}, set(), frozenset()
         for n in range(nodes):
             self.add(f"n{n}", zones[n % len(zones)])
         self.capacities = capacities or {}
         self.demand = {k: UNIT for k in range(SLICES)}
         self.told = {}
+        self.spans = {"s": 4.0}
         self.moves = []         # (when, by, slice, target) of all commands
         self.apply({"do": "shard", "services": ["s"]})
         for n, name in enumerate(conductors):
@@ -69,7 +88,7 @@
         made = []
         for name in only or self.conductors:
             report = Report({"s": dict(self.demand)}, dict(self.told),
-                            {id: self.now for id in self.told}, self.failed)
+                            {id: self.now for id in self.told}, self.failed, self.ailing, spans=self.spans)
             for command in self.placers[name].place(self.now, self.ledger, self.nodes, report):
                 made.append(command)
                 if obey:
@@ -86,7 +105,7 @@
         while self.now < end:
             self.told = {id: used for id, used in self.use().items() if used}
             if silent:
-                self.told = utilizations(self.rows(), 4.0, self.nodes)
+                self.told = utilizations(self.rows(), {"s": 4.0}, self.nodes)
             self.step()
             self.now = round(self.now + 0.25, 3)
 
@@ -101,6 +120,30 @@
         self.assertLessEqual(runs, 3 * ROUNDS * 26)
         self.assertEqual(fleet.step(), [])
 
+    def test_nodes_listed_one_by_one_before_the_first_laying_out_get_equal_shares(self):
+        """The list has them over some seconds; those of the first page got twice as many keys as the others."""
+        fleet = Fleet(4)
+        for n in range(4, 8):
+            fleet.add(f"n{n}")
+        fleet.step()
+        self.assertTrue(all(60 <= load <= 68 for load in fleet.loads().values()), fleet.loads())
+
+    def test_nothing_is_passed_over_by_loads_that_are_not_heard_yet(self):
+        """A core that came back took all slices for alike, and moved dozens off nodes that had more of them."""
+        fleet = Fleet(4)
+        fleet.step()
+        heavy = [k for k, x in enumerate(fleet.line) if x.owner == "n0"]
+        fleet.demand.update(dict.fromkeys(heavy[::8], 20 * UNIT))
+        late = Placer("a", 5)
+        for placer, wanted in ((late, HEARD_LATE), (fleet.placers["a"], HEARD)):
+            fleet.placers["a"] = placer
+            for fleet.spans in ({}, {"s": wanted - 0.1}):
+                fleet.now += 2 * PERIOD
+                self.assertEqual(fleet.step(), [], (wanted, fleet.spans))
+            fleet.spans = {"s": wanted}
+            fleet.now += 2 * PERIOD
+            self.assertTrue(fleet.step(obey=False))
+
     def near(self, fleet, homes):
         """The share of slices that node and conductor have in one zone."""
         return sum(fleet.nodes[x.owner].zone == homes[x.conductor] for x in fleet.line) / SLICES
@@ -309,12 +352,21 @@
     def test_nodes_that_tell_nothing_are_judged_by_who_is_in_hand(self):
         """Fails: a node that fails half of its tries at once has half the busy seconds, and is as full."""
         rows = {"a": [0, 0, 2, 40, 0, 0, 4.0], "b": [0, 0, 2, 20, 15, 5, 2.0], "c": [0, 0, 2, 0, 40, 0, 0.0]}
-        found = utilizations(rows, 4.0, self.nodes)
+        found = utilizations(rows, {"s": 4.0}, self.nodes)
         self.assertEqual(found.keys(), {"a", "b"})
         self.assertAlmostEqual(found["a"], 0.46, delta=0.01)
         self.assertAlmostEqual(found["a"], found["b"])
         rows["c"] = [30, 20, 2, 20, 0, 0, 2.0]      # one of the service tells, so only what is told counts
-        self.assertEqual(utilizations(rows, 4.0, self.nodes), {"c": 0.75})
+        self.assertEqual(utilizations(rows, {"s": 4.0}, self.nodes), {"c": 0.75})
+
+    def test_nothing_is_learned_of_a_service_whose_demand_has_just_begun(self):
+        found = Capacities()
+        report = Report(utilization={"a": 0.5}, heard={"a": 5.0}, spans={"s": SETTLE / 2})
+        found.hear(self.nodes, {"a": 40.0}, report, {}, ())
+        self.assertEqual(found.estimates(self.nodes)["a"], 0.0)
+        report.spans["s"] = SETTLE
+        found.hear(self.nodes, {"a": 40.0}, report, {}, ())
+        self.assertAlmostEqual(found.estimates(self.nodes)["a"], 80.0)
 
     def test_reports_that_are_old_cold_or_from_before_a_move_do_not_count(self):
         found = Capacities()
