--- a/knotwalk/isobar/placer.py
+++ b/knotwalk/isobar/placer.py
@@ -30,9 +30,9 @@
 PERIOD = 5.0            # s between passes (the paper's 60: days here last minutes)
 EMERGENCY_REST = 2.0    # s from a pass to one that a node above k_e brings on: the last must show first
 K_E = 1.0
-# Seconds that a service's demand must have been heard for before its slices are passed over: the least that is told, so any
-# report will do. A conductor that finds slices laid out waits for a sample of capacity more: by slots alone fast nodes
-# look full, and what others learned would be undone.
+# Seconds that a service's demand must have been heard for before its slices are passed over: the least that is told, so
+# any report will do. A conductor that finds slices laid out waits for a sample of capacity more: by slots alone fast
+# nodes look full, and what others learned would be undone.
 HEARD, HEARD_LATE = 1.0, 2.5
 # s; a node first seen so lately counts at this share of its capacity. Not those of the first laying-out: nobody has
 # worked yet.
