--- a/knotwalk/isobar/capacity.py
+++ b/knotwalk/isobar/capacity.py
@@ -36,8 +36,8 @@
 
 @dataclass
 class Report:
-    """What was heard of loads. Utilization: (running + waiting) / slots, a mean over the last seconds; who waits counts up
-    to half a round."""
+    """What was heard of loads. Utilization: (running + waiting) / slots, a mean over the last seconds; who waits counts
+    up to half a round."""
 
     demand: dict[str, dict[int, float]] = field(default_factory=dict)       # by service and slice, of the last seconds
     utilization: dict[str, float] = field(default_factory=dict)             # by node
