An edge waits for a core's answer while its bytes come

Cause: a call was given up 1.6 s (0.85 s at a core not known to live) after it began, however much of its answer had come.

Ruled out: the core (it led all along); a configuration that is not taken.

Change: the patience of a call is for silence; 30 s in all while bytes come.

--- a/knotwalk/windvane/caller.py
+++ b/knotwalk/windvane/caller.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from enum import Enum
 from typing import Any
 from urllib.parse import urlsplit
@@ -23,6 +24,9 @@
 # after each that failed, until one comes: behind a squeezed link a core is slow to answer and there all the same.
 CONNECT = 0.2
 MOST = 64 * 1024 * 1024     # bytes of an answer, as of a call's body at a core
+# Seconds that an answer may take in all while its bytes keep coming: a large configuration takes seconds on a slow link,
+# and given up in its midst it would begin anew at the next core, for ever.
+WHOLE = 30.0
 
 
 class Line(Enum):
@@ -45,6 +49,7 @@
         self.idle_since = asyncio.get_running_loop().time()
         self.transport: asyncio.Transport | None = None
         self.future: asyncio.Future[tuple[int, bytes]] | None = None
+        self.came: Callable[[], None] = lambda: None        # told when bytes of an answer have come
         self._renew()
 
     def _renew(self) -> None:
@@ -93,6 +98,7 @@
         if self.line is not Line.WAITING:
             self.end("bytes that belong to no answer")
             return
+        self.came()
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -124,7 +130,7 @@
 
 
 class Caller:
-    """Calls cores, one connection kept to each; each call has one limit of time for all of it."""
+    """Calls cores, one connection kept to each; a call is given up once nothing has come for its patience."""
 
     def __init__(self) -> None:
         self.kept: dict[tuple[str, int], Connection] = {}
@@ -140,15 +146,20 @@
         head = (f"{method} {parts.path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
                 f"Content-Length: {len(data)}\r\n\r\n")
         connection: Connection | None = None
+        loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(patience):
+            async with asyncio.timeout(patience) as limit:
                 connection = await self._connection(at)
+                last = loop.time() + WHOLE
+                connection.came = lambda: limit.reschedule(min(last, loop.time() + patience))
                 status, told = await connection.send(head.encode() + data)
         except TimeoutError:
             raise StationError(step, url, f"no answer within {patience:g} s") from None
         except OSError as error:
             raise StationError(step, url, f"{type(error).__name__} {error}") from None
         finally:
+            if connection is not None:
+                connection.came = lambda: None
             if connection is not None and connection.line is Line.WAITING:
                 connection.end("given up")      # a late answer must not be taken for the next call's
         if connection.line is Line.IDLE:
--- a/tests/system/test_caller.py
+++ b/tests/system/test_caller.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from knotwalk.mast.errors import StationError
-from knotwalk.windvane.caller import Caller
+from knotwalk.windvane.caller import Caller, Connection, Line
 
 WELL = b'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{"a":1}'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{"a\r\n4\r\n":1}\r\n0\r\n\r\n'
@@ -119,6 +119,32 @@
         self.assertEqual(await self.call((WELL, False)), {"a": 1})
         self.assertEqual(self.caller.allowed, {})
 
+    async def test_what_keeps_coming_is_waited_for(self):
+        """A large configuration on a slow link: given up in its midst, it began anew at each core and never came."""
+        told = Connection()
+        told.transport, told.line = mock.Mock(), Line.IDLE
+        limits = []
+        caller = Caller()
+        caller._connection = mock.AsyncMock(return_value=told)
+        call = asyncio.ensure_future(caller.json("POST", "http://127.0.0.1:9/picture", {}, 60))
+        while told.line is not Line.WAITING:
+            await asyncio.sleep(0)
+        came = told.came
+        told.came = lambda: (came(), limits.append(1))
+        for at in range(len(WELL)):
+            told.data_received(WELL[at:at + 1])
+        self.assertEqual((await call, len(limits)), ({"a": 1}, len(WELL)))
+        patient = asyncio.ensure_future(caller.json("POST", "http://127.0.0.1:9/picture", {}, 0.05))
+        while told.line is not Line.WAITING:
+            await asyncio.sleep(0)
+        end = self.loop.time() + 0.12
+        while self.loop.time() < end:
+            told.came()
+            await asyncio.sleep(0)
+        self.assertFalse(patient.done())
+        told.data_received(WELL)
+        self.assertEqual(await patient, {"a": 1})
+
     async def test_nobody_listens(self):
         self.server.close()
         await self.server.wait_closed()
