Rename package mast to runtime

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/knotwalk/almanac/__main__.py
+++ b/knotwalk/almanac/__main__.py
@@ -17,8 +17,8 @@
 from knotwalk.atlas.objects import Configuration, Limits
 from knotwalk.atlas.read import Invalid, document, read_configuration, version_number, version_text
 from knotwalk.logbook.store import StoreBroken
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import StationError
 
 PATIENCE = 3.0
 
--- a/knotwalk/almanac/check.py
+++ b/knotwalk/almanac/check.py
@@ -10,8 +10,8 @@
 
 from knotwalk.almanac.words import count
 from knotwalk.atlas.read import Invalid, read_configuration, shown
-from knotwalk.mast.errors import SettingsError
-from knotwalk.mast.settings import Settings, parse
+from knotwalk.runtime.errors import SettingsError
+from knotwalk.runtime.settings import Settings, parse
 
 MOST = 100      # mistakes told; a file of another kind has one a line
 
--- a/knotwalk/almanac/offer.py
+++ b/knotwalk/almanac/offer.py
@@ -9,8 +9,8 @@
 
 from knotwalk.atlas.objects import Configuration
 from knotwalk.atlas.read import read_configuration, version_text
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import StationError
 
 PATIENCE = 6.0      # for one answer: a core says after 4 s that it does not know
 TRIES = 8           # of one call without a clear answer: past an election, and a core that has gone
--- a/knotwalk/atlas/read.py
+++ b/knotwalk/atlas/read.py
@@ -13,7 +13,7 @@
 
 from knotwalk.atlas.index import canonical_host
 from knotwalk.atlas.objects import Configuration, Limits, Route, Service
-from knotwalk.mast.units import seconds
+from knotwalk.runtime.units import seconds
 
 # Bounds that the operator's protocol gives, in seconds.
 LONGEST_TIMEOUT = 600.0
--- a/knotwalk/barometer/__main__.py
+++ b/knotwalk/barometer/__main__.py
@@ -23,12 +23,12 @@
 from knotwalk.logbook.store import Store, StoreBroken
 from knotwalk.lookout.loads import Loads
 from knotwalk.lookout.picture import Board
-from knotwalk.mast import journal
-from knotwalk.mast.call import Caller
-from knotwalk.mast.journal import tell
-from knotwalk.mast.life import Ending, live
-from knotwalk.mast.serve import Listener
-from knotwalk.mast.settings import Settings
+from knotwalk.runtime import journal
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.journal import tell
+from knotwalk.runtime.life import Ending, live
+from knotwalk.runtime.serve import Listener
+from knotwalk.runtime.settings import Settings
 
 
 class Barometer:
--- a/knotwalk/barometer/agree.py
+++ b/knotwalk/barometer/agree.py
@@ -13,9 +13,9 @@
 from knotwalk.leases.ledger import Change
 from knotwalk.logbook.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
 from knotwalk.logbook.store import Damaged, Refused, Store
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, tell, trouble, warn
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.journal import clock, tell, trouble, warn
 
 HANG = 0.6          # a write that takes longer costs leadership: others serve meanwhile
 PATIENCE = 0.6      # for a peer: a lost message is repeated by the machine's own pace
--- a/knotwalk/barometer/conductor.py
+++ b/knotwalk/barometer/conductor.py
@@ -11,10 +11,10 @@
 from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
 from knotwalk.lookout.loads import Loads
 from knotwalk.lookout.picture import Board
-from knotwalk.mast.call import Caller, Refused
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, tell, trouble
-from knotwalk.mast.units import text
+from knotwalk.runtime.call import Caller, Refused
+from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.journal import clock, tell, trouble
+from knotwalk.runtime.units import text
 
 STEP = 0.1      # seconds between questions whether the placement is to be looked at
 # Calls under way to one node. Who takes slices over grants all of them at once: 118 calls to one node opened so many
--- a/knotwalk/barometer/control.py
+++ b/knotwalk/barometer/control.py
@@ -9,8 +9,8 @@
 from knotwalk.atlas.control import judge, reading
 from knotwalk.atlas.read import difference, document
 from knotwalk.barometer.agree import Agreement, Lost, NotLeader
-from knotwalk.mast.journal import tell
-from knotwalk.mast.serve import answer, app
+from knotwalk.runtime.journal import tell
+from knotwalk.runtime.serve import answer, app
 
 PATIENCE = 4.0      # for an agreement; a core that lost its majority says so instead of holding the operator
 WAIT_LEADER = 0.8   # an election is over in about this time; the caller moves on after a second of silence
--- a/knotwalk/barometer/stations.py
+++ b/knotwalk/barometer/stations.py
@@ -13,10 +13,10 @@
 from knotwalk.leases.tenure import ASK
 from knotwalk.lookout.loads import Loads
 from knotwalk.lookout.picture import KEYS, Board
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, warn
-from knotwalk.mast.serve import answer, app, body
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.journal import clock, warn
+from knotwalk.runtime.serve import answer, app, body
 
 FRESH = 1.2         # a core that heard the leader's word longer ago than this sends its edges elsewhere
 GATHER = 0.004      # news that come together go together
--- a/knotwalk/barometer/steward.py
+++ b/knotwalk/barometer/steward.py
@@ -11,10 +11,10 @@
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
 from knotwalk.lookout.listing import Listing, Unusable
 from knotwalk.lookout.picture import Board, Node, entry, node_of
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, tell, warn
-from knotwalk.mast.settings import Settings
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.journal import clock, tell, warn
+from knotwalk.runtime.settings import Settings
 
 POLL = 0.5      # seconds between readings of the list: a fifth of the time a drain is allowed, a few calls a second
 STEP = 0.2      # seconds between looks at the leases
--- a/knotwalk/lookout/listing.py
+++ b/knotwalk/lookout/listing.py
@@ -1,7 +1,7 @@
 """The platform's list of nodes, read page by page: whole, or not used at all."""
 
 from knotwalk.lookout.picture import Node
-from knotwalk.mast.units import seconds
+from knotwalk.runtime.units import seconds
 
 
 class Unusable(Exception):
--- a/knotwalk/mast/call.py
+++ b/knotwalk/runtime/call.py
@@ -22,7 +22,7 @@
 else:
     sys.modules["ssl"] = kept
 
-from knotwalk.mast.errors import StationError, value
+from knotwalk.runtime.errors import StationError, value
 
 # A peer one way 1.4 ms off answers within some ms; one that stalls on a shared core needs a few tenths of a second.
 PATIENCE = 1.0
--- a/knotwalk/mast/life.py
+++ b/knotwalk/runtime/life.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from knotwalk.mast import journal, settings as settings_file
-from knotwalk.mast.errors import SettingsError
-from knotwalk.mast.settings import Settings
+from knotwalk.runtime import journal, settings as settings_file
+from knotwalk.runtime.errors import SettingsError
+from knotwalk.runtime.settings import Settings
 
 ENDED, FAILED, UNUSABLE = 0, 1, 2
 # Seconds between looks at the settings file, which may change without a signal: seeds that changed last for minutes.
--- a/knotwalk/mast/serve.py
+++ b/knotwalk/runtime/serve.py
@@ -7,7 +7,7 @@
 from sanic.exceptions import SanicException
 from sanic.log import access_logger, error_logger, logger as sanic_logger
 
-from knotwalk.mast.journal import trouble
+from knotwalk.runtime.journal import trouble
 
 BODY_MOST = 64 * 1024 * 1024
 
--- a/knotwalk/mast/settings.py
+++ b/knotwalk/runtime/settings.py
@@ -10,8 +10,8 @@
 
 import dacite
 
-from knotwalk.mast.errors import SettingsError
-from knotwalk.mast.units import seconds
+from knotwalk.runtime.errors import SettingsError
+from knotwalk.runtime.units import seconds
 
 VARIABLE = "KNOTWALK_SETTINGS"
 Address = tuple[str, int]
--- a/knotwalk/windvane/__main__.py
+++ b/knotwalk/windvane/__main__.py
@@ -12,9 +12,9 @@
 from zlib import crc32
 
 from knotwalk.lookout.picture import Picture
-from knotwalk.mast.journal import clock, tell
-from knotwalk.mast.life import Ending, live
-from knotwalk.mast.settings import Settings
+from knotwalk.runtime.journal import clock, tell
+from knotwalk.runtime.life import Ending, live
+from knotwalk.runtime.settings import Settings
 from knotwalk.windvane import ready
 from knotwalk.windvane.caller import Caller
 from knotwalk.windvane.front import Front
--- a/knotwalk/windvane/caller.py
+++ b/knotwalk/windvane/caller.py
@@ -1,4 +1,4 @@
-"""An edge's calls to a core: JSON over HTTP/1.1 on httptools, with the interface of `mast.call.Caller.json`.
+"""An edge's calls to a core: JSON over HTTP/1.1 on httptools, with the interface of `runtime.call.Caller.json`.
 
 An edge makes one call at a time, and starts and memory are priced: aiohttp was over half of what an edge imports.
 """
@@ -14,7 +14,7 @@
 
 import httptools
 
-from knotwalk.mast.errors import StationError, value
+from knotwalk.runtime.errors import StationError, value
 
 # Seconds after which an idle connection is not used again: less than half of what a core keeps one open for.
 IDLE = 8.0
--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/windvane/forward.py
@@ -17,8 +17,8 @@
 from knotwalk.gust.budget import Budget
 from knotwalk.gust.outcome import PROOFS, End, Move, Proof, move
 from knotwalk.lookout.picture import WIDTH, Node, Picture
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.settings import Settings
+from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.settings import Settings
 from knotwalk.windvane.choose import load, pick, seen, service_of, wait_at
 from knotwalk.windvane.upstream import Answer, Connection, Docks, Pool
 
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/windvane/front.py
@@ -20,9 +20,9 @@
 from knotwalk.atlas.objects import Limits
 from knotwalk.gust.berths import shared
 from knotwalk.lookout.picture import Picture
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import tell, trouble
-from knotwalk.mast.settings import Settings
+from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.journal import tell, trouble
+from knotwalk.runtime.settings import Settings
 from knotwalk.windvane.forward import Exchange, Forwarder, Stage
 from knotwalk.windvane.upstream import HOP, Answer
 
--- a/knotwalk/windvane/link.py
+++ b/knotwalk/windvane/link.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 
 from knotwalk.lookout.picture import Picture
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, tell, warn
+from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.journal import clock, tell, warn
 from knotwalk.windvane.caller import Caller
 
 WAIT = 1.0          # seconds a core holds a call without news: also the pace of reports
--- a/knotwalk/windvane/upstream.py
+++ b/knotwalk/windvane/upstream.py
@@ -18,7 +18,7 @@
 
 from knotwalk.gust.outcome import End, judge
 from knotwalk.lookout.picture import Node
-from knotwalk.mast.errors import StationError
+from knotwalk.runtime.errors import StationError
 
 # An answer up to this size (bytes) is gathered whole before its head is passed on: a cut one can be tried again.
 GATHER = 64 * 1024
--- a/tests/standins/holders.py
+++ b/tests/standins/holders.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, field
 
 from knotwalk.lookout.picture import KEYS
-from knotwalk.mast.journal import clock
-from knotwalk.mast.units import seconds
+from knotwalk.runtime.journal import clock
+from knotwalk.runtime.units import seconds
 
 from .nodes import Request, StandIn, answer
 
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -10,8 +10,8 @@
 
 from knotwalk.atlas.objects import Configuration, Limits, Route, Service
 from knotwalk.lookout.picture import Line, Node, Picture, Sharding
-from knotwalk.mast.journal import clock
-from knotwalk.mast.settings import parse
+from knotwalk.runtime.journal import clock
+from knotwalk.runtime.settings import parse
 from knotwalk.windvane.front import Front
 
 
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -22,8 +22,8 @@
 
 from aiohttp import web
 
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import StationError
 
 from .holders import HoldingNode, Watch
 from .nodes import RawClient
--- a/tests/system/test_almanac.py
+++ b/tests/system/test_almanac.py
@@ -24,7 +24,7 @@
 from knotwalk.logbook.store import Store, StoreBroken, read
 from knotwalk.lookout.loads import Loads
 from knotwalk.lookout.picture import WIDTH, Board, Node
-from knotwalk.mast.errors import StationError
+from knotwalk.runtime.errors import StationError
 from tests.standins.village import FIRST, route, service
 
 STATIONS = pathlib.Path(__file__).parents[2] / "openapi" / "stations.yaml"
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_barometer.py
@@ -20,7 +20,7 @@
 from knotwalk.logbook.store import NAME, Damaged, Refused, Store
 from knotwalk.lookout.loads import Loads, merge
 from knotwalk.lookout.picture import Board, Node, Picture
-from knotwalk.mast.errors import StationError
+from knotwalk.runtime.errors import StationError
 from knotwalk.windvane.link import FIRST_WAIT, WAIT, Link
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
--- a/tests/system/test_caller.py
+++ b/tests/system/test_caller.py
@@ -6,7 +6,7 @@
 import unittest
 from unittest import mock
 
-from knotwalk.mast.errors import StationError
+from knotwalk.runtime.errors import StationError
 from knotwalk.windvane.caller import Caller, Connection, Line
 
 WELL = b'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{"a":1}'
--- a/tests/system/test_mast.py
+++ b/tests/system/test_runtime.py
@@ -11,10 +11,10 @@
 from pathlib import Path
 from unittest import mock
 
-from knotwalk.mast import life
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import SettingsError, StationError
-from knotwalk.mast.settings import VARIABLE, load, parse
+from knotwalk.runtime import life
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import SettingsError, StationError
+from knotwalk.runtime.settings import VARIABLE, load, parse
 
 ROOT = Path(__file__).parents[2]
 GOOD = {"node_name": "a", "listen_addresses": {"control": "127.0.0.1:80"}, "seed_nodes": ["127.0.0.1:80"],
