Rename package atlas to configuration

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/benchmarks/atlas.py
+++ b/benchmarks/configuration.py
@@ -1,6 +1,6 @@
 """How long reading, judging and looking up take; the last line is one JSON object.
 
-    python3 -m benchmarks.atlas [--quick]
+    python3 -m benchmarks.configuration [--quick]
 
 `route_us` is one look-up among 10,000 routes over 100 hosts, `route_ratio` how many times longer it takes to compare
 each route in turn, `read_ms` the reading of 2,000 routes, `judge_ms` the whole decision on a PUT of them.
@@ -13,10 +13,10 @@
 import time
 from collections.abc import Callable
 
-from knotwalk.atlas.control import History, judge
-from knotwalk.atlas.index import Index, canonical_host
-from knotwalk.atlas.objects import Configuration, Route
-from knotwalk.atlas.read import read_configuration
+from knotwalk.configuration.control import History, judge
+from knotwalk.configuration.index import Index, canonical_host
+from knotwalk.configuration.objects import Configuration, Route
+from knotwalk.configuration.read import read_configuration
 
 
 def made(routes: int, hosts: int) -> dict:
--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -2,7 +2,7 @@
 
     python3 -m benchmarks.system [--quick]
 
-`route_us`, `route_ratio`: benchmarks/atlas.py. `commit_us`: from a proposal to its answer with three machines and
+`route_us`, `route_ratio`: benchmarks/configuration.py. `commit_us`: from a proposal to its answer with three machines and
 three real files on this disk, middle. `election_s`: simulated, from a leader's death to an entry committed by the
 next, middle and `election_most_s` the worst; `election_ticks` the middle in heartbeats. `model_states`: states of the
 small models in which nothing is broken (`model_broken`), `seeded_found` of `seeded` mistakes that the models show.
@@ -26,7 +26,7 @@
 from collections import Counter
 from typing import Any
 
-from benchmarks import atlas
+from benchmarks import configuration
 from knotwalk.barometer.record import Record
 from knotwalk.leases.keeper import Grant, Keeper, Pace as KeysPace, Propose, Release
 from knotwalk.leases.ledger import Ledger, ranges
@@ -255,7 +255,7 @@
 def main(quick: bool) -> None:
     said = io.StringIO()
     with contextlib.redirect_stdout(said):
-        atlas.main(quick)
+        configuration.main(quick)
     found: dict[str, Any] = {name: value for name, value in json.loads(said.getvalue().splitlines()[-1]).items()
                              if name.startswith("route")}
     found["commit_us"] = round(commit_us(200 if quick else 2000), 1)
--- a/knotwalk/almanac/__main__.py
+++ b/knotwalk/almanac/__main__.py
@@ -13,9 +13,9 @@
 
 from knotwalk.almanac import check as checks, compare, past, show
 from knotwalk.almanac.offer import NoAnswer, Operator
-from knotwalk.atlas.control import Unreadable, parsed
-from knotwalk.atlas.objects import Configuration, Limits
-from knotwalk.atlas.read import Invalid, document, read_configuration, version_number, version_text
+from knotwalk.configuration.control import Unreadable, parsed
+from knotwalk.configuration.objects import Configuration, Limits
+from knotwalk.configuration.read import Invalid, document, read_configuration, version_number, version_text
 from knotwalk.logbook.store import StoreBroken
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import StationError
--- a/knotwalk/almanac/compare.py
+++ b/knotwalk/almanac/compare.py
@@ -10,8 +10,8 @@
 from typing import NamedTuple
 
 from knotwalk.almanac.words import shares, span
-from knotwalk.atlas.index import canonical_host
-from knotwalk.atlas.objects import Configuration, Route
+from knotwalk.configuration.index import canonical_host
+from knotwalk.configuration.objects import Configuration, Route
 
 TIMES = {"timeout", "target_latency", "header_timeout", "idle_timeout", "prewarm"}
 
--- a/knotwalk/almanac/offer.py
+++ b/knotwalk/almanac/offer.py
@@ -7,8 +7,8 @@
 from typing import Any, NamedTuple
 from urllib.parse import urlsplit
 
-from knotwalk.atlas.objects import Configuration
-from knotwalk.atlas.read import read_configuration, version_text
+from knotwalk.configuration.objects import Configuration
+from knotwalk.configuration.read import read_configuration, version_text
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import StationError
 
--- a/knotwalk/almanac/past.py
+++ b/knotwalk/almanac/past.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from knotwalk.atlas.read import document
+from knotwalk.configuration.read import document
 from knotwalk.barometer.record import Record
 from knotwalk.logbook.store import read
 
--- a/knotwalk/barometer/__main__.py
+++ b/knotwalk/barometer/__main__.py
@@ -12,7 +12,7 @@
 import sys
 from zlib import crc32
 
-from knotwalk.atlas.read import document
+from knotwalk.configuration.read import document
 from knotwalk.barometer.agree import Agreement, opened
 from knotwalk.barometer.conductor import Conductor
 from knotwalk.barometer.control import Control
--- a/knotwalk/barometer/account.py
+++ b/knotwalk/barometer/account.py
@@ -8,8 +8,8 @@
 from collections import Counter
 from typing import Any
 
-from knotwalk.atlas.index import Index
-from knotwalk.atlas.read import version_text
+from knotwalk.configuration.index import Index
+from knotwalk.configuration.read import version_text
 from knotwalk.barometer.record import Record
 from knotwalk.logbook.machine import Machine
 from knotwalk.lookout.loads import Loads
--- a/knotwalk/barometer/control.py
+++ b/knotwalk/barometer/control.py
@@ -6,8 +6,8 @@
 
 from sanic import HTTPResponse, Request, Sanic
 
-from knotwalk.atlas.control import judge, reading
-from knotwalk.atlas.read import difference, document
+from knotwalk.configuration.control import judge, reading
+from knotwalk.configuration.read import difference, document
 from knotwalk.barometer.agree import Agreement, Lost, NotLeader
 from knotwalk.runtime.journal import tell
 from knotwalk.runtime.serve import answer, app
--- a/knotwalk/barometer/record.py
+++ b/knotwalk/barometer/record.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from knotwalk.atlas.control import History
-from knotwalk.atlas.objects import Configuration
-from knotwalk.atlas.read import Invalid, apply_difference, document, read_configuration
+from knotwalk.configuration.control import History
+from knotwalk.configuration.objects import Configuration
+from knotwalk.configuration.read import Invalid, apply_difference, document, read_configuration
 from knotwalk.leases.ledger import Change, Ledger
 
 # Of snapshots; raised when older programs could not read them. 2: rows of the ledger tell of an `early` lease. 3:
--- a/knotwalk/atlas/control.py
+++ b/knotwalk/configuration/control.py
@@ -11,8 +11,8 @@
 import re
 from dataclasses import dataclass, field
 
-from knotwalk.atlas.objects import Configuration, Limits
-from knotwalk.atlas.read import Invalid, document, patched, read_configuration, shown, version_number, version_text
+from knotwalk.configuration.objects import Configuration, Limits
+from knotwalk.configuration.read import Invalid, document, patched, read_configuration, shown, version_number, version_text
 
 # An operator repeats a call for seconds and versions come seconds apart at the fastest; 64 hold minutes.
 REMEMBERED = 64
--- a/knotwalk/atlas/index.py
+++ b/knotwalk/configuration/index.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from knotwalk.atlas.objects import Configuration, Route
+from knotwalk.configuration.objects import Configuration, Route
 
 
 def canonical_host(host: str) -> str:
--- a/knotwalk/atlas/read.py
+++ b/knotwalk/configuration/read.py
@@ -1,7 +1,7 @@
 """Configurations as they are sent: read and checked, patched, written back, and told apart.
 
 The checks are written by hand: an edge with half a core reads thousands of routes between two requests. For 2,000
-routes `dacite` took 160 to 240 ms before any check of meaning, all that is here 20 to 45 ms (`benchmarks/atlas.py`).
+routes `dacite` took 160 to 240 ms before any check of meaning, all that is here 20 to 45 ms (`benchmarks/configuration.py`).
 """
 
 from __future__ import annotations
@@ -11,8 +11,8 @@
 import re
 from collections.abc import Iterable
 
-from knotwalk.atlas.index import canonical_host
-from knotwalk.atlas.objects import Configuration, Limits, Route, Service
+from knotwalk.configuration.index import canonical_host
+from knotwalk.configuration.objects import Configuration, Limits, Route, Service
 from knotwalk.runtime.units import seconds
 
 # Bounds that the operator's protocol gives, in seconds.
--- a/knotwalk/lookout/picture.py
+++ b/knotwalk/lookout/picture.py
@@ -12,9 +12,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from knotwalk.atlas.index import Index
-from knotwalk.atlas.objects import Configuration
-from knotwalk.atlas.read import Invalid, difference, patched, read_configuration
+from knotwalk.configuration.index import Index
+from knotwalk.configuration.objects import Configuration
+from knotwalk.configuration.read import Invalid, difference, patched, read_configuration
 
 KEYS = 65536
 # Slices of a sharded service. Measured on a calm day: a hundredth of the keys takes a third of the requests, and of 512
--- a/knotwalk/windvane/choose.py
+++ b/knotwalk/windvane/choose.py
@@ -5,7 +5,7 @@
 from collections.abc import Collection, Sequence
 from random import Random
 
-from knotwalk.atlas.objects import Route
+from knotwalk.configuration.objects import Route
 from knotwalk.gust.admission import Seen, expected_wait, slots
 from knotwalk.lookout.picture import Node
 
--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/windvane/forward.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from random import Random
 
-from knotwalk.atlas.objects import Route, Service
+from knotwalk.configuration.objects import Route, Service
 from knotwalk.gust.admission import SHUN_LAST, SHUN_OWNER, Seen, come_back, worth_offering, yields
 from knotwalk.gust.berths import shared
 from knotwalk.gust.budget import Budget
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/windvane/front.py
@@ -17,7 +17,7 @@
 
 import httptools
 
-from knotwalk.atlas.objects import Limits
+from knotwalk.configuration.objects import Limits
 from knotwalk.gust.berths import shared
 from knotwalk.lookout.picture import Picture
 from knotwalk.runtime.errors import StationError
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from knotwalk.atlas.objects import Configuration, Limits, Route, Service
+from knotwalk.configuration.objects import Configuration, Limits, Route, Service
 from knotwalk.lookout.picture import Line, Node, Picture, Sharding
 from knotwalk.runtime.journal import clock
 from knotwalk.runtime.settings import parse
--- a/tests/system/test_almanac.py
+++ b/tests/system/test_almanac.py
@@ -15,8 +15,8 @@
 
 from knotwalk.almanac import __main__ as almanac, check, offer, show
 from knotwalk.almanac.compare import differences
-from knotwalk.atlas.control import History, judge, reading
-from knotwalk.atlas.read import document, read_configuration
+from knotwalk.configuration.control import History, judge, reading
+from knotwalk.configuration.read import document, read_configuration
 from knotwalk.barometer import account
 from knotwalk.barometer.record import Record
 from knotwalk.leases.ledger import SLICES
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_barometer.py
@@ -10,7 +10,7 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from knotwalk.atlas.read import document, patched, read_configuration
+from knotwalk.configuration.read import document, patched, read_configuration
 from knotwalk.barometer.agree import Agreement, NotLeader, opened
 from knotwalk.barometer.conductor import LANES, Conductor
 from knotwalk.barometer.stations import Stations
--- a/tests/system/test_atlas.py
+++ b/tests/system/test_configuration.py
@@ -9,11 +9,11 @@
 import yaml
 from hypothesis import given, settings, strategies as some
 
-from knotwalk.atlas import control
-from knotwalk.atlas.control import History, judge, parsed, reading
-from knotwalk.atlas.index import Index, canonical_host
-from knotwalk.atlas.objects import Configuration, Limits, Route, Service
-from knotwalk.atlas.read import (
+from knotwalk.configuration import control
+from knotwalk.configuration.control import History, judge, parsed, reading
+from knotwalk.configuration.index import Index, canonical_host
+from knotwalk.configuration.objects import Configuration, Limits, Route, Service
+from knotwalk.configuration.read import (
     Invalid,
     apply_difference,
     difference,
--- a/tests/system/test_gust.py
+++ b/tests/system/test_gust.py
@@ -5,7 +5,7 @@
 
 from hypothesis import given, settings, strategies as some
 
-from knotwalk.atlas.objects import Route
+from knotwalk.configuration.objects import Route
 from knotwalk.gust.admission import FADE, FORGET, SHUN_LAST, Seen, come_back, worth_offering
 from knotwalk.gust.budget import Budget, Counter
 from knotwalk.gust.outcome import PROMISES, PROOFS, End, Move, Proof, judge, move
--- a/tests/system/test_logbook_store.py
+++ b/tests/system/test_logbook_store.py
@@ -278,13 +278,13 @@
         entries = [Entry(6, 3, "noop", {}), Entry(7, 3, "members", {"members": {"a": "b"}})]
         store.write(Save(2, 3, None, entries, 6, None))
         store.write(Save(3, 3, None, [], None, (4, 1, {"a": "A"}, {"state": ["é", 1.5]})))
-        store.note("atlas", "x")
+        store.note("configuration", "x")
         store.close()
         store, saved = self.open()
         self.assertEqual((saved.term, saved.vote, saved.snapshot_index, saved.snapshot_term), (3, None, 4, 1))
         self.assertEqual((saved.snapshot, saved.members), ({"state": ["é", 1.5]}, {"a": "A"}))
         self.assertEqual([(one.index, one.term) for one in saved.entries], [(5, 1), (6, 3), (7, 3)])
-        self.assertEqual((store.note("atlas"), store.note("other")), ("x", None))
+        self.assertEqual((store.note("configuration"), store.note("other")), ("x", None))
         store.write(Save(4, 4, "v", [Entry(101, 4, "noop", {})], 5, (100, 4, {}, {})))      # far ahead
         store.close()
         saved = self.open()[1]
--- a/tests/system/test_windvane.py
+++ b/tests/system/test_windvane.py
@@ -12,7 +12,7 @@
 
 from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, picture, routes, show
 
-from knotwalk.atlas.objects import Limits
+from knotwalk.configuration.objects import Limits
 from knotwalk.gust.berths import Berths
 from knotwalk.lookout.picture import WIDTH, Line
 from knotwalk.windvane import upstream
