Rename package logbook to consensus

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -31,8 +31,8 @@
 from knotwalk.leases.keeper import Grant, Keeper, Pace as KeysPace, Propose, Release
 from knotwalk.leases.ledger import Ledger, ranges
 from knotwalk.leases.tenure import ASK, DRIFT, LEASE, MARGIN, PROOF, Tenure, reassign
-from knotwalk.logbook.machine import Answer, Apply, Entry, Machine, Pace, Role, Save, Send
-from knotwalk.logbook.store import Store
+from knotwalk.consensus.machine import Answer, Apply, Entry, Machine, Pace, Role, Save, Send
+from knotwalk.consensus.store import Store
 from knotwalk.lookout.picture import SLICES, Node
 from tests.system.cluster import Cluster, Violation, trouble
 from tests.system.model import explore, mistakes, worlds
--- a/knotwalk/almanac/__main__.py
+++ b/knotwalk/almanac/__main__.py
@@ -16,7 +16,7 @@
 from knotwalk.configuration.control import Unreadable, parsed
 from knotwalk.configuration.objects import Configuration, Limits
 from knotwalk.configuration.read import Invalid, document, read_configuration, version_number, version_text
-from knotwalk.logbook.store import StoreBroken
+from knotwalk.consensus.store import StoreBroken
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import StationError
 
--- a/knotwalk/almanac/past.py
+++ b/knotwalk/almanac/past.py
@@ -6,7 +6,7 @@
 
 from knotwalk.configuration.read import document
 from knotwalk.barometer.record import Record
-from knotwalk.logbook.store import read
+from knotwalk.consensus.store import read
 
 
 def export(data_dir: str) -> dict[str, Any]:
--- a/knotwalk/barometer/__main__.py
+++ b/knotwalk/barometer/__main__.py
@@ -19,8 +19,8 @@
 from knotwalk.barometer.stations import Stations
 from knotwalk.barometer.steward import Steward
 from knotwalk.leases import keeper
-from knotwalk.logbook.machine import Pace
-from knotwalk.logbook.store import Store, StoreBroken
+from knotwalk.consensus.machine import Pace
+from knotwalk.consensus.store import Store, StoreBroken
 from knotwalk.lookout.loads import Loads
 from knotwalk.lookout.picture import Board
 from knotwalk.runtime import journal
--- a/knotwalk/barometer/account.py
+++ b/knotwalk/barometer/account.py
@@ -11,7 +11,7 @@
 from knotwalk.configuration.index import Index
 from knotwalk.configuration.read import version_text
 from knotwalk.barometer.record import Record
-from knotwalk.logbook.machine import Machine
+from knotwalk.consensus.machine import Machine
 from knotwalk.lookout.loads import Loads
 from knotwalk.lookout.picture import WIDTH, Board, entry
 
--- a/knotwalk/barometer/agree.py
+++ b/knotwalk/barometer/agree.py
@@ -11,8 +11,8 @@
 
 from knotwalk.barometer.record import Record
 from knotwalk.leases.ledger import Change
-from knotwalk.logbook.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
-from knotwalk.logbook.store import Damaged, Refused, Store
+from knotwalk.consensus.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
+from knotwalk.consensus.store import Damaged, Refused, Store
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, tell, trouble, warn
@@ -35,7 +35,7 @@
                 return store.open(data_dir, first_start, address, founders)
             except Damaged as error:
                 if str(error) != said:
-                    warn("logbook damaged", why=str(error), done="put aside; this machine counts as a new one")
+                    warn("log file damaged", why=str(error), done="put aside; this machine counts as a new one")
                 said = str(error)
                 store.set_aside()
         except Refused as error:
@@ -68,7 +68,7 @@
         self.tickets: dict[int, asyncio.Future] = {}
         self.results: dict[int, str] = {}       # index -> what applying it said, for those who wait
         self.next_ticket = 0
-        self.writer = ThreadPoolExecutor(1, "logbook")
+        self.writer = ThreadPoolExecutor(1, "consensus")
         self.saves: asyncio.Queue[Save] = asyncio.Queue()
         self.mail: dict[str, list[dict]] = {}
         self.posting: set[str] = set()
@@ -157,8 +157,8 @@
                         await work
                     break
                 except Damaged as error:        # what the disk has must be read anew: by the next life
-                    warn("logbook damaged", why=str(error), done="this life ends; the next one looks at it whole")
-                    self._fail("the logbook is damaged")
+                    warn("log file damaged", why=str(error), done="this life ends; the next one looks at it whole")
+                    self._fail("the log file is damaged")
                     self.on_damage()
                     return
                 except Exception:   # a disk may refuse in many ways; each is tried again
--- a/knotwalk/logbook/machine.py
+++ b/knotwalk/consensus/machine.py
@@ -18,7 +18,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from knotwalk.logbook.members import Standing, change, quorum, reached
+from knotwalk.consensus.members import Standing, change, quorum, reached
 
 OUTSIDER, FOLLOWER, CANDIDATE, LEADER = "outsider", "follower", "candidate", "leader"
 BATCH = 256 * 1024      # bytes of entries in one message: about 2 ms of a 1 Gbit/s line
--- a/knotwalk/logbook/store.py
+++ b/knotwalk/consensus/store.py
@@ -1,10 +1,10 @@
-"""The file in which one machine's promises last: `data_dir/logbook.sqlite`. The only part of the logbook with I/O.
+"""The file in which one machine's promises last: `data_dir/logbook.sqlite`. The only part of the consensus with I/O.
 
 Journal: write-ahead log with synchronous=FULL and locking_mode=EXCLUSIVE, which keeps its index in the process and
 maps no memory. A commit is one append and one fsync of a file that stays; a torn or missing tail fails its checksums
 and was never kept; psow=0 begins each commit on a sector of its own. A rollback journal syncs three times or more, and
 in DELETE mode its removal, unsynced below EXTRA, is undone by a loss of power, which takes back a commit already told
-(`tests/system/test_logbook_store.py` shows both). Measured by `python -m knotwalk.logbook.store FOLDER`, 2000 commits
+(`tests/system/test_consensus_store.py` shows both). Measured by `python -m knotwalk.consensus.store FOLDER`, 2000 commits
 of one entry of 200 bytes, ext4 on a shared virtual disk, median (99 %) in us: wal FULL 326 (2092), persist FULL 611
 (2730), delete EXTRA 620 (2789), truncate FULL 2588 (8832).
 
@@ -28,7 +28,7 @@
 from typing import Any
 from urllib.parse import quote
 
-from knotwalk.logbook.machine import Entry, Save, Saved
+from knotwalk.consensus.machine import Entry, Save, Saved
 
 NAME = "logbook.sqlite"
 # What a damaged file is renamed to; while it is there, no identity of a founder is given.
@@ -420,7 +420,7 @@
 def read(data_dir: str | Path) -> Saved:
     """What a folder holds, by way of a copy: nothing is written there, and none of its files need be closed well.
 
-    StoreBroken where there is no logbook, or where it cannot be trusted."""
+    StoreBroken where there is no consensus, or where it cannot be trusted."""
     folder = Path(data_dir)
     if not (folder / NAME).is_file():
         raise StoreBroken(folder / NAME, "is not there")
--- a/tests/standins/disk.py
+++ b/tests/standins/disk.py
@@ -18,7 +18,7 @@
 from typing import Any
 from unittest import mock
 
-from knotwalk.logbook import store
+from knotwalk.consensus import store
 
 SECTOR = 512
 FULL, REFUSED = 13, {"write": 778, "truncate": 1546, "sync": 1034, "delete": 2570}     # SQLite's codes
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from knotwalk.logbook.machine import (
+from knotwalk.consensus.machine import (
     Answer,
     Apply,
     Entry,
--- a/tests/system/model.py
+++ b/tests/system/model.py
@@ -20,7 +20,7 @@
 from knotwalk.leases.keeper import SLOW, Grant, Holder, Keeper, Pace as KeysPace, Propose, Release
 from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.leases.tenure import LEASE, Tenure, reassign
-from knotwalk.logbook.machine import Apply, Machine, Pace, Role, Save, Saved, Send
+from knotwalk.consensus.machine import Apply, Machine, Pace, Role, Save, Saved, Send
 from knotwalk.lookout.picture import Node
 from tests.system.cluster import Disk
 
--- a/tests/system/test_almanac.py
+++ b/tests/system/test_almanac.py
@@ -20,8 +20,8 @@
 from knotwalk.barometer import account
 from knotwalk.barometer.record import Record
 from knotwalk.leases.ledger import SLICES
-from knotwalk.logbook.machine import Entry, Machine, Pace, Save, Saved
-from knotwalk.logbook.store import Store, StoreBroken, read
+from knotwalk.consensus.machine import Entry, Machine, Pace, Save, Saved
+from knotwalk.consensus.store import Store, StoreBroken, read
 from knotwalk.lookout.loads import Loads
 from knotwalk.lookout.picture import WIDTH, Board, Node
 from knotwalk.runtime.errors import StationError
@@ -188,7 +188,7 @@
         store.close()
         self.assertEqual(read(self.folder / "data").me, "a:1#founder")
 
-    def test_a_folder_without_a_configuration_or_a_logbook_or_a_whole_one(self):
+    def test_a_folder_without_a_configuration_or_a_log_or_a_whole_one(self):
         self.store([]).close()
         self.assertEqual(run("export", str(self.folder / "data"))[:2], (1, ""))
         code, _, err = run("export", str(self.folder))
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_barometer.py
@@ -16,8 +16,8 @@
 from knotwalk.barometer.stations import Stations
 from knotwalk.barometer.steward import Steward
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
-from knotwalk.logbook.machine import Pace, Save, Saved
-from knotwalk.logbook.store import NAME, Damaged, Refused, Store
+from knotwalk.consensus.machine import Pace, Save, Saved
+from knotwalk.consensus.store import NAME, Damaged, Refused, Store
 from knotwalk.lookout.loads import Loads, merge
 from knotwalk.lookout.picture import Board, Node, Picture
 from knotwalk.runtime.errors import StationError
@@ -136,7 +136,7 @@
 class DamageCase(unittest.IsolatedAsyncioTestCase):
     """Three machines with real files; what one of them reads back is not what it wrote."""
 
-    async def test_a_damaged_logbook_is_another_machine_which_the_others_take_in(self):
+    async def test_a_damaged_log_file_is_another_machine_which_the_others_take_in(self):
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
         wire, founders, damage = Wire(), {f"{at}#founder": at for at in ADDRESSES}, []
--- a/tests/system/test_logbook.py
+++ b/tests/system/test_consensus.py
@@ -1,12 +1,12 @@
-"""The logbook's machines together, under a checker that knows nothing of their rules."""
+"""The consensus machines together, under a checker that knows nothing of their rules."""
 
 import unittest
 
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from knotwalk.logbook.machine import Answer, Apply, Entry, Machine, Pace, Save, Saved, Send
-from knotwalk.logbook.members import Standing, change
+from knotwalk.consensus.machine import Answer, Apply, Entry, Machine, Pace, Save, Saved, Send
+from knotwalk.consensus.members import Standing, change
 from tests.system.cluster import Cluster, Node, Violation, trouble
 
 
--- a/tests/system/test_logbook_store.py
+++ b/tests/system/test_consensus_store.py
@@ -1,4 +1,4 @@
-"""The logbook's file: what a loss of power, at any moment, may leave of it, and what is then read back.
+"""The consensus log's file: what a loss of power, at any moment, may leave of it, and what is then read back.
 
 A copy of the files is taken while each write was synced; sectors written after it are put back, zeroed or mixed, as a
 disk may do that had them in its cache.
@@ -15,8 +15,8 @@
 from pathlib import Path
 from typing import Any
 
-from knotwalk.logbook.machine import Entry, Save, Saved
-from knotwalk.logbook.store import ASIDE, NAME, Damaged, Refused, Store, StoreBroken
+from knotwalk.consensus.machine import Entry, Save, Saved
+from knotwalk.consensus.store import ASIDE, NAME, Damaged, Refused, Store, StoreBroken
 from tests.standins.disk import FULL, REFUSED, FaultyDisk
 
 FOUNDERS = {"10.1.0.15#founder": "10.1.0.15:7101", "10.1.0.16#founder": "10.1.0.16:7101"}
