Rename package lookout to discovery

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/knotwalk/barometer/__main__.py
+++ b/knotwalk/barometer/__main__.py
@@ -21,8 +21,8 @@
 from knotwalk.leases import keeper
 from knotwalk.consensus.machine import Pace
 from knotwalk.consensus.store import Store, StoreBroken
-from knotwalk.lookout.loads import Loads
-from knotwalk.lookout.picture import Board
+from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.picture import Board
 from knotwalk.runtime import journal
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.journal import tell
--- a/knotwalk/barometer/account.py
+++ b/knotwalk/barometer/account.py
@@ -12,8 +12,8 @@
 from knotwalk.configuration.read import version_text
 from knotwalk.barometer.record import Record
 from knotwalk.consensus.machine import Machine
-from knotwalk.lookout.loads import Loads
-from knotwalk.lookout.picture import WIDTH, Board, entry
+from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.picture import WIDTH, Board, entry
 
 EDGES_SPAN = 10.0   # seconds after which an edge that was not heard of counts as gone
 
--- a/knotwalk/barometer/conductor.py
+++ b/knotwalk/barometer/conductor.py
@@ -9,8 +9,8 @@
 from knotwalk.isobar.capacity import Report, utilizations
 from knotwalk.isobar.placer import Placer
 from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
-from knotwalk.lookout.loads import Loads
-from knotwalk.lookout.picture import Board
+from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.picture import Board
 from knotwalk.runtime.call import Caller, Refused
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, tell, trouble
--- a/knotwalk/barometer/stations.py
+++ b/knotwalk/barometer/stations.py
@@ -11,8 +11,8 @@
 from knotwalk.barometer.conductor import Conductor
 from knotwalk.barometer.steward import Steward
 from knotwalk.leases.tenure import ASK
-from knotwalk.lookout.loads import Loads
-from knotwalk.lookout.picture import KEYS, Board
+from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.picture import KEYS, Board
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, warn
--- a/knotwalk/barometer/steward.py
+++ b/knotwalk/barometer/steward.py
@@ -9,8 +9,8 @@
 from knotwalk.barometer.agree import Agreement, Lost, NotLeader
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
-from knotwalk.lookout.listing import Listing, Unusable
-from knotwalk.lookout.picture import Board, Node, entry, node_of
+from knotwalk.discovery.listing import Listing, Unusable
+from knotwalk.discovery.picture import Board, Node, entry, node_of
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, tell, warn
--- a/knotwalk/lookout/__init__.py
+++ b/knotwalk/discovery/__init__.py
@@ -1,4 +1,4 @@
-"""lookout: what is known of nodes (the lookout is the hand who watches and calls out what is there).
+"""Discovery: what is known of nodes.
 
 Owns the platform's list as it was read, drains and ends, what edges met with nodes, and the picture that the core
 spreads to the edges. Must never choose a node for a request or a place for keys.
--- a/knotwalk/lookout/ailing.py
+++ b/knotwalk/discovery/ailing.py
@@ -25,7 +25,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from knotwalk.lookout.picture import Node
+from knotwalk.discovery.picture import Node
 
 # Seconds in which what was met with fades to 1/e: a report a second, and two of them must tell.
 FADE = 1.5
@@ -83,7 +83,7 @@
         self.resting: frozenset[str] = frozenset()
 
     def hear(self, now: float, raw: dict) -> None:
-        """A report, an edge's or several edges' sums: rows of `nodes` and `bad` as `lookout.loads` has them."""
+        """A report, an edge's or several edges' sums: rows of `nodes` and `bad` as `discovery.loads` has them."""
         bad = raw.get("bad", {})
         for id, (told, count, slots, *tries) in raw.get("nodes", {}).items():
             if record := self._record(now, id):
--- a/knotwalk/isobar/capacity.py
+++ b/knotwalk/isobar/capacity.py
@@ -20,7 +20,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from knotwalk.lookout.picture import Node
+from knotwalk.discovery.picture import Node
 
 SAMPLES = 10        # as many as the service's estimates keep
 EVERY = 0.9         # s between two samples: reports tell of the last second or two, so closer ones say the same twice
@@ -49,7 +49,7 @@
 
 def utilizations(rows: Mapping[str, Sequence[float]], spans: Mapping[str, float],
                  nodes: Mapping[str, Node]) -> dict[str, float]:
-    """Utilization by node, from edges' sums of the last seconds, so many by service (rows as in `lookout.loads`); nodes
+    """Utilization by node, from edges' sums of the last seconds, so many by service (rows as in `discovery.loads`); nodes
     that nothing can be said of are left out."""
     rows = {id: row for id, row in rows.items() if id in nodes}
     telling = {nodes[id].service for id, row in rows.items() if row[1]}
--- a/knotwalk/windvane/__main__.py
+++ b/knotwalk/windvane/__main__.py
@@ -11,7 +11,7 @@
 import os
 from zlib import crc32
 
-from knotwalk.lookout.picture import Picture
+from knotwalk.discovery.picture import Picture
 from knotwalk.runtime.journal import clock, tell
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.settings import Settings
--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/windvane/forward.py
@@ -16,7 +16,7 @@
 from knotwalk.gust.berths import shared
 from knotwalk.gust.budget import Budget
 from knotwalk.gust.outcome import PROOFS, End, Move, Proof, move
-from knotwalk.lookout.picture import WIDTH, Node, Picture
+from knotwalk.discovery.picture import WIDTH, Node, Picture
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.settings import Settings
 from knotwalk.windvane.choose import load, pick, seen, service_of, wait_at
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/windvane/front.py
@@ -19,7 +19,7 @@
 
 from knotwalk.configuration.objects import Limits
 from knotwalk.gust.berths import shared
-from knotwalk.lookout.picture import Picture
+from knotwalk.discovery.picture import Picture
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import tell, trouble
 from knotwalk.runtime.settings import Settings
--- a/knotwalk/windvane/link.py
+++ b/knotwalk/windvane/link.py
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 
-from knotwalk.lookout.picture import Picture
+from knotwalk.discovery.picture import Picture
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, tell, warn
 from knotwalk.windvane.caller import Caller
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from knotwalk.configuration.objects import Configuration, Limits, Route, Service
-from knotwalk.lookout.picture import Line, Node, Picture, Sharding
+from knotwalk.discovery.picture import Line, Node, Picture, Sharding
 from knotwalk.runtime.journal import clock
 from knotwalk.runtime.settings import parse
 from knotwalk.windvane.front import Front
--- a/tests/system/test_ailing.py
+++ b/tests/system/test_ailing.py
@@ -3,9 +3,9 @@
 import random
 import unittest
 
-from knotwalk.lookout.ailing import AGAIN, PART, REST, REST_LAST, Ailing
-from knotwalk.lookout.loads import SPAN, Loads
-from knotwalk.lookout.picture import Board, Node, Picture
+from knotwalk.discovery.ailing import AGAIN, PART, REST, REST_LAST, Ailing
+from knotwalk.discovery.loads import SPAN, Loads
+from knotwalk.discovery.picture import Board, Node, Picture
 from knotwalk.windvane.choose import pick
 from tests.system.test_isobar import Fleet
 
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_barometer.py
@@ -18,8 +18,8 @@
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.consensus.machine import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
-from knotwalk.lookout.loads import Loads, merge
-from knotwalk.lookout.picture import Board, Node, Picture
+from knotwalk.discovery.loads import Loads, merge
+from knotwalk.discovery.picture import Board, Node, Picture
 from knotwalk.runtime.errors import StationError
 from knotwalk.windvane.link import FIRST_WAIT, WAIT, Link
 
--- a/tests/system/test_windvane.py
+++ b/tests/system/test_windvane.py
@@ -14,7 +14,7 @@
 
 from knotwalk.configuration.objects import Limits
 from knotwalk.gust.berths import Berths
-from knotwalk.lookout.picture import WIDTH, Line
+from knotwalk.discovery.picture import WIDTH, Line
 from knotwalk.windvane import upstream
 from knotwalk.windvane.choose import seen
 
