Rename package isobar to placement

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -30,7 +30,7 @@
 
 ROOT = Path(__file__).parent.parent
 SIZES = {30: 150, 120: 640, 200: 1600, 400: 3200}      # proxies by servers
-POLICY = ("knotwalk/decide", "knotwalk/decide.py", "knotwalk/isobar/passes.py")      # by commit, some of it
+POLICY = ("knotwalk/decide", "knotwalk/decide.py", "knotwalk/placement/passes.py")      # by commit, some of it
 STEPS = ("listed", "joined", "given", "heard", "wanted", "applied", "forget", "measure", "judge", "place", "let_in",
          "send")
 
@@ -171,7 +171,7 @@
         for path in git("ls-tree", "-r", "--name-only", rev, *POLICY).split():
             file = Path(folder, path.replace("knotwalk", "then", 1))
             file.parent.mkdir(parents=True, exist_ok=True)
-            file.write_text(re.sub(r"knotwalk\.(decide|isobar)", r"then.\1", git("show", f"{rev}:{path}")))
+            file.write_text(re.sub(r"knotwalk\.(decide|placement)", r"then.\1", git("show", f"{rev}:{path}")))
         sys.path.insert(0, folder)
         try:
             return importlib.import_module("then.decide").Conductor
--- a/knotwalk/barometer/conductor.py
+++ b/knotwalk/barometer/conductor.py
@@ -6,8 +6,8 @@
 from collections.abc import Awaitable, Callable
 
 from knotwalk.barometer.agree import Agreement
-from knotwalk.isobar.capacity import Report, utilizations
-from knotwalk.isobar.placer import Placer
+from knotwalk.placement.capacity import Report, utilizations
+from knotwalk.placement.placer import Placer
 from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.picture import Board
--- a/knotwalk/decide/estimates.py
+++ b/knotwalk/decide/estimates.py
@@ -3,7 +3,7 @@
 from statistics import fmean
 
 from knotwalk.decide.holdings import Holdings, Server
-from knotwalk.isobar.passes import fit
+from knotwalk.placement.passes import fit
 
 
 class Estimates(Holdings):
--- a/knotwalk/decide/passes.py
+++ b/knotwalk/decide/passes.py
@@ -1,10 +1,10 @@
-"""Passes: which servers hold the shares of each slice. The mechanism of the paper; see knotwalk/isobar/passes.py."""
+"""Passes: which servers hold the shares of each slice. The mechanism of the paper; see knotwalk/placement/passes.py."""
 
 from operator import attrgetter
 
 from knotwalk.decide.holdings import Server, Slice
 from knotwalk.decide.sending import Sending
-from knotwalk.isobar.passes import place, strip
+from knotwalk.placement.passes import place, strip
 
 
 class Passes(Sending):
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -16,7 +16,7 @@
 
 from knotwalk import decide, interface
 from knotwalk.decide import Conductor
-from knotwalk.isobar import passes
+from knotwalk.placement import passes
 from knotwalk.net.collectors import Callers
 from knotwalk.net.discovery import Watch, entry
 from knotwalk.net.log import Log
--- a/knotwalk/isobar/placer.py
+++ b/knotwalk/placement/placer.py
@@ -22,8 +22,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from knotwalk.isobar.capacity import Capacities, Report
-from knotwalk.isobar.passes import fit, place, strip
+from knotwalk.placement.capacity import Capacities, Report
+from knotwalk.placement.passes import fit, place, strip
 from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.discovery.picture import Node
 
--- a/tests/system/test_ailing.py
+++ b/tests/system/test_ailing.py
@@ -7,7 +7,7 @@
 from knotwalk.discovery.loads import SPAN, Loads
 from knotwalk.discovery.picture import Board, Node, Picture
 from knotwalk.windvane.choose import pick
-from tests.system.test_isobar import Fleet
+from tests.system.test_placement import Fleet
 
 
 class Met:
--- a/tests/system/test_isobar.py
+++ b/tests/system/test_placement.py
@@ -3,9 +3,9 @@
 import random
 import unittest
 
-from knotwalk.isobar.capacity import SETTLE, Capacities, Report, utilizations
-from knotwalk.isobar.passes import place, strip
-from knotwalk.isobar.placer import (
+from knotwalk.placement.capacity import SETTLE, Capacities, Report, utilizations
+from knotwalk.placement.passes import place, strip
+from knotwalk.placement.placer import (
     AGAIN,
     BATCH,
     BATCH_PAUSE,
--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from knotwalk.isobar.passes import fit, place, strip
+from knotwalk.placement.passes import fit, place, strip
 
 
 @dataclass(eq=False)
