Rename package gust to admission

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/knotwalk/gust/__init__.py
+++ b/knotwalk/admission/__init__.py
@@ -1,4 +1,4 @@
-"""gust: limits and further tries (a gust is met by reefing in time).
+"""Admission: limits and retries.
 
 Owns budgets, admission, deadlines and what an outcome proves. Pure; must never touch a connection.
 """
--- a/knotwalk/windvane/choose.py
+++ b/knotwalk/windvane/choose.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from knotwalk.configuration.objects import Route
-from knotwalk.gust.admission import Seen, expected_wait, slots
+from knotwalk.admission.admission import Seen, expected_wait, slots
 from knotwalk.discovery.picture import Node
 
 # A node in another zone must be so many requests a slot better: bytes between zones are priced. One more for each 4 kB
--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/windvane/forward.py
@@ -1,6 +1,6 @@
 """Carrying one request: which node it is offered to, what its tries prove, and the one answer that it gets.
 
-Decides by the pure parts (`choose`, `gust`); the connections are `upstream`'s, the client's side is `front`'s.
+Decides by the pure parts (`choose`, `admission`); the connections are `upstream`'s, the client's side is `front`'s.
 """
 
 from __future__ import annotations
@@ -12,10 +12,10 @@
 from random import Random
 
 from knotwalk.configuration.objects import Route, Service
-from knotwalk.gust.admission import SHUN_LAST, SHUN_OWNER, Seen, come_back, worth_offering, yields
-from knotwalk.gust.berths import shared
-from knotwalk.gust.budget import Budget
-from knotwalk.gust.outcome import PROOFS, End, Move, Proof, move
+from knotwalk.admission.admission import SHUN_LAST, SHUN_OWNER, Seen, come_back, worth_offering, yields
+from knotwalk.admission.berths import shared
+from knotwalk.admission.budget import Budget
+from knotwalk.admission.outcome import PROOFS, End, Move, Proof, move
 from knotwalk.discovery.picture import WIDTH, Node, Picture
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.settings import Settings
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/windvane/front.py
@@ -18,7 +18,7 @@
 import httptools
 
 from knotwalk.configuration.objects import Limits
-from knotwalk.gust.berths import shared
+from knotwalk.admission.berths import shared
 from knotwalk.discovery.picture import Picture
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import tell, trouble
--- a/knotwalk/windvane/upstream.py
+++ b/knotwalk/windvane/upstream.py
@@ -16,7 +16,7 @@
 
 import httptools
 
-from knotwalk.gust.outcome import End, judge
+from knotwalk.admission.outcome import End, judge
 from knotwalk.discovery.picture import Node
 from knotwalk.runtime.errors import StationError
 
--- a/tests/system/test_gust.py
+++ b/tests/system/test_admission.py
@@ -6,9 +6,9 @@
 from hypothesis import given, settings, strategies as some
 
 from knotwalk.configuration.objects import Route
-from knotwalk.gust.admission import FADE, FORGET, SHUN_LAST, Seen, come_back, worth_offering
-from knotwalk.gust.budget import Budget, Counter
-from knotwalk.gust.outcome import PROMISES, PROOFS, End, Move, Proof, judge, move
+from knotwalk.admission.admission import FADE, FORGET, SHUN_LAST, Seen, come_back, worth_offering
+from knotwalk.admission.budget import Budget, Counter
+from knotwalk.admission.outcome import PROMISES, PROOFS, End, Move, Proof, judge, move
 from knotwalk.discovery.picture import Node
 from knotwalk.windvane.choose import pick, seen, service_of
 
--- a/tests/system/test_windvane.py
+++ b/tests/system/test_windvane.py
@@ -13,7 +13,7 @@
 from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, picture, routes, show
 
 from knotwalk.configuration.objects import Limits
-from knotwalk.gust.berths import Berths
+from knotwalk.admission.berths import Berths
 from knotwalk.discovery.picture import WIDTH, Line
 from knotwalk.windvane import upstream
 from knotwalk.windvane.choose import seen
