Rename package windvane to edge

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/knotwalk/windvane/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -1,4 +1,4 @@
-"""python -m knotwalk.windvane: one edge's program, until SIGTERM. The platform's settings file says the rest."""
+"""python -m knotwalk.edge: one edge's program, until SIGTERM. The platform's settings file says the rest."""
 
 from __future__ import annotations
 
@@ -15,13 +15,13 @@
 from knotwalk.runtime.journal import clock, tell
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.settings import Settings
-from knotwalk.windvane import ready
-from knotwalk.windvane.caller import Caller
-from knotwalk.windvane.front import Front
-from knotwalk.windvane.link import Link
+from knotwalk.edge import ready
+from knotwalk.edge.caller import Caller
+from knotwalk.edge.front import Front
+from knotwalk.edge.link import Link
 
 
-class Windvane:
+class Edge:
     """The rooms of an edge, wired together. Ready once a fresh core gave it a whole picture, until it must end."""
 
     def __init__(self, settings: Settings):
@@ -67,4 +67,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(live("windvane", Windvane))
+    sys.exit(live("edge", Edge))
--- a/knotwalk/windvane/forward.py
+++ b/knotwalk/edge/forward.py
@@ -19,8 +19,8 @@
 from knotwalk.discovery.picture import WIDTH, Node, Picture
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.settings import Settings
-from knotwalk.windvane.choose import load, pick, seen, service_of, wait_at
-from knotwalk.windvane.upstream import Answer, Connection, Docks, Pool
+from knotwalk.edge.choose import load, pick, seen, service_of, wait_at
+from knotwalk.edge.upstream import Answer, Connection, Docks, Pool
 
 # Of the aim, how long a request may wait without being offered to a node, as its client sees it: later refusals are
 # held against us, and what comes back after an early one may still earn. Seconds of it that the way to the client and
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/edge/front.py
@@ -23,8 +23,8 @@
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import tell, trouble
 from knotwalk.runtime.settings import Settings
-from knotwalk.windvane.forward import Exchange, Forwarder, Stage
-from knotwalk.windvane.upstream import HOP, Answer
+from knotwalk.edge.forward import Exchange, Forwarder, Stage
+from knotwalk.edge.upstream import HOP, Answer
 
 # A request's body up to this size (bytes) is gathered before it is offered to a node; a longer one streams.
 GATHER = 64 * 1024
--- a/knotwalk/windvane/link.py
+++ b/knotwalk/edge/link.py
@@ -9,7 +9,7 @@
 from knotwalk.discovery.picture import Picture
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, tell, warn
-from knotwalk.windvane.caller import Caller
+from knotwalk.edge.caller import Caller
 
 WAIT = 1.0          # seconds a core holds a call without news: also the pace of reports
 FIRST_WAIT = 0.25   # the same for the first call to a core, which may be dark: as long as a core waits to be fresh
--- a/knotwalk/runtime/call.py
+++ b/knotwalk/runtime/call.py
@@ -1,7 +1,7 @@
 """How cores and the command line call a peer: JSON over HTTP/1.1 by aiohttp, bounded in time, errors with step and
 peer.
 
-Edges have a lighter one of their own, `windvane.caller`.
+Edges have a lighter one of their own, `edge.caller`.
 """
 
 import asyncio
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -12,7 +12,7 @@
 from knotwalk.discovery.picture import Line, Node, Picture, Sharding
 from knotwalk.runtime.journal import clock
 from knotwalk.runtime.settings import parse
-from knotwalk.windvane.front import Front
+from knotwalk.edge.front import Front
 
 
 @dataclass
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -202,7 +202,7 @@
                 f"core-{number}", ip, "core", {"control": f"{ip}:{self.control}"}, data_dir=str(data),
                 quorum_member=True)))
         for number, ip in enumerate(EDGES, 1):
-            self.edges.append(Program(self.folder, "knotwalk.windvane", self.told(
+            self.edges.append(Program(self.folder, "knotwalk.edge", self.told(
                 f"edge-{number}", ip, "edge", {"data_plane": f"{ip}:{self.ports.take(ip)}",
                                                "readiness": f"{ip}:{self.ports.take(ip)}"})))
         for program in self.cores + self.edges:
--- a/tests/system/test_admission.py
+++ b/tests/system/test_admission.py
@@ -10,7 +10,7 @@
 from knotwalk.admission.budget import Budget, Counter
 from knotwalk.admission.outcome import PROMISES, PROOFS, End, Move, Proof, judge, move
 from knotwalk.discovery.picture import Node
-from knotwalk.windvane.choose import pick, seen, service_of
+from knotwalk.edge.choose import pick, seen, service_of
 
 
 class OutcomeCase(unittest.TestCase):
--- a/tests/system/test_ailing.py
+++ b/tests/system/test_ailing.py
@@ -6,7 +6,7 @@
 from knotwalk.discovery.ailing import AGAIN, PART, REST, REST_LAST, Ailing
 from knotwalk.discovery.loads import SPAN, Loads
 from knotwalk.discovery.picture import Board, Node, Picture
-from knotwalk.windvane.choose import pick
+from knotwalk.edge.choose import pick
 from tests.system.test_placement import Fleet
 
 
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_barometer.py
@@ -21,7 +21,7 @@
 from knotwalk.discovery.loads import Loads, merge
 from knotwalk.discovery.picture import Board, Node, Picture
 from knotwalk.runtime.errors import StationError
-from knotwalk.windvane.link import FIRST_WAIT, WAIT, Link
+from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
 DOCUMENT = {"config_version": "r3", "objects": [
@@ -241,7 +241,7 @@
                 return told | {"provisional": json.loads(json.dumps(board.provisional(nodes, 0.0)))}
 
         link = Link("e", Picture(), Cores(), ADDRESSES, 1, "z", dict, lambda changed, edges: heard.append(edges))
-        with self.assertRaises(asyncio.CancelledError), mock.patch("knotwalk.windvane.link.PAUSE_MOST", 0.0), \
+        with self.assertRaises(asyncio.CancelledError), mock.patch("knotwalk.edge.link.PAUSE_MOST", 0.0), \
                 self.assertLogs(level="WARNING") as logs:
             await link.run()
         self.assertEqual([bare for _, bare in asked], [True, True] + [False] * 7)
--- a/tests/system/test_caller.py
+++ b/tests/system/test_caller.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from knotwalk.runtime.errors import StationError
-from knotwalk.windvane.caller import Caller, Connection, Line
+from knotwalk.edge.caller import Caller, Connection, Line
 
 WELL = b'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{"a":1}'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{"a\r\n4\r\n":1}\r\n0\r\n\r\n'
@@ -22,7 +22,7 @@
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.url = f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}/picture"
         self.caller = Caller()
-        patched = mock.patch("knotwalk.windvane.caller.CONNECT", 60.0)      # a busy machine may stall a test for longer
+        patched = mock.patch("knotwalk.edge.caller.CONNECT", 60.0)      # a busy machine may stall a test for longer
         patched.start()
         self.addCleanup(patched.stop)
 
@@ -111,7 +111,7 @@
             await asyncio.Event().wait()
         for allowed in (0.02, 0.04):        # and not so soon again, should it be there after all
             with mock.patch.object(self.loop, "create_connection", dark), \
-                    mock.patch("knotwalk.windvane.caller.CONNECT", 0.01), self.assertRaises(StationError) as met:
+                    mock.patch("knotwalk.edge.caller.CONNECT", 0.01), self.assertRaises(StationError) as met:
                 await self.call(patience=60)
             self.assertIn("no connection in time", str(met.exception))
             self.assertEqual(list(self.caller.allowed.values()), [allowed])
@@ -126,7 +126,7 @@
             told, limits[:] = Connection(), []
             told.transport, caller = mock.Mock(), Caller()
             caller._connection = mock.AsyncMock(return_value=told)
-            with mock.patch("knotwalk.windvane.caller.WHOLE", whole), \
+            with mock.patch("knotwalk.edge.caller.WHOLE", whole), \
                     mock.patch("asyncio.timeout", lambda seconds: limits.append(real(seconds)) or limits[-1]):
                 call = asyncio.ensure_future(caller.json("POST", "http://127.0.0.1:9/picture", {}, 60))
                 while told.line is not Line.WAITING:
--- a/tests/system/test_windvane.py
+++ b/tests/system/test_edge.py
@@ -15,8 +15,8 @@
 from knotwalk.configuration.objects import Limits
 from knotwalk.admission.berths import Berths
 from knotwalk.discovery.picture import WIDTH, Line
-from knotwalk.windvane import upstream
-from knotwalk.windvane.choose import seen
+from knotwalk.edge import upstream
+from knotwalk.edge.choose import seen
 
 BOTH = (("/i/", True), ("/n/", False))
 CUT = (asyncio.IncompleteReadError, ConnectionError)
@@ -62,7 +62,7 @@
     raise AssertionError("the condition was not met")
 
 
-class WindvaneCase(unittest.IsolatedAsyncioTestCase):
+class EdgeCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.loop = asyncio.get_running_loop()
         self.errors = []
@@ -112,7 +112,7 @@
             seen(node).well()
 
 
-class TriesCase(WindvaneCase):
+class TriesCase(EdgeCase):
     """What becomes of a try, for requests that may be repeated and for those that may not."""
 
     async def check(self, script, repeatable, single, nodes=1, path=""):
@@ -279,7 +279,7 @@
         self.assertEqual([r.connection for r in self.nodes[0].seen], [0, 1, 2])
 
 
-class KeysCase(WindvaneCase):
+class KeysCase(EdgeCase):
     """Services divided by key."""
 
     def key(self, key):
@@ -477,7 +477,7 @@
         self.assertGreater(float(headers["retry-after"]), 0.03)
 
 
-class PassingCase(WindvaneCase):
+class PassingCase(EdgeCase):
     """What is sent on and what is passed back."""
 
     async def test_request_unchanged(self):
@@ -641,7 +641,7 @@
         self.assertEqual(await client.rest(), b"")
 
 
-class ReadingCase(WindvaneCase):
+class ReadingCase(EdgeCase):
     """What is read as a request, in which order it is answered, and what is not read."""
 
     async def test_pipelined_in_order(self):
@@ -807,7 +807,7 @@
         self.assertEqual(self.runs(), 0)
 
 
-class MishapsCase(WindvaneCase):
+class MishapsCase(EdgeCase):
     """Nodes that misbehave at random under pipelining clients: the rules hold for every request."""
 
     def act(self, luck):
@@ -896,7 +896,7 @@
         self.front._sweep.cancel()
 
 
-class EndsCase(WindvaneCase):
+class EndsCase(EdgeCase):
     """Clients that leave, and the end of the program."""
 
     async def held(self, prefix, body=b""):
