Rename package barometer to control_plane

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -27,7 +27,7 @@
 from typing import Any
 
 from benchmarks import configuration
-from knotwalk.barometer.record import Record
+from knotwalk.control_plane.record import Record
 from knotwalk.leases.keeper import Grant, Keeper, Pace as KeysPace, Propose, Release
 from knotwalk.leases.ledger import Ledger, ranges
 from knotwalk.leases.tenure import ASK, DRIFT, LEASE, MARGIN, PROOF, Tenure, reassign
--- a/knotwalk/almanac/past.py
+++ b/knotwalk/almanac/past.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from knotwalk.configuration.read import document
-from knotwalk.barometer.record import Record
+from knotwalk.control_plane.record import Record
 from knotwalk.consensus.store import read
 
 
--- a/knotwalk/barometer/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -1,4 +1,4 @@
-"""python -m knotwalk.barometer: one core machine's program, until SIGTERM. The platform's settings file says the
+"""python -m knotwalk.control_plane: one core machine's program, until SIGTERM. The platform's settings file says the
 rest."""
 
 from __future__ import annotations
@@ -13,11 +13,11 @@
 from zlib import crc32
 
 from knotwalk.configuration.read import document
-from knotwalk.barometer.agree import Agreement, opened
-from knotwalk.barometer.conductor import Conductor
-from knotwalk.barometer.control import Control
-from knotwalk.barometer.stations import Stations
-from knotwalk.barometer.steward import Steward
+from knotwalk.control_plane.agree import Agreement, opened
+from knotwalk.control_plane.conductor import Conductor
+from knotwalk.control_plane.control import Control
+from knotwalk.control_plane.stations import Stations
+from knotwalk.control_plane.steward import Steward
 from knotwalk.leases import keeper
 from knotwalk.consensus.machine import Pace
 from knotwalk.consensus.store import Store, StoreBroken
@@ -31,7 +31,7 @@
 from knotwalk.runtime.settings import Settings
 
 
-class Barometer:
+class ControlPlane:
     """The rooms of a core machine, wired together."""
 
     def __init__(self, settings: Settings):
@@ -142,5 +142,5 @@
 
 
 if __name__ == "__main__":
-    code = live("barometer", Barometer, StoreBroken)
+    code = live("control_plane", ControlPlane, StoreBroken)
     os._exit(code) if code == 0 else sys.exit(code)     # a thread that hangs on a disk must not hold the end up
--- a/knotwalk/barometer/account.py
+++ b/knotwalk/control_plane/account.py
@@ -10,7 +10,7 @@
 
 from knotwalk.configuration.index import Index
 from knotwalk.configuration.read import version_text
-from knotwalk.barometer.record import Record
+from knotwalk.control_plane.record import Record
 from knotwalk.consensus.machine import Machine
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.picture import WIDTH, Board, entry
--- a/knotwalk/barometer/agree.py
+++ b/knotwalk/control_plane/agree.py
@@ -9,7 +9,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from knotwalk.barometer.record import Record
+from knotwalk.control_plane.record import Record
 from knotwalk.leases.ledger import Change
 from knotwalk.consensus.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
 from knotwalk.consensus.store import Damaged, Refused, Store
--- a/knotwalk/barometer/conductor.py
+++ b/knotwalk/control_plane/conductor.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from knotwalk.barometer.agree import Agreement
+from knotwalk.control_plane.agree import Agreement
 from knotwalk.placement.capacity import Report, utilizations
 from knotwalk.placement.placer import Placer
 from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
--- a/knotwalk/barometer/control.py
+++ b/knotwalk/control_plane/control.py
@@ -8,7 +8,7 @@
 
 from knotwalk.configuration.control import judge, reading
 from knotwalk.configuration.read import difference, document
-from knotwalk.barometer.agree import Agreement, Lost, NotLeader
+from knotwalk.control_plane.agree import Agreement, Lost, NotLeader
 from knotwalk.runtime.journal import tell
 from knotwalk.runtime.serve import answer, app
 
--- a/knotwalk/barometer/stations.py
+++ b/knotwalk/control_plane/stations.py
@@ -6,10 +6,10 @@
 
 from sanic import HTTPResponse, Request, Sanic
 
-from knotwalk.barometer import account
-from knotwalk.barometer.agree import Agreement, Lost, NotLeader
-from knotwalk.barometer.conductor import Conductor
-from knotwalk.barometer.steward import Steward
+from knotwalk.control_plane import account
+from knotwalk.control_plane.agree import Agreement, Lost, NotLeader
+from knotwalk.control_plane.conductor import Conductor
+from knotwalk.control_plane.steward import Steward
 from knotwalk.leases.tenure import ASK
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.picture import KEYS, Board
--- a/knotwalk/barometer/steward.py
+++ b/knotwalk/control_plane/steward.py
@@ -6,7 +6,7 @@
 import json
 from collections.abc import Callable
 
-from knotwalk.barometer.agree import Agreement, Lost, NotLeader
+from knotwalk.control_plane.agree import Agreement, Lost, NotLeader
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
 from knotwalk.discovery.listing import Listing, Unusable
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -198,7 +198,7 @@
         await self.platform.start()
         for number, ip in enumerate(CORES, 1):
             (data := self.folder / f"core-{number}.d").mkdir()
-            self.cores.append(Program(self.folder, "knotwalk.barometer", self.told(
+            self.cores.append(Program(self.folder, "knotwalk.control_plane", self.told(
                 f"core-{number}", ip, "core", {"control": f"{ip}:{self.control}"}, data_dir=str(data),
                 quorum_member=True)))
         for number, ip in enumerate(EDGES, 1):
--- a/tests/system/test_almanac.py
+++ b/tests/system/test_almanac.py
@@ -17,8 +17,8 @@
 from knotwalk.almanac.compare import differences
 from knotwalk.configuration.control import History, judge, reading
 from knotwalk.configuration.read import document, read_configuration
-from knotwalk.barometer import account
-from knotwalk.barometer.record import Record
+from knotwalk.control_plane import account
+from knotwalk.control_plane.record import Record
 from knotwalk.leases.ledger import SLICES
 from knotwalk.consensus.machine import Entry, Machine, Pace, Save, Saved
 from knotwalk.consensus.store import Store, StoreBroken, read
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_control_plane.py
@@ -11,10 +11,10 @@
 from unittest import mock
 
 from knotwalk.configuration.read import document, patched, read_configuration
-from knotwalk.barometer.agree import Agreement, NotLeader, opened
-from knotwalk.barometer.conductor import LANES, Conductor
-from knotwalk.barometer.stations import Stations
-from knotwalk.barometer.steward import Steward
+from knotwalk.control_plane.agree import Agreement, NotLeader, opened
+from knotwalk.control_plane.conductor import LANES, Conductor
+from knotwalk.control_plane.stations import Stations
+from knotwalk.control_plane.steward import Steward
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.consensus.machine import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
@@ -461,7 +461,7 @@
                           Board("b"), Platform(), "me")
         orders = []
         steward.on_nodes = lambda: orders.append(steward.board.nodes_order)
-        with mock.patch.object(Steward, "proven", True), mock.patch("knotwalk.barometer.steward.POLL", 0), \
+        with mock.patch.object(Steward, "proven", True), mock.patch("knotwalk.control_plane.steward.POLL", 0), \
                 self.assertRaises(asyncio.CancelledError):
             await steward.poll()
         self.assertEqual((orders, steward.board.nodes_order), ([(3, 1), (3, 3)], (3, 3)))      # the second was like the first
@@ -485,7 +485,7 @@
         lanes = LANES["grant"]
         orders = [Grant("i-1", ("10.0.1.1", 80), 0, 31, n, 6.0, None, "s", (0,), 5.0 if n < lanes + 2 else 2.0)
                   for n in range(lanes + 4)]
-        with mock.patch("knotwalk.barometer.conductor.clock", lambda: now[0]):
+        with mock.patch("knotwalk.control_plane.conductor.clock", lambda: now[0]):
             calls = [asyncio.ensure_future(conductor._grant(order)) for order in orders]
             for _ in range(5):
                 await asyncio.sleep(0)
--- a/tests/system/test_runtime.py
+++ b/tests/system/test_runtime.py
@@ -40,7 +40,7 @@
         with tempfile.TemporaryDirectory() as folder:
             file = Path(folder, "node.json")
             file.write_text(json.dumps(GOOD))
-            for name, lacks in (("edge", "data_plane"), ("barometer", "control")):
+            for name, lacks in (("edge", "data_plane"), ("control_plane", "control")):
                 file.write_text(json.dumps(GOOD | {"listen_addresses": {}}))
                 ended = subprocess.run([sys.executable, "-m", f"knotwalk.{name}"], cwd=ROOT, capture_output=True, text=True,
                                        env=os.environ | {VARIABLE: str(file)}, timeout=60)
