Rename package almanac to cli

Need: the house's words are withdrawn; a newcomer looks for the field's name. File names on disks stay.

--- a/knotwalk/almanac/__init__.py
+++ b/knotwalk/cli/__init__.py
@@ -1,4 +1,4 @@
-"""almanac: the operators' command line (an almanac is what is looked up before setting out).
+"""The operators' command line.
 
 Owns the commands and what they print: files checked, configurations told apart in meaning, what a copied disk holds, a
 core's account of itself, a configuration offered to a running system. Must never hold state of its own, change a
--- a/knotwalk/almanac/__main__.py
+++ b/knotwalk/cli/__main__.py
@@ -1,4 +1,4 @@
-"""python -m knotwalk.almanac: operators' questions, answered on the command line. `--help` says which."""
+"""python -m knotwalk.cli: operators' questions, answered on the command line. `--help` says which."""
 
 from __future__ import annotations
 
@@ -11,8 +11,8 @@
 
 import fire
 
-from knotwalk.almanac import check as checks, compare, past, show
-from knotwalk.almanac.offer import NoAnswer, Operator
+from knotwalk.cli import check as checks, compare, past, show
+from knotwalk.cli.offer import NoAnswer, Operator
 from knotwalk.configuration.control import Unreadable, parsed
 from knotwalk.configuration.objects import Configuration, Limits
 from knotwalk.configuration.read import Invalid, document, read_configuration, version_number, version_text
@@ -28,7 +28,7 @@
     for line in lines:
         print(line)
     if trouble:
-        print(f"almanac: {trouble}", file=sys.stderr)
+        print(f"cli: {trouble}", file=sys.stderr)
     sys.exit(code)
 
 
@@ -58,7 +58,7 @@
         end(2, trouble=str(error))
 
 
-class Almanac:
+class Commands:
     """Questions about the system. None of them changes anything but `import` with --apply.
 
     Every command takes --json. Exit codes: 0 as asked; 1 the answer is no (mistakes found, configurations differ, a
@@ -232,7 +232,7 @@
         await caller.close()
 
 
-def take(_self: Almanac, file: str, address: str, apply: bool = False, version: str | None = None,
+def take(_self: Commands, file: str, address: str, apply: bool = False, version: str | None = None,
          history: bool = False, json: bool = False) -> None:
     """Offer a configuration to a running system; without --apply only tell what would change.
 
@@ -263,7 +263,7 @@
     end(code, *lines, trouble=trouble)
 
 
-setattr(Almanac, "import", take)    # a word of Python's own
+setattr(Commands, "import", take)    # a word of Python's own
 
 
 def arguments(given: list[str]) -> list[str]:
@@ -279,7 +279,7 @@
 
 def main() -> None:
     try:
-        fire.Fire(Almanac, arguments(sys.argv[1:]), name="almanac")
+        fire.Fire(Commands, arguments(sys.argv[1:]), name="cli")
         sys.stdout.flush()
     except BrokenPipeError:     # whoever read it has seen enough; nothing may be written at the end either
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
--- a/knotwalk/almanac/check.py
+++ b/knotwalk/cli/check.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Callable
 
-from knotwalk.almanac.words import count
+from knotwalk.cli.words import count
 from knotwalk.configuration.read import Invalid, read_configuration, shown
 from knotwalk.runtime.errors import SettingsError
 from knotwalk.runtime.settings import Settings, parse
--- a/knotwalk/almanac/compare.py
+++ b/knotwalk/cli/compare.py
@@ -9,7 +9,7 @@
 from dataclasses import fields
 from typing import NamedTuple
 
-from knotwalk.almanac.words import shares, span
+from knotwalk.cli.words import shares, span
 from knotwalk.configuration.index import canonical_host
 from knotwalk.configuration.objects import Configuration, Route
 
--- a/knotwalk/almanac/show.py
+++ b/knotwalk/cli/show.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from knotwalk.almanac.words import count, shares, span
+from knotwalk.cli.words import count, shares, span
 
 
 def status(told: dict[str, Any]) -> list[str]:
--- a/tests/system/test_almanac.py
+++ b/tests/system/test_cli.py
@@ -13,8 +13,8 @@
 
 import yaml
 
-from knotwalk.almanac import __main__ as almanac, check, offer, show
-from knotwalk.almanac.compare import differences
+from knotwalk.cli import __main__ as cli, check, offer, show
+from knotwalk.cli.compare import differences
 from knotwalk.configuration.control import History, judge, reading
 from knotwalk.configuration.read import document, read_configuration
 from knotwalk.control_plane import account
@@ -36,9 +36,9 @@
 def run(*given):
     """The command: its exit code, what it printed, what it said on standard error."""
     out, err = io.StringIO(), io.StringIO()
-    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err), mock.patch("sys.argv", ["almanac", *given]):
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err), mock.patch("sys.argv", ["cli", *given]):
         try:
-            almanac.main()
+            cli.main()
             code = 0
         except SystemExit as end:
             code = end.code
@@ -236,8 +236,8 @@
 
 class Import(FileCase):
     def offer(self, core, *given):
-        with mock.patch.object(almanac, "Caller", lambda: core), mock.patch.object(offer, "PAUSE", 0), \
-                mock.patch.object(almanac, "Operator", lambda at, caller: offer.Operator(at, caller, 0)):
+        with mock.patch.object(cli, "Caller", lambda: core), mock.patch.object(offer, "PAUSE", 0), \
+                mock.patch.object(cli, "Operator", lambda at, caller: offer.Operator(at, caller, 0)):
             return run("import", *given)
 
     def test_a_configuration_is_shown_then_taken_whole_over_whatever_the_wire_does(self):
@@ -255,7 +255,7 @@
         self.assertEqual((code, out.splitlines()[0][:22]), (0, "- route frames removed"))
         self.assertIn("r8 is in force", out)
         code, _, err = self.offer(core, file, "l:1", "--apply")
-        self.assertEqual((code, err), (1, "almanac: config_version: r3 is not above r8, which is in force; --version gives "
+        self.assertEqual((code, err), (1, "cli: config_version: r3 is not above r8, which is in force; --version gives "
                                        "it another\n"))
         self.assertEqual(self.offer(core, file, "l:1", "--version", "r11", "--apply")[0], 0)
         self.assertEqual(document(core.configuration), FIRST | {"config_version": "r11"})
@@ -266,7 +266,7 @@
             core.configuration = read_configuration(FIRST | {"config_version": "r5"})
         core, file = Core(None, other), self.file(FIRST | {"config_version": "r9"})
         code, out, err = self.offer(core, file, "l:1", "--apply")
-        self.assertEqual((code, err), (1, "almanac: r9 was refused, nothing has changed: built on r0, but r5 is current\n"))
+        self.assertEqual((code, err), (1, "cli: r9 was refused, nothing has changed: built on r0, but r5 is current\n"))
         self.assertEqual(core.configuration.version, 5)
         with mock.patch.object(Core, "send", side_effect=[
                 (404, {}, b"{}"), (400, {}, b'{"error": "route \\"frames\\": timeout is 0"}')]):
@@ -354,7 +354,7 @@
 
     def test_the_commands_end_as_the_answers_are(self):
         def answered(told, *given):
-            with mock.patch.object(almanac, "ask", lambda *question: asked.append(question) or told):
+            with mock.patch.object(cli, "ask", lambda *question: asked.append(question) or told):
                 return run(*given)
         asked = []
         code, out, _ = answered(self.status(), "status", "10.0.0.1:7660")
@@ -378,7 +378,7 @@
             return port
         code, out, err = run("status", f"127.0.0.1:{asyncio.run(closed())}")
         self.assertEqual((code, out), (2, ""))
-        self.assertIn("almanac: status, http://127.0.0.1", err)
+        self.assertIn("cli: status, http://127.0.0.1", err)
 
 
 if __name__ == "__main__":
