--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -33,7 +33,7 @@
 from knotwalk.leases.tenure import ASK, DRIFT, LEASE, MARGIN, PROOF, Tenure, reassign
 from knotwalk.consensus.machine import Answer, Apply, Entry, Machine, Pace, Role, Save, Send
 from knotwalk.consensus.store import Store
-from knotwalk.discovery.picture import SLICES, Node
+from knotwalk.discovery.cluster_view import SLICES, Node
 from tests.system.cluster import Cluster, Violation, trouble
 from tests.system.model import explore, mistakes, worlds
 from tests.system.test_leases import World
--- a/knotwalk/admission/admission.py
+++ b/knotwalk/admission/admission.py
@@ -41,7 +41,7 @@
 
 
 class Seen:
-    """What this edge has met with at one node; it hangs at the node in the picture."""
+    """What this edge has met with at one node; it hangs at the node in the cluster view."""
 
     __slots__ = ("flying", "others", "others_at", "usual", "work", "shunned_until", "shun", "draining_since",
                  "silent_since", "bad", "hung", "load_sum", "load_count", "slots", "ok", "failed", "refused", "busy")
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -22,7 +22,7 @@
 from knotwalk.consensus.machine import Pace
 from knotwalk.consensus.store import Store, StoreBroken
 from knotwalk.discovery.loads import Loads
-from knotwalk.discovery.picture import Board
+from knotwalk.discovery.cluster_view import Board
 from knotwalk.runtime import journal
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.journal import tell
--- a/knotwalk/control_plane/account.py
+++ b/knotwalk/control_plane/account.py
@@ -13,7 +13,7 @@
 from knotwalk.control_plane.record import Record
 from knotwalk.consensus.machine import Machine
 from knotwalk.discovery.loads import Loads
-from knotwalk.discovery.picture import WIDTH, Board, entry
+from knotwalk.discovery.cluster_view import WIDTH, Board, entry
 
 EDGES_SPAN = 10.0   # seconds after which an edge that was not heard of counts as gone
 
--- a/knotwalk/control_plane/conductor.py
+++ b/knotwalk/control_plane/conductor.py
@@ -10,7 +10,7 @@
 from knotwalk.placement.placer import Placer
 from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
 from knotwalk.discovery.loads import Loads
-from knotwalk.discovery.picture import Board
+from knotwalk.discovery.cluster_view import Board
 from knotwalk.runtime.call import Caller, Refused
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, tell, trouble
--- a/knotwalk/control_plane/stations.py
+++ b/knotwalk/control_plane/stations.py
@@ -1,4 +1,4 @@
-"""Calls between stations (openapi/stations.yaml): agreement, pictures for edges, leases, lists, loads."""
+"""Calls between stations (openapi/stations.yaml): agreement, cluster views for edges, leases, lists, loads."""
 
 from __future__ import annotations
 
@@ -12,7 +12,7 @@
 from knotwalk.control_plane.steward import Steward
 from knotwalk.leases.tenure import ASK
 from knotwalk.discovery.loads import Loads
-from knotwalk.discovery.picture import KEYS, Board
+from knotwalk.discovery.cluster_view import KEYS, Board
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, warn
@@ -39,7 +39,7 @@
 
     def app(self) -> Sanic:
         made = app("stations")
-        for path, handler in (("/agreement", self.letters), ("/picture", self.picture), ("/lease", self.lease),
+        for path, handler in (("/agreement", self.letters), ("/cluster-view", self.view), ("/lease", self.lease),
                               ("/proposal", self.proposal), ("/nodes", self.nodes), ("/loads", self.share),
                               ("/status", self.status), ("/explain", self.explain)):
             made.add_route(handler, path, methods=["POST"], error_format="text")
@@ -127,7 +127,7 @@
         self.news.set()
         self.news = asyncio.Event()
 
-    async def picture(self, request: Request) -> HTTPResponse:
+    async def view(self, request: Request) -> HTTPResponse:
         """What the edge lacks, at once if there is any, else as soon as there is, or after its wait."""
         asked = body(request)
         now = clock()
--- a/knotwalk/control_plane/steward.py
+++ b/knotwalk/control_plane/steward.py
@@ -10,7 +10,7 @@
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
 from knotwalk.discovery.listing import Listing, Unusable
-from knotwalk.discovery.picture import Board, Node, entry, node_of
+from knotwalk.discovery.cluster_view import Board, Node, entry, node_of
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, tell, warn
--- a/knotwalk/discovery/picture.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -1,8 +1,8 @@
-"""The picture that the core spreads and the edges act on: configuration, nodes, owner lines; changes, not wholes.
+"""The cluster view that the core spreads and the edges act on: configuration, nodes, owner lines; changes, not wholes.
 
-A `Board` stands in each core program; a `Picture` in each edge program. Every topic has an order that only rises (the
-index in the agreed log; for nodes the poller's term and turn), so a picture never goes back, whichever core it hears.
-A picture that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders,
+A `Board` stands in each core program; a `Cluster view` in each edge program. Every topic has an order that only rises (the
+index in the agreed log; for nodes the poller's term and turn), so a cluster view never goes back, whichever core it hears.
+A cluster view that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders,
 so whatever a fresh core tells replaces it.
 """
 
@@ -77,7 +77,7 @@
                 now + raw["cold"] if raw["cold"] else 0.0)
 
 
-class Picture:
+class ClusterView:
     """What one edge knows. `apply` takes a core's message; `changed` tells what it changed."""
 
     def __init__(self) -> None:
@@ -102,19 +102,19 @@
 
     @property
     def bare(self) -> bool:
-        """Whether nothing was taken yet, so that a provisional picture is better than none."""
+        """Whether nothing was taken yet, so that a provisional cluster view is better than none."""
         return not self.provisional and (self.config_order, self.nodes_order, self.lines_order) == (-1, (-1, -1), -1)
 
     def provide(self, now: float, message: dict) -> set[str]:
-        """Take a provisional picture, whole, or nothing: only who is bare does. Topics changed, as of `apply`.
+        """Take a provisional cluster view, whole, or nothing: only who is bare does. Topics changed, as of `apply`.
 
         No order is taken with it, so any fresh core sends the whole of each topic. ValueError if it can't be taken."""
         if not self.bare:
             return set()
-        made = Picture()
+        made = ClusterView()
         changed = made.apply(now, {"epoch": "", "at": 0, **message})
         if not made.whole:
-            raise ValueError(made.fault or "a provisional picture that is not whole")
+            raise ValueError(made.fault or "a provisional cluster view that is not whole")
         self.configuration, self.index, self.shardings = made.configuration, made.index, made.shardings
         self.nodes, self.by_service, self.cores = made.nodes, made.by_service, made.cores or self.cores
         self.provisional = True
@@ -123,7 +123,7 @@
     def apply(self, now: float, message: dict) -> set[str]:
         """Take what a core's board sent; topics changed among `config`, `nodes`, `lines`, `cores`, `ailing`.
 
-        What is older than what stands is left out, topic by topic. Only when all was taken does the picture count as
+        What is older than what stands is left out, topic by topic. Only when all was taken does the cluster view count as
         having heard so far; a configuration that can't be taken leaves `fault`, and is asked for whole."""
         changed = set()
         if (cores := message.get("cores")) and cores != self.cores:
@@ -204,10 +204,10 @@
 
 
 class Board:
-    """What one core program has to tell, with a revision for each change; `since` is what a picture lacks.
+    """What one core program has to tell, with a revision for each change; `since` is what a cluster view lacks.
 
     An order names one state, whichever board tells it: the configuration and the lines as of an entry of the log, the
-    list as one leader read it. So what a picture lacks follows from its orders, also when it heard another board."""
+    list as one leader read it. So what a cluster view lacks follows from its orders, also when it heard another board."""
 
     def __init__(self, epoch: str):
         self.epoch, self.at = epoch, 1
@@ -290,7 +290,7 @@
             lines[slice], at[slice] = line, order
 
     def since(self, asked: dict, now: float) -> dict | None:
-        """What the picture lacks that `asked`, or None. By its orders; cores and ailing nodes go by the turns of this
+        """What the cluster view lacks that `asked`, or None. By its orders; cores and ailing nodes go by the turns of this
         board."""
         at = asked["at"] if asked["epoch"] == self.epoch and asked["at"] <= self.at else 0
         if at >= self.at:
@@ -315,7 +315,7 @@
         return message
 
     def provisional(self, nodes: dict[str, Node], now: float) -> dict | None:
-        """All that stands here for a picture that is bare, with `nodes` where no leader's list came; None if that would
+        """All that stands here for a cluster view that is bare, with `nodes` where no leader's list came; None if that would
         serve nothing."""
         message = self.since({"epoch": "", "at": 0}, now) or {}
         if "nodes" not in message:
@@ -324,7 +324,7 @@
         return message if "config" in message and message["nodes"]["set"] else None
 
     def _config(self, has: int) -> dict:
-        """The changes from the order that a picture `has`, if all of them are kept; else the document."""
+        """The changes from the order that a cluster view `has`, if all of them are kept; else the document."""
         changes = [change for base, change, _ in self.changes if base >= has]
         if changes and self.changes[-len(changes)][0] == has:
             return {"base": has, "changes": changes}
@@ -337,7 +337,7 @@
 
 
 def differ(old: Node, new: Node) -> bool:
-    """Whether a picture that has the one must hear of the other."""
+    """Whether a cluster view that has the one must hear of the other."""
     return ((old.address, old.service, old.zone, old.capacity, old.draining)
             != (new.address, new.service, new.zone, new.capacity, new.draining)
             or new.cold_until > old.cold_until + COLDER)
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -11,7 +11,7 @@
 import os
 from zlib import crc32
 
-from knotwalk.discovery.picture import Picture
+from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.runtime.journal import clock, tell
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.settings import Settings
@@ -22,17 +22,17 @@
 
 
 class Edge:
-    """The rooms of an edge, wired together. Ready once a fresh core gave it a whole picture, until it must end."""
+    """The rooms of an edge, wired together. Ready once a fresh core gave it a whole cluster view, until it must end."""
 
     def __init__(self, settings: Settings):
         self.settings = settings
         settings.at("data_plane"), settings.at("readiness")     # said before anything is begun
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
-        self.picture = Picture()
+        self.view = ClusterView()
         self.caller = Caller()
-        self.front = Front(settings, self.picture, clock, seed)
+        self.front = Front(settings, self.view, clock, seed)
         port = settings.ports[0]
-        self.link = Link(settings.node_name, self.picture, self.caller, [f"{ip}:{port}" for ip, _ in settings.seeds],
+        self.link = Link(settings.node_name, self.view, self.caller, [f"{ip}:{port}" for ip, _ in settings.seeds],
                          seed, settings.zone, lambda: self.front.report(clock()), self.news)
         self.ready = False
         self.ending = Ending(self.reload)
@@ -41,9 +41,9 @@
         if edges > 1:
             self.front.edges = edges
         self.front.pictured(changed)
-        if not self.ready and self.picture.whole and not self.ending.asked:
+        if not self.ready and self.view.whole and not self.ending.asked:
             self.ready = True
-            tell("ready", version=self.picture.configuration.version, nodes=len(self.picture.nodes))
+            tell("ready", version=self.view.configuration.version, nodes=len(self.view.nodes))
 
     async def run(self) -> None:
         self.ending.listen()
@@ -54,7 +54,7 @@
         tell("leaving")
         self.ready = False
         self.front.drain()
-        # What was read is finished while the picture is still kept up; the rest of the grace is for the last bytes.
+        # What was read is finished while the cluster view is still kept up; the rest of the grace is for the last bytes.
         await self.front.finished(clock() + self.settings.bounds.grace_period - 0.5)
         link.cancel()
         readiness.close()
--- a/knotwalk/edge/forward.py
+++ b/knotwalk/edge/forward.py
@@ -16,7 +16,7 @@
 from knotwalk.admission.berths import shared
 from knotwalk.admission.budget import Budget
 from knotwalk.admission.outcome import PROOFS, End, Move, Proof, move
-from knotwalk.discovery.picture import WIDTH, Node, Picture
+from knotwalk.discovery.cluster_view import WIDTH, Node, ClusterView
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.settings import Settings
 from knotwalk.edge.choose import load, pick, seen, service_of, wait_at
@@ -189,10 +189,10 @@
 
 
 class Forwarder:
-    """Carries requests by what the picture shows. One for an edge; `edges` is how many share the budgets."""
+    """Carries requests by what the cluster view shows. One for an edge; `edges` is how many share the budgets."""
 
-    def __init__(self, settings: Settings, picture: Picture, clock: Callable[[], float], seed: int):
-        self.settings, self.picture, self.clock = settings, picture, clock
+    def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
+        self.settings, self.view, self.clock = settings, view, clock
         self.luck = Random(seed)
         self.edges = 16
         self.began = clock()
@@ -214,22 +214,22 @@
         return found
 
     def service(self, name: str) -> Service:
-        configuration = self.picture.configuration
+        configuration = self.view.configuration
         found = configuration.services.get(name) if configuration is not None else None
         return found or Service(name)
 
     def pictured(self, changed: set[str]) -> None:
-        """The picture changed: requests that wait look again, connections to nodes that are gone end."""
+        """The cluster view changed: requests that wait look again, connections to nodes that are gone end."""
         if "nodes" in changed:
             now = self.clock()
-            for node in self.picture.nodes.values():
+            for node in self.view.nodes.values():
                 known = seen(node)
                 if not node.draining:
                     known.draining_since = None
                 elif known.draining_since is None:
                     known.draining_since = now
             for id, pool in list(self.pools.items()):
-                if self.picture.nodes.get(id) is not pool.node:
+                if self.view.nodes.get(id) is not pool.node:
                     pool.close()
                     del self.pools[id]
         if changed & {"nodes", "lines", "config"}:
@@ -240,7 +240,7 @@
     def report(self) -> dict:
         """Requests by service and slice, load told by each node, bad tries; since the call before."""
         nodes, bad, now = {}, {}, self.clock()
-        for node in self.picture.nodes.values():
+        for node in self.view.nodes.values():
             known: Seen | None = node.seen     # type: ignore[assignment]
             if known is None:
                 continue
@@ -366,9 +366,9 @@
     def _wait(self, x: Exchange) -> float:
         """Seconds until a slot is likely free for a request that was refused since nodes are full."""
         if x.key < 0:
-            nodes = self.picture.by_service.get(x.service, [])
+            nodes = self.view.by_service.get(x.service, [])
         else:
-            sharding = self.picture.shardings.get(x.service)
+            sharding = self.view.shardings.get(x.service)
             owner = sharding.line(x.key).node if sharding is not None else None
             nodes = [owner] if owner is not None else []
         now = self.clock()
@@ -411,7 +411,7 @@
                 return None, why
 
     def _owner(self, x: Exchange, tried: set[str], now: float) -> tuple[Node | None, str]:
-        sharding = self.picture.shardings.get(x.service)
+        sharding = self.view.shardings.get(x.service)
         line = sharding.line(x.key) if sharding is not None else None
         if line is None or line.node is None or not line.open or line.node.service != x.service:
             return None, "keys change hands"
@@ -433,7 +433,7 @@
         return since is None or now - since < self.settings.bounds.drain_timeout * DRAIN_PART
 
     def _best(self, x: Exchange, tried: set[str], now: float, may_have_run: bool) -> tuple[Node | None, str]:
-        nodes = self.picture.by_service.get(x.service, [])
+        nodes = self.view.by_service.get(x.service, [])
         size = max(x.length or 0, x.size)
         node = pick(nodes, now, self.settings.zone, self.luck, tried, size)
         if node is None:
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -19,7 +19,7 @@
 
 from knotwalk.configuration.objects import Limits
 from knotwalk.admission.berths import shared
-from knotwalk.discovery.picture import Picture
+from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import tell, trouble
 from knotwalk.runtime.settings import Settings
@@ -42,7 +42,7 @@
 # are reset, to go elsewhere: a request takes some 0.15 s. Behind its last answer a connection lies one look at least,
 # or what the client sent meanwhile would destroy the answer on its way.
 CROWD_LOOK, CROWD_LOOKS = 0.05, 3
-# A client that came before there was a picture is read once there is; after so many seconds it is let go, unread.
+# A client that came before there was a cluster view is read once there is; after so many seconds it is let go, unread.
 STARTING, STARTING_MOST = "starting", 0.9
 # Connections that wait to be accepted.
 BACKLOG = 1024
@@ -123,7 +123,7 @@
         self.transport = transport
         transport.set_write_buffer_limits(HIGH, LOW)
         self.front.entered(self)
-        if not self.front.picture.whole:
+        if not self.front.view.whole:
             # Just started: what is not read may be sent elsewhere, whatever its kind; what is refused is a try lost.
             self._hold(STARTING, True)
             asyncio.get_running_loop().call_later(STARTING_MOST, self._give_up)
@@ -133,7 +133,7 @@
             self.transport.abort()
 
     def begun(self) -> None:
-        """There is a picture to serve by."""
+        """There is a cluster view to serve by."""
         if STARTING in self.holds:
             self._hold(STARTING, False)
 
@@ -610,14 +610,14 @@
 class Front:
     """The clients' port of an edge, at `settings.listen["data_plane"]`."""
 
-    def __init__(self, settings: Settings, picture: Picture, clock: Callable[[], float], seed: int):
-        self.settings, self.picture, self.clock = settings, picture, clock
-        self.forwarder = Forwarder(settings, picture, clock, seed)
+    def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
+        self.settings, self.view, self.clock = settings, view, clock
+        self.forwarder = Forwarder(settings, view, clock, seed)
         self.clients: set[Client] = set()
         self.berths = shared(settings.machine.file_descriptors)
         self.coming = 0         # connections accepted that have not entered yet
         self.draining = False
-        self.started = picture.whole
+        self.started = view.whole
         self.open = 0           # requests read and not answered
         self.gate: socket.socket | None = None      # where connections wait to be accepted
         self._shut_until: asyncio.TimerHandle | None = None     # while none is accepted
@@ -628,7 +628,7 @@
 
     @property
     def limits(self) -> Limits:
-        configuration = self.picture.configuration
+        configuration = self.view.configuration
         return configuration.limits if configuration is not None else DEFAULT_LIMITS
 
     @property
@@ -792,9 +792,9 @@
         return self.forwarder.report()
 
     def pictured(self, changed: set[str]) -> None:
-        """The picture changed."""
+        """The cluster view changed."""
         self.forwarder.pictured(changed)
-        if not self.started and self.picture.whole:
+        if not self.started and self.view.whole:
             self.started = True
             for client in list(self.clients):
                 client.begun()
@@ -816,7 +816,7 @@
     def begin(self, x: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
         """A request's head was read: find its route and its deadline."""
         self.open += 1
-        index = self.picture.index
+        index = self.view.index
         if index is None:
             x.own(503, "not ready", 0.2)
             return
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -1,4 +1,4 @@
-"""An edge's link to the core: one waiting call to one core that is fresh; news go into the picture."""
+"""An edge's link to the core: one waiting call to one core that is fresh; news go into the cluster view."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import random
 from collections.abc import Callable
 
-from knotwalk.discovery.picture import Picture
+from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.runtime.errors import StationError
 from knotwalk.runtime.journal import clock, tell, warn
 from knotwalk.edge.caller import Caller
@@ -21,11 +21,11 @@
 
 
 class Link:
-    """Keeps `picture` up to date. `report` gives what to tell; `on_news` hears which topics changed."""
+    """Keeps `cluster view` up to date. `report` gives what to tell; `on_news` hears which topics changed."""
 
-    def __init__(self, edge: str, picture: Picture, caller: Caller, seeds: list[str], seed: int, zone: str,
+    def __init__(self, edge: str, view: ClusterView, caller: Caller, seeds: list[str], seed: int, zone: str,
                  report: Callable[[], dict], on_news: Callable[[set[str], int], None]):
-        self.edge, self.picture, self.caller, self.seeds = edge, picture, caller, seeds
+        self.edge, self.view, self.caller, self.seeds = edge, view, caller, seeds
         self.report, self.on_news = report, on_news
         self.random = random.Random(seed)
         self.zone = zone
@@ -40,7 +40,7 @@
 
     def next_core(self) -> str | None:
         """Another core than those tried in this round, those that failed us lately last; a new round when all were."""
-        known = list(dict.fromkeys([*self.picture.cores, *self.seeds]))
+        known = list(dict.fromkeys([*self.view.cores, *self.seeds]))
         if not known:
             return None
         left = [at for at in known if at not in self.tried]
@@ -60,7 +60,7 @@
             if self.core is None or not await self.turn(self.core):
                 self.core = None
                 await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
-                pause = min(PAUSE_BARE if self.picture.bare else PAUSE_MOST, 1.5 * pause)
+                pause = min(PAUSE_BARE if self.view.bare else PAUSE_MOST, 1.5 * pause)
             else:
                 pause, self.tried = PAUSE, []
                 self.core = self.nearer(self.core)
@@ -69,18 +69,18 @@
         """A core of this zone instead of one that is not, or one whose zone is not known yet, while there is any."""
         if self.zones.get(core) == self.zone:
             return core
-        known = [at for at in self.picture.cores if self.zones.get(at, self.zone) == self.zone and at not in self.left]
+        known = [at for at in self.view.cores if self.zones.get(at, self.zone) == self.zone and at not in self.left]
         return self.random.choice(known) if known else core
 
     def begin(self, now: float, core: str, provisional: dict | None) -> None:
         """Serve for now by what a core that only just started holds, if there is nothing yet to serve by."""
         try:
-            changed = self.picture.provide(now, provisional) if provisional else set()
+            changed = self.view.provide(now, provisional) if provisional else set()
         except (KeyError, TypeError, ValueError) as error:
             warn("news not understood", core=core, why=f"{type(error).__name__} {error}")
             return
         if changed:
-            tell("provisional", core=core, version=self.picture.configuration.version)
+            tell("provisional", core=core, version=self.view.configuration.version)
             self.on_news(changed, 0)        # a core that just started has not heard of all edges
 
     async def turn(self, core: str) -> bool:
@@ -88,12 +88,12 @@
         now = clock()
         wait = WAIT if core == self.known else FIRST_WAIT
         self.known = None
-        asked = {"edge": self.edge, "wait": wait, **self.picture.ask()}
+        asked = {"edge": self.edge, "wait": wait, **self.view.ask()}
         if now - self.reported_at >= 0.9 * WAIT:
             self.reported_at = now
             asked["report"] = self.report()
         try:
-            told = await self.caller.json("POST", f"http://{core}/picture", asked, wait + PATIENCE, "picture")
+            told = await self.caller.json("POST", f"http://{core}/cluster-view", asked, wait + PATIENCE, "cluster view")
         except StationError as error:
             self.left[core] = now
             if self.core is not None and self.heard_at > now - 5:
@@ -109,7 +109,7 @@
         changed: set[str] = set()
         if news := told.get("news"):
             try:
-                changed = self.picture.apply(now, news)
+                changed = self.view.apply(now, news)
             except (KeyError, TypeError, ValueError) as error:
                 warn("news not understood", core=core, why=f"{type(error).__name__} {error}")
                 return False
@@ -117,8 +117,8 @@
         self.heard_at, self.edges = now, told["edges"]
         if changed or first:
             self.on_news(changed, self.edges)
-        if self.picture.fault:
-            warn("configuration not taken", core=core, why=self.picture.fault)
+        if self.view.fault:
+            warn("configuration not taken", core=core, why=self.view.fault)
             self.left[core] = now
             return False
         if first:
--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -26,7 +26,7 @@
 
 from knotwalk.leases.ledger import Ledger, Slice, ranges
 from knotwalk.leases.tenure import DRIFT, LEASE
-from knotwalk.discovery.picture import WIDTH, Node
+from knotwalk.discovery.cluster_view import WIDTH, Node
 
 # A node's clock may run 2% slow (PROTOCOL, keys): a hold then lasts 1 / 0.98 of its length. Rounded up.
 SLOW = 1.025
--- a/knotwalk/placement/placer.py
+++ b/knotwalk/placement/placer.py
@@ -25,7 +25,7 @@
 from knotwalk.placement.capacity import Capacities, Report
 from knotwalk.placement.passes import fit, place, strip
 from knotwalk.leases.ledger import Ledger, Slice
-from knotwalk.discovery.picture import Node
+from knotwalk.discovery.cluster_view import Node
 
 PERIOD = 5.0            # s between passes (the paper's 60: days here last minutes)
 EMERGENCY_REST = 2.0    # s from a pass to one that a node above k_e brings on: the last must show first
--- a/tests/standins/holders.py
+++ b/tests/standins/holders.py
@@ -6,7 +6,7 @@
 import json
 from dataclasses import dataclass, field
 
-from knotwalk.discovery.picture import KEYS
+from knotwalk.discovery.cluster_view import KEYS
 from knotwalk.runtime.journal import clock
 from knotwalk.runtime.units import seconds
 
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 
 from knotwalk.configuration.objects import Configuration, Limits, Route, Service
-from knotwalk.discovery.picture import Line, Node, Picture, Sharding
+from knotwalk.discovery.cluster_view import Line, Node, ClusterView, Sharding
 from knotwalk.runtime.journal import clock
 from knotwalk.runtime.settings import parse
 from knotwalk.edge.front import Front
@@ -136,9 +136,9 @@
                                                 ("/ki/", True, "k"), ("/kn/", False, "k"))]
 
 
-def picture(nodes: list[Node], found: list[Route] | None = None, limits: Limits | None = None) -> Picture:
-    """A picture of nodes; those of `k` share its keys evenly."""
-    made = Picture()
+def view(nodes: list[Node], found: list[Route] | None = None, limits: Limits | None = None) -> ClusterView:
+    """A cluster view of nodes; those of `k` share its keys evenly."""
+    made = ClusterView()
     table = found if found is not None else routes()
     services = {"s": Service("s"), "k": Service("k", sharded=True)}
     made.configuration = Configuration(1, {r.name: r for r in table}, services, limits or Limits(), {})
@@ -148,8 +148,8 @@
     return made
 
 
-def show(made: Picture, nodes: list[Node]) -> None:
-    """Put these nodes in the picture."""
+def show(made: ClusterView, nodes: list[Node]) -> None:
+    """Put these nodes in the cluster view."""
     made.nodes = {node.id: node for node in nodes}
     made.by_service = {}
     for node in nodes:
@@ -162,7 +162,7 @@
             sharding.lines[at] = Line(owner, True, owner.id)
 
 
-async def front(made: Picture, now: Callable[[], float] = clock, **raw: object) -> Front:
+async def front(made: ClusterView, now: Callable[[], float] = clock, **raw: object) -> Front:
     """A front on a port that the system chose, with a budget that has room."""
     settings = parse({"node_name": "edge", "zone": "a", "listen_addresses": {"data_plane": "127.0.0.1:1"}, **raw})
     settings.listen["data_plane"] = ("127.0.0.1", 0)
--- a/tests/system/model.py
+++ b/tests/system/model.py
@@ -21,7 +21,7 @@
 from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.leases.tenure import LEASE, Tenure, reassign
 from knotwalk.consensus.machine import Apply, Machine, Pace, Role, Save, Saved, Send
-from knotwalk.discovery.picture import Node
+from knotwalk.discovery.cluster_view import Node
 from tests.system.cluster import Disk
 
 Step = tuple[str, Any, list[str]]       # what was done, the state after, what is broken by it
--- a/tests/system/test_ailing.py
+++ b/tests/system/test_ailing.py
@@ -5,7 +5,7 @@
 
 from knotwalk.discovery.ailing import AGAIN, PART, REST, REST_LAST, Ailing
 from knotwalk.discovery.loads import SPAN, Loads
-from knotwalk.discovery.picture import Board, Node, Picture
+from knotwalk.discovery.cluster_view import Board, Node, ClusterView
 from knotwalk.edge.choose import pick
 from tests.system.test_placement import Fleet
 
@@ -129,15 +129,15 @@
         self.assertEqual({pick(nodes[:2], 0.0, "z", luck).id for _ in range(50)}, {"n0", "n1"})
 
     def test_edges_go_by_the_core_that_they_heard_last(self):
-        first, second, picture = Board("one"), Board("two"), Picture()
+        first, second, view = Board("one"), Board("two"), ClusterView()
         nodes = {id: Node(id, "s", ("10.0.0.1", n), "z", 2) for n, id in enumerate("abc")}
         for board in (first, second):
             board.set_nodes((1, 1), nodes, True)
 
         def hear(board):
-            if message := board.since(picture.ask(), 0.0):
-                picture.apply(0.0, message)
-            return {id for id, node in picture.nodes.items() if node.ailing}
+            if message := board.since(view.ask(), 0.0):
+                view.apply(0.0, message)
+            return {id for id, node in view.nodes.items() if node.ailing}
         self.assertEqual(hear(first), set())
         self.assertTrue(first.set_ailing(frozenset("ad")))
         self.assertFalse(first.set_ailing(frozenset("ad")))
--- a/tests/system/test_caller.py
+++ b/tests/system/test_caller.py
@@ -20,7 +20,7 @@
         self.errors, self.script, self.asked, self.writers = [], [], [], []
         self.loop.set_exception_handler(lambda loop, context: self.errors.append(context))
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.url = f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}/picture"
+        self.url = f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}/cluster-view"
         self.caller = Caller()
         patched = mock.patch("knotwalk.edge.caller.CONNECT", 60.0)      # a busy machine may stall a test for longer
         patched.start()
@@ -53,7 +53,7 @@
 
     async def call(self, *script, patience=5.0, url=None):
         self.script[:] = script
-        return await self.caller.json("POST", url or self.url, {"edge": "e"}, patience, "picture")
+        return await self.caller.json("POST", url or self.url, {"edge": "e"}, patience, "cluster view")
 
     async def test_a_connection_is_kept_and_a_call_is_whole(self):
         for answer in (WELL, CHUNKED, WELL):
@@ -69,7 +69,7 @@
             for point in range(len(answer)):
                 with self.subTest(point=point), self.assertRaises(StationError) as met:
                     await self.call((answer[:point], True))
-                self.assertEqual((met.exception.step, met.exception.peer), ("picture", self.url))
+                self.assertEqual((met.exception.step, met.exception.peer), ("cluster view", self.url))
                 self.assertEqual(await self.call((WELL, False)), {"a": 1})
 
     async def test_what_is_no_answer_fails_the_call_and_ends_the_connection(self):
@@ -128,7 +128,7 @@
             caller._connection = mock.AsyncMock(return_value=told)
             with mock.patch("knotwalk.edge.caller.WHOLE", whole), \
                     mock.patch("asyncio.timeout", lambda seconds: limits.append(real(seconds)) or limits[-1]):
-                call = asyncio.ensure_future(caller.json("POST", "http://127.0.0.1:9/picture", {}, 60))
+                call = asyncio.ensure_future(caller.json("POST", "http://127.0.0.1:9/cluster view", {}, 60))
                 while told.line is not Line.WAITING:
                     await asyncio.sleep(0)
             first = limits[0].when()
--- a/tests/system/test_cli.py
+++ b/tests/system/test_cli.py
@@ -23,7 +23,7 @@
 from knotwalk.consensus.machine import Entry, Machine, Pace, Save, Saved
 from knotwalk.consensus.store import Store, StoreBroken, read
 from knotwalk.discovery.loads import Loads
-from knotwalk.discovery.picture import WIDTH, Board, Node
+from knotwalk.discovery.cluster_view import WIDTH, Board, Node
 from knotwalk.runtime.errors import StationError
 from tests.standins.village import FIRST, route, service
 
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -19,7 +19,7 @@
 from knotwalk.consensus.machine import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
 from knotwalk.discovery.loads import Loads, merge
-from knotwalk.discovery.picture import Board, Node, Picture
+from knotwalk.discovery.cluster_view import Board, Node, ClusterView
 from knotwalk.runtime.errors import StationError
 from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
 
@@ -215,7 +215,7 @@
         for seed in range(4):
             asked.clear()
             waits.clear()
-            link = Link("e", Picture(), Cores(), ADDRESSES, seed, "z", dict, lambda changed, edges: None)
+            link = Link("e", ClusterView(), Cores(), ADDRESSES, seed, "z", dict, lambda changed, edges: None)
             with self.assertRaises(asyncio.CancelledError), self.assertLogs(level="WARNING"):
                 await link.run()
             self.assertEqual(asked[0], asked[1])
@@ -240,13 +240,13 @@
                     return told | {"provisional": {"config": {"order": 5}, "nodes": {}}}      # not understood
                 return told | {"provisional": json.loads(json.dumps(board.provisional(nodes, 0.0)))}
 
-        link = Link("e", Picture(), Cores(), ADDRESSES, 1, "z", dict, lambda changed, edges: heard.append(edges))
+        link = Link("e", ClusterView(), Cores(), ADDRESSES, 1, "z", dict, lambda changed, edges: heard.append(edges))
         with self.assertRaises(asyncio.CancelledError), mock.patch("knotwalk.edge.link.PAUSE_MOST", 0.0), \
                 self.assertLogs(level="WARNING") as logs:
             await link.run()
         self.assertEqual([bare for _, bare in asked], [True, True] + [False] * 7)
-        self.assertEqual(({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/picture" for at in ADDRESSES}, 1))
-        self.assertEqual((heard, link.picture.whole, link.picture.config_order), ([0], True, -1))
+        self.assertEqual(({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/cluster-view" for at in ADDRESSES}, 1))
+        self.assertEqual((heard, link.view.whole, link.view.config_order), ([0], True, -1))
 
 
 class ProvisionalCase(unittest.IsolatedAsyncioTestCase):
@@ -273,7 +273,7 @@
 
     async def ask(self, **more):
         asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
-        return json.loads((await self.stations.picture(SimpleNamespace(body=asked))).body)
+        return json.loads((await self.stations.view(SimpleNamespace(body=asked))).body)
 
     async def test_only_a_bare_edge_is_told_and_only_before_a_leader_is_known(self):
         self.assertNotIn("provisional", await self.ask())
@@ -283,9 +283,9 @@
         self.assertEqual(self.calls, 1)         # a platform's call for all
         for one in told:
             self.assertFalse(one["fresh"])
-            picture = Picture()
-            self.assertEqual(picture.provide(0.0, one["provisional"]), {"config", "nodes"})
-            self.assertTrue(picture.whole and picture.nodes["i-1"].draining)
+            view = ClusterView()
+            self.assertEqual(view.provide(0.0, one["provisional"]), {"config", "nodes"})
+            self.assertTrue(view.whole and view.nodes["i-1"].draining)
         self.assertNotIn("provisional", await self.ask(bare=False))
         self.machine.leader = "a:1"
         self.assertNotIn("provisional", await self.ask())
@@ -302,35 +302,35 @@
 
 
 class BoardCase(unittest.TestCase):
-    """A picture never goes back, whichever of two boards it hears."""
+    """A cluster view never goes back, whichever of two boards it hears."""
 
     def nodes(self, *ids):
         return {id: Node(id, "s", ("10.0.1.1", 80 + n), "z", 2) for n, id in enumerate(ids)}
 
-    def tell(self, board: Board, picture: Picture) -> set[str]:
-        message = board.since(json.loads(json.dumps(picture.ask())), 0.0)
-        return picture.apply(0.0, json.loads(json.dumps(message))) if message else set()
+    def tell(self, board: Board, view: ClusterView) -> set[str]:
+        message = board.since(json.loads(json.dumps(view.ask())), 0.0)
+        return view.apply(0.0, json.loads(json.dumps(message))) if message else set()
 
     def test_changes_only_and_never_back(self):
-        ahead, behind, picture = Board("a"), Board("b"), Picture()
+        ahead, behind, view = Board("a"), Board("b"), ClusterView()
         for board in (ahead, behind):
             board.set_config(5, DOCUMENT)
             board.set_nodes((1, 1), self.nodes("x", "y"))
             board.set_lines(7, "s", {0: ("x", True), 1: ("x", True), 2: ("y", False)})
-        self.assertEqual(self.tell(ahead, picture), {"config", "nodes", "lines"})
-        self.assertTrue(picture.whole)
+        self.assertEqual(self.tell(ahead, view), {"config", "nodes", "lines"})
+        self.assertTrue(view.whole)
         ahead.set_config(9, {**DOCUMENT, "config_version": "r4"})
         ahead.set_nodes((1, 2), self.nodes("x"))
         ahead.set_lines(8, "s", {2: ("x", True)})
-        self.assertEqual(self.tell(ahead, picture), {"config", "nodes", "lines"})
-        self.assertEqual(self.tell(behind, picture), set())             # whole, but older in every topic
-        self.assertEqual((picture.configuration.version, set(picture.nodes)), (4, {"x"}))
-        self.assertEqual(picture.shardings["s"].lines[2].owner, "x")
+        self.assertEqual(self.tell(ahead, view), {"config", "nodes", "lines"})
+        self.assertEqual(self.tell(behind, view), set())             # whole, but older in every topic
+        self.assertEqual((view.configuration.version, set(view.nodes)), (4, {"x"}))
+        self.assertEqual(view.shardings["s"].lines[2].owner, "x")
         behind.set_lines(11, "s", {1: ("", False), 2: ("x", True)})
         behind.set_nodes((2, 1), self.nodes("x", "z"))
-        self.assertEqual(self.tell(behind, picture), {"nodes", "lines"})
-        self.assertEqual([line.owner for line in picture.shardings["s"].lines[:3]], ["x", "", "x"])
-        self.assertEqual(set(picture.nodes), {"x", "z"})
+        self.assertEqual(self.tell(behind, view), {"nodes", "lines"})
+        self.assertEqual([line.owner for line in view.shardings["s"].lines[:3]], ["x", "", "x"])
+        self.assertEqual(set(view.nodes), {"x", "z"})
 
     def change(self, board: Board, order: int) -> None:
         """The next configuration, made as the log makes it: items not named stay the same objects."""
@@ -341,54 +341,54 @@
             "config_version": f"r{before.version + 1}", "upsert": {"objects": [route]}})))
 
     def test_a_provisional_picture_is_replaced_by_any_fresh_one_and_never_follows_one(self):
-        old, fresh, picture = Board("a"), Board("b"), Picture()
+        old, fresh, view = Board("a"), Board("b"), ClusterView()
         old.set_config(50, {**DOCUMENT, "config_version": "r9"})
         old.set_lines(51, "s", {0: ("x", True), 9: ("gone", True)})
         old.set_lines(52, "dropped", {0: ("x", True)})
         provisional = json.loads(json.dumps(old.provisional(self.nodes("x", "gone"), 0.0)))
-        self.assertTrue(picture.ask()["bare"])
-        self.assertEqual(picture.provide(0.0, provisional), {"config", "nodes", "lines"})
-        self.assertEqual(picture.provide(0.0, provisional | {"nodes": {}}), set())       # one is enough
-        self.assertEqual((picture.whole, picture.shardings["s"].lines[9].node.id), (True, "gone"))
-        self.assertEqual({k: v for k, v in picture.ask().items() if k != "at"},
+        self.assertTrue(view.ask()["bare"])
+        self.assertEqual(view.provide(0.0, provisional), {"config", "nodes", "lines"})
+        self.assertEqual(view.provide(0.0, provisional | {"nodes": {}}), set())       # one is enough
+        self.assertEqual((view.whole, view.shardings["s"].lines[9].node.id), (True, "gone"))
+        self.assertEqual({k: v for k, v in view.ask().items() if k != "at"},
                          {"epoch": "", "config": -1, "nodes": (-1, -1), "lines": -1})
         fresh.set_config(5, DOCUMENT)           # a fresh core before its leader has read the list
         fresh.set_lines(7, "s", {0: ("x", True), 1: ("y", True)})
-        self.assertEqual(self.tell(fresh, picture), {"config", "lines"})
-        self.assertEqual((picture.whole, picture.provisional, set(picture.nodes)), (True, True, {"x", "gone"}))
-        self.assertEqual((picture.configuration.version, set(picture.shardings)), (3, {"s"}))
-        self.assertEqual(picture.shardings["s"].lines[9].owner, "")
+        self.assertEqual(self.tell(fresh, view), {"config", "lines"})
+        self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, True, {"x", "gone"}))
+        self.assertEqual((view.configuration.version, set(view.shardings)), (3, {"s"}))
+        self.assertEqual(view.shardings["s"].lines[9].owner, "")
         fresh.set_nodes((1, 1), self.nodes("x", "y"))
-        self.assertEqual(self.tell(fresh, picture), {"nodes"})
-        self.assertEqual((picture.whole, picture.provisional, set(picture.nodes)), (True, False, {"x", "y"}))
-        self.assertEqual(picture.shardings["s"].lines[1].node.id, "y")
-        self.assertEqual(picture.provide(0.0, provisional), set())
-        self.assertEqual(picture.configuration.version, 3)
+        self.assertEqual(self.tell(fresh, view), {"nodes"})
+        self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, False, {"x", "y"}))
+        self.assertEqual(view.shardings["s"].lines[1].node.id, "y")
+        self.assertEqual(view.provide(0.0, provisional), set())
+        self.assertEqual(view.configuration.version, 3)
 
     def test_changes_alone_or_the_whole_by_what_the_picture_has_whichever_board_it_heard(self):
         one, two = Board("a"), Board("b")
-        pictures = [Picture(), Picture(), Picture()]
+        views = [ClusterView(), ClusterView(), ClusterView()]
         much = {**DOCUMENT, "objects": DOCUMENT["objects"] + [
             {"object_kind": "services", "metadata": {"name": f"s{n}"}, "specification": {}} for n in range(60)]}
         for board in (one, two):
             board.set_config(5, much)
             board.set_lines(7, "s", {k: ("x" if k % 2 else "y", True) for k in range(40)})
-        for board, picture in zip((one, one, two), pictures):
-            self.tell(board, picture)
+        for board, view in zip((one, one, two), views):
+            self.tell(board, view)
         for order in (6, 7, 8):
             for board in (one, two):
                 self.change(board, order)
-            self.tell(one, pictures[0])
-        self.assertEqual(two.since(pictures[0].ask(), 0.0), {"epoch": "b", "at": two.at})
-        behind = [board.since(pictures[1].ask(), 0.0)["config"] for board in (one, two)]
+            self.tell(one, views[0])
+        self.assertEqual(two.since(views[0].ask(), 0.0), {"epoch": "b", "at": two.at})
+        behind = [board.since(views[1].ask(), 0.0)["config"] for board in (one, two)]
         self.assertEqual(behind[0], behind[1])
         self.assertEqual((behind[0]["base"], len(behind[0]["changes"])), (5, 3))
         two.set_lines(8, "s", {3: ("z", False)})
-        self.assertEqual(two.since(pictures[0].ask(), 0.0)["lines"], {"order": 8, "set": {"s": [[3, 3, "z", 0]]}})
-        for board, picture in zip((one, two, one), pictures):
-            self.tell(board, picture)
-            self.assertEqual(document(picture.configuration), one.config[1])
-            self.assertEqual(picture.index.find("a.example", "/a/").timeout, 8.0)
+        self.assertEqual(two.since(views[0].ask(), 0.0)["lines"], {"order": 8, "set": {"s": [[3, 3, "z", 0]]}})
+        for board, view in zip((one, two, one), views):
+            self.tell(board, view)
+            self.assertEqual(document(view.configuration), one.config[1])
+            self.assertEqual(view.index.find("a.example", "/a/").timeout, 8.0)
         two.set_config(9, json.loads(json.dumps(one.config[1])))       # came whole, as by a snapshot
         for order in range(10, 300):
             self.change(one, order)
@@ -397,31 +397,31 @@
             self.assertIn("document", board.since({"epoch": "", "at": 0, "config": has}, 0.0)["config"])
 
     def test_a_change_that_fits_not_is_left_out_and_the_whole_is_asked_for(self):
-        board, picture = Board("a"), Picture()
+        board, view = Board("a"), ClusterView()
         board.set_config(5, DOCUMENT)
-        self.tell(board, picture)
-        standing = picture.configuration
+        self.tell(board, view)
+        standing = view.configuration
         patch = {"config_version": "r4", "upsert": {"objects": []}, "remove": {}}
         for base, changes in ((4, [patch]), (5, [patch, patch | {"remove": {"services": ["s"]}}]), (5, [{}])):
-            picture.apply(0.0, {"epoch": "c", "at": 7, "config": {"order": 9, "base": base, "changes": changes},
+            view.apply(0.0, {"epoch": "c", "at": 7, "config": {"order": 9, "base": base, "changes": changes},
                                 "lines": {"order": 9, "set": {}}})
-            self.assertEqual((bool(picture.fault), picture.ask()["config"], picture.epoch, picture.lines_order),
+            self.assertEqual((bool(view.fault), view.ask()["config"], view.epoch, view.lines_order),
                              (True, -1, "a", 9))
-            self.assertIs(picture.configuration, standing)
+            self.assertIs(view.configuration, standing)
         board.set_config(9, {**DOCUMENT, "config_version": "r6"})
-        self.assertEqual(self.tell(board, picture), {"config"})
-        self.assertEqual((picture.fault, picture.ask()["config"]), ("", 9))
+        self.assertEqual(self.tell(board, view), {"config"})
+        self.assertEqual((view.fault, view.ask()["config"]), ("", 9))
 
     def test_a_change_of_the_list_is_told_only_to_who_had_the_list_before(self):
-        """A picture ahead of a board took the board's next change onto another list: a node gone stayed for good."""
-        ahead, behind, picture = Board("a"), Board("b"), Picture()
+        """A cluster view ahead of a board took the board's next change onto another list: a node gone stayed for good."""
+        ahead, behind, view = Board("a"), Board("b"), ClusterView()
         for board, order, ids in ((ahead, (1, 1), "xy"), (behind, (1, 1), "xy"), (ahead, (1, 2), "xyz")):
             board.set_nodes(order, self.nodes(*ids))
-        self.tell(ahead, picture)
-        self.tell(behind, picture)
+        self.tell(ahead, view)
+        self.tell(behind, view)
         behind.set_nodes((1, 3), self.nodes("x", "y"))
-        self.tell(behind, picture)
-        self.assertEqual(set(picture.nodes), {"x", "y"})
+        self.tell(behind, view)
+        self.assertEqual(set(view.nodes), {"x", "y"})
         for turn, until, order in ((1, 0.0, 1), (2, 0.0, 1), (3, 3.0, 3), (4, 3.5, 3)):
             cold = self.nodes("x", "y")
             cold["x"].cold_until = until
@@ -429,17 +429,17 @@
             self.assertEqual(behind.nodes_order, (2, order))
         for order, ids in (((1, 3), "xy"), ((2, 1), "xy"), ((2, 4), "x")):
             ahead.set_nodes(order, self.nodes(*ids))
-        found = ahead.since(picture.ask(), 0.0)["nodes"]
+        found = ahead.since(view.ask(), 0.0)["nodes"]
         self.assertEqual((found["full"], found["set"], found["gone"]), (False, {}, ["y"]))
 
     def test_a_long_gone_node_needs_no_tombstone(self):
-        board, picture = Board("a"), Picture()
+        board, view = Board("a"), ClusterView()
         board.set_config(1, DOCUMENT)
         for turn in range(300):
             board.set_nodes((1, turn), self.nodes("x", f"n{turn}"))
             if turn in (3, 299):
-                self.tell(board, picture)
-        self.assertEqual(set(picture.nodes), {"x", "n299"})
+                self.tell(board, view)
+        self.assertEqual(set(view.nodes), {"x", "n299"})
         self.assertLess(len(board.node_at), 120)
 
 
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -10,11 +10,11 @@
 import unittest
 from unittest import mock
 
-from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, picture, routes, show
+from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, view, routes, show
 
 from knotwalk.configuration.objects import Limits
 from knotwalk.admission.berths import Berths
-from knotwalk.discovery.picture import WIDTH, Line
+from knotwalk.discovery.cluster_view import WIDTH, Line
 from knotwalk.edge import upstream
 from knotwalk.edge.choose import seen
 
@@ -86,9 +86,9 @@
 
     async def begin(self, nodes=1, service="s", limits=None, capacity=4, table=None, **raw):
         """A front over some of the stand-ins."""
-        self.picture = picture([node.node(service, capacity=capacity) for node in self.nodes[:nodes]],
+        self.view = view([node.node(service, capacity=capacity) for node in self.nodes[:nodes]],
                                table or routes(), limits)
-        self.front = await front(self.picture, **raw)
+        self.front = await front(self.view, **raw)
         return self.front
 
     async def client(self):
@@ -108,7 +108,7 @@
         for node in self.nodes:
             node.seen.clear()
             node.script = list(script)
-        for node in self.picture.nodes.values():
+        for node in self.view.nodes.values():
             seen(node).well()
 
 
@@ -186,10 +186,10 @@
         await self.begin(2)
         self.nodes[0].server.close()
         for prefix, _ in BOTH * 3:
-            for node in self.picture.nodes.values():
+            for node in self.view.nodes.values():
                 seen(node).well()
             self.assertEqual((await self.ask(prefix))[0], 200)
-        show(self.picture, [self.picture.nodes["i-0"]])
+        show(self.view, [self.view.nodes["i-0"]])
         status, headers, _ = await self.ask("/n/")
         self.assertEqual(status, 503)
         self.assertIn("retry-after", headers)
@@ -291,7 +291,7 @@
             for key in (0, 127, 128, 65535):
                 self.reset()
                 self.assertEqual((await self.ask(prefix, headers=self.key(key)))[0], 200)
-                owner = self.picture.shardings["k"].line(key).owner
+                owner = self.view.shardings["k"].line(key).owner
                 self.assertEqual([node.id for node in self.nodes if node.seen], [owner])
                 self.assertEqual([n for n in self.nodes if n.seen][0].seen[0].headers["target-instance"], owner)
 
@@ -304,13 +304,13 @@
     async def test_a_closed_line_is_waited_for_briefly(self):
         """The line opens elsewhere while the request waits; if it stays closed, the client is told to come back."""
         await self.begin(2, "k", table=routes(aim=4.0))
-        line = self.picture.shardings["k"].line(5)
+        line = self.view.shardings["k"].line(5)
         line.open = False
         client = await self.client()
         client.ask("/kn/", headers=self.key(5))
         while not self.front.forwarder.waiting:
             await asyncio.sleep(0)
-        other = self.picture.nodes["i-1"]
+        other = self.view.nodes["i-1"]
         line.node, line.owner, line.open = other, other.id, True
         self.front.pictured({"lines"})
         self.assertEqual((await client.answer())[0], 200)
@@ -318,7 +318,7 @@
 
     async def test_a_line_that_stays_closed(self):
         await self.begin(2, "k", table=routes(aim=0.1))
-        self.picture.shardings["k"].lines[0] = Line()
+        self.view.shardings["k"].lines[0] = Line()
         begun = self.loop.time()
         status, headers, _ = await self.ask("/kn/", headers=self.key(5))
         self.assertEqual(status, 503)
@@ -336,11 +336,11 @@
             return False
 
         self.front.forwarder._waited = waited
-        line = self.picture.shardings["k"].line(0)
+        line = self.view.shardings["k"].line(0)
         line.open = False
         self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 503)
         line.open = True
-        self.picture.nodes["i-0"].address = ("127.0.0.1", 9)        # nobody listens
+        self.view.nodes["i-0"].address = ("127.0.0.1", 9)        # nobody listens
         self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 503)
         self.assertEqual(len(waits), 2)
         self.assertLess(max(waits), 0.1 - 0.016)
@@ -349,12 +349,12 @@
         """The owner says that it has not the key: nobody is asked until the line changes."""
         await self.begin(2, "k", table=routes(aim=4.0))
         self.nodes[0].script = [ELSEWHERE]
-        line = self.picture.shardings["k"].line(0)
+        line = self.view.shardings["k"].line(0)
         client = await self.client()
         client.ask("/kn/", headers=self.key(0))
         while not self.front.forwarder.waiting:
             await asyncio.sleep(0)
-        other = self.picture.nodes["i-1"]
+        other = self.view.nodes["i-1"]
         line.node, line.owner = other, other.id
         self.front.pictured({"lines"})
         self.assertEqual((await client.answer())[0], 200)
@@ -378,7 +378,7 @@
 
     async def test_a_draining_owner_gets_nothing_after_a_while(self):
         await self.begin(1, "k", table=routes(aim=0.1))
-        node = self.picture.nodes["i-0"]
+        node = self.view.nodes["i-0"]
         node.draining = True
         self.front.pictured({"nodes"})
         self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 200)
@@ -392,7 +392,7 @@
         client = await self.client()
         client.ask("/kn/", headers=self.key(0), deadline=300)
         await self.nodes[0].arrived.wait()
-        known = seen(self.picture.nodes["i-0"])
+        known = seen(self.view.nodes["i-0"])
         known.silent_since -= 0.5
         self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 503)
         self.assertEqual((await client.answer())[0], 504)
@@ -400,11 +400,11 @@
 
     async def test_draining_nodes_stand_in_when_there_are_no_others(self):
         await self.begin(2, table=routes(aim=1.0))
-        for node in self.picture.nodes.values():
+        for node in self.view.nodes.values():
             node.draining = True
         self.front.pictured({"nodes"})
         self.assertEqual((await self.ask("/n/"))[0], 200)
-        for node in self.picture.nodes.values():
+        for node in self.view.nodes.values():
             seen(node).draining_since -= 2.0
         self.assertEqual((await self.ask("/n/"))[0], 503)
 
@@ -412,7 +412,7 @@
         await self.begin(2, "k")
         self.nodes[0].script = [lambda r, w: answer(r, extra="Keep-Alive: timeout=9\r\n")]
         await self.ask("/kn/", headers=self.key(0))
-        del self.picture.nodes["i-0"]
+        del self.view.nodes["i-0"]
         self.front.pictured({"nodes"})
         await asyncio.wait_for(self.nodes[0].left.wait(), 2)
 
@@ -436,7 +436,7 @@
         for script, bad in (([None], [1, 0]), ([lambda r, w: answer(r, status="500 X")], [1, 0]), ([shed[0]], [1, 0]),
                             ([shed[1]], None)):
             self.reset(*script)
-            seen(self.picture.nodes["i-0"]).__init__()
+            seen(self.view.nodes["i-0"]).__init__()
             await self.ask("/kn/", headers=self.key(0))
             self.assertEqual(self.front.report(0.0)["bad"].get("i-0"), bad, script)
 
@@ -446,7 +446,7 @@
         self.nodes[0].script = [ELSEWHERE, SHED, None]
         for _ in range(4):
             await self.ask("/kn/", headers=self.key(0))
-        self.picture.nodes["i-0"].address = ("127.0.0.1", 9)
+        self.view.nodes["i-0"].address = ("127.0.0.1", 9)
         self.front.forwarder.pools["i-0"].close()
         await self.ask("/kn/", headers=self.key(0))
         found = self.front.forwarder.tally()
@@ -461,7 +461,7 @@
         for rank, wanted in ((0, 200), (2, 503)):
             table = [dataclasses.replace(route, priority=rank) for route in routes(aim=0.1)]
             await self.begin(1, "k", capacity=2, table=table)
-            known = seen(self.picture.nodes["i-0"])
+            known = seen(self.view.nodes["i-0"])
             known.others, known.usual, known.others_at, known.work = 9.0, 9.0, self.front.clock() - 0.7, 0.1
             self.assertEqual((await self.ask("/ki/", headers=self.key(0)))[0], wanted)
             self.front.drain()
@@ -839,7 +839,7 @@
             await self.mishaps(random.Random(seed))
 
     async def mishaps(self, luck):
-        self.front = await front(picture([node.node(capacity=50) for node in self.nodes]))
+        self.front = await front(view([node.node(capacity=50) for node in self.nodes]))
         ran = []        # ids, in the order in which nodes began on them
         for node in self.nodes:
             node.seen.clear()
@@ -887,7 +887,7 @@
             self.assertLessEqual(sum(r.attempt == id for node in self.nodes for r in node.seen), 2)
         self.assertGreater(sum(status == 200 for status, _ in found.values()), 40)
         self.assertEqual(self.front.open, 0)
-        self.assertEqual({seen(node).flying for node in self.front.picture.nodes.values()}, {0})
+        self.assertEqual({seen(node).flying for node in self.front.view.nodes.values()}, {0})
         for node in self.nodes:
             for r in node.seen:
                 self.assertEqual(r.line.split(" ")[1].rpartition("/")[2], r.attempt)
@@ -991,19 +991,19 @@
 
     async def test_a_client_of_an_edge_that_starts_is_read_once_there_is_a_picture(self):
         await self.begin()
-        table, self.picture.configuration, self.front.started = self.picture.configuration, None, False
+        table, self.view.configuration, self.front.started = self.view.configuration, None, False
         client = await self.client()
         client.ask("/i/")
         await wait_for(lambda: any(c.holds for c in self.front.clients))
         self.assertEqual(self.runs(), 0)
-        self.picture.configuration = table
+        self.view.configuration = table
         self.front.pictured({"config"})
         self.assertEqual((await asyncio.wait_for(client.answer(), PATIENCE))[0], 200)
 
     async def test_a_client_of_an_edge_without_a_picture_is_let_go_unread(self):
         """Closed with the request unread: it may be sent elsewhere, whatever its kind."""
         await self.begin()
-        self.picture.configuration, self.front.started = None, False
+        self.view.configuration, self.front.started = None, False
         client = await self.client()
         client.ask("/i/")
         await wait_for(lambda: any(c.holds for c in self.front.clients))
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -12,7 +12,7 @@
 from knotwalk.leases.keeper import REFUSED, REFUSED_SPAN, SLOW, Grant, Keeper, Pace, Propose, Release, State
 from knotwalk.leases.ledger import LIFT, Change, Ledger, ranges
 from knotwalk.leases.tenure import CALM, HAND, LACK, Tenure, hand_over, reassign
-from knotwalk.discovery.picture import SLICES, WIDTH, Node
+from knotwalk.discovery.cluster_view import SLICES, WIDTH, Node
 
 LEASE = 3.0
 PACE = Pace(lease=LEASE)
--- a/tests/system/test_placement.py
+++ b/tests/system/test_placement.py
@@ -26,7 +26,7 @@
     worse,
 )
 from knotwalk.leases.ledger import Ledger
-from knotwalk.discovery.picture import SLICES, Node
+from knotwalk.discovery.cluster_view import SLICES, Node
 
 UNIT = 512 / SLICES     # a slice's load: 512 of load in all, whatever the number of slices
 
