Rename the list's steward to list poller

Need: the house's words are withdrawn; a newcomer looks for the field's name. Change: names and their mentions only.

--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -17,7 +17,7 @@
 from knotwalk.control_plane.conductor import Conductor
 from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.stations import Stations
-from knotwalk.control_plane.steward import Steward
+from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.leases import keeper
 from knotwalk.consensus.machine import Pace
 from knotwalk.consensus.store import Store, StoreBroken
@@ -51,20 +51,20 @@
         self.agreement.machine.contacts = [at for at in founders.values() if at != own]
         self.board = Board(os.urandom(6).hex())
         self.loads = Loads()
-        self.steward = Steward(settings, self.agreement, self.board, self.caller, self.me)
+        self.list_poller = ListPoller(settings, self.agreement, self.board, self.caller, self.me)
         self.granter = Caller(resets=True)
         self.conductor = Conductor(self.me, self.agreement, self.board, self.loads, self.granter,
                                    keeper.Pace(hold=min(6.0, settings.bounds.max_hold)), seed,
                                    self.propose, settings.zone)
-        self.stations = Stations(self.me, self.agreement, self.steward, self.conductor, self.board, self.loads,
+        self.stations = Stations(self.me, self.agreement, self.list_poller, self.conductor, self.board, self.loads,
                                  self.caller)
         self.control = Control(self.agreement, settings.at("control")[1])
         self.agreement.on_config = self.configured
         self.agreement.on_change = self.lines_changed
-        self.agreement.on_role = lambda role: self.steward.role(role.role == "leader")
+        self.agreement.on_role = lambda role: self.list_poller.role(role.role == "leader")
         self.agreement.on_restore = self.restored
         self.agreement.on_damage = lambda: os._exit(1)      # nothing more is promised, no leave: the disk may be whole
-        self.steward.on_nodes = self.listed
+        self.list_poller.on_nodes = self.listed
         self.ending = Ending(self.reload)
 
     async def propose(self, command: dict) -> str | None:
@@ -111,7 +111,7 @@
         self.restored()
         self.agreement.start()
         works = [asyncio.get_running_loop().create_task(work) for work in (
-            self.steward.keep_leases(), self.steward.poll(), self.stations.keep_lease(), self.stations.share_loads(),
+            self.list_poller.keep_leases(), self.list_poller.poll(), self.stations.keep_lease(), self.stations.share_loads(),
             self.conductor.place(), self.watch_members())]
         tell("started", me=self.me, members=list(self.agreement.machine.members), applied=self.agreement.record.applied)
         await self.ending.wait(*works)
@@ -136,7 +136,7 @@
 
     def reload(self, fresh: Settings) -> None:
         """The settings file changed: seeds and the platform's address are taken up; the rest wants a start."""
-        self.settings = self.steward.settings = fresh
+        self.settings = self.list_poller.settings = fresh
         port, own = fresh.ports[0], fresh.ip_address
         self.agreement.machine.contacts = [f"{ip}:{port}" for ip, _ in fresh.seeds if ip != own]
 
--- a/knotwalk/control_plane/steward.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -20,7 +20,7 @@
 STEP = 0.2      # seconds between looks at the leases
 
 
-class Steward:
+class ListPoller:
     """Works only while this machine leads; what it finds goes on the board and to the other cores."""
 
     def __init__(self, settings: Settings, agreement: Agreement, board: Board, caller: Caller, me: str):
--- a/knotwalk/control_plane/stations.py
+++ b/knotwalk/control_plane/stations.py
@@ -9,7 +9,7 @@
 from knotwalk.control_plane import account
 from knotwalk.control_plane.agree import Agreement, Lost, NotLeader
 from knotwalk.control_plane.conductor import Conductor
-from knotwalk.control_plane.steward import Steward
+from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.leases.tenure import ASK
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.cluster_view import KEYS, Board
@@ -28,9 +28,9 @@
 class Stations:
     """The port on which this core is called by edges and other cores, and its own calls to the leader."""
 
-    def __init__(self, me: str, agreement: Agreement, steward: Steward, conductor: Conductor, board: Board,
+    def __init__(self, me: str, agreement: Agreement, list_poller: ListPoller, conductor: Conductor, board: Board,
                  loads: Loads, caller: Caller):
-        self.me, self.agreement, self.steward, self.conductor = me, agreement, steward, conductor
+        self.me, self.agreement, self.list_poller, self.conductor = me, agreement, list_poller, conductor
         self.board, self.loads, self.caller = board, loads, caller
         self.news = asyncio.Event()
         self.fresh_until = 0.0
@@ -75,9 +75,9 @@
     async def lease(self, request: Request) -> HTTPResponse:
         asked = body(request)
         if asked.get("leaving"):
-            self.steward.leave(asked["conductor"])
+            self.list_poller.leave(asked["conductor"])
             return answer({})
-        given = self.steward.lease(asked["conductor"])
+        given = self.list_poller.lease(asked["conductor"])
         return answer(given) if given else answer({"error": "not the proven leader"}, 503)
 
     async def keep_lease(self) -> None:
@@ -86,7 +86,7 @@
             sent, machine = clock(), self.agreement.machine
             given = None
             if machine.role == "leader":
-                given = self.steward.lease(self.me)
+                given = self.list_poller.lease(self.me)
             elif machine.leader:
                 try:
                     given = await self.caller.json("POST", f"http://{machine.leader}/lease",
@@ -109,15 +109,15 @@
 
     async def ask_nodes(self, leader: str) -> None:
         try:
-            self.steward.listed(await self.caller.json("POST", f"http://{leader}/nodes", {}, 0.6, "ask nodes"))
+            self.list_poller.listed(await self.caller.json("POST", f"http://{leader}/nodes", {}, 0.6, "ask nodes"))
         except StationError:
             pass
 
     async def nodes(self, request: Request) -> HTTPResponse:
         message = body(request)
         if not message:
-            return answer(self.steward.list_message())
-        self.steward.listed(message)
+            return answer(self.list_poller.list_message())
+        self.list_poller.listed(message)
         return answer({})
 
     # --- edges ------------------------------------------------------------------------------------
@@ -150,7 +150,7 @@
                     await asyncio.sleep(GATHER)
             except TimeoutError:
                 pass
-        told = {"fresh": fresh, "zone": self.steward.settings.zone, "edges": self.loads.count(now)}
+        told = {"fresh": fresh, "zone": self.list_poller.settings.zone, "edges": self.loads.count(now)}
         if message:
             told["news"] = message
         elif provisional and not fresh:
@@ -164,7 +164,7 @@
         if self.fresh_until or self.leaving or self.agreement.machine.leader or self.board.config is None:
             return None
         try:
-            nodes = await asyncio.wait_for(self.steward.own_nodes(), STALE_WAIT)
+            nodes = await asyncio.wait_for(self.list_poller.own_nodes(), STALE_WAIT)
         except TimeoutError:
             return None
         return self.board.provisional(nodes, clock())
@@ -222,7 +222,7 @@
         self.changed()
         machine = self.agreement.machine
         if machine.role == "leader":
-            self.steward.leave(self.me)
+            self.list_poller.leave(self.me)
         elif machine.leader:
             try:
                 await self.caller.json("POST", f"http://{machine.leader}/lease",
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -14,7 +14,7 @@
 from knotwalk.control_plane.agree import Agreement, NotLeader, opened
 from knotwalk.control_plane.conductor import LANES, Conductor
 from knotwalk.control_plane.stations import Stations
-from knotwalk.control_plane.steward import Steward
+from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.consensus.machine import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
@@ -267,9 +267,9 @@
 
         self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(leader=None)
         agreement = SimpleNamespace(machine=self.machine)
-        steward = Steward(SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"), agreement, self.board,
+        list_poller = ListPoller(SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"), agreement, self.board,
                           self.platform, "me")
-        self.stations = Stations("me", agreement, steward, None, self.board, Loads(), None)
+        self.stations = Stations("me", agreement, list_poller, None, self.board, Loads(), None)
 
     async def ask(self, **more):
         asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
@@ -457,15 +457,15 @@
                 return 200, {}, json.dumps({"instances": {"i-1": node}, "next_token": None}).encode()
 
         machine = SimpleNamespace(term=3, members={})
-        steward = Steward(SimpleNamespace(platform=SimpleNamespace(address=("h", 1))), SimpleNamespace(machine=machine),
+        list_poller = ListPoller(SimpleNamespace(platform=SimpleNamespace(address=("h", 1))), SimpleNamespace(machine=machine),
                           Board("b"), Platform(), "me")
         orders = []
-        steward.on_nodes = lambda: orders.append(steward.board.nodes_order)
-        with mock.patch.object(Steward, "proven", True), mock.patch("knotwalk.control_plane.steward.POLL", 0), \
+        list_poller.on_nodes = lambda: orders.append(list_poller.board.nodes_order)
+        with mock.patch.object(ListPoller, "proven", True), mock.patch("knotwalk.control_plane.list_poller.POLL", 0), \
                 self.assertRaises(asyncio.CancelledError):
-            await steward.poll()
-        self.assertEqual((orders, steward.board.nodes_order), ([(3, 1), (3, 3)], (3, 3)))      # the second was like the first
-        self.assertTrue(steward.board.nodes["i-1"].draining)
+            await list_poller.poll()
+        self.assertEqual((orders, list_poller.board.nodes_order), ([(3, 1), (3, 3)], (3, 3)))      # the second was like the first
+        self.assertTrue(list_poller.board.nodes["i-1"].draining)
 
 
 class LanesCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -472,7 +472,7 @@
         self.assertEqual([later.ended(50.1, name) for name in ("h:1#old", "h:9#away")], [True, False])
 
     def run_for(self, seconds):
-        """As the steward does; how many slices were handed over, and the most in a second."""
+        """As the list poller does; how many slices were handed over, and the most in a second."""
         handed, end = [], self.now + seconds
         while self.now < end:
             self.now = round(self.now + 0.2, 3)
