Rename stations to peers

Need: the house's words are withdrawn; a newcomer looks for the field's name. Change: names and their mentions only.

--- a/knotwalk/cli/__main__.py
+++ b/knotwalk/cli/__main__.py
@@ -18,7 +18,7 @@
 from knotwalk.configuration.read import Invalid, document, read_configuration, version_number, version_text
 from knotwalk.consensus.store import StoreBroken
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 
 PATIENCE = 3.0
 
@@ -54,7 +54,7 @@
             await caller.close()
     try:
         return asyncio.run(once())
-    except StationError as error:
+    except PeerError as error:
         end(2, trouble=str(error))
 
 
@@ -141,7 +141,7 @@
 
         Args:
             address: host:port, the first port of the internal range of a core machine.
-            json: print the core's answer (openapi/stations.yaml) instead.
+            json: print the core's answer (openapi/peers.yaml) instead.
         """
         self._answer(ask(address, "status", {}), json, show.status, lambda told: told["fresh"])
 
@@ -155,7 +155,7 @@
             host: as in the Host header.
             path: as in the request line.
             key: the request's Shard-Key.
-            json: print the core's answer (openapi/stations.yaml) instead.
+            json: print the core's answer (openapi/peers.yaml) instead.
         """
         try:
             question = {"host": host, "path": path} | ({} if key is None else {"key": int(key)})
--- a/knotwalk/cli/offer.py
+++ b/knotwalk/cli/offer.py
@@ -10,7 +10,7 @@
 from knotwalk.configuration.objects import Configuration
 from knotwalk.configuration.read import read_configuration, version_text
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 
 PATIENCE = 6.0      # for one answer: a core says after 4 s that it does not know
 TRIES = 8           # of one call without a clear answer: past an election, and a core that has gone
@@ -51,7 +51,7 @@
                 if isinstance(value, dict):
                     return Reply(status, value)
                 last = f"{url}: status {status}"
-            except (StationError, ValueError) as error:
+            except (PeerError, ValueError) as error:
                 last = str(error)
             await asyncio.sleep(self.pause)
         raise NoAnswer(last)
--- a/knotwalk/cli/show.py
+++ b/knotwalk/cli/show.py
@@ -1,4 +1,4 @@
-"""A core's answers as lines for people. Pure; the answers are as openapi/stations.yaml has them."""
+"""A core's answers as lines for people. Pure; the answers are as openapi/peers.yaml has them."""
 
 from __future__ import annotations
 
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -16,7 +16,7 @@
 from knotwalk.control_plane.agree import Agreement, opened
 from knotwalk.control_plane.conductor import Conductor
 from knotwalk.control_plane.control import Control
-from knotwalk.control_plane.stations import Stations
+from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.leases import keeper
 from knotwalk.consensus.machine import Pace
@@ -56,7 +56,7 @@
         self.conductor = Conductor(self.me, self.agreement, self.board, self.loads, self.granter,
                                    keeper.Pace(hold=min(6.0, settings.bounds.max_hold)), seed,
                                    self.propose, settings.zone)
-        self.stations = Stations(self.me, self.agreement, self.list_poller, self.conductor, self.board, self.loads,
+        self.peer_api = PeerApi(self.me, self.agreement, self.list_poller, self.conductor, self.board, self.loads,
                                  self.caller)
         self.control = Control(self.agreement, settings.at("control")[1])
         self.agreement.on_config = self.configured
@@ -68,14 +68,14 @@
         self.ending = Ending(self.reload)
 
     async def propose(self, command: dict) -> str | None:
-        return await self.stations.propose(command)
+        return await self.peer_api.propose(command)
 
     # --- what the agreed log and the list bring -----------------------------------------------------
 
     def configured(self) -> None:
         record = self.agreement.record
         self.board.set_config(record.order, document(record.configuration))
-        self.stations.changed()
+        self.peer_api.changed()
 
     def lines_changed(self, index: int, changes: list) -> None:
         by_service: dict[str, dict[int, tuple[str, bool]]] = {}
@@ -84,7 +84,7 @@
         for service, lines in by_service.items():
             self.board.set_lines(index, service, lines)
         if changes:
-            self.stations.changed()
+            self.peer_api.changed()
         self.conductor.look()
 
     def restored(self) -> None:
@@ -94,36 +94,36 @@
             self.configured()
         for service, slices in record.ledger.slices.items():
             self.board.set_lines(record.applied, service, {k: (s.owner, s.open) for k, s in enumerate(slices)})
-        self.stations.changed()
+        self.peer_api.changed()
         self.conductor.look(whole=True)
 
     def listed(self) -> None:
         self.conductor.listed()
-        self.stations.changed()
+        self.peer_api.changed()
 
     # --- life -----------------------------------------------------------------------------------------
 
     async def run(self) -> None:
         self.ending.listen()
-        stations, control = Listener(self.stations.app()), Listener(self.control.app())
-        await stations.start(self.settings.ip_address, self.settings.ports[0])
+        peer_api, control = Listener(self.peer_api.app()), Listener(self.control.app())
+        await peer_api.start(self.settings.ip_address, self.settings.ports[0])
         await control.start(*self.settings.at("control"))
         self.restored()
         self.agreement.start()
         works = [asyncio.get_running_loop().create_task(work) for work in (
-            self.list_poller.keep_leases(), self.list_poller.poll(), self.stations.keep_lease(), self.stations.share_loads(),
+            self.list_poller.keep_leases(), self.list_poller.poll(), self.peer_api.keep_lease(), self.peer_api.share_loads(),
             self.conductor.place(), self.watch_members())]
         tell("started", me=self.me, members=list(self.agreement.machine.members), applied=self.agreement.record.applied)
         await self.ending.wait(*works)
         tell("leaving")
-        await self.stations.leave()
+        await self.peer_api.leave()
         self.agreement.machine.leave(journal.clock())
         self.agreement.carry_out()
         await asyncio.sleep(min(1.0, self.settings.bounds.grace_period / 4))
         for work in works:
             work.cancel()
         await control.close()
-        await stations.close()
+        await peer_api.close()
         await self.agreement.close()
         await self.caller.close()
         await self.granter.close()
--- a/knotwalk/control_plane/agree.py
+++ b/knotwalk/control_plane/agree.py
@@ -14,7 +14,7 @@
 from knotwalk.consensus.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
 from knotwalk.consensus.store import Damaged, Refused, Store
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.journal import clock, tell, trouble, warn
 
 HANG = 0.6          # a write that takes longer costs leadership: others serve meanwhile
@@ -196,7 +196,7 @@
                 try:
                     answers = await self.caller.json("POST", f"http://{address}/agreement", letters, PATIENCE,
                                                      "agreement")
-                except StationError:
+                except PeerError:
                     continue
                 self.receive(answers)
         finally:
--- a/knotwalk/control_plane/conductor.py
+++ b/knotwalk/control_plane/conductor.py
@@ -12,7 +12,7 @@
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.cluster_view import Board
 from knotwalk.runtime.call import Caller, Refused
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.journal import clock, tell, trouble
 from knotwalk.runtime.units import text
 
@@ -127,7 +127,7 @@
             return status, heads.get("handover")
         except Refused:
             return REFUSED, None
-        except StationError:
+        except PeerError:
             return None, None
 
     async def place(self) -> None:
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -12,7 +12,7 @@
 from knotwalk.discovery.listing import Listing, Unusable
 from knotwalk.discovery.cluster_view import Board, Node, entry, node_of
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.journal import clock, tell, warn
 from knotwalk.runtime.settings import Settings
 
@@ -106,7 +106,7 @@
             term = self.agreement.machine.term
             try:
                 listing = await self.read()
-            except (StationError, Unusable) as error:
+            except (PeerError, Unusable) as error:
                 failing += 1
                 if failing in (1, 10, 100):
                     warn("the list can't be read", why=str(error), times=failing)
@@ -131,7 +131,7 @@
             self.own_list, self.own_list_at = asyncio.get_running_loop().create_task(self.read()), clock()
         try:
             return (await asyncio.shield(self.own_list)).nodes
-        except (StationError, Unusable):
+        except (PeerError, Unusable):
             return {}
 
     async def read(self) -> Listing:
@@ -141,11 +141,11 @@
             query = f"?page_token={token}" if token else ""
             status, _, data = await self.caller.send("GET", f"http://{host}:{port}/nodes{query}", None, 1.0, "list")
             if status != 200:
-                raise StationError("list", f"{host}:{port}", f"status {status}")
+                raise PeerError("list", f"{host}:{port}", f"status {status}")
             try:
                 page = json.loads(data)
             except ValueError as error:
-                raise StationError("list", f"{host}:{port}", f"no JSON: {error}") from None
+                raise PeerError("list", f"{host}:{port}", f"no JSON: {error}") from None
             token = listing.add(clock(), page)
         return listing
 
--- a/knotwalk/control_plane/stations.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -1,4 +1,4 @@
-"""Calls between stations (openapi/stations.yaml): agreement, cluster views for edges, leases, lists, loads."""
+"""Calls between peers (openapi/peers.yaml): agreement, cluster views for edges, leases, lists, loads."""
 
 from __future__ import annotations
 
@@ -14,7 +14,7 @@
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.cluster_view import KEYS, Board
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.journal import clock, warn
 from knotwalk.runtime.serve import answer, app, body
 
@@ -25,7 +25,7 @@
 SHARE = 1.0         # seconds between tellings of loads to the other cores
 
 
-class Stations:
+class PeerApi:
     """The port on which this core is called by edges and other cores, and its own calls to the leader."""
 
     def __init__(self, me: str, agreement: Agreement, list_poller: ListPoller, conductor: Conductor, board: Board,
@@ -38,7 +38,7 @@
         self.asked: dict[str, tuple[float, str, int]] = {}     # by edge: when it called here, and what it had then
 
     def app(self) -> Sanic:
-        made = app("stations")
+        made = app("peers")
         for path, handler in (("/agreement", self.letters), ("/cluster-view", self.view), ("/lease", self.lease),
                               ("/proposal", self.proposal), ("/nodes", self.nodes), ("/loads", self.share),
                               ("/status", self.status), ("/explain", self.explain)):
@@ -66,7 +66,7 @@
             if machine.leader:
                 reply = await self.caller.json("POST", f"http://{machine.leader}/proposal", command, 2.2, "proposal")
                 return reply["said"]
-        except (NotLeader, Lost, StationError, KeyError):
+        except (NotLeader, Lost, PeerError, KeyError):
             pass
         return None
 
@@ -91,7 +91,7 @@
                 try:
                     given = await self.caller.json("POST", f"http://{machine.leader}/lease",
                                                    {"conductor": self.me}, 0.5, "lease")
-                except StationError:
+                except PeerError:
                     given = None
             if given:
                 if not self.leaving:
@@ -110,7 +110,7 @@
     async def ask_nodes(self, leader: str) -> None:
         try:
             self.list_poller.listed(await self.caller.json("POST", f"http://{leader}/nodes", {}, 0.6, "ask nodes"))
-        except StationError:
+        except PeerError:
             pass
 
     async def nodes(self, request: Request) -> HTTPResponse:
@@ -227,5 +227,5 @@
             try:
                 await self.caller.json("POST", f"http://{machine.leader}/lease",
                                        {"conductor": self.me, "leaving": True}, 0.4, "leave")
-            except StationError:
+            except PeerError:
                 pass
--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -14,11 +14,11 @@
 
 import httptools
 
-from knotwalk.runtime.errors import StationError, value
+from knotwalk.runtime.errors import PeerError, value
 
 # Seconds after which an idle connection is not used again: less than half of what a core keeps one open for.
 IDLE = 8.0
-PATIENCE = 1.0      # as other calls between stations have it
+PATIENCE = 1.0      # as other calls between peers have it
 # Seconds for a new connection: a machine that is up answers the opening by its kernel, in some ms, however busy its
 # programs are; a dark one says nothing, and an opening packet that was lost is sent again after a second only. Doubled
 # after each that failed, until one comes: behind a squeezed link a core is slow to answer and there all the same.
@@ -60,7 +60,7 @@
     def _to(self, line: Line) -> None:
         """The one place where the state changes."""
         if line not in LINES[self.line]:
-            raise StationError("connection to a core", "", f"from {self.line.value} to {line.value}")
+            raise PeerError("connection to a core", "", f"from {self.line.value} to {line.value}")
         self.line = line
 
     def fit(self) -> bool:
@@ -154,9 +154,9 @@
                 connection.came = lambda: limit.reschedule(min(last, loop.time() + patience))
                 status, told = await connection.send(head.encode() + data)
         except TimeoutError:
-            raise StationError(step, url, f"no answer within {patience:g} s") from None
+            raise PeerError(step, url, f"no answer within {patience:g} s") from None
         except OSError as error:
-            raise StationError(step, url, f"{type(error).__name__} {error}") from None
+            raise PeerError(step, url, f"{type(error).__name__} {error}") from None
         finally:
             if connection is not None:
                 connection.came = lambda: None
--- a/knotwalk/edge/forward.py
+++ b/knotwalk/edge/forward.py
@@ -17,7 +17,7 @@
 from knotwalk.admission.budget import Budget
 from knotwalk.admission.outcome import PROOFS, End, Move, Proof, move
 from knotwalk.discovery.cluster_view import WIDTH, Node, ClusterView
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.settings import Settings
 from knotwalk.edge.choose import load, pick, seen, service_of, wait_at
 from knotwalk.edge.upstream import Answer, Connection, Docks, Pool
@@ -101,7 +101,7 @@
     def to(self, stage: Stage) -> None:
         """The one place where the state changes."""
         if stage not in STAGES[self.stage]:
-            raise StationError("request", self.attempt.decode("latin-1"),
+            raise PeerError("request", self.attempt.decode("latin-1"),
                                f"from {self.stage.value} to {stage.value}")
         self.stage = stage
 
@@ -522,7 +522,7 @@
             patience = max(CONNECT_LEAST, _patience(x, x.begun) - self.clock())
             try:
                 connection = await pool.open(min(CONNECT, patience, max(0.0, x.until - self.clock())))
-            except StationError:
+            except PeerError:
                 self.counts["not connected"] += 1
                 return Answer(End.UNREACHED, "not connected"), False
             self.counts["opened"] += 1
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -20,7 +20,7 @@
 from knotwalk.configuration.objects import Limits
 from knotwalk.admission.berths import shared
 from knotwalk.discovery.cluster_view import ClusterView
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.journal import tell, trouble
 from knotwalk.runtime.settings import Settings
 from knotwalk.edge.forward import Exchange, Forwarder, Stage
@@ -113,7 +113,7 @@
     def _to(self, door: Door) -> None:
         """The one place where the state changes."""
         if door not in DOORS[self.door]:
-            raise StationError("client's connection", "", f"from {self.door.value} to {door.value}")
+            raise PeerError("client's connection", "", f"from {self.door.value} to {door.value}")
         self.door = door
 
     # -- from the loop
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from knotwalk.discovery.cluster_view import ClusterView
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.journal import clock, tell, warn
 from knotwalk.edge.caller import Caller
 
@@ -94,7 +94,7 @@
             asked["report"] = self.report()
         try:
             told = await self.caller.json("POST", f"http://{core}/cluster-view", asked, wait + PATIENCE, "cluster view")
-        except StationError as error:
+        except PeerError as error:
             self.left[core] = now
             if self.core is not None and self.heard_at > now - 5:
                 warn("core left", core=core, why=str(error))
--- a/knotwalk/edge/upstream.py
+++ b/knotwalk/edge/upstream.py
@@ -18,7 +18,7 @@
 
 from knotwalk.admission.outcome import End, judge
 from knotwalk.discovery.cluster_view import Node
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 
 # An answer up to this size (bytes) is gathered whole before its head is passed on: a cut one can be tried again.
 GATHER = 64 * 1024
@@ -129,7 +129,7 @@
     def _to(self, phase: Phase) -> None:
         """The one place where the state changes."""
         if phase not in ALLOWED[self.phase]:
-            raise StationError("connection", f"{self.node.id}", f"from {self.phase.value} to {phase.value}")
+            raise PeerError("connection", f"{self.node.id}", f"from {self.phase.value} to {phase.value}")
         self.phase = phase
 
     # -- towards the node
@@ -498,7 +498,7 @@
             made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         except OSError as error:        # no descriptor left
             connection.abort("not opened")
-            raise StationError(step, peer, error) from None
+            raise PeerError(step, peer, error) from None
         try:
             made.setblocking(False)
             made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -510,7 +510,7 @@
         except (OSError, TimeoutError) as error:
             made.close()
             connection.abort("not opened")
-            raise StationError(step, peer, error or "no answer in time") from None
+            raise PeerError(step, peer, error or "no answer in time") from None
         except asyncio.CancelledError:
             made.close()
             connection.abort("not opened")
--- a/knotwalk/runtime/call.py
+++ b/knotwalk/runtime/call.py
@@ -22,13 +22,13 @@
 else:
     sys.modules["ssl"] = kept
 
-from knotwalk.runtime.errors import StationError, value
+from knotwalk.runtime.errors import PeerError, value
 
 # A peer one way 1.4 ms off answers within some ms; one that stalls on a shared core needs a few tenths of a second.
 PATIENCE = 1.0
 
 
-class Refused(StationError):
+class Refused(PeerError):
     """Nothing listens there: the connection was refused at once, so nothing was taken."""
 
 
@@ -62,12 +62,12 @@
                                                 allow_redirects=False) as answer:
                     return answer.status, {k.lower(): v for k, v in answer.headers.items()}, await answer.read()
         except aiohttp.ClientConnectorError as error:
-            kind = Refused if isinstance(error.os_error, ConnectionRefusedError) else StationError
+            kind = Refused if isinstance(error.os_error, ConnectionRefusedError) else PeerError
             raise kind(step, url, error.os_error) from None
         except TimeoutError:
-            raise StationError(step, url, f"no answer within {patience:g} s") from None
+            raise PeerError(step, url, f"no answer within {patience:g} s") from None
         except (aiohttp.ClientError, OSError, ValueError) as error:
-            raise StationError(step, url, f"{type(error).__name__} {error}") from None
+            raise PeerError(step, url, f"{type(error).__name__} {error}") from None
 
     async def json(self, method: str, url: str, body: Any = None, patience: float = PATIENCE,
                    step: str = "call") -> Any:
--- a/knotwalk/runtime/errors.py
+++ b/knotwalk/runtime/errors.py
@@ -4,7 +4,7 @@
 from typing import Any
 
 
-class StationError(Exception):
+class PeerError(Exception):
     """Something failed at `step` (a few words) with `peer` (an address or a name, empty where there is none)."""
 
     def __init__(self, step: str, peer: str, why: object):
@@ -12,7 +12,7 @@
         self.step, self.peer, self.why = step, peer, why
 
 
-class SettingsError(StationError):
+class SettingsError(PeerError):
     """The settings file can't be used: the place and the mistake, in one line."""
 
     def __init__(self, field: str, why: object):
@@ -22,8 +22,8 @@
 def value(step: str, peer: str, status: int, data: bytes) -> Any:
     """The JSON value of a peer's answer; StationError if its status is not 200, or it holds none."""
     if status != 200:
-        raise StationError(step, peer, f"status {status}")
+        raise PeerError(step, peer, f"status {status}")
     try:
         return json.loads(data)
     except ValueError as error:
-        raise StationError(step, peer, f"no JSON: {error}") from None
+        raise PeerError(step, peer, f"no JSON: {error}") from None
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -23,7 +23,7 @@
 from aiohttp import web
 
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 
 from .holders import HoldingNode, Watch
 from .nodes import RawClient
@@ -161,7 +161,7 @@
                 try:
                     status, heads, data = await self.village.caller.send(method, url, document, 6.0, "operator",
                                                                          {"If-Match": base} if base else None)
-                except StationError:
+                except PeerError:
                     break
                 if status != 307:
                     if status < 500:
@@ -264,7 +264,7 @@
         """A core's account of itself; None if it gives none."""
         try:
             return await self.caller.json("POST", f"http://{core.ip}:{self.internal}/status", {}, 1.0)
-        except StationError:
+        except PeerError:
             return None
 
     async def leader(self) -> Program | None:
@@ -279,7 +279,7 @@
         host_port = edge.settings["listen_addresses"]["readiness"]
         try:
             return (await self.caller.send("GET", f"http://{host_port}/readiness"))[0] == 200
-        except StationError:
+        except PeerError:
             return False
 
     async def calm(self) -> None:
--- a/tests/system/test_caller.py
+++ b/tests/system/test_caller.py
@@ -6,7 +6,7 @@
 import unittest
 from unittest import mock
 
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.edge.caller import Caller, Connection, Line
 
 WELL = b'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{"a":1}'
@@ -67,7 +67,7 @@
     async def test_an_answer_cut_at_each_byte_is_none_and_the_next_call_is_well(self):
         for answer in (WELL, CHUNKED):
             for point in range(len(answer)):
-                with self.subTest(point=point), self.assertRaises(StationError) as met:
+                with self.subTest(point=point), self.assertRaises(PeerError) as met:
                     await self.call((answer[:point], True))
                 self.assertEqual((met.exception.step, met.exception.peer), ("cluster view", self.url))
                 self.assertEqual(await self.call((WELL, False)), {"a": 1})
@@ -76,15 +76,15 @@
         bad = [b"nonsense\r\n\r\n", b"\0" * 40, WELL + WELL, WELL.replace(b"7", b"x"), WELL.replace(b"200 OK", b"100 Continue"),
                WELL.replace(b"{", b"["), WELL.replace(b"200 OK", b"503 No"), WELL.replace(b"200 OK", b"307 No")]
         for data in bad:
-            with self.subTest(data), self.assertRaises(StationError):
+            with self.subTest(data), self.assertRaises(PeerError):
                 await self.call((data, False))
                 if data == WELL + WELL:     # the call itself has its answer; what belongs to none must reach no other
                     self.assertEqual(self.caller.kept, {})
-                    raise StationError("", "", "")
+                    raise PeerError("", "", "")
             self.assertEqual(await self.call((WELL, False)), {"a": 1})
 
     async def test_a_late_answer_is_never_the_next_calls(self):
-        with self.assertRaises(StationError) as met:
+        with self.assertRaises(PeerError) as met:
             await self.call((b"", False), patience=0.02)
         self.assertIn("no answer within", str(met.exception))
         before = len(self.asked)
@@ -111,7 +111,7 @@
             await asyncio.Event().wait()
         for allowed in (0.02, 0.04):        # and not so soon again, should it be there after all
             with mock.patch.object(self.loop, "create_connection", dark), \
-                    mock.patch("knotwalk.edge.caller.CONNECT", 0.01), self.assertRaises(StationError) as met:
+                    mock.patch("knotwalk.edge.caller.CONNECT", 0.01), self.assertRaises(PeerError) as met:
                 await self.call(patience=60)
             self.assertIn("no connection in time", str(met.exception))
             self.assertEqual(list(self.caller.allowed.values()), [allowed])
@@ -122,7 +122,7 @@
     async def test_what_keeps_coming_is_waited_for_up_to_a_bound(self):
         """A large configuration on a slow link: given up in its midst, it began anew at each core and never came."""
         real, limits = asyncio.timeout, []
-        for whole, wanted in ((1000.0, {"a": 1}), (-1.0, StationError)):
+        for whole, wanted in ((1000.0, {"a": 1}), (-1.0, PeerError)):
             told, limits[:] = Connection(), []
             told.transport, caller = mock.Mock(), Caller()
             caller._connection = mock.AsyncMock(return_value=told)
@@ -144,7 +144,7 @@
     async def test_nobody_listens(self):
         self.server.close()
         await self.server.wait_closed()
-        with self.assertRaises(StationError) as met:
+        with self.assertRaises(PeerError) as met:
             await self.call()
         self.assertIn("ConnectionRefused", str(met.exception))
 
--- a/tests/system/test_cli.py
+++ b/tests/system/test_cli.py
@@ -24,10 +24,10 @@
 from knotwalk.consensus.store import Store, StoreBroken, read
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.cluster_view import WIDTH, Board, Node
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from tests.standins.village import FIRST, route, service
 
-STATIONS = pathlib.Path(__file__).parents[2] / "openapi" / "stations.yaml"
+STATIONS = pathlib.Path(__file__).parents[2] / "openapi" / "peers.yaml"
 SETTINGS = {"node_name": "core-1", "serves": ["control_plane"], "ip_address": "10.0.0.1", "data_dir": "/data",
             "listen_addresses": {"control": "10.0.0.1:80"}, "seed_nodes": ["10.0.0.1:80"],
             "cloud_api": {"address": "10.9.0.1:80"}}
@@ -227,7 +227,7 @@
             self.configuration = verdict.configuration
             self.history.note(verdict.version, verdict.digest)
         if fault == "lost":
-            raise StationError("configuration", url, "no answer")
+            raise PeerError("configuration", url, "no answer")
         return verdict.status, {}, json.dumps(verdict.body()).encode()
 
     async def close(self):
@@ -247,7 +247,7 @@
         self.assertEqual((code, core.configuration, {call[0] for call in core.calls}), (0, None, {"GET"}))
         self.assertIn("r3 would be sent on top of r0", out)
         self.assertIn("--apply", err)
-        core.faults = [503, None, "lost", StationError("configuration", "l:1", "cut")]
+        core.faults = [503, None, "lost", PeerError("configuration", "l:1", "cut")]
         self.assertEqual(self.offer(core, file, "f:1", "--apply")[0], 0)
         self.assertEqual((document(core.configuration), len(core.history.taken)), (FIRST, 1))
         self.assertEqual(self.offer(core, file, "l:1", "--apply"), (0, "r3 is in force already\n", ""))
@@ -304,7 +304,7 @@
 
 
 class Account(unittest.TestCase):
-    """What a core says of itself, as openapi/stations.yaml has it, and how it is shown."""
+    """What a core says of itself, as openapi/peers.yaml has it, and how it is shown."""
 
     def setUp(self):
         self.record, self.board, self.loads = Record(), Board("e"), Loads()
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -13,14 +13,14 @@
 from knotwalk.configuration.read import document, patched, read_configuration
 from knotwalk.control_plane.agree import Agreement, NotLeader, opened
 from knotwalk.control_plane.conductor import LANES, Conductor
-from knotwalk.control_plane.stations import Stations
+from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.consensus.machine import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
 from knotwalk.discovery.loads import Loads, merge
 from knotwalk.discovery.cluster_view import Board, Node, ClusterView
-from knotwalk.runtime.errors import StationError
+from knotwalk.runtime.errors import PeerError
 from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
@@ -43,7 +43,7 @@
         await asyncio.sleep(0)
         address = url.split("/")[2]
         if address in self.cut:
-            raise StationError(step, address, "cut off")
+            raise PeerError(step, address, "cut off")
         found = self.ends[address].exchange(json.loads(json.dumps(body)))
         self.answers += [(letter["type"], found) for letter in body]
         return found
@@ -194,7 +194,7 @@
 class Cut:
     async def json(self, method, url, body, patience, step):
         await asyncio.sleep(0)
-        raise StationError(step, url, "cut off")
+        raise PeerError(step, url, "cut off")
 
 
 class LinkCase(unittest.IsolatedAsyncioTestCase):
@@ -207,7 +207,7 @@
                 asked.append(url.split("/")[2])
                 waits.append(body["wait"])
                 if len(asked) == 2:         # the near one, which has answered once
-                    raise StationError(step, url, "no answer")
+                    raise PeerError(step, url, "no answer")
                 if len(asked) == 3:
                     raise asyncio.CancelledError
                 return {"fresh": True, "zone": "z", "edges": 1}
@@ -269,11 +269,11 @@
         agreement = SimpleNamespace(machine=self.machine)
         list_poller = ListPoller(SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"), agreement, self.board,
                           self.platform, "me")
-        self.stations = Stations("me", agreement, list_poller, None, self.board, Loads(), None)
+        self.peer_api = PeerApi("me", agreement, list_poller, None, self.board, Loads(), None)
 
     async def ask(self, **more):
         asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
-        return json.loads((await self.stations.view(SimpleNamespace(body=asked))).body)
+        return json.loads((await self.peer_api.view(SimpleNamespace(body=asked))).body)
 
     async def test_only_a_bare_edge_is_told_and_only_before_a_leader_is_known(self):
         self.assertNotIn("provisional", await self.ask())
@@ -289,7 +289,7 @@
         self.assertNotIn("provisional", await self.ask(bare=False))
         self.machine.leader = "a:1"
         self.assertNotIn("provisional", await self.ask())
-        self.machine.leader, self.stations.fresh_until = None, 1.0
+        self.machine.leader, self.peer_api.fresh_until = None, 1.0
         self.assertNotIn("provisional", await self.ask())
         self.assertEqual(self.calls, 1)
 
--- a/tests/system/test_runtime.py
+++ b/tests/system/test_runtime.py
@@ -13,7 +13,7 @@
 
 from knotwalk.runtime import life
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import SettingsError, StationError
+from knotwalk.runtime.errors import SettingsError, PeerError
 from knotwalk.runtime.settings import VARIABLE, load, parse
 
 ROOT = Path(__file__).parents[2]
@@ -88,7 +88,7 @@
         try:
             call = asyncio.ensure_future(caller.send("POST", f"http://127.0.0.1:{door.getsockname()[1]}/grant", {}, 0.5))
             peer, _ = await asyncio.get_running_loop().sock_accept(door)
-            with self.assertRaises(StationError):
+            with self.assertRaises(PeerError):
                 await call
             with self.assertRaises(ConnectionResetError):
                 while await asyncio.get_running_loop().sock_recv(peer, 100):
