Rename berths to connection budget

Need: the house's words are withdrawn; a newcomer looks for the field's name. Change: names and their mentions only.

--- a/knotwalk/admission/berths.py
+++ b/knotwalk/admission/connection_budget.py
@@ -19,7 +19,7 @@
 
 
 @dataclass(frozen=True)
-class Berths:
+class ConnectionBudget:
     """Connections at most: of `clients`, and to `nodes`; `kept`: with more clients than that none is kept for later."""
 
     clients: int
@@ -27,7 +27,7 @@
     nodes: int
 
 
-def shared(descriptors: int) -> Berths:
+def shared(descriptors: int) -> ConnectionBudget:
     """The shares of a machine with so many descriptors.
 
     >>> shared(4100), shared(220)
@@ -35,4 +35,4 @@
     """
     free = max(2 * LEAST, descriptors - FILES - OWN)
     clients = int(free * CLIENT_PART)
-    return Berths(clients, int(clients * KEPT_PART), free - clients)
+    return ConnectionBudget(clients, int(clients * KEPT_PART), free - clients)
--- a/knotwalk/edge/forward.py
+++ b/knotwalk/edge/forward.py
@@ -13,7 +13,7 @@
 
 from knotwalk.configuration.objects import Route, Service
 from knotwalk.admission.admission import SHUN_LAST, SHUN_OWNER, Seen, come_back, worth_offering, yields
-from knotwalk.admission.berths import shared
+from knotwalk.admission.connection_budget import shared
 from knotwalk.admission.budget import Budget
 from knotwalk.admission.outcome import PROOFS, End, Move, Proof, move
 from knotwalk.discovery.cluster_view import WIDTH, Node, ClusterView
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -18,7 +18,7 @@
 import httptools
 
 from knotwalk.configuration.objects import Limits
-from knotwalk.admission.berths import shared
+from knotwalk.admission.connection_budget import shared
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.journal import tell, trouble
@@ -438,7 +438,7 @@
         """Whether the connection goes on behind this answer, which is the oldest that is due."""
         front = self.front
         return x.keep and (len(self.queue) > 1 or self.door is Door.OPEN and not front.draining
-                           and len(front.clients) <= front.berths.kept)
+                           and len(front.clients) <= front.connection_budget.kept)
 
     def _answer(self, x: Exchange) -> bool:
         """Write an answer, or the beginning of a streamed one; False if its rest comes later."""
@@ -614,7 +614,7 @@
         self.settings, self.view, self.clock = settings, view, clock
         self.forwarder = Forwarder(settings, view, clock, seed)
         self.clients: set[Client] = set()
-        self.berths = shared(settings.machine.file_descriptors)
+        self.connection_budget = shared(settings.machine.file_descriptors)
         self.coming = 0         # connections accepted that have not entered yet
         self.draining = False
         self.started = view.whole
@@ -665,7 +665,7 @@
     @property
     def crowded(self) -> bool:
         """Whether there is no descriptor for one more client."""
-        return len(self.clients) + self.coming >= self.berths.clients
+        return len(self.clients) + self.coming >= self.connection_budget.clients
 
     def _accept(self) -> None:
         """Take in who waits, as far as there is room; idle clients make some."""
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -13,7 +13,7 @@
 from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, view, routes, show
 
 from knotwalk.configuration.objects import Limits
-from knotwalk.admission.berths import Berths
+from knotwalk.admission.connection_budget import ConnectionBudget
 from knotwalk.discovery.cluster_view import WIDTH, Line
 from knotwalk.edge import upstream
 from knotwalk.edge.choose import seen
@@ -1030,7 +1030,7 @@
     async def test_no_room(self):
         """Beyond the descriptors, connections end before anything is read of them."""
         await self.begin()
-        self.front.berths = Berths(1, 1, 9)
+        self.front.connection_budget = ConnectionBudget(1, 1, 9)
         (first,), gate = await self.crowd(1, 1)
         await wait_for(lambda: self.runs() == 1)
         second = await self.client()
@@ -1047,7 +1047,7 @@
         """A crowd on a machine of a dozen descriptors: none of the clients' answers is lost, and idle connections give
         way. Before, accepting failed a thousand times a second, and what was accepted found no descriptor to a node."""
         await self.begin(nodes=2)
-        self.front.berths, self.front.forwarder.docks.most = Berths(4, 2, 2), 2
+        self.front.connection_budget, self.front.forwarder.docks.most = ConnectionBudget(4, 2, 2), 2
         clients, gate = await self.crowd(4, 2)
         await wait_for(lambda: self.runs() == 2 and len(self.front.forwarder.docks.waiting) == 2)
         gate.set()      # two wait for a descriptor, not for a node: they go on as soon as one is free
