Rename ailing nodes' module to outliers

Need: the house's words are withdrawn; a newcomer looks for the field's name. Change: names and their mentions only.

--- a/knotwalk/discovery/cluster_view.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -42,7 +42,7 @@
     draining: bool = False
     cold_until: float = 0.0     # steady clock of this machine
     software: str = ""
-    ailing: bool = False        # as all edges together meet with it (`discovery.ailing`)
+    ailing: bool = False        # as all edges together meet with it (`discovery.outliers`)
     seen: object = None
 
 
--- a/knotwalk/discovery/loads.py
+++ b/knotwalk/discovery/loads.py
@@ -3,13 +3,13 @@
 A report holds sums since the edge's last one, only what the placement reads (they are passed on between zones, where
 bytes are priced): `demand` by service and slice as requests, `nodes` by id as [loads told, how many, slots], and where
 none was told [0, 0, slots, answers, failures, refusals, busy seconds of the answers]. `bad` names the nodes that an
-edge met with trouble at: [bad tries, tries that its row of `nodes` does not count] (`discovery.ailing`).
+edge met with trouble at: [bad tries, tries that its row of `nodes` does not count] (`discovery.outliers`).
 """
 
 from collections import deque
 from itertools import zip_longest
 
-from knotwalk.discovery.ailing import Ailing
+from knotwalk.discovery.outliers import OutlierDetection
 
 CALLING = 3.0   # seconds since its last call in which an edge counts as calling here; it calls at least once a second
 REST = 1e-6     # less than any count, and than the seconds of any request
@@ -62,7 +62,7 @@
     """Reports of all edges, however they came. `fresh` are those that came here and are yet to be told to others."""
 
     def __init__(self) -> None:
-        self.ailing = Ailing()
+        self.ailing = OutlierDetection()
         self.window: deque[tuple[float, dict]] = deque()
         self.total: dict = {}                   # the window's sums, kept up as reports come and leave it
         self.begun: dict[str, float] = {}       # by service: when its demand was heard of first, after none for SPAN
--- a/knotwalk/discovery/ailing.py
+++ b/knotwalk/discovery/outliers.py
@@ -75,7 +75,7 @@
     return sum(math.comb(tries, k) * rate ** k * (1 - rate) ** (tries - k) for k in range(bad, tries + 1))
 
 
-class Ailing:
+class OutlierDetection:
     """One core's judgement. `hear` takes reports as they come, `judge` says who rests now."""
 
     def __init__(self) -> None:
--- a/tests/system/test_ailing.py
+++ b/tests/system/test_outliers.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from knotwalk.discovery.ailing import AGAIN, PART, REST, REST_LAST, Ailing
+from knotwalk.discovery.outliers import AGAIN, PART, REST, REST_LAST, OutlierDetection
 from knotwalk.discovery.loads import SPAN, Loads
 from knotwalk.discovery.cluster_view import Board, Node, ClusterView
 from knotwalk.edge.choose import pick
@@ -103,7 +103,7 @@
         self.assertEqual(met.loads.sums(met.now + SPAN + 1)[0].get("bad", {}), {})
 
     def test_a_node_that_ended_is_forgotten(self):
-        ailing, node = Ailing(), Node("a", "s", ("10.0.0.1", 1), "z", 2)
+        ailing, node = OutlierDetection(), Node("a", "s", ("10.0.0.1", 1), "z", 2)
         others = {f"n{n}": Node(f"n{n}", "s", ("10.0.0.1", n), "z", 2) for n in range(8)}
         ailing.hear(0.0, {"bad": {"a": [9, 9]}, "nodes": {id: [5, 5, 2] for id in others}})
         self.assertEqual(ailing.judge(0.1, others | {"a": node}), {"a"})
