Rename the core's record to replicated state

Need: the house's words are withdrawn; a newcomer looks for the field's name. Change: names and their mentions only.

--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -10,7 +10,7 @@
 are not in the log in the end, or more than once. `owner_overlaps`: grants of a key that another node that is up holds,
 in seeded worlds of leases. `recovery_ratio`: all core machines die and two of three come back after 10 s; until all
 keys are held again, over the least that elections and leases allow; `recovery_all_s` and `recovery_all_ratio` if all
-three come back: no lease has to end then, since each takes up its own. `reopen_ms`: from a start to a whole record, by
+three come back: no lease has to end then, since each takes up its own. `reopen_ms`: from a start to a whole state, by
 entries of the log that the core was killed with; `reopen_each`: of the last two lengths, time for an entry in the
 longer over that in the shorter.
 """
@@ -27,7 +27,7 @@
 from typing import Any
 
 from benchmarks import configuration
-from knotwalk.control_plane.record import Record
+from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.leases.keeper import Grant, Keeper, Pace as KeysPace, Propose, Release
 from knotwalk.leases.ledger import Ledger, ranges
 from knotwalk.leases.tenure import ASK, DRIFT, LEASE, MARGIN, PROOF, Tenure, reassign
@@ -97,9 +97,9 @@
             for turn in range(times):
                 shutil.copytree(f"{folder}/made", f"{folder}/{turn}")
                 start, again = time.perf_counter(), Store()
-                saved, record = again.open(f"{folder}/{turn}", False, "a", {}), Record()
+                saved, state = again.open(f"{folder}/{turn}", False, "a", {}), ReplicatedState()
                 for entry in saved.entries:
-                    record.apply(entry.index, entry.body)
+                    state.apply(entry.index, entry.body)
                 found.append((time.perf_counter() - start) * 1e3)
                 assert len(saved.entries) == count
                 again.close()
--- a/knotwalk/cli/past.py
+++ b/knotwalk/cli/past.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 from knotwalk.configuration.read import document
-from knotwalk.control_plane.record import Record
+from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.consensus.store import read
 
 
@@ -19,24 +19,24 @@
     earlier ones the system keeps no text, and none of when a version was taken or by whom.
     """
     saved = read(data_dir)
-    record = Record.from_dict(saved.snapshot) if saved.snapshot else Record()
-    sure = record.version
+    state = ReplicatedState.from_dict(saved.snapshot) if saved.snapshot else ReplicatedState()
+    sure = state.version
     history: list[dict[str, Any]] = []
 
     def note() -> None:
-        if record.configuration and (not history or history[-1]["config_order"] != record.order):
-            history.append({"config_version": f"r{record.version}", "config_order": record.order,
-                            "configuration": document(record.configuration)})
+        if state.configuration and (not history or history[-1]["config_order"] != state.order):
+            history.append({"config_version": f"r{record.version}", "config_order": state.order,
+                            "configuration": document(state.configuration)})
 
     note()
     for entry in saved.entries:
-        record.apply(entry.index, entry.body if entry.kind == "command" else {})
-        sure = record.version if entry.index <= saved.commit else sure
+        state.apply(entry.index, entry.body if entry.kind == "command" else {})
+        sure = state.version if entry.index <= saved.commit else sure
         note()
     last = saved.entries[-1] if saved.entries else None
     return {
-        "me": saved.me, "config_version": f"r{record.version}" if record.configuration else None,
-        "config_order": record.order, "sure": f"r{sure}" if sure else None, "snapshot": saved.snapshot_index,
+        "me": saved.me, "config_version": f"r{record.version}" if state.configuration else None,
+        "config_order": state.order, "sure": f"r{sure}" if sure else None, "snapshot": saved.snapshot_index,
         "last": last.index if last else saved.snapshot_index, "last_term": last.term if last else saved.snapshot_term,
         "term": saved.term, "history": history,
-        "configuration": document(record.configuration) if record.configuration else None}
+        "configuration": document(state.configuration) if state.configuration else None}
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -73,8 +73,8 @@
     # --- what the agreed log and the list bring -----------------------------------------------------
 
     def configured(self) -> None:
-        record = self.agreement.record
-        self.board.set_config(record.order, document(record.configuration))
+        state = self.agreement.state
+        self.board.set_config(state.order, document(state.configuration))
         self.peer_api.changed()
 
     def lines_changed(self, index: int, changes: list) -> None:
@@ -88,12 +88,12 @@
         self.conductor.look()
 
     def restored(self) -> None:
-        """A whole record stands where there was another or none."""
-        record = self.agreement.record
-        if record.configuration is not None:
+        """A whole state stands where there was another or none."""
+        state = self.agreement.state
+        if state.configuration is not None:
             self.configured()
-        for service, slices in record.ledger.slices.items():
-            self.board.set_lines(record.applied, service, {k: (s.owner, s.open) for k, s in enumerate(slices)})
+        for service, slices in state.ledger.slices.items():
+            self.board.set_lines(state.applied, service, {k: (s.owner, s.open) for k, s in enumerate(slices)})
         self.peer_api.changed()
         self.conductor.look(whole=True)
 
@@ -113,7 +113,7 @@
         works = [asyncio.get_running_loop().create_task(work) for work in (
             self.list_poller.keep_leases(), self.list_poller.poll(), self.peer_api.keep_lease(), self.peer_api.share_loads(),
             self.conductor.place(), self.watch_members())]
-        tell("started", me=self.me, members=list(self.agreement.machine.members), applied=self.agreement.record.applied)
+        tell("started", me=self.me, members=list(self.agreement.machine.members), applied=self.agreement.state.applied)
         await self.ending.wait(*works)
         tell("leaving")
         await self.peer_api.leave()
--- a/knotwalk/control_plane/account.py
+++ b/knotwalk/control_plane/account.py
@@ -10,7 +10,7 @@
 
 from knotwalk.configuration.index import Index
 from knotwalk.configuration.read import version_text
-from knotwalk.control_plane.record import Record
+from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.consensus.machine import Machine
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.cluster_view import WIDTH, Board, entry
@@ -18,7 +18,7 @@
 EDGES_SPAN = 10.0   # seconds after which an edge that was not heard of counts as gone
 
 
-def status(now: float, me: str, machine: Machine, record: Record, board: Board, loads: Loads, fresh: bool,
+def status(now: float, me: str, machine: Machine, state: ReplicatedState, board: Board, loads: Loads, fresh: bool,
            asked: dict[str, tuple[float, str, int]]) -> dict[str, Any]:
     """`asked`: by edge that calls here, when it last did, and the epoch and revision of the board it had then."""
     edges = []
@@ -30,34 +30,34 @@
             told["current"] = asked[name][1:] == (board.epoch, board.at)
         edges.append(told)
     leases, unopened = {}, {}
-    for service, line in record.ledger.slices.items():
+    for service, line in state.ledger.slices.items():
         leases[service] = dict(sorted(Counter(x.conductor for x in line).items()))
         unopened[service] = sum(not x.open for x in line)
     return {
         "me": me, "role": machine.role, "term": machine.term, "leader": machine.leader, "fresh": fresh,
         "members": machine.members, "commit": machine.commit, "applied": machine.applied, "last": machine.log.last,
-        "config_version": version_text(record.version) if record.configuration else None, "config_order": record.order,
+        "config_version": version_text(state.version) if state.configuration else None, "config_order": state.order,
         "nodes": {"order": list(board.nodes_order), "count": len(board.nodes),
                   "draining": sum(node.draining for node in board.nodes.values()), "ailing": sorted(board.ailing)},
         "board": {"epoch": board.epoch, "at": board.at}, "leases": leases, "changing_hands": unopened, "edges": edges}
 
 
-def explain(now: float, record: Record, board: Board, host: str, path: str, key: int | None) -> dict[str, Any]:
+def explain(now: float, state: ReplicatedState, board: Board, host: str, path: str, key: int | None) -> dict[str, Any]:
     """Where this core holds that a request belongs: its route, and for each service of it who may run it."""
-    if record.configuration is None:
+    if state.configuration is None:
         return {"config_version": None, "route": None, "services": []}
-    version = version_text(record.version)
-    route = Index(record.configuration).find(host, path)
+    version = version_text(state.version)
+    route = Index(state.configuration).find(host, path)
     if route is None:
         return {"config_version": version, "route": None, "services": []}
     services: list[dict[str, Any]] = []
     for name, weight in route.splits:
         told: dict[str, Any] = {"service": name, "weight": weight,
-                                "sharded": record.configuration.services[name].sharded}
+                                "sharded": state.configuration.services[name].sharded}
         there = [node for node in board.nodes.values() if node.service == name]
         told["nodes"] = {"count": len(there), "draining": sum(node.draining for node in there)}
-        if told["sharded"] and key is not None and name in record.ledger.slices:
-            x = record.ledger.slices[name][key // WIDTH]
+        if told["sharded"] and key is not None and name in state.ledger.slices:
+            x = state.ledger.slices[name][key // WIDTH]
             node = board.nodes.get(x.owner)
             told["line"] = {
                 "slice": key // WIDTH, "first_key": key // WIDTH * WIDTH, "last_key": key // WIDTH * WIDTH + WIDTH - 1,
--- a/knotwalk/control_plane/agree.py
+++ b/knotwalk/control_plane/agree.py
@@ -9,7 +9,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from knotwalk.control_plane.record import Record
+from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.leases.ledger import Change
 from knotwalk.consensus.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
 from knotwalk.consensus.store import Damaged, Refused, Store
@@ -19,7 +19,7 @@
 
 HANG = 0.6          # a write that takes longer costs leadership: others serve meanwhile
 PATIENCE = 0.6      # for a peer: a lost message is repeated by the machine's own pace
-COMPACT = 4000      # entries after which the record is put down whole; some MB of log at most
+COMPACT = 4000      # entries after which the replicated state is put down whole; some MB of log at most
 COMPACT_PART = 0.25     # of the disk: past it, too, since few large entries fill a disk, and a full one takes no more
 WAITING_MOST = 256  # messages for a peer that does not answer; the machine repeats what matters
 
@@ -64,7 +64,7 @@
     def __init__(self, store: Store, saved: Any, caller: Caller, pace: Pace, seed: int, born: float):
         self.store, self.caller = store, caller
         self.machine = Machine(saved, pace, seed, clock(), born)
-        self.record = Record.from_dict(saved.snapshot) if saved.snapshot else Record()
+        self.state = ReplicatedState.from_dict(saved.snapshot) if saved.snapshot else ReplicatedState()
         self.tickets: dict[int, asyncio.Future] = {}
         self.results: dict[int, str] = {}       # index -> what applying it said, for those who wait
         self.next_ticket = 0
@@ -115,7 +115,7 @@
                         if (future := self.tickets.pop(ticket, None)) and not future.done():
                             future.set_result((outcome, value))
                     case Restore(state, _):
-                        self.record = Record.from_dict(state)
+                        self.state = ReplicatedState.from_dict(state)
                         self.on_restore()
                     case Role():
                         tell("role", role=order.role, term=order.term, leader=order.leader_address)
@@ -126,7 +126,7 @@
         self.timer = asyncio.get_running_loop().call_later(wait, self.turn) if not self.closing else None
 
     def _apply(self, entry: Any) -> None:
-        said, changes = self.record.apply(entry.index, entry.body if entry.kind == "command" else {})
+        said, changes = self.state.apply(entry.index, entry.body if entry.kind == "command" else {})
         self.results[entry.index] = said
         while len(self.results) > 2000:
             del self.results[next(iter(self.results))]
@@ -137,7 +137,7 @@
         self.since_size += len(json.dumps(entry.body))
         if self.since_compact >= COMPACT or self.since_size >= self.store.disk_mb * 1e6 * COMPACT_PART:
             self.since_compact = self.since_size = 0
-            self.machine.compact(entry.index, self.record.to_dict())
+            self.machine.compact(entry.index, self.state.to_dict())
 
     # --- the store -----------------------------------------------------------------------------------
 
@@ -249,7 +249,7 @@
         return self.results.get(value, "done")
 
     async def current(self, patience: float = 1.0) -> None:
-        """Return once the record here holds all that was agreed on before the call; NotLeader or Lost otherwise."""
+        """Return once the replicated state here holds all that was agreed on before the call; NotLeader or Lost otherwise."""
         outcome, value = await self._wait(self.machine.read, patience)
         if outcome == "not_leader":
             raise NotLeader(value)
--- a/knotwalk/control_plane/conductor.py
+++ b/knotwalk/control_plane/conductor.py
@@ -45,7 +45,7 @@
 
     def look(self, whole: bool = False) -> None:
         """The agreed ledger took an entry, or stands anew."""
-        ledger = self.agreement.record.ledger
+        ledger = self.agreement.state.ledger
         self.keeper.look(clock(), ledger, None if whole else ledger.touched)
         self.carry_out()
 
@@ -148,7 +148,7 @@
 
     def moves(self, now: float) -> list[dict]:
         """What the placer wants moved, if there is anything new to look at."""
-        ledger, failed = self.agreement.record.ledger, {id for id in self.board.nodes if self.keeper.dead(id)}
+        ledger, failed = self.agreement.state.ledger, {id for id in self.board.nodes if self.keeper.dead(id)}
         if not self.placer.due(now, (ledger, ledger.index, self.board.nodes_order, failed, self.board.ailing)):
             return []
         return self.placer.place(now, ledger, self.board.nodes, self.report(now, failed))
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -58,7 +58,7 @@
             return self.elsewhere(error.leader)
         except Lost:
             return answer({"error": "no majority answers; ask another or again"}, 503, {"Retry-After": "0.3"})
-        status, found = reading(self.agreement.record.configuration)
+        status, found = reading(self.agreement.state.configuration)
         return answer(found, status)
 
     async def change(self, request: Request) -> HTTPResponse:
@@ -67,22 +67,22 @@
                 return self.elsewhere(leader)
             async with self.taking:
                 await self.agreement.current()
-                record = self.agreement.record
-                verdict = judge(record.configuration, record.history, request.method,
+                state = self.agreement.state
+                verdict = judge(state.configuration, state.history, request.method,
                                 request.headers.get("if-match"), request.body)
                 if verdict.status != 200 or verdict.same:
                     tell("change", method=request.method, status=verdict.status, why=verdict.message, same=verdict.same)
                     return answer(verdict.body(), verdict.status)
                 command = {"do": "configure", "base": verdict.base, "version": verdict.version,
                            "digest": verdict.digest}
-                less = difference(document(record.configuration), verdict.document) if record.configuration else None
+                less = difference(document(state.configuration), verdict.document) if state.configuration else None
                 command |= {"difference": less} if less else {"document": verdict.document}
                 said = await self.agreement.propose(command, PATIENCE)
         except NotLeader as error:
             return self.elsewhere(error.leader)
         except Lost:
             return answer({"error": "not known whether it was agreed on; send it again"}, 503, {"Retry-After": "0.3"})
-        tell("change", method=request.method, said=said, version=record.version)
+        tell("change", method=request.method, said=said, version=state.version)
         if said != "done":
             return answer({"error": said}, 412)
         return answer(verdict.body())
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -63,7 +63,7 @@
                 continue
             self.lease(self.me)
             now = clock()
-            for service, slices in list(self.agreement.record.ledger.slices.items()):
+            for service, slices in list(self.agreement.state.ledger.slices.items()):
                 leased = [s.conductor for s in slices]
                 self.tenure.replaced(now, leased, self.agreement.machine.members)
                 for conductor, found in reassign(self.tenure, now, leased).items():
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -174,7 +174,7 @@
     async def status(self, request: Request) -> HTTPResponse:
         """This core's account of itself; nothing changes by it."""
         now = clock()
-        return answer(account.status(now, self.me, self.agreement.machine, self.agreement.record, self.board,
+        return answer(account.status(now, self.me, self.agreement.machine, self.agreement.state, self.board,
                                      self.loads, now < self.fresh_until and not self.leaving, self.asked))
 
     async def explain(self, request: Request) -> HTTPResponse:
@@ -186,7 +186,7 @@
                 raise ValueError
         except (KeyError, TypeError, ValueError):
             return answer({"error": f"host and path are texts, key a number below {KEYS}, if any"}, 400)
-        return answer(account.explain(clock(), self.agreement.record, self.board, host, path, key))
+        return answer(account.explain(clock(), self.agreement.state, self.board, host, path, key))
 
     # --- loads ------------------------------------------------------------------------------------
 
--- a/knotwalk/control_plane/record.py
+++ b/knotwalk/control_plane/replicated_state.py
@@ -16,7 +16,7 @@
 FORMAT = 3
 
 
-class Record:
+class ReplicatedState:
     """The agreed state. `order` is the log index of the configuration in force."""
 
     def __init__(self) -> None:
@@ -58,7 +58,7 @@
                 "ledger": self.ledger.to_dict()}
 
     @classmethod
-    def from_dict(cls, raw: dict) -> Record:
+    def from_dict(cls, raw: dict) -> ReplicatedState:
         """The record of a snapshot; ValueError if it is of a later format."""
         if raw["format"] > FORMAT:
             raise ValueError(f"the snapshot has format {raw['format']}, this program reads up to {FORMAT}")
--- a/tests/system/test_cli.py
+++ b/tests/system/test_cli.py
@@ -18,7 +18,7 @@
 from knotwalk.configuration.control import History, judge, reading
 from knotwalk.configuration.read import document, read_configuration
 from knotwalk.control_plane import account
-from knotwalk.control_plane.record import Record
+from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.leases.ledger import SLICES
 from knotwalk.consensus.machine import Entry, Machine, Pace, Save, Saved
 from knotwalk.consensus.store import Store, StoreBroken, read
@@ -170,12 +170,12 @@
         return {path.name: hashlib.sha256(path.read_bytes()).hexdigest() for path in (self.folder / "data").iterdir()}
 
     def test_the_newest_configuration_and_not_a_byte_written_even_while_the_core_runs(self):
-        record = Record()
-        record.apply(1, configure(0, FIRST))
+        state = ReplicatedState()
+        state.apply(1, configure(0, FIRST))
         second = FIRST | {"config_version": "r8"}
         store = self.store([
             Save(1, 3, None, [Entry(1, 3, "command", configure(0, FIRST))], None, None),
-            Save(2, 3, None, [], None, (1, 3, {"a:1#founder": "a:1"}, record.to_dict())),
+            Save(2, 3, None, [], None, (1, 3, {"a:1#founder": "a:1"}, state.to_dict())),
             Save(3, 3, None, [Entry(2, 3, "noop", {}), Entry(3, 3, "command", configure(3, second, "e"))], None, None)])
         before = self.contents()
         self.assertIn("logbook.sqlite-wal", before)     # what was kept last is there only
@@ -307,11 +307,11 @@
     """What a core says of itself, as openapi/peers.yaml has it, and how it is shown."""
 
     def setUp(self):
-        self.record, self.board, self.loads = Record(), Board("e"), Loads()
-        self.record.apply(1, configure(0, FIRST))
-        self.record.apply(2, {"do": "lease", "to": "a:1#founder", "slices": {"tiles": [[0, 99]]}})
-        self.record.apply(3, {"do": "move", "by": "a:1#founder", "moves": [["tiles", 0, 9, 0, "i-1"]]})
-        self.record.apply(4, {"do": "granted", "by": "a:1#founder", "fence": 3, "slices": {"tiles": [[0, 4]]}})
+        self.state, self.board, self.loads = ReplicatedState(), Board("e"), Loads()
+        self.state.apply(1, configure(0, FIRST))
+        self.state.apply(2, {"do": "lease", "to": "a:1#founder", "slices": {"tiles": [[0, 99]]}})
+        self.state.apply(3, {"do": "move", "by": "a:1#founder", "moves": [["tiles", 0, 9, 0, "i-1"]]})
+        self.state.apply(4, {"do": "granted", "by": "a:1#founder", "fence": 3, "slices": {"tiles": [[0, 4]]}})
         self.board.set_nodes((1, 1), {"i-1": Node("i-1", "tiles", ("10.0.0.9", 80), "z", 2)})
         self.machine = Machine(Saved("a:1#founder", members={"a:1#founder": "a:1", "b:1#founder": "b:1"}),
                                Pace(), 1, 0.0)
@@ -319,7 +319,7 @@
     def status(self, fresh=True):
         self.loads.edges = {"e-1": 99.0, "e-2": 98.5, "e-3": 99.5, "e-old": 80.0}
         asked = {"e-1": (99.0, "e", self.board.at), "e-2": (98.5, "e", self.board.at - 1)}
-        return account.status(100.0, "a:1#founder", self.machine, self.record, self.board, self.loads, fresh, asked)
+        return account.status(100.0, "a:1#founder", self.machine, self.state, self.board, self.loads, fresh, asked)
 
     def fits(self, name, told):
         schema = yaml.safe_load(STATIONS.read_text())["components"]["schemas"][name]
@@ -338,18 +338,18 @@
         self.assertIn("e-old", self.loads.edges)        # asking has changed nothing
 
     def test_explain(self):
-        told = account.explain(100.0, self.record, self.board, "tiles.example:80", "/frames/7?x=/desk/", 3 * WIDTH)
+        told = account.explain(100.0, self.state, self.board, "tiles.example:80", "/frames/7?x=/desk/", 3 * WIDTH)
         self.fits("Explained", told)
         line = told["services"][0]["line"]
         self.assertEqual((told["route"]["name"], line["slice"], line["owner"], line["open"], line["fence"]),
                          ("frames", 3, "i-1", True, 3))
         self.assertIn("owner i-1, at 10.0.0.9:80 in z", "\n".join(show.explained(told)))
-        shut = account.explain(100.0, self.record, self.board, "tiles.example", "/frames/", 9 * WIDTH)
+        shut = account.explain(100.0, self.state, self.board, "tiles.example", "/frames/", 9 * WIDTH)
         self.assertIn("changes hands", "\n".join(show.explained(shut)))
-        nobody = account.explain(100.0, self.record, self.board, "tiles.example", "/frames/", 65535)
+        nobody = account.explain(100.0, self.state, self.board, "tiles.example", "/frames/", 65535)
         self.assertIn("owner nobody, not placed yet", "\n".join(show.explained(nobody)))
-        self.assertIsNone(account.explain(100.0, self.record, self.board, "tiles.example", "/", 3)["route"])
-        self.assertEqual(show.explained(account.explain(0.0, Record(), self.board, "h", "/", None)),
+        self.assertIsNone(account.explain(100.0, self.state, self.board, "tiles.example", "/", 3)["route"])
+        self.assertEqual(show.explained(account.explain(0.0, ReplicatedState(), self.board, "h", "/", None)),
                          ["no configuration has been taken yet"])
 
     def test_the_commands_end_as_the_answers_are(self):
@@ -363,7 +363,7 @@
         self.assertEqual(answered(self.status(fresh=False), "status", "x:1")[0], 1)
         self.assertEqual(json.loads(answered(self.status(), "status", "x:1", "--json")[1]), self.status())
         self.assertEqual(answered({"me": "other"}, "status", "x:1")[0], 2)
-        none = account.explain(0.0, self.record, self.board, "h", "/", None)
+        none = account.explain(0.0, self.state, self.board, "h", "/", None)
         asked.clear()
         self.assertEqual(answered(none, "explain", "x:1", "1.10", "/", "--key", "7")[:2],
                          (1, "r3: no route; an edge answers 404\n"))
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -97,10 +97,10 @@
         other = {**command, "version": 4, "digest": "e"}
         self.assertEqual(await leader.propose(other), "another version is in place")
         last = leader.machine.applied
-        await self.until(lambda: all(end.record.applied >= last for end in self.wire.ends.values()))
-        kept = [json.dumps(end.record.to_dict(), sort_keys=True) for end in self.wire.ends.values()]
+        await self.until(lambda: all(end.state.applied >= last for end in self.wire.ends.values()))
+        kept = [json.dumps(end.state.to_dict(), sort_keys=True) for end in self.wire.ends.values()]
         self.assertEqual(len(set(kept)), 1)
-        self.assertEqual(leader.record.version, 3)
+        self.assertEqual(leader.state.version, 3)
 
     async def test_few_large_entries_are_put_down_whole_before_they_fill_the_disk(self):
         """Compaction by count alone let some dozens of them fill it, and a full disk refuses what would make room."""
@@ -130,7 +130,7 @@
         fresh = await self.leader()
         self.assertIsNot(fresh, leader)
         await fresh.propose({"do": "shard", "services": ["s"]})
-        await self.until(lambda: "s" in leader.record.ledger.slices)
+        await self.until(lambda: "s" in leader.state.ledger.slices)
 
 
 class DamageCase(unittest.IsolatedAsyncioTestCase):
@@ -184,7 +184,7 @@
         self.assertEqual(len(said.output), 1)
         self.assertNotIn(fresh.machine.me, founders)
         await until(lambda: leader.machine.members.keys() - founders == {fresh.machine.me}
-                    and fresh.record.version == 4 and fresh.machine.role == "follower")
+                    and fresh.state.version == 4 and fresh.machine.role == "follower")
         for end in wire.ends.values():
             await end.close()
             await asyncio.to_thread(end.writer.shutdown)
