Rename the agreement's driver to consensus driver

Need: the house's words are withdrawn; a newcomer looks for the field's name. Change: names and their mentions only.

--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -13,7 +13,7 @@
 from zlib import crc32
 
 from knotwalk.configuration.read import document
-from knotwalk.control_plane.agree import Agreement, opened
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
 from knotwalk.control_plane.conductor import Conductor
 from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.peer_api import PeerApi
@@ -45,25 +45,25 @@
         self.me = saved.me
         self.caller = Caller()
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
-        self.agreement = Agreement(self.store, saved, self.caller, Pace(target=2 * settings.tolerance.machines + 1),
+        self.consensus = ConsensusDriver(self.store, saved, self.caller, Pace(target=2 * settings.tolerance.machines + 1),
                                    seed, BORN)
-        self.agreement.machine.address = own
-        self.agreement.machine.contacts = [at for at in founders.values() if at != own]
+        self.consensus.machine.address = own
+        self.consensus.machine.contacts = [at for at in founders.values() if at != own]
         self.board = Board(os.urandom(6).hex())
         self.loads = Loads()
-        self.list_poller = ListPoller(settings, self.agreement, self.board, self.caller, self.me)
+        self.list_poller = ListPoller(settings, self.consensus, self.board, self.caller, self.me)
         self.granter = Caller(resets=True)
-        self.conductor = Conductor(self.me, self.agreement, self.board, self.loads, self.granter,
+        self.conductor = Conductor(self.me, self.consensus, self.board, self.loads, self.granter,
                                    keeper.Pace(hold=min(6.0, settings.bounds.max_hold)), seed,
                                    self.propose, settings.zone)
-        self.peer_api = PeerApi(self.me, self.agreement, self.list_poller, self.conductor, self.board, self.loads,
+        self.peer_api = PeerApi(self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads,
                                  self.caller)
-        self.control = Control(self.agreement, settings.at("control")[1])
-        self.agreement.on_config = self.configured
-        self.agreement.on_change = self.lines_changed
-        self.agreement.on_role = lambda role: self.list_poller.role(role.role == "leader")
-        self.agreement.on_restore = self.restored
-        self.agreement.on_damage = lambda: os._exit(1)      # nothing more is promised, no leave: the disk may be whole
+        self.control = Control(self.consensus, settings.at("control")[1])
+        self.consensus.on_config = self.configured
+        self.consensus.on_change = self.lines_changed
+        self.consensus.on_role = lambda role: self.list_poller.role(role.role == "leader")
+        self.consensus.on_restore = self.restored
+        self.consensus.on_damage = lambda: os._exit(1)      # nothing more is promised, no leave: the disk may be whole
         self.list_poller.on_nodes = self.listed
         self.ending = Ending(self.reload)
 
@@ -73,7 +73,7 @@
     # --- what the agreed log and the list bring -----------------------------------------------------
 
     def configured(self) -> None:
-        state = self.agreement.state
+        state = self.consensus.state
         self.board.set_config(state.order, document(state.configuration))
         self.peer_api.changed()
 
@@ -89,7 +89,7 @@
 
     def restored(self) -> None:
         """A whole state stands where there was another or none."""
-        state = self.agreement.state
+        state = self.consensus.state
         if state.configuration is not None:
             self.configured()
         for service, slices in state.ledger.slices.items():
@@ -109,36 +109,36 @@
         await peer_api.start(self.settings.ip_address, self.settings.ports[0])
         await control.start(*self.settings.at("control"))
         self.restored()
-        self.agreement.start()
+        self.consensus.start()
         works = [asyncio.get_running_loop().create_task(work) for work in (
             self.list_poller.keep_leases(), self.list_poller.poll(), self.peer_api.keep_lease(), self.peer_api.share_loads(),
             self.conductor.place(), self.watch_members())]
-        tell("started", me=self.me, members=list(self.agreement.machine.members), applied=self.agreement.state.applied)
+        tell("started", me=self.me, members=list(self.consensus.machine.members), applied=self.consensus.state.applied)
         await self.ending.wait(*works)
         tell("leaving")
         await self.peer_api.leave()
-        self.agreement.machine.leave(journal.clock())
-        self.agreement.carry_out()
+        self.consensus.machine.leave(journal.clock())
+        self.consensus.carry_out()
         await asyncio.sleep(min(1.0, self.settings.bounds.grace_period / 4))
         for work in works:
             work.cancel()
         await control.close()
         await peer_api.close()
-        await self.agreement.close()
+        await self.consensus.close()
         await self.caller.close()
         await self.granter.close()
 
     async def watch_members(self) -> None:
         """Tell the edges which cores there are, as members change."""
         while True:
-            self.board.set_cores(sorted(self.agreement.machine.members.values()))
+            self.board.set_cores(sorted(self.consensus.machine.members.values()))
             await asyncio.sleep(0.5)
 
     def reload(self, fresh: Settings) -> None:
         """The settings file changed: seeds and the platform's address are taken up; the rest wants a start."""
         self.settings = self.list_poller.settings = fresh
         port, own = fresh.ports[0], fresh.ip_address
-        self.agreement.machine.contacts = [f"{ip}:{port}" for ip, _ in fresh.seeds if ip != own]
+        self.consensus.machine.contacts = [f"{ip}:{port}" for ip, _ in fresh.seeds if ip != own]
 
 
 if __name__ == "__main__":
--- a/knotwalk/control_plane/conductor.py
+++ b/knotwalk/control_plane/conductor.py
@@ -5,7 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from knotwalk.control_plane.agree import Agreement
+from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.placement.capacity import Report, utilizations
 from knotwalk.placement.placer import Placer
 from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
@@ -27,9 +27,9 @@
 class Conductor:
     """Acts only on slices that the agreed log leases to `me`, and only while its lease is proven."""
 
-    def __init__(self, me: str, agreement: Agreement, board: Board, loads: Loads, caller: Caller, pace: Pace, seed: int,
+    def __init__(self, me: str, consensus: ConsensusDriver, board: Board, loads: Loads, caller: Caller, pace: Pace, seed: int,
                  propose: Callable[[dict], Awaitable[str | None]], zone: str = ""):
-        self.me, self.agreement, self.board, self.loads, self.caller = me, agreement, board, loads, caller
+        self.me, self.consensus, self.board, self.loads, self.caller = me, consensus, board, loads, caller
         self.pace, self.propose = pace, propose
         self.keeper = Keeper(me, pace, seed, clock())
         self.placer = Placer(me, seed, zone)
@@ -45,7 +45,7 @@
 
     def look(self, whole: bool = False) -> None:
         """The agreed ledger took an entry, or stands anew."""
-        ledger = self.agreement.state.ledger
+        ledger = self.consensus.state.ledger
         self.keeper.look(clock(), ledger, None if whole else ledger.touched)
         self.carry_out()
 
@@ -148,7 +148,7 @@
 
     def moves(self, now: float) -> list[dict]:
         """What the placer wants moved, if there is anything new to look at."""
-        ledger, failed = self.agreement.state.ledger, {id for id in self.board.nodes if self.keeper.dead(id)}
+        ledger, failed = self.consensus.state.ledger, {id for id in self.board.nodes if self.keeper.dead(id)}
         if not self.placer.due(now, (ledger, ledger.index, self.board.nodes_order, failed, self.board.ailing)):
             return []
         return self.placer.place(now, ledger, self.board.nodes, self.report(now, failed))
--- a/knotwalk/control_plane/agree.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -58,7 +58,7 @@
         self.leader = leader
 
 
-class Agreement:
+class ConsensusDriver:
     """One core machine's part. `on_change` hears owner lines, `on_config` and `on_role` what their names say."""
 
     def __init__(self, store: Store, saved: Any, caller: Caller, pace: Pace, seed: int, born: float):
@@ -70,7 +70,7 @@
         self.next_ticket = 0
         self.writer = ThreadPoolExecutor(1, "consensus")
         self.saves: asyncio.Queue[Save] = asyncio.Queue()
-        self.mail: dict[str, list[dict]] = {}
+        self.outbox: dict[str, list[dict]] = {}
         self.posting: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
         self.on_change: Callable[[int, list[Change]], None] = lambda index, changes: None
@@ -182,7 +182,7 @@
     # --- peers ---------------------------------------------------------------------------------------
 
     def _post(self, address: str, message: dict) -> None:
-        waiting = self.mail.setdefault(address, [])
+        waiting = self.outbox.setdefault(address, [])
         waiting.append(message)
         if len(waiting) > WAITING_MOST:
             del waiting[:WAITING_MOST // 2]
@@ -192,9 +192,9 @@
 
     async def _deliver(self, address: str) -> None:
         try:
-            while letters := self.mail.pop(address, None):
+            while messages := self.outbox.pop(address, None):
                 try:
-                    answers = await self.caller.json("POST", f"http://{address}/agreement", letters, PATIENCE,
+                    answers = await self.caller.json("POST", f"http://{address}/consensus", messages, PATIENCE,
                                                      "agreement")
                 except PeerError:
                     continue
@@ -202,19 +202,19 @@
         finally:
             self.posting.discard(address)
 
-    def receive(self, letters: list[dict]) -> None:
+    def receive(self, messages: list[dict]) -> None:
         now = clock()
-        for letter in letters:
-            self.machine.receive(now, letter)
+        for message in messages:
+            self.machine.receive(now, message)
         self.carry_out()
 
-    def exchange(self, letters: list[dict]) -> list[dict]:
-        """A peer's letters; what can be answered at once goes back with the answer instead of a call of its own."""
+    def exchange(self, messages: list[dict]) -> list[dict]:
+        """A peer's messages; what can be answered at once goes back with the answer instead of a call of its own."""
         now = clock()
-        for letter in letters:
-            self.machine.receive(now, letter)
+        for message in messages:
+            self.machine.receive(now, message)
         back, rest = [], []
-        origin = letters[0].get("at", "") if letters else ""
+        origin = messages[0].get("at", "") if messages else ""
         for order in self.machine.orders:
             if isinstance(order, Send) and order.to_address == origin:
                 back.append(order.message)
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -8,7 +8,7 @@
 
 from knotwalk.configuration.control import judge, reading
 from knotwalk.configuration.read import difference, document
-from knotwalk.control_plane.agree import Agreement, Lost, NotLeader
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
 from knotwalk.runtime.journal import tell
 from knotwalk.runtime.serve import answer, app
 
@@ -19,8 +19,8 @@
 class Control:
     """The control port of one core machine. Calls that need the leader are sent on to it."""
 
-    def __init__(self, agreement: Agreement, port: int):
-        self.agreement, self.port = agreement, port
+    def __init__(self, consensus: ConsensusDriver, port: int):
+        self.consensus, self.port = consensus, port
         self.taking = asyncio.Lock()    # one change at a time is judged and agreed on
 
     def app(self) -> Sanic:
@@ -31,7 +31,7 @@
 
     async def leader(self) -> str | None:
         """The leader's peer address, waited for briefly; None if this machine leads; NotLeader if none is known."""
-        machine, waited = self.agreement.machine, 0.0
+        machine, waited = self.consensus.machine, 0.0
         while True:
             if machine.role == "leader":
                 return None
@@ -53,12 +53,12 @@
         try:
             if (leader := await self.leader()) is not None:
                 return self.elsewhere(leader)
-            await self.agreement.current()
+            await self.consensus.current()
         except NotLeader as error:
             return self.elsewhere(error.leader)
         except Lost:
             return answer({"error": "no majority answers; ask another or again"}, 503, {"Retry-After": "0.3"})
-        status, found = reading(self.agreement.state.configuration)
+        status, found = reading(self.consensus.state.configuration)
         return answer(found, status)
 
     async def change(self, request: Request) -> HTTPResponse:
@@ -66,8 +66,8 @@
             if (leader := await self.leader()) is not None:
                 return self.elsewhere(leader)
             async with self.taking:
-                await self.agreement.current()
-                state = self.agreement.state
+                await self.consensus.current()
+                state = self.consensus.state
                 verdict = judge(state.configuration, state.history, request.method,
                                 request.headers.get("if-match"), request.body)
                 if verdict.status != 200 or verdict.same:
@@ -77,7 +77,7 @@
                            "digest": verdict.digest}
                 less = difference(document(state.configuration), verdict.document) if state.configuration else None
                 command |= {"difference": less} if less else {"document": verdict.document}
-                said = await self.agreement.propose(command, PATIENCE)
+                said = await self.consensus.propose(command, PATIENCE)
         except NotLeader as error:
             return self.elsewhere(error.leader)
         except Lost:
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -6,7 +6,7 @@
 import json
 from collections.abc import Callable
 
-from knotwalk.control_plane.agree import Agreement, Lost, NotLeader
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
 from knotwalk.discovery.listing import Listing, Unusable
@@ -23,8 +23,8 @@
 class ListPoller:
     """Works only while this machine leads; what it finds goes on the board and to the other cores."""
 
-    def __init__(self, settings: Settings, agreement: Agreement, board: Board, caller: Caller, me: str):
-        self.settings, self.agreement, self.board, self.caller, self.me = settings, agreement, board, caller, me
+    def __init__(self, settings: Settings, consensus: ConsensusDriver, board: Board, caller: Caller, me: str):
+        self.settings, self.consensus, self.board, self.caller, self.me = settings, consensus, board, caller, me
         self.tenure: Tenure | None = None
         self.turn_of_list = 0
         self.own_list: asyncio.Task | None = None
@@ -37,15 +37,15 @@
     @property
     def proven(self) -> bool:
         """Whether no other can lead now: a majority answered this leader a moment ago."""
-        machine = self.agreement.machine
+        machine = self.consensus.machine
         return (self.tenure is not None and machine.role == "leader" and machine.settled
                 and clock() - machine.majority_at < PROOF)
 
     def lease(self, conductor: str) -> dict | None:
         """A conductor asks to act on; None if this machine may not say."""
-        if not self.proven or conductor not in self.agreement.machine.members:
+        if not self.proven or conductor not in self.consensus.machine.members:
             return None
-        machine = self.agreement.machine
+        machine = self.consensus.machine
         return {"lease": self.tenure.asked(clock(), conductor), "commit": machine.commit,
                 "last": machine.log.last, "term": machine.term,
                 "nodes": list(self.board.nodes_order)}
@@ -59,13 +59,13 @@
     async def keep_leases(self) -> None:
         while True:
             await asyncio.sleep(STEP)
-            if not self.proven or self.agreement.machine.applied < self.agreement.machine.commit:
+            if not self.proven or self.consensus.machine.applied < self.consensus.machine.commit:
                 continue
             self.lease(self.me)
             now = clock()
-            for service, slices in list(self.agreement.state.ledger.slices.items()):
+            for service, slices in list(self.consensus.state.ledger.slices.items()):
                 leased = [s.conductor for s in slices]
-                self.tenure.replaced(now, leased, self.agreement.machine.members)
+                self.tenure.replaced(now, leased, self.consensus.machine.members)
                 for conductor, found in reassign(self.tenure, now, leased).items():
                     tell("slices leased", service=service, to=conductor, runs=found)
                     by_before: dict[str, list[int]] = {}
@@ -86,7 +86,7 @@
         if tenure is None:
             return False
         try:
-            await self.agreement.propose({"do": "lease", "from": before, "to": to, "early": tenure.early(clock()),
+            await self.consensus.propose({"do": "lease", "from": before, "to": to, "early": tenure.early(clock()),
                                           "slices": {service: runs}})
             return True
         except (NotLeader, Lost):
@@ -101,9 +101,9 @@
             if not self.proven or self.settings.platform.address is None:
                 await asyncio.sleep(0.03)       # a new leader reads at once: edges that start wait for the list
                 continue
-            if term == self.agreement.machine.term:
+            if term == self.consensus.machine.term:
                 await asyncio.sleep(POLL if not failing else min(2.0, 0.3 * failing))
-            term = self.agreement.machine.term
+            term = self.consensus.machine.term
             try:
                 listing = await self.read()
             except (PeerError, Unusable) as error:
@@ -112,7 +112,7 @@
                     warn("the list can't be read", why=str(error), times=failing)
                 continue
             failing = 0
-            if not self.proven or term != self.agreement.machine.term:
+            if not self.proven or term != self.consensus.machine.term:
                 continue
             self.turn_of_list += 1
             if self.board.set_nodes((term, self.turn_of_list), listing.nodes, True):
@@ -156,9 +156,9 @@
     async def tell_cores(self) -> None:
         """The list to every other core; one that misses it asks for it when a lease's answer names a newer one."""
         message = self.list_message()
-        own = self.agreement.machine.members.get(self.me)
+        own = self.consensus.machine.members.get(self.me)
         await asyncio.gather(*(self.caller.json("POST", f"http://{at}/nodes", message, 0.6, "tell nodes")
-                               for at in self.agreement.machine.members.values() if at != own), return_exceptions=True)
+                               for at in self.consensus.machine.members.values() if at != own), return_exceptions=True)
 
     def listed(self, message: dict) -> None:
         """The leader told its list."""
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -7,7 +7,7 @@
 from sanic import HTTPResponse, Request, Sanic
 
 from knotwalk.control_plane import account
-from knotwalk.control_plane.agree import Agreement, Lost, NotLeader
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
 from knotwalk.control_plane.conductor import Conductor
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.leases.tenure import ASK
@@ -28,9 +28,9 @@
 class PeerApi:
     """The port on which this core is called by edges and other cores, and its own calls to the leader."""
 
-    def __init__(self, me: str, agreement: Agreement, list_poller: ListPoller, conductor: Conductor, board: Board,
+    def __init__(self, me: str, consensus: ConsensusDriver, list_poller: ListPoller, conductor: Conductor, board: Board,
                  loads: Loads, caller: Caller):
-        self.me, self.agreement, self.list_poller, self.conductor = me, agreement, list_poller, conductor
+        self.me, self.consensus, self.list_poller, self.conductor = me, consensus, list_poller, conductor
         self.board, self.loads, self.caller = board, loads, caller
         self.news = asyncio.Event()
         self.fresh_until = 0.0
@@ -39,7 +39,7 @@
 
     def app(self) -> Sanic:
         made = app("peers")
-        for path, handler in (("/agreement", self.letters), ("/cluster-view", self.view), ("/lease", self.lease),
+        for path, handler in (("/consensus", self.messages), ("/cluster-view", self.view), ("/lease", self.lease),
                               ("/proposal", self.proposal), ("/nodes", self.nodes), ("/loads", self.share),
                               ("/status", self.status), ("/explain", self.explain)):
             made.add_route(handler, path, methods=["POST"], error_format="text")
@@ -47,22 +47,22 @@
 
     # --- agreement --------------------------------------------------------------------------------
 
-    async def letters(self, request: Request) -> HTTPResponse:
-        return answer(self.agreement.exchange(body(request)))
+    async def messages(self, request: Request) -> HTTPResponse:
+        return answer(self.consensus.exchange(body(request)))
 
     async def proposal(self, request: Request) -> HTTPResponse:
         """A conductor's command for the log, taken by the leader only."""
         try:
-            return answer({"said": await self.agreement.propose(body(request), 2.0)})
+            return answer({"said": await self.consensus.propose(body(request), 2.0)})
         except (NotLeader, Lost):
             return answer({"error": "not agreed on here"}, 503)
 
     async def propose(self, command: dict) -> str | None:
         """Have a command of this conductor agreed on; None if its outcome is unknown (it may yet come)."""
-        machine = self.agreement.machine
+        machine = self.consensus.machine
         try:
             if machine.role == "leader":
-                return await self.agreement.propose(command, 2.0)
+                return await self.consensus.propose(command, 2.0)
             if machine.leader:
                 reply = await self.caller.json("POST", f"http://{machine.leader}/proposal", command, 2.2, "proposal")
                 return reply["said"]
@@ -83,7 +83,7 @@
     async def keep_lease(self) -> None:
         """Ask for the lease again and again; each answer also says what was agreed on, so how fresh we are."""
         while True:
-            sent, machine = clock(), self.agreement.machine
+            sent, machine = clock(), self.consensus.machine
             given = None
             if machine.role == "leader":
                 given = self.list_poller.lease(self.me)
@@ -161,7 +161,7 @@
         """What an edge that has nothing may serve by until there is a leader: what the disk here holds as committed,
         and the list as read here. None from a core that was fresh in this life, or has heard a leader and is about to
         be."""
-        if self.fresh_until or self.leaving or self.agreement.machine.leader or self.board.config is None:
+        if self.fresh_until or self.leaving or self.consensus.machine.leader or self.board.config is None:
             return None
         try:
             nodes = await asyncio.wait_for(self.list_poller.own_nodes(), STALE_WAIT)
@@ -174,7 +174,7 @@
     async def status(self, request: Request) -> HTTPResponse:
         """This core's account of itself; nothing changes by it."""
         now = clock()
-        return answer(account.status(now, self.me, self.agreement.machine, self.agreement.state, self.board,
+        return answer(account.status(now, self.me, self.consensus.machine, self.consensus.state, self.board,
                                      self.loads, now < self.fresh_until and not self.leaving, self.asked))
 
     async def explain(self, request: Request) -> HTTPResponse:
@@ -186,7 +186,7 @@
                 raise ValueError
         except (KeyError, TypeError, ValueError):
             return answer({"error": f"host and path are texts, key a number below {KEYS}, if any"}, 400)
-        return answer(account.explain(clock(), self.agreement.state, self.board, host, path, key))
+        return answer(account.explain(clock(), self.consensus.state, self.board, host, path, key))
 
     # --- loads ------------------------------------------------------------------------------------
 
@@ -205,7 +205,7 @@
             told = self.loads.take(clock())
             if told:
                 await asyncio.gather(*(self.caller.json("POST", f"http://{at}/loads", told, 0.6, "loads")
-                                       for id, at in self.agreement.machine.members.items() if id != self.me),
+                                       for id, at in self.consensus.machine.members.items() if id != self.me),
                                      return_exceptions=True)
 
     def judge(self) -> None:
@@ -220,7 +220,7 @@
         self.leaving = True
         self.conductor.stop()
         self.changed()
-        machine = self.agreement.machine
+        machine = self.consensus.machine
         if machine.role == "leader":
             self.list_poller.leave(self.me)
         elif machine.leader:
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from knotwalk.configuration.read import document, patched, read_configuration
-from knotwalk.control_plane.agree import Agreement, NotLeader, opened
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
 from knotwalk.control_plane.conductor import LANES, Conductor
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.list_poller import ListPoller
@@ -35,7 +35,7 @@
     """Calls between agreements, as they would come over a connection; who is cut off is not reached."""
 
     def __init__(self) -> None:
-        self.ends: dict[str, Agreement] = {}
+        self.ends: dict[str, ConsensusDriver] = {}
         self.cut: set[str] = set()
         self.answers: list[tuple[str, list[dict]]] = []
 
@@ -45,7 +45,7 @@
         if address in self.cut:
             raise PeerError(step, address, "cut off")
         found = self.ends[address].exchange(json.loads(json.dumps(body)))
-        self.answers += [(letter["type"], found) for letter in body]
+        self.answers += [(message["type"], found) for message in body]
         return found
 
 
@@ -64,7 +64,7 @@
         founders = {f"{at}#founder": at for at in ADDRESSES}
         for n, at in enumerate(ADDRESSES):
             saved = Saved(f"{at}#founder", members=founders)
-            self.wire.ends[at] = Agreement(Disk(), saved, self.wire, Pace(), n, float("-inf"))
+            self.wire.ends[at] = ConsensusDriver(Disk(), saved, self.wire, Pace(), n, float("-inf"))
         for end in self.wire.ends.values():
             end.start()
 
@@ -77,17 +77,17 @@
             while not met():
                 await asyncio.sleep(0.001)      # a turn of the loop, so that timers come due; bounded above
 
-    async def leader(self) -> Agreement:
+    async def leader(self) -> ConsensusDriver:
         await self.until(lambda: any(end.machine.settled for end in self.wire.ends.values()))
         return next(end for end in self.wire.ends.values() if end.machine.settled)
 
     async def test_a_follower_answers_the_leaders_letters_with_the_call_itself(self):
-        """What an answer to letters holds is what commits wait for: left to the next heartbeat, each took 0.3 s."""
+        """What an answer to messages holds is what commits wait for: left to the next heartbeat, each took 0.3 s."""
         leader = await self.leader()
         await leader.propose({"do": "shard", "services": ["s"]})
         appends = [found for kind, found in self.wire.answers if kind == "append"]
         self.assertTrue(appends)
-        self.assertTrue(any(letter["type"] == "appended" for found in appends for letter in found))
+        self.assertTrue(any(message["type"] == "appended" for found in appends for message in found))
 
     async def test_what_is_agreed_on_is_the_same_everywhere(self):
         leader = await self.leader()
@@ -141,9 +141,9 @@
         self.addCleanup(shutil.rmtree, folder)
         wire, founders, damage = Wire(), {f"{at}#founder": at for at in ADDRESSES}, []
 
-        def start(at: str, first: bool) -> Agreement:
+        def start(at: str, first: bool) -> ConsensusDriver:
             store = Store()
-            end = wire.ends[at] = Agreement(store, opened(store, str(folder / at), first, at, founders), wire, Pace(), 1,
+            end = wire.ends[at] = ConsensusDriver(store, opened(store, str(folder / at), first, at, founders), wire, Pace(), 1,
                                             float("-inf"))
             end.machine.address, end.machine.contacts = at, [one for one in ADDRESSES if one != at]
             end.on_damage = lambda: damage.append(at)
@@ -266,10 +266,10 @@
                 return self.status, {}, json.dumps({"instances": {"i-1": entry}, "next_token": None}).encode()
 
         self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(leader=None)
-        agreement = SimpleNamespace(machine=self.machine)
-        list_poller = ListPoller(SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"), agreement, self.board,
+        consensus = SimpleNamespace(machine=self.machine)
+        list_poller = ListPoller(SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"), consensus, self.board,
                           self.platform, "me")
-        self.peer_api = PeerApi("me", agreement, list_poller, None, self.board, Loads(), None)
+        self.peer_api = PeerApi("me", consensus, list_poller, None, self.board, Loads(), None)
 
     async def ask(self, **more):
         asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
--- a/tests/system/test_points.py
+++ b/tests/system/test_points.py
@@ -12,7 +12,7 @@
 CRASHES = [("before", 0.02), ("after", 1.0)]    # and after how many seconds it restarts
 MESSAGES = CRASHES + [("lost", 0.0), ("twice", 0.0)]
 FITS = dict.fromkeys(("save", "write", "kept", "read"), CRASHES)
-HANG = 0.6      # as control_plane/agree.py: so long a write may take before the machine hears of it
+HANG = 0.6      # as control_plane/consensus_driver.py: so long a write may take before the machine hears of it
 FITS["save"] = CRASHES + [("refused", 0.05), ("refused", 2.0), ("hangs", 4.0), ("hangs, killed", 1.0)]
 FITS |= dict.fromkeys(("send", "receive", "answer", "commit"), MESSAGES)
 
