Rename the lease holder's module to slice manager

Need: the house's words are withdrawn; a newcomer looks for the field's name. Change: names and their mentions only.

--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -14,7 +14,7 @@
 
 from knotwalk.configuration.read import document
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
-from knotwalk.control_plane.conductor import Conductor
+from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.list_poller import ListPoller
@@ -53,7 +53,7 @@
         self.loads = Loads()
         self.list_poller = ListPoller(settings, self.consensus, self.board, self.caller, self.me)
         self.granter = Caller(resets=True)
-        self.conductor = Conductor(self.me, self.consensus, self.board, self.loads, self.granter,
+        self.conductor = SliceManager(self.me, self.consensus, self.board, self.loads, self.granter,
                                    keeper.Pace(hold=min(6.0, settings.bounds.max_hold)), seed,
                                    self.propose, settings.zone)
         self.peer_api = PeerApi(self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads,
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -8,7 +8,7 @@
 
 from knotwalk.control_plane import account
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
-from knotwalk.control_plane.conductor import Conductor
+from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.leases.tenure import ASK
 from knotwalk.discovery.loads import Loads
@@ -28,7 +28,7 @@
 class PeerApi:
     """The port on which this core is called by edges and other cores, and its own calls to the leader."""
 
-    def __init__(self, me: str, consensus: ConsensusDriver, list_poller: ListPoller, conductor: Conductor, board: Board,
+    def __init__(self, me: str, consensus: ConsensusDriver, list_poller: ListPoller, conductor: SliceManager, board: Board,
                  loads: Loads, caller: Caller):
         self.me, self.consensus, self.list_poller, self.conductor = me, consensus, list_poller, conductor
         self.board, self.loads, self.caller = board, loads, caller
--- a/knotwalk/control_plane/conductor.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -24,7 +24,7 @@
 LANE_WAIT = 1.0     # seconds that a call waits for its turn: as long as a node that says nothing holds the others up
 
 
-class Conductor:
+class SliceManager:
     """Acts only on slices that the agreed log leases to `me`, and only while its lease is proven."""
 
     def __init__(self, me: str, consensus: ConsensusDriver, board: Board, loads: Loads, caller: Caller, pace: Pace, seed: int,
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -12,7 +12,7 @@
 
 from knotwalk.configuration.read import document, patched, read_configuration
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
-from knotwalk.control_plane.conductor import LANES, Conductor
+from knotwalk.control_plane.slice_manager import LANES, SliceManager
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
@@ -480,12 +480,12 @@
                 await free.wait()
                 return 200, {}, b""
 
-        conductor = Conductor("me", None, Board("b"), Loads(), Node(), LeasePace(), 1, None)
+        conductor = SliceManager("me", None, Board("b"), Loads(), Node(), LeasePace(), 1, None)
         conductor.keeper.answered = lambda at, order, status, *_: ends.append((order.fence, status))
         lanes = LANES["grant"]
         orders = [Grant("i-1", ("10.0.1.1", 80), 0, 31, n, 6.0, None, "s", (0,), 5.0 if n < lanes + 2 else 2.0)
                   for n in range(lanes + 4)]
-        with mock.patch("knotwalk.control_plane.conductor.clock", lambda: now[0]):
+        with mock.patch("knotwalk.control_plane.slice_manager.clock", lambda: now[0]):
             calls = [asyncio.ensure_future(conductor._grant(order)) for order in orders]
             for _ in range(5):
                 await asyncio.sleep(0)
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -73,7 +73,7 @@
         return 200, f"h-{self.id}", self.world.random.uniform(0, 0.4)
 
 
-class Conductor:
+class SliceManager:
     """A program around a keeper, as the core's should be."""
 
     def __init__(self, world, name):
@@ -217,7 +217,7 @@
             self.start_node()
         self.history = [(-9.0, self.snapshot())]
         self.leader = Leader(self)
-        self.conductors = [Conductor(self, name) for name in "ab"]
+        self.conductors = [SliceManager(self, name) for name in "ab"]
         self.at(0.6, self.leader.turn)
         self.at(2.0, self.fault)
         while self.heap and self.heap[0][0] < length and not self.checker.broken:
