Rename a client's door to connection state

Need: the house's words are withdrawn; a newcomer looks for the field's name. Change: names and their mentions only.

--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -54,7 +54,7 @@
 REASONS = {int(one): one.phrase.encode() for one in HTTPStatus}
 
 
-class Door(Enum):
+class ConnectionState(Enum):
     """States of a client's connection."""
 
     OPEN = "open"           # requests are read
@@ -63,11 +63,11 @@
     CLOSED = "closed"
 
 
-DOORS = {
-    Door.OPEN: {Door.LAST, Door.LINGER, Door.CLOSED},
-    Door.LAST: {Door.LINGER, Door.CLOSED},
-    Door.LINGER: {Door.CLOSED},
-    Door.CLOSED: set(),
+CONNECTION_TRANSITIONS = {
+    ConnectionState.OPEN: {ConnectionState.LAST, ConnectionState.LINGER, ConnectionState.CLOSED},
+    ConnectionState.LAST: {ConnectionState.LINGER, ConnectionState.CLOSED},
+    ConnectionState.LINGER: {ConnectionState.CLOSED},
+    ConnectionState.CLOSED: set(),
 }
 
 
@@ -91,7 +91,7 @@
 
     def __init__(self, front: Front):
         self.front = front
-        self.door = Door.OPEN
+        self.state = ConnectionState.OPEN
         self.transport: asyncio.Transport | None = None
         self.queue: deque[Exchange] = deque()       # oldest first; the first one's answer is written next
         self.reading: Exchange | None = None        # whose body is being read
@@ -110,11 +110,11 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._size = 0
 
-    def _to(self, door: Door) -> None:
+    def _to(self, state: ConnectionState) -> None:
         """The one place where the state changes."""
-        if door not in DOORS[self.door]:
+        if state not in CONNECTION_TRANSITIONS[self.state]:
             raise PeerError("client's connection", "", f"from {self.door.value} to {door.value}")
-        self.door = door
+        self.state = state
 
     # -- from the loop
 
@@ -129,7 +129,7 @@
             asyncio.get_running_loop().call_later(STARTING_MOST, self._give_up)
 
     def _give_up(self) -> None:
-        if STARTING in self.holds and self.door is Door.OPEN and self.transport is not None:
+        if STARTING in self.holds and self.state is ConnectionState.OPEN and self.transport is not None:
             self.transport.abort()
 
     def begun(self) -> None:
@@ -138,8 +138,8 @@
             self._hold(STARTING, False)
 
     def connection_lost(self, error: Exception | None) -> None:
-        if self.door is not Door.CLOSED:
-            self._to(Door.CLOSED)
+        if self.state is not ConnectionState.CLOSED:
+            self._to(ConnectionState.CLOSED)
         self._leave()
 
     def _leave(self) -> None:
@@ -156,28 +156,28 @@
     def eof_received(self) -> bool:
         """The client sends no more: what it sent whole is still answered."""
         self.over = True
-        if self.door is Door.LINGER:
+        if self.state is ConnectionState.LINGER:
             return False
         if self.reading is not None or not self.queue:
             return False        # half a request, or none: nothing to answer
-        if self.door is Door.OPEN:
-            self._to(Door.LAST)
+        if self.state is ConnectionState.OPEN:
+            self._to(ConnectionState.LAST)
         return True
 
     def data_received(self, data: bytes) -> None:
         self.touched = self.front.clock()
-        if self.door is not Door.OPEN:
+        if self.state is not ConnectionState.OPEN:
             return
         if self.reading is None:
             self._fed += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self.door is Door.OPEN:
+            if self.state is ConnectionState.OPEN:
                 refusal = self.refusal or Refusal(400, "not a request in the protocol")
                 self._refuse(refusal.status, refusal.text)
         else:
-            if self.door is Door.OPEN and self.reading is None and self._fed > self.front.limits.max_header_bytes:
+            if self.state is ConnectionState.OPEN and self.reading is None and self._fed > self.front.limits.max_header_bytes:
                 self._refuse(431, "the head is too large")
         self._write()
 
@@ -332,8 +332,8 @@
         x.ended()
         if x.stage is Stage.READING:
             x.to(Stage.READY)
-        if not x.keep and self.door is Door.OPEN:
-            self._to(Door.LAST)
+        if not x.keep and self.state is ConnectionState.OPEN:
+            self._to(ConnectionState.LAST)
         self._start()
 
     # -- requests
@@ -354,8 +354,8 @@
     def _shut(self) -> None:
         """Read no more requests."""
         self.head_since = None
-        if self.door is Door.OPEN:
-            self._to(Door.LAST)
+        if self.state is ConnectionState.OPEN:
+            self._to(ConnectionState.LAST)
 
     def _refuse(self, status: int, text: str) -> None:
         """Bytes that can't be read as a request: answer, behind what is due before, and read no more."""
@@ -380,7 +380,7 @@
         if x.timer is not None and (x.answer is None or x.answer.whole):
             x.timer.cancel()
             x.timer = None
-        if self.door in (Door.LINGER, Door.CLOSED):
+        if self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
             if x.answer is not None and x.answer.stream is not None:
                 x.answer.stream.abort("the client is gone")
             self._end(x)
@@ -406,9 +406,9 @@
             return
         self._writing = True
         try:
-            while self.queue and not self.full and self.door in (Door.OPEN, Door.LAST):
+            while self.queue and not self.full and self.state in (ConnectionState.OPEN, ConnectionState.LAST):
                 x = self.queue[0]
-                if x.stage is not Stage.ANSWERED or (x is self.reading and self.door is Door.OPEN):
+                if x.stage is not Stage.ANSWERED or (x is self.reading and self.state is ConnectionState.OPEN):
                     break       # not known yet, or its body must be read first to find what is behind it
                 if self._answer(x):
                     self._next(x)
@@ -416,7 +416,7 @@
                     return      # the rest streams
         finally:
             self._writing = False
-        if self.door is Door.LAST and not self.queue:
+        if self.state is ConnectionState.LAST and not self.queue:
             self._linger()
 
     def _next(self, x: Exchange) -> None:
@@ -437,7 +437,7 @@
     def _keeps(self, x: Exchange) -> bool:
         """Whether the connection goes on behind this answer, which is the oldest that is due."""
         front = self.front
-        return x.keep and (len(self.queue) > 1 or self.door is Door.OPEN and not front.draining
+        return x.keep and (len(self.queue) > 1 or self.state is ConnectionState.OPEN and not front.draining
                            and len(front.clients) <= front.connection_budget.kept)
 
     def _answer(self, x: Exchange) -> bool:
@@ -497,10 +497,10 @@
 
     def _linger(self) -> None:
         """Everything is answered: end our side, wait for the client to end its own."""
-        if self.door in (Door.LINGER, Door.CLOSED):
+        if self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
             return
         self._shut()
-        self._to(Door.LINGER)
+        self._to(ConnectionState.LINGER)
         for x in self.queue:        # read behind the last answer: counts as not read
             x.leave()
             if x.stage not in (Stage.RUNNING, Stage.DONE):
@@ -521,24 +521,24 @@
 
     def part(self) -> None:
         """End a connection on which nothing is due, unless bytes lie unread: then a request has come after all."""
-        if self.door is not Door.OPEN or not self.quiet() or self.transport is None or self.transport.is_closing():
+        if self.state is not ConnectionState.OPEN or not self.quiet() or self.transport is None or self.transport.is_closing():
             return
         made = self.transport.get_extra_info("socket")
         if not unread(made.fileno()):
-            self._to(Door.CLOSED)
+            self._to(ConnectionState.CLOSED)
             self.transport.close()
 
     def give_way(self, now: float) -> bool:
         """End a connection on which nothing is due, for its descriptor's sake; whether it could be."""
-        if self.door is Door.LINGER and self.transport is not None and not self.transport.is_closing():
+        if self.state is ConnectionState.LINGER and self.transport is not None and not self.transport.is_closing():
             if now - self.touched >= CROWD_LOOK and not self.transport.get_write_buffer_size():
                 self.transport.close()
                 return True
             return False
-        if self.door is not Door.OPEN:
+        if self.state is not ConnectionState.OPEN:
             return False
         self.part()
-        return self.door is Door.CLOSED
+        return self.state is ConnectionState.CLOSED
 
     def abort(self) -> None:
         """End the connection by a reset: nobody takes what was written for a whole answer."""
@@ -555,14 +555,14 @@
         """Keep the bounds on idleness and slowness."""
         limits = self.front.limits
         still = now - self.touched
-        if self.transport is None or self.door is Door.CLOSED:
+        if self.transport is None or self.state is ConnectionState.CLOSED:
             return
-        if self.door is Door.LINGER:
+        if self.state is ConnectionState.LINGER:
             if still > (limits.idle_timeout if self.transport.get_write_buffer_size() else LINGER):
                 self.transport.abort()
         elif self.full and still > limits.idle_timeout:
             self.abort()
-        elif self.door is not Door.OPEN:
+        elif self.state is not ConnectionState.OPEN:
             return
         elif self.head_since is not None and now - self.head_since > limits.header_timeout:
             if not self.queue:
@@ -594,7 +594,7 @@
 
     def ended(self) -> None:
         client, x = self.client, self.x
-        if client.door is Door.CLOSED or x.stage is not Stage.WRITING:
+        if client.state is ConnectionState.CLOSED or x.stage is not Stage.WRITING:
             return
         if self.chunked and client.transport is not None:
             client.transport.write(b"0\r\n\r\n")
