--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -25,7 +25,7 @@
 from knotwalk.discovery.cluster_view import Board
 from knotwalk.runtime import journal
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.journal import tell
+from knotwalk.runtime.journal import log_info
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.serve import Listener
 from knotwalk.runtime.settings import Settings
@@ -113,9 +113,9 @@
         works = [asyncio.get_running_loop().create_task(work) for work in (
             self.list_poller.keep_leases(), self.list_poller.poll(), self.peer_api.keep_lease(), self.peer_api.share_loads(),
             self.conductor.place(), self.watch_members())]
-        tell("started", me=self.me, members=list(self.consensus.machine.members), applied=self.consensus.state.applied)
+        log_info("started", me=self.me, members=list(self.consensus.machine.members), applied=self.consensus.state.applied)
         await self.ending.wait(*works)
-        tell("leaving")
+        log_info("leaving")
         await self.peer_api.leave()
         self.consensus.machine.leave(journal.clock())
         self.consensus.carry_out()
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -15,7 +15,7 @@
 from knotwalk.consensus.store import Damaged, Refused, Store
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, tell, trouble, warn
+from knotwalk.runtime.journal import clock, log_info, log_exception, log_warning
 
 HANG = 0.6          # a write that takes longer costs leadership: others serve meanwhile
 PATIENCE = 0.6      # for a peer: a lost message is repeated by the machine's own pace
@@ -35,12 +35,12 @@
                 return store.open(data_dir, first_start, address, founders)
             except Damaged as error:
                 if str(error) != said:
-                    warn("log file damaged", why=str(error), done="put aside; this machine counts as a new one")
+                    log_warning("log file damaged", why=str(error), done="put aside; this machine counts as a new one")
                 said = str(error)
                 store.set_aside()
         except Refused as error:
             if str(error) != said:
-                warn("disk", why=str(error))
+                log_warning("disk", why=str(error))
             said = str(error)
             wait(pause)
             pause = min(1.0, 2 * pause)
@@ -118,7 +118,7 @@
                         self.state = ReplicatedState.from_dict(state)
                         self.on_restore()
                     case Role():
-                        tell("role", role=order.role, term=order.term, leader=order.leader_address)
+                        log_info("role", role=order.role, term=order.term, leader=order.leader_address)
                         self.on_role(order)
         if self.timer is not None:
             self.timer.cancel()
@@ -157,25 +157,25 @@
                         await work
                     break
                 except Damaged as error:        # what the disk has must be read anew: by the next life
-                    warn("log file damaged", why=str(error), done="this life ends; the next one looks at it whole")
+                    log_warning("log file damaged", why=str(error), done="this life ends; the next one looks at it whole")
                     self._fail("the log file is damaged")
                     self.on_damage()
                     return
                 except Exception:   # a disk may refuse in many ways; each is tried again
-                    trouble("write refused", number=save.number)
+                    log_exception("write refused", number=save.number)
                     self._fail("a write was refused")
                     await asyncio.sleep(pause)
                     pause = min(1.0, 2 * pause)
             if self.hung:
                 self.hung = False
-                tell("disk answers again")
+                log_info("disk answers again")
             self.machine.kept(clock(), save.number)
             self.carry_out()
 
     def _fail(self, why: str) -> None:
         if not self.hung:
             self.hung = True
-            warn("disk", why=why)
+            log_warning("disk", why=why)
         self.machine.failed(clock())
         self.carry_out()
 
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -9,7 +9,7 @@
 from knotwalk.configuration.control import judge, reading
 from knotwalk.configuration.read import difference, document
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
-from knotwalk.runtime.journal import tell
+from knotwalk.runtime.journal import log_info
 from knotwalk.runtime.serve import answer, app
 
 PATIENCE = 4.0      # for an agreement; a core that lost its majority says so instead of holding the operator
@@ -71,7 +71,7 @@
                 verdict = judge(state.configuration, state.history, request.method,
                                 request.headers.get("if-match"), request.body)
                 if verdict.status != 200 or verdict.same:
-                    tell("change", method=request.method, status=verdict.status, why=verdict.message, same=verdict.same)
+                    log_info("change", method=request.method, status=verdict.status, why=verdict.message, same=verdict.same)
                     return answer(verdict.body(), verdict.status)
                 command = {"do": "configure", "base": verdict.base, "version": verdict.version,
                            "digest": verdict.digest}
@@ -82,7 +82,7 @@
             return self.elsewhere(error.leader)
         except Lost:
             return answer({"error": "not known whether it was agreed on; send it again"}, 503, {"Retry-After": "0.3"})
-        tell("change", method=request.method, said=said, version=state.version)
+        log_info("change", method=request.method, said=said, version=state.version)
         if said != "done":
             return answer({"error": said}, 412)
         return answer(verdict.body())
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -13,7 +13,7 @@
 from knotwalk.discovery.cluster_view import Board, Node, entry, node_of
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, tell, warn
+from knotwalk.runtime.journal import clock, log_info, log_warning
 from knotwalk.runtime.settings import Settings
 
 POLL = 0.5      # seconds between readings of the list: a fifth of the time a drain is allowed, a few calls a second
@@ -67,7 +67,7 @@
                 leased = [s.conductor for s in slices]
                 self.tenure.replaced(now, leased, self.consensus.machine.members)
                 for conductor, found in reassign(self.tenure, now, leased).items():
-                    tell("slices leased", service=service, to=conductor, runs=found)
+                    log_info("slices leased", service=service, to=conductor, runs=found)
                     by_before: dict[str, list[int]] = {}
                     for first, last in found:
                         for k in range(first, last + 1):
@@ -76,7 +76,7 @@
                         if not await self.give(service, before, conductor, ranges(ks)):
                             break
                 if self.tenure is not None and (hand := hand_over(self.tenure, clock(), slices)):
-                    tell("slices handed over", service=service, by=hand[0], to=hand[1], runs=hand[2])
+                    log_info("slices handed over", service=service, by=hand[0], to=hand[1], runs=hand[2])
                     self.tenure.hands(clock())
                     await self.give(service, *hand)
 
@@ -109,14 +109,14 @@
             except (PeerError, Unusable) as error:
                 failing += 1
                 if failing in (1, 10, 100):
-                    warn("the list can't be read", why=str(error), times=failing)
+                    log_warning("the list can't be read", why=str(error), times=failing)
                 continue
             failing = 0
             if not self.proven or term != self.consensus.machine.term:
                 continue
             self.turn_of_list += 1
             if self.board.set_nodes((term, self.turn_of_list), listing.nodes, True):
-                tell("list", order=self.board.nodes_order, nodes=len(listing.nodes),
+                log_info("list", order=self.board.nodes_order, nodes=len(listing.nodes),
                      draining=sum(n.draining for n in listing.nodes.values()))
                 self.on_nodes()
                 asyncio.get_running_loop().create_task(self.tell_cores())
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -15,7 +15,7 @@
 from knotwalk.discovery.cluster_view import KEYS, Board
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, warn
+from knotwalk.runtime.journal import clock, log_warning
 from knotwalk.runtime.serve import answer, app, body
 
 FRESH = 1.2         # a core that heard the leader's word longer ago than this sends its edges elsewhere
@@ -212,7 +212,7 @@
         """Which nodes ail, by what was heard; told to the edges and minded by the placement."""
         before = self.board.ailing
         if self.board.set_ailing(self.loads.ailing.judge(clock(), self.board.nodes)):
-            warn("nodes ail", found=sorted(self.board.ailing - before), back=sorted(before - self.board.ailing))
+            log_warning("nodes ail", found=sorted(self.board.ailing - before), back=sorted(before - self.board.ailing))
             self.changed()
 
     async def leave(self) -> None:
--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -13,7 +13,7 @@
 from knotwalk.discovery.cluster_view import Board
 from knotwalk.runtime.call import Caller, Refused
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, tell, trouble
+from knotwalk.runtime.journal import clock, log_info, log_exception
 from knotwalk.runtime.units import text
 
 STEP = 0.1      # seconds between questions whether the placement is to be looked at
@@ -140,10 +140,10 @@
             try:
                 moves = self.moves(now)
             except Exception:   # a placement that fails must not end the renewals
-                trouble("placement failed")
+                log_exception("placement failed")
                 continue
             for command in moves:
-                tell("moves", runs=len(command["moves"]), first=command["moves"][0])
+                log_info("moves", runs=len(command["moves"]), first=command["moves"][0])
                 await self.propose(command)
 
     def moves(self, now: float) -> list[dict]:
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -12,7 +12,7 @@
 from zlib import crc32
 
 from knotwalk.discovery.cluster_view import ClusterView
-from knotwalk.runtime.journal import clock, tell
+from knotwalk.runtime.journal import clock, log_info
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.settings import Settings
 from knotwalk.edge import ready
@@ -43,7 +43,7 @@
         self.front.pictured(changed)
         if not self.ready and self.view.whole and not self.ending.asked:
             self.ready = True
-            tell("ready", version=self.view.configuration.version, nodes=len(self.view.nodes))
+            log_info("ready", version=self.view.configuration.version, nodes=len(self.view.nodes))
 
     async def run(self) -> None:
         self.ending.listen()
@@ -51,7 +51,7 @@
         await self.front.start()
         link = asyncio.get_running_loop().create_task(self.link.run())
         await self.ending.wait(link)
-        tell("leaving")
+        log_info("leaving")
         self.ready = False
         self.front.drain()
         # What was read is finished while the cluster view is still kept up; the rest of the grace is for the last bytes.
@@ -59,7 +59,7 @@
         link.cancel()
         readiness.close()
         await self.caller.close()
-        tell("ended")
+        log_info("ended")
 
     def reload(self, fresh: Settings) -> None:
         """The settings file changed: the seeds are taken up; the rest wants a start."""
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -21,7 +21,7 @@
 from knotwalk.admission.connection_budget import shared
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import tell, trouble
+from knotwalk.runtime.journal import log_info, log_exception
 from knotwalk.runtime.settings import Settings
 from knotwalk.edge.forward import Exchange, Forwarder, Stage
 from knotwalk.edge.upstream import HOP, Answer
@@ -652,7 +652,7 @@
         self.gate.setblocking(False)
         loop.add_reader(self.gate, self._accept)
         self._sweep = loop.call_later(SWEEP, self._look)
-        tell("listening", address=f"{host}:{self.port}")
+        log_info("listening", address=f"{host}:{self.port}")
 
     @property
     def port(self) -> int:
@@ -757,7 +757,7 @@
     def _tell_tally(self, now: float) -> None:
         seconds, self._tallied = round(now - self._tallied, 1), now
         if counts := self.forwarder.tally():
-            tell("requests", seconds=seconds, counts=counts)
+            log_info("requests", seconds=seconds, counts=counts)
 
     def drain(self) -> None:
         """Accept no more connections; answers tell clients to leave; what was read is finished."""
@@ -765,7 +765,7 @@
             return
         self.draining = True
         self._close_gate()
-        tell("draining", clients=len(self.clients), requests=self.open)
+        log_info("draining", clients=len(self.clients), requests=self.open)
 
     async def finished(self, by: float) -> None:
         """Until every request that was read is answered, or the steady clock shows `by`; then connections end."""
@@ -854,7 +854,7 @@
         try:
             await self.forwarder.carry(x)
         except Exception:
-            trouble("carrying a request failed", attempt=x.attempt.decode("latin-1"))
+            log_exception("carrying a request failed", attempt=x.attempt.decode("latin-1"))
             if x.stage is Stage.RUNNING:
                 x.own(502, "trouble of the edge")
 
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -8,7 +8,7 @@
 
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, tell, warn
+from knotwalk.runtime.journal import clock, log_info, log_warning
 from knotwalk.edge.caller import Caller
 
 WAIT = 1.0          # seconds a core holds a call without news: also the pace of reports
@@ -77,10 +77,10 @@
         try:
             changed = self.view.provide(now, provisional) if provisional else set()
         except (KeyError, TypeError, ValueError) as error:
-            warn("news not understood", core=core, why=f"{type(error).__name__} {error}")
+            log_warning("news not understood", core=core, why=f"{type(error).__name__} {error}")
             return
         if changed:
-            tell("provisional", core=core, version=self.view.configuration.version)
+            log_info("provisional", core=core, version=self.view.configuration.version)
             self.on_news(changed, 0)        # a core that just started has not heard of all edges
 
     async def turn(self, core: str) -> bool:
@@ -97,7 +97,7 @@
         except PeerError as error:
             self.left[core] = now
             if self.core is not None and self.heard_at > now - 5:
-                warn("core left", core=core, why=str(error))
+                log_warning("core left", core=core, why=str(error))
             return False
         now = clock()
         self.zones[core] = told.get("zone", "")
@@ -111,17 +111,17 @@
             try:
                 changed = self.view.apply(now, news)
             except (KeyError, TypeError, ValueError) as error:
-                warn("news not understood", core=core, why=f"{type(error).__name__} {error}")
+                log_warning("news not understood", core=core, why=f"{type(error).__name__} {error}")
                 return False
         first = self.heard_at == float("-inf")
         self.heard_at, self.edges = now, told["edges"]
         if changed or first:
             self.on_news(changed, self.edges)
         if self.view.fault:
-            warn("configuration not taken", core=core, why=self.view.fault)
+            log_warning("configuration not taken", core=core, why=self.view.fault)
             self.left[core] = now
             return False
         if first:
-            tell("core found", core=core)
+            log_info("core found", core=core)
         self.known = core
         return True
--- a/knotwalk/runtime/journal.py
+++ b/knotwalk/runtime/journal.py
@@ -30,17 +30,17 @@
     absl_logging.set_verbosity(level)
 
 
-def tell(event: str, **fields: object) -> None:
+def log_info(event: str, **fields: object) -> None:
     """One line at level info: a change of state, with the figures it rests on."""
     absl_logging.get_absl_logger().info(event, extra={"fields": fields})
 
 
-def warn(event: str, **fields: object) -> None:
+def log_warning(event: str, **fields: object) -> None:
     """One line at level warning: something that an operator may have to look at."""
     absl_logging.get_absl_logger().warning(event, extra={"fields": fields})
 
 
-def trouble(event: str, **fields: object) -> None:
+def log_exception(event: str, **fields: object) -> None:
     """One line at level error, with the exception now being handled."""
     absl_logging.get_absl_logger().error(event, extra={"fields": fields}, exc_info=True)
 
--- a/knotwalk/runtime/life.py
+++ b/knotwalk/runtime/life.py
@@ -56,10 +56,10 @@
         try:
             fresh = settings_file.load()
         except SettingsError as error:
-            journal.warn("settings not taken up", why=str(error))
+            journal.log_warning("settings not taken up", why=str(error))
             return
         self._reload(fresh)
-        journal.tell("settings taken up")
+        journal.log_info("settings taken up")
 
     @property
     def asked(self) -> bool:
@@ -92,5 +92,5 @@
     try:
         return asyncio.run(whole())
     except Exception:
-        journal.trouble("ended by an error")
+        journal.log_exception("ended by an error")
         return FAILED
--- a/knotwalk/runtime/serve.py
+++ b/knotwalk/runtime/serve.py
@@ -7,7 +7,7 @@
 from sanic.exceptions import SanicException
 from sanic.log import access_logger, error_logger, logger as sanic_logger
 
-from knotwalk.runtime.journal import trouble
+from knotwalk.runtime.journal import log_exception
 
 BODY_MOST = 64 * 1024 * 1024
 
@@ -34,7 +34,7 @@
         return answer({"error": str(error)}, error.status_code)
     if isinstance(error, (ValueError, KeyError, TypeError)) and not request.body:
         return answer({"error": "no body"}, 400)
-    trouble("call failed", path=request.path)
+    log_exception("call failed", path=request.path)
     return answer({"error": f"{type(error).__name__}"}, 500)
 
 
