--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -23,9 +23,9 @@
 from knotwalk.consensus.store import Store, StoreBroken
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.cluster_view import Board
-from knotwalk.runtime import journal
+from knotwalk.runtime import logs
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.journal import log_info
+from knotwalk.runtime.logs import log_info
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.serve import Listener
 from knotwalk.runtime.settings import Settings
@@ -117,7 +117,7 @@
         await self.ending.wait(*works)
         log_info("leaving")
         await self.peer_api.leave()
-        self.consensus.machine.leave(journal.clock())
+        self.consensus.machine.leave(logs.clock())
         self.consensus.carry_out()
         await asyncio.sleep(min(1.0, self.settings.bounds.grace_period / 4))
         for work in works:
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -15,7 +15,7 @@
 from knotwalk.consensus.store import Damaged, Refused, Store
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, log_info, log_exception, log_warning
+from knotwalk.runtime.logs import clock, log_info, log_exception, log_warning
 
 HANG = 0.6          # a write that takes longer costs leadership: others serve meanwhile
 PATIENCE = 0.6      # for a peer: a lost message is repeated by the machine's own pace
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -9,7 +9,7 @@
 from knotwalk.configuration.control import judge, reading
 from knotwalk.configuration.read import difference, document
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
-from knotwalk.runtime.journal import log_info
+from knotwalk.runtime.logs import log_info
 from knotwalk.runtime.serve import answer, app
 
 PATIENCE = 4.0      # for an agreement; a core that lost its majority says so instead of holding the operator
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -13,7 +13,7 @@
 from knotwalk.discovery.cluster_view import Board, Node, entry, node_of
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, log_info, log_warning
+from knotwalk.runtime.logs import clock, log_info, log_warning
 from knotwalk.runtime.settings import Settings
 
 POLL = 0.5      # seconds between readings of the list: a fifth of the time a drain is allowed, a few calls a second
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -15,7 +15,7 @@
 from knotwalk.discovery.cluster_view import KEYS, Board
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, log_warning
+from knotwalk.runtime.logs import clock, log_warning
 from knotwalk.runtime.serve import answer, app, body
 
 FRESH = 1.2         # a core that heard the leader's word longer ago than this sends its edges elsewhere
--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -13,7 +13,7 @@
 from knotwalk.discovery.cluster_view import Board
 from knotwalk.runtime.call import Caller, Refused
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, log_info, log_exception
+from knotwalk.runtime.logs import clock, log_info, log_exception
 from knotwalk.runtime.units import text
 
 STEP = 0.1      # seconds between questions whether the placement is to be looked at
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -12,7 +12,7 @@
 from zlib import crc32
 
 from knotwalk.discovery.cluster_view import ClusterView
-from knotwalk.runtime.journal import clock, log_info
+from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.settings import Settings
 from knotwalk.edge import ready
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -21,7 +21,7 @@
 from knotwalk.admission.connection_budget import shared
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import log_info, log_exception
+from knotwalk.runtime.logs import log_info, log_exception
 from knotwalk.runtime.settings import Settings
 from knotwalk.edge.forward import Exchange, Forwarder, Stage
 from knotwalk.edge.upstream import HOP, Answer
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -8,7 +8,7 @@
 
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.journal import clock, log_info, log_warning
+from knotwalk.runtime.logs import clock, log_info, log_warning
 from knotwalk.edge.caller import Caller
 
 WAIT = 1.0          # seconds a core holds a call without news: also the pace of reports
--- a/knotwalk/runtime/life.py
+++ b/knotwalk/runtime/life.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from knotwalk.runtime import journal, settings as settings_file
+from knotwalk.runtime import logs, settings as settings_file
 from knotwalk.runtime.errors import SettingsError
 from knotwalk.runtime.settings import Settings
 
@@ -56,10 +56,10 @@
         try:
             fresh = settings_file.load()
         except SettingsError as error:
-            journal.log_warning("settings not taken up", why=str(error))
+            logs.log_warning("settings not taken up", why=str(error))
             return
         self._reload(fresh)
-        journal.log_info("settings taken up")
+        logs.log_info("settings taken up")
 
     @property
     def asked(self) -> bool:
@@ -79,7 +79,7 @@
 def live(name: str, make: Callable[[Settings], Program], *unusable: type[Exception]) -> int:
     """Read the settings, make the program, run it: the exit code. `unusable`: what else `make` may find, told in one
     line."""
-    journal.start()
+    logs.start()
 
     async def whole() -> int:
         try:
@@ -92,5 +92,5 @@
     try:
         return asyncio.run(whole())
     except Exception:
-        journal.log_exception("ended by an error")
+        logs.log_exception("ended by an error")
         return FAILED
--- a/tests/standins/holders.py
+++ b/tests/standins/holders.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 
 from knotwalk.discovery.cluster_view import KEYS
-from knotwalk.runtime.journal import clock
+from knotwalk.runtime.logs import clock
 from knotwalk.runtime.units import seconds
 
 from .nodes import Request, StandIn, answer
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -10,7 +10,7 @@
 
 from knotwalk.configuration.objects import Configuration, Limits, Route, Service
 from knotwalk.discovery.cluster_view import Line, Node, ClusterView, Sharding
-from knotwalk.runtime.journal import clock
+from knotwalk.runtime.logs import clock
 from knotwalk.runtime.settings import parse
 from knotwalk.edge.front import Front
 
--- a/tests/system/test_consensus_store.py
+++ b/tests/system/test_consensus_store.py
@@ -151,11 +151,11 @@
         connection.execute("BEGIN")
         for one in range(200):
             connection.execute("INSERT INTO t VALUES (?, ?)", (one, "x" * 500))
-        journal = (self.folder / "other.sqlite-journal").read_bytes()
+        logs = (self.folder / "other.sqlite-journal").read_bytes()
         connection.execute("COMMIT")
         self.assertEqual(connection.execute("SELECT count(*) FROM t").fetchone()[0], 200)
         connection.close()
-        (self.folder / "other.sqlite-journal").write_bytes(journal)
+        (self.folder / "other.sqlite-journal").write_bytes(logs)
         connection = sqlite3.connect(path)
         self.assertEqual(connection.execute("SELECT count(*) FROM t").fetchone()[0], 0)
         connection.close()
--- a/tests/system/test_runtime.py
+++ b/tests/system/test_runtime.py
@@ -53,7 +53,7 @@
         asyncio.get_running_loop().set_debug(False)
         taken, told = [], []
         with tempfile.TemporaryDirectory() as folder, mock.patch.object(life, "LOOK", 0.001), \
-                mock.patch.object(life.journal, "warn", lambda event, **fields: told.append(fields["why"])):
+                mock.patch.object(life.logs, "warn", lambda event, **fields: told.append(fields["why"])):
             file = Path(folder, "node.json")
 
             def put(text):
