--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -113,7 +113,7 @@
     def _to(self, state: ConnectionState) -> None:
         """The one place where the state changes."""
         if state not in CONNECTION_TRANSITIONS[self.state]:
-            raise PeerError("client's connection", "", f"from {self.door.value} to {door.value}")
+            raise PeerError("client's connection", "", f"from {self.state.value} to {state.value}")
         self.state = state
 
     # -- from the loop
