--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -21,15 +21,28 @@
 
 def made(routes: int, hosts: int) -> dict:
     """A configuration with so many routes; a third of them lie below another one."""
+
     def item(place: int) -> dict:
         below = f"{place // 3}x/" if place % 3 == 0 else ""
-        return {"object_kind": "routes", "metadata": {"name": f"r-{place}"}, "specification": {
-            "hostname": f"h{place % hosts}.example", "path_prefix": f"/p{place}/{below}", "route_type": "idempotent",
-            "timeout": "1000ms", "target_latency": "400ms", "priority": 2, "retry_count": 2,
-            "traffic_split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]}}
+        return {
+            "object_kind": "routes",
+            "metadata": {"name": f"r-{place}"},
+            "specification": {
+                "hostname": f"h{place % hosts}.example",
+                "path_prefix": f"/p{place}/{below}",
+                "route_type": "idempotent",
+                "timeout": "1000ms",
+                "target_latency": "400ms",
+                "priority": 2,
+                "retry_count": 2,
+                "traffic_split": [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}],
+            },
+        }
 
-    services = [{"object_kind": "services", "metadata": {"name": name}, "specification": {"max_connections": 130}}
-                for name in "ab"]
+    services = [
+        {"object_kind": "services", "metadata": {"name": name}, "specification": {"max_connections": 130}}
+        for name in "ab"
+    ]
     return {"config_version": "r1", "objects": [item(place) for place in range(routes)] + services}
 
 
@@ -58,18 +71,26 @@
     configuration = read_configuration(made(10_000, 100))
     index = Index(configuration)
     routes = list(configuration.routes.values())
-    asked = [(route.hostname + ":8080", route.path_prefix + "a/b?c=d")
-             for route in chance.choices(routes, k=20 if quick else 200)]
+    asked = [
+        (route.hostname + ":8080", route.path_prefix + "a/b?c=d")
+        for route in chance.choices(routes, k=20 if quick else 200)
+    ]
     assert all(index.find(*one) is in_turn(configuration, *one) for one in asked)
     turns = 5 if quick else 25
     fast = took(turns, lambda: [index.find(*one) for _ in range(50) for one in asked]) / 50 / len(asked)
     slow = took(3, lambda: [in_turn(configuration, *one) for one in asked]) / len(asked)
     whole = made(2_000, 50)
     body = json.dumps(whole).encode()
-    print(json.dumps({
-        "route_ratio": round(slow / fast, 1), "route_us": round(fast * 1e6, 3),
-        "read_ms": round(took(turns, lambda: read_configuration(whole)) * 1e3, 2),
-        "judge_ms": round(took(turns, lambda: judge(None, History(), "PUT", "0", body)) * 1e3, 2)}))
+    print(
+        json.dumps(
+            {
+                "route_ratio": round(slow / fast, 1),
+                "route_us": round(fast * 1e6, 3),
+                "read_ms": round(took(turns, lambda: read_configuration(whole)) * 1e3, 2),
+                "judge_ms": round(took(turns, lambda: judge(None, History(), "PUT", "0", body)) * 1e3, 2),
+            }
+        )
+    )
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -29,16 +29,28 @@
 from knotwalk.net.resp import Resp, packed
 
 ROOT = Path(__file__).parent.parent
-SIZES = {30: 150, 120: 640, 200: 1600, 400: 3200}      # proxies by servers
-POLICY = ("knotwalk/decide", "knotwalk/decide.py", "knotwalk/placement/passes.py")      # by commit, some of it
-STEPS = ("listed", "joined", "given", "heard", "wanted", "applied", "forget", "measure", "judge", "place", "let_in",
-         "send")
+SIZES = {30: 150, 120: 640, 200: 1600, 400: 3200}  # proxies by servers
+POLICY = ("knotwalk/decide", "knotwalk/decide.py", "knotwalk/placement/passes.py")  # by commit, some of it
+STEPS = (
+    "listed",
+    "joined",
+    "given",
+    "heard",
+    "wanted",
+    "applied",
+    "forget",
+    "measure",
+    "judge",
+    "place",
+    "let_in",
+    "send",
+)
 
 
 def day(servers: int, seconds: float, make=decide.Conductor) -> Fleet:
     """A day of five conductors: a release, a zone's part that dies and returns, hot slices."""
     names = [f"s{k}" for k in range(servers)]
-    first, second = names[:servers // 5], names[servers // 5:servers // 3]
+    first, second = names[: servers // 5], names[servers // 5 : servers // 3]
     script = [(8.0, "drain", first), (11.0, "come", first), (14.0, "die", second), (19.0, "come", second)]
     script += [(6.0 + k, "heat", 5 * k, 5.0) for k in range(4)]
     return Fleet(1, servers, SIZES[servers], servers * 6, script=script, make=make, keep=True).run(seconds)
@@ -97,6 +109,7 @@
                 spent[name] += took - stack.pop()
                 if stack:
                     stack[-1] += took
+
         return run
 
     module = decide.Conductor(settings, seed)
@@ -112,6 +125,7 @@
 
 def held(settings, servers: int, proxies: int) -> dict[str, float]:
     """KB that a proxy, a slice and a server take, by a module that knows so many and one that knows none."""
+
     def kb(inbox: list, count: int) -> float:
         gc.collect()
         tracemalloc.start()
@@ -122,11 +136,15 @@
         used = tracemalloc.get_traced_memory()[0] - before
         tracemalloc.stop()
         return round(used / 1024 / count, 3)
+
     listed = ("listed", (True, False, [(f"s{k}", "east", "ready", 4.0, 0.0) for k in range(servers)]))
     slices = range(0, settings.slices, settings.controllers)
     given = [x for k in slices for x in (("given", (k,)), ("held", (k, "s0", 1.0)))]
-    return {"server": kb([listed], servers), "proxy": kb([("joined", (p,)) for p in range(proxies)], proxies),
-            "slice": kb([("listed", (True, False, [("s0", "east", "ready", 4.0, 0.0)])), *given], len(slices))}
+    return {
+        "server": kb([listed], servers),
+        "proxy": kb([("joined", (p,)) for p in range(proxies)], proxies),
+        "slice": kb([("listed", (True, False, [("s0", "east", "ready", 4.0, 0.0)])), *given], len(slices)),
+    }
 
 
 def wire(rounds: list) -> dict[str, float]:
@@ -137,8 +155,25 @@
         orders += [{"do": "SET", "group": f[0], "server": f[1], "weight": f[2]} for n, f in ordered if n == "line"]
         for name, f in inbox:
             if name == "heard":
-                reports.append(packed("outcomes", "zone", f[1], "server", f[0], "tries", str(f[3]), "failed", str(f[4]),
-                                      "mean_ms", f"{1e3 * f[5]:.1f}", "span_ms", "2000.0", "load", "util:0.5"))
+                reports.append(
+                    packed(
+                        "outcomes",
+                        "zone",
+                        f[1],
+                        "server",
+                        f[0],
+                        "tries",
+                        str(f[3]),
+                        "failed",
+                        str(f[4]),
+                        "mean_ms",
+                        f"{1e3 * f[5]:.1f}",
+                        "span_ms",
+                        "2000.0",
+                        "load",
+                        "util:0.5",
+                    )
+                )
             elif name == "applied":
                 acks.append(b'{"type":"ack","object":{"proxy":%d,"mark":%d,"took_ms":310.4}}\n' % f)
     acks = acks[:20000]
@@ -146,24 +181,27 @@
     list(news.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"))
     at = time.perf_counter()
     for k in range(0, len(reports), 100):
-        resp.feed(b"".join(reports[k:k + 100]))
+        resp.feed(b"".join(reports[k : k + 100]))
     middle = time.perf_counter()
     for k in range(0, len(acks), 100):
-        piece = b"".join(acks[k:k + 100])
+        piece = b"".join(acks[k : k + 100])
         list(news.feed(b"%x\r\n%s\r\n" % (len(piece), piece)))
     end = time.perf_counter()
-    calls = Calls(Still(), ("127.0.0.1", 1), Still(), Still())      # type: ignore[arg-type]
+    calls = Calls(Still(), ("127.0.0.1", 1), Still(), Still())  # type: ignore[arg-type]
     for k in range(0, len(orders), 100):
-        calls.link, calls.under_way = Still(), []       # type: ignore[assignment]
-        calls.order(orders[k:k + 100])
+        calls.link, calls.under_way = Still(), []  # type: ignore[assignment]
+        calls.order(orders[k : k + 100])
     encoded = time.perf_counter() - end
-    return {"order": round(1e6 * encoded / max(1, len(orders)), 2),
-            "report": round(1e6 * (middle - at) / max(1, len(reports)), 2),
-            "receipt": round(1e6 * (end - middle) / max(1, len(acks)), 2)}
+    return {
+        "order": round(1e6 * encoded / max(1, len(orders)), 2),
+        "report": round(1e6 * (middle - at) / max(1, len(reports)), 2),
+        "receipt": round(1e6 * (end - middle) / max(1, len(acks)), 2),
+    }
 
 
 def other(rev: str):
     """The decisions of another commit, under this text's contract."""
+
     def git(*words: str) -> str:
         return subprocess.run(["git", *words], cwd=ROOT, capture_output=True, text=True, check=True).stdout
 
@@ -194,18 +232,26 @@
         seat = fleet.seats[1]
         settings, seed = fleet.settings._replace(place=1), 101
         runs, others = [], []
-        for _ in range(3):      # in turn, so that the machine's moods meet both
+        for _ in range(3):  # in turn, so that the machine's moods meet both
             runs.append(played(seat.rounds, settings, seed, decide.Conductor))
             if then:
                 others.append(played(seat.rounds, settings, seed, then)[2])
         reports, receipts, spent = min(runs, key=lambda run: run[2])
         out["sizes"][servers] = {
-            "proxies": SIZES[servers], "slices": len(seat.slices), "reports_us": middle(reports, 0.5),
-            "reports_us_p99": middle(reports, 0.99), "receipt_us": middle(receipts, 0.5),
-            "ms_a_second": round(1e3 * spent / seconds, 2), "parts": parts(seat.rounds, settings, seed),
-            "kb": held(settings, servers, SIZES[servers])}
-        out["many"][servers] = {"served": round(fleet.part(8, seconds), 3), "broken": len(fleet.breaks()),
-                                "fallen": len(fleet.fallen)}
+            "proxies": SIZES[servers],
+            "slices": len(seat.slices),
+            "reports_us": middle(reports, 0.5),
+            "reports_us_p99": middle(reports, 0.99),
+            "receipt_us": middle(receipts, 0.5),
+            "ms_a_second": round(1e3 * spent / seconds, 2),
+            "parts": parts(seat.rounds, settings, seed),
+            "kb": held(settings, servers, SIZES[servers]),
+        }
+        out["many"][servers] = {
+            "served": round(fleet.part(8, seconds), 3),
+            "broken": len(fleet.breaks()),
+            "fallen": len(fleet.fallen),
+        }
         if then:
             out["against"][servers] = round(statistics.median(r[2] / o for r, o in zip(runs, others)), 3)
         print(servers, json.dumps(out["sizes"][servers]), json.dumps(out["many"][servers]), file=sys.stderr)
--- a/benchmarks/pubsub.py
+++ b/benchmarks/pubsub.py
@@ -80,7 +80,8 @@
         sent(cursor, message)
         number += 1
         heapq.heappush(heap, (world.now + seconds, number, cursor.name))
-    world.send = send       # type: ignore[method-assign]
+
+    world.send = send  # type: ignore[method-assign]
     begun = world.now
     while not alike(world, subscribers) if not heap else True:
         due = world.turn()
@@ -94,8 +95,13 @@
     messages = sum(s.applied for s in subscribers)
     lines = count * slices + messages * SMALL.lines_per_message
     least = lines / SMALL.lines_waiting_most * seconds
-    return {"seconds": round(took, 2), "bound": round(least, 2), "over_bound": round(took / least, 3),
-            "converged": alike(world, subscribers), "cap_breaks": int(not world.caps_kept())}
+    return {
+        "seconds": round(took, 2),
+        "bound": round(least, 2),
+        "over_bound": round(took / least, 3),
+        "converged": alike(world, subscribers),
+        "cap_breaks": int(not world.caps_kept()),
+    }
 
 
 def bytes_ratio() -> float:
@@ -124,7 +130,8 @@
     def encode(delta: Delta) -> bytes:
         encoded[0] += 1
         return wire.encoded(delta)
-    world = World(SMALL._replace(messages_most=10 ** 6, lines_waiting_most=10.0 ** 9), table)
+
+    world = World(SMALL._replace(messages_most=10**6, lines_waiting_most=10.0**9), table)
     world.hub.encode = encode
     sent = []
 
@@ -133,6 +140,7 @@
 
         def send(self, cursor, message):
             sent.append((cursor, message))
+
     for s in proxies(count):
         world.join(s)
     world.quiet()
@@ -141,7 +149,7 @@
         encoded[0] = 0
         world.order(*(("line", (k * 30 + i, f"c{k}", 1.0)) for i in range(20)))
         begun = time.perf_counter()
-        world.hub.turn(world.now, Light())      # type: ignore[arg-type]
+        world.hub.turn(world.now, Light())  # type: ignore[arg-type]
         times.append(time.perf_counter() - begun)
         once = encoded[0]
         for cursor, message in sent:
@@ -154,8 +162,12 @@
         wire.encoded(delta)
     each = (time.perf_counter() - begun) / 200
     best = min(times)
-    return {"us": round(1e6 * best), "encoded": once, "per_subscriber_us": round(1e6 * best / count, 2),
-            "if_encoded_each_ratio": round((best + count * each) / best, 2)}
+    return {
+        "us": round(1e6 * best),
+        "encoded": once,
+        "per_subscriber_us": round(1e6 * best / count, 2),
+        "if_encoded_each_ratio": round((best + count * each) / best, 2),
+    }
 
 
 def index_ratio(slices: int, rounds: int) -> dict:
@@ -165,7 +177,7 @@
         table.line(k, f"s{k % 50}", 1.0)
         log.append((table.version, k, f"s{k % 50}", 1.0))
     for k in range(20 * slices // 10):
-        id, w = chance.randrange(200), k + 1.0      # a few slices change again and again
+        id, w = chance.randrange(200), k + 1.0  # a few slices change again and again
         table.line(id, "hot", w)
         log.append((table.version, id, "hot", w))
     base = table.version - 20
@@ -188,12 +200,18 @@
             call()
             times.append(time.perf_counter() - begun)
         return min(times)
+
     index, plain, logged = timed(lambda: table.since(base)), timed(scan), timed(from_log)
-    old = slices        # a subscriber that was away for long: the log holds each change anew
+    old = slices  # a subscriber that was away for long: the log holds each change anew
     far = timed(lambda: table.since(old))
     base = old
-    return {"scan": round(plain / index, 1), "log": round(logged / index, 2),
-            "log_far": round(timed(from_log) / far, 2), "log_entries": len(log), "index_entries": len(table.slices)}
+    return {
+        "scan": round(plain / index, 1),
+        "log": round(logged / index, 2),
+        "log_far": round(timed(from_log) / far, 2),
+        "log_entries": len(log),
+        "index_entries": len(table.slices),
+    }
 
 
 def memory(count: int) -> dict:
@@ -239,8 +257,12 @@
         for e in edges:
             e.stop()
         stand.stop()
-    return {"alone_mb": round(alone, 1), "serve_mb": round(full, 1), "subscribers": up,
-            "stream": round((full - alone) * 1e3 / max(1, up), 1)}
+    return {
+        "alone_mb": round(alone, 1),
+        "serve_mb": round(full, 1),
+        "subscribers": up,
+        "stream": round((full - alone) * 1e3 / max(1, up), 1),
+    }
 
 
 def killed(kills: int) -> dict:
@@ -256,6 +278,7 @@
 
         def same() -> bool:
             return all(e.link and e.subscriber.place is None and e.subscriber.tables == stand.slices for e in edges)
+
         stand.until(same)
         for k in range(kills):
             stand.version += 1
@@ -302,25 +325,32 @@
         def round(self, inbox):
             last[0] = clock()
             super().round(inbox)
+
     Timed(3, size, settings, script=storm(3, size, seconds), witness=witness).run(seconds)
 
     def p99(rows):
         return sorted(rows)[int(0.99 * (len(rows) - 1))]
+
     return {"p99": round(p99(times[True]) / p99(times[False]), 3), "turn_us_p99": round(1e6 * p99(turns))}
 
 
 def encodings() -> dict:
     """A piece of 500 lines in the forms that were weighed."""
     parts, _ = filled(500, 60).pieces(0, 500)
-    parts = tuple(p._replace(lines={f"s-{hash((p.slice, 1)) & 0xffffffff:08x}": 1.0}) for p in parts)
+    parts = tuple(p._replace(lines={f"s-{hash((p.slice, 1)) & 0xFFFFFFFF:08x}": 1.0}) for p in parts)
     delta = Delta(parts, {}, {})
     rows = [[p.slice, int(p.whole), p.lines, p.levels] for p in parts]
-    words = [w for p in parts for server, weight in p.lines.items()
-             for w in ("SET", str(p.slice), server, f"{weight:g}")]
-    forms = {"json": (lambda: wire.encoded(delta), lambda data: json.loads(data)),
-             "msgpack": (lambda: msgpack.packb({"s": rows, "shut": {}, "levels": {}}),
-                         lambda data: msgpack.unpackb(data, strict_map_key=False)),
-             "resp": (lambda: packed(*words), None)}
+    words = [
+        w for p in parts for server, weight in p.lines.items() for w in ("SET", str(p.slice), server, f"{weight:g}")
+    ]
+    forms = {
+        "json": (lambda: wire.encoded(delta), lambda data: json.loads(data)),
+        "msgpack": (
+            lambda: msgpack.packb({"s": rows, "shut": {}, "levels": {}}),
+            lambda data: msgpack.unpackb(data, strict_map_key=False),
+        ),
+        "resp": (lambda: packed(*words), None),
+    }
     out = {}
     for name, (write, read) in forms.items():
         begun = time.perf_counter()
@@ -330,8 +360,11 @@
         begun = time.perf_counter()
         for _ in range(50 if read else 0):
             read(data)
-        out[name] = {"bytes": len(data), "write_us": round(1e6 * wrote),
-                     "read_us": round(1e6 * (time.perf_counter() - begun) / 50) if read else None}
+        out[name] = {
+            "bytes": len(data),
+            "write_us": round(1e6 * wrote),
+            "read_us": round(1e6 * (time.perf_counter() - begun) / 50) if read else None,
+        }
     return out
 
 
@@ -347,20 +380,27 @@
         world.join(s)
     begun = world.now
     drained = range(1, 300, 10)
-    world.order(*(("line", (k, "s1", 0.0)) for k in drained), *(("line", (k, "s2", 1.0)) for k in drained),
-                inbox=[("listed", (False, False, [("s1", "z", "draining", 1, 0)]))])
+    world.order(
+        *(("line", (k, "s1", 0.0)) for k in drained),
+        *(("line", (k, "s2", 1.0)) for k in drained),
+        inbox=[("listed", (False, False, [("s1", "z", "draining", 1, 0)]))],
+    )
     target = world.table.version
     done: dict[str, float] = {}
     while len(done) < len(world.pipes) and world.now < begun + 120:
         world.turn()
         for name in list(world.pipes):
-            world.deliver(name, 1)      # one message a tick of 50 ms: a way of that length
+            world.deliver(name, 1)  # one message a tick of 50 ms: a way of that length
             if world.pipes[name].subscriber.version >= target and world.pipes[name].subscriber.place is None:
                 done.setdefault(name, world.now - begun)
         world.now += 0.05
     by = {kind: max((t for n, t in done.items() if n[0] == kind), default=None) for kind in "pfw"}
-    return {"drains": round(by["p"], 2), "fresh": round(by["f"], 2), "observers": round(by["w"], 2),
-            "cap_breaks": int(not world.caps_kept())}
+    return {
+        "drains": round(by["p"], 2),
+        "fresh": round(by["f"], 2),
+        "observers": round(by["w"], 2),
+        "cap_breaks": int(not world.caps_kept()),
+    }
 
 
 def main() -> None:
@@ -374,14 +414,24 @@
     thousands = late(200 if quick else 2000, 400)
     storm_waits = waits()
     figures = {
-        "simulated": ["two_thousand", "waits", "round_ratio"], "converged": thousands["converged"],
+        "simulated": ["two_thousand", "waits", "round_ratio"],
+        "converged": thousands["converged"],
         "cap_breaks": sum(x["cap_breaks"] for x in (forty, hundreds, thousands, storm_waits)),
-        "forty": forty, "bound": least, "time_over_bound": round(forty["seconds"] / least, 3) if least else None,
-        "four_hundred": hundreds, "two_thousand": thousands, "bytes_ratio": bytes_ratio(),
-        "change": change_cost(2000), "index_ratio": index_ratio(10_000, 20),
-        "memory_per_subscriber": memory(2000), "program": served(40 if quick else 400),
-        "round_ratio": round_ratio(400, 20.0 if quick else 120.0), "killed": killed(3 if quick else 50),
-        "encodings": encodings(), "waits": storm_waits}
+        "forty": forty,
+        "bound": least,
+        "time_over_bound": round(forty["seconds"] / least, 3) if least else None,
+        "four_hundred": hundreds,
+        "two_thousand": thousands,
+        "bytes_ratio": bytes_ratio(),
+        "change": change_cost(2000),
+        "index_ratio": index_ratio(10_000, 20),
+        "memory_per_subscriber": memory(2000),
+        "program": served(40 if quick else 400),
+        "round_ratio": round_ratio(400, 20.0 if quick else 120.0),
+        "killed": killed(3 if quick else 50),
+        "encodings": encodings(),
+        "waits": storm_waits,
+    }
     print(json.dumps(figures))
 
 
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -37,11 +37,17 @@
 from knotwalk.settings.operator import Operator, Record
 from knotwalk.told import Bounds
 
-GROWN = Size(servers=66, proxies=130, slices=130, rate=220.0, parts=3)      # one of three conductors' part
+GROWN = Size(servers=66, proxies=130, slices=130, rate=220.0, parts=3)  # one of three conductors' part
 FLEET = Size(servers=10, proxies=20, slices=60, rate=90.0)
-CHANGES = (["PERIOD=25", "URGENT=25"], ["PERIOD=60", "URGENT=60"], ["URGENT=8"], ["admits=no"],
-           ["messages_most=3"], ["WINDOW=2"])
-SAME = (["PERIOD=5"], ["WINDOW=8"])         # the settings as they were: nothing may be ranked
+CHANGES = (
+    ["PERIOD=25", "URGENT=25"],
+    ["PERIOD=60", "URGENT=60"],
+    ["URGENT=8"],
+    ["admits=no"],
+    ["messages_most=3"],
+    ["WINDOW=2"],
+)
+SAME = (["PERIOD=5"], ["WINDOW=8"])  # the settings as they were: nothing may be ranked
 
 
 def taped(folder: str, seed: int, size: Size, seconds: float, every: float) -> Day:
@@ -64,15 +70,23 @@
             outcome = exact.replay(Recording([folder]), n, until=start + until)
             times[n] = until / (time.monotonic() - begun)
             exactly = outcome.exact and not outcome.losses
-        return {"exact": exactly, "rounds": outcome.rounds, "orders": outcome.orders, "hours": hours,
-                "realtime_x": round(times[1], 1), "jobs_x": round(times[jobs] / times[1], 2),
-                "seconds": round(hours * 3600 / times[jobs], 1), "bytes_per_hour": round(held / hours)}
+        return {
+            "exact": exactly,
+            "rounds": outcome.rounds,
+            "orders": outcome.orders,
+            "hours": hours,
+            "realtime_x": round(times[1], 1),
+            "jobs_x": round(times[jobs] / times[1], 2),
+            "seconds": round(hours * 3600 / times[jobs], 1),
+            "bytes_per_hour": round(held / hours),
+        }
 
 
 def rounds_of(seconds: float) -> tuple[list, Day]:
     rounds: list = []
-    day = Day(2, GROWN, script=storm(2, GROWN, seconds),
-              witness=lambda now, inbox, orders, _: rounds.append((now, inbox)))
+    day = Day(
+        2, GROWN, script=storm(2, GROWN, seconds), witness=lambda now, inbox, orders, _: rounds.append((now, inbox))
+    )
     return rounds, day.run(seconds)
 
 
@@ -81,8 +95,14 @@
     of which one records through a real writer; each round on both, by turns."""
     rounds, day = rounds_of(seconds)
     stand = StandIn()
-    stand.told = {"name": "n0", "listen": "127.0.0.1:0", "discovery": stand.address, "seed": "5",
-                  "hub": {"address": stand.address}, "settings": {}}
+    stand.told = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": stand.address,
+        "seed": "5",
+        "hub": {"address": stand.address},
+        "settings": {},
+    }
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder, "config.json")
         path.write_text(json.dumps(stand.told))
@@ -93,17 +113,17 @@
             config.methods = {"m0": 0, "m1": 1}
             config.bounds = Bounds(frozenset({"east", "west"}), GROWN.slices, 1e9, 1e9)
             host = Host(config, Log(open(os.devnull, "w")), record)
-            host.loop.now = lambda: clock_of[0]     # type: ignore[method-assign]
+            host.loop.now = lambda: clock_of[0]  # type: ignore[method-assign]
             host.names = {0: "m0", 1: "m1"}
             host.callers.methods, host.callers.bounds, host.callers.ready = config.methods, config.bounds, True
-            host.news.calls.order = lambda orders: None     # type: ignore[method-assign]
+            host.news.calls.order = lambda orders: None  # type: ignore[method-assign]
             news = Quiet()
-            host.news.up(news)      # type: ignore[arg-type]
+            host.news.up(news)  # type: ignore[arg-type]
             host.news.fed(news, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")  # type: ignore[arg-type]
             caller = host.callers.accept()
-            caller.opened(Quiet())      # type: ignore[arg-type]
-            caller.fed(Quiet(), packed("agent", "zone", "east"))        # type: ignore[arg-type]
-            host.watch.entries = {f"s{k}": () for k in range(GROWN.servers)}    # type: ignore[assignment]
+            caller.opened(Quiet())  # type: ignore[arg-type]
+            caller.fed(Quiet(), packed("agent", "zone", "east"))  # type: ignore[arg-type]
+            host.watch.entries = {f"s{k}": () for k in range(GROWN.servers)}  # type: ignore[assignment]
             host.lives("start")
             hosts.append((host, news, caller))
         sides: tuple[list[float], list[float]] = ([], [])
@@ -125,7 +145,7 @@
                         host.tell(*row)
                 host.round()
                 sides[which].append(clock() - begun)
-            if now > paced + 0.1:       # the feed's own turn, ten times a second of the day
+            if now > paced + 0.1:  # the feed's own turn, ten times a second of the day
                 begun, paced = clock(), now
                 hosts[1][0].feed.flush()
                 between += clock() - begun
@@ -140,10 +160,16 @@
 
     def at(rows: list[float], part: float) -> float:
         return rows[int(part * (len(rows) - 1))]
-    return {"round_ratio": {"median": round(at(b, 0.5) / at(a, 0.5), 3), "p99": round(at(b, 0.99) / at(a, 0.99), 3),
-                            "total": round((sum(b) + between) / sum(a), 3)},
-            "round_us": {"median": round(1e6 * at(a, 0.5), 1), "p99": round(1e6 * at(a, 0.99), 1)},
-            "recorded_exact": outcome.exact and not recorder.lost_all}
+
+    return {
+        "round_ratio": {
+            "median": round(at(b, 0.5) / at(a, 0.5), 3),
+            "p99": round(at(b, 0.99) / at(a, 0.99), 3),
+            "total": round((sum(b) + between) / sum(a), 3),
+        },
+        "round_us": {"median": round(1e6 * at(a, 0.5), 1), "p99": round(1e6 * at(a, 0.99), 1)},
+        "recorded_exact": outcome.exact and not recorder.lost_all,
+    }
 
 
 clock_of = [0.0]
@@ -170,11 +196,37 @@
             news += f"{len(text):x}\r\n{text}\r\n".encode()
         elif name == "heard":
             load = ",".join(f"{k}:{v}" for k, v in f[6].items())
-            reports += packed("outcomes", "zone", f[1], "server", f[0], "tries", str(f[3]), "failed", str(f[4]),
-                              "mean_ms", str(f[5] * 1e3), "span_ms", str(f[2] * 1e3), "load", load)
+            reports += packed(
+                "outcomes",
+                "zone",
+                f[1],
+                "server",
+                f[0],
+                "tries",
+                str(f[3]),
+                "failed",
+                str(f[4]),
+                "mean_ms",
+                str(f[5] * 1e3),
+                "span_ms",
+                str(f[2] * 1e3),
+                "load",
+                load,
+            )
         elif name == "wanted":
-            reports += packed("hot", "slice", str(f[0]), "class", f"m{f[1]}", "tries", str(f[3]), "failed", "0",
-                              "span_ms", str(f[2] * 1e3))
+            reports += packed(
+                "hot",
+                "slice",
+                str(f[0]),
+                "class",
+                f"m{f[1]}",
+                "tries",
+                str(f[3]),
+                "failed",
+                "0",
+                "span_ms",
+                str(f[2] * 1e3),
+            )
         else:
             told.append((name, f))
     return told, news, reports
@@ -211,31 +263,55 @@
 
 def memory() -> float:
     """MB that recording takes in the conductor: its buffer filled up again and again, and a checkpoint every 5 s."""
-    sizes = [min(int(subprocess.run([sys.executable, "-c", MEMORY, flag], capture_output=True, text=True, check=True,
-                                    ).stdout) for _ in range(2)) for flag in "01"]
+    sizes = [
+        min(
+            int(
+                subprocess.run(
+                    [sys.executable, "-c", MEMORY, flag],
+                    capture_output=True,
+                    text=True,
+                    check=True,
+                ).stdout
+            )
+            for _ in range(2)
+        )
+        for flag in "01"
+    ]
     return round((sizes[1] - sizes[0]) / 1e6, 2)
 
 
 def killed(kills: int) -> dict:
     """A writer killed again and again: what was lost, and whether it is said."""
     import knotwalk.record.feed as module
+
     module.AGAIN_FIRST = module.AGAIN_MOST = 0.01
     chance, loop, lines = Random(7), Loop(), []
     with tempfile.TemporaryDirectory() as folder:
         recorder = Recorder("n0", "i", "digest", 20.0)
-        feed = Feed(loop, recorder, [folder, "n0", "i", str(1 << 20), "3600", str(1 << 40)],
-                    lambda kind, text="": lines.append(kind))
+        feed = Feed(
+            loop,
+            recorder,
+            [folder, "n0", "i", str(1 << 20), "3600", str(1 << 40)],
+            lambda kind, text="": lines.append(kind),
+        )
 
         def witness(now: float, inbox: list, orders: list, held: Conductor) -> None:
             recorder.round(now, inbox, orders, held)
-        day = Day(4, FLEET, script=storm(4, FLEET, 1e5), witness=witness,
-                  lives=lambda now, m, s, seed: recorder.life(now, m, s, LIMITS, seed, "start"))
+
+        day = Day(
+            4,
+            FLEET,
+            script=storm(4, FLEET, 1e5),
+            witness=witness,
+            lives=lambda now, m, s, seed: recorder.life(now, m, s, LIMITS, seed, "start"),
+        )
 
         def turn(seconds: float) -> None:
             end = time.monotonic() + seconds
             while time.monotonic() < end:
                 loop.after(0.002, lambda: None)
                 loop.turn()
+
         for _ in range(kills):
             while feed.sock is None:
                 turn(0.005)
@@ -258,18 +334,23 @@
         outcome = exact.replay(recording)
         held = sum(x.lot.frames for x in recording.incarnations["i"])
         said = sum(x.frames for x in outcome.losses)
-        return {"kills": kills, "frames": recorder.number, "lost_said": said,
-                "lost_unsaid": recorder.number - held - said, "kills_exact": outcome.exact}
+        return {
+            "kills": kills,
+            "frames": recorder.number,
+            "lost_said": said,
+            "lost_unsaid": recorder.number - held - said,
+            "kills_exact": outcome.exact,
+        }
 
 
 def stalled(seconds: float) -> dict:
     """The writer stands still for so long, as its disk would make it: the rounds of that time against others."""
     import signal
+
     loop = Loop()
     with tempfile.TemporaryDirectory() as folder:
-        recorder = Recorder("n0", "i", "digest", 60.0, room=1 << 17)     # soon full
-        feed = Feed(loop, recorder, [folder, "n0", "i", str(1 << 20), "3600", str(1 << 40)],
-                    lambda kind, text="": None)
+        recorder = Recorder("n0", "i", "digest", 60.0, room=1 << 17)  # soon full
+        feed = Feed(loop, recorder, [folder, "n0", "i", str(1 << 20), "3600", str(1 << 40)], lambda kind, text="": None)
         taken: dict[bool, list[float]] = {True: [], False: []}
         still = False
 
@@ -277,8 +358,14 @@
             begun = time.perf_counter()
             recorder.round(now, inbox, orders, held)
             taken[still].append(time.perf_counter() - begun)
-        day = Day(5, GROWN, script=storm(5, GROWN, 1e5), witness=witness,
-                  lives=lambda now, m, s, seed: recorder.life(now, m, s, LIMITS, seed, "start"))
+
+        day = Day(
+            5,
+            GROWN,
+            script=storm(5, GROWN, 1e5),
+            witness=witness,
+            lives=lambda now, m, s, seed: recorder.life(now, m, s, LIMITS, seed, "start"),
+        )
         assert feed.process is not None
         for still in (False, True, False):
             if still:
@@ -296,8 +383,12 @@
 
     def p99(rows: list[float]) -> float:
         return sorted(rows)[int(0.99 * (len(rows) - 1))]
-    return {"stalled_ratio": round(p99(taken[True]) / p99(taken[False]), 2), "stalled_s": seconds,
-            "stalled_exact": not outcome.divergences and bool(outcome.losses)}
+
+    return {
+        "stalled_ratio": round(p99(taken[True]) / p99(taken[False]), 2),
+        "stalled_s": seconds,
+        "stalled_exact": not outcome.divergences and bool(outcome.losses),
+    }
 
 
 def pair(arguments: tuple) -> list[dict]:
@@ -319,10 +410,21 @@
         v = verdict.compare(past, base, [Model(past, c.settings, c.make, k).run() for k in range(runs)])
         truth = Day(seed, FLEET, c.settings(settings_of(FLEET)), script=storm(seed, FLEET, seconds), make=c.make)
         earned = truth.run(seconds).earned()
-        out.append({"seed": seed, "set": " ".join(sets), "truth": round(earned, 4), "base": round(day.earned(), 4),
-                    "said": round(v.tried.service.value, 4), "margin": round(v.margin, 4), "better": v.better,
-                    "wrong": v.better != "cannot tell" and (v.better == "tried") != (earned > day.earned())
-                    or sets in SAME and v.better != "cannot tell"})
+        out.append(
+            {
+                "seed": seed,
+                "set": " ".join(sets),
+                "truth": round(earned, 4),
+                "base": round(day.earned(), 4),
+                "said": round(v.tried.service.value, 4),
+                "margin": round(v.margin, 4),
+                "better": v.better,
+                "wrong": v.better != "cannot tell"
+                and (v.better == "tried") != (earned > day.earned())
+                or sets in SAME
+                and v.better != "cannot tell",
+            }
+        )
     return out
 
 
@@ -335,20 +437,33 @@
     for row in rows:
         print(json.dumps(row))
     off = [abs(x["said"] - x["truth"]) for x in rows]
-    return {"pairs": len(rows), "model_error": {"most": round(max(off), 4), "mean": round(fmean(off), 4),
-                                                "median": round(median(off), 4),
-                                                "within_0.03": sum(x <= 0.03 for x in off)},
-            "ranked": sum(x["better"] != "cannot tell" for x in rows), "ranked_wrong": sum(x["wrong"] for x in rows),
-            "cannot_tell": sum(x["better"] == "cannot tell" for x in rows)}
+    return {
+        "pairs": len(rows),
+        "model_error": {
+            "most": round(max(off), 4),
+            "mean": round(fmean(off), 4),
+            "median": round(median(off), 4),
+            "within_0.03": sum(x <= 0.03 for x in off),
+        },
+        "ranked": sum(x["better"] != "cannot tell" for x in rows),
+        "ranked_wrong": sum(x["wrong"] for x in rows),
+        "cannot_tell": sum(x["better"] == "cannot tell" for x in rows),
+    }
 
 
 def main() -> None:
     options = docopt("Usage: replay [--quick] [--hours H]")
     quick = options["--quick"]
     os.chdir(Path(__file__).parent.parent)
-    figures = {"simulated": True, **ratios(60.0 if quick else 300.0), "memory_mb": memory(),
-               **killed(5 if quick else 50), **stalled(1.0 if quick else 60.0), **pairs(quick),
-               **replayed(float(options["--hours"] or (0.05 if quick else 8.0)))}
+    figures = {
+        "simulated": True,
+        **ratios(60.0 if quick else 300.0),
+        "memory_mb": memory(),
+        **killed(5 if quick else 50),
+        **stalled(1.0 if quick else 60.0),
+        **pairs(quick),
+        **replayed(float(options["--hours"] or (0.05 if quick else 8.0))),
+    }
     print(json.dumps(figures))
 
 
--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -27,13 +27,13 @@
 from typing import Any
 
 from benchmarks import configuration
+from knotwalk.consensus.machine import Answer, Apply, Entry, Machine, Pace, Role, Save, Send
+from knotwalk.consensus.store import Store
 from knotwalk.control_plane.replicated_state import ReplicatedState
+from knotwalk.discovery.cluster_view import SLICES, Node
 from knotwalk.leases.keeper import Grant, Keeper, Pace as KeysPace, Propose, Release
 from knotwalk.leases.ledger import Ledger, ranges
 from knotwalk.leases.tenure import ASK, DRIFT, LEASE, MARGIN, PROOF, Tenure, reassign
-from knotwalk.consensus.machine import Answer, Apply, Entry, Machine, Pace, Role, Save, Send
-from knotwalk.consensus.store import Store
-from knotwalk.discovery.cluster_view import SLICES, Node
 from tests.system.cluster import Cluster, Violation, trouble
 from tests.system.model import explore, mistakes, worlds
 from tests.system.test_leases import World
@@ -44,8 +44,10 @@
     with tempfile.TemporaryDirectory(dir=".") as folder:
         founders = {f"{one}#founder": one for one in "abc"}
         stores = {one: Store() for one in "abc"}
-        machines = {one: Machine(stores[one].open(f"{folder}/{one}", True, one, founders), Pace(), 1, 0.0, -9.0)
-                    for one in "abc"}
+        machines = {
+            one: Machine(stores[one].open(f"{folder}/{one}", True, one, founders), Pace(), 1, 0.0, -9.0)
+            for one in "abc"
+        }
         answers: list[Answer] = []
 
         def carry(now: float) -> None:
@@ -89,10 +91,17 @@
             store = Store()
             store.open(f"{folder}/made", True, "a", {"a#founder": "a"})
             entries = [Entry(1, 1, "command", {"do": "shard", "services": ["s"]})]
-            entries += [Entry(one, 1, "command", {"do": "move", "by": "a", "moves": [
-                ["s", one % SLICES, one % SLICES, one, f"n{one % 40}"]] * 3}) for one in range(2, count + 1)]
+            entries += [
+                Entry(
+                    one,
+                    1,
+                    "command",
+                    {"do": "move", "by": "a", "moves": [["s", one % SLICES, one % SLICES, one, f"n{one % 40}"]] * 3},
+                )
+                for one in range(2, count + 1)
+            ]
             for first in range(0, count, 10):
-                store.write(Save(first, 1, None, entries[first:first + 10], None, None))
+                store.write(Save(first, 1, None, entries[first : first + 10], None, None))
             found = []
             for turn in range(times):
                 shutil.copytree(f"{folder}/made", f"{folder}/{turn}")
@@ -197,31 +206,42 @@
                 leased = [x.conductor for x in line]
                 for to, found in reassign(desk["tenure"], now, leased).items():
                     for before in {leased[k] for first, last in found for k in range(first, last + 1)}:
-                        named = ranges(k for first, last in found for k in range(first, last + 1)
-                                       if leased[k] == before)
+                        named = ranges(
+                            k for first, last in found for k in range(first, last + 1) if leased[k] == before
+                        )
                         self.tell(address, {"do": "lease", "from": before, "to": to, "slices": {"s": named}})
         new = [k for k, x in enumerate(ledger.slices.get("s", ())) if x.conductor == address and not x.owner]
         if new and now < keeper.until:
-            self.tell(address, {"do": "move", "by": address, "moves": [
-                ["s", first, last, 0, f"n{first % 4}"] for first, last in ranges(new)]})
+            self.tell(
+                address,
+                {
+                    "do": "move",
+                    "by": address,
+                    "moves": [["s", first, last, 0, f"n{first % 4}"] for first, last in ranges(new)],
+                },
+            )
         keeper.tick(now)
         orders, keeper.orders = keeper.orders, []
         for order in orders:
             if isinstance(order, Propose):
                 self.tell(address, order.command)
             else:
-                self._later(0.001, lambda order=order: self._call(address, life, order))    # type: ignore[misc]
+                self._later(0.001, lambda order=order: self._call(address, life, order))  # type: ignore[misc]
         self._later(0.01, lambda: self._work(address, life))
 
     def _proven(self, address: str) -> bool:
         node = self.nodes[address]
-        return (node.machine is not None and node.machine.settled and self.desks[address]["tenure"] is not None
-                and self.now + node.offset - node.machine.majority_at < PROOF)
+        return (
+            node.machine is not None
+            and node.machine.settled
+            and self.desks[address]["tenure"] is not None
+            and self.now + node.offset - node.machine.majority_at < PROOF
+        )
 
     def _lease(self, leader: str, asking: str, life: int, sent: float) -> None:
         if self._proven(leader) and self.nodes[asking].life == life:
             until = sent + self.desks[leader]["tenure"].asked(self.now, asking)
-            last = self.nodes[leader].machine.log.last      # type: ignore[union-attr]
+            last = self.nodes[leader].machine.log.last  # type: ignore[union-attr]
             keeper = self.desks[asking]["keeper"]
             self._later(0.001, lambda: keeper.leased(self.now, until, last))
 
@@ -256,8 +276,9 @@
     said = io.StringIO()
     with contextlib.redirect_stdout(said):
         configuration.main(quick)
-    found: dict[str, Any] = {name: value for name, value in json.loads(said.getvalue().splitlines()[-1]).items()
-                             if name.startswith("route")}
+    found: dict[str, Any] = {
+        name: value for name, value in json.loads(said.getvalue().splitlines()[-1]).items() if name.startswith("route")
+    }
     found["commit_us"] = round(commit_us(200 if quick else 2000), 1)
     took = elections(30 if quick else 400)
     found["election_s"], found["election_most_s"] = round(statistics.median(took), 3), round(max(took), 3)
@@ -270,8 +291,13 @@
     found["model_states"], found["model_broken"] = 0, 0
     for name, (world, depth, most) in worlds(not quick).items():
         walked = explore(world.start, world.follow, depth, min(most, 12_000) if quick else most)
-        print(f"{name}: {walked.states} states, {walked.depth} deep{', all there are' if walked.whole else ''}",
-              *walked.trace, *walked.broken, sep="\n  ", flush=True)
+        print(
+            f"{name}: {walked.states} states, {walked.depth} deep{', all there are' if walked.whole else ''}",
+            *walked.trace,
+            *walked.broken,
+            sep="\n  ",
+            flush=True,
+        )
         found["model_states"] += walked.states
         found["model_broken"] += bool(walked.broken)
     named = mistakes()
--- a/knotwalk/__main__.py
+++ b/knotwalk/__main__.py
@@ -60,17 +60,21 @@
         return 0
     if arguments["record"]:
         from knotwalk.record.command import record
+
         return record(arguments)
     if arguments["replay"]:
         from knotwalk.replay.command import replay
+
         return replay(arguments)
     if arguments["subscribe"]:
         from knotwalk.pubsub.command import subscribe
+
         return subscribe(arguments)
-    hangups: list[int] = []     # those that come before the loop hears them: left alone, they would end the program
+    hangups: list[int] = []  # those that come before the loop hears them: left alone, they would end the program
     if arguments["serve"]:
         signal.signal(signal.SIGHUP, lambda number, _: hangups.append(number))
     from knotwalk.net import conductor
+
     if arguments["check"]:
         return conductor.check(os.environ, arguments["--operator"])
     return conductor.serve(os.environ, arguments["--operator"], hangups)
--- a/knotwalk/admission/admission.py
+++ b/knotwalk/admission/admission.py
@@ -43,21 +43,39 @@
 class Seen:
     """What this edge has met with at one node; it hangs at the node in the cluster view."""
 
-    __slots__ = ("flying", "others", "others_at", "usual", "work", "shunned_until", "shun", "draining_since",
-                 "silent_since", "bad", "hung", "load_sum", "load_count", "slots", "ok", "failed", "refused", "busy")
+    __slots__ = (
+        "flying",
+        "others",
+        "others_at",
+        "usual",
+        "work",
+        "shunned_until",
+        "shun",
+        "draining_since",
+        "silent_since",
+        "bad",
+        "hung",
+        "load_sum",
+        "load_count",
+        "slots",
+        "ok",
+        "failed",
+        "refused",
+        "busy",
+    )
 
     def __init__(self) -> None:
-        self.flying = 0                 # own requests at the node now
-        self.hung = False               # a request hangs there, and was counted among the failed
-        self.silent_since = 0.0         # when the node last answered, or was sent a request while it had none
+        self.flying = 0  # own requests at the node now
+        self.hung = False  # a request hangs there, and was counted among the failed
+        self.silent_since = 0.0  # when the node last answered, or was sent a request while it had none
         self.others, self.others_at, self.usual = 0.0, -1e9, 0.0
-        self.work = 0.0                 # mean seconds from sending to the whole answer, when nothing waited; 0: unseen
+        self.work = 0.0  # mean seconds from sending to the whole answer, when nothing waited; 0: unseen
         self.shunned_until, self.shun = 0.0, 0.0
-        self.bad = 0                    # tries in a row that ended without an answer
+        self.bad = 0  # tries in a row that ended without an answer
         self.draining_since: float | None = None
         self.load_sum, self.load_count, self.slots = 0, 0, 0
         self.ok, self.failed, self.refused = 0, 0, 0
-        self.busy = 0.0                 # seconds that the answered ones (`ok`) took
+        self.busy = 0.0  # seconds that the answered ones (`ok`) took
 
     def sent(self, now: float) -> None:
         """A request went to the node."""
@@ -135,8 +153,16 @@
     return priority >= YIELDS
 
 
-def worth_offering(in_hand: float, capacity: int, cold: bool, work: float, left: float, priority: int,
-                   once: bool = False, aim: float = math.inf) -> bool:
+def worth_offering(
+    in_hand: float,
+    capacity: int,
+    cold: bool,
+    work: float,
+    left: float,
+    priority: int,
+    once: bool = False,
+    aim: float = math.inf,
+) -> bool:
     """Whether a node would likely answer within `left` seconds; lower ranks (higher `priority`) give up earlier, those
     that yield where the answer would come well after their `aim` (seconds), and requests that may run `once` go only
     where the node has room beyond doubt.
--- a/knotwalk/admission/budget.py
+++ b/knotwalk/admission/budget.py
@@ -20,7 +20,7 @@
 
     def __init__(self, window: float):
         self.part = window / PARTS
-        self.parts: deque[list[int]] = deque()      # [number of the part, count], oldest first
+        self.parts: deque[list[int]] = deque()  # [number of the part, count], oldest first
         self.total = 0
 
     def add(self, now: float, count: int = 1) -> None:
--- a/knotwalk/admission/outcome.py
+++ b/knotwalk/admission/outcome.py
@@ -10,12 +10,12 @@
 class End(Enum):
     """How one try at one node ended."""
 
-    UNREACHED = "unreached"         # no connection came up: not a byte was sent
-    TURNED_AWAY = "turned away"     # the node says that it did not run it
-    ANSWERED = "answered"           # a whole answer, to be passed on
-    FAILED = "failed"               # a whole answer of the node's own trouble: 500, 502, 503, 504
-    LOST = "lost"                   # reset, closed, cut, unreadable or another's answer, after bytes were sent
-    SILENT = "silent"               # the deadline passed after bytes were sent
+    UNREACHED = "unreached"  # no connection came up: not a byte was sent
+    TURNED_AWAY = "turned away"  # the node says that it did not run it
+    ANSWERED = "answered"  # a whole answer, to be passed on
+    FAILED = "failed"  # a whole answer of the node's own trouble: 500, 502, 503, 504
+    LOST = "lost"  # reset, closed, cut, unreadable or another's answer, after bytes were sent
+    SILENT = "silent"  # the deadline passed after bytes were sent
 
 
 class Proof(Enum):
@@ -29,20 +29,23 @@
 class Move(Enum):
     """What to do next."""
 
-    AGAIN = "again"             # offer it to a node once more
-    PASS_ON = "pass on"         # give the client the node's answer
-    COME_BACK = "come back"     # 503 with Retry-After: it never ran and never will
-    UNKNOWN = "unknown"         # 502: it may have run
-    LATE = "late"               # 504: the deadline passed
+    AGAIN = "again"  # offer it to a node once more
+    PASS_ON = "pass on"  # give the client the node's answer
+    COME_BACK = "come back"  # 503 with Retry-After: it never ran and never will
+    UNKNOWN = "unknown"  # 502: it may have run
+    LATE = "late"  # 504: the deadline passed
 
 
 PROOFS = {
-    End.UNREACHED: Proof.NEVER_RAN, End.TURNED_AWAY: Proof.NEVER_RAN,
-    End.ANSWERED: Proof.DONE, End.FAILED: Proof.MAY_HAVE_RUN,
-    End.LOST: Proof.MAY_HAVE_RUN, End.SILENT: Proof.MAY_HAVE_RUN,
+    End.UNREACHED: Proof.NEVER_RAN,
+    End.TURNED_AWAY: Proof.NEVER_RAN,
+    End.ANSWERED: Proof.DONE,
+    End.FAILED: Proof.MAY_HAVE_RUN,
+    End.LOST: Proof.MAY_HAVE_RUN,
+    End.SILENT: Proof.MAY_HAVE_RUN,
 }
-PROMISES = frozenset({408, 421, 429, 503})      # statuses by which a client knows that its request never runs
-TROUBLE = frozenset({500, 502, 503, 504})       # a node's own trouble, after it ran or may have run
+PROMISES = frozenset({408, 421, 429, 503})  # statuses by which a client knows that its request never runs
+TROUBLE = frozenset({500, 502, 503, 504})  # a node's own trouble, after it ran or may have run
 
 
 def judge(status: int, not_executed: bool, sealed: bool) -> End:
--- a/knotwalk/cli/__main__.py
+++ b/knotwalk/cli/__main__.py
@@ -46,12 +46,14 @@
 
 def ask(address: str, step: str, question: dict) -> Any:
     """A core's answer; ends with 2 where there is none."""
+
     async def once() -> Any:
         caller = Caller()
         try:
             return await caller.json("POST", f"http://{address}/{step}", question, PATIENCE, step)
         finally:
             await caller.close()
+
     try:
         return asyncio.run(once())
     except PeerError as error:
@@ -80,11 +82,21 @@
         except Unreadable as error:
             found = [(file, str(error))]
         except checks.Mistakes as group:
-            found = [(one.where, one.mistake) if isinstance(one, Invalid) else (one.peer, str(one.why))
-                     for one in group.exceptions]
+            found = [
+                (one.where, one.mistake) if isinstance(one, Invalid) else (one.peer, str(one.why))
+                for one in group.exceptions
+            ]
         if json:
-            end(int(bool(found)), as_json({"file": file, "what": what, "mistakes": [
-                {"place": place, "mistake": mistake} for place, mistake in found]}))
+            end(
+                int(bool(found)),
+                as_json(
+                    {
+                        "file": file,
+                        "what": what,
+                        "mistakes": [{"place": place, "mistake": mistake} for place, mistake in found],
+                    }
+                ),
+            )
         lines = [f"{place}: {mistake}" if place else mistake for place, mistake in found]
         end(int(bool(found)), *(lines or [f"{what}: good"]))
 
@@ -106,8 +118,16 @@
                 end(2, trouble=f"{path}: {error}")
         found = compare.differences(*both)
         if json:
-            end(int(bool(found)), as_json({"old": version_text(both[0].version), "new": version_text(both[1].version),
-                                           "differences": [one._asdict() for one in found]}))
+            end(
+                int(bool(found)),
+                as_json(
+                    {
+                        "old": version_text(both[0].version),
+                        "new": version_text(both[1].version),
+                        "differences": [one._asdict() for one in found],
+                    }
+                ),
+            )
         end(int(bool(found)), *([one.line() for one in found] or ["the same in meaning"]))
 
     def export(self, data_dir: str, json: bool = False) -> None:
@@ -128,8 +148,10 @@
             end(2, trouble=str(error))
         if json:
             end(int(told["configuration"] is None), as_json(told))
-        trouble = (f"{told['config_version'] or 'no configuration'} of {told['me']}, log to entry {told['last']} of "
-                   f"term {told['last_term']}; surely agreed on: {told['sure'] or 'none'}")
+        trouble = (
+            f"{told['config_version'] or 'no configuration'} of {told['me']}, log to entry {told['last']} of "
+            f"term {told['last_term']}; surely agreed on: {told['sure'] or 'none'}"
+        )
         if told["configuration"] is None:
             end(1, trouble=trouble)
         end(0, as_json(told["configuration"]), trouble=trouble)
@@ -180,8 +202,11 @@
         end(2, trouble=f"{path}: {error}")
     if isinstance(value, dict) and "me" in value and "configuration" in value:
         kept = value.get("history") if history else None
-        found = [one.get("configuration") if isinstance(one, dict) else one
-                 for one in kept] if isinstance(kept, list) else [value["configuration"]]
+        found = (
+            [one.get("configuration") if isinstance(one, dict) else one for one in kept]
+            if isinstance(kept, list)
+            else [value["configuration"]]
+        )
     else:
         found = [value]
     if history and (len(found) < 2 or found[-1] != value.get("configuration")):
@@ -212,16 +237,25 @@
             if now is not None and document(fresh) == document(now):
                 return 0, [f"{name} is in force already"], ""
             if fresh.version <= at:
-                return 1, [], (f"config_version: {name} is not above {version_text(at)}, which is in force; "
-                               "--version gives it another")
+                return (
+                    1,
+                    [],
+                    (
+                        f"config_version: {name} is not above {version_text(at)}, which is in force; "
+                        "--version gives it another"
+                    ),
+                )
             lines += [one.line() for one in compare.differences(now or Configuration(0, {}, {}, Limits()), fresh)]
             if send:
                 reply = await operator.call("PUT", text, at)
                 if reply.status != 200:
                     return 1, lines, f"{name} was refused, nothing has changed: {reply.body.get('error')}"
                 back = await operator.current()
-                if back is None or back.version < fresh.version or (
-                        back.version == fresh.version and document(back) != document(fresh)):
+                if (
+                    back is None
+                    or back.version < fresh.version
+                    or (back.version == fresh.version and document(back) != document(fresh))
+                ):
                     return 1, lines, f"{name} was taken, but reads back otherwise"
             lines.append(f"{name} is in force" if send else f"{name} would be sent on top of {version_text(at)}")
             now = fresh
@@ -232,8 +266,15 @@
         await caller.close()
 
 
-def take(_self: Commands, file: str, address: str, apply: bool = False, version: str | None = None,
-         history: bool = False, json: bool = False) -> None:
+def take(
+    _self: Commands,
+    file: str,
+    address: str,
+    apply: bool = False,
+    version: str | None = None,
+    history: bool = False,
+    json: bool = False,
+) -> None:
     """Offer a configuration to a running system; without --apply only tell what would change.
 
     The file is checked as by `check` first. Then it is PUT on top of what is in force at that moment, again until an
@@ -263,7 +304,7 @@
     end(code, *lines, trouble=trouble)
 
 
-setattr(Commands, "import", take)    # a word of Python's own
+setattr(Commands, "import", take)  # a word of Python's own
 
 
 def arguments(given: list[str]) -> list[str]:
@@ -281,7 +322,7 @@
     try:
         fire.Fire(Commands, arguments(sys.argv[1:]), name="cli")
         sys.stdout.flush()
-    except BrokenPipeError:     # whoever read it has seen enough; nothing may be written at the end either
+    except BrokenPipeError:  # whoever read it has seen enough; nothing may be written at the end either
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         sys.exit(2)
 
--- a/knotwalk/cli/check.py
+++ b/knotwalk/cli/check.py
@@ -13,7 +13,7 @@
 from knotwalk.runtime.errors import SettingsError
 from knotwalk.runtime.settings import Settings, parse
 
-MOST = 100      # mistakes told; a file of another kind has one a line
+MOST = 100  # mistakes told; a file of another kind has one a line
 
 WANTED = {"edge": ("data_plane", "readiness"), "control_plane": ("control",)}
 
@@ -37,8 +37,7 @@
             left = {**left, "node_name": "?"} if field == "node_name" else {k: v for k, v in left.items() if k != field}
     named = {error.peer.partition(".")[0].partition("[")[0] for error in found if isinstance(error, SettingsError)}
     if read is not None:
-        found += [SettingsError(field, why) for field, why in _lacking(read)
-                  if field.partition(".")[0] not in named]
+        found += [SettingsError(field, why) for field, why in _lacking(read) if field.partition(".")[0] not in named]
     if found or read is None:
         raise Mistakes(count(len(found), "mistake"), found)
     return read
@@ -48,8 +47,11 @@
     """What a program of this kind can't do without."""
     lacks = []
     for served in read.serves:
-        lacks += [(f"listen_addresses.{name}", f"is missing, and the machine serves {served}")
-                  for name in WANTED.get(served, ()) if name not in read.listen]
+        lacks += [
+            (f"listen_addresses.{name}", f"is missing, and the machine serves {served}")
+            for name in WANTED.get(served, ())
+            if name not in read.listen
+        ]
     if not read.seeds:
         lacks.append(("seed_nodes", "is empty: nobody else would be found"))
     if "control_plane" in read.serves:
@@ -92,14 +94,16 @@
     objects = raw.get("objects")
     if not isinstance(objects, list):
         return None
-    fits: Callable[[int, dict], bool] = lambda place, item: where == f"objects[{place}]" or (
-        isinstance(item, dict) and (where == "limits" == item.get("object_kind") or where == _named(item)))
+    fits: Callable[[int, dict], bool] = lambda place, item: (
+        where == f"objects[{place}]"
+        or (isinstance(item, dict) and (where == "limits" == item.get("object_kind") or where == _named(item)))
+    )
     for place, item in enumerate(objects):
         if fits(place, item):
             fresh = _aside(place)
             if isinstance(item, dict) and where == _named(item) and item["object_kind"] == "services":
-                fresh = {**item, "specification": {}}       # routes name it still
-            return {**raw, "objects": [*objects[:place], fresh, *objects[place + 1:]]}
+                fresh = {**item, "specification": {}}  # routes name it still
+            return {**raw, "objects": [*objects[:place], fresh, *objects[place + 1 :]]}
     return None
 
 
@@ -116,7 +120,9 @@
     if isinstance(raw, dict) and ("objects" in raw or "config_version" in raw):
         configuration(raw)
         read = read_configuration(raw)
-        return (f"configuration {raw['config_version']}: {count(len(read.routes), 'route')}, "
-                f"{count(len(read.services), 'service')}")
+        return (
+            f"configuration {raw['config_version']}: {count(len(read.routes), 'route')}, "
+            f"{count(len(read.services), 'service')}"
+        )
     read = settings(raw)
     return f"settings of {read.node_name}: {read.role or 'no role'}, at {read.ip_address}"
--- a/knotwalk/cli/compare.py
+++ b/knotwalk/cli/compare.py
@@ -19,7 +19,7 @@
 class Difference(NamedTuple):
     """One thing that differs: `what` is added, removed, renamed, moved, split, timeouts or changed."""
 
-    kind: str       # route, service or limits
+    kind: str  # route, service or limits
     name: str
     what: str
     detail: str
@@ -48,19 +48,23 @@
     found: list[Difference] = []
     pairs = {name: name for name in old.routes if name in new.routes}
     by_place = {place(route): name for name, route in new.routes.items() if name not in old.routes}
-    pairs |= {name: by_place[place(route)] for name, route in old.routes.items()
-              if name not in pairs and place(route) in by_place}
+    pairs |= {
+        name: by_place[place(route)]
+        for name, route in old.routes.items()
+        if name not in pairs and place(route) in by_place
+    }
     for name, route in old.routes.items():
         if name in pairs:
             found += _route(route, new.routes[pairs[name]])
         else:
             found.append(Difference("route", name, "removed", _shown(route)))
     paired = set(pairs.values())
-    found += [Difference("route", name, "added", _shown(route)) for name, route in new.routes.items()
-              if name not in paired]
+    found += [
+        Difference("route", name, "added", _shown(route)) for name, route in new.routes.items() if name not in paired
+    ]
     for name in old.services.keys() | new.services.keys():
         found += _fields("service", name, old.services.get(name), new.services.get(name))
-    found[len(found):] = _fields("limits", "", old.limits, new.limits)
+    found[len(found) :] = _fields("limits", "", old.limits, new.limits)
     return sorted(found, key=lambda one: ("route service limits".index(one.kind), one.name, one.what))
 
 
@@ -83,8 +87,11 @@
     if before != after:
         what = "moved" if len(before) == len(after) == 1 else "split"
         note(what, f"{shares(old.splits)} -> {shares(new.splits)}")
-    times = [f"{name} {span(a)} -> {span(b)}" for name in ("timeout", "target_latency")
-             if (a := getattr(old, name)) != (b := getattr(new, name))]
+    times = [
+        f"{name} {span(a)} -> {span(b)}"
+        for name in ("timeout", "target_latency")
+        if (a := getattr(old, name)) != (b := getattr(new, name))
+    ]
     if times:
         note("timeouts", ", ".join(times))
     if old.idempotent != new.idempotent:
@@ -101,8 +108,11 @@
         one = old or new
         detail = ", ".join(f"{f.name} {_value(f.name, getattr(one, f.name))}" for f in fields(one) if f.name != "name")
         return [Difference(kind, name, "removed" if new is None else "added", detail)]
-    return [Difference(kind, name, "changed", f"{f.name} {_value(f.name, a)} -> {_value(f.name, b)}")
-            for f in fields(old) if (a := getattr(old, f.name)) != (b := getattr(new, f.name))]
+    return [
+        Difference(kind, name, "changed", f"{f.name} {_value(f.name, a)} -> {_value(f.name, b)}")
+        for f in fields(old)
+        if (a := getattr(old, f.name)) != (b := getattr(new, f.name))
+    ]
 
 
 def _value(name: str, value: object) -> str:
--- a/knotwalk/cli/offer.py
+++ b/knotwalk/cli/offer.py
@@ -12,10 +12,10 @@
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 
-PATIENCE = 6.0      # for one answer: a core says after 4 s that it does not know
-TRIES = 8           # of one call without a clear answer: past an election, and a core that has gone
+PATIENCE = 6.0  # for one answer: a core says after 4 s that it does not know
+TRIES = 8  # of one call without a clear answer: past an election, and a core that has gone
 PAUSE = 0.4
-HOPS = 2            # from a core to the leader, and once more if that one has just been replaced
+HOPS = 2  # from a core to the leader, and once more if that one has just been replaced
 
 
 class NoAnswer(Exception):
--- a/knotwalk/cli/past.py
+++ b/knotwalk/cli/past.py
@@ -5,8 +5,8 @@
 from typing import Any
 
 from knotwalk.configuration.read import document
-from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.consensus.store import read
+from knotwalk.control_plane.replicated_state import ReplicatedState
 
 
 def export(data_dir: str) -> dict[str, Any]:
@@ -25,8 +25,13 @@
 
     def note() -> None:
         if state.configuration and (not history or history[-1]["config_order"] != state.order):
-            history.append({"config_version": f"r{state.version}", "config_order": state.order,
-                            "configuration": document(state.configuration)})
+            history.append(
+                {
+                    "config_version": f"r{state.version}",
+                    "config_order": state.order,
+                    "configuration": document(state.configuration),
+                }
+            )
 
     note()
     for entry in saved.entries:
@@ -35,8 +40,14 @@
         note()
     last = saved.entries[-1] if saved.entries else None
     return {
-        "me": saved.me, "config_version": f"r{state.version}" if state.configuration else None,
-        "config_order": state.order, "sure": f"r{sure}" if sure else None, "snapshot": saved.snapshot_index,
-        "last": last.index if last else saved.snapshot_index, "last_term": last.term if last else saved.snapshot_term,
-        "term": saved.term, "history": history,
-        "configuration": document(state.configuration) if state.configuration else None}
+        "me": saved.me,
+        "config_version": f"r{state.version}" if state.configuration else None,
+        "config_order": state.order,
+        "sure": f"r{sure}" if sure else None,
+        "snapshot": saved.snapshot_index,
+        "last": last.index if last else saved.snapshot_index,
+        "last_term": last.term if last else saved.snapshot_term,
+        "term": saved.term,
+        "history": history,
+        "configuration": document(state.configuration) if state.configuration else None,
+    }
--- a/knotwalk/cli/show.py
+++ b/knotwalk/cli/show.py
@@ -16,18 +16,22 @@
         f"log: commit {told['commit']}, applied {told['applied']}, last {told['last']}",
         f"configuration: {told['config_version'] or 'none yet'}"
         + (f", entry {told['config_order']}" if told["config_version"] else ""),
-        f"nodes: {told['nodes']['count']}, {told['nodes']['draining']} draining, list {told['nodes']['order']}"]
+        f"nodes: {told['nodes']['count']}, {told['nodes']['draining']} draining, list {told['nodes']['order']}",
+    ]
     if ailing := told["nodes"]["ailing"]:
         lines.append(f"ailing: {', '.join(ailing)}")
     lines += [f"member {id} at {address}" for id, address in sorted(told["members"].items())]
     for service, leases in sorted(told["leases"].items()):
-        lines += [f"leases of {service}: {count(slices, 'slice')} by {conductor or 'nobody'}"
-                  for conductor, slices in leases.items()]
+        lines += [
+            f"leases of {service}: {count(slices, 'slice')} by {conductor or 'nobody'}"
+            for conductor, slices in leases.items()
+        ]
         if changing := told["changing_hands"][service]:
             lines.append(f"{service}: {count(changing, 'slice')} change hands")
     words = {True: "has the whole board", False: "is behind the board", None: "calls another core"}
-    lines += [f"edge {edge['edge']}: {words[edge.get('current')]}, heard of {span(edge['ago'])} ago"
-              for edge in told["edges"]]
+    lines += [
+        f"edge {edge['edge']}: {words[edge.get('current')]}, heard of {span(edge['ago'])} ago" for edge in told["edges"]
+    ]
     if not told["edges"]:
         lines.append("edges: none heard of")
     return lines
@@ -42,13 +46,17 @@
     if route is None:
         return [f"{version}: no route; an edge answers 404"]
     parts = shares((one["service"], one["weight"]) for one in told["services"])
-    lines = [f"{version}: route {route['name']} ({route['hostname']}{route['path_prefix']}) -> {parts}",
-             f"{'idempotent' if route['idempotent'] else 'non_idempotent'}, timeout {span(route['timeout'])}, "
-             f"target_latency {span(route['target_latency'])}, at most {count(route['retry_count'], 'node')} a try"]
+    lines = [
+        f"{version}: route {route['name']} ({route['hostname']}{route['path_prefix']}) -> {parts}",
+        f"{'idempotent' if route['idempotent'] else 'non_idempotent'}, timeout {span(route['timeout'])}, "
+        f"target_latency {span(route['target_latency'])}, at most {count(route['retry_count'], 'node')} a try",
+    ]
     for one in told["services"]:
         nodes = one["nodes"]
-        lines.append(f"service {one['service']}: {'by key' if one['sharded'] else 'any node'}, "
-                     f"{count(nodes['count'], 'node')}, {nodes['draining']} draining")
+        lines.append(
+            f"service {one['service']}: {'by key' if one['sharded'] else 'any node'}, "
+            f"{count(nodes['count'], 'node')}, {nodes['draining']} draining"
+        )
         if (line := one.get("line")) is not None:
             lines += _line(line)
         elif one["sharded"]:
@@ -60,10 +68,17 @@
     node = line["node"]
     state = "open" if line["open"] else "changes hands: requests wait, then 503"
     owner = line["owner"] or "nobody"
-    where = (f"at {node['address']} in {node['zone']}" + (", draining" if node["draining"] else "")) if node \
-        else "not on the list" if line["owner"] else "not placed yet"
-    lines = [f"  slice {line['slice']}, keys {line['first_key']} to {line['last_key']}: owner {owner}, {where}",
-             f"  {state}; fence {line['fence']}, leased by {line['conductor'] or 'nobody'}"]
+    where = (
+        (f"at {node['address']} in {node['zone']}" + (", draining" if node["draining"] else ""))
+        if node
+        else "not on the list"
+        if line["owner"]
+        else "not placed yet"
+    )
+    lines = [
+        f"  slice {line['slice']}, keys {line['first_key']} to {line['last_key']}: owner {owner}, {where}",
+        f"  {state}; fence {line['fence']}, leased by {line['conductor'] or 'nobody'}",
+    ]
     if line["before"]:
         lines.append(f"  may be held still by {', '.join(line['before'])}")
     return lines
--- a/knotwalk/configuration/control.py
+++ b/knotwalk/configuration/control.py
@@ -12,7 +12,15 @@
 from dataclasses import dataclass, field
 
 from knotwalk.configuration.objects import Configuration, Limits
-from knotwalk.configuration.read import Invalid, document, patched, read_configuration, shown, version_number, version_text
+from knotwalk.configuration.read import (
+    Invalid,
+    document,
+    patched,
+    read_configuration,
+    shown,
+    version_number,
+    version_text,
+)
 
 # An operator repeats a call for seconds and versions come seconds apart at the fastest; 64 hold minutes.
 REMEMBERED = 64
@@ -98,8 +106,12 @@
     """Whether lists and objects are nested over `MOST_DEEP`; by levels, so without recursion."""
     level = [value]
     for _ in range(MOST_DEEP + 1):
-        level = [part for whole in level if type(whole) in (dict, list)
-                 for part in (whole.values() if type(whole) is dict else whole)]
+        level = [
+            part
+            for whole in level
+            if type(whole) in (dict, list)
+            for part in (whole.values() if type(whole) is dict else whole)
+        ]
         if not level:
             return False
     return True
--- a/knotwalk/configuration/index.py
+++ b/knotwalk/configuration/index.py
@@ -16,7 +16,7 @@
     ('ficu95.example', '[::1]')
     """
     if host.startswith("["):
-        return host[:host.find("]") + 1].lower() or host.lower()
+        return host[: host.find("]") + 1].lower() or host.lower()
     return host.partition(":")[0].removesuffix(".").lower()
 
 
@@ -43,7 +43,7 @@
             longest = query
         cut = path.rfind("/", 0, longest)
         while cut >= 0:
-            if route := routes.get(path[:cut + 1]):
+            if route := routes.get(path[: cut + 1]):
                 return route
             cut = path.rfind("/", 0, cut)
         return None
--- a/knotwalk/configuration/read.py
+++ b/knotwalk/configuration/read.py
@@ -19,7 +19,7 @@
 LONGEST_TIMEOUT = 600.0
 TARGET_OVER_TIMEOUT = 60.0
 # The largest whole number that every reader of JSON keeps exactly.
-LARGEST = 2 ** 53
+LARGEST = 2**53
 
 # Fields beside `config_version` and `objects` are kept under this key of `Configuration.items`; no kind is empty.
 REST = ("", "")
@@ -173,11 +173,18 @@
         raise _Mistake(f"timeout is over ten minutes: {shown(fields['timeout'])}")
     # Rounded, since 60.3 - 0.3 in binary falls short of 60.
     if round(target - timeout, 9) >= TARGET_OVER_TIMEOUT:
-        raise _Mistake("target_latency lies a minute or more over the timeout: "
-                       f"{shown(fields['target_latency'])}")
-    return Route(name, hostname, prefix, IDEMPOTENT[kind], timeout, target,
-                 _whole(fields, "priority", least=None), _splits(fields),
-                 _whole(fields, "retry_count"))
+        raise _Mistake(f"target_latency lies a minute or more over the timeout: {shown(fields['target_latency'])}")
+    return Route(
+        name,
+        hostname,
+        prefix,
+        IDEMPOTENT[kind],
+        timeout,
+        target,
+        _whole(fields, "priority", least=None),
+        _splits(fields),
+        _whole(fields, "retry_count"),
+    )
 
 
 def _service(name: str, fields: dict) -> Service:
@@ -188,16 +195,23 @@
     sharded = fields.get("sharded", base.sharded)
     if type(sharded) is not bool:
         raise _Mistake(f"sharded must be true or false, not {shown(sharded)}")
-    return Service(name, health, _whole(fields, "max_connections", base.max_connections), sharded,
-                   _time(fields, "prewarm", base.prewarm))
+    return Service(
+        name,
+        health,
+        _whole(fields, "max_connections", base.max_connections),
+        sharded,
+        _time(fields, "prewarm", base.prewarm),
+    )
 
 
 def _limits(fields: dict) -> Limits:
     base = Limits()
-    return Limits(_whole(fields, "max_header_bytes", base.max_header_bytes),
-                  _whole(fields, "max_body_bytes", base.max_body_bytes),
-                  _time(fields, "header_timeout", base.header_timeout),
-                  _time(fields, "idle_timeout", base.idle_timeout))
+    return Limits(
+        _whole(fields, "max_header_bytes", base.max_header_bytes),
+        _whole(fields, "max_body_bytes", base.max_body_bytes),
+        _time(fields, "header_timeout", base.header_timeout),
+        _time(fields, "idle_timeout", base.idle_timeout),
+    )
 
 
 def key(item: dict) -> Key:
@@ -224,12 +238,15 @@
         if type(name) is not str or not name and kind in ("routes", "services"):
             raise Invalid(f"{where}[{place}]", "metadata must carry a name")
         if kind in ("routes", "services", "limits") and type(item.get("specification")) is not dict:
-            raise Invalid(f"{where}[{place}]",
-                          f"specification must be an object, not {shown(item.get('specification'))}")
+            raise Invalid(
+                f"{where}[{place}]", f"specification must be an object, not {shown(item.get('specification'))}"
+            )
         which = LIMITS if kind == "limits" else (kind, name)
         if which in items:
-            raise Invalid(f"{where}[{place}]", "limits stand there twice" if kind == "limits"
-                          else f"{kind} {shown(name)} stands there twice")
+            raise Invalid(
+                f"{where}[{place}]",
+                "limits stand there twice" if kind == "limits" else f"{kind} {shown(name)} stands there twice",
+            )
         items[which] = item
     return items
 
@@ -284,8 +301,11 @@
 def document(configuration: Configuration) -> dict:
     """The configuration whole, as it is sent: each item as it came, in the order of coming."""
     items = configuration.items
-    return {"config_version": version_text(configuration.version),
-            "objects": [item for which, item in items.items() if which != REST], **items.get(REST, {})}
+    return {
+        "config_version": version_text(configuration.version),
+        "objects": [item for which, item in items.items() if which != REST],
+        **items.get(REST, {}),
+    }
 
 
 def _removed(remove: object) -> set[Key]:
@@ -325,14 +345,18 @@
     """A patch that makes document `new` of document `old`, or None where the whole is no larger than the patch.
 
     Both were read before. What `apply_difference` makes is the same text, order included."""
+
     def rest(sent: dict) -> str:
         return json.dumps({name: value for name, value in sent.items() if name not in ("config_version", "objects")})
 
     before = {key(item): item for item in old["objects"]}
     after = {key(item): item for item in new["objects"]}
     # Compared as text: 1, 1.0 and true are equal to Python.
-    fresh = {which: item for which, item in after.items()
-             if (was := before.get(which)) is not item and (was is None or json.dumps(was) != json.dumps(item))}
+    fresh = {
+        which: item
+        for which, item in after.items()
+        if (was := before.get(which)) is not item and (was is None or json.dumps(was) != json.dumps(item))
+    }
     gone = [which for which in before if which not in after]
     if len(fresh) + len(gone) >= len(after) or rest(old) != rest(new):
         return None
--- a/knotwalk/consensus/machine.py
+++ b/knotwalk/consensus/machine.py
@@ -21,16 +21,16 @@
 from knotwalk.consensus.members import Standing, change, quorum, reached
 
 OUTSIDER, FOLLOWER, CANDIDATE, LEADER = "outsider", "follower", "candidate", "leader"
-BATCH = 256 * 1024      # bytes of entries in one message: about 2 ms of a 1 Gbit/s line
-PIPE = 16               # messages under way to one follower: what a round trip of 3 ms holds; more wait and batch up
-TRAIL = 512             # entries kept in memory before a snapshot, so that who is just behind needs none
-AGAIN = 1.0             # seconds before a snapshot is sent again: several MB at 100 Mbit/s
-FROZEN = 0.3            # seconds without a call after which unread messages are given a chance before an election:
+BATCH = 256 * 1024  # bytes of entries in one message: about 2 ms of a 1 Gbit/s line
+PIPE = 16  # messages under way to one follower: what a round trip of 3 ms holds; more wait and batch up
+TRAIL = 512  # entries kept in memory before a snapshot, so that who is just behind needs none
+AGAIN = 1.0  # seconds before a snapshot is sent again: several MB at 100 Mbit/s
+FROZEN = 0.3  # seconds without a call after which unread messages are given a chance before an election:
 #                         twice a heartbeat, three times the stall of a batch scheduled process
-ON_TIME = 0.02          # seconds past `wake` in which a call was not held up: a loop's timers come within some ms
-BACK_OFF = 5            # doublings of a round of votes that fails: 3 to 10 s, for disks that take a second a write
-SURE = 1.5              # heartbeats: the last one was answered, or the one before with the next still on its way
-STAYS = 3               # requests to be removed: who answers for so long without one has come back
+ON_TIME = 0.02  # seconds past `wake` in which a call was not held up: a loop's timers come within some ms
+BACK_OFF = 5  # doublings of a round of votes that fails: 3 to 10 s, for disks that take a second a write
+SURE = 1.5  # heartbeats: the last one was answered, or the one before with the next still on its way
+STAYS = 3  # requests to be removed: who answers for so long without one has come back
 NEVER = float("-inf")
 
 
@@ -38,14 +38,14 @@
 class Pace:
     """Times in seconds, and the number of members wanted."""
 
-    heartbeat: float = 0.12         # a hundred times the one way delay; a stall of 0.1 s costs at most one
-    election_low: float = 0.45      # near four heartbeats: a stall and two losses depose nobody; a start waits so long
-    election_high: float = 0.75     # with 0.6 to 1.0 s two followers replaced a dead leader in 0.73 s (median of 400)
-    round_low: float = 0.1          # a round of votes that failed is tried again after this to round_high: far above
-    round_high: float = 0.3         # a round trip with two writes to disk, and spread enough for three to miss another
-    join: float = 0.3               # between requests of an outsider, or of one that leaves
-    forget: float = 8.0             # unheard of for so long, a voter past the target is left out
-    target: int = 3                 # members wanted: 2 * f + 1
+    heartbeat: float = 0.12  # a hundred times the one way delay; a stall of 0.1 s costs at most one
+    election_low: float = 0.45  # near four heartbeats: a stall and two losses depose nobody; a start waits so long
+    election_high: float = 0.75  # with 0.6 to 1.0 s two followers replaced a dead leader in 0.73 s (median of 400)
+    round_low: float = 0.1  # a round of votes that failed is tried again after this to round_high: far above
+    round_high: float = 0.3  # a round trip with two writes to disk, and spread enough for three to miss another
+    join: float = 0.3  # between requests of an outsider, or of one that leaves
+    forget: float = 8.0  # unheard of for so long, a voter past the target is left out
+    target: int = 3  # members wanted: 2 * f + 1
 
 
 @dataclass(frozen=True)
@@ -70,7 +70,7 @@
     snapshot: dict | None = None
     members: dict[str, str] = field(default_factory=dict)
     entries: list[Entry] = field(default_factory=list)
-    commit: int = 0         # known by the last Save as committed, and so for ever; 0 where a file does not tell
+    commit: int = 0  # known by the last Save as committed, and so for ever; 0 where a file does not tell
 
 
 @dataclass(frozen=True)
@@ -168,14 +168,14 @@
 
     def cut(self, index: int) -> None:
         """Drop the entries from `index` on."""
-        del self.entries[index - self.base - 1:], self.sizes[index - self.base - 1:]
+        del self.entries[index - self.base - 1 :], self.sizes[index - self.base - 1 :]
 
     def behead(self, index: int) -> None:
         """Drop the entries up to `index`."""
         if index > self.base:
             term = self.term_at(index)
             assert term is not None
-            del self.entries[:index - self.base], self.sizes[:index - self.base]
+            del self.entries[: index - self.base], self.sizes[: index - self.base]
             self.base, self.base_term = index, term
 
     def batch(self, first: int, until: int) -> list[Entry]:
@@ -192,18 +192,18 @@
 class Peer(Standing):
     """How far another machine is, to the leader."""
 
-    kind: str = "voter"             # voter, learner, departing
-    next: int = 1                   # the entry to send next
-    have: int = 0                   # received there, though perhaps not kept
-    probing: bool = True            # one message at a time, until one fits
-    probe: int = -1                 # the prev of the last one sent
-    under_way: deque[int] = field(default_factory=deque)    # last index of each message not yet answered
-    moved: bool = False             # something was answered since the last heartbeat
-    round: int = 0                  # newest round of heartbeats answered
-    snapshot_at: float = NEVER      # when a snapshot was sent; NEVER: none is under way
+    kind: str = "voter"  # voter, learner, departing
+    next: int = 1  # the entry to send next
+    have: int = 0  # received there, though perhaps not kept
+    probing: bool = True  # one message at a time, until one fits
+    probe: int = -1  # the prev of the last one sent
+    under_way: deque[int] = field(default_factory=deque)  # last index of each message not yet answered
+    moved: bool = False  # something was answered since the last heartbeat
+    round: int = 0  # newest round of heartbeats answered
+    snapshot_at: float = NEVER  # when a snapshot was sent; NEVER: none is under way
     snapshot_index: int = 0
-    until: float = 0.0              # when a departing one is let go
-    left_at: float = NEVER          # when it said last that it leaves
+    until: float = 0.0  # when a departing one is let go
+    left_at: float = NEVER  # when it said last that it leaves
 
 
 @dataclass
@@ -235,9 +235,9 @@
         self.role = FOLLOWER if self.me in self.members else OUTSIDER
         self.wake = now
         # the store
-        self._stored = self.log.last                # the log in memory is kept up to here
-        self._issued = self.log.last                # last index on disk once the Saves issued are kept
-        self._number = self._done = 0               # Saves issued, Saves kept
+        self._stored = self.log.last  # the log in memory is kept up to here
+        self._issued = self.log.last  # last index on disk once the Saves issued are kept
+        self._number = self._done = 0  # Saves issued, Saves kept
         self._flight: Flight | None = None
         self._kept_term = saved.term
         self._dirty = False
@@ -249,12 +249,12 @@
         self._seen = now
         self._leader_id: str | None = None
         self._leader: str | None = None
-        self._hint: str | None = None               # a leader's address by hearsay
+        self._hint: str | None = None  # a leader's address by hearsay
         self._heard = NEVER
         # A life before may have answered a leader just before this one began, and a lease may rest on that.
         self._sticky_from = now if born is None else born
         self._lonely_since = now
-        self._agreed = 0                            # the log is the leader's of this term up to here
+        self._agreed = 0  # the log is the leader's of this term up to here
         self._owed = False
         self._stamp: float | None = None
         self._round_seen = 0
@@ -265,19 +265,19 @@
         # candidates
         self._pre = False
         self._votes: set[str] = set()
-        self._rounds = 0                            # votes asked for since a leader was known
+        self._rounds = 0  # votes asked for since a leader was known
         # leaders
         self._peers: dict[str, Peer] = {}
         self._tickets: dict[int, Any] = {}
-        self._reads: list[tuple[Any, int, int]] = []    # ticket, index, round that has to be answered
-        self._queue: list[Any] = []                     # reads for the next round
+        self._reads: list[tuple[Any, int, int]] = []  # ticket, index, round that has to be answered
+        self._queue: list[Any] = []  # reads for the next round
         self._round = 0
         self._elected_at = NEVER
-        self._first = 0                                 # index of the noop of this term
+        self._first = 0  # index of the noop of this term
         self._beat_at = NEVER
         self._handed: str | None = None
         self._handed_at = NEVER
-        self._void = False                              # handed over: no lease any more
+        self._void = False  # handed over: no lease any more
         self._advance(saved.commit)
         self._agreed = self.commit
         self._close(now)
@@ -390,7 +390,7 @@
     def failed(self, now: float) -> None:
         """The store refused a Save, or hangs: lead, vote and answer no more until something is kept."""
         self._expire(now)
-        self._sick = self._dirty = True         # with nothing under way, a write is what will tell
+        self._sick = self._dirty = True  # with nothing under way, a write is what will tell
         if self.role in (LEADER, CANDIDATE):
             self._become(now, FOLLOWER, self.term)
         self._close(now)
@@ -424,8 +424,15 @@
 
     # ---- the one change of state
 
-    def _become(self, now: float, role: str, term: int, leader_id: str | None = None, leader: str | None = None,
-                vote: str | None = None) -> None:
+    def _become(
+        self,
+        now: float,
+        role: str,
+        term: int,
+        leader_id: str | None = None,
+        leader: str | None = None,
+        vote: str | None = None,
+    ) -> None:
         before = (self.role, self.term, self.leader)
         was = self.role
         if role == FOLLOWER and self.me not in self.members:
@@ -486,9 +493,18 @@
             self._number += 1
             first = self.log.last + 1 if self._dirty_from is None else max(self._dirty_from, self.snapshot[0] + 1)
             cut = first if first <= self._issued else None
-            entries = self.log.entries[first - self.log.base - 1:]
-            self.orders.append(Save(self._number, self.term, self.vote, entries, cut,
-                                    self.snapshot if self._new_snapshot else None, self.commit))  # type: ignore[arg-type]
+            entries = self.log.entries[first - self.log.base - 1 :]
+            self.orders.append(
+                Save(
+                    self._number,
+                    self.term,
+                    self.vote,
+                    entries,
+                    cut,
+                    self.snapshot if self._new_snapshot else None,
+                    self.commit,
+                )
+            )  # type: ignore[arg-type]
             self._flight = Flight(self._number, self.log.last, self.term, self.vote)
             self._issued = self.log.last
             self._dirty, self._dirty_from, self._new_snapshot = False, None, False
@@ -558,8 +574,7 @@
         if self.role == OUTSIDER or self._sick:
             return
         grant = not self._sticky(now) and message["next"] > self.term and self._current(message)
-        self._send(message["at"], "prevoted", message["from"], granted=grant, next=message["next"],
-                   leader=self.leader)
+        self._send(message["at"], "prevoted", message["from"], granted=grant, next=message["next"], leader=self.leader)
 
     def _on_prevoted(self, now: float, message: dict) -> None:
         if message["term"] > self.term:
@@ -577,8 +592,13 @@
             return
         if message["term"] > self.term:
             self._become(now, FOLLOWER, message["term"])
-        grant = (message["term"] == self.term and self.vote in (None, message["from"])
-                 and self.role in (FOLLOWER, CANDIDATE) and self._leader_id is None and self._current(message))
+        grant = (
+            message["term"] == self.term
+            and self.vote in (None, message["from"])
+            and self.role in (FOLLOWER, CANDIDATE)
+            and self._leader_id is None
+            and self._current(message)
+        )
         if grant and self.vote is None:
             self._become(now, FOLLOWER, self.term, vote=message["from"])
         if grant:
@@ -590,8 +610,13 @@
     def _on_voted(self, now: float, message: dict) -> None:
         if message["term"] > self.term:
             self._become(now, FOLLOWER, message["term"])
-        elif (message["term"] == self.term and message["granted"] and self.role == CANDIDATE and not self._pre
-              and now < self._deadline):
+        elif (
+            message["term"] == self.term
+            and message["granted"]
+            and self.role == CANDIDATE
+            and not self._pre
+            and now < self._deadline
+        ):
             self._votes.add(message["from"])
             self._tally(now)
 
@@ -622,8 +647,16 @@
         assert self._leader is not None and self._leader_id is not None
         self._owed = self._kept_term < self.term
         if not self._owed and not self._sick:
-            self._send(self._leader, "appended", self._leader_id, ok=True, match=self._match(), have=self._agreed,
-                       stamp=self._stamp, round=self._round_seen)
+            self._send(
+                self._leader,
+                "appended",
+                self._leader_id,
+                ok=True,
+                match=self._match(),
+                have=self._agreed,
+                stamp=self._stamp,
+                round=self._round_seen,
+            )
 
     def _match(self) -> int:
         return min(self._agreed, self._stored)
@@ -649,8 +682,17 @@
         if term is not None:
             while first - 1 > self.commit and self.log.term_at(first - 1) == term:
                 first -= 1
-        self._send(message["at"], "appended", message["from"], ok=False, prev=prev, conflict_term=term,
-                   conflict=first, stamp=message["stamp"], round=message["round"])
+        self._send(
+            message["at"],
+            "appended",
+            message["from"],
+            ok=False,
+            prev=prev,
+            conflict_term=term,
+            conflict=first,
+            stamp=message["stamp"],
+            round=message["round"],
+        )
 
     def _take(self, entries: list[Entry]) -> None:
         for entry in entries:
@@ -758,19 +800,45 @@
         if peer.next <= self.log.base:
             if now - peer.snapshot_at > AGAIN:
                 peer.snapshot_at, peer.snapshot_index = now, index
-                self._send(peer.address, "snapshot", peer.id, index=index, index_term=term, members=members,
-                           state=state, stamp=now, round=self._round)
+                self._send(
+                    peer.address,
+                    "snapshot",
+                    peer.id,
+                    index=index,
+                    index_term=term,
+                    members=members,
+                    state=state,
+                    stamp=now,
+                    round=self._round,
+                )
             elif force:
-                self._send(peer.address, "append", peer.id, prev=self.log.base, prev_term=self.log.base_term,
-                           entries=[], commit=self.commit, stamp=now, round=self._round)
+                self._send(
+                    peer.address,
+                    "append",
+                    peer.id,
+                    prev=self.log.base,
+                    prev_term=self.log.base_term,
+                    entries=[],
+                    commit=self.commit,
+                    stamp=now,
+                    round=self._round,
+                )
             return
         while force or peer.next <= until and not (peer.probing and peer.under_way) and len(peer.under_way) < PIPE:
             full = len(peer.under_way) >= PIPE or peer.probing and peer.under_way
             entries = [] if full or peer.next > until else self.log.batch(peer.next, until)
             peer.probe = peer.next - 1
-            self._send(peer.address, "append", peer.id, prev=peer.probe, prev_term=self.log.term_at(peer.probe),
-                       entries=[[one.index, one.term, one.kind, one.body] for one in entries], commit=self.commit,
-                       stamp=now, round=self._round)
+            self._send(
+                peer.address,
+                "append",
+                peer.id,
+                prev=peer.probe,
+                prev_term=self.log.term_at(peer.probe),
+                entries=[[one.index, one.term, one.kind, one.body] for one in entries],
+                commit=self.commit,
+                stamp=now,
+                round=self._round,
+            )
             if entries:
                 peer.under_way.append(entries[-1].index)
                 if not peer.probing:
@@ -785,7 +853,7 @@
         if self.role != LEADER or message["term"] != self.term or peer is None or "stamp" not in message:
             return
         peer.answered = max(peer.answered, message["stamp"])
-        peer.leaving &= peer.answered < peer.left_at + STAYS * self.pace.join       # else it is back
+        peer.leaving &= peer.answered < peer.left_at + STAYS * self.pace.join  # else it is back
         peer.round = max(peer.round, message["round"])
         if message["ok"]:
             peer.moved = True
@@ -853,8 +921,18 @@
             return
         voters: dict[str, Standing] = {id: self._peers[id] for id, _ in self._others()}
         learners: list[Standing] = [one for one in self._peers.values() if one.kind == "learner"]
-        members = change(self.me, self.members, voters, learners, self.commit, now, self.pace.election_low,
-                         self.pace.forget, self.pace.target, SURE * self.pace.heartbeat)
+        members = change(
+            self.me,
+            self.members,
+            voters,
+            learners,
+            self.commit,
+            now,
+            self.pace.election_low,
+            self.pace.forget,
+            self.pace.target,
+            SURE * self.pace.heartbeat,
+        )
         if members is not None:
             self._append("members", {"members": members})
             self._sync_peers(now)
@@ -870,7 +948,7 @@
             return
         for other in list(self._peers.values()):
             if other.kind == "learner" and other.address == address:
-                del self._peers[other.id]       # wiped again before it was taken in
+                del self._peers[other.id]  # wiped again before it was taken in
         self._peers[id] = Peer(id, address, 0, NEVER, now, kind="learner", next=self.log.last + 1)
         self._feed(now, self._peers[id], True)
 
@@ -914,8 +992,14 @@
         """Tell the best follower to stand at once, as soon as it has all."""
         if self.role != LEADER or not self._handing() or self.commit < self.log.last:
             return
-        best = [one for one in self._peers.values() if one.kind == "voter" and not one.leaving
-                and one.match == self.log.last and one.answered >= now - self.pace.election_low]
+        best = [
+            one
+            for one in self._peers.values()
+            if one.kind == "voter"
+            and not one.leaving
+            and one.match == self.log.last
+            and one.answered >= now - self.pace.election_low
+        ]
         if best and now - self._handed_at > self.pace.heartbeat:
             target = max(best, key=lambda one: (one.id != self._handed, one.answered))
             self._handed, self._handed_at, self._void = target.id, now, True
--- a/knotwalk/consensus/members.py
+++ b/knotwalk/consensus/members.py
@@ -39,8 +39,18 @@
     return ranked[quorum(len(ranked)) - 1]
 
 
-def change(me: str, members: dict[str, str], voters: dict[str, Standing], learners: list[Standing], commit: int,
-           now: float, fresh: float, forget: float, target: int, sure: float) -> dict[str, str] | None:
+def change(
+    me: str,
+    members: dict[str, str],
+    voters: dict[str, Standing],
+    learners: list[Standing],
+    commit: int,
+    now: float,
+    fresh: float,
+    forget: float,
+    target: int,
+    sure: float,
+) -> dict[str, str] | None:
     """The members to have next, or None for no change.
 
     `voters` are the others than `me`. While there are more than `target`, leaves a voter out that is leaving or unheard
@@ -60,7 +70,7 @@
         if not old:
             return {**members, one.id: one.address}
         if old[0] == me or voters[old[0]].answered >= one.since:
-            continue        # the old one lives: whatever claims its address is not its heir
+            continue  # the old one lives: whatever claims its address is not its heir
         heard = 1 + sum(other.answered >= one.since for other in voters.values() if other.id != old[0])
         if heard >= quorum(len(members)):
             return {one.id if id == old[0] else id: address for id, address in members.items()}
--- a/knotwalk/consensus/store.py
+++ b/knotwalk/consensus/store.py
@@ -35,16 +35,22 @@
 ASIDE = NAME + ".broken"
 ENDS = ("", "-wal", "-journal")
 FORMAT = "1"
-JOURNALS = {"wal": "FULL", "truncate": "FULL", "persist": "FULL"}     # the least that is safe; delete: EXTRA
+JOURNALS = {"wal": "FULL", "truncate": "FULL", "persist": "FULL"}  # the least that is safe; delete: EXTRA
 JOURNAL = "wal"
-CHECKPOINT = 512        # pages, 2 MB, after which the write-ahead log goes into the file: some ms, every few hundred
-LOG_PART = 1 / 16       # of the disk, where that is less: record, log, the next record and this must fit side by side
-NONSENSE = {sqlite3.SQLITE_ERROR, sqlite3.SQLITE_CORRUPT, sqlite3.SQLITE_NOTADB, sqlite3.SQLITE_CONSTRAINT,
-            sqlite3.SQLITE_MISMATCH, sqlite3.SQLITE_FORMAT}
-TORN = 3                # frames that end a commit, past the last whole one: SQLite fills a commit's last sector with
+CHECKPOINT = 512  # pages, 2 MB, after which the write-ahead log goes into the file: some ms, every few hundred
+LOG_PART = 1 / 16  # of the disk, where that is less: record, log, the next record and this must fit side by side
+NONSENSE = {
+    sqlite3.SQLITE_ERROR,
+    sqlite3.SQLITE_CORRUPT,
+    sqlite3.SQLITE_NOTADB,
+    sqlite3.SQLITE_CONSTRAINT,
+    sqlite3.SQLITE_MISMATCH,
+    sqlite3.SQLITE_FORMAT,
+}
+TORN = 3  # frames that end a commit, past the last whole one: SQLite fills a commit's last sector with
 #                         its last frame once more, and syncs that one's end with the next commit
-FREE = 256              # pages, 1 MB, kept for reuse when others are given back to the disk
-GIVE = 512              # pages given back at one compaction: some 10 ms
+FREE = 256  # pages, 1 MB, kept for reuse when others are given back to the disk
+GIVE = 512  # pages given back at one compaction: some 10 ms
 TABLES = """
 CREATE TABLE meta (key TEXT PRIMARY KEY, value TEXT NOT NULL, crc INTEGER NOT NULL) WITHOUT ROWID;
 CREATE TABLE entries (idx INTEGER PRIMARY KEY, term INTEGER NOT NULL, kind TEXT NOT NULL, body TEXT NOT NULL,
@@ -81,8 +87,8 @@
     words = struct.unpack(">8I" if head[3] & 1 else "<8I", head)
     one = two = 0
     for first, second in zip(words[:6:2], words[1:6:2]):
-        one = one + first + two & 0xffffffff
-        two = two + second + one & 0xffffffff
+        one = one + first + two & 0xFFFFFFFF
+        two = two + second + one & 0xFFFFFFFF
     return head[:3] == b"\x37\x7f\x06" and struct.pack(">2I", one, two) == head[24:]
 
 
@@ -105,12 +111,12 @@
 
     def __init__(self, disk_mb: float = 64, journal: str = JOURNAL) -> None:
         self.path, self.disk_mb, self.journal = Path(NAME), disk_mb, journal
-        self._connection: sqlite3.Connection = None     # type: ignore[assignment]
+        self._connection: sqlite3.Connection = None  # type: ignore[assignment]
         self._log_most = int(min(CHECKPOINT * 4096, disk_mb * 1e6 * LOG_PART))
-        self._doubt = False     # something was refused: what the disk has of the write-ahead log is not known for sure
+        self._doubt = False  # something was refused: what the disk has of the write-ahead log is not known for sure
         self._state = _State(0, None, 0, 0)
-        self._found_log = False         # whether there was a write-ahead log when the file was opened
-        self._commits: list[int] = []   # see _commit_frames, as of then
+        self._found_log = False  # whether there was a write-ahead log when the file was opened
+        self._commits: list[int] = []  # see _commit_frames, as of then
 
     def open(self, data_dir: str | Path, first_start: bool, address: str, founders: dict[str, str]) -> Saved:
         """Open the file of a folder, or make it, and give what it holds.
@@ -143,11 +149,10 @@
     def _let_go(self, error: StoreBroken) -> None:
         """Close a file that can't be used. One that is merely refused stays open, to be opened again, once there may be
         something in it: to close it would remove its write-ahead log."""
-        if self._connection is not None and (
-                not isinstance(error, Refused) or not self._found_log and self._new()):
+        if self._connection is not None and (not isinstance(error, Refused) or not self._found_log and self._new()):
             with contextlib.suppress(sqlite3.Error):
                 self._connection.close()
-            self._connection = None     # type: ignore[assignment]
+            self._connection = None  # type: ignore[assignment]
 
     def _new(self) -> bool:
         """Whether there is surely nothing in the file yet: two pages are the least that a first commit makes."""
@@ -156,7 +161,7 @@
     def _why(self, error: Exception) -> StoreBroken:
         """What an error means: the disk refuses, or what is there makes no sense."""
         code = getattr(error, "sqlite_errorcode", None)
-        if isinstance(error, OSError) or code is not None and code & 0xff not in NONSENSE:
+        if isinstance(error, OSError) or code is not None and code & 0xFF not in NONSENSE:
             return Refused(self.path, str(error))
         return Damaged(self.path, f"unreadable: {error}")
 
@@ -176,7 +181,7 @@
         with open(self.path.with_name(NAME + "-wal"), "rb") as file:
             head = file.read(32)
             if len(head) < 32 or not _header_holds(head):
-                return found        # a log begun anew whose first sync did not end: the file has all that was before
+                return found  # a log begun anew whose first sync did not end: the file has all that was before
             size, salts, number = int.from_bytes(head[8:12]), head[16:24], 0
             while len(frame := file.read(24)) == 24:
                 number += 1
@@ -195,7 +200,7 @@
         if sum(one > good for one in self._commits) > TORN:
             raise Damaged(self.path, f"its write-ahead log is damaged after frame {good}")
         self._commits = []
-        if self._pairs("meta").get("journal") != "wal":     # closed well, or of the time before this row
+        if self._pairs("meta").get("journal") != "wal":  # closed well, or of the time before this row
             self._put("meta", "journal", "wal")
         self._empty_log()
 
@@ -230,21 +235,26 @@
         if self._connection is None:
             self._found_log, self._commits = self._log_file() is not None, self._commit_frames()
             # psow=0: a commit begins on a sector of its own, so that one torn while written holds nothing kept before
-            self._connection = sqlite3.connect(f"file:{quote(str(self.path))}?psow=0", uri=True, isolation_level=None,
-                                               check_same_thread=False, timeout=0)
+            self._connection = sqlite3.connect(
+                f"file:{quote(str(self.path))}?psow=0",
+                uri=True,
+                isolation_level=None,
+                check_same_thread=False,
+                timeout=0,
+            )
         execute = self._connection.execute
         if self._connection.in_transaction:
             execute("ROLLBACK")
         execute("PRAGMA locking_mode=EXCLUSIVE")
         if self._new():
-            execute("PRAGMA auto_vacuum=INCREMENTAL")       # a write: not at each start
+            execute("PRAGMA auto_vacuum=INCREMENTAL")  # a write: not at each start
         if (mode := execute(f"PRAGMA journal_mode={self.journal}").fetchone()[0]) != self.journal:
             raise Refused(self.path, f"its journal stays in mode {mode}")
         execute(f"PRAGMA synchronous={JOURNALS.get(self.journal, 'EXTRA')}")
-        execute("PRAGMA wal_autocheckpoint=0")      # `_tidy` does it, and hears where it fails
+        execute("PRAGMA wal_autocheckpoint=0")  # `_tidy` does it, and hears where it fails
         execute(f"PRAGMA journal_size_limit={self._log_most}")
         execute("PRAGMA mmap_size=0")
-        execute("PRAGMA secure_delete=OFF")     # some builds have it on: each page dropped would be written, as zeros
+        execute("PRAGMA secure_delete=OFF")  # some builds have it on: each page dropped would be written, as zeros
         execute("BEGIN IMMEDIATE")
         execute("COMMIT")
 
@@ -306,17 +316,25 @@
             entries.append(Entry(row[0], row[1], row[2], json.loads(row[3])))
         if [one.index for one in entries] != list(range(index + 1, state.last + 1)):
             raise self._broken(f"entries {index + 1} to {state.last} are not all there, or others are")
-        commit = int(meta.get("commit", "0"))       # not there in files of the time before
+        commit = int(meta.get("commit", "0"))  # not there in files of the time before
         if commit > state.last:
             raise self._broken(f"entry {commit} is committed, and the last is {state.last}")
-        return Saved(meta["me"], state.term, state.vote, index, term, json.loads(body), json.loads(members), entries,
-                     max(commit, index))
+        return Saved(
+            meta["me"],
+            state.term,
+            state.vote,
+            index,
+            term,
+            json.loads(body),
+            json.loads(members),
+            entries,
+            max(commit, index),
+        )
 
     # ---- writing
 
     def _put(self, table: str, key: str, value: str) -> None:
-        self._connection.execute(f"INSERT OR REPLACE INTO {table} VALUES (?, ?, ?)",
-                                 (key, value, checksum(key, value)))
+        self._connection.execute(f"INSERT OR REPLACE INTO {table} VALUES (?, ?, ?)", (key, value, checksum(key, value)))
 
     def _put_state(self, state: _State) -> None:
         self._put("meta", "state", _text([state.term, state.vote, state.snapshot_index, state.last]))
@@ -324,8 +342,10 @@
     def _put_snapshot(self, snapshot: tuple[int, int, dict[str, str], dict | None]) -> None:
         index, term, members, state = snapshot[0], snapshot[1], _text(snapshot[2]), _text(snapshot[3])
         self._connection.execute("DELETE FROM snapshot")
-        self._connection.execute("INSERT INTO snapshot VALUES (?, ?, ?, ?, ?)",
-                                 (index, term, members, state, checksum(index, term, members, state)))
+        self._connection.execute(
+            "INSERT INTO snapshot VALUES (?, ?, ?, ?, ?)",
+            (index, term, members, state, checksum(index, term, members, state)),
+        )
 
     def write(self, save: Save) -> None:
         """One transaction, durable on return; may be repeated unchanged.
@@ -341,7 +361,7 @@
         state = _State(save.term, save.vote, old.snapshot_index, old.last)
         execute = self._connection.execute
         try:
-            if self._doubt or save.snapshot is not None:    # a snapshot wants the room
+            if self._doubt or save.snapshot is not None:  # a snapshot wants the room
                 self._empty_log()
             execute("BEGIN IMMEDIATE")
             if save.cut_from is not None:
@@ -378,7 +398,7 @@
         try:
             if compacted:
                 self._empty_log()
-                left, part = GIVE, max(1, self._log_most // 4096 // 2)      # a page given back may move another
+                left, part = GIVE, max(1, self._log_most // 4096 // 2)  # a page given back may move another
                 while left > 0 and (free := execute("PRAGMA freelist_count").fetchone()[0]) > FREE:
                     # Each step gives one page back, as a row without columns, of which `execute` takes but one.
                     self._connection.executescript(f"PRAGMA incremental_vacuum({min(free - FREE, part)})")
@@ -413,7 +433,7 @@
         except sqlite3.Error as error:
             raise self._why(error) from error
         self._connection.close()
-        self._connection = None     # type: ignore[assignment]
+        self._connection = None  # type: ignore[assignment]
         self._sync_folder()
 
 
@@ -444,6 +464,7 @@
     """Measure a commit of one entry of 200 bytes in each journal mode, in the folder named."""
     import sys
     import time
+
     for journal in ("wal", "truncate", "persist", "delete"):
         with tempfile.TemporaryDirectory(dir=sys.argv[1]) as folder:
             store = Store(journal=journal)
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -5,7 +5,7 @@
 
 import time
 
-BORN = time.monotonic()     # before the imports, which take a third of a second: no life before this one acts after it
+BORN = time.monotonic()  # before the imports, which take a third of a second: no life before this one acts after it
 
 import asyncio
 import os
@@ -13,20 +13,20 @@
 from zlib import crc32
 
 from knotwalk.configuration.read import document
+from knotwalk.consensus.machine import Pace
+from knotwalk.consensus.store import Store, StoreBroken
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
-from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.control_plane.control import Control
-from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.list_poller import ListPoller
-from knotwalk.leases import keeper
-from knotwalk.consensus.machine import Pace
-from knotwalk.consensus.store import Store, StoreBroken
-from knotwalk.discovery.loads import Loads
+from knotwalk.control_plane.peer_api import PeerApi
+from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.discovery.cluster_view import Board
+from knotwalk.discovery.loads import Loads
+from knotwalk.leases import keeper
 from knotwalk.runtime import logs
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.logs import log_info
 from knotwalk.runtime.life import Ending, live
+from knotwalk.runtime.logs import log_info
 from knotwalk.runtime.serve import Listener
 from knotwalk.runtime.settings import Settings
 
@@ -36,7 +36,7 @@
 
     def __init__(self, settings: Settings):
         self.settings = settings
-        settings.at("control")      # said before anything is begun
+        settings.at("control")  # said before anything is begun
         port = settings.ports[0]
         own = f"{settings.ip_address}:{port}"
         founders = {f"{ip}:{port}#founder": f"{ip}:{port}" for ip, _ in settings.seeds}
@@ -45,25 +45,35 @@
         self.me = saved.me
         self.caller = Caller()
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
-        self.consensus = ConsensusDriver(self.store, saved, self.caller, Pace(target=2 * settings.tolerance.machines + 1),
-                                   seed, BORN)
+        self.consensus = ConsensusDriver(
+            self.store, saved, self.caller, Pace(target=2 * settings.tolerance.machines + 1), seed, BORN
+        )
         self.consensus.machine.address = own
         self.consensus.machine.contacts = [at for at in founders.values() if at != own]
         self.board = Board(os.urandom(6).hex())
         self.loads = Loads()
         self.list_poller = ListPoller(settings, self.consensus, self.board, self.caller, self.me)
         self.granter = Caller(resets=True)
-        self.conductor = SliceManager(self.me, self.consensus, self.board, self.loads, self.granter,
-                                   keeper.Pace(hold=min(6.0, settings.bounds.max_hold)), seed,
-                                   self.propose, settings.zone)
-        self.peer_api = PeerApi(self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads,
-                                 self.caller)
+        self.conductor = SliceManager(
+            self.me,
+            self.consensus,
+            self.board,
+            self.loads,
+            self.granter,
+            keeper.Pace(hold=min(6.0, settings.bounds.max_hold)),
+            seed,
+            self.propose,
+            settings.zone,
+        )
+        self.peer_api = PeerApi(
+            self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads, self.caller
+        )
         self.control = Control(self.consensus, settings.at("control")[1])
         self.consensus.on_config = self.configured
         self.consensus.on_change = self.lines_changed
         self.consensus.on_role = lambda role: self.list_poller.role(role.role == "leader")
         self.consensus.on_restore = self.restored
-        self.consensus.on_damage = lambda: os._exit(1)      # nothing more is promised, no leave: the disk may be whole
+        self.consensus.on_damage = lambda: os._exit(1)  # nothing more is promised, no leave: the disk may be whole
         self.list_poller.on_nodes = self.listed
         self.ending = Ending(self.reload)
 
@@ -110,10 +120,20 @@
         await control.start(*self.settings.at("control"))
         self.restored()
         self.consensus.start()
-        works = [asyncio.get_running_loop().create_task(work) for work in (
-            self.list_poller.keep_leases(), self.list_poller.poll(), self.peer_api.keep_lease(), self.peer_api.share_loads(),
-            self.conductor.place(), self.watch_members())]
-        log_info("started", me=self.me, members=list(self.consensus.machine.members), applied=self.consensus.state.applied)
+        works = [
+            asyncio.get_running_loop().create_task(work)
+            for work in (
+                self.list_poller.keep_leases(),
+                self.list_poller.poll(),
+                self.peer_api.keep_lease(),
+                self.peer_api.share_loads(),
+                self.conductor.place(),
+                self.watch_members(),
+            )
+        ]
+        log_info(
+            "started", me=self.me, members=list(self.consensus.machine.members), applied=self.consensus.state.applied
+        )
         await self.ending.wait(*works)
         log_info("leaving")
         await self.peer_api.leave()
@@ -143,4 +163,4 @@
 
 if __name__ == "__main__":
     code = live("control_plane", ControlPlane, StoreBroken)
-    os._exit(code) if code == 0 else sys.exit(code)     # a thread that hangs on a disk must not hold the end up
+    os._exit(code) if code == 0 else sys.exit(code)  # a thread that hangs on a disk must not hold the end up
--- a/knotwalk/control_plane/account.py
+++ b/knotwalk/control_plane/account.py
@@ -10,16 +10,24 @@
 
 from knotwalk.configuration.index import Index
 from knotwalk.configuration.read import version_text
-from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.consensus.machine import Machine
-from knotwalk.discovery.loads import Loads
+from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.discovery.cluster_view import WIDTH, Board, entry
+from knotwalk.discovery.loads import Loads
 
-EDGES_SPAN = 10.0   # seconds after which an edge that was not heard of counts as gone
+EDGES_SPAN = 10.0  # seconds after which an edge that was not heard of counts as gone
 
 
-def status(now: float, me: str, machine: Machine, state: ReplicatedState, board: Board, loads: Loads, fresh: bool,
-           asked: dict[str, tuple[float, str, int]]) -> dict[str, Any]:
+def status(
+    now: float,
+    me: str,
+    machine: Machine,
+    state: ReplicatedState,
+    board: Board,
+    loads: Loads,
+    fresh: bool,
+    asked: dict[str, tuple[float, str, int]],
+) -> dict[str, Any]:
     """`asked`: by edge that calls here, when it last did, and the epoch and revision of the board it had then."""
     edges = []
     for name, at in sorted(loads.edges.items()):
@@ -34,12 +42,28 @@
         leases[service] = dict(sorted(Counter(x.conductor for x in line).items()))
         unopened[service] = sum(not x.open for x in line)
     return {
-        "me": me, "role": machine.role, "term": machine.term, "leader": machine.leader, "fresh": fresh,
-        "members": machine.members, "commit": machine.commit, "applied": machine.applied, "last": machine.log.last,
-        "config_version": version_text(state.version) if state.configuration else None, "config_order": state.order,
-        "nodes": {"order": list(board.nodes_order), "count": len(board.nodes),
-                  "draining": sum(node.draining for node in board.nodes.values()), "ailing": sorted(board.ailing)},
-        "board": {"epoch": board.epoch, "at": board.at}, "leases": leases, "changing_hands": unopened, "edges": edges}
+        "me": me,
+        "role": machine.role,
+        "term": machine.term,
+        "leader": machine.leader,
+        "fresh": fresh,
+        "members": machine.members,
+        "commit": machine.commit,
+        "applied": machine.applied,
+        "last": machine.log.last,
+        "config_version": version_text(state.version) if state.configuration else None,
+        "config_order": state.order,
+        "nodes": {
+            "order": list(board.nodes_order),
+            "count": len(board.nodes),
+            "draining": sum(node.draining for node in board.nodes.values()),
+            "ailing": sorted(board.ailing),
+        },
+        "board": {"epoch": board.epoch, "at": board.at},
+        "leases": leases,
+        "changing_hands": unopened,
+        "edges": edges,
+    }
 
 
 def explain(now: float, state: ReplicatedState, board: Board, host: str, path: str, key: int | None) -> dict[str, Any]:
@@ -52,19 +76,39 @@
         return {"config_version": version, "route": None, "services": []}
     services: list[dict[str, Any]] = []
     for name, weight in route.splits:
-        told: dict[str, Any] = {"service": name, "weight": weight,
-                                "sharded": state.configuration.services[name].sharded}
+        told: dict[str, Any] = {
+            "service": name,
+            "weight": weight,
+            "sharded": state.configuration.services[name].sharded,
+        }
         there = [node for node in board.nodes.values() if node.service == name]
         told["nodes"] = {"count": len(there), "draining": sum(node.draining for node in there)}
         if told["sharded"] and key is not None and name in state.ledger.slices:
             x = state.ledger.slices[name][key // WIDTH]
             node = board.nodes.get(x.owner)
             told["line"] = {
-                "slice": key // WIDTH, "first_key": key // WIDTH * WIDTH, "last_key": key // WIDTH * WIDTH + WIDTH - 1,
-                "conductor": x.conductor, "owner": x.owner, "fence": x.fence, "open": x.open,
-                "before": [id for id, _ in x.before], "node": entry(node, now) if node else None}
+                "slice": key // WIDTH,
+                "first_key": key // WIDTH * WIDTH,
+                "last_key": key // WIDTH * WIDTH + WIDTH - 1,
+                "conductor": x.conductor,
+                "owner": x.owner,
+                "fence": x.fence,
+                "open": x.open,
+                "before": [id for id, _ in x.before],
+                "node": entry(node, now) if node else None,
+            }
         services.append(told)
-    return {"config_version": version, "services": services, "route": {
-        "name": route.name, "hostname": route.hostname, "path_prefix": route.path_prefix,
-        "idempotent": route.idempotent, "timeout": route.timeout, "target_latency": route.target_latency,
-        "priority": route.priority, "retry_count": route.retry_count}}
+    return {
+        "config_version": version,
+        "services": services,
+        "route": {
+            "name": route.name,
+            "hostname": route.hostname,
+            "path_prefix": route.path_prefix,
+            "idempotent": route.idempotent,
+            "timeout": route.timeout,
+            "target_latency": route.target_latency,
+            "priority": route.priority,
+            "retry_count": route.retry_count,
+        },
+    }
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -9,23 +9,29 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from knotwalk.control_plane.replicated_state import ReplicatedState
-from knotwalk.leases.ledger import Change
 from knotwalk.consensus.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
 from knotwalk.consensus.store import Damaged, Refused, Store
+from knotwalk.control_plane.replicated_state import ReplicatedState
+from knotwalk.leases.ledger import Change
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.logs import clock, log_info, log_exception, log_warning
+from knotwalk.runtime.logs import clock, log_exception, log_info, log_warning
 
-HANG = 0.6          # a write that takes longer costs leadership: others serve meanwhile
-PATIENCE = 0.6      # for a peer: a lost message is repeated by the machine's own pace
-COMPACT = 4000      # entries after which the replicated state is put down whole; some MB of log at most
-COMPACT_PART = 0.25     # of the disk: past it, too, since few large entries fill a disk, and a full one takes no more
+HANG = 0.6  # a write that takes longer costs leadership: others serve meanwhile
+PATIENCE = 0.6  # for a peer: a lost message is repeated by the machine's own pace
+COMPACT = 4000  # entries after which the replicated state is put down whole; some MB of log at most
+COMPACT_PART = 0.25  # of the disk: past it, too, since few large entries fill a disk, and a full one takes no more
 WAITING_MOST = 256  # messages for a peer that does not answer; the machine repeats what matters
 
 
-def opened(store: Store, data_dir: str, first_start: bool, address: str, founders: dict[str, str],
-           wait: Callable[[float], None] = time.sleep) -> Any:
+def opened(
+    store: Store,
+    data_dir: str,
+    first_start: bool,
+    address: str,
+    founders: dict[str, str],
+    wait: Callable[[float], None] = time.sleep,
+) -> Any:
     """What a machine's disk holds, once it can be told. A damaged file counts as a lost disk: it is put aside, and this
     machine is another from now on. A disk that refuses is tried until it takes: an end would only be a start again."""
     pause, said = 0.1, ""
@@ -66,7 +72,7 @@
         self.machine = Machine(saved, pace, seed, clock(), born)
         self.state = ReplicatedState.from_dict(saved.snapshot) if saved.snapshot else ReplicatedState()
         self.tickets: dict[int, asyncio.Future] = {}
-        self.results: dict[int, str] = {}       # index -> what applying it said, for those who wait
+        self.results: dict[int, str] = {}  # index -> what applying it said, for those who wait
         self.next_ticket = 0
         self.writer = ThreadPoolExecutor(1, "consensus")
         self.saves: asyncio.Queue[Save] = asyncio.Queue()
@@ -156,12 +162,14 @@
                         self._fail("a write hangs")
                         await work
                     break
-                except Damaged as error:        # what the disk has must be read anew: by the next life
-                    log_warning("log file damaged", why=str(error), done="this life ends; the next one looks at it whole")
+                except Damaged as error:  # what the disk has must be read anew: by the next life
+                    log_warning(
+                        "log file damaged", why=str(error), done="this life ends; the next one looks at it whole"
+                    )
                     self._fail("the log file is damaged")
                     self.on_damage()
                     return
-                except Exception:   # a disk may refuse in many ways; each is tried again
+                except Exception:  # a disk may refuse in many ways; each is tried again
                     log_exception("write refused", number=save.number)
                     self._fail("a write was refused")
                     await asyncio.sleep(pause)
@@ -185,7 +193,7 @@
         waiting = self.outbox.setdefault(address, [])
         waiting.append(message)
         if len(waiting) > WAITING_MOST:
-            del waiting[:WAITING_MOST // 2]
+            del waiting[: WAITING_MOST // 2]
         if address not in self.posting:
             self.posting.add(address)
             self._spawn(self._deliver(address))
@@ -194,8 +202,9 @@
         try:
             while messages := self.outbox.pop(address, None):
                 try:
-                    answers = await self.caller.json("POST", f"http://{address}/consensus", messages, PATIENCE,
-                                                     "agreement")
+                    answers = await self.caller.json(
+                        "POST", f"http://{address}/consensus", messages, PATIENCE, "agreement"
+                    )
                 except PeerError:
                     continue
                 self.receive(answers)
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -12,8 +12,8 @@
 from knotwalk.runtime.logs import log_info
 from knotwalk.runtime.serve import answer, app
 
-PATIENCE = 4.0      # for an agreement; a core that lost its majority says so instead of holding the operator
-WAIT_LEADER = 0.8   # an election is over in about this time; the caller moves on after a second of silence
+PATIENCE = 4.0  # for an agreement; a core that lost its majority says so instead of holding the operator
+WAIT_LEADER = 0.8  # an election is over in about this time; the caller moves on after a second of silence
 
 
 class Control:
@@ -21,7 +21,7 @@
 
     def __init__(self, consensus: ConsensusDriver, port: int):
         self.consensus, self.port = consensus, port
-        self.taking = asyncio.Lock()    # one change at a time is judged and agreed on
+        self.taking = asyncio.Lock()  # one change at a time is judged and agreed on
 
     def app(self) -> Sanic:
         made = app("control")
@@ -68,13 +68,20 @@
             async with self.taking:
                 await self.consensus.current()
                 state = self.consensus.state
-                verdict = judge(state.configuration, state.history, request.method,
-                                request.headers.get("if-match"), request.body)
+                verdict = judge(
+                    state.configuration, state.history, request.method, request.headers.get("if-match"), request.body
+                )
                 if verdict.status != 200 or verdict.same:
-                    log_info("change", method=request.method, status=verdict.status, why=verdict.message, same=verdict.same)
+                    log_info(
+                        "change", method=request.method, status=verdict.status, why=verdict.message, same=verdict.same
+                    )
                     return answer(verdict.body(), verdict.status)
-                command = {"do": "configure", "base": verdict.base, "version": verdict.version,
-                           "digest": verdict.digest}
+                command = {
+                    "do": "configure",
+                    "base": verdict.base,
+                    "version": verdict.version,
+                    "digest": verdict.digest,
+                }
                 less = difference(document(state.configuration), verdict.document) if state.configuration else None
                 command |= {"difference": less} if less else {"document": verdict.document}
                 said = await self.consensus.propose(command, PATIENCE)
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -7,17 +7,17 @@
 from collections.abc import Callable
 
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
+from knotwalk.discovery.cluster_view import Board, Node, entry, node_of
+from knotwalk.discovery.listing import Listing, Unusable
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
-from knotwalk.discovery.listing import Listing, Unusable
-from knotwalk.discovery.cluster_view import Board, Node, entry, node_of
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_info, log_warning
 from knotwalk.runtime.settings import Settings
 
-POLL = 0.5      # seconds between readings of the list: a fifth of the time a drain is allowed, a few calls a second
-STEP = 0.2      # seconds between looks at the leases
+POLL = 0.5  # seconds between readings of the list: a fifth of the time a drain is allowed, a few calls a second
+STEP = 0.2  # seconds between looks at the leases
 
 
 class ListPoller:
@@ -38,17 +38,25 @@
     def proven(self) -> bool:
         """Whether no other can lead now: a majority answered this leader a moment ago."""
         machine = self.consensus.machine
-        return (self.tenure is not None and machine.role == "leader" and machine.settled
-                and clock() - machine.majority_at < PROOF)
+        return (
+            self.tenure is not None
+            and machine.role == "leader"
+            and machine.settled
+            and clock() - machine.majority_at < PROOF
+        )
 
     def lease(self, conductor: str) -> dict | None:
         """A conductor asks to act on; None if this machine may not say."""
         if not self.proven or conductor not in self.consensus.machine.members:
             return None
         machine = self.consensus.machine
-        return {"lease": self.tenure.asked(clock(), conductor), "commit": machine.commit,
-                "last": machine.log.last, "term": machine.term,
-                "nodes": list(self.board.nodes_order)}
+        return {
+            "lease": self.tenure.asked(clock(), conductor),
+            "commit": machine.commit,
+            "last": machine.log.last,
+            "term": machine.term,
+            "nodes": list(self.board.nodes_order),
+        }
 
     def leave(self, conductor: str) -> None:
         if self.tenure is not None:
@@ -86,8 +94,9 @@
         if tenure is None:
             return False
         try:
-            await self.consensus.propose({"do": "lease", "from": before, "to": to, "early": tenure.early(clock()),
-                                          "slices": {service: runs}})
+            await self.consensus.propose(
+                {"do": "lease", "from": before, "to": to, "early": tenure.early(clock()), "slices": {service: runs}}
+            )
             return True
         except (NotLeader, Lost):
             return False
@@ -99,7 +108,7 @@
         failing, term = 0, -1
         while True:
             if not self.proven or self.settings.platform.address is None:
-                await asyncio.sleep(0.03)       # a new leader reads at once: edges that start wait for the list
+                await asyncio.sleep(0.03)  # a new leader reads at once: edges that start wait for the list
                 continue
             if term == self.consensus.machine.term:
                 await asyncio.sleep(POLL if not failing else min(2.0, 0.3 * failing))
@@ -116,8 +125,12 @@
                 continue
             self.turn_of_list += 1
             if self.board.set_nodes((term, self.turn_of_list), listing.nodes, True):
-                log_info("list", order=self.board.nodes_order, nodes=len(listing.nodes),
-                     draining=sum(n.draining for n in listing.nodes.values()))
+                log_info(
+                    "list",
+                    order=self.board.nodes_order,
+                    nodes=len(listing.nodes),
+                    draining=sum(n.draining for n in listing.nodes.values()),
+                )
                 self.on_nodes()
                 asyncio.get_running_loop().create_task(self.tell_cores())
 
@@ -157,8 +170,14 @@
         """The list to every other core; one that misses it asks for it when a lease's answer names a newer one."""
         message = self.list_message()
         own = self.consensus.machine.members.get(self.me)
-        await asyncio.gather(*(self.caller.json("POST", f"http://{at}/nodes", message, 0.6, "tell nodes")
-                               for at in self.consensus.machine.members.values() if at != own), return_exceptions=True)
+        await asyncio.gather(
+            *(
+                self.caller.json("POST", f"http://{at}/nodes", message, 0.6, "tell nodes")
+                for at in self.consensus.machine.members.values()
+                if at != own
+            ),
+            return_exceptions=True,
+        )
 
     def listed(self, message: dict) -> None:
         """The leader told its list."""
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -8,40 +8,55 @@
 
 from knotwalk.control_plane import account
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
-from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.control_plane.list_poller import ListPoller
-from knotwalk.leases.tenure import ASK
-from knotwalk.discovery.loads import Loads
+from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.discovery.cluster_view import KEYS, Board
+from knotwalk.discovery.loads import Loads
+from knotwalk.leases.tenure import ASK
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_warning
 from knotwalk.runtime.serve import answer, app, body
 
-FRESH = 1.2         # a core that heard the leader's word longer ago than this sends its edges elsewhere
-GATHER = 0.004      # news that come together go together
-STALE_WAIT = 0.25   # an edge's call waits so long for a core that is about to be fresh, as after a start of all
+FRESH = 1.2  # a core that heard the leader's word longer ago than this sends its edges elsewhere
+GATHER = 0.004  # news that come together go together
+STALE_WAIT = 0.25  # an edge's call waits so long for a core that is about to be fresh, as after a start of all
 WAIT_MOST = 5.0
-SHARE = 1.0         # seconds between tellings of loads to the other cores
+SHARE = 1.0  # seconds between tellings of loads to the other cores
 
 
 class PeerApi:
     """The port on which this core is called by edges and other cores, and its own calls to the leader."""
 
-    def __init__(self, me: str, consensus: ConsensusDriver, list_poller: ListPoller, conductor: SliceManager, board: Board,
-                 loads: Loads, caller: Caller):
+    def __init__(
+        self,
+        me: str,
+        consensus: ConsensusDriver,
+        list_poller: ListPoller,
+        conductor: SliceManager,
+        board: Board,
+        loads: Loads,
+        caller: Caller,
+    ):
         self.me, self.consensus, self.list_poller, self.conductor = me, consensus, list_poller, conductor
         self.board, self.loads, self.caller = board, loads, caller
         self.news = asyncio.Event()
         self.fresh_until = 0.0
         self.leaving = False
-        self.asked: dict[str, tuple[float, str, int]] = {}     # by edge: when it called here, and what it had then
+        self.asked: dict[str, tuple[float, str, int]] = {}  # by edge: when it called here, and what it had then
 
     def app(self) -> Sanic:
         made = app("peers")
-        for path, handler in (("/consensus", self.messages), ("/cluster-view", self.view), ("/lease", self.lease),
-                              ("/proposal", self.proposal), ("/nodes", self.nodes), ("/loads", self.share),
-                              ("/status", self.status), ("/explain", self.explain)):
+        for path, handler in (
+            ("/consensus", self.messages),
+            ("/cluster-view", self.view),
+            ("/lease", self.lease),
+            ("/proposal", self.proposal),
+            ("/nodes", self.nodes),
+            ("/loads", self.share),
+            ("/status", self.status),
+            ("/explain", self.explain),
+        ):
             made.add_route(handler, path, methods=["POST"], error_format="text")
         return made
 
@@ -89,8 +104,9 @@
                 given = self.list_poller.lease(self.me)
             elif machine.leader:
                 try:
-                    given = await self.caller.json("POST", f"http://{machine.leader}/lease",
-                                                   {"conductor": self.me}, 0.5, "lease")
+                    given = await self.caller.json(
+                        "POST", f"http://{machine.leader}/lease", {"conductor": self.me}, 0.5, "lease"
+                    )
                 except PeerError:
                     given = None
             if given:
@@ -174,8 +190,18 @@
     async def status(self, request: Request) -> HTTPResponse:
         """This core's account of itself; nothing changes by it."""
         now = clock()
-        return answer(account.status(now, self.me, self.consensus.machine, self.consensus.state, self.board,
-                                     self.loads, now < self.fresh_until and not self.leaving, self.asked))
+        return answer(
+            account.status(
+                now,
+                self.me,
+                self.consensus.machine,
+                self.consensus.state,
+                self.board,
+                self.loads,
+                now < self.fresh_until and not self.leaving,
+                self.asked,
+            )
+        )
 
     async def explain(self, request: Request) -> HTTPResponse:
         """Where this core holds that a request belongs."""
@@ -204,9 +230,14 @@
             self.judge()
             told = self.loads.take(clock())
             if told:
-                await asyncio.gather(*(self.caller.json("POST", f"http://{at}/loads", told, 0.6, "loads")
-                                       for id, at in self.consensus.machine.members.items() if id != self.me),
-                                     return_exceptions=True)
+                await asyncio.gather(
+                    *(
+                        self.caller.json("POST", f"http://{at}/loads", told, 0.6, "loads")
+                        for id, at in self.consensus.machine.members.items()
+                        if id != self.me
+                    ),
+                    return_exceptions=True,
+                )
 
     def judge(self) -> None:
         """Which nodes ail, by what was heard; told to the edges and minded by the placement."""
@@ -225,7 +256,8 @@
             self.list_poller.leave(self.me)
         elif machine.leader:
             try:
-                await self.caller.json("POST", f"http://{machine.leader}/lease",
-                                       {"conductor": self.me, "leaving": True}, 0.4, "leave")
+                await self.caller.json(
+                    "POST", f"http://{machine.leader}/lease", {"conductor": self.me, "leaving": True}, 0.4, "leave"
+                )
             except PeerError:
                 pass
--- a/knotwalk/control_plane/replicated_state.py
+++ b/knotwalk/control_plane/replicated_state.py
@@ -37,12 +37,15 @@
         if command.get("do") != "configure":
             return "done", self.ledger.apply(index, command)
         if "version" in command and self.history.holds(command["version"], command["digest"]):
-            return "done", self.ledger.apply(index, {})     # the same call, agreed on twice
+            return "done", self.ledger.apply(index, {})  # the same call, agreed on twice
         if command["base"] != self.version:
             return "another version is in place", self.ledger.apply(index, {})
         try:
-            fresh = read_configuration(apply_difference(document(self.configuration), command["difference"])
-                                       if "difference" in command else command["document"])
+            fresh = read_configuration(
+                apply_difference(document(self.configuration), command["difference"])
+                if "difference" in command
+                else command["document"]
+            )
         except Invalid as error:
             return str(error), self.ledger.apply(index, {})
         self.configuration, self.order = fresh, index
@@ -52,10 +55,14 @@
 
     def to_dict(self) -> dict:
         """A snapshot, JSON-able."""
-        return {"format": FORMAT if self.ledger.lift else 2, "applied": self.applied, "order": self.order,
-                "history": self.history.to_dict(),
-                "configuration": document(self.configuration) if self.configuration else None,
-                "ledger": self.ledger.to_dict()}
+        return {
+            "format": FORMAT if self.ledger.lift else 2,
+            "applied": self.applied,
+            "order": self.order,
+            "history": self.history.to_dict(),
+            "configuration": document(self.configuration) if self.configuration else None,
+            "ledger": self.ledger.to_dict(),
+        }
 
     @classmethod
     def from_dict(cls, raw: dict) -> ReplicatedState:
--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -6,36 +6,46 @@
 from collections.abc import Awaitable, Callable
 
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
+from knotwalk.discovery.cluster_view import Board
+from knotwalk.discovery.loads import Loads
+from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
 from knotwalk.placement.capacity import Report, utilizations
 from knotwalk.placement.placer import Placer
-from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
-from knotwalk.discovery.loads import Loads
-from knotwalk.discovery.cluster_view import Board
 from knotwalk.runtime.call import Caller, Refused
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.logs import clock, log_info, log_exception
+from knotwalk.runtime.logs import clock, log_exception, log_info
 from knotwalk.runtime.units import text
 
-STEP = 0.1      # seconds between questions whether the placement is to be looked at
+STEP = 0.1  # seconds between questions whether the placement is to be looked at
 # Calls under way to one node. Who takes slices over grants all of them at once: 118 calls to one node opened so many
 # connections that it reset those over its bound, ours and the edges'. Four at a time are done in a tenth of a second.
 # Releases, 42 at once when a node leaves, are answered when work has ended: more lanes than it can have works in hand.
 LANES = {"grant": 4, "release": 16}
-LANE_WAIT = 1.0     # seconds that a call waits for its turn: as long as a node that says nothing holds the others up
+LANE_WAIT = 1.0  # seconds that a call waits for its turn: as long as a node that says nothing holds the others up
 
 
 class SliceManager:
     """Acts only on slices that the agreed log leases to `me`, and only while its lease is proven."""
 
-    def __init__(self, me: str, consensus: ConsensusDriver, board: Board, loads: Loads, caller: Caller, pace: Pace, seed: int,
-                 propose: Callable[[dict], Awaitable[str | None]], zone: str = ""):
+    def __init__(
+        self,
+        me: str,
+        consensus: ConsensusDriver,
+        board: Board,
+        loads: Loads,
+        caller: Caller,
+        pace: Pace,
+        seed: int,
+        propose: Callable[[dict], Awaitable[str | None]],
+        zone: str = "",
+    ):
         self.me, self.consensus, self.board, self.loads, self.caller = me, consensus, board, loads, caller
         self.pace, self.propose = pace, propose
         self.keeper = Keeper(me, pace, seed, clock())
         self.placer = Placer(me, seed, zone)
         self.timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task] = set()
-        self.lanes: dict[tuple[tuple[str, int], str], asyncio.Semaphore] = {}   # by a node's address and the call
+        self.lanes: dict[tuple[tuple[str, int], str], asyncio.Semaphore] = {}  # by a node's address and the call
         self.stopped = False
 
     def leased(self, until: float, index: int) -> None:
@@ -88,15 +98,22 @@
         task.add_done_callback(self.tasks.discard)
 
     async def _grant(self, order: Grant) -> None:
-        body = {"source_version": order.first_key, "target_version": order.last_key, "fence": order.fence,
-                "hold": text(order.hold)}
+        body = {
+            "source_version": order.first_key,
+            "target_version": order.last_key,
+            "fence": order.fence,
+            "hold": text(order.hold),
+        }
         if order.handover:
             body["handover"] = order.handover
         await self._call(order, "grant", body)
 
     async def _release(self, order: Release) -> None:
-        await self._call(order, "release", {"source_version": order.first_key, "target_version": order.last_key,
-                                            "fence": order.fence})
+        await self._call(
+            order,
+            "release",
+            {"source_version": order.first_key, "target_version": order.last_key, "fence": order.fence},
+        )
 
     async def _call(self, order: Grant | Release, step: str, body: dict) -> None:
         """Wait for a lane, make the call if it may still be begun, and tell the keeper how it ended."""
@@ -111,7 +128,7 @@
         else:
             try:
                 until = order.expires if isinstance(order, Grant) else self.keeper.until
-                if not self.stopped and clock() < until:    # its turn may have come late
+                if not self.stopped and clock() < until:  # its turn may have come late
                     status, handover = await self._sent(order, step, body)
             finally:
                 lane.release()
@@ -139,7 +156,7 @@
                 continue
             try:
                 moves = self.moves(now)
-            except Exception:   # a placement that fails must not end the renewals
+            except Exception:  # a placement that fails must not end the renewals
                 log_exception("placement failed")
                 continue
             for command in moves:
@@ -156,10 +173,17 @@
     def report(self, now: float, failed: set[str]) -> Report:
         sums, spans = self.loads.sums(now)
         # Requests, not their seconds: those grow with a node's queue, and would make the slices of a full node heavier.
-        demand = {service: {int(slice): count / spans[service] for slice, count in slices.items()}
-                  for service, slices in sums.get("demand", {}).items() if slices}
+        demand = {
+            service: {int(slice): count / spans[service] for slice, count in slices.items()}
+            for service, slices in sums.get("demand", {}).items()
+            if slices
+        }
         told = utilizations(sums.get("nodes", {}), spans, self.board.nodes)
-        return Report(demand=demand, utilization=told, heard={id: now for id in told}, spans=spans, failed=failed,
-                      ailing=self.board.ailing)
-
-
+        return Report(
+            demand=demand,
+            utilization=told,
+            heard={id: now for id in told},
+            spans=spans,
+            failed=failed,
+            ailing=self.board.ailing,
+        )
--- a/knotwalk/discovery/cluster_view.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -26,8 +26,8 @@
 # keeps one configuration's bytes of them at most. Storms bring some 3 to 12 a second, and an edge calls once a
 # second at least; who is 32 behind was cut off, and the whole is then one of the smaller things it lacks.
 CHANGES = 32
-HELD = 32       # lists of nodes from which a board can still tell what changed; as above, a release brings one a second
-COLDER = 2.0    # s by which a node must be cold for longer than told: the list's figure is up to a beat of 1.5 s old
+HELD = 32  # lists of nodes from which a board can still tell what changed; as above, a release brings one a second
+COLDER = 2.0  # s by which a node must be cold for longer than told: the list's figure is up to a beat of 1.5 s old
 
 
 @dataclass(eq=False)
@@ -40,9 +40,9 @@
     zone: str
     capacity: int
     draining: bool = False
-    cold_until: float = 0.0     # steady clock of this machine
+    cold_until: float = 0.0  # steady clock of this machine
     software: str = ""
-    ailing: bool = False        # as all edges together meet with it (`discovery.outliers`)
+    ailing: bool = False  # as all edges together meet with it (`discovery.outliers`)
     seen: object = None
 
 
@@ -67,14 +67,27 @@
 
 def entry(node: Node, now: float) -> dict:
     """A node as it goes over the wire; `cold` in seconds from now."""
-    return {"service": node.service, "address": f"{node.address[0]}:{node.address[1]}", "zone": node.zone,
-            "capacity": node.capacity, "draining": node.draining, "cold": round(max(0.0, node.cold_until - now), 3)}
+    return {
+        "service": node.service,
+        "address": f"{node.address[0]}:{node.address[1]}",
+        "zone": node.zone,
+        "capacity": node.capacity,
+        "draining": node.draining,
+        "cold": round(max(0.0, node.cold_until - now), 3),
+    }
 
 
 def node_of(id: str, raw: dict, now: float) -> Node:
     host, _, port = raw["address"].rpartition(":")
-    return Node(id, raw["service"], (host, int(port)), raw["zone"], raw["capacity"], raw["draining"],
-                now + raw["cold"] if raw["cold"] else 0.0)
+    return Node(
+        id,
+        raw["service"],
+        (host, int(port)),
+        raw["zone"],
+        raw["capacity"],
+        raw["draining"],
+        now + raw["cold"] if raw["cold"] else 0.0,
+    )
 
 
 class ClusterView:
@@ -91,9 +104,9 @@
         self.config_order = -1
         self.nodes_order: tuple[int, int] = (-1, -1)
         self.lines_order = -1
-        self.epoch, self.at = "", 0     # the board last heard, and how far
-        self.provisional = False        # configuration or nodes are still those of a core that only just started
-        self.fault = ""     # why the newest configuration told was not taken; the old one is then in force
+        self.epoch, self.at = "", 0  # the board last heard, and how far
+        self.provisional = False  # configuration or nodes are still those of a core that only just started
+        self.fault = ""  # why the newest configuration told was not taken; the old one is then in force
 
     @property
     def whole(self) -> bool:
@@ -164,7 +177,7 @@
         else:
             fresh = self.configuration
             for change in topic["changes"]:
-                fresh = patched(fresh, change)      # for one route of 1,000: 1.4 ms, read anew 8.7, the index 0.5
+                fresh = patched(fresh, change)  # for one route of 1,000: 1.4 ms, read anew 8.7, the index 0.5
         index = Index(fresh)
         self.configuration, self.index, self.config_order = fresh, index, topic["order"]
 
@@ -189,18 +202,23 @@
 
     def _lines(self, topic: dict) -> None:
         if self.lines_order < 0:
-            self.shardings = {}     # provisional ones
+            self.shardings = {}  # provisional ones
         for service, runs in topic["set"].items():
             sharding = self.shardings.setdefault(service, Sharding())
             for first, last, owner, opened in runs:
-                for line in sharding.lines[first:last + 1]:
+                for line in sharding.lines[first : last + 1]:
                     line.owner, line.open, line.node = owner, bool(opened), self.nodes.get(owner)
         self.lines_order = topic["order"]
 
     def ask(self) -> dict:
         """What to tell a core so that it sends only what is new; after a fault the configuration is wanted whole."""
-        return {"epoch": self.epoch, "at": self.at, "config": -1 if self.fault else self.config_order,
-                "nodes": self.nodes_order, "lines": self.lines_order} | ({"bare": True} if self.bare else {})
+        return {
+            "epoch": self.epoch,
+            "at": self.at,
+            "config": -1 if self.fault else self.config_order,
+            "nodes": self.nodes_order,
+            "lines": self.lines_order,
+        } | ({"bare": True} if self.bare else {})
 
 
 class Board:
@@ -212,14 +230,14 @@
     def __init__(self, epoch: str):
         self.epoch, self.at = epoch, 1
         self.config: tuple[int, dict] | None = None
-        self.changes: deque[tuple[int, dict, int]] = deque()    # up to now: (order changed from, change, its bytes)
+        self.changes: deque[tuple[int, dict, int]] = deque()  # up to now: (order changed from, change, its bytes)
         self.nodes: dict[str, Node] = {}
         self.nodes_order = (-1, -1)
-        self.held: dict[tuple[int, int], int] = {}      # the last orders of the list, and the turn of each
-        self.node_at: dict[str, int] = {}       # turn of the last change by id; gone ones too, as far as `held` goes
+        self.held: dict[tuple[int, int], int] = {}  # the last orders of the list, and the turn of each
+        self.node_at: dict[str, int] = {}  # turn of the last change by id; gone ones too, as far as `held` goes
         self.lines: dict[str, list[tuple[str, bool]]] = {}
         self.lines_order = -1
-        self.line_order: dict[str, list[int]] = {}      # order of each line's last change, as far as is known here
+        self.line_order: dict[str, list[int]] = {}  # order of each line's last change, as far as is known here
         self.cores: list[str] = []
         self.cores_at = 0
         self.ailing: frozenset[str] = frozenset()
@@ -305,13 +323,20 @@
         if (held := tuple(asked.get("nodes", (-1, -1)))) < self.nodes_order:
             turn, full = self.held.get(held, 0), held not in self.held
             message["nodes"] = {
-                "order": list(self.nodes_order), "full": full,
+                "order": list(self.nodes_order),
+                "full": full,
                 "set": {id: entry(n, now) for id, n in self.nodes.items() if full or self.node_at[id] > turn},
-                "gone": [] if full else [id for id, at in self.node_at.items() if at > turn and id not in self.nodes]}
+                "gone": [] if full else [id for id, at in self.node_at.items() if at > turn and id not in self.nodes],
+            }
         if (order := asked.get("lines", -1)) < self.lines_order:
-            message["lines"] = {"order": self.lines_order, "set": {
-                service: found for service, orders in self.line_order.items()
-                if (found := runs(self.lines[service], orders, order))}}
+            message["lines"] = {
+                "order": self.lines_order,
+                "set": {
+                    service: found
+                    for service, orders in self.line_order.items()
+                    if (found := runs(self.lines[service], orders, order))
+                },
+            }
         return message
 
     def provisional(self, nodes: dict[str, Node], now: float) -> dict | None:
@@ -338,9 +363,13 @@
 
 def differ(old: Node, new: Node) -> bool:
     """Whether a cluster view that has the one must hear of the other."""
-    return ((old.address, old.service, old.zone, old.capacity, old.draining)
-            != (new.address, new.service, new.zone, new.capacity, new.draining)
-            or new.cold_until > old.cold_until + COLDER)
+    return (old.address, old.service, old.zone, old.capacity, old.draining) != (
+        new.address,
+        new.service,
+        new.zone,
+        new.capacity,
+        new.draining,
+    ) or new.cold_until > old.cold_until + COLDER
 
 
 def runs(lines: list[tuple[str, bool]], orders: list[int], order: int) -> list[list]:
--- a/knotwalk/discovery/listing.py
+++ b/knotwalk/discovery/listing.py
@@ -11,7 +11,7 @@
 class Listing:
     """One reading of the list. `add` takes a page and tells the next one's token, None after the last."""
 
-    PAGES_MOST = 1000   # a list that never ends would keep the poller for ever
+    PAGES_MOST = 1000  # a list that never ends would keep the poller for ever
 
     def __init__(self) -> None:
         self.nodes: dict[str, Node] = {}
@@ -36,8 +36,15 @@
         try:
             host, _, port = raw["address"].rpartition(":")
             cold = seconds(raw.get("warmup_left", "0ms"))
-            return Node(id, str(raw["service"]), (host, int(port)), str(raw.get("zone", "")),
-                        max(1, int(raw.get("capacity", 1))), raw.get("state") != "ready",
-                        now + cold if cold else 0.0, str(raw.get("config_version", "")))
+            return Node(
+                id,
+                str(raw["service"]),
+                (host, int(port)),
+                str(raw.get("zone", "")),
+                max(1, int(raw.get("capacity", 1))),
+                raw.get("state") != "ready",
+                now + cold if cold else 0.0,
+                str(raw.get("config_version", "")),
+            )
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise Unusable(f"{id}: {type(error).__name__} {error}") from None
--- a/knotwalk/discovery/loads.py
+++ b/knotwalk/discovery/loads.py
@@ -11,9 +11,9 @@
 
 from knotwalk.discovery.outliers import OutlierDetection
 
-CALLING = 3.0   # seconds since its last call in which an edge counts as calling here; it calls at least once a second
-REST = 1e-6     # less than any count, and than the seconds of any request
-SPAN = 4.0      # seconds looked back: some tens of requests for a slice of a node, and two of an edge's reports
+CALLING = 3.0  # seconds since its last call in which an edge counts as calling here; it calls at least once a second
+REST = 1e-6  # less than any count, and than the seconds of any request
+SPAN = 4.0  # seconds looked back: some tens of requests for a slice of a node, and two of an edge's reports
 
 
 def merge(into: dict, raw: dict) -> None:
@@ -64,11 +64,11 @@
     def __init__(self) -> None:
         self.ailing = OutlierDetection()
         self.window: deque[tuple[float, dict]] = deque()
-        self.total: dict = {}                   # the window's sums, kept up as reports come and leave it
-        self.begun: dict[str, float] = {}       # by service: when its demand was heard of first, after none for SPAN
+        self.total: dict = {}  # the window's sums, kept up as reports come and leave it
+        self.begun: dict[str, float] = {}  # by service: when its demand was heard of first, after none for SPAN
         self.fresh: dict = {}
-        self.edges: dict[str, float] = {}       # by name: when last heard of
-        self._callers: dict[str, float] = {}    # by name: when it last called here; only these are passed on
+        self.edges: dict[str, float] = {}  # by name: when last heard of
+        self._callers: dict[str, float] = {}  # by name: when it last called here; only these are passed on
 
     def heard(self, now: float, edge: str, called: bool = True) -> None:
         """An edge `called` here, or another core says that it called there."""
@@ -82,8 +82,9 @@
             merge(self.fresh, raw)
         self.ailing.hear(now, raw)
         there = self.total.get("demand", {})
-        self.begun |= {service: now for service, slices in raw.get("demand", {}).items()
-                       if slices and not there.get(service)}
+        self.begun |= {
+            service: now for service, slices in raw.get("demand", {}).items() if slices and not there.get(service)
+        }
         merge(self.total, raw)
         if self.window and now - self.window[-1][0] < 0.25:
             merge(self.window[-1][1], raw)
@@ -113,5 +114,8 @@
         while self.window and self.window[0][0] < now - SPAN:
             take_off(self.total, self.window.popleft()[1])
         span = now - self.window[0][0] if self.window else SPAN
-        return self.total, {service: max(1.0, min(span, now - self.begun[service]))
-                            for service, slices in self.total.get("demand", {}).items() if slices}
+        return self.total, {
+            service: max(1.0, min(span, now - self.begun[service]))
+            for service, slices in self.total.get("demand", {}).items()
+            if slices
+        }
--- a/knotwalk/discovery/outliers.py
+++ b/knotwalk/discovery/outliers.py
@@ -54,11 +54,11 @@
 
     tries: float = 0.0
     bad: float = 0.0
-    told: float = 0.0                       # requests a slot that its answers told, summed over `telling` of them
+    told: float = 0.0  # requests a slot that its answers told, summed over `telling` of them
     telling: float = 0.0
     at: float = 0.0
-    rest: float = 0.0                       # how long the last rest was
-    until: float = float("-inf")            # when it ends, or ended
+    rest: float = 0.0  # how long the last rest was
+    until: float = float("-inf")  # when it ends, or ended
 
     def fade(self, now: float) -> None:
         part = math.exp(min(0.0, self.at - now) / FADE)
@@ -72,7 +72,7 @@
     >>> round(chance(0, 5, 0.1), 3), round(chance(1, 5, 0.1), 3), round(chance(5, 5, 0.1), 6)
     (1.0, 0.41, 1e-05)
     """
-    return sum(math.comb(tries, k) * rate ** k * (1 - rate) ** (tries - k) for k in range(bad, tries + 1))
+    return sum(math.comb(tries, k) * rate**k * (1 - rate) ** (tries - k) for k in range(bad, tries + 1))
 
 
 class OutlierDetection:
@@ -118,9 +118,10 @@
             rest = {id for id, record in records.items() if now < record.until}
             room = int(PART * sum(node.service == service for node in nodes.values())) - len(rest)
             usual = self._usual(records.values())
-            signs = [(sign, id) for id, x in records.items()
-                     if id not in rest and (sign := self._sign(x, usual)) < ERROR]
-            for _, id in sorted(signs)[:max(0, room)]:
+            signs = [
+                (sign, id) for id, x in records.items() if id not in rest and (sign := self._sign(x, usual)) < ERROR
+            ]
+            for _, id in sorted(signs)[: max(0, room)]:
                 self._rests(now, records[id])
                 rest.add(id)
             found |= rest
@@ -131,7 +132,7 @@
     def _usual(records: Iterable[Record]) -> float:
         """The part of tries that is bad at the better half of the nodes."""
         ranked = sorted((x for x in records if x.tries > 0), key=lambda x: x.bad / x.tries)
-        better = ranked[:math.ceil(BETTER * len(ranked))]
+        better = ranked[: math.ceil(BETTER * len(ranked))]
         return max(LEAST_RATE, sum(x.bad for x in better) / sum(x.tries for x in better) if better else 0.0)
 
     @staticmethod
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -5,20 +5,20 @@
 import sys
 
 # No TLS is spoken here, and asyncio does without it: it is a part of an edge's start, and of its memory.
-sys.modules.setdefault("ssl", None)     # type: ignore[arg-type]
+sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
 
 import asyncio
 import os
 from zlib import crc32
 
 from knotwalk.discovery.cluster_view import ClusterView
-from knotwalk.runtime.logs import clock, log_info
-from knotwalk.runtime.life import Ending, live
-from knotwalk.runtime.settings import Settings
 from knotwalk.edge import ready
 from knotwalk.edge.caller import Caller
 from knotwalk.edge.front import Front
 from knotwalk.edge.link import Link
+from knotwalk.runtime.life import Ending, live
+from knotwalk.runtime.logs import clock, log_info
+from knotwalk.runtime.settings import Settings
 
 
 class Edge:
@@ -26,14 +26,22 @@
 
     def __init__(self, settings: Settings):
         self.settings = settings
-        settings.at("data_plane"), settings.at("readiness")     # said before anything is begun
+        settings.at("data_plane"), settings.at("readiness")  # said before anything is begun
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
         self.view = ClusterView()
         self.caller = Caller()
         self.front = Front(settings, self.view, clock, seed)
         port = settings.ports[0]
-        self.link = Link(settings.node_name, self.view, self.caller, [f"{ip}:{port}" for ip, _ in settings.seeds],
-                         seed, settings.zone, lambda: self.front.report(clock()), self.news)
+        self.link = Link(
+            settings.node_name,
+            self.view,
+            self.caller,
+            [f"{ip}:{port}" for ip, _ in settings.seeds],
+            seed,
+            settings.zone,
+            lambda: self.front.report(clock()),
+            self.news,
+        )
         self.ready = False
         self.ending = Ending(self.reload)
 
--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -18,12 +18,12 @@
 
 # Seconds after which an idle connection is not used again: less than half of what a core keeps one open for.
 IDLE = 8.0
-PATIENCE = 1.0      # as other calls between peers have it
+PATIENCE = 1.0  # as other calls between peers have it
 # Seconds for a new connection: a machine that is up answers the opening by its kernel, in some ms, however busy its
 # programs are; a dark one says nothing, and an opening packet that was lost is sent again after a second only. Doubled
 # after each that failed, until one comes: behind a squeezed link a core is slow to answer and there all the same.
 CONNECT = 0.2
-MOST = 64 * 1024 * 1024     # bytes of an answer, as of a call's body at a core
+MOST = 64 * 1024 * 1024  # bytes of an answer, as of a call's body at a core
 # Seconds that an answer may take in all while its bytes keep coming: a large configuration takes seconds on a slow
 # link, and given up in its midst it would begin anew at the next core, for ever.
 WHOLE = 30.0
@@ -33,7 +33,7 @@
     """States of a connection to a core."""
 
     IDLE = "idle"
-    WAITING = "waiting"         # a call was sent, its answer is not whole
+    WAITING = "waiting"  # a call was sent, its answer is not whole
     CLOSED = "closed"
 
 
@@ -49,7 +49,7 @@
         self.idle_since = asyncio.get_running_loop().time()
         self.transport: asyncio.Transport | None = None
         self.future: asyncio.Future[tuple[int, bytes]] | None = None
-        self.came: Callable[[], None] = lambda: None        # told when bytes of an answer have come
+        self.came: Callable[[], None] = lambda: None  # told when bytes of an answer have come
         self._renew()
 
     def _renew(self) -> None:
@@ -65,8 +65,12 @@
 
     def fit(self) -> bool:
         """Whether a call may be sent on it."""
-        return (self.line is Line.IDLE and self.transport is not None and not self.transport.is_closing()
-                and asyncio.get_running_loop().time() - self.idle_since < IDLE)
+        return (
+            self.line is Line.IDLE
+            and self.transport is not None
+            and not self.transport.is_closing()
+            and asyncio.get_running_loop().time() - self.idle_since < IDLE
+        )
 
     def send(self, data: bytes) -> asyncio.Future[tuple[int, bytes]]:
         """Send a call: its answer's status and body, or an OSError."""
@@ -115,7 +119,7 @@
 
     def on_message_complete(self) -> None:
         status = self.parser.get_status_code()
-        if self.line is not Line.WAITING or status < 200:       # a second answer in one piece, or not the answer yet
+        if self.line is not Line.WAITING or status < 200:  # a second answer in one piece, or not the answer yet
             self.end("bytes that belong to no answer")
             return
         assert self.future is not None
@@ -126,7 +130,7 @@
             return
         self._to(Line.IDLE)
         self.idle_since = asyncio.get_running_loop().time()
-        asyncio.get_running_loop().call_soon(self._renew)       # not while the parser runs
+        asyncio.get_running_loop().call_soon(self._renew)  # not while the parser runs
 
 
 class Caller:
@@ -134,17 +138,20 @@
 
     def __init__(self) -> None:
         self.kept: dict[tuple[str, int], Connection] = {}
-        self.allowed: dict[tuple[str, int], float] = {}     # seconds for the next opening, after one that took too long
+        self.allowed: dict[tuple[str, int], float] = {}  # seconds for the next opening, after one that took too long
 
-    async def json(self, method: str, url: str, body: Any = None, patience: float = PATIENCE,
-                   step: str = "call") -> Any:
+    async def json(
+        self, method: str, url: str, body: Any = None, patience: float = PATIENCE, step: str = "call"
+    ) -> Any:
         """The JSON value of a 200 from `http://ip:port/path`; StationError for any other answer or none in `patience`
         s."""
         parts = urlsplit(url)
         at = parts.hostname or "", parts.port or 80
         data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
-        head = (f"{method} {parts.path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
-                f"Content-Length: {len(data)}\r\n\r\n")
+        head = (
+            f"{method} {parts.path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        )
         connection: Connection | None = None
         loop = asyncio.get_running_loop()
         try:
@@ -161,7 +168,7 @@
             if connection is not None:
                 connection.came = lambda: None
             if connection is not None and connection.line is Line.WAITING:
-                connection.end("given up")      # a late answer must not be taken for the next call's
+                connection.end("given up")  # a late answer must not be taken for the next call's
         if connection.line is Line.IDLE:
             self.kept[at] = connection
         return value(step, url, status, told)
--- a/knotwalk/edge/choose.py
+++ b/knotwalk/edge/choose.py
@@ -5,8 +5,8 @@
 from collections.abc import Collection, Sequence
 from random import Random
 
-from knotwalk.configuration.objects import Route
 from knotwalk.admission.admission import Seen, expected_wait, slots
+from knotwalk.configuration.objects import Route
 from knotwalk.discovery.cluster_view import Node
 
 # A node in another zone must be so many requests a slot better: bytes between zones are priced. One more for each 4 kB
@@ -48,8 +48,9 @@
     return expected_wait(known.usually(now), slots(node.capacity, now < node.cold_until), known.work)
 
 
-def pick(nodes: Sequence[Node], now: float, zone: str, luck: Random, skip: Collection[str] = (),
-         size: int = 0) -> Node | None:
+def pick(
+    nodes: Sequence[Node], now: float, zone: str, luck: Random, skip: Collection[str] = (), size: int = 0
+) -> Node | None:
     """The node for a request of an undivided service with a body of `size` bytes: the better of two drawn near by, or
     of two far off if that is clearly better still.
 
--- a/knotwalk/edge/forward.py
+++ b/knotwalk/edge/forward.py
@@ -11,16 +11,16 @@
 from enum import Enum
 from random import Random
 
-from knotwalk.configuration.objects import Route, Service
 from knotwalk.admission.admission import SHUN_LAST, SHUN_OWNER, Seen, come_back, worth_offering, yields
-from knotwalk.admission.connection_budget import shared
 from knotwalk.admission.budget import Budget
+from knotwalk.admission.connection_budget import shared
 from knotwalk.admission.outcome import PROOFS, End, Move, Proof, move
-from knotwalk.discovery.cluster_view import WIDTH, Node, ClusterView
-from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.settings import Settings
+from knotwalk.configuration.objects import Route, Service
+from knotwalk.discovery.cluster_view import WIDTH, ClusterView, Node
 from knotwalk.edge.choose import load, pick, seen, service_of, wait_at
 from knotwalk.edge.upstream import Answer, Connection, Docks, Pool
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.settings import Settings
 
 # Of the aim, how long a request may wait without being offered to a node, as its client sees it: later refusals are
 # held against us, and what comes back after an early one may still earn. Seconds of it that the way to the client and
@@ -49,11 +49,11 @@
 class Stage(Enum):
     """States of a request."""
 
-    READING = "reading"     # its body has not been read as far as it must be
-    READY = "ready"         # may be carried, waits its turn
-    RUNNING = "running"     # being carried
-    ANSWERED = "answered"   # its answer is known, waits its turn
-    WRITING = "writing"     # its answer is passed on as it comes
+    READING = "reading"  # its body has not been read as far as it must be
+    READY = "ready"  # may be carried, waits its turn
+    RUNNING = "running"  # being carried
+    ANSWERED = "answered"  # its answer is known, waits its turn
+    WRITING = "writing"  # its answer is passed on as it comes
     DONE = "done"
 
 
@@ -70,18 +70,47 @@
 class Exchange:
     """A client's request and its answer. `settled` is called once, when the answer is known."""
 
-    __slots__ = ("stage", "begun", "until", "method", "attempt", "head", "length", "chunked", "body", "body_whole",
-                 "body_gone", "size", "route", "service", "key", "connection", "waiter", "expired", "gone", "timer",
-                 "status", "retry_after", "answer", "settled", "keep", "modern", "expects", "starve", "task", "text",
-                 "way")
+    __slots__ = (
+        "stage",
+        "begun",
+        "until",
+        "method",
+        "attempt",
+        "head",
+        "length",
+        "chunked",
+        "body",
+        "body_whole",
+        "body_gone",
+        "size",
+        "route",
+        "service",
+        "key",
+        "connection",
+        "waiter",
+        "expired",
+        "gone",
+        "timer",
+        "status",
+        "retry_after",
+        "answer",
+        "settled",
+        "keep",
+        "modern",
+        "expects",
+        "starve",
+        "task",
+        "text",
+        "way",
+    )
 
     def __init__(self, begun: float, method: bytes, settled: Callable[[Exchange], None]):
         self.stage = Stage.READING
         self.begun, self.until = begun, begun
         self.method, self.attempt, self.head = method, b"", b""
-        self.length: int | None = None      # of the body, as told
+        self.length: int | None = None  # of the body, as told
         self.chunked = False
-        self.body = bytearray()             # what was read and not yet passed on
+        self.body = bytearray()  # what was read and not yet passed on
         self.body_whole = self.body_gone = False
         self.size = 0
         self.route: Route | None = None
@@ -92,17 +121,16 @@
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
         self.status, self.retry_after, self.text = 0, 0.0, ""
-        self.way = ""       # what its last try met with, one of those of `Forwarder._way`
+        self.way = ""  # what its last try met with, one of those of `Forwarder._way`
         self.answer: Answer | None = None
         self.settled = settled
         self.keep, self.modern, self.expects = True, True, False
-        self.starve: Callable[[bool], None] | None = None   # told whether the body can not be passed on for now
+        self.starve: Callable[[bool], None] | None = None  # told whether the body can not be passed on for now
 
     def to(self, stage: Stage) -> None:
         """The one place where the state changes."""
         if stage not in STAGES[self.stage]:
-            raise PeerError("request", self.attempt.decode("latin-1"),
-                               f"from {self.stage.value} to {stage.value}")
+            raise PeerError("request", self.attempt.decode("latin-1"), f"from {self.stage.value} to {stage.value}")
         self.stage = stage
 
     def own(self, status: int, text: str = "", retry_after: float = 0.0) -> None:
@@ -162,7 +190,11 @@
             body, self.body, self.body_gone = self._framed(bytes(self.body)), bytearray(), True
             connection.source = self
         head = b"%bDeadline-Ms: %d\r\nTarget-Instance: %b\r\n%b\r\n" % (
-            self.head, deadline_ms, node.encode("latin-1"), framing)
+            self.head,
+            deadline_ms,
+            node.encode("latin-1"),
+            framing,
+        )
         future = connection.send(head, body, self.attempt, self.method, self.body_whole)
         if not self.body_whole:
             self.writable(True)
@@ -209,8 +241,9 @@
         found = self.budgets.get(service)
         if found is None:
             bounds = self.settings.bounds
-            found = self.budgets[service] = Budget(bounds.retry_budget_ratio, bounds.retry_window,
-                                                   bounds.retry_budget_slack, self.began)
+            found = self.budgets[service] = Budget(
+                bounds.retry_budget_ratio, bounds.retry_window, bounds.retry_budget_slack, self.began
+            )
         return found
 
     def service(self, name: str) -> Service:
@@ -241,10 +274,10 @@
         """Requests by service and slice, load told by each node, bad tries; since the call before."""
         nodes, bad, now = {}, {}, self.clock()
         for node in self.view.nodes.values():
-            known: Seen | None = node.seen     # type: ignore[assignment]
+            known: Seen | None = node.seen  # type: ignore[assignment]
             if known is None:
                 continue
-            if known.silent(now) and not known.hung:    # what hangs there will hardly end well
+            if known.silent(now) and not known.hung:  # what hangs there will hardly end well
                 known.hung = True
                 known.failed += 1
             if not (known.load_count or known.ok or known.failed or known.refused):
@@ -322,12 +355,17 @@
                 return
             if why != "full" and why != "too late":
                 self._learn(known, end, answer.for_nothing, SHUN_OWNER if x.key >= 0 else SHUN_LAST)
-            allowed = (arrivals < x.route.retry_count and misses <= MISSES and not x.body_gone
-                       and x.until - self.clock() > TOO_LATE and not x.expired)
+            allowed = (
+                arrivals < x.route.retry_count
+                and misses <= MISSES
+                and not x.body_gone
+                and x.until - self.clock() > TOO_LATE
+                and not x.expired
+            )
             if x.key >= 0 and (why == "full" or end is End.TURNED_AWAY and answer.status != 421):
-                allowed = False     # the only node that may run it is full
+                allowed = False  # the only node that may run it is full
             if x.key >= 0 and PROOFS[end] is not Proof.NEVER_RAN:
-                tried.discard(node.id)      # the only node that may run it
+                tried.discard(node.id)  # the only node that may run it
             if move(end, x.route.idempotent, may_have_run, allowed, answer.status) is not Move.AGAIN:
                 break
             may_have_run = may_have_run or PROOFS[end] is Proof.MAY_HAVE_RUN
@@ -379,7 +417,7 @@
         seconds at most."""
         now = self.clock()
         if end in (End.LOST, End.UNREACHED, End.SILENT):
-            known.failed += not known.hung      # that was told while it hung
+            known.failed += not known.hung  # that was told while it hung
             known.hung = False
             known.trouble(now, end is not End.UNREACHED, last)
         elif end is End.TURNED_AWAY:
@@ -441,8 +479,9 @@
             if x.route.idempotent and may_have_run:
                 node = pick(nodes, now, self.settings.zone, self.luck, (), size)
             if node is None and not tried:
-                node = min((n for n in nodes if n.draining and self._stays(n, now)), key=lambda n: load(n, now),
-                           default=None)
+                node = min(
+                    (n for n in nodes if n.draining and self._stays(n, now)), key=lambda n: load(n, now), default=None
+                )
             if node is None:
                 return None, "full" if tried else "no node"
         if self._worth(x, node, now):
@@ -456,19 +495,28 @@
         assert x.route is not None
         known = seen(node)
         in_hand = known.usually(now) if yields(x.route.priority) else known.in_hand(now)
-        return worth_offering(in_hand, node.capacity, now < node.cold_until, known.work, x.until - now,
-                              x.route.priority, not x.route.idempotent, x.route.target_latency)
+        return worth_offering(
+            in_hand,
+            node.capacity,
+            now < node.cold_until,
+            known.work,
+            x.until - now,
+            x.route.priority,
+            not x.route.idempotent,
+            x.route.target_latency,
+        )
 
     async def _docked(self, x: Exchange) -> bool:
         """Have a descriptor for one more connection to a node: an idle one's, the one that has idled longest, or one
         that comes free while the request may wait."""
         assert x.route is not None
         while self.docks.full:
-            idle = min((pool.idle[0] for pool in self.pools.values() if pool.idle), key=lambda c: c.idle_since,
-                       default=None)
+            idle = min(
+                (pool.idle[0] for pool in self.pools.values() if pool.idle), key=lambda c: c.idle_since, default=None
+            )
             if idle is not None:
                 idle.abort("room for another")
-                await asyncio.sleep(0)      # its descriptor is free after a turn of the loop
+                await asyncio.sleep(0)  # its descriptor is free after a turn of the loop
             elif not await self._waited(x, self.docks.waiting, min(_patience(x, x.begun), x.until)):
                 return False
         return True
