--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -17,14 +17,14 @@
 
 import httptools
 
-from knotwalk.configuration.objects import Limits
 from knotwalk.admission.connection_budget import shared
+from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.cluster_view import ClusterView
-from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.logs import log_info, log_exception
-from knotwalk.runtime.settings import Settings
 from knotwalk.edge.forward import Exchange, Forwarder, Stage
 from knotwalk.edge.upstream import HOP, Answer
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.logs import log_exception, log_info
+from knotwalk.runtime.settings import Settings
 
 # A request's body up to this size (bytes) is gathered before it is offered to a node; a longer one streams.
 GATHER = 64 * 1024
@@ -46,10 +46,10 @@
 STARTING, STARTING_MOST = "starting", 0.9
 # Connections that wait to be accepted.
 BACKLOG = 1024
-LOW, HIGH = 32 * 1024, 128 * 1024      # bytes waiting to be written to a client: reading from the node goes on, pauses
+LOW, HIGH = 32 * 1024, 128 * 1024  # bytes waiting to be written to a client: reading from the node goes on, pauses
 
 OURS = HOP | {b"content-length", b"deadline-ms", b"target-instance", b"expect"}
-KEPT = frozenset({b"host", b"attempt-id", b"shard-key"})   # no Connection header takes these away
+KEPT = frozenset({b"host", b"attempt-id", b"shard-key"})  # no Connection header takes these away
 BODILESS = frozenset({204, 304})
 REASONS = {int(one): one.phrase.encode() for one in HTTPStatus}
 
@@ -57,9 +57,9 @@
 class ConnectionState(Enum):
     """States of a client's connection."""
 
-    OPEN = "open"           # requests are read
-    LAST = "last"           # no further request is read; answers are still due
-    LINGER = "linger"       # everything is answered; what comes is thrown away until the client has closed
+    OPEN = "open"  # requests are read
+    LAST = "last"  # no further request is read; answers are still due
+    LINGER = "linger"  # everything is answered; what comes is thrown away until the client has closed
     CLOSED = "closed"
 
 
@@ -93,15 +93,15 @@
         self.front = front
         self.state = ConnectionState.OPEN
         self.transport: asyncio.Transport | None = None
-        self.queue: deque[Exchange] = deque()       # oldest first; the first one's answer is written next
-        self.reading: Exchange | None = None        # whose body is being read
+        self.queue: deque[Exchange] = deque()  # oldest first; the first one's answer is written next
+        self.reading: Exchange | None = None  # whose body is being read
         self.parser = httptools.HttpRequestParser(self)
         self.refusal: Refusal | None = None
-        self.holds: set[str] = set()                # why reading pauses
-        self.full = False                           # the client does not read
-        self.over = False                           # the client has ended its side
-        self.touched = front.clock()                # when something moved last
-        self.head_since: float | None = None        # when the head being read began
+        self.holds: set[str] = set()  # why reading pauses
+        self.full = False  # the client does not read
+        self.over = False  # the client has ended its side
+        self.touched = front.clock()  # when something moved last
+        self.head_since: float | None = None  # when the head being read began
         self._fed = 0
         self._new_head()
 
@@ -159,7 +159,7 @@
         if self.state is ConnectionState.LINGER:
             return False
         if self.reading is not None or not self.queue:
-            return False        # half a request, or none: nothing to answer
+            return False  # half a request, or none: nothing to answer
         if self.state is ConnectionState.OPEN:
             self._to(ConnectionState.LAST)
         return True
@@ -177,7 +177,11 @@
                 refusal = self.refusal or Refusal(400, "not a request in the protocol")
                 self._refuse(refusal.status, refusal.text)
         else:
-            if self.state is ConnectionState.OPEN and self.reading is None and self._fed > self.front.limits.max_header_bytes:
+            if (
+                self.state is ConnectionState.OPEN
+                and self.reading is None
+                and self._fed > self.front.limits.max_header_bytes
+            ):
                 self._refuse(431, "the head is too large")
         self._write()
 
@@ -224,7 +228,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.reading is not None:
-            return      # a trailer
+            return  # a trailer
         self._headers.append((name, value))
         self._count(len(name) + len(value) + 4)
 
@@ -295,7 +299,7 @@
             self._hold("depth", True)
         front.begin(x, host, self._target, key, deadline)
         if x.stage is Stage.ANSWERED and (x.chunked or x.expects or (x.length or 0) > GATHER):
-            self._shut()        # refused without its body: nothing behind it is read
+            self._shut()  # refused without its body: nothing behind it is read
         elif x.expects and x.stage is Stage.READING and (x.chunked or x.length):
             self._ask_body()
 
@@ -370,7 +374,7 @@
         self.front.counts[f"unread {status}"] += 1
         if x.stage in (Stage.READING, Stage.READY):
             x.own(status, text)
-        elif x.stage is Stage.RUNNING:      # its body was being passed on
+        elif x.stage is Stage.RUNNING:  # its body was being passed on
             x.own(status, text)
             x.leave()
         elif x.stage is Stage.WRITING:
@@ -386,7 +390,7 @@
             self._end(x)
             return
         if x is self.reading and x.body_gone:
-            self._shut()        # answered before its body was read
+            self._shut()  # answered before its body was read
         self._write()
 
     def _end(self, x: Exchange) -> None:
@@ -409,11 +413,11 @@
             while self.queue and not self.full and self.state in (ConnectionState.OPEN, ConnectionState.LAST):
                 x = self.queue[0]
                 if x.stage is not Stage.ANSWERED or (x is self.reading and self.state is ConnectionState.OPEN):
-                    break       # not known yet, or its body must be read first to find what is behind it
+                    break  # not known yet, or its body must be read first to find what is behind it
                 if self._answer(x):
                     self._next(x)
                 elif x.stage is not Stage.DONE:
-                    return      # the rest streams
+                    return  # the rest streams
         finally:
             self._writing = False
         if self.state is ConnectionState.LAST and not self.queue:
@@ -437,22 +441,28 @@
     def _keeps(self, x: Exchange) -> bool:
         """Whether the connection goes on behind this answer, which is the oldest that is due."""
         front = self.front
-        return x.keep and (len(self.queue) > 1 or self.state is ConnectionState.OPEN and not front.draining
-                           and len(front.clients) <= front.connection_budget.kept)
+        return x.keep and (
+            len(self.queue) > 1
+            or self.state is ConnectionState.OPEN
+            and not front.draining
+            and len(front.clients) <= front.connection_budget.kept
+        )
 
     def _answer(self, x: Exchange) -> bool:
         """Write an answer, or the beginning of a streamed one; False if its rest comes later."""
         assert self.transport is not None
         answer = x.answer
         if answer is not None and not answer.whole and answer.length is None and not x.modern:
-            x.keep = False      # ended by the end of the connection
+            x.keep = False  # ended by the end of the connection
         keep = x.keep = self._keeps(x)
         if not keep:
             self._shut()
         if answer is None:
             body = (x.text + "\n").encode() if x.text else b""
-            lines = [b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n" % (
-                x.status, REASONS.get(x.status, b""), len(body))]
+            lines = [
+                b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
+                % (x.status, REASONS.get(x.status, b""), len(body))
+            ]
             if x.attempt:
                 lines.append(b"Attempt-Id: %b\r\n" % x.attempt)
             if x.retry_after:
@@ -501,7 +511,7 @@
             return
         self._shut()
         self._to(ConnectionState.LINGER)
-        for x in self.queue:        # read behind the last answer: counts as not read
+        for x in self.queue:  # read behind the last answer: counts as not read
             x.leave()
             if x.stage not in (Stage.RUNNING, Stage.DONE):
                 self._end(x)
@@ -516,12 +526,17 @@
             else:
                 try:
                     self.transport.write_eof()
-                except OSError:     # the client has reset the connection, and the loop has not told yet
+                except OSError:  # the client has reset the connection, and the loop has not told yet
                     self.transport.abort()
 
     def part(self) -> None:
         """End a connection on which nothing is due, unless bytes lie unread: then a request has come after all."""
-        if self.state is not ConnectionState.OPEN or not self.quiet() or self.transport is None or self.transport.is_closing():
+        if (
+            self.state is not ConnectionState.OPEN
+            or not self.quiet()
+            or self.transport is None
+            or self.transport.is_closing()
+        ):
             return
         made = self.transport.get_extra_info("socket")
         if not unread(made.fileno()):
@@ -615,14 +630,14 @@
         self.forwarder = Forwarder(settings, view, clock, seed)
         self.clients: set[Client] = set()
         self.connection_budget = shared(settings.machine.file_descriptors)
-        self.coming = 0         # connections accepted that have not entered yet
+        self.coming = 0  # connections accepted that have not entered yet
         self.draining = False
         self.started = view.whole
-        self.open = 0           # requests read and not answered
-        self.gate: socket.socket | None = None      # where connections wait to be accepted
-        self._shut_until: asyncio.TimerHandle | None = None     # while none is accepted
+        self.open = 0  # requests read and not answered
+        self.gate: socket.socket | None = None  # where connections wait to be accepted
+        self._shut_until: asyncio.TimerHandle | None = None  # while none is accepted
         self._sweep: asyncio.TimerHandle | None = None
-        self._tallied = clock()     # when it was last told how requests ended
+        self._tallied = clock()  # when it was last told how requests ended
         self._tasks: set[asyncio.Task] = set()
         self._calm: asyncio.Event = asyncio.Event()
 
@@ -673,7 +688,7 @@
             if self.gate is None:
                 return
             if self.crowded:
-                if unread(self.gate.fileno()):      # somebody waits
+                if unread(self.gate.fileno()):  # somebody waits
                     self._make_room()
                     self._wait_for_room()
                 return
@@ -681,7 +696,7 @@
                 made, _ = self.gate.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
-            except OSError as error:        # no descriptor, whatever we count
+            except OSError as error:  # no descriptor, whatever we count
                 self.counts[f"not accepted: {error.strerror}"] += 1
                 self._wait_for_room()
                 return
@@ -778,8 +793,10 @@
                 pass
         for client in list(self.clients):
             client.part()
-        while any(client.transport is not None and client.transport.get_write_buffer_size()
-                  for client in self.clients) and self.clock() < by:
+        while (
+            any(client.transport is not None and client.transport.get_write_buffer_size() for client in self.clients)
+            and self.clock() < by
+        ):
             await asyncio.sleep(0.01)
         if self._sweep is not None:
             self._sweep.cancel()
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -7,34 +7,43 @@
 from collections.abc import Callable
 
 from knotwalk.discovery.cluster_view import ClusterView
+from knotwalk.edge.caller import Caller
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_info, log_warning
-from knotwalk.edge.caller import Caller
 
-WAIT = 1.0          # seconds a core holds a call without news: also the pace of reports
-FIRST_WAIT = 0.25   # the same for the first call to a core, which may be dark: as long as a core waits to be fresh
-PATIENCE = 0.6      # beyond the wait; then the core is left for another
-PAUSE = 0.03        # between tries at cores, growing to
+WAIT = 1.0  # seconds a core holds a call without news: also the pace of reports
+FIRST_WAIT = 0.25  # the same for the first call to a core, which may be dark: as long as a core waits to be fresh
+PATIENCE = 0.6  # beyond the wait; then the core is left for another
+PAUSE = 0.03  # between tries at cores, growing to
 PAUSE_MOST = 0.3
-PAUSE_BARE = 0.06   # the same while there is nothing to serve by: a port that refuses costs a millisecond to ask
-AVOID = 10.0        # seconds in which a core that failed is not chosen only because it is near
+PAUSE_BARE = 0.06  # the same while there is nothing to serve by: a port that refuses costs a millisecond to ask
+AVOID = 10.0  # seconds in which a core that failed is not chosen only because it is near
 
 
 class Link:
     """Keeps `cluster view` up to date. `report` gives what to tell; `on_news` hears which topics changed."""
 
-    def __init__(self, edge: str, view: ClusterView, caller: Caller, seeds: list[str], seed: int, zone: str,
-                 report: Callable[[], dict], on_news: Callable[[set[str], int], None]):
+    def __init__(
+        self,
+        edge: str,
+        view: ClusterView,
+        caller: Caller,
+        seeds: list[str],
+        seed: int,
+        zone: str,
+        report: Callable[[], dict],
+        on_news: Callable[[set[str], int], None],
+    ):
         self.edge, self.view, self.caller, self.seeds = edge, view, caller, seeds
         self.report, self.on_news = report, on_news
         self.random = random.Random(seed)
         self.zone = zone
-        self.zones: dict[str, str] = {}     # of cores that have answered: bytes between zones are priced
+        self.zones: dict[str, str] = {}  # of cores that have answered: bytes between zones are priced
         self.core: str | None = None
-        self.known: str | None = None   # the core that answered the last call
+        self.known: str | None = None  # the core that answered the last call
         self.tried: list[str] = []
-        self.left: dict[str, float] = {}        # cores that failed us, and when: not gone back to for nearness alone
-        self.heard_at = float("-inf")       # when a fresh core last answered
+        self.left: dict[str, float] = {}  # cores that failed us, and when: not gone back to for nearness alone
+        self.heard_at = float("-inf")  # when a fresh core last answered
         self.reported_at = float("-inf")
         self.edges = 0
 
@@ -81,7 +90,7 @@
             return
         if changed:
             log_info("provisional", core=core, version=self.view.configuration.version)
-            self.on_news(changed, 0)        # a core that just started has not heard of all edges
+            self.on_news(changed, 0)  # a core that just started has not heard of all edges
 
     async def turn(self, core: str) -> bool:
         """One call; whether the core is fit to be asked again."""
--- a/knotwalk/edge/ready.py
+++ b/knotwalk/edge/ready.py
@@ -12,8 +12,10 @@
 
 # The platform asks each second on one connection or many; one that says nothing for so long (seconds) is closed.
 IDLE = 30.0
-ANSWERS = {True: b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
-           False: b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"}
+ANSWERS = {
+    True: b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+    False: b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n",
+}
 
 
 class Asker(asyncio.Protocol):
--- a/knotwalk/edge/upstream.py
+++ b/knotwalk/edge/upstream.py
@@ -33,8 +33,18 @@
 # Bytes of an answer's head at most; nodes' heads have some hundred.
 MAX_HEAD = 32 * 1024
 
-HOP = frozenset({b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"te", b"trailer",
-                 b"transfer-encoding", b"upgrade"})
+HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
 
 
 class Sink(Protocol):
@@ -56,8 +66,8 @@
 
     OPENING = "opening"
     IDLE = "idle"
-    WAITING = "waiting"         # a request was sent, no head of its answer yet
-    ANSWERING = "answering"     # its answer's head was read
+    WAITING = "waiting"  # a request was sent, no head of its answer yet
+    ANSWERING = "answering"  # its answer's head was read
     CLOSED = "closed"
 
 
@@ -78,13 +88,13 @@
     def __init__(self, end: End, why: str = "") -> None:
         self.end, self.why = end, why
         self.status = 0
-        self.headers: list[tuple[bytes, bytes]] = []    # end-to-end ones, as they came
+        self.headers: list[tuple[bytes, bytes]] = []  # end-to-end ones, as they came
         self.body = b""
-        self.length: int | None = None      # bytes of the body as told, None if in chunks
+        self.length: int | None = None  # bytes of the body as told, None if in chunks
         self.whole = True
-        self.stream: Connection | None = None   # where the rest comes from, if not whole
+        self.stream: Connection | None = None  # where the rest comes from, if not whole
         self.node: Node | None = None
-        self.load: tuple[int, int, int] | None = None   # running, waiting, slots
+        self.load: tuple[int, int, int] | None = None  # running, waiting, slots
 
     @property
     def for_nothing(self) -> bool:
@@ -99,11 +109,11 @@
         self.node, self.clock, self.changed = node, clock, changed
         self.phase = Phase.OPENING
         self.transport: asyncio.Transport | None = None
-        self.used = 0                   # requests sent on it
+        self.used = 0  # requests sent on it
         self.idle_since = 0.0
-        self.idle_time = IDLE_GUESS     # seconds that it is kept
-        self.previous = b""             # id of the request before
-        self.nameless = False           # an answer without id came on it: an extra one could not be told apart
+        self.idle_time = IDLE_GUESS  # seconds that it is kept
+        self.previous = b""  # id of the request before
+        self.nameless = False  # an answer without id came on it: an extra one could not be told apart
         self.parser = httptools.HttpResponseParser(self)
         self._poll = select.poll()
         self._clear()
@@ -244,7 +254,7 @@
 
     # -- from the parser
 
-    _late = False       # bytes came behind a whole answer in one read
+    _late = False  # bytes came behind a whole answer in one read
 
     def on_message_begin(self) -> None:
         if self._done:
@@ -300,7 +310,7 @@
             kept.append((name, value, low))
         if id != self.attempt:
             if id is not None and id == self.previous and status >= 200 and not self._skipping:
-                self._skipping = self.nameless = True       # the answer before, once more: skip it, end afterwards
+                self._skipping = self.nameless = True  # the answer before, once more: skip it, end afterwards
                 self._closing = True
                 return
             if id is not None or not (not_executed or status == 421):
@@ -388,11 +398,16 @@
         answer, waiter, sink = self.answer, self.waiter, self.sink
         assert answer is not None
         if not answer.whole and sink is None:
-            return      # streamed, and nobody has taken it yet: take() comes back here
+            return  # streamed, and nobody has taken it yet: take() comes back here
         if answer.whole:
             answer.body = b"".join(self._gathered)
-        keep = clean and not self._closing and self.body_sent and self.transport is not None \
+        keep = (
+            clean
+            and not self._closing
+            and self.body_sent
+            and self.transport is not None
             and not self.transport.is_closing()
+        )
         source = self.source
         self.previous = self.attempt
         self.nameless = self.nameless or not self._named
@@ -427,7 +442,7 @@
 
     def __init__(self, most: int):
         self.most, self.open = most, 0
-        self.waiting: set[asyncio.Future] = set()      # done when a connection has become idle or has ended
+        self.waiting: set[asyncio.Future] = set()  # done when a connection has become idle or has ended
 
     @property
     def full(self) -> bool:
@@ -496,7 +511,7 @@
         self.opened += 1
         try:
             made = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        except OSError as error:        # no descriptor left
+        except OSError as error:  # no descriptor left
             connection.abort("not opened")
             raise PeerError(step, peer, error) from None
         try:
--- a/knotwalk/interface.py
+++ b/knotwalk/interface.py
@@ -29,7 +29,7 @@
 class Method(NamedTuple):
     """One method of the RPCs served."""
 
-    soft_deadline: float     # seconds: an answer within it earns the full criticality
+    soft_deadline: float  # seconds: an answer within it earns the full criticality
     criticality: float
 
 
@@ -37,23 +37,23 @@
     """What decisions need of what an instance is told at its start."""
 
     methods: tuple[Method, ...]
-    slices: int                 # slices in all, whoever has charge of them; 0: a site without slices
-    one_owner: bool             # a table may hold one line only
-    asked_list: bool            # the server list comes only when asked for
-    retry_default: int          # how proxies try again unless told (see Orders.admit)
-    admits: bool                # shares of methods let in are heeded
+    slices: int  # slices in all, whoever has charge of them; 0: a site without slices
+    one_owner: bool  # a table may hold one line only
+    asked_list: bool  # the server list comes only when asked for
+    retry_default: int  # how proxies try again unless told (see Orders.admit)
+    admits: bool  # shares of methods let in are heeded
     report_period: float
-    message_delay: float        # mean seconds from the channel to a proxy
-    lines_waiting_most: float   # rule 5
-    lines_per_message: float    # what a message costs beside its own lines
-    lines_rate: float           # lines a second that leave the channel, as a rule
-    messages_most: int          # rule 5: messages to a proxy within messages_span; 0: no cap
+    message_delay: float  # mean seconds from the channel to a proxy
+    lines_waiting_most: float  # rule 5
+    lines_per_message: float  # what a message costs beside its own lines
+    lines_rate: float  # lines a second that leave the channel, as a rule
+    messages_most: int  # rule 5: messages to a proxy within messages_span; 0: no cap
     messages_span: float
-    dropped_stay_open: bool     # rule 3 binds for draining servers only, not for those just gone
-    cold_share: float           # rule 4: a server starts at this share of its capacity or more
-    cold_time: float            # and is warm after this
-    controllers: int = 1        # how many share the slices and the servers, this one among them
-    place: int = 0              # its own place among them, from 0
+    dropped_stay_open: bool  # rule 3 binds for draining servers only, not for those just gone
+    cold_share: float  # rule 4: a server starts at this share of its capacity or more
+    cold_time: float  # and is warm after this
+    controllers: int = 1  # how many share the slices and the servers, this one among them
+    place: int = 0  # its own place among them, from 0
 
 
 class Orders(Protocol):
--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -24,9 +24,9 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from knotwalk.discovery.cluster_view import WIDTH, Node
 from knotwalk.leases.ledger import Ledger, Slice, ranges
 from knotwalk.leases.tenure import DRIFT, LEASE
-from knotwalk.discovery.cluster_view import WIDTH, Node
 
 # A node's clock may run 2% slow (PROTOCOL, keys): a hold then lasts 1 / 0.98 of its length. Rounded up.
 SLOW = 1.025
@@ -46,8 +46,8 @@
 # may lack what has just started; the lag is a second or two.
 LISTED_LEAST = 5.0
 
-REFUSED = "refused"     # as a status: the connection was refused at connect, so the call was not made
-UNSENT = "unsent"       # as a status: the caller did not begin the call (past `expires`, or stopping)
+REFUSED = "refused"  # as a status: the connection was refused at connect, so the call was not made
+UNSENT = "unsent"  # as a status: the caller did not begin the call (past `expires`, or stopping)
 
 
 @dataclass(frozen=True)
@@ -81,12 +81,12 @@
 
 
 class State(Enum):
-    EMPTY = "empty"             # never moved anywhere
-    CLEARING = "clearing"       # others may hold it
-    GRANTING = "granting"       # nobody else can; the owner has not answered yet
-    GRANTED = "granted"         # the owner has it; the log is to be told
-    OPEN = "open"               # the log says so; renewed
-    OUTBID = "outbid"           # the owner has seen a higher fence; a new one is asked for
+    EMPTY = "empty"  # never moved anywhere
+    CLEARING = "clearing"  # others may hold it
+    GRANTING = "granting"  # nobody else can; the owner has not answered yet
+    GRANTED = "granted"  # the owner has it; the log is to be told
+    OPEN = "open"  # the log says so; renewed
+    OUTBID = "outbid"  # the owner has seen a higher fence; a new one is asked for
 
 
 # What may follow what, besides CLEARING and EMPTY, which any look at the ledger may bring.
@@ -141,12 +141,12 @@
 class Holder:
     """A node that may hold a slice."""
 
-    until: float = -math.inf    # its hold ends by then, unless a grant is still out
-    quiet: float = -math.inf    # a grant sent before may arrive until then
-    flying: int = 0             # grants to it that are out
-    releasing: bool = False     # a release is out
-    sure: bool = False          # has answered 200 to a grant
-    again: float = -math.inf    # the next release not before
+    until: float = -math.inf  # its hold ends by then, unless a grant is still out
+    quiet: float = -math.inf  # a grant sent before may arrive until then
+    flying: int = 0  # grants to it that are out
+    releasing: bool = False  # a release is out
+    sure: bool = False  # has answered 200 to a grant
+    again: float = -math.inf  # the next release not before
     tries: int = 0
 
 
@@ -161,12 +161,12 @@
     fence: int = 0
     state: State = State.EMPTY
     holders: dict[str, Holder] = field(default_factory=dict)
-    foreign: list[str] = field(default_factory=list)    # holders that must be cleared, as the ledger has them
+    foreign: list[str] = field(default_factory=list)  # holders that must be cleared, as the ledger has them
     handover: str | None = None
-    weight: int = 0             # how sure it is that the handover is of who held the keys last
-    told: float = -math.inf     # when the log was last proposed what is due
+    weight: int = 0  # how sure it is that the handover is of who held the keys last
+    told: float = -math.inf  # when the log was last proposed what is due
     granted_at: float = 0.0
-    due: float = -math.inf      # the next grant or renewal
+    due: float = -math.inf  # the next grant or renewal
     tries: int = 0
     wake: float = math.inf
 
@@ -177,22 +177,22 @@
     def __init__(self, me: str, pace: Pace, seed: int, now: float) -> None:
         self.me, self.pace = me, pace
         self.orders: list[Order] = []
-        self.until = -math.inf                          # the lease is proven until then
+        self.until = -math.inf  # the lease is proven until then
         self.tenures: dict[tuple[str, int], Tenure] = {}
         self._random = random.Random(seed)
         self._nodes: dict[str, Node] = {}
-        self._known: dict[str, tuple[str, int]] = {}    # addresses, gone nodes' too
-        self._listed: dict[str, float] = {}             # since when the list has had a node
-        self._taken: dict[tuple[str, int], int] = {}    # how many listed nodes have an address
-        self._gone: set[str] = set()                    # dropped by the list, and surely ended
-        self._refused: dict[str, float] = {}            # the first of refusals in a row
-        self._dead: dict[str, float] = {}               # refused often enough, since when
+        self._known: dict[str, tuple[str, int]] = {}  # addresses, gone nodes' too
+        self._listed: dict[str, float] = {}  # since when the list has had a node
+        self._taken: dict[tuple[str, int], int] = {}  # how many listed nodes have an address
+        self._gone: set[str] = set()  # dropped by the list, and surely ended
+        self._refused: dict[str, float] = {}  # the first of refusals in a row
+        self._dead: dict[str, float] = {}  # refused often enough, since when
         self._calls: dict[Grant | Release, list[tuple[Tenure, Holder]]] = {}
-        self._promises: list[tuple[int, float]] = []    # leases that wait for the ledger: (entry, until)
+        self._promises: list[tuple[int, float]] = []  # leases that wait for the ledger: (entry, until)
         self._touched: set[tuple[str, int]] = set()
         self._heap: list[tuple[float, str, int]] = []
         self._begun = now
-        self._index = -1                                # how far the ledger has followed the log
+        self._index = -1  # how far the ledger has followed the log
 
     @property
     def wake(self) -> float:
@@ -296,8 +296,9 @@
                 self._gone &= named
                 self._dead = {id: at for id, at in self._dead.items() if id in named}
 
-    def answered(self, now: float, order: Grant | Release, status: int | str | None,
-                 handover: str | None = None) -> None:
+    def answered(
+        self, now: float, order: Grant | Release, status: int | str | None, handover: str | None = None
+    ) -> None:
         """How a call ended: its HTTP status, REFUSED, UNSENT, or None for no answer (then its connection is reset)."""
         self._heard(now, order, status)
         held = self._calls.pop(order, [])
@@ -321,8 +322,9 @@
         elif isinstance(status, int):
             self._refused.pop(id, None)
 
-    def _granted(self, now: float, x: Tenure, holder: Holder, order: Grant, status: int | str | None,
-                 due: float, pause: float) -> None:
+    def _granted(
+        self, now: float, x: Tenure, holder: Holder, order: Grant, status: int | str | None, due: float, pause: float
+    ) -> None:
         holder.flying -= 1
         if status is None:
             holder.quiet = max(holder.quiet, now + self.pace.slack)
@@ -343,8 +345,9 @@
         else:
             x.tries, x.due = x.tries + 1, now + pause
 
-    def _released(self, now: float, x: Tenure, holder: Holder, order: Release, status: int | str | None,
-                  handover: str | None) -> None:
+    def _released(
+        self, now: float, x: Tenure, holder: Holder, order: Release, status: int | str | None, handover: str | None
+    ) -> None:
         holder.releasing = False
         if status == 200 and holder.flying == 0:
             holder.until = -math.inf
@@ -399,15 +402,16 @@
         if id in self._dead:
             return True
         if id in self._gone and not self._taken.get(self._known[id]):
-            return True     # where another has its address, a late renewal may have reached that one
+            return True  # where another has its address, a late renewal may have reached that one
         return holder.flying == 0 and holder.until <= now
 
     def _usable(self, id: str) -> bool:
         node = self._nodes.get(id)
         return node is not None and id not in self._dead and self._taken[node.address] == 1
 
-    def _step(self, now: float, x: Tenure, releases: list[tuple[Tenure, str]], grants: list[Tenure],
-              tell: list[Tenure]) -> None:
+    def _step(
+        self, now: float, x: Tenure, releases: list[tuple[Tenure, str]], grants: list[Tenure], tell: list[Tenure]
+    ) -> None:
         """What a slice wants now."""
         if x.state is State.CLEARING:
             held = [(id, h) for id in x.foreign if not self._cleared(now, id, h := x.holders[id])]
@@ -422,7 +426,7 @@
             tell.append(x)
 
     def _may_release(self, now: float, id: str, h: Holder) -> bool:
-        return (h.flying == 0 and not h.releasing and h.quiet <= now and h.again <= now and id in self._known)
+        return h.flying == 0 and not h.releasing and h.quiet <= now and h.again <= now and id in self._known
 
     def _later(self, now: float, x: Tenure) -> None:
         """When to look at a slice again by time alone."""
@@ -452,8 +456,15 @@
             else:
                 runs.append((id, [x]))
         for id, run in runs:
-            order = Release(id, self._known[id], run[0].slice * WIDTH, (run[-1].slice + 1) * WIDTH - 1,
-                            run[0].fence, run[0].service, tuple(x.slice for x in run))
+            order = Release(
+                id,
+                self._known[id],
+                run[0].slice * WIDTH,
+                (run[-1].slice + 1) * WIDTH - 1,
+                run[0].fence,
+                run[0].service,
+                tuple(x.slice for x in run),
+            )
             self._calls[order] = [(x, x.holders[id]) for x in run]
             self.orders.append(order)
 
@@ -474,8 +485,18 @@
             for y in run:
                 y.holders[y.owner].flying += 1
             handover = x.handover if x.state is State.GRANTING else None
-            order = Grant(x.owner, self._known[x.owner], run[0].slice * WIDTH, (run[-1].slice + 1) * WIDTH - 1,
-                          x.fence, self.pace.hold, handover, x.service, tuple(y.slice for y in run), self.until)
+            order = Grant(
+                x.owner,
+                self._known[x.owner],
+                run[0].slice * WIDTH,
+                (run[-1].slice + 1) * WIDTH - 1,
+                x.fence,
+                self.pace.hold,
+                handover,
+                x.service,
+                tuple(y.slice for y in run),
+                self.until,
+            )
             self._calls[order] = [(y, y.holders[y.owner]) for y in run]
             self.orders.append(order)
 
@@ -491,7 +512,7 @@
     def _tell(self, now: float, wanted: list[Tenure]) -> None:
         """Propose that lines be opened, and new fences where a node has seen a higher one."""
         by_fence: dict[int, list[Tenure]] = {x.fence: [] for x in wanted if x.state is State.GRANTED}
-        waiting: set[int] = set()       # fences of which more answers may come any moment
+        waiting: set[int] = set()  # fences of which more answers may come any moment
         for x in self.tenures.values() if by_fence else ():
             if x.fence in by_fence:
                 if x.state is State.GRANTED and now >= x.told + PROPOSE_AGAIN:
@@ -505,14 +526,26 @@
             for x in found:
                 x.told = now
                 slices.setdefault(x.service, []).append(x.slice)
-            self.orders.append(Propose({"do": "granted", "by": self.me, "fence": fence,
-                                        "slices": {service: ranges(ks) for service, ks in slices.items()}}))
+            self.orders.append(
+                Propose(
+                    {
+                        "do": "granted",
+                        "by": self.me,
+                        "fence": fence,
+                        "slices": {service: ranges(ks) for service, ks in slices.items()},
+                    }
+                )
+            )
         again: list[list] = []
         for x in wanted:
             if x.state is State.OUTBID:
                 x.told = now
-                if again and again[-1][0] == x.service and again[-1][2] == x.slice - 1 \
-                        and again[-1][3:] == [x.fence, x.owner]:
+                if (
+                    again
+                    and again[-1][0] == x.service
+                    and again[-1][2] == x.slice - 1
+                    and again[-1][3:] == [x.fence, x.owner]
+                ):
                     again[-1][2] = x.slice
                 else:
                     again.append([x.service, x.slice, x.slice, x.fence, x.owner])
@@ -529,8 +562,11 @@
         """Slices as runs of neighbours alike: state, owner, fence and who else may hold them for how many seconds."""
         rows: list[dict] = []
         for (service, k), x in sorted(self.tenures.items()):
-            held = {id: round(x.holders[id].until - now, 1) for id in x.foreign
-                    if x.state is State.CLEARING and not self._cleared(now, id, x.holders[id])}
+            held = {
+                id: round(x.holders[id].until - now, 1)
+                for id in x.foreign
+                if x.state is State.CLEARING and not self._cleared(now, id, x.holders[id])
+            }
             row = {"service": service, "state": x.state.value, "owner": x.owner, "fence": x.fence, "held": held}
             if rows and rows[-1]["last"] == k - 1 and all(rows[-1][name] == value for name, value in row.items()):
                 rows[-1]["last"] = k
--- a/knotwalk/leases/ledger.py
+++ b/knotwalk/leases/ledger.py
@@ -24,20 +24,20 @@
 
 # The first lift, about as many entries as a quarter of an hour brings; and the last, well within what JSON carries
 # exactly.
-LIFT, LIFT_MOST = 1024, 2 ** 52
+LIFT, LIFT_MOST = 1024, 2**52
 
 
 @dataclass(slots=True)
 class Slice:
     """One slice. Whoever may hold its keys is `owner` or in `before`; nobody else ever."""
 
-    conductor: str = ""     # the core member that leases it
-    since: int = 0          # the entry that leased it: another one is another lease, though the conductor be the same
-    owner: str = ""         # a node's id, or "" before the first move
-    fence: int = 0          # the entry of the last move, and the lift
-    open: bool = False      # the owner has been granted the keys under this fence
-    before: list[tuple[str, int]] = field(default_factory=list)     # (node, its fence): who may hold them besides
-    early: bool = False     # leased while a conductor before may still act by an older log (`tenure`)
+    conductor: str = ""  # the core member that leases it
+    since: int = 0  # the entry that leased it: another one is another lease, though the conductor be the same
+    owner: str = ""  # a node's id, or "" before the first move
+    fence: int = 0  # the entry of the last move, and the lift
+    open: bool = False  # the owner has been granted the keys under this fence
+    before: list[tuple[str, int]] = field(default_factory=list)  # (node, its fence): who may hold them besides
+    early: bool = False  # leased while a conductor before may still act by an older log (`tenure`)
 
 
 class Change(NamedTuple):
@@ -57,7 +57,7 @@
 
     def __init__(self) -> None:
         self.index = 0
-        self.lift, self.lifted = 0, 0       # and the first fence that has it
+        self.lift, self.lifted = 0, 0  # and the first fence that has it
         self.slices: dict[str, list[Slice]] = {}
         self.touched: list[tuple[str, int]] = []
 
@@ -116,7 +116,11 @@
         return changes
 
     _STEPS: dict[str, Callable[[Ledger, int, dict], list[Change]]] = {
-        "shard": _shard, "lease": _lease, "move": _move, "granted": _granted}
+        "shard": _shard,
+        "lease": _lease,
+        "move": _move,
+        "granted": _granted,
+    }
 
     def _named(self, ranges: object) -> Iterator[tuple[str, int, Slice]]:
         """The slices that a command names, those that there are."""
@@ -153,9 +157,18 @@
         for service, rows in raw["services"].items():
             line = ledger.slices[service] = []
             for count, conductor, since, owner, fence, opened, before, *early in rows:
-                line += [Slice(conductor, since, owner, fence, bool(opened), [(id, f) for id, f in before],
-                               bool(early and early[0]))
-                         for _ in range(count)]
+                line += [
+                    Slice(
+                        conductor,
+                        since,
+                        owner,
+                        fence,
+                        bool(opened),
+                        [(id, f) for id, f in before],
+                        bool(early and early[0]),
+                    )
+                    for _ in range(count)
+                ]
             if len(line) != SLICES:
                 raise ValueError(f"a snapshot has {len(line)} slices of {service}, and not {SLICES}")
             ledger.touched += [(service, k) for k in range(SLICES)]
--- a/knotwalk/leases/tenure.py
+++ b/knotwalk/leases/tenure.py
@@ -23,15 +23,15 @@
 # conductor are renewed by another before nodes lose their keys (lease + wait + a pass < hold - renew).
 LEASE = 2.0
 ASK = 0.4
-DRIFT = 1.02        # steady clocks of two machines may run 2% apart
-MARGIN = 0.2        # a call that was sent inside the lease may be on its way for this long
+DRIFT = 1.02  # steady clocks of two machines may run 2% apart
+MARGIN = 0.2  # a call that was sent inside the lease may be on its way for this long
 # Seconds without a conductor's coming or going, or a leader's, until slices are handed over: one that falls soon again
 # would have cost two hand-overs for nothing.
 CALM = 10.0
 # Slices handed over at a time, and seconds between: about a dozen grants for the new one to send, and a share of three
 # conductors is whole in half a minute a service.
 HAND, HAND_PAUSE = 32, 1.0
-LACK = 0.1          # of an even share: who lacks no more is left alone
+LACK = 0.1  # of an even share: who lacks no more is left alone
 # A majority's answers older than this (s) no longer prove leadership; below the least election time-out.
 PROOF = 0.35
 
@@ -41,9 +41,9 @@
     """The leader's table. Made anew when a leader takes office at `since`."""
 
     since: float
-    ends: dict[str, float] = field(default_factory=dict)    # by conductor: when its lease has surely ended
-    handed: float = float("-inf")       # the last hand-over
-    stirred: float = float("-inf")      # when a conductor last came or left
+    ends: dict[str, float] = field(default_factory=dict)  # by conductor: when its lease has surely ended
+    handed: float = float("-inf")  # the last hand-over
+    stirred: float = float("-inf")  # when a conductor last came or left
 
     def asked(self, now: float, conductor: str) -> float:
         """A conductor's question is answered now: the seconds it may act for, from when it sent the question."""
--- a/knotwalk/net/collectors.py
+++ b/knotwalk/net/collectors.py
@@ -18,8 +18,8 @@
 # lie apart on a busy core) with no message half there, and handed on after the second at the latest (a
 # quarter of a period of 1 s).
 QUIET, BURST = 0.02, 0.25
-JOIN = 1.0      # seconds to join: the protocol lets a connection be closed after that
-GONE = 10.0     # seconds of silence after which a zone's collector is let go, if another has joined for it
+JOIN = 1.0  # seconds to join: the protocol lets a connection be closed after that
+GONE = 10.0  # seconds of silence after which a zone's collector is let go, if another has joined for it
 
 
 def fields(items: list[str]) -> dict[str, str]:
@@ -49,16 +49,26 @@
 class Callers:
     """All that have connected, within so many seats and so many bytes of unfinished messages."""
 
-    def __init__(self, loop: Loop, methods: Mapping[str, int], bounds: Bounds, knows: Callable[[str], bool],
-                 zones: Callable[[], Set[str]], tell: Callable, log: Log, seats: int, room: int):
+    def __init__(
+        self,
+        loop: Loop,
+        methods: Mapping[str, int],
+        bounds: Bounds,
+        knows: Callable[[str], bool],
+        zones: Callable[[], Set[str]],
+        tell: Callable,
+        log: Log,
+        seats: int,
+        room: int,
+    ):
         self.loop, self.methods, self.bounds, self.tell, self.log = loop, methods, bounds, tell, log
         self.knows, self.zones = knows, zones
         self.seats, self.room = seats, room
         self.ready = False
-        self.links: dict["Caller", Link] = {}       # the one not heard of for longest first
-        self.held = 0                               # bytes of unfinished messages
-        self.burst: list[tuple] = []                # reports of a burst that is not over yet
-        self.begun = self.latest = 0.0              # when its first and its last came
+        self.links: dict["Caller", Link] = {}  # the one not heard of for longest first
+        self.held = 0  # bytes of unfinished messages
+        self.burst: list[tuple] = []  # reports of a burst that is not over yet
+        self.begun = self.latest = 0.0  # when its first and its last came
 
     def bound(self, seats: int, room: int) -> None:
         """Other bounds from now on; what is past them ends."""
@@ -110,7 +120,7 @@
         self.all, self.resp = callers, Resp()
         self.spoke = self.agent = self.asked = False
         self.zone, self.held = "", 0
-        self.latest = 0.0       # when bytes last came
+        self.latest = 0.0  # when bytes last came
 
     def opened(self, link: Link) -> None:
         self.all.links[self] = link
@@ -120,7 +130,7 @@
 
     def stayed(self, link: Link) -> None:
         """It has had its time to join. Guards against strangers that keep their connections for good."""
-        if self.asked and not self.all.ready:       # it waits for us, not we for it
+        if self.asked and not self.all.ready:  # it waits for us, not we for it
             link.timer = self.all.loop.after(JOIN, lambda: self.stayed(link))
         else:
             link.end(Ending.STRANGER)
@@ -145,7 +155,7 @@
                 try:
                     self.message(link, items)
                 except (ValueError, KeyError) as fault:
-                    if not self.agent:      # spoilt reports come from collectors alone: it is a stranger
+                    if not self.agent:  # spoilt reports come from collectors alone: it is a stranger
                         raise Unreadable(f"unjoined, {items[0][:40]}: {plain(fault)}") from None
                     self.all.log("message dropped", f"{' '.join(items)[:120]}: {plain(fault)}")
             if link.over:
@@ -180,14 +190,21 @@
             span, tries, aborted = self.tries(f)
             count(aborted, tries)
             latency = figure(f["mean_ms"]) / 1e3 if aborted < tries else 0.0
-            self.all.report("heard", f["server"], f["zone"], span, tries, aborted,
-                            figure(latency, bounds.latency), load_of(f.get("load", ""), bounds))
+            self.all.report(
+                "heard",
+                f["server"],
+                f["zone"],
+                span,
+                tries,
+                aborted,
+                figure(latency, bounds.latency),
+                load_of(f.get("load", ""), bounds),
+            )
         elif kind == "hot":
             if f["class"] not in self.all.methods:
                 raise ValueError(f"no such method '{f['class']}'")
             span, tries, _ = self.tries(f)
-            self.all.report("wanted", count(f["slice"], bounds.slices - 1), self.all.methods[f["class"]],
-                            span, tries)
+            self.all.report("wanted", count(f["slice"], bounds.slices - 1), self.all.methods[f["class"]], span, tries)
         else:
             raise ValueError("no such message")
 
--- a/knotwalk/net/conductor.py
+++ b/knotwalk/net/conductor.py
@@ -16,12 +16,12 @@
 
 from knotwalk import decide, interface
 from knotwalk.decide import Conductor
-from knotwalk.placement import passes
 from knotwalk.net.collectors import Callers
 from knotwalk.net.discovery import Watch, entry
 from knotwalk.net.log import Log
 from knotwalk.net.loop import Loop, Timer
 from knotwalk.net.relay import Calls, News
+from knotwalk.placement import passes
 from knotwalk.state import carry
 from knotwalk.tape import Through
 from knotwalk.told import (
@@ -43,8 +43,8 @@
     from knotwalk.record.recorder import Recorder
     from knotwalk.settings.operator import Operator, Pubsub, Record
 
-SEATS = 0.8     # of the sockets allowed, for those that connect to us: our own peers take a dozen
-ROOM = 0.25     # of the memory allowed, for their unfinished messages: the program itself takes under 40 MB
+SEATS = 0.8  # of the sockets allowed, for those that connect to us: our own peers take a dozen
+ROOM = 0.25  # of the memory allowed, for their unfinished messages: the program itself takes under 40 MB
 
 
 class Misfit(Exception):
@@ -58,7 +58,7 @@
     """
     host, _, port = str(text).rpartition(":")
     try:
-        IPv4Address(host)       # no name: the platform has no DNS, and asking it would block the loop
+        IPv4Address(host)  # no name: the platform has no DNS, and asking it would block the loop
         if not 0 <= int(port) < 65536:
             raise ValueError
     except ValueError:
@@ -83,7 +83,7 @@
         try:
             self.name = str(environ.get("EDGE_NAME") or told["name"])
             self.listen = address_of(environ.get("EDGE_LISTEN") or told["listen"], "EDGE_LISTEN")
-            self.discovery_told = told.get("discovery")     # as the file has it
+            self.discovery_told = told.get("discovery")  # as the file has it
             self.discovery = address_of(environ.get("EDGE_DISCOVERY") or told["discovery"], "EDGE_DISCOVERY")
             self.relay = address_of(told["hub"]["address"], "hub.address")
             self.seed = int(str(told["seed"]), 16)
@@ -102,14 +102,14 @@
         except (Malformed, KeyError, ValueError, TypeError, AttributeError) as fault:
             raise Misfit(f"EDGE_CONFIG: {path}: {plain(fault)}") from None
 
-
     def follow(self, old: "Config") -> None:
         """Take another's place in a running conductor, or raise what stands against it."""
         if (self.name, self.listen) != (old.name, old.listen):
             raise Misfit("name and listen cannot change in a running conductor")
         # The environment is that of the start: it must not hide an address that the file has changed since.
-        self.discovery = (old.discovery if self.discovery_told == old.discovery_told
-                          else address_of(self.discovery_told, "discovery"))
+        self.discovery = (
+            old.discovery if self.discovery_told == old.discovery_told else address_of(self.discovery_told, "discovery")
+        )
 
 
 class Writer:
@@ -124,8 +124,7 @@
 
     def admit(self, slice_id: int | None, method: int, share: float, retry: int) -> None:
         order = {"do": "LIMIT"} if slice_id is None else {"do": "LIMIT", "group": slice_id}
-        self.orders.append({**order, "classes": [self.host.names[method]], "level": round(share, 6),
-                            "retry": retry})
+        self.orders.append({**order, "classes": [self.host.names[method]], "level": round(share, 6), "retry": retry})
 
     def withdraw(self, server: str, shut: bool) -> None:
         self.orders.append({"do": "OUT" if shut else "IN", "server": server})
@@ -163,13 +162,14 @@
         self.module = Conductor(config.settings, config.seed)
         self.starts = 1
         self.inbox: list[tuple[str, tuple]] = []
-        self.last = float("-inf")       # when the last round was
+        self.last = float("-inf")  # when the last round was
         self.timer: Timer | None = None
         self.news = News(self.loop, config.relay, self.tell, log)
         self.calls = Calls(self.loop, config.relay, self.news, log)
         self.watch = Watch(self.loop, config.discovery, config.known_version, config.known, self.tell, log)
-        self.callers = Callers(self.loop, config.methods, config.bounds, self.knows, self.zones, self.tell,
-                               log, config.seats, config.room)
+        self.callers = Callers(
+            self.loop, config.methods, config.bounds, self.knows, self.zones, self.tell, log, config.seats, config.room
+        )
         self.recorder: Recorder | None = None
         self.feed: Feed | None = None
         self.publisher: Publisher | None = None
@@ -183,12 +183,23 @@
         """Record from the start on; what that takes is loaded only here."""
         from knotwalk.record.feed import Feed
         from knotwalk.record.recorder import Recorder
+
         # Names this life of the process for good: the clock may be set back, and a process number comes again.
         incarnation = f"{int(self.loop.now() * 1e3):x}-{os.urandom(4).hex()}"
         self.recorder = Recorder(self.config.name, incarnation, policy_digest(), wanted.checkpoint)
-        self.feed = Feed(self.loop, self.recorder, [
-            wanted.path, self.config.name, incarnation, str(int(wanted.segment)), str(wanted.segment_age),
-            str(int(wanted.budget))], self.log)
+        self.feed = Feed(
+            self.loop,
+            self.recorder,
+            [
+                wanted.path,
+                self.config.name,
+                incarnation,
+                str(int(wanted.segment)),
+                str(wanted.segment_age),
+                str(int(wanted.budget)),
+            ],
+            self.log,
+        )
 
     def publish(self, wanted: "Pubsub") -> None:
         """Open the publisher's port; what that takes is loaded only here. Raises Misfit."""
@@ -197,6 +208,7 @@
         from knotwalk.pubsub import front, keep, wire
         from knotwalk.pubsub.hub import Hub
         from knotwalk.pubsub.versions import Table
+
         self.access_files = wanted.secrets, wanted.certificate, wanted.private_key, wanted.client_ca
         table, key = Table(os.urandom(8).hex()), os.urandom(32)
         try:
@@ -208,7 +220,7 @@
                     lock = keep.locked(path)
                     try:
                         table, key = keep.load(path) or (table, key)
-                    except keep.Unkept as fault:    # it is only of use: a new epoch does without
+                    except keep.Unkept as fault:  # it is only of use: a new epoch does without
                         self.log("kept table not used", f"{path}: {fault}; a new epoch begins")
                     self.keeper = keep.Keeper(self.loop, path, lock, table, key, self.log)
                 except keep.Unkept as fault:
@@ -219,9 +231,16 @@
             raise Misfit(f"pubsub.keep: {fault.filename}: {fault.strerror}") from None
         hub = Hub(table, self.config.settings, key, wire.encoded, self.config.seed)
         self.publisher = front.Publisher(
-            self.loop, hub, access, self.tell, lambda proxy: proxy in self.news.proxies, self.log,
-            min(int(wanted.subscribers), self.config.seats), self.loop.now(),
-            lambda: self.news.heard and not self.news.reading)
+            self.loop,
+            hub,
+            access,
+            self.tell,
+            lambda proxy: proxy in self.news.proxies,
+            self.log,
+            min(int(wanted.subscribers), self.config.seats),
+            self.loop.now(),
+            lambda: self.news.heard and not self.news.reading,
+        )
         try:
             address = self.publisher.listen(address_of(wanted.listen, "pubsub.listen"))
         except OSError as fault:
@@ -231,8 +250,14 @@
     def lives(self, why: str) -> None:
         """A new life of the module begins."""
         if self.recorder:
-            self.recorder.life(self.loop.now(), self.module, self.config.settings, self.config.rules,
-                               self.config.seed + self.starts - 1, why)
+            self.recorder.life(
+                self.loop.now(),
+                self.module,
+                self.config.settings,
+                self.config.rules,
+                self.config.seed + self.starts - 1,
+                why,
+            )
 
     def tell(self, handler: str, *arguments: object) -> None:
         """Something for the next round."""
@@ -263,7 +288,7 @@
         tape = Through(out) if self.recorder or self.publisher else None
         try:
             self.module.decide(now, inbox, tape or out)
-        except Exception:       # whatever it is: see restart
+        except Exception:  # whatever it is: see restart
             if tape and self.recorder:
                 self.recorder.failed(now, inbox, tape.orders, traceback.format_exc(limit=-3))
             self.restart(inbox)
@@ -272,7 +297,7 @@
             if tape and self.recorder:
                 self.recorder.round(now, inbox, tape.orders, self.module)
             if tape and self.publisher:
-                if out.orders:      # one account a proxy over all fronts
+                if out.orders:  # one account a proxy over all fronts
                     self.publisher.hub.charge(now, self.news.proxies)
                 self.publisher.round(now, inbox, tape.orders)
                 if self.keeper:
@@ -304,7 +329,7 @@
         if number == signal.SIGHUP:
             self.reload(environ)
         else:
-            self.stopped = True     # nothing is owed to anybody: the store holds the tables
+            self.stopped = True  # nothing is owed to anybody: the store holds the tables
 
     def reload(self, environ: Mapping[str, str]) -> None:
         """Put the configuration as it is now in place of the one in use, whole or not at all."""
@@ -335,6 +360,7 @@
     def follow_keys(self) -> None:
         """Read the publisher's keys and certificates anew, whole or not at all; streams that are up stay."""
         from knotwalk.pubsub import front
+
         assert self.publisher is not None
         try:
             self.publisher.reload(front.Access(*self.access_files))
@@ -355,7 +381,7 @@
                 if self.inbox and self.news.heard:
                     self.callers.serve()
                     self.round()
-            except Exception:   # a fault of ours in one turn is no reason to leave the proxies alone
+            except Exception:  # a fault of ours in one turn is no reason to leave the proxies alone
                 self.log("fault", traceback.format_exc(limit=-3))
         if self.feed:
             self.feed.close()
@@ -368,6 +394,7 @@
     if not operator:
         return None
     from knotwalk.settings.operator import Refused, load_apart
+
     try:
         return load_apart(operator)
     except Refused as fault:
@@ -382,18 +409,24 @@
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
     s = config.settings
-    print("%s listens on %s:%d, discovery is at %s:%d, the relay at %s:%d" % (
-        config.name, *config.listen, *config.discovery, *config.relay))
+    print(
+        "%s listens on %s:%d, discovery is at %s:%d, the relay at %s:%d"
+        % (config.name, *config.listen, *config.discovery, *config.relay)
+    )
     methods = ", ".join(config.methods) or "none"
     print(f"{s.slices} slices, {len(config.known)} servers known, methods: {methods}")
-    print(f"a round every {config.tick * 1e3:g} ms at most, {config.seats} connections at most, "
-          f"{s.messages_most or 'any number of'} messages to a proxy in {s.messages_span:g} s")
+    print(
+        f"a round every {config.tick * 1e3:g} ms at most, {config.seats} connections at most, "
+        f"{s.messages_most or 'any number of'} messages to a proxy in {s.messages_span:g} s"
+    )
     record, pubsub = (wanted.record, wanted.pubsub) if wanted else (None, None)
     if pubsub and pubsub.enabled:
         print(f"publishes at {pubsub.listen}")
     if record and record.enabled:
-        print(f"records into {record.path}: {record.budget / 2 ** 30:g} GiB at most, a checkpoint every "
-              f"{record.checkpoint:g} s")
+        print(
+            f"records into {record.path}: {record.budget / 2**30:g} GiB at most, a checkpoint every "
+            f"{record.checkpoint:g} s"
+        )
     return 0
 
 
--- a/knotwalk/net/discovery.py
+++ b/knotwalk/net/discovery.py
@@ -13,9 +13,9 @@
 from knotwalk.net.loop import AGAIN_FIRST, Kept, Link, Loop, Timer, Unreadable
 from knotwalk.told import STATES, figure, plain
 
-WAIT = 1.0          # seconds that a watch may wait: a change counts as told 2 s after, whether it came or not
-LATE = 0.5          # seconds past its wait after which a call is silent; the whole list has none
-LIST_MOST = 1 << 22     # bytes of an answer: some ten thousand servers
+WAIT = 1.0  # seconds that a watch may wait: a change counts as told 2 s after, whether it came or not
+LATE = 0.5  # seconds past its wait after which a call is silent; the whole list has none
+LIST_MOST = 1 << 22  # bytes of an answer: some ten thousand servers
 
 
 def entry(f: Mapping) -> tuple:
@@ -26,21 +26,27 @@
     """
     if f["state"] not in STATES:
         raise ValueError(f"no such state '{f['state']}'")
-    return (str(f["id"]), str(f.get("zone", "")), STATES[f["state"]], figure(f.get("weight", 1)),
-            figure(f.get("started_ms") or 0) / 1e3)
+    return (
+        str(f["id"]),
+        str(f.get("zone", "")),
+        STATES[f["state"]],
+        figure(f.get("weight", 1)),
+        figure(f.get("started_ms") or 0) / 1e3,
+    )
 
 
 class Watch(Kept):
     """The watch: one call after the other on one connection."""
 
-    def __init__(self, loop: Loop, address: tuple[str, int], version: int, known: list[tuple], tell: Callable,
-                 log: Log):
+    def __init__(
+        self, loop: Loop, address: tuple[str, int], version: int, known: list[tuple], tell: Callable, log: Log
+    ):
         super().__init__(loop, address)
         self.tell, self.log = tell, log
         self.version = version
-        self.entries = {x[0]: x for x in known if x[2] != "gone"}   # the list as now held
+        self.entries = {x[0]: x for x in known if x[2] != "gone"}  # the list as now held
         self.answers, self.status, self.body = http.Answers(LIST_MOST), 0, b""
-        self.whole = True       # the next call asks for the whole list
+        self.whole = True  # the next call asks for the whole list
         self.silence: Timer | None = None
 
     def ask(self, link: Link) -> None:
@@ -65,7 +71,7 @@
                 self.answered()
                 if value:
                     self.ask(link)
-                else:       # an agent that closes after each answer: the watch goes on over the next one
+                else:  # an agent that closes after each answer: the watch goes on over the next one
                     link.end(Ending.LEFT)
                     return
 
@@ -81,11 +87,11 @@
         if not self.whole:
             self.wait = AGAIN_FIRST
         if not full and version < self.version:
-            self.whole = True       # restarted with an older list: changes to that are none to ours
+            self.whole = True  # restarted with an older list: changes to that are none to ours
             return
         if full:
             self.whole, self.entries = False, {}
-        for x in entries:       # what has gone is let go: a list that is renewed all day would fill the memory
+        for x in entries:  # what has gone is let go: a list that is renewed all day would fill the memory
             self.entries.pop(x[0], None)
             if x[2] != "gone":
                 self.entries[x[0]] = x
@@ -103,5 +109,5 @@
             self.log("list lost", f"{ending.value}: {means.value} {link.fault if link else ''}")
 
     def move(self, address: tuple[str, int]) -> None:
-        self.whole = True       # versions there may differ
+        self.whole = True  # versions there may differ
         super().move(address)
--- a/knotwalk/net/http.py
+++ b/knotwalk/net/http.py
@@ -18,7 +18,7 @@
     """
 
     def __init__(self, most: int):
-        self.most = most        # bytes of an answer, 0: as long as it likes
+        self.most = most  # bytes of an answer, 0: as long as it likes
         self.events: list[tuple] = []
         self.size = 0
         self.parser = httptools.HttpResponseParser(self)
--- a/knotwalk/net/log.py
+++ b/knotwalk/net/log.py
@@ -8,9 +8,9 @@
 import sys
 import time
 
-BURST = 5           # lines of one kind in a row: enough to see a pattern
-REFILL = 1.0        # seconds for one more: a fault that stays shows once a second, and no log fills a disk
-LONGEST = 2000      # bytes of a line: under the 4096 bytes that a pipe takes whole or not at all
+BURST = 5  # lines of one kind in a row: enough to see a pattern
+REFILL = 1.0  # seconds for one more: a fault that stays shows once a second, and no log fills a disk
+LONGEST = 2000  # bytes of a line: under the 4096 bytes that a pipe takes whole or not at all
 
 
 class Log:
@@ -18,7 +18,7 @@
 
     def __init__(self, stream=None, clock=time.monotonic):
         self.stream, self.clock = stream or sys.stderr, clock
-        self.kinds: dict[str, list[float]] = {}     # kind: [lines left, when counted, lines held back]
+        self.kinds: dict[str, list[float]] = {}  # kind: [lines left, when counted, lines held back]
 
     def __call__(self, kind: str, text: str = "") -> None:
         """Print "kind: text", unless too many of the kind came of late."""
@@ -46,4 +46,4 @@
             poll.register(self.stream, select.POLLOUT)
             return bool(poll.poll(0))
         except (OSError, ValueError, TypeError):
-            return True     # no descriptor to wait for
+            return True  # no descriptor to wait for
--- a/knotwalk/net/loop.py
+++ b/knotwalk/net/loop.py
@@ -16,13 +16,13 @@
 from knotwalk.net.ending import Ending
 from knotwalk.net.ring import Ring
 
-IN_MOST = 1 << 14       # bytes read at once: machines take all they are fed, so the ring never holds more
-READS = 4               # reads of one link a turn: a burst in one turn, and no peer starves the others
-OUT_MOST = 1 << 17      # bytes a peer may leave unread: what the platform's own side allows
-PAUSE = 0.1             # seconds without new connections once no descriptor is to be had: others end by then
-ACCEPTS = 64            # new connections a turn: a flood must not starve those that are there
-CONNECT = 0.25          # seconds for a connection on the same network to come up: the way and one lost packet
-AGAIN_FIRST, AGAIN_MOST = 0.02, 0.5     # seconds before the next connection; doubles: no hammering
+IN_MOST = 1 << 14  # bytes read at once: machines take all they are fed, so the ring never holds more
+READS = 4  # reads of one link a turn: a burst in one turn, and no peer starves the others
+OUT_MOST = 1 << 17  # bytes a peer may leave unread: what the platform's own side allows
+PAUSE = 0.1  # seconds without new connections once no descriptor is to be had: others end by then
+ACCEPTS = 64  # new connections a turn: a flood must not starve those that are there
+CONNECT = 0.25  # seconds for a connection on the same network to come up: the way and one lost packet
+AGAIN_FIRST, AGAIN_MOST = 0.02, 0.5  # seconds before the next connection; doubles: no hammering
 
 
 class Unreadable(Exception):
@@ -70,7 +70,7 @@
         self.into, self.out = Ring(IN_MOST, IN_MOST), Ring(OUT_MOST)
         self.over = False
         self.timer: Timer | None = None
-        self.fault = ""         # what was wrong with its bytes, for the log
+        self.fault = ""  # what was wrong with its bytes, for the log
         self.events = selectors.EVENT_READ if up else selectors.EVENT_WRITE
         loop.selector.register(sock, self.events, self)
 
@@ -108,9 +108,15 @@
     def come_up(self) -> None:
         code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
-            self.end(Ending.REFUSED if code == errno.ECONNREFUSED else
-                     Ending.TIMED_OUT if code == errno.ETIMEDOUT else
-                     Ending.RESET if code == errno.ECONNRESET else Ending.UNREACHABLE)
+            self.end(
+                Ending.REFUSED
+                if code == errno.ECONNREFUSED
+                else Ending.TIMED_OUT
+                if code == errno.ETIMEDOUT
+                else Ending.RESET
+                if code == errno.ECONNRESET
+                else Ending.UNREACHABLE
+            )
             return
         self.up = True
         if self.timer:
@@ -141,7 +147,7 @@
                 except Unreadable as fault:
                     self.fault = str(fault)
                     self.end(fault.ending)
-                except Exception as fault:      # bytes that nobody thought of end a connection, not the loop
+                except Exception as fault:  # bytes that nobody thought of end a connection, not the loop
                     self.fault = f"{type(fault).__name__}: {fault}"
                     self.end(Ending.MALFORMED)
             self.into.took(taken)
@@ -175,7 +181,7 @@
             try:
                 sock, address = self.sock.accept()
             except OSError as fault:
-                if fault.errno in (errno.EMFILE, errno.ENFILE):     # it stays readable: no spinning on it
+                if fault.errno in (errno.EMFILE, errno.ENFILE):  # it stays readable: no spinning on it
                     self.pause()
                 return
             sock.setblocking(False)
@@ -194,8 +200,8 @@
 
     def __init__(self, loop: "Loop", address: tuple[str, int]):
         self.loop, self.address = loop, address
-        self.link: Link | None = None       # the one that is up
-        self.trying = False                 # whether another is on its way or waits for its turn
+        self.link: Link | None = None  # the one that is up
+        self.trying = False  # whether another is on its way or waits for its turn
         self.again: Timer | None = None
         self.wait = AGAIN_FIRST
 
@@ -216,14 +222,14 @@
 
     def move(self, address: tuple[str, int]) -> None:
         self.address, self.wait = address, AGAIN_FIRST
-        if self.again:      # waiting to try the old address once more
+        if self.again:  # waiting to try the old address once more
             self.again.cancel()
             self.connect()
         self.start()
 
     def opened(self, link: Link) -> None:
         if link.address != self.address:
-            link.end(Ending.LEFT)       # moved meanwhile: on to the new address
+            link.end(Ending.LEFT)  # moved meanwhile: on to the new address
             return
         self.trying = False
         old, self.link = self.link, link
@@ -237,7 +243,7 @@
         elif self.trying:
             self.trying = False
         else:
-            return      # the old one, left for a new one
+            return  # the old one, left for a new one
         self.lost(link, ending)
         if self.trying or self.link and self.link.address == self.address:
             return
@@ -295,7 +301,7 @@
         """Open a connection; the peer hears of it, or of its end if it is not up within that time."""
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        except OSError:         # no descriptor is to be had: as if nobody answered
+        except OSError:  # no descriptor is to be had: as if nobody answered
             peer.ended(None, Ending.UNREACHABLE)
             return
         sock.setblocking(False)
@@ -334,7 +340,7 @@
             heapq.heappop(self.timers)
         wait = max(0.0, self.timers[0][0] - self.now()) if self.timers else None
         for key, events in self.selector.select(wait):
-            if key.fileobj.fileno() >= 0:       # not ended earlier in this turn
+            if key.fileobj.fileno() >= 0:  # not ended earlier in this turn
                 key.data.turn(events)
         now = self.now()
         while self.timers and self.timers[0][0] <= now:
--- a/knotwalk/net/relay.py
+++ b/knotwalk/net/relay.py
@@ -14,15 +14,15 @@
 from knotwalk.net.loop import AGAIN_FIRST, AGAIN_MOST, CONNECT, Kept, Link, Loop, Timer, TooLong, Unreadable
 from knotwalk.told import count, figure, plain
 
-CALL_MOST = 60_000      # bytes of orders in a call, as the protocol has it
-ANSWER = 0.15           # an answer comes within 50 ms or never; the rest is for a late loop
-STANDING = 1.0          # seconds a connection is kept for the next call: the relay closes idle ones by itself
-ANSWER_MOST = 1 << 16   # bytes of an answer: it holds one number
-THROTTLED = 0.1         # seconds before a call turned away before the run goes again
-LIFE = 1.8              # a sign of life comes every second: one missed, and some for a late loop
-NEWS_MOST = 1 << 20     # bytes of one line of news
-SURE = 0.06             # seconds after which a call was carried out or never will be: answers come in 50 ms
-LOOK = 1.5              # seconds for a look at what stands: a sign of life, at the latest its end, comes in 1
+CALL_MOST = 60_000  # bytes of orders in a call, as the protocol has it
+ANSWER = 0.15  # an answer comes within 50 ms or never; the rest is for a late loop
+STANDING = 1.0  # seconds a connection is kept for the next call: the relay closes idle ones by itself
+ANSWER_MOST = 1 << 16  # bytes of an answer: it holds one number
+THROTTLED = 0.1  # seconds before a call turned away before the run goes again
+LIFE = 1.8  # a sign of life comes every second: one missed, and some for a late loop
+NEWS_MOST = 1 << 20  # bytes of one line of news
+SURE = 0.06  # seconds after which a call was carried out or never will be: answers come in 50 ms
+LOOK = 1.5  # seconds for a look at what stands: a sign of life, at the latest its end, comes in 1
 
 
 def key(order: dict) -> tuple:
@@ -39,11 +39,11 @@
 
     def __init__(self, loop: Loop, address: tuple[str, int], news: "News", log: Log):
         self.loop, self.address, self.news, self.log = loop, address, news, log
-        self.queue: dict[tuple, dict] = {}      # orders not yet in a call
-        self.under_way: list[dict] = []         # those of the call that waits for its answer
-        self.doubtful: list[dict] = []          # those of a call whose outcome is unknown
-        self.lost: set[int] = set()             # slices lost since that call went out
-        self.unsure: set[int] = set()           # slices with a doubt left open, till their orders are taken
+        self.queue: dict[tuple, dict] = {}  # orders not yet in a call
+        self.under_way: list[dict] = []  # those of the call that waits for its answer
+        self.doubtful: list[dict] = []  # those of a call whose outcome is unknown
+        self.lost: set[int] = set()  # slices lost since that call went out
+        self.unsure: set[int] = set()  # slices with a doubt left open, till their orders are taken
         self.link: Link | None = None
         self.connecting = False
         self.answers, self.status, self.body = http.Answers(ANSWER_MOST), 0, b""
@@ -69,8 +69,9 @@
     def put_back(self, orders: list[dict]) -> None:
         """Orders that were not carried out go first again, unless newer ones took their place."""
         newer = self.queue
-        self.queue = {key(order): order for order in orders
-                      if key(order) not in newer and order.get("group") not in self.lost}
+        self.queue = {
+            key(order): order for order in orders if key(order) not in newer and order.get("group") not in self.lost
+        }
         self.queue.update(newer)
 
     def pump(self) -> None:
@@ -90,7 +91,7 @@
             if size > CALL_MOST and parts:
                 break
             parts.append(text)
-        self.under_way = [self.queue.pop(k) for k in list(self.queue)[:len(parts)]]
+        self.under_way = [self.queue.pop(k) for k in list(self.queue)[: len(parts)]]
         self.status, self.body, self.lost = 0, b"", set()
         link = self.link
         self.silence = self.loop.after(ANSWER, lambda: link.end(Ending.SILENT))
@@ -106,6 +107,7 @@
         def go() -> None:
             self.again = None
             self.pump()
+
         self.again = self.again or self.loop.after(wait, go)
 
     def move(self, address: tuple[str, int]) -> None:
@@ -120,7 +122,7 @@
 
     def opened(self, link: Link) -> None:
         if link.address != self.address:
-            link.end(Ending.LEFT)       # moved meanwhile
+            link.end(Ending.LEFT)  # moved meanwhile
             return
         self.connecting, self.link = False, link
         self.answers = http.Answers(ANSWER_MOST)
@@ -163,7 +165,7 @@
             if not self.queue:
                 self.unsure.clear()
             if accepted < len(orders):
-                self.refused(orders[accepted], orders[accepted + 1:])
+                self.refused(orders[accepted], orders[accepted + 1 :])
         if keep and link.address == self.address:
             self.idle = self.loop.after(STANDING, lambda: link.end(Ending.LEFT))
             self.pump()
@@ -174,8 +176,9 @@
         """One order cannot be used: the rest goes on, but for what belongs to it. Guards against a slice left
         with no line when only the one that was to replace it is refused, and a call for each of many."""
         self.log("order refused", f"{bad}")
-        slices = {bad.get("group")} | {f["group"] for f in rest if f["do"] == "SET" and f["weight"]
-                                       and f["server"] == bad.get("server")}
+        slices = {bad.get("group")} | {
+            f["group"] for f in rest if f["do"] == "SET" and f["weight"] and f["server"] == bad.get("server")
+        }
         slices.discard(None)
         self.put_back([f for f in rest if f.get("group") not in slices])
         self.news.resync([bad] + [f for f in rest if f.get("group") in slices])
@@ -268,12 +271,19 @@
         self.calls, self.lines = calls, Lines()
         self.over = False
         self.link: Link | None = None
-        self.slice: object = None       # the one whose lines are being read
+        self.slice: object = None  # the one whose lines are being read
         # A line that the call alone changed; after a doubt left open, the store may have held it before.
         held = calls.news.slices
-        self.wanted = next(((f["group"], f["server"], f["weight"]) for f in calls.doubtful
-                            if f["do"] == "SET" and f["group"] not in calls.unsure
-                            and held.get(f["group"], {}).get(f["server"], 0.0) != f["weight"]), None)
+        self.wanted = next(
+            (
+                (f["group"], f["server"], f["weight"])
+                for f in calls.doubtful
+                if f["do"] == "SET"
+                and f["group"] not in calls.unsure
+                and held.get(f["group"], {}).get(f["server"], 0.0) != f["weight"]
+            ),
+            None,
+        )
         self.marks = {f["ticket"] for f in calls.doubtful if f["do"] == "SYNC"}
         calls.news.doubt = self
         calls.loop.after(LOOK, lambda: self.settle(False))
@@ -306,9 +316,9 @@
         slice_id, server, weight = self.wanted or (None, None, None)
         for kind, f in self.lines.feed(data):
             if kind != "line" and self.slice == slice_id:
-                self.settle(weight == 0)        # all its lines have been read, and this is none of them
+                self.settle(weight == 0)  # all its lines have been read, and this is none of them
             elif not kind and self.slice is not None:
-                self.settle(True)               # the slice is no longer ours: orders for it change nothing
+                self.settle(True)  # the slice is no longer ours: orders for it change nothing
             elif kind == "line" and f.get("slice") == slice_id and f.get("server") == server:
                 self.settle(f.get("weight") == weight)
             elif kind == "lease":
@@ -318,7 +328,7 @@
 
     def ended(self, link: Link | None, ending: Ending) -> None:
         self.link = None
-        if not self.over:       # nothing learnt: look again until the time is up
+        if not self.over:  # nothing learnt: look again until the time is up
             self.calls.loop.after(SURE, self.look)
 
 
@@ -333,20 +343,20 @@
     def __init__(self, loop: Loop, address: tuple[str, int], tell: Callable, log: Log):
         super().__init__(loop, address)
         self.tell, self.log = tell, log
-        self.calls: Calls       # sets itself
+        self.calls: Calls  # sets itself
         self.doubt: Doubt | None = None
         self.proxies: set[int] = set()
-        self.zones: set[str] = set()        # of the proxies that joined
-        self.slices: dict[int, dict[str, float]] = {}       # lines by server
-        self.heard = False      # whether a stream has ever come up
-        self.reading = False    # whether what stands is still being read
-        self.signs = 0          # signs of life on this connection
-        self.seen: set[tuple[str, int]] = set()     # what stands, as far as it has been read
-        self.current: tuple[int, dict[str, float]] | None = None   # the slice whose lines are being read
-        self.touched: set[int] = set()      # slices ordered since the connection came up: it may be behind
+        self.zones: set[str] = set()  # of the proxies that joined
+        self.slices: dict[int, dict[str, float]] = {}  # lines by server
+        self.heard = False  # whether a stream has ever come up
+        self.reading = False  # whether what stands is still being read
+        self.signs = 0  # signs of life on this connection
+        self.seen: set[tuple[str, int]] = set()  # what stands, as far as it has been read
+        self.current: tuple[int, dict[str, float]] | None = None  # the slice whose lines are being read
+        self.touched: set[int] = set()  # slices ordered since the connection came up: it may be behind
         self.lines = Lines()
         self.life: Timer | None = None
-        self.latest = 0.0       # when bytes last came
+        self.latest = 0.0  # when bytes last came
 
     def took(self, orders: list[dict]) -> None:
         """Orders that the relay has carried out."""
@@ -376,7 +386,7 @@
 
     def up(self, link: Link) -> None:
         if self.heard:
-            self.tell("receipts_lost")      # as are those of what was ordered meanwhile
+            self.tell("receipts_lost")  # as are those of what was ordered meanwhile
         self.lines, self.reading, self.signs, self.seen, self.current = Lines(), True, 0, set(), None
         self.touched = set()
         self.latest = self.loop.now()
@@ -420,7 +430,7 @@
         self.zones.add(str(f.get("zone", "")))
         self.seen.add(("hello", proxy))
         if not self.reading:
-            self.on_bye(f)      # one that joins is on a new stream, though the end of the old was not told
+            self.on_bye(f)  # one that joins is on a new stream, though the end of the old was not told
         if proxy not in self.proxies:
             self.proxies.add(proxy)
             self.tell("joined", proxy)
@@ -435,7 +445,7 @@
     def on_ack(self, f: dict) -> None:
         try:
             proxy, mark = count(f["proxy"]), count(f["mark"])
-        except (ValueError, TypeError, KeyError) as fault:      # another's answer to it tells as much
+        except (ValueError, TypeError, KeyError) as fault:  # another's answer to it tells as much
             self.log("answer to a mark dropped", plain(fault))
             return
         self.tell("applied", proxy, mark)
--- a/knotwalk/net/resp.py
+++ b/knotwalk/net/resp.py
@@ -6,21 +6,21 @@
 
 from knotwalk.net.loop import TooLong, Unreadable
 
-MOST = 1 << 20          # bytes of a message, as the protocol has it
-HEAD_MOST = 24          # bytes of a count or a length: no legal one is longer
-ITEMS_MOST = 1 << 12    # a message has some twenty items; every one costs memory beside its bytes
-ITEM = 64               # bytes of that
+MOST = 1 << 20  # bytes of a message, as the protocol has it
+HEAD_MOST = 24  # bytes of a count or a length: no legal one is longer
+ITEMS_MOST = 1 << 12  # a message has some twenty items; every one costs memory beside its bytes
+ITEM = 64  # bytes of that
 
 
 class Resp:
     """The machine of one connection."""
 
     def __init__(self):
-        self.held = bytearray()         # what is not yet a whole count, length or string
+        self.held = bytearray()  # what is not yet a whole count, length or string
         self.items: list[str] = []
-        self.count: int | None = None   # items of the message under way
-        self.want: int | None = None    # bytes of the string under way
-        self.size = 0                   # bytes of the message so far
+        self.count: int | None = None  # items of the message under way
+        self.want: int | None = None  # bytes of the string under way
+        self.size = 0  # bytes of the message so far
 
     def feed(self, data: bytes | memoryview) -> list[list[str]]:
         """The messages that these bytes finish.
@@ -35,8 +35,8 @@
             if self.want is None:
                 end = held.find(b"\r\n", at, at + HEAD_MOST + 2)
                 if end < 0:
-                    if len(held) - at > HEAD_MOST or held[at:at + 1] not in (b"", b"*", b"$"):
-                        raise Unreadable(f"no RESP array: {bytes(held[at:at + HEAD_MOST])!r}")
+                    if len(held) - at > HEAD_MOST or held[at : at + 1] not in (b"", b"*", b"$"):
+                        raise Unreadable(f"no RESP array: {bytes(held[at : at + HEAD_MOST])!r}")
                     break
                 self.head(bytes(held[at:end]))
                 self.size += end + 2 - at
@@ -45,7 +45,7 @@
                 break
             else:
                 end = at + self.want
-                if held[end:end + 2] != b"\r\n":
+                if held[end : end + 2] != b"\r\n":
                     raise Unreadable("a bulk string does not end where it says")
                 self.items.append(held[at:end].decode("utf-8", "replace"))
                 self.size += self.want + 2
--- a/knotwalk/net/ring.py
+++ b/knotwalk/net/ring.py
@@ -3,7 +3,7 @@
 Owns the memory between a socket and a protocol machine, and its bound. It must never know what bytes mean.
 """
 
-FIRST = 1024    # bytes at the start: an ordinary call or an answer to a probe fits; it doubles at need
+FIRST = 1024  # bytes at the start: an ordinary call or an answer to a probe fits; it doubles at need
 
 
 class Ring:
@@ -23,7 +23,7 @@
 
     def data(self) -> memoryview:
         """The first bytes, as many as lie in one piece."""
-        return memoryview(self.buffer)[self.start:min(self.start + self.size, len(self.buffer))]
+        return memoryview(self.buffer)[self.start : min(self.start + self.size, len(self.buffer))]
 
     def took(self, count: int) -> None:
         """Drop the first bytes."""
@@ -37,7 +37,7 @@
         end = (self.start + self.size) % len(self.buffer)
         if self.size == len(self.buffer):
             return memoryview(b"")
-        return memoryview(self.buffer)[end:self.start if end < self.start else len(self.buffer)]
+        return memoryview(self.buffer)[end : self.start if end < self.start else len(self.buffer)]
 
     def wrote(self, count: int) -> None:
         """So many bytes were put into room()."""
@@ -53,7 +53,7 @@
         while at < len(data):
             room = self.room()
             count = min(len(room), len(data) - at)
-            room[:count] = data[at:at + count]
+            room[:count] = data[at : at + count]
             self.wrote(count)
             at += count
         return True
@@ -66,5 +66,5 @@
         rest = self.size - len(held)
         held += bytes(self.buffer[:rest])
         self.buffer = bytearray(min(length, self.most))
-        self.buffer[:len(held)] = held
+        self.buffer[: len(held)] = held
         self.start = 0
--- a/knotwalk/placement/capacity.py
+++ b/knotwalk/placement/capacity.py
@@ -22,8 +22,8 @@
 
 from knotwalk.discovery.cluster_view import Node
 
-SAMPLES = 10        # as many as the service's estimates keep
-EVERY = 0.9         # s between two samples: reports tell of the last second or two, so closer ones say the same twice
+SAMPLES = 10  # as many as the service's estimates keep
+EVERY = 0.9  # s between two samples: reports tell of the last second or two, so closer ones say the same twice
 # A report tells of the last second or two, and a moved slice's requests under way end within one more.
 SETTLE = 2.0
 # Below this a report tells next to nothing of what the node could do (of 2 slots, one request a tenth of the time).
@@ -31,7 +31,7 @@
 # Samples' worth of the service's own figure that is mixed in: steadies the first. At 2, a node of half the usual size
 # was still filled to 1.14 after 90 s.
 PRIOR = 0.5
-HALVINGS = 20       # of the range of use, when it is sought by the number in hand: to a millionth
+HALVINGS = 20  # of the range of use, when it is sought by the number in hand: to a millionth
 
 
 @dataclass
@@ -39,16 +39,17 @@
     """What was heard of loads. Utilization: (running + waiting) / slots, a mean over the last seconds; who waits counts
     up to half a round."""
 
-    demand: dict[str, dict[int, float]] = field(default_factory=dict)       # by service and slice, of the last seconds
-    utilization: dict[str, float] = field(default_factory=dict)             # by node
-    heard: dict[str, float] = field(default_factory=dict)                   # by node: when (the caller's clock, s)
-    failed: set[str] = field(default_factory=set)       # listed, but known to be gone (Keeper.dead)
-    ailing: frozenset[str] = frozenset()                # listed and there, but most that goes there goes wrong
-    spans: dict[str, float] = field(default_factory=dict)       # by service: the seconds that its demand was heard over
+    demand: dict[str, dict[int, float]] = field(default_factory=dict)  # by service and slice, of the last seconds
+    utilization: dict[str, float] = field(default_factory=dict)  # by node
+    heard: dict[str, float] = field(default_factory=dict)  # by node: when (the caller's clock, s)
+    failed: set[str] = field(default_factory=set)  # listed, but known to be gone (Keeper.dead)
+    ailing: frozenset[str] = frozenset()  # listed and there, but most that goes there goes wrong
+    spans: dict[str, float] = field(default_factory=dict)  # by service: the seconds that its demand was heard over
 
 
-def utilizations(rows: Mapping[str, Sequence[float]], spans: Mapping[str, float],
-                 nodes: Mapping[str, Node]) -> dict[str, float]:
+def utilizations(
+    rows: Mapping[str, Sequence[float]], spans: Mapping[str, float], nodes: Mapping[str, Node]
+) -> dict[str, float]:
     """Utilization by node, from edges' sums of the last seconds, so many by service (rows as in `discovery.loads`); nodes
     that nothing can be said of are left out."""
     rows = {id: row for id, row in rows.items() if id in nodes}
@@ -97,8 +98,14 @@
     def __init__(self) -> None:
         self._records: dict[str, _Record] = {}
 
-    def hear(self, nodes: Mapping[str, Node], work: Mapping[str, float], report: Report,
-             moved: Mapping[str, float], cold: Iterable[str]) -> None:
+    def hear(
+        self,
+        nodes: Mapping[str, Node],
+        work: Mapping[str, float],
+        report: Report,
+        moved: Mapping[str, float],
+        cold: Iterable[str],
+    ) -> None:
         """Take a report: `work` is the demand of each node's slices, `moved` when one last came or went.
 
         Counted are reports that are new, of warm nodes, settled since the node's last move, and not of idle ones; none
@@ -130,7 +137,7 @@
             heard = [id for id in ids if sums[id][0]]
             work = sum(sums[id][1] for id in heard)
             used = sum(sums[id][2] * max(1, nodes[id].capacity) for id in heard)
-            slot = work / used if used else 0.0         # what one slot of the service does
+            slot = work / used if used else 0.0  # what one slot of the service does
             mean = sum(sums[id][2] for id in heard) / sum(sums[id][0] for id in heard) if heard else 0.0
             for id in ids:
                 count, done, busy = sums[id]
--- a/knotwalk/placement/placer.py
+++ b/knotwalk/placement/placer.py
@@ -22,13 +22,13 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from knotwalk.discovery.cluster_view import Node
+from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.placement.capacity import Capacities, Report
 from knotwalk.placement.passes import fit, place, strip
-from knotwalk.leases.ledger import Ledger, Slice
-from knotwalk.discovery.cluster_view import Node
 
-PERIOD = 5.0            # s between passes (the paper's 60: days here last minutes)
-EMERGENCY_REST = 2.0    # s from a pass to one that a node above k_e brings on: the last must show first
+PERIOD = 5.0  # s between passes (the paper's 60: days here last minutes)
+EMERGENCY_REST = 2.0  # s from a pass to one that a node above k_e brings on: the last must show first
 K_E = 1.0
 # Seconds that a service's demand must have been heard for before its slices are passed over: the least that is told, so
 # any report will do. A conductor that finds slices laid out waits for a sample of capacity more: by slots alone fast
@@ -37,12 +37,12 @@
 # s; a node first seen so lately counts at this share of its capacity. Not those of the first laying-out: nobody has
 # worked yet.
 RAMP, RAMP_SHARE = 10.0, 0.5
-REST = 4.0              # s that a slice rests after a move: its new place is then measured twice
-BATCH, BATCH_PAUSE = 0.1, 0.5   # share of the own slices in a batch of ordinary moves; s between batches
-GAIN = 0.05             # of a node's capacity: an excess under this is left (a move costs keys and a wait)
-LIGHT = 0.002           # of a node's capacity: a lighter slice is not worth a move; a mean one of 26 nodes' is 0.013
-FLOOR = 0.05            # of the mean slice: what an idle slice counts, so that idle ones spread too
-AGAIN = 2.0             # s until a move that is not in the ledger counts as lost
+REST = 4.0  # s that a slice rests after a move: its new place is then measured twice
+BATCH, BATCH_PAUSE = 0.1, 0.5  # share of the own slices in a batch of ordinary moves; s between batches
+GAIN = 0.05  # of a node's capacity: an excess under this is left (a move costs keys and a wait)
+LIGHT = 0.002  # of a node's capacity: a lighter slice is not worth a move; a mean one of 26 nodes' is 0.013
+FLOOR = 0.05  # of the mean slice: what an idle slice counts, so that idle ones spread too
+AGAIN = 2.0  # s until a move that is not in the ledger counts as lost
 # Busy keys sit close together: laid out in so many rounds by each of three conductors, the busiest thirtieth of the
 # keys starts on eight nodes of 26 instead of one or two; each round is a run a node, so a renewal's call more.
 ROUNDS = 3
@@ -55,10 +55,10 @@
 # Of what the rest of a service can carry, how full it may be for ailing nodes to be emptied: the keys of a node that
 # fails half of its requests are better off elsewhere, but not where nobody has room.
 AILING_ROOM = 0.9
-LOOK = 0.3              # s between looks for loads alone: a third of EVERY; each edge reports once a second
+LOOK = 0.3  # s between looks for loads alone: a third of EVERY; each edge reports once a second
 GATHER, GATHER_MOST = 1.0, 4.0  # s without a new node, and in all, before the first laying-out
-EQUAL = 1e-9            # of utilization: a slice moved for less would soon be moved back
-TIE = 0.02              # of utilization: conductors that see the same draw apart by so much
+EQUAL = 1e-9  # of utilization: a slice moved for less would soon be moved back
+TIE = 0.02  # of utilization: conductors that see the same draw apart by so much
 
 
 class Move(NamedTuple):
@@ -74,7 +74,7 @@
     id: str
     capacity: float
     load: float = 0.0
-    near: bool = False      # in the conductor's own zone
+    near: bool = False  # in the conductor's own zone
 
 
 def _room(of: Mapping[str, Load], fleet: Mapping[str, Load], whole: float) -> dict[str, float]:
@@ -121,24 +121,24 @@
         self.me, self.zone = me, zone
         self.capacities = Capacities()
         self._random = random.Random(seed)
-        self._last: float | None = None                     # the last pass
-        self._first: float | None = None                    # when there were nodes first
-        self._laid: dict[str, float] = {}                   # services laid out in the own zone, and when
+        self._last: float | None = None  # the last pass
+        self._first: float | None = None  # when there were nodes first
+        self._laid: dict[str, float] = {}  # services laid out in the own zone, and when
         self._batch_at = float("-inf")
         self._queue: deque[Move] = deque()
-        self._pending: dict[tuple[str, int], tuple[float, int, str]] = {}   # proposed: (when, fence seen, target)
-        self._ledger: Ledger | None = None                  # the one last followed, and how far
+        self._pending: dict[tuple[str, int], tuple[float, int, str]] = {}  # proposed: (when, fence seen, target)
+        self._ledger: Ledger | None = None  # the one last followed, and how far
         self._index = -1
         self._fences: dict[str, list[int]] = {}
         self._owners: dict[str, list[str]] = {}
-        self._mine: dict[str, list[int]] = {}               # the slices that `me` leases
-        self._news: object = None                           # what the last look went by, besides loads
-        self._looked, self._wake = float("-inf"), float("-inf")     # the last look, and when one is due by time alone
-        self._rested: dict[tuple[str, int], float] = {}     # slices moved lately, and when
-        self._moved: dict[str, float] = {}                  # nodes that a slice came to or left, and when
-        self._born: dict[str, float] = {}                   # nodes by when they were first seen
-        self._begun: float | None = None                    # when nodes were gathered; who was there is no newcomer
-        self._wanted = HEARD                                # seconds of demand heard that a pass wants
+        self._mine: dict[str, list[int]] = {}  # the slices that `me` leases
+        self._news: object = None  # what the last look went by, besides loads
+        self._looked, self._wake = float("-inf"), float("-inf")  # the last look, and when one is due by time alone
+        self._rested: dict[tuple[str, int], float] = {}  # slices moved lately, and when
+        self._moved: dict[str, float] = {}  # nodes that a slice came to or left, and when
+        self._born: dict[str, float] = {}  # nodes by when they were first seen
+        self._begun: float | None = None  # when nodes were gathered; who was there is no newcomer
+        self._wanted = HEARD  # seconds of demand heard that a pass wants
 
     def due(self, now: float, news: object) -> bool:
         """Whether `place` has anything to do: `news` (the ledger's entry, the list, the failed) is not what it was,
@@ -157,8 +157,11 @@
             self._begun = now
             if any(x.owner for line in ledger.slices.values() for x in line):
                 self._wanted = HEARD_LATE
-        cold = {id for id, node in nodes.items()
-                if node.cold_until > now or self._begun < self._born[id] and now - self._born[id] < RAMP}
+        cold = {
+            id
+            for id, node in nodes.items()
+            if node.cold_until > now or self._begun < self._born[id] and now - self._born[id] < RAMP
+        }
         demand = self._demand(ledger, report)
         owners = {service: self._counted(service, line) for service, line in ledger.slices.items()}
         self._hear(nodes, owners, demand, report, cold)
@@ -188,14 +191,23 @@
             due = now + (EMERGENCY_REST if hot else PERIOD)
             self._queue.clear()
             for service, fleet in heard.items():
-                self._queue.extend(self._pass(now, service, ledger.slices[service], demand[service], fleet,
-                                              {move.slice for move in urgent if move.service == service}))
+                self._queue.extend(
+                    self._pass(
+                        now,
+                        service,
+                        ledger.slices[service],
+                        demand[service],
+                        fleet,
+                        {move.slice for move in urgent if move.service == service},
+                    )
+                )
         commands = self._command(now, ledger, urgent + self._staged(now, ledger, fleets, demand))
-        self._wake = min(due if heard else float("inf"),
-                         self._batch_at + BATCH_PAUSE if self._queue else float("inf"),
-                         min((at for at, *_ in self._pending.values()), default=float("inf")) + AGAIN,
-                         min((at + REMAINDER for at in self._laid.values() if at + REMAINDER > now),
-                             default=float("inf")))
+        self._wake = min(
+            due if heard else float("inf"),
+            self._batch_at + BATCH_PAUSE if self._queue else float("inf"),
+            min((at for at, *_ in self._pending.values()), default=float("inf")) + AGAIN,
+            min((at + REMAINDER for at in self._laid.values() if at + REMAINDER > now), default=float("inf")),
+        )
         return commands
 
     # --- what is known ---
@@ -248,11 +260,19 @@
             for k, load in report.demand.get(service, {}).items():
                 line[k] = load
         floors = {service: FLOOR * sum(line) / len(line) or 1.0 for service, line in found.items()}
-        return {service: [load if load > floors[service] else floors[service] for load in line]
-                for service, line in found.items()}
-
-    def _hear(self, nodes: Mapping[str, Node], owners: Mapping[str, list[str]], demand: Mapping[str, list[float]],
-              report: Report, cold: set[str]) -> None:
+        return {
+            service: [load if load > floors[service] else floors[service] for load in line]
+            for service, line in found.items()
+        }
+
+    def _hear(
+        self,
+        nodes: Mapping[str, Node],
+        owners: Mapping[str, list[str]],
+        demand: Mapping[str, list[float]],
+        report: Report,
+        cold: set[str],
+    ) -> None:
         work: dict[str, float] = {}
         for service, line in owners.items():
             loads = demand[service]
@@ -260,8 +280,15 @@
                 work[line[k]] = work.get(line[k], 0.0) + loads[k]
         self.capacities.hear(nodes, work, report, self._moved, cold)
 
-    def _fleet(self, service: str, nodes: Mapping[str, Node], report: Report, estimates: Mapping[str, float],
-               cold: set[str], whole: float) -> dict[str, Load]:
+    def _fleet(
+        self,
+        service: str,
+        nodes: Mapping[str, Node],
+        report: Report,
+        estimates: Mapping[str, float],
+        cold: set[str],
+        whole: float,
+    ) -> dict[str, Load]:
         """The nodes that may take slices, ailing ones only where the rest has no room for theirs. Where no capacity is
         known, the service counts as half used."""
         live = [id for id, x in nodes.items() if x.service == service and not x.draining and id not in report.failed]
@@ -279,8 +306,9 @@
 
     # --- slices that must go ---
 
-    def _settle(self, now: float, service: str, left: list[int], demand: list[float], fleet: dict[str, Load],
-                owners: list[str]) -> list[Move]:
+    def _settle(
+        self, now: float, service: str, left: list[int], demand: list[float], fleet: dict[str, Load], owners: list[str]
+    ) -> list[Move]:
         """Places for slices that have none: many at once as runs of neighbours (a run is one grant), few one by one."""
         if not left:
             return []
@@ -291,8 +319,18 @@
             near = {id: x for id, x in fleet.items() if x.near}
             if self.zone and service not in self._laid:
                 self._laid[service] = now
-                return self._spread(service, left, demand, near, _room(near, fleet, sum(demand)),
-                                    round(ROUNDS * len(fleet) / len(near))) if near else []
+                return (
+                    self._spread(
+                        service,
+                        left,
+                        demand,
+                        near,
+                        _room(near, fleet, sum(demand)),
+                        round(ROUNDS * len(fleet) / len(near)),
+                    )
+                    if near
+                    else []
+                )
             whole = sum(demand[k] for k in left) + sum(x.load for x in fleet.values())
             return self._spread(service, left, demand, fleet, _room(fleet, fleet, whole), ROUNDS)
         moves = []
@@ -303,8 +341,15 @@
             moves.append(Move(service, k, target.id))
         return moves
 
-    def _spread(self, service: str, left: list[int], demand: list[float], fleet: dict[str, Load],
-                room: dict[str, float], rounds: int) -> list[Move]:
+    def _spread(
+        self,
+        service: str,
+        left: list[int],
+        demand: list[float],
+        fleet: dict[str, Load],
+        room: dict[str, float],
+        rounds: int,
+    ) -> list[Move]:
         """Runs of neighbours in so many rounds, to each node of `fleet` its part of the room; where there is less room
         than slices, the last of each round stay."""
         whole, most = sum(demand[k] for k in left), sum(room.values()) or 1.0
@@ -312,7 +357,7 @@
         room = {id: x * min(1.0, whole / most) for id, x in room.items()}
         moves: list[Move] = []
         for turn in range(rounds):
-            mine = left[turn * len(left) // rounds:(turn + 1) * len(left) // rounds]
+            mine = left[turn * len(left) // rounds : (turn + 1) * len(left) // rounds]
             order = sorted(fleet)
             self._random.shuffle(order)
             most = part * sum(demand[k] for k in mine) if part < 1 - EQUAL else float("inf")
@@ -331,22 +376,29 @@
 
     # --- passes ---
 
-    def _pass(self, now: float, service: str, line: list[Slice], demand: list[float], fleet: dict[str, Load],
-              urgent: set[int]) -> list[Move]:
+    def _pass(
+        self, now: float, service: str, line: list[Slice], demand: list[float], fleet: dict[str, Load], urgent: set[int]
+    ) -> list[Move]:
         mean = sum(x.load for x in fleet.values()) / sum(x.capacity for x in fleet.values())
         own: dict[str, list[tuple[float, int]]] = {}
         for k, x in enumerate(line):
-            if (x.conductor == self.me and x.open and k not in urgent and (service, k) not in self._rested
-                    and (service, k) not in self._pending):
+            if (
+                x.conductor == self.me
+                and x.open
+                and k not in urgent
+                and (service, k) not in self._rested
+                and (service, k) not in self._pending
+            ):
                 own.setdefault(x.owner, []).append((demand[k], k))
-        loads = [Load(x.id, x.capacity, x.load, x.near) for x in fleet.values()]    # apart: moves go out by and by
+        loads = [Load(x.id, x.capacity, x.load, x.near) for x in fleet.values()]  # apart: moves go out by and by
         threshold = (1 + mean) / 2
         pool = strip(loads, lambda x: own.get(x.id, ()), threshold, may_go=own_part(loads, threshold, own))
         moves = place(pool, lambda _, source: targets(x for x in loads if x is not source), worse)
         return [Move(service, k, target.id) for k, _, target in moves]
 
-    def _staged(self, now: float, ledger: Ledger, fleets: Mapping[str, dict[str, Load]],
-                demand: Mapping[str, list[float]]) -> list[Move]:
+    def _staged(
+        self, now: float, ledger: Ledger, fleets: Mapping[str, dict[str, Load]], demand: Mapping[str, list[float]]
+    ) -> list[Move]:
         """The next batch of ordinary moves, each looked at again: the world may have changed since the pass."""
         if not self._queue or now < self._batch_at + BATCH_PAUSE:
             return []
@@ -356,8 +408,15 @@
             move = self._queue.popleft()
             x, fleet = ledger.slices[move.service][move.slice], fleets.get(move.service, {})
             load, target, source = demand[move.service][move.slice], fleet.get(move.target), fleet.get(x.owner)
-            if (x.conductor != self.me or not x.open or target is None or source is None or source is target
-                    or (move.service, move.slice) in self._pending or target.load + load > target.capacity):
+            if (
+                x.conductor != self.me
+                or not x.open
+                or target is None
+                or source is None
+                or source is target
+                or (move.service, move.slice) in self._pending
+                or target.load + load > target.capacity
+            ):
                 continue
             target.load += load
             source.load -= load
--- a/knotwalk/plugin/picks.py
+++ b/knotwalk/plugin/picks.py
@@ -10,8 +10,8 @@
 from itertools import accumulate
 from random import Random
 
-STRIKES = 3             # failures in a row after which a server is shunned, as the platform's proxies have it
-SHUN = 4.0              # seconds: longer than a hiccup, shorter than a restart
+STRIKES = 3  # failures in a row after which a server is shunned, as the platform's proxies have it
+SHUN = 4.0  # seconds: longer than a hiccup, shorter than a restart
 # Lines from which an alias table is quicker than a search of their sums: at 64 lines 0.60 against 0.55 microseconds a
 # draw, at 1,000 0.63 against 0.72, at 10,000 0.69 against 0.88. Ordinary tables have a few.
 ALIAS_LEAST = 256
@@ -24,8 +24,8 @@
 
     def __init__(self, id: str):
         self.id = id
-        self.under_way = 0          # RPCs of ours that it has
-        self.strikes = 0            # failures in a row
+        self.under_way = 0  # RPCs of ours that it has
+        self.strikes = 0  # failures in a row
         self.shunned_until = 0.0
 
 
@@ -122,8 +122,9 @@
         for x in (one, two):
             if x.shunned_until <= now:
                 return x
-        weights = {x.id: b - a for x, a, b in zip(lines.servers, [0.0, *lines.sums], lines.sums)
-                   if x.shunned_until <= now}
+        weights = {
+            x.id: b - a for x, a, b in zip(lines.servers, [0.0, *lines.sums], lines.sums) if x.shunned_until <= now
+        }
         if weights:
             return Lines(weights, self.servers).draw(self.random)
         return min(lines.servers, key=lambda x: x.shunned_until)
--- a/knotwalk/pubsub/client.py
+++ b/knotwalk/pubsub/client.py
@@ -12,25 +12,31 @@
 from knotwalk.pubsub.secure import Secure
 from knotwalk.pubsub.subscriber import Subscriber
 
-CONNECT = 2.0       # seconds for a connection to come up
-SILENT = 60.0       # seconds without a word after which the stream is tried anew: a cut says nothing
+CONNECT = 2.0  # seconds for a connection to come up
+SILENT = 60.0  # seconds without a word after which the stream is tried anew: a cut says nothing
 
 
 class Client:
     """One subscriber at the first of some addresses that serves it. `changed` hears of each message applied,
     `said` of whatever else is worth a line: (kind, text)."""
 
-    def __init__(self, loop: Loop, addresses: Sequence[tuple[str, int]], subscriber: Subscriber,
-                 changed: Callable[[Mapping], None] = lambda told: None,
-                 said: Callable[[str, str], None] = lambda kind, text: None,
-                 context: ssl.SSLContext | None = None, server_name: str | None = None):
+    def __init__(
+        self,
+        loop: Loop,
+        addresses: Sequence[tuple[str, int]],
+        subscriber: Subscriber,
+        changed: Callable[[Mapping], None] = lambda told: None,
+        said: Callable[[str, str], None] = lambda kind, text: None,
+        context: ssl.SSLContext | None = None,
+        server_name: str | None = None,
+    ):
         self.loop, self.addresses, self.subscriber = loop, list(addresses), subscriber
         self.changed, self.said, self.context, self.server_name = changed, said, context, server_name
         self.at = 0
         self.link: Link | None = None
         self.lines = wire.Lines(wire.FROM_PUBLISHER)
         self.timer: Timer | None = None
-        self.later = 0.0            # seconds that the publisher asked to wait
+        self.later = 0.0  # seconds that the publisher asked to wait
         self.stopped = False
 
     def start(self) -> None:
--- a/knotwalk/pubsub/command.py
+++ b/knotwalk/pubsub/command.py
@@ -59,8 +59,9 @@
             context = ssl.create_default_context(cafile=options["--ca"])
             if options["--cert"]:
                 context.load_cert_chain(options["--cert"], options["--cert-key"])
-        held = Subscriber(options["--name"] or "watcher", 1, wanted=slices_of(options["--slices"]),
-                          of_zone=options["--zone"], key=key)
+        held = Subscriber(
+            options["--name"] or "watcher", 1, wanted=slices_of(options["--slices"]), of_zone=options["--zone"], key=key
+        )
     except Bad as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
         return 2
@@ -78,10 +79,18 @@
     def changed(told: Mapping) -> None:
         delta = wire.decoded(told["d"])
         if as_json:
-            say(json.dumps({"kind": told["t"], "epoch": held.epoch, "version": held.version,
-                            "whole": held.place is None,
-                            "slices": {p.slice: held.tables.get(p.slice, {}) for p in delta.parts},
-                            "shut": delta.shut}))
+            say(
+                json.dumps(
+                    {
+                        "kind": told["t"],
+                        "epoch": held.epoch,
+                        "version": held.version,
+                        "whole": held.place is None,
+                        "slices": {p.slice: held.tables.get(p.slice, {}) for p in delta.parts},
+                        "shut": delta.shut,
+                    }
+                )
+            )
         else:
             for p in delta.parts:
                 lines = ", ".join(f"{k} {w:g}" for k, w in sorted(held.tables.get(p.slice, {}).items()))
@@ -95,6 +104,7 @@
         print(f"knotwalk: {kind}: {text}", file=sys.stderr, flush=True)
         if kind == "refused" and once:
             done.append(1)
+
     client = Client(loop, addresses, held, changed, said, context, options["--server-name"])
     loop.signals((signal.SIGINT, signal.SIGTERM), lambda _: done.append(0))
     client.start()
--- a/knotwalk/pubsub/front.py
+++ b/knotwalk/pubsub/front.py
@@ -16,10 +16,10 @@
 from knotwalk.pubsub.hub import Cursor, Hub, Later, Refused
 from knotwalk.pubsub.secure import Secure
 
-HELLO = 2.0             # seconds to say who one is: a TLS handshake and a hello
-UNREAD = 1 << 16        # bytes left unread past which a stream is sent nothing more: half of a link's bound
-UNREADY = 0.05          # seconds until another look whether the conductor knows what stands
-ENDED = 0.5             # seconds that a last word has to get out
+HELLO = 2.0  # seconds to say who one is: a TLS handshake and a hello
+UNREAD = 1 << 16  # bytes left unread past which a stream is sent nothing more: half of a link's bound
+UNREADY = 0.05  # seconds until another look whether the conductor knows what stands
+ENDED = 0.5  # seconds that a last word has to get out
 
 
 class Misfit(Exception):
@@ -29,7 +29,7 @@
 class Entry(NamedTuple):
     """Who may come in: a role and its secret."""
 
-    role: str       # proxy or observer
+    role: str  # proxy or observer
     secret: str
 
 
@@ -121,11 +121,17 @@
                 if self.cursor is None:
                     self.hello(link, told)
                 elif told["t"] == "ack":
-                    self.all.hub.ack(self.all.loop.now(), self.cursor, wire.whole_number(told.get("n")),
-                                     wire.need_of(told), self.all)
+                    self.all.hub.ack(
+                        self.all.loop.now(), self.cursor, wire.whole_number(told.get("n")), wire.need_of(told), self.all
+                    )
                 elif told["t"] == "nack":
-                    self.all.hub.nack(self.all.loop.now(), self.cursor, wire.whole_number(told.get("n")),
-                                      str(told.get("why", "")), self.all)
+                    self.all.hub.nack(
+                        self.all.loop.now(),
+                        self.cursor,
+                        wire.whole_number(told.get("n")),
+                        str(told.get("why", "")),
+                        self.all,
+                    )
                 else:
                     raise Refused(f"no such message '{told['t'][:20]}'")
             except (Refused, ValueError) as fault:
@@ -141,8 +147,9 @@
             raise Refused(why)
         now = self.all.loop.now()
         try:
-            cursor = self.all.hub.hello(now, hello.name, hello.proxy, hello.wanted, hello.of_zone, hello.token,
-                                        hello.usable)
+            cursor = self.all.hub.hello(
+                now, hello.name, hello.proxy, hello.wanted, hello.of_zone, hello.token, hello.usable
+            )
         except Later as later:
             self.refuse(link, "later", str(later), after_ms=int(later.after * 1e3) + 1)
             return
@@ -151,7 +158,7 @@
         self.cursor = cursor
         self.all.by_cursor[cursor.name] = self
         if old is not None and old.link is not None:
-            old.cursor = None       # its place is taken: it ends without a word to the module
+            old.cursor = None  # its place is taken: it ends without a word to the module
             old.link.end(Ending.CROWDED)
         if self.timer:
             self.timer.cancel()
@@ -161,8 +168,10 @@
 
     def refuse(self, link: Link, kind: str, why: str, **members: object) -> None:
         """A last word, and the end."""
-        self.all.log(f"subscriber {'put off' if kind == 'later' else 'refused'}",
-                     f"{self.cursor.name if self.cursor else ''} {why}")
+        self.all.log(
+            f"subscriber {'put off' if kind == 'later' else 'refused'}",
+            f"{self.cursor.name if self.cursor else ''} {why}",
+        )
         link.write(wire.line(kind, why=why, **members))
         self.finish(link)
 
@@ -170,7 +179,7 @@
         if not link.over:
             if link.out.size:
                 self.all.loop.after(ENDED, lambda: link.end(Ending.LEFT))
-                self.lines = wire.Lines(0)      # whatever it says now ends it at once
+                self.lines = wire.Lines(0)  # whatever it says now ends it at once
             else:
                 link.end(Ending.LEFT)
 
@@ -186,18 +195,30 @@
                 if cursor.proxy is not None:
                     self.all.gone(cursor.proxy)
         if ending not in (Ending.CLOSED, Ending.LEFT, Ending.RESET):
-            self.all.log("subscriber ended", f"{cursor.name if cursor else 'a stranger'}: {ending.value} "
-                         f"{link.fault if link else ''}")
+            self.all.log(
+                "subscriber ended",
+                f"{cursor.name if cursor else 'a stranger'}: {ending.value} {link.fault if link else ''}",
+            )
 
 
 class Publisher:
     """All subscribers of one conductor."""
 
-    def __init__(self, loop: Loop, hub: Hub, access: Access, tell: Callable, joined_elsewhere: Callable[[int], bool],
-                 log: Log, seats: int, born: float, stands: Callable[[], bool] = lambda: True):
+    def __init__(
+        self,
+        loop: Loop,
+        hub: Hub,
+        access: Access,
+        tell: Callable,
+        joined_elsewhere: Callable[[int], bool],
+        log: Log,
+        seats: int,
+        born: float,
+        stands: Callable[[], bool] = lambda: True,
+    ):
         self.loop, self.hub, self.access, self.tell, self.log = loop, hub, access, tell, log
         self.elsewhere, self.seats, self.born, self.stands = joined_elsewhere, seats, born, stands
-        self.streams: dict[Stream, Link] = {}       # the oldest first
+        self.streams: dict[Stream, Link] = {}  # the oldest first
         self.by_cursor: dict[str, Stream] = {}
         self.timer: Timer | None = None
         self.due = float("inf")
@@ -264,7 +285,7 @@
         self.hub.prune(now)
         at = self.hub.turn(now, self)
         if at < float("inf"):
-            self.wake(max(at, now + 0.002))     # at once means after what is readable: acknowledgements come first
+            self.wake(max(at, now + 0.002))  # at once means after what is readable: acknowledgements come first
 
     # --- as the hub's sender ---
 
--- a/knotwalk/pubsub/hub.py
+++ b/knotwalk/pubsub/hub.py
@@ -19,15 +19,15 @@
 # room; the first two are rules 1 and 3, and may also use the last message of a proxy's span.
 BARE, LEAVING, ORDINARY, STALE, OBSERVER = range(5)
 SHARES = (0.98, 0.98, 0.85, 0.7, 1.0)
-PROXIES = 0.95          # of the channel; the rest is the observers', whom no storm of proxies starves
-FLIGHT = 3              # messages to one subscriber not yet acknowledged: later changes collapse into the newest state
-ACK_LATE = 15.0         # seconds without the answer to a message after which a subscriber is let go
-SPANS_MOST = 2.0        # spans that a stale proxy waits behind ordinary changes, at the most: then it counts as they do
-PIECE_LEAST, PIECE_MOST = 64, 2000      # lines of a snapshot's piece: a head is worth it; a link's buffer holds it
-HOLD_MOST = 3.0         # seconds of a snapshot's wait that are held; past that one with a table is told when to return
-NACK_FIRST, NACK_MOST = 1.0, 60.0       # seconds before a table that was refused is sent again; doubles
-WAIT = 0.05             # seconds until another look at a full channel: answers wake the hub sooner
-SPARE = 1.1             # times the span: the proxy's clock counts from when it reads, not from when we write
+PROXIES = 0.95  # of the channel; the rest is the observers', whom no storm of proxies starves
+FLIGHT = 3  # messages to one subscriber not yet acknowledged: later changes collapse into the newest state
+ACK_LATE = 15.0  # seconds without the answer to a message after which a subscriber is let go
+SPANS_MOST = 2.0  # spans that a stale proxy waits behind ordinary changes, at the most: then it counts as they do
+PIECE_LEAST, PIECE_MOST = 64, 2000  # lines of a snapshot's piece: a head is worth it; a link's buffer holds it
+HOLD_MOST = 3.0  # seconds of a snapshot's wait that are held; past that one with a table is told when to return
+NACK_FIRST, NACK_MOST = 1.0, 60.0  # seconds before a table that was refused is sent again; doubles
+WAIT = 0.05  # seconds until another look at a full channel: answers wake the hub sooner
+SPARE = 1.1  # times the span: the proxy's clock counts from when it reads, not from when we write
 
 
 class Refused(Exception):
@@ -47,20 +47,20 @@
 
     def __init__(self, name: str, proxy: int | None, since: float):
         self.name, self.proxy, self.since = name, proxy, since
-        self.wanted: frozenset[int] | None = None       # slices; None: all
-        self.zone: str | None = None                    # of servers; None: all
-        self.version = 0                # all up to it was sent, in a snapshot below the place
-        self.acked = -1                 # the last version that it holds whole
-        self.place: int | None = 0      # the next slice of a snapshot under way; None: it is over
-        self.first = True               # whether the snapshot's first piece is yet to go
-        self.usable = False             # whether it holds a table, though an old one
-        self.need: list[int] = []       # slices of which it has no line left, asked for out of turn
-        self.number = 0                 # of the last message
-        self.flight: deque[tuple[int, float, int, int, bool]] = deque()    # number, when, lines, version, whole
+        self.wanted: frozenset[int] | None = None  # slices; None: all
+        self.zone: str | None = None  # of servers; None: all
+        self.version = 0  # all up to it was sent, in a snapshot below the place
+        self.acked = -1  # the last version that it holds whole
+        self.place: int | None = 0  # the next slice of a snapshot under way; None: it is over
+        self.first = True  # whether the snapshot's first piece is yet to go
+        self.usable = False  # whether it holds a table, though an old one
+        self.need: list[int] = []  # slices of which it has no line left, asked for out of turn
+        self.number = 0  # of the last message
+        self.flight: deque[tuple[int, float, int, int, bool]] = deque()  # number, when, lines, version, whole
         self.behind_since: float | None = since
         self.not_before = 0.0
         self.nacks = 0
-        self.writable: Callable[[], bool] = lambda: True        # whether its link takes more
+        self.writable: Callable[[], bool] = lambda: True  # whether its link takes more
 
     @property
     def signed(self) -> str:
@@ -88,8 +88,8 @@
 class Message(NamedTuple):
     """What a message says beside the number and the token, which differ by subscriber."""
 
-    head: str           # JSON members
-    body: bytes         # the delta, encoded once for all
+    head: str  # JSON members
+    body: bytes  # the delta, encoded once for all
     lines: int
 
 
@@ -100,12 +100,12 @@
         self.table, self.settings, self.key, self.encode = table, settings, key, encode
         self.random = Random(seed)
         self.cursors: dict[str, Cursor] = {}
-        self.accounts: dict[int, deque[float]] = {}     # by proxy: when messages went, over all fronts
-        self.waiting = {True: 0, False: 0}              # lines not yet acknowledged: proxies', observers'
-        self.marks: deque[tuple[int, int]] = deque()    # receipts that the module asked for, and their versions
-        self.leaving: set[str] = set()                  # servers that are draining or gone
-        self.urgent = 0                                 # the version of the last line taken from one of those
-        self.zones: dict[str, str] = {}                 # of servers
+        self.accounts: dict[int, deque[float]] = {}  # by proxy: when messages went, over all fronts
+        self.waiting = {True: 0, False: 0}  # lines not yet acknowledged: proxies', observers'
+        self.marks: deque[tuple[int, int]] = deque()  # receipts that the module asked for, and their versions
+        self.leaving: set[str] = set()  # servers that are draining or gone
+        self.urgent = 0  # the version of the last line taken from one of those
+        self.zones: dict[str, str] = {}  # of servers
         self.encoded: dict[tuple, tuple[bytes, int]] = {}
         self.encoded_at = -1
 
@@ -165,8 +165,11 @@
         given: dict[int, dict[str, float]] = {}
         for name, f in inbox:
             if name == "listed":
-                self.listed(f[2] if not f[0] else [*f[2], *((x, "", "gone") for x in list(self.zones)
-                                                            if x not in {e[0] for e in f[2]})])
+                self.listed(
+                    f[2]
+                    if not f[0]
+                    else [*f[2], *((x, "", "gone") for x in list(self.zones) if x not in {e[0] for e in f[2]})]
+                )
             elif name == "given":
                 given[f[0]] = {}
             elif name == "held" and f[0] in given:
@@ -175,7 +178,7 @@
                 self.table.line(*f)
         for slice_id, lines in given.items():
             self.table.replace(slice_id, lines)
-            if slice_id in self.table.slices:       # a giving resets levels
+            if slice_id in self.table.slices:  # a giving resets levels
                 for method, (_, retry, _) in list(self.table.slices[slice_id].levels.items()):
                     self.table.level(slice_id, method, 1.0, retry)
 
@@ -193,8 +196,16 @@
 
     # --- subscribers ---
 
-    def hello(self, now: float, name: str, proxy: int | None, wanted: frozenset[int] | None, zone: str | None,
-              resume: object, usable: bool) -> Cursor:
+    def hello(
+        self,
+        now: float,
+        name: str,
+        proxy: int | None,
+        wanted: frozenset[int] | None,
+        zone: str | None,
+        resume: object,
+        usable: bool,
+    ) -> Cursor:
         """A subscriber joins, with what it holds. One of the same name is replaced: its old stream is dead.
 
         Raises Refused, or Later where it had better return.
@@ -329,14 +340,14 @@
         """One message to one subscriber, if the caps allow; when to look again."""
         proxy = c.proxy is not None
         if proxy:
-            left = self.messages_left(now, c.proxy)     # type: ignore[arg-type]
+            left = self.messages_left(now, c.proxy)  # type: ignore[arg-type]
             if left < 1 or left < 2 and rank > LEAVING and self.settings.messages_most > 1:
-                account = self.accounts[c.proxy]        # type: ignore[index]
+                account = self.accounts[c.proxy]  # type: ignore[index]
                 return account[0] + self.span
         head = self.settings.lines_per_message
         room = self.room(proxy, SHARES[rank]) - head
         if c.place is not None and c.flight and not c.need:
-            return float("inf")     # the next piece goes when this one is there: it is as large as the channel allows
+            return float("inf")  # the next piece goes when this one is there: it is as large as the channel allows
         message, place, version = self.message(c, piece)
         if message.lines > room and (rank > LEAVING or message.lines > self.room(proxy, 1.0) - head):
             if self.waiting[proxy]:
@@ -350,13 +361,14 @@
                 return now
         c.number += 1
         signed = token.written(self.key, c.signed, self.table.epoch, version, place)
-        out.send(c, b'{"n":%d,"token":"%s",%s,"d":%s}\n' % (
-            c.number, signed.encode(), message.head.encode(), message.body))
+        out.send(
+            c, b'{"n":%d,"token":"%s",%s,"d":%s}\n' % (c.number, signed.encode(), message.head.encode(), message.body)
+        )
         lines = int(message.lines + head)
         c.flight.append((c.number, now, lines, version, place is None))
         self.waiting[proxy] += lines
         if proxy:
-            self.accounts.setdefault(c.proxy, deque()).append(now)      # type: ignore[arg-type]
+            self.accounts.setdefault(c.proxy, deque()).append(now)  # type: ignore[arg-type]
         c.version, c.place, c.first = version, place, False
         if place is None:
             c.behind_since = None
@@ -390,8 +402,10 @@
             delta = self.narrow(Delta((*changes, *extra, *parts), shut, levels), c.zone)
             self.encoded[key] = self.encode(delta), delta.size
         body, size = self.encoded[key]
-        head = f'"t":"piece","epoch":"{table.epoch}","at":{c.place},"next":{"null" if place is None else place},' \
-               f'"to":{table.version}'
+        head = (
+            f'"t":"piece","epoch":"{table.epoch}","at":{c.place},"next":{"null" if place is None else place},'
+            f'"to":{table.version}'
+        )
         if c.first:
             head += f',"live":{json.dumps(live)}'
             size += len(live)
@@ -401,5 +415,11 @@
         """Only lines to servers of a zone."""
         if zone is None:
             return delta
-        return Delta(tuple(p._replace(lines={k: w for k, w in p.lines.items() if self.zones.get(k, zone) == zone})
-                           for p in delta.parts), delta.shut, delta.levels)
+        return Delta(
+            tuple(
+                p._replace(lines={k: w for k, w in p.lines.items() if self.zones.get(k, zone) == zone})
+                for p in delta.parts
+            ),
+            delta.shut,
+            delta.levels,
+        )
--- a/knotwalk/pubsub/keep.py
+++ b/knotwalk/pubsub/keep.py
@@ -29,12 +29,12 @@
 
 MAGIC = b"KNOTKEEP\1"
 LENGTH = struct.Struct("<I")
-HEAD = struct.Struct("<9sII")       # magic, bytes, checksum
-RESERVE = 100_000       # versions reserved at a time: some hours of storms
-EVERY = 10.0            # seconds between states kept: what a restart sends again is what changed since
-AGAIN = 1.0             # seconds before a keeper that died is started again
+HEAD = struct.Struct("<9sII")  # magic, bytes, checksum
+RESERVE = 100_000  # versions reserved at a time: some hours of storms
+EVERY = 10.0  # seconds between states kept: what a restart sends again is what changed since
+AGAIN = 1.0  # seconds before a keeper that died is started again
 READ = 1 << 18
-PATIENCE = 1.0          # seconds that a start waits for the keeper of the life before, which ends with its last write
+PATIENCE = 1.0  # seconds that a start waits for the keeper of the life before, which ends with its last write
 
 
 class Unkept(Exception):
@@ -51,7 +51,7 @@
     if len(data) < HEAD.size:
         raise Unkept("it ends within its head")
     magic, size, check = HEAD.unpack_from(data)
-    body = data[HEAD.size:]
+    body = data[HEAD.size :]
     if magic != MAGIC:
         raise Unkept("no table of this version")
     if len(body) != size or zlib.crc32(body) != check:
@@ -109,9 +109,9 @@
 
     def __init__(self, loop: Loop, path: Path, lock: int, table: Table, key: bytes, log: Log):
         self.loop, self.path, self.lock, self.table, self.key, self.log = loop, path, lock, table, key, log
-        self.given_up = False       # the epoch that the file keeps has ended: what follows is not kept
+        self.given_up = False  # the epoch that the file keeps has ended: what follows is not kept
         self.ceiling: float = table.version + RESERVE
-        self.offered = table.version + RESERVE       # versions below it are reserved; asked for
+        self.offered = table.version + RESERVE  # versions below it are reserved; asked for
         # At the start there is nobody to hold up: the first reservation is made before a version is told.
         replace(path, packed(table, self.ceiling, key))
         self.sock: socket.socket | None = None
@@ -127,8 +127,12 @@
             return
         ours, theirs = socket.socketpair()
         try:
-            self.process = subprocess.Popen([sys.executable, "-m", "knotwalk.pubsub.keep", str(self.path)],
-                                            stdin=theirs.fileno(), stdout=subprocess.DEVNULL, pass_fds=[self.lock])
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "knotwalk.pubsub.keep", str(self.path)],
+                stdin=theirs.fileno(),
+                stdout=subprocess.DEVNULL,
+                pass_fds=[self.lock],
+            )
         except OSError as fault:
             ours.close()
             self.log("keeping stands still", str(fault.strerror))
@@ -200,11 +204,11 @@
         assert self.sock is not None
         try:
             while self.going:
-                self.going = self.going[self.sock.send(self.going[:READ]):]
+                self.going = self.going[self.sock.send(self.going[:READ]) :]
         except (BlockingIOError, InterruptedError):
             pass
         except OSError:
-            return      # its end is read at the next turn
+            return  # its end is read at the next turn
         self.loop.selector.modify(self.sock, selectors.EVENT_READ | (selectors.EVENT_WRITE if self.going else 0), self)
 
 
@@ -214,8 +218,8 @@
     while data := sock.recv(READ):
         held += data
         while len(held) >= LENGTH.size and len(held) - LENGTH.size >= (size := LENGTH.unpack_from(held)[0]):
-            state = bytes(held[LENGTH.size:LENGTH.size + size])
-            del held[:LENGTH.size + size]
+            state = bytes(held[LENGTH.size : LENGTH.size + size])
+            del held[: LENGTH.size + size]
             try:
                 replace(path, state)
                 answer = b"+"
@@ -224,11 +228,11 @@
             try:
                 sock.sendall(answer)
             except OSError:
-                return 0        # nobody is there to hear it
+                return 0  # nobody is there to hear it
     return 0
 
 
 if __name__ == "__main__":
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, signal.SIG_IGN)       # it ends when its conductor does
+        signal.signal(number, signal.SIG_IGN)  # it ends when its conductor does
     sys.exit(serve(socket.socket(fileno=0), Path(sys.argv[1])))
--- a/knotwalk/pubsub/secure.py
+++ b/knotwalk/pubsub/secure.py
@@ -10,7 +10,7 @@
 from knotwalk.net.ending import Ending
 from knotwalk.net.loop import Link, Peer, Unreadable
 
-READ = 1 << 14      # bytes of a TLS record
+READ = 1 << 14  # bytes of a TLS record
 
 
 class Plain:
@@ -58,7 +58,7 @@
             if not plain:
                 link.end(Ending.CLOSED)
                 break
-            self.inner.fed(self.plain, memoryview(plain))       # type: ignore[arg-type]
+            self.inner.fed(self.plain, memoryview(plain))  # type: ignore[arg-type]
 
     def shake(self) -> None:
         assert self.plain is not None
@@ -68,11 +68,11 @@
             self.flush()
             return
         except ssl.SSLError as fault:
-            self.flush()        # the alert tells the other side why
+            self.flush()  # the alert tells the other side why
             raise Unreadable(f"TLS: {fault.reason}") from None
         self.up = True
         self.flush()
-        self.inner.opened(self.plain)       # type: ignore[arg-type]
+        self.inner.opened(self.plain)  # type: ignore[arg-type]
 
     def write(self, data: bytes) -> None:
         if self.up:
@@ -87,7 +87,7 @@
     def ended(self, link: Link | None, ending: Ending) -> None:
         if self.plain is not None and self.plain.timer is not None:
             self.plain.timer.cancel()
-        self.inner.ended(self.plain if self.up else None, ending)       # type: ignore[arg-type]
+        self.inner.ended(self.plain if self.up else None, ending)  # type: ignore[arg-type]
 
     def names(self) -> set[str]:
         """The names that the other side's certificate holds."""
--- a/knotwalk/pubsub/subscriber.py
+++ b/knotwalk/pubsub/subscriber.py
@@ -11,9 +11,9 @@
 from knotwalk.pubsub import wire
 from knotwalk.pubsub.versions import Delta
 
-AGAIN_FIRST, AGAIN_MOST = 0.2, 20.0     # seconds before the next connection; doubles, jitter of half to one and a half
-STEADY = 5.0        # seconds for which a stream was heard that make it one of use, though it brought nothing
-FOLLOW = 10.0       # seconds of silence of a newer publisher after which an older one is followed again
+AGAIN_FIRST, AGAIN_MOST = 0.2, 20.0  # seconds before the next connection; doubles, jitter of half to one and a half
+STEADY = 5.0  # seconds for which a stream was heard that make it one of use, though it brought nothing
+FOLLOW = 10.0  # seconds of silence of a newer publisher after which an older one is followed again
 
 
 class Gap(Exception):
@@ -23,8 +23,16 @@
 class Subscriber:
     """One subscriber's table over any number of streams."""
 
-    def __init__(self, name: str, seed: int, proxy: int | None = None, zone: str | None = None,
-                 wanted: list[int] | None = None, of_zone: str | None = None, key: str | None = None):
+    def __init__(
+        self,
+        name: str,
+        seed: int,
+        proxy: int | None = None,
+        zone: str | None = None,
+        wanted: list[int] | None = None,
+        of_zone: str | None = None,
+        key: str | None = None,
+    ):
         self.name, self.proxy, self.zone, self.wanted, self.of_zone, self.key = name, proxy, zone, wanted, of_zone, key
         self.random = Random(seed)
         self.tables: dict[int, dict[str, float]] = {}
@@ -33,17 +41,17 @@
         self.shut: set[str] = set()
         self.epoch: str | None = None
         self.version = 0
-        self.place: int | None = 0          # what a snapshot under way brings next; None: the table is whole
-        self.whole = False                  # whether it ever was
+        self.place: int | None = 0  # what a snapshot under way brings next; None: the table is whole
+        self.whole = False  # whether it ever was
         self.token: str | None = None
-        self.seen: set[int] = set()         # slices that the snapshot under way has brought
-        self.live: frozenset[str] | None = None     # servers in use, while lines of an older table are held
-        self.number = 0                     # of the last message on this stream
-        self.nacked = False                 # a message was refused: the rest is void up to a new beginning
-        self.applied = 0                    # messages, ever
+        self.seen: set[int] = set()  # slices that the snapshot under way has brought
+        self.live: frozenset[str] | None = None  # servers in use, while lines of an older table are held
+        self.number = 0  # of the last message on this stream
+        self.nacked = False  # a message was refused: the rest is void up to a new beginning
+        self.applied = 0  # messages, ever
         self.applied_before, self.welcomed_at = 0, 0.0
         self.tries = 0
-        self.born = float("-inf")           # of the publisher followed
+        self.born = float("-inf")  # of the publisher followed
         self.heard_at = float("-inf")
 
     # --- streams ---
@@ -52,8 +60,14 @@
         """The first message of a new stream."""
         self.number, self.nacked = 0, False
         members: dict[str, Any] = {"v": wire.VERSION, "name": self.name}
-        for name, value in (("proxy", self.proxy), ("zone", self.zone), ("wants", self.wanted),
-                            ("of_zone", self.of_zone), ("token", self.token), ("key", self.key)):
+        for name, value in (
+            ("proxy", self.proxy),
+            ("zone", self.zone),
+            ("wants", self.wanted),
+            ("of_zone", self.of_zone),
+            ("token", self.token),
+            ("key", self.key),
+        ):
             if value is not None:
                 members[name] = value
         if self.whole:
@@ -63,7 +77,7 @@
     def again(self, now: float) -> float:
         """Seconds until the next connection, after one that ended or never came up."""
         if self.heard_at - self.welcomed_at > STEADY or self.applied > self.applied_before:
-            self.tries = 0      # the last stream was of use
+            self.tries = 0  # the last stream was of use
         self.applied_before, self.welcomed_at = self.applied, now
         wait = min(AGAIN_MOST, AGAIN_FIRST * 2 ** min(self.tries, 20))
         self.tries += 1
@@ -87,7 +101,7 @@
             raise ValueError(f"message {n} after {self.number}")
         self.number = n
         if self.nacked and not ("live" in told and kind == "piece"):
-            return []       # sent before the publisher had heard of the refusal
+            return []  # sent before the publisher had heard of the refusal
         self.nacked = False
         delta = wire.decoded(told.get("d"))
         try:
@@ -106,7 +120,7 @@
         if born < self.born and now < self.heard_at + FOLLOW:
             raise ValueError(f"a publisher of {born:.3f}, and one of {self.born:.3f} is followed")
         if told.get("epoch") != self.epoch:
-            self.token = None       # of another epoch: it says nothing there
+            self.token = None  # of another epoch: it says nothing there
         self.born, self.heard_at, self.welcomed_at = born, now, now
 
     # --- the table ---
@@ -152,8 +166,10 @@
     def change(self, told: Mapping, delta: Delta) -> list[int]:
         """What was set since the version that is held."""
         if told.get("from") != self.version or self.place is not None:
-            raise Gap(f"a change from {told.get('from')}; {self.version} is held"
-                      + ("" if self.place is None else ", and not whole"))
+            raise Gap(
+                f"a change from {told.get('from')}; {self.version} is held"
+                + ("" if self.place is None else ", and not whole")
+            )
         self.apply(delta)
         self.version = wire.whole_number(told.get("to"))
         return []
--- a/knotwalk/pubsub/token.py
+++ b/knotwalk/pubsub/token.py
@@ -8,7 +8,7 @@
 import re
 from typing import NamedTuple
 
-SIGNED = 12     # bytes of the signature: a guess in 2^96, at a few bytes a message
+SIGNED = 12  # bytes of the signature: a guess in 2^96, at a few bytes a message
 FORM = re.compile(r"([0-9a-zA-Z_-]{1,64})\.(\d{1,18})\.(\d{1,18})?\.([0-9a-f]{24})")
 
 
@@ -17,7 +17,7 @@
 
     epoch: str
     version: int
-    place: int | None       # the next slice of a snapshot under way; None: the table is whole
+    place: int | None  # the next slice of a snapshot under way; None: the table is whole
 
 
 def signature(key: bytes, name: str, body: str) -> str:
@@ -43,7 +43,7 @@
     match = FORM.fullmatch(text) if isinstance(text, str) and len(text) < 200 else None
     if match is None:
         return None
-    body = text.rpartition(".")[0]      # type: ignore[union-attr]
+    body = text.rpartition(".")[0]  # type: ignore[union-attr]
     if not hmac.compare_digest(signature(key, name, body), match[4]):
         return None
     return Token(match[1], int(match[2]), int(match[3]) if match[3] else None)
--- a/knotwalk/pubsub/versions.py
+++ b/knotwalk/pubsub/versions.py
@@ -9,10 +9,10 @@
 from collections.abc import Container, Iterator, Mapping
 from typing import NamedTuple
 
-RETAIN = 20_000     # removals kept for old bases: some hours of storms at the grown size, 2 MB
+RETAIN = 20_000  # removals kept for old bases: some hours of storms at the grown size, 2 MB
 
 
-GAPS = 64           # lives whose lost versions are told from others: a base from before them gets a snapshot
+GAPS = 64  # lives whose lost versions are told from others: a base from before them gets a snapshot
 
 
 class Slice:
@@ -25,27 +25,35 @@
 
     def __init__(self, id: int):
         self.id = id
-        self.version = 0                                    # of its last change
+        self.version = 0  # of its last change
         self.lines: dict[str, tuple[float, int]] = {}
         self.levels: dict[int, tuple[float, int, int]] = {}
 
     def whole(self) -> "Part":
         """Its state, removals left out."""
-        return Part(self.id, True, {k: w for k, (w, _) in self.lines.items() if w},
-                    {k: (share, retry) for k, (share, retry, _) in self.levels.items()})
+        return Part(
+            self.id,
+            True,
+            {k: w for k, (w, _) in self.lines.items() if w},
+            {k: (share, retry) for k, (share, retry, _) in self.levels.items()},
+        )
 
     def since(self, version: int) -> "Part":
         """What was set after a version."""
-        return Part(self.id, False, {k: w for k, (w, v) in self.lines.items() if v > version},
-                    {k: (share, retry) for k, (share, retry, v) in self.levels.items() if v > version})
+        return Part(
+            self.id,
+            False,
+            {k: w for k, (w, v) in self.lines.items() if v > version},
+            {k: (share, retry) for k, (share, retry, v) in self.levels.items() if v > version},
+        )
 
 
 class Part(NamedTuple):
     """What a message says of one slice: taken in whole or not at all."""
 
     slice: int
-    whole: bool                             # whether it replaces what was there
-    lines: Mapping[str, float]              # weight 0 removes
+    whole: bool  # whether it replaces what was there
+    lines: Mapping[str, float]  # weight 0 removes
     levels: Mapping[int, tuple[float, int]]
 
     @property
@@ -78,14 +86,14 @@
 
     def __init__(self, epoch: str, version: int = 0, retain: int = RETAIN):
         self.epoch, self.version, self.floor, self.retain = epoch, version, version, retain
-        self.slices: OrderedDict[int, Slice] = OrderedDict()        # the one changed last at the end
-        self.ids: list[int] = []                                    # in order, for snapshots; see places
+        self.slices: OrderedDict[int, Slice] = OrderedDict()  # the one changed last at the end
+        self.ids: list[int] = []  # in order, for snapshots; see places
         self.sorted = True
         self.shut: OrderedDict[str, tuple[bool, int]] = OrderedDict()
         self.levels: dict[int, tuple[float, int, int]] = {}
         self.removed: deque[tuple[int, int | None, str]] = deque()  # version, slice or None, server
-        self.used: dict[str, int] = {}                              # lines by server
-        self.gaps: list[tuple[int, int]] = []       # versions between two were perhaps told by an earlier life
+        self.used: dict[str, int] = {}  # lines by server
+        self.gaps: list[tuple[int, int]] = []  # versions between two were perhaps told by an earlier life
 
     # --- changes ---
 
@@ -191,8 +199,9 @@
             shut[server] = out
         return shut, {k: (share, retry) for k, (share, retry, v) in self.levels.items() if v > version}
 
-    def pieces(self, place: int, most: int,
-               wanted: Container[int] | None = None) -> tuple[tuple[Part, ...], int | None]:
+    def pieces(
+        self, place: int, most: int, wanted: Container[int] | None = None
+    ) -> tuple[tuple[Part, ...], int | None]:
         """Whole slices from a place on, up to so many lines but one slice at least; and the next place, None at
         the end."""
         ids, parts, size = self.places(), [], 0
@@ -223,12 +232,25 @@
 
     def snapshot(self) -> dict:
         """All of it as plain values."""
-        return {"format": 1, "epoch": self.epoch, "version": self.version, "floor": self.floor,
-                "slices": [[s.id, s.version, [[k, w, v] for k, (w, v) in s.lines.items()],
-                            [[k, *row] for k, row in s.levels.items()]] for s in self.slices.values()],
-                "shut": [[k, out, v] for k, (out, v) in self.shut.items()],
-                "levels": [[k, *row] for k, row in self.levels.items()], "removed": [list(x) for x in self.removed],
-                "gaps": [list(x) for x in self.gaps]}
+        return {
+            "format": 1,
+            "epoch": self.epoch,
+            "version": self.version,
+            "floor": self.floor,
+            "slices": [
+                [
+                    s.id,
+                    s.version,
+                    [[k, w, v] for k, (w, v) in s.lines.items()],
+                    [[k, *row] for k, row in s.levels.items()],
+                ]
+                for s in self.slices.values()
+            ],
+            "shut": [[k, out, v] for k, (out, v) in self.shut.items()],
+            "levels": [[k, *row] for k, row in self.levels.items()],
+            "removed": [list(x) for x in self.removed],
+            "gaps": [list(x) for x in self.gaps],
+        }
 
     @classmethod
     def restored(cls, told: Mapping, ceiling: int, retain: int = RETAIN) -> "Table":
--- a/knotwalk/pubsub/wire.py
+++ b/knotwalk/pubsub/wire.py
@@ -12,10 +12,10 @@
 from knotwalk.pubsub.versions import Delta, Part
 
 VERSION = 1
-FROM_CLIENT = 1 << 14       # bytes of a subscriber's line: a hello with some thousand slices wanted
-FROM_PUBLISHER = 1 << 22    # bytes of a publisher's line: a slice with every server in it, and then some
-NAME_MOST = 64              # characters of a subscriber's name
-SLICES_MOST = 4096          # slices that one may ask for by id
+FROM_CLIENT = 1 << 14  # bytes of a subscriber's line: a hello with some thousand slices wanted
+FROM_PUBLISHER = 1 << 22  # bytes of a publisher's line: a slice with every server in it, and then some
+NAME_MOST = 64  # characters of a subscriber's name
+SLICES_MOST = 4096  # slices that one may ask for by id
 
 
 class Lines:
@@ -34,7 +34,7 @@
         self.held += data
         while (end := self.held.find(b"\n")) >= 0:
             line = bytes(self.held[:end])
-            del self.held[:end + 1]
+            del self.held[: end + 1]
             if len(line) > self.most:
                 raise TooLong(f"a line of {len(line)} bytes, {self.most} at most")
             try:
@@ -58,16 +58,27 @@
 
 def encoded(delta: Delta) -> bytes:
     """A delta: slices as [id, whole, lines, levels], withdrawals, levels for all."""
-    return json.dumps({"s": [[p.slice, int(p.whole), p.lines, p.levels] for p in delta.parts],
-                       "shut": delta.shut, "levels": delta.levels}, separators=(",", ":")).encode()
+    return json.dumps(
+        {
+            "s": [[p.slice, int(p.whole), p.lines, p.levels] for p in delta.parts],
+            "shut": delta.shut,
+            "levels": delta.levels,
+        },
+        separators=(",", ":"),
+    ).encode()
 
 
 def decoded(told: Any) -> Delta:
     """The opposite; raises ValueError."""
     try:
-        return Delta(tuple(Part(whole_number(id), bool(whole), lines_of(lines), levels_of(levels))
-                           for id, whole, lines, levels in told["s"]),
-                     {str(k): bool(v) for k, v in told["shut"].items()}, levels_of(told["levels"]))
+        return Delta(
+            tuple(
+                Part(whole_number(id), bool(whole), lines_of(lines), levels_of(levels))
+                for id, whole, lines, levels in told["s"]
+            ),
+            {str(k): bool(v) for k, v in told["shut"].items()},
+            levels_of(told["levels"]),
+        )
     except (KeyError, TypeError, AttributeError) as fault:
         raise ValueError(f"no delta: {fault!r}") from None
 
--- a/knotwalk/record/command.py
+++ b/knotwalk/record/command.py
@@ -17,12 +17,19 @@
     told = []
     for incarnation, blocks in recording.incarnations.items():
         segments = [x for x in recording.segments if x.incarnation == incarnation]
-        told.append({
-            "incarnation": incarnation, "segments": len(segments), "bytes": sum(x.size for x in segments),
-            "closed": all(x.whole for x in segments), "blocks": len(blocks),
-            "frames": sum(x.lot.frames for x in blocks),
-            "checkpoints": sum(x.lot.flags & format.CHECKED for x in blocks),
-            "begun": blocks[0].lot.begun if blocks else None, "ended": blocks[-1].lot.ended if blocks else None})
+        told.append(
+            {
+                "incarnation": incarnation,
+                "segments": len(segments),
+                "bytes": sum(x.size for x in segments),
+                "closed": all(x.whole for x in segments),
+                "blocks": len(blocks),
+                "frames": sum(x.lot.frames for x in blocks),
+                "checkpoints": sum(x.lot.flags & format.CHECKED for x in blocks),
+                "begun": blocks[0].lot.begun if blocks else None,
+                "ended": blocks[-1].lot.ended if blocks else None,
+            }
+        )
     return {"conductor": recording.conductor, "incarnations": told, "faults": [str(x) for x in recording.faults]}
 
 
@@ -32,8 +39,15 @@
     for incarnation, blocks in recording.incarnations.items():
         for event in recording.events(blocks):
             if isinstance(event, Loss):
-                losses.append({"incarnation": incarnation, "since": event.since, "until": event.until,
-                               "frames": event.frames, "why": event.why})
+                losses.append(
+                    {
+                        "incarnation": incarnation,
+                        "since": event.since,
+                        "until": event.until,
+                        "frames": event.frames,
+                        "why": event.why,
+                    }
+                )
             else:
                 frames += 1
     return {"frames": frames, "losses": losses, "faults": [str(x) for x in recording.faults]}
@@ -49,6 +63,7 @@
             told = verify(recording)
         else:
             from knotwalk.record.export import export
+
             told = export(recording, options["--into"])
     except Unusable as fault:
         print(f"knotwalk: {fault}", file=sys.stderr)
@@ -71,8 +86,10 @@
     for name, value in told.items():
         if isinstance(value, list):
             for row in value:
-                print(f"{name[:-1] if name.endswith('s') else name}: " + (
-                    ", ".join(f"{k} {v}" for k, v in row.items()) if isinstance(row, dict) else str(row)))
+                print(
+                    f"{name[:-1] if name.endswith('s') else name}: "
+                    + (", ".join(f"{k} {v}" for k, v in row.items()) if isinstance(row, dict) else str(row))
+                )
         elif isinstance(value, dict):
             print(f"{name}: " + ", ".join(f"{k} {v}" for k, v in value.items()))
         else:
--- a/knotwalk/record/export.py
+++ b/knotwalk/record/export.py
@@ -13,22 +13,66 @@
 from knotwalk.record import format
 from knotwalk.record.reader import Loss, Recording
 
-ROWS = 1 << 16      # rows kept before they are written: a day must not fill the memory
+ROWS = 1 << 16  # rows kept before they are written: a day must not fill the memory
 
 # Tables of an export: columns and their types, in pyarrow's words.
 TABLES = {
-    "rounds": {"incarnation": "string", "number": "int64", "at": "float64", "events": "int32", "orders": "int32",
-               "failed": "bool"},
-    "heard": {"incarnation": "string", "at": "float64", "server": "string", "zone": "string", "span": "float64",
-              "tries": "int64", "aborted": "int64", "latency": "float64", "utilization": "float64", "qps": "float64"},
-    "wanted": {"incarnation": "string", "at": "float64", "slice": "int64", "method": "int32", "span": "float64",
-               "rpcs": "int64"},
-    "listed": {"incarnation": "string", "at": "float64", "full": "bool", "server": "string", "zone": "string",
-               "state": "string", "size": "float64", "started": "float64"},
-    "orders": {"incarnation": "string", "at": "float64", "order": "string", "slice": "int64", "server": "string",
-               "method": "int32", "value": "float64", "retry": "int32"},
-    "lives": {"incarnation": "string", "at": "float64", "why": "string", "seed": "string", "policy": "string",
-              "settings": "string"},
+    "rounds": {
+        "incarnation": "string",
+        "number": "int64",
+        "at": "float64",
+        "events": "int32",
+        "orders": "int32",
+        "failed": "bool",
+    },
+    "heard": {
+        "incarnation": "string",
+        "at": "float64",
+        "server": "string",
+        "zone": "string",
+        "span": "float64",
+        "tries": "int64",
+        "aborted": "int64",
+        "latency": "float64",
+        "utilization": "float64",
+        "qps": "float64",
+    },
+    "wanted": {
+        "incarnation": "string",
+        "at": "float64",
+        "slice": "int64",
+        "method": "int32",
+        "span": "float64",
+        "rpcs": "int64",
+    },
+    "listed": {
+        "incarnation": "string",
+        "at": "float64",
+        "full": "bool",
+        "server": "string",
+        "zone": "string",
+        "state": "string",
+        "size": "float64",
+        "started": "float64",
+    },
+    "orders": {
+        "incarnation": "string",
+        "at": "float64",
+        "order": "string",
+        "slice": "int64",
+        "server": "string",
+        "method": "int32",
+        "value": "float64",
+        "retry": "int32",
+    },
+    "lives": {
+        "incarnation": "string",
+        "at": "float64",
+        "why": "string",
+        "seed": "string",
+        "policy": "string",
+        "settings": "string",
+    },
     "losses": {"incarnation": "string", "since": "float64", "until": "float64", "frames": "int64", "why": "string"},
 }
 
@@ -39,10 +83,14 @@
     def __init__(self, folder: Path):
         folder.mkdir(parents=True, exist_ok=True)
         alias = pyarrow.type_for_alias
-        self.schemas = {name: pyarrow.schema([(column, alias(kind)) for column, kind in columns.items()])
-                        for name, columns in TABLES.items()}
-        self.writers = {name: pyarrow.parquet.ParquetWriter(folder / f"{name}.parquet", schema, compression="zstd")
-                        for name, schema in self.schemas.items()}
+        self.schemas = {
+            name: pyarrow.schema([(column, alias(kind)) for column, kind in columns.items()])
+            for name, columns in TABLES.items()
+        }
+        self.writers = {
+            name: pyarrow.parquet.ParquetWriter(folder / f"{name}.parquet", schema, compression="zstd")
+            for name, schema in self.schemas.items()
+        }
         self.rows: dict[str, list[tuple]] = {name: [] for name in TABLES}
         self.counts = dict.fromkeys(TABLES, 0)
 
@@ -56,8 +104,11 @@
         if rows:
             columns = zip(*rows)
             schema = self.schemas[table]
-            self.writers[table].write_table(pyarrow.table(
-                [pyarrow.array(list(column), field.type) for column, field in zip(columns, schema)], schema=schema))
+            self.writers[table].write_table(
+                pyarrow.table(
+                    [pyarrow.array(list(column), field.type) for column, field in zip(columns, schema)], schema=schema
+                )
+            )
             self.counts[table] += len(rows)
 
     def close(self) -> None:
--- a/knotwalk/record/feed.py
+++ b/knotwalk/record/feed.py
@@ -17,10 +17,10 @@
 from knotwalk.net.loop import Loop
 from knotwalk.record.recorder import Recorder
 
-PACE = 0.1                      # seconds between sends: what a kill -9 of the conductor may cost
-AGAIN_FIRST, AGAIN_MOST = 0.5, 30.0     # seconds before a writer that died is started again; doubles
-STEADY = 60.0                   # seconds after which one that runs has proven itself
-CLOSE = 0.4                     # seconds that an orderly end waits for the last bytes: SIGKILL comes 0.7 s later
+PACE = 0.1  # seconds between sends: what a kill -9 of the conductor may cost
+AGAIN_FIRST, AGAIN_MOST = 0.5, 30.0  # seconds before a writer that died is started again; doubles
+STEADY = 60.0  # seconds after which one that runs has proven itself
+CLOSE = 0.4  # seconds that an orderly end waits for the last bytes: SIGKILL comes 0.7 s later
 
 
 class Feed:
@@ -42,8 +42,11 @@
             self.again(f"no descriptors: {fault.strerror}")
             return
         try:
-            self.process = subprocess.Popen([sys.executable, "-m", "knotwalk.record.writer", *self.arguments],
-                                            stdin=theirs.fileno(), stdout=subprocess.DEVNULL)
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "knotwalk.record.writer", *self.arguments],
+                stdin=theirs.fileno(),
+                stdout=subprocess.DEVNULL,
+            )
         except OSError as fault:
             ours.close()
             self.again(f"no process: {fault.strerror}")
@@ -94,7 +97,7 @@
         self.loop.selector.unregister(self.sock)
         self.sock.close()
         self.sock = None
-        code = self.process.poll()      # a zombie, if it has not quite ended: the next start reaps it
+        code = self.process.poll()  # a zombie, if it has not quite ended: the next start reaps it
         self.again(f"the writer ended, exit code {code}")
 
     def due(self) -> None:
@@ -113,11 +116,11 @@
         while waiting and self.sock:
             try:
                 with memoryview(waiting) as view:
-                    sent = self.sock.send(view[:1 << 18])
+                    sent = self.sock.send(view[: 1 << 18])
             except (BlockingIOError, InterruptedError):
                 return
             except OSError:
-                return      # its end is read, and told, at the next turn
+                return  # its end is read, and told, at the next turn
             del waiting[:sent]
 
     def close(self, clock: Callable[[], float] = time.monotonic) -> None:
--- a/knotwalk/record/format.py
+++ b/knotwalk/record/format.py
@@ -16,16 +16,27 @@
 KINDS = ("life", "round", "failed", "checkpoint", "gap", "end")
 
 MAGIC, BLOCK, INDEX = b"KNOTWALK", b"KWB1", b"KWX1"
-HEAD = struct.Struct("<8sHII")              # magic, format, bytes of the map, its checksum
+HEAD = struct.Struct("<8sHII")  # magic, format, bytes of the map, its checksum
 # magic, flags, bytes, bytes unpacked, frames, first number, first and last time, checksum of the payload, of this
 LOT = struct.Struct("<4sHIIIQddII")
-CHECKED = 1                                 # flag: the first frame is a checkpoint
-PAYLOAD_MOST = 1 << 28                      # bytes of a block unpacked: a damaged length must not fill the memory
+CHECKED = 1  # flag: the first frame is a checkpoint
+PAYLOAD_MOST = 1 << 28  # bytes of a block unpacked: a damaged length must not fill the memory
 
 # What each position of a handler or order holds: n a name, kept once a block; l a load report; e list entries.
 # A code is a place in these tables, so they may only grow at the end.
-HANDLERS = {"listed": "..e", "list_failed": "", "joined": ".", "left": ".", "given": ".", "taken": ".",
-            "held": ".n.", "wanted": "....", "heard": "nn....l", "applied": "..", "receipts_lost": ""}
+HANDLERS = {
+    "listed": "..e",
+    "list_failed": "",
+    "joined": ".",
+    "left": ".",
+    "given": ".",
+    "taken": ".",
+    "held": ".n.",
+    "wanted": "....",
+    "heard": "nn....l",
+    "applied": "..",
+    "receipts_lost": "",
+}
 ORDERS = {"line": ".n.", "admit": "....", "withdraw": "n.", "receipt": ".", "watch": "", "wake": ".", "note": "."}
 
 
@@ -91,10 +102,10 @@
     """What stands in the head of a block."""
 
     flags: int
-    size: int               # bytes of the payload as it lies there
-    whole: int              # bytes unpacked
+    size: int  # bytes of the payload as it lies there
+    whole: int  # bytes unpacked
     frames: int
-    first: int              # number of the first frame
+    first: int  # number of the first frame
     begun: float
     ended: float
     check: int
@@ -110,8 +121,18 @@
     pack = msgpack.Packer()
     raw = b"".join([pack.pack(names.names), *map(pack.pack, out)])
     payload = compress(raw)
-    head = LOT.pack(BLOCK, CHECKED if frames[0][0] == CHECK else 0, len(payload), len(raw), len(frames),
-                    frames[0][1], frames[0][2], frames[-1][2], zlib.crc32(payload), 0)
+    head = LOT.pack(
+        BLOCK,
+        CHECKED if frames[0][0] == CHECK else 0,
+        len(payload),
+        len(raw),
+        len(frames),
+        frames[0][1],
+        frames[0][2],
+        frames[-1][2],
+        zlib.crc32(payload),
+        0,
+    )
     return head[:-4] + struct.pack("<I", zlib.crc32(head[:-4])) + payload
 
 
@@ -119,8 +140,8 @@
     """The head of a block; raises Damaged."""
     if len(data) < LOT.size:
         raise Damaged("the file ends within the head of a block")
-    magic, *rest, check = LOT.unpack(data[:LOT.size])
-    if magic != BLOCK or check != zlib.crc32(data[:LOT.size - 4]) or rest[2] > PAYLOAD_MOST:
+    magic, *rest, check = LOT.unpack(data[: LOT.size])
+    if magic != BLOCK or check != zlib.crc32(data[: LOT.size - 4]) or rest[2] > PAYLOAD_MOST:
         raise Damaged("no head of a block, or a damaged one")
     return Lot(*rest)
 
@@ -136,7 +157,7 @@
         parts.feed(expand(payload, lot.whole))
         names = Names(next(parts))
         rows = list(parts)
-    except Exception as fault:      # a checksum that fits bytes which do not unpack: another writer's mistake
+    except Exception as fault:  # a checksum that fits bytes which do not unpack: another writer's mistake
         raise Damaged(f"a block does not unpack: {fault}") from None
     if len(rows) != lot.frames:
         raise Damaged(f"a block of {len(rows)} frames says that it has {lot.frames}")
@@ -157,10 +178,10 @@
     """What the head of a segment says, and where its blocks begin; raises Damaged."""
     if len(data) < HEAD.size or data[:8] != MAGIC:
         raise Damaged("no recording")
-    _, format, size, check = HEAD.unpack(data[:HEAD.size])
+    _, format, size, check = HEAD.unpack(data[: HEAD.size])
     if format != FORMAT:
         raise Damaged(f"a recording of format {format}; this version reads {FORMAT}")
-    body = data[HEAD.size:HEAD.size + size]
+    body = data[HEAD.size : HEAD.size + size]
     if len(body) != size or zlib.crc32(body) != check:
         raise Damaged("the head of the segment is damaged")
     return msgpack.unpackb(body), HEAD.size + size
@@ -177,5 +198,5 @@
     if len(tail) < 16 or tail[-4:] != INDEX:
         return None
     size, check, _ = struct.unpack("<II4s", tail[-12:])
-    body = tail[-12 - size:-12]
+    body = tail[-12 - size : -12]
     return msgpack.unpackb(body) if len(body) == size and zlib.crc32(body) == check else None
--- a/knotwalk/record/reader.py
+++ b/knotwalk/record/reader.py
@@ -13,7 +13,7 @@
 from knotwalk.record import format
 from knotwalk.record.format import CHECK, END, Damaged, Lot
 
-TAIL = 1 << 22      # bytes at a file's end in which its index is looked for
+TAIL = 1 << 22  # bytes at a file's end in which its index is looked for
 
 
 DAMAGED = "damaged, missing or never written"
@@ -28,7 +28,7 @@
     """Damage that was found."""
 
     file: str
-    at: int         # bytes from the file's start
+    at: int  # bytes from the file's start
     what: str
 
     def __str__(self) -> str:
@@ -67,7 +67,7 @@
                 raise Damaged("the head of the segment names no conductor, incarnation or number") from None
             file.seek(max(0, self.size - TAIL))
             rows = format.index_of(file.read())
-            self.whole = rows is not None       # closed in order
+            self.whole = rows is not None  # closed in order
             if rows is not None:
                 self.blocks = [Block(path, at, Lot(*lot)) for at, *lot in rows]
             else:
@@ -94,7 +94,7 @@
         place = -1
         while (place := data.find(format.BLOCK, place + 1)) >= 0:
             try:
-                format.lot_of(data[place:place + format.LOT.size])
+                format.lot_of(data[place : place + format.LOT.size])
                 return at + place
             except Damaged:
                 continue
@@ -104,9 +104,9 @@
 class Loss(NamedTuple):
     """Rounds that the recording does not hold."""
 
-    since: float        # time of the last frame before it
-    until: float        # and of the first after it; infinity: nothing follows
-    frames: int         # missing by their numbers; 0: unknown, at the end of a life that was cut off
+    since: float  # time of the last frame before it
+    until: float  # and of the first after it; infinity: nothing follows
+    frames: int  # missing by their numbers; 0: unknown, at the end of a life that was cut off
     why: str
 
 
@@ -160,7 +160,7 @@
         expected, last, kind = first, float("-inf"), END
         for frame in self.frames(blocks):
             if frame[1] < expected:
-                continue        # a block that lies there twice
+                continue  # a block that lies there twice
             if frame[1] > expected:
                 why = frame[5] if frame[0] == format.GAP else DAMAGED
                 yield Loss(last, frame[2], frame[1] - expected, why)
--- a/knotwalk/record/recorder.py
+++ b/knotwalk/record/recorder.py
@@ -14,8 +14,8 @@
 from knotwalk.record.format import CHECK, END, FAILED, GAP, LIFE, ROUND
 from knotwalk.rules import Limits
 
-ROOM = 1 << 20          # bytes that may wait: some seconds of a storm at the grown size
-ROUNDS = 4096           # that may wait to be packed: a loop does fewer in the tenth of a second that they wait
+ROOM = 1 << 20  # bytes that may wait: some seconds of a storm at the grown size
+ROUNDS = 4096  # that may wait to be packed: a loop does fewer in the tenth of a second that they wait
 LENGTH = struct.Struct("<I")
 
 
@@ -25,12 +25,12 @@
     def __init__(self, name: str, incarnation: str, policy: str, every: float, room: int = ROOM):
         self.name, self.incarnation, self.policy, self.every, self.room = name, incarnation, policy, every, room
         self.waiting = bytearray()
-        self.rounds: list[tuple] = []   # not yet packed: that is done between rounds
-        self.number = 0                 # of the next frame
-        self.gap: tuple[float, str] | None = None       # since when rounds are dropped, and why
-        self.lost = self.lost_all = 0   # rounds dropped in this gap, and in those that are over
-        self.held = False               # whether the writer has said that its disk takes nothing
-        self.checked = float("-inf")    # when the last checkpoint went
+        self.rounds: list[tuple] = []  # not yet packed: that is done between rounds
+        self.number = 0  # of the next frame
+        self.gap: tuple[float, str] | None = None  # since when rounds are dropped, and why
+        self.lost = self.lost_all = 0  # rounds dropped in this gap, and in those that are over
+        self.held = False  # whether the writer has said that its disk takes nothing
+        self.checked = float("-inf")  # when the last checkpoint went
         self.life_told: dict = {}
         self.pack = msgpack.Packer().pack
 
@@ -64,8 +64,13 @@
 
     def life(self, now: float, module: Conductor, settings: Settings, limits: Limits, seed: int, why: str) -> None:
         """A module's life begins, in the state in which it is; `why`: start, reload or failed."""
-        self.life_told = {"why": why, "seed": f"{seed:x}", "settings": state.settings_told(settings),
-                          "limits": limits._asdict(), "policy": self.policy}
+        self.life_told = {
+            "why": why,
+            "seed": f"{seed:x}",
+            "settings": state.settings_told(settings),
+            "limits": limits._asdict(),
+            "policy": self.policy,
+        }
         self.settle()
         if self.gap is None and self.put(LIFE, now, self.life_told):
             self.check(now, module)
@@ -104,7 +109,7 @@
         (since, why), self.gap = self.gap, None
         if self.put(GAP, now, since, self.lost, why):
             self.check(now, module)
-        if self.gap:            # not even that fits
+        if self.gap:  # not even that fits
             self.gap = since, why
         else:
             self.lost_all, self.lost = self.lost_all + self.lost, 0
--- a/knotwalk/record/writer.py
+++ b/knotwalk/record/writer.py
@@ -24,9 +24,9 @@
 from knotwalk.record import format
 from knotwalk.record.recorder import LENGTH
 
-BLOCK_MOST = 1 << 18        # bytes of frames in a block: reads well, and a torn tail costs a second or two
-BLOCK_AGE = 2.0             # seconds that frames wait for their block to fill
-AGAIN = 1.0                 # seconds between tries while the disk fails
+BLOCK_MOST = 1 << 18  # bytes of frames in a block: reads well, and a torn tail costs a second or two
+BLOCK_AGE = 2.0  # seconds that frames wait for their block to fill
+AGAIN = 1.0  # seconds between tries while the disk fails
 READ = 1 << 18
 
 
@@ -40,9 +40,8 @@
 
 def numbers(folder: Path, name: str) -> dict[int, Path]:
     """The segments of one conductor in a folder, by number."""
-    start = file_name(name, 0)[:-len("00000000.kwr")]
-    return {int(p.name[len(start):-4]): p for p in folder.glob(f"{start}*.kwr")
-            if p.name[len(start):-4].isdigit()}
+    start = file_name(name, 0)[: -len("00000000.kwr")]
+    return {int(p.name[len(start) : -4]): p for p in folder.glob(f"{start}*.kwr") if p.name[len(start) : -4].isdigit()}
 
 
 class Segment:
@@ -56,7 +55,7 @@
             try:
                 self.fd = os.open(self.path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o640)
                 break
-            except FileExistsError:     # another life of the same conductor was quicker
+            except FileExistsError:  # another life of the same conductor was quicker
                 continue
         self.rows: list[list] = []
         self.size, self.begun = 0, time.monotonic()
@@ -65,7 +64,7 @@
     def write(self, data: bytes) -> None:
         view = memoryview(data)
         while view:
-            view = view[os.write(self.fd, view):]
+            view = view[os.write(self.fd, view) :]
         self.size += len(data)
 
     def probe(self) -> None:
@@ -97,12 +96,11 @@
 
     def frame(self, data: bytes) -> None:
         if self.failing:
-            return      # it has been told; what follows "back" begins with a checkpoint
+            return  # it has been told; what follows "back" begins with a checkpoint
         frame = msgpack.unpackb(data, use_list=True, strict_map_key=False)
-        if frame[0] == format.CHECK:        # first in its block: a replay may start there
+        if frame[0] == format.CHECK:  # first in its block: a replay may start there
             self.flush()
-            if self.segment and (self.segment.size > self.most
-                                 or time.monotonic() > self.segment.begun + self.age):
+            if self.segment and (self.segment.size > self.most or time.monotonic() > self.segment.begun + self.age):
                 self.close(True)
         if not self.frames:
             self.since = time.monotonic()
@@ -156,10 +154,10 @@
             try:
                 segment.close(whole)
             except OSError:
-                pass        # without its index a segment is read block by block
+                pass  # without its index a segment is read block by block
             try:
                 if not whole and not segment.rows:
-                    segment.path.unlink()       # a file that the disk had no room for
+                    segment.path.unlink()  # a file that the disk had no room for
             except OSError:
                 pass
 
@@ -184,7 +182,8 @@
         try:
             sock.sendall(msgpack.packb(what))
         except OSError:
-            pass        # nobody there to hear it
+            pass  # nobody there to hear it
+
     writer = Writer(folder, name, incarnation, int(most), float(age), int(budget), tell)
     held = bytearray()
     while True:
@@ -202,10 +201,10 @@
             held += data
             at = 0
             while len(held) - at >= LENGTH.size:
-                size, = LENGTH.unpack_from(held, at)
+                (size,) = LENGTH.unpack_from(held, at)
                 if len(held) - at - LENGTH.size < size:
                     break
-                writer.frame(bytes(held[at + LENGTH.size:at + LENGTH.size + size]))
+                writer.frame(bytes(held[at + LENGTH.size : at + LENGTH.size + size]))
                 at += LENGTH.size + size
             del held[:at]
         if writer.failing and time.monotonic() >= writer.next_try:
@@ -216,5 +215,5 @@
 
 if __name__ == "__main__":
     for number in (signal.SIGINT, signal.SIGTERM, signal.SIGHUP):
-        signal.signal(number, signal.SIG_IGN)       # it ends when its conductor does, after the last frame
+        signal.signal(number, signal.SIG_IGN)  # it ends when its conductor does, after the last frame
     sys.exit(serve(socket.socket(fileno=0), sys.argv[1:]))
--- a/knotwalk/replay/change.py
+++ b/knotwalk/replay/change.py
@@ -21,7 +21,7 @@
 
     settings: Callable[[Settings], Settings]
     make: Callable[..., Conductor]
-    names: list[str]        # in words, for reports
+    names: list[str]  # in words, for reports
 
 
 def tuned(policy: type) -> dict[str, float]:
@@ -31,8 +31,11 @@
     5.0
     """
     found = {name: value for part in reversed(policy.__mro__) for name, value in vars(part).items()}
-    return {name: value for name, value in found.items() if name.isupper()
-            and isinstance(value, int | float) and not isinstance(value, bool)}
+    return {
+        name: value
+        for name, value in found.items()
+        if name.isupper() and isinstance(value, int | float) and not isinstance(value, bool)
+    }
 
 
 def value_like(old: object, text: str, name: str) -> object:
@@ -94,13 +97,20 @@
             values[name] = value_like(figures[name], value, name)
         elif name in Settings._fields and name != "methods":
             fields[name] = value_like(getattr(settings, name), value, name)
-        elif len(part) == 3 and part[0] == "methods" and part[1].isdigit() and part[2] in Method._fields \
-                and int(part[1]) < len(settings.methods):
+        elif (
+            len(part) == 3
+            and part[0] == "methods"
+            and part[1].isdigit()
+            and part[2] in Method._fields
+            and int(part[1]) < len(settings.methods)
+        ):
             methods[int(part[1]), part[2]] = value_like(1.0, value, name)
         else:
-            raise Unusable(f"--set {text}: no such setting or tuned value; there are "
-                           f"{', '.join([x for x in Settings._fields if x != 'methods'])}, methods.K.FIELD, "
-                           f"{', '.join(figures)}")
+            raise Unusable(
+                f"--set {text}: no such setting or tuned value; there are "
+                f"{', '.join([x for x in Settings._fields if x != 'methods'])}, methods.K.FIELD, "
+                f"{', '.join(figures)}"
+            )
     make = type("Conductor", (base,), values) if values else base
 
     def changed(s: Settings) -> Settings:
--- a/knotwalk/replay/command.py
+++ b/knotwalk/replay/command.py
@@ -20,9 +20,9 @@
 from knotwalk.state import Unfit
 
 EXACT, UNUSABLE, DIVERGED, BROKEN = 0, 2, 3, 4
-RUNS = 6            # of a model a side: what chance does is known to a fifth or so
-PATIENCE = 10.0     # seconds of real time that a policy may take for one recorded period: an endless loop's end
-SHOWN = 12          # rows of a kind printed; JSON and the page have all
+RUNS = 6  # of a model a side: what chance does is known to a fifth or so
+PATIENCE = 10.0  # seconds of real time that a policy may take for one recorded period: an endless loop's end
+SHOWN = 12  # rows of a kind printed; JSON and the page have all
 
 # What worker processes take over from this one by fork: a day is too large to be sent to each.
 _work: dict[str, Any] = {}
@@ -67,6 +67,7 @@
 
     def tick(_now: float) -> None:
         signal.setitimer(signal.ITIMER_REAL, PATIENCE)
+
     try:
         return Model(past, made.settings, made.make, seed, tick).run()
     finally:
@@ -113,8 +114,11 @@
     """The model under the recorded settings and the others, some runs each."""
     past = past_of(recording, since, until)
     settings = past.lives[0].settings
-    _work.update(past=past, recorded=change.read([], None, settings),
-                 tried=change.read(options["--set"], options["--policy"], settings))
+    _work.update(
+        past=past,
+        recorded=change.read([], None, settings),
+        tried=change.read(options["--set"], options["--policy"], settings),
+    )
     tasks = [(which, seed) for seed in range(RUNS) for which in ("recorded", "tried")]
     progress, runs = Progress("runs of the model"), {}
     with ProcessPoolExecutor(jobs, multiprocessing.get_context("fork")) as pool:
@@ -152,8 +156,10 @@
 
 
 def say_exact(outcome: exact.Outcome, start: float, digest: str, say: Callable[[str], None]) -> None:
-    say(f"{outcome.rounds} rounds and {outcome.orders} orders of {max(1, outcome.lives)} lives replayed, "
-        f"{outcome.joints} checkpoints met again")
+    say(
+        f"{outcome.rounds} rounds and {outcome.orders} orders of {max(1, outcome.lives)} lives replayed, "
+        f"{outcome.joints} checkpoints met again"
+    )
     for x in outcome.stretches:
         say(f"  compared from {clock(x.since, start)} to {clock(x.until, start)}")
     for loss in outcome.losses[:SHOWN]:
@@ -166,8 +172,10 @@
         say(f"  decided by another text of the policy than this one ({', '.join(others)}; this is {digest})")
     for d in outcome.divergences[:SHOWN]:
         where = f"order {d.place + 1}" if d.place >= 0 else "the round"
-        say(f"DIVERGED in {d.incarnation}, frame {d.number} at {clock(d.at, start)}, {where}: recorded {d.recorded}; "
-            f"replayed {d.replayed}")
+        say(
+            f"DIVERGED in {d.incarnation}, frame {d.number} at {clock(d.at, start)}, {where}: recorded {d.recorded}; "
+            f"replayed {d.replayed}"
+        )
         for line in d.held:
             say(f"    {line}")
     say("exact" if outcome.exact else "NOT exact" if outcome.divergences else "nothing could be replayed")
@@ -184,9 +192,12 @@
 def say_verdict(v: verdict.Verdict, names: list[str], start: float, say: Callable[[str], None]) -> None:
     def figure(x: verdict.Likely) -> str:
         return f"{x.value:.3f} ({x.low:.3f} to {x.high:.3f})"
+
     say(f"what if {', '.join(names)}; all figures simulated, {v.runs} runs a side")
-    say(f"  service by the recorded reports {v.heard:.3f}; the model under the recorded settings is off by "
-        f"{v.error:+.3f}, by 10 s {v.error_span:.3f}")
+    say(
+        f"  service by the recorded reports {v.heard:.3f}; the model under the recorded settings is off by "
+        f"{v.error:+.3f}, by 10 s {v.error_span:.3f}"
+    )
     say(f"  service under the other settings {figure(v.tried.service)}")
     for k, (a, b) in enumerate(zip(v.recorded.methods, v.tried.methods)):
         say(f"    method {k}: {figure(a)} recorded, {figure(b)} tried")
@@ -199,21 +210,27 @@
     if v.lost:
         say(f"  {v.lost:.1f} s of the day are not in the recording")
     say_breaks(v.tried.breaks, v.tried.breaks_more, start, "under the other settings", say)
-    verdicts = {"tried": "the other settings are better", "recorded": "the recorded settings are better",
-                "cannot tell": "indistinguishable: closer than the model's error or chance"}
+    verdicts = {
+        "tried": "the other settings are better",
+        "recorded": "the recorded settings are better",
+        "cannot tell": "indistinguishable: closer than the model's error or chance",
+    }
     say(f"{verdicts[v.better]} (difference {v.difference.value:+.3f}, told apart from {v.margin:.3f} on)")
 
 
 def digest_here() -> str:
     from knotwalk.net.conductor import policy_digest
+
     return policy_digest()
 
 
 def replay(options: dict) -> int:
     """`knotwalk replay`, with docopt's options; the exit code."""
+
     def say(text: str) -> None:
         if not options["--json"]:
             print(text)
+
     begun = time.monotonic()
     try:
         jobs = int(options["--jobs"] or exact.cores())
@@ -233,7 +250,7 @@
         if changed:
             v = what_if(recording, options, since, until, jobs)
             say_verdict(v, _work["tried"].names, start, say)
-            told["what_if"] = {**plain(v), "changes": _work["tried"].names}     # type: ignore[dict-item]
+            told["what_if"] = {**plain(v), "changes": _work["tried"].names}  # type: ignore[dict-item]
             code = BROKEN if any(x.sure for x in v.tried.breaks) else EXACT
         else:
             with ProcessPoolExecutor(1, multiprocessing.get_context("fork")) as pool:
@@ -243,15 +260,25 @@
             say_exact(outcome, start, digest_here(), say)
             breaks, more, sent, waited = found or ([], 0, 0, 0.0)
             if found:
-                say(f"rules: {len(breaks) + more} breaks; {sent} messages to a proxy within the span and {waited:.0f} "
-                    "lines waiting at most")
+                say(
+                    f"rules: {len(breaks) + more} breaks; {sent} messages to a proxy within the span and {waited:.0f} "
+                    "lines waiting at most"
+                )
                 say_breaks(breaks, more, start, "as recorded", say)
-            told["exact"] = {**plain(outcome), "exact": outcome.exact}      # type: ignore[dict-item]
+            told["exact"] = {**plain(outcome), "exact": outcome.exact}  # type: ignore[dict-item]
             told["rules"] = plain(breaks)
-            code = (UNUSABLE if not outcome.rounds else DIVERGED if outcome.divergences
-                    else BROKEN if any(x.sure for x in breaks) else EXACT)
+            code = (
+                UNUSABLE
+                if not outcome.rounds
+                else DIVERGED
+                if outcome.divergences
+                else BROKEN
+                if any(x.sure for x in breaks)
+                else EXACT
+            )
         if options["--html"]:
             from knotwalk.replay.report import write
+
             if not changed:
                 raise change.Unusable("--html shows a what-if: --set or --policy is wanted with it")
             write(options["--html"], _work["past"], v, _work["tried"].names, recording.conductor)
