--- a/knotwalk/replay/exact.py
+++ b/knotwalk/replay/exact.py
@@ -16,19 +16,19 @@
 from knotwalk.state import Unfit
 from knotwalk.tape import Tape
 
-MOST = 20       # divergences kept: all that follow the first of a life mostly follow from it
+MOST = 20  # divergences kept: all that follow the first of a life mostly follow from it
 
 
 class Divergence(NamedTuple):
     """Where a replay first differs from what was recorded."""
 
     incarnation: str
-    number: int             # of the frame
-    at: float               # its time
-    place: int              # of the order within the round; -1: the state or the round itself
+    number: int  # of the frame
+    at: float  # its time
+    place: int  # of the order within the round; -1: the state or the round itself
     recorded: str
     replayed: str
-    held: list[str]         # what the state held about it
+    held: list[str]  # what the state held about it
 
 
 class Stretch(NamedTuple):
@@ -43,14 +43,14 @@
 
     rounds: int
     orders: int
-    joints: int                         # checkpoints met again exactly
+    joints: int  # checkpoints met again exactly
     lives: int
-    failures: int                       # decisions that failed, and failed again
+    failures: int  # decisions that failed, and failed again
     stretches: list[Stretch]
     losses: list[Loss]
     divergences: list[Divergence]
     faults: list[str]
-    policies: list[str]                 # digests of the policy by which the day was decided
+    policies: list[str]  # digests of the policy by which the day was decided
 
     @property
     def exact(self) -> bool:
@@ -87,8 +87,10 @@
                 told = ", ".join(f"{x.id} {w:g}" for x, w in s.told.items())
                 out.append(f"slice {s.id}: demand {s.demand:.4g}, on {', '.join(x.id for x in s.shares)}; told {told}")
             elif isinstance(value, str) and (x := module.servers.get(value)) is not None:
-                out.append(f"server {x.id}: {x.state}, load {x.load:.4g} of {x.capacity:.4g}, health {x.health:g}, "
-                           f"used {x.used:.3g}")
+                out.append(
+                    f"server {x.id}: {x.state}, load {x.load:.4g} of {x.capacity:.4g}, health {x.health:g}, "
+                    f"used {x.used:.3g}"
+                )
     return list(dict.fromkeys(out))[:6]
 
 
@@ -98,7 +100,7 @@
     def __init__(self, incarnation: str, make: Callable[..., Conductor] = Conductor):
         self.incarnation, self.make = incarnation, make
         self.module: Conductor | None = None
-        self.fresh = False          # a module made at a life's start, which the checkpoint is to be like
+        self.fresh = False  # a module made at a life's start, which the checkpoint is to be like
         self.rounds = self.orders = self.joints = self.lives = self.failures = 0
         self.stretches: list[list[float]] = []
         self.losses: list[Loss] = []
@@ -107,9 +109,10 @@
 
     def differ(self, frame: list, place: int, recorded: object, replayed: object, held: list[str]) -> None:
         if len(self.divergences) < MOST:
-            self.divergences.append(Divergence(self.incarnation, frame[1], frame[2], place, f"{recorded}",
-                                               f"{replayed}", held))
-        self.module = None      # what follows would only repeat it: on from the next checkpoint
+            self.divergences.append(
+                Divergence(self.incarnation, frame[1], frame[2], place, f"{recorded}", f"{replayed}", held)
+            )
+        self.module = None  # what follows would only repeat it: on from the next checkpoint
 
     def play(self, events: Iterable[list | Loss]) -> "Player":
         for event in events:
@@ -170,8 +173,9 @@
 
     def compare(self, frame: list, recorded: list, replayed: list) -> None:
         assert self.module is not None
-        place = next((k for k, (a, b) in enumerate(zip(recorded, replayed)) if a != b),
-                     min(len(recorded), len(replayed)))
+        place = next(
+            (k for k, (a, b) in enumerate(zip(recorded, replayed)) if a != b), min(len(recorded), len(replayed))
+        )
         here = [rows[place] if place < len(rows) else None for rows in (recorded, replayed)]
         words = [f"{x[0]} {' '.join(map(str, x[1]))}" if x else "no further order" for x in here]
         self.differ(frame, place, words[0], words[1], held_by(self.module, [x for x in here if x]))
@@ -192,13 +196,17 @@
             self.differ(frame, -1, f"decisions that failed: {text.strip().splitlines()[-1]}", "none that did", [])
 
 
-def chunks(recording: Recording, incarnation: str, jobs: int, since: float, until: float
-           ) -> Iterator[tuple[list[Block], Block | None]]:
+def chunks(
+    recording: Recording, incarnation: str, jobs: int, since: float, until: float
+) -> Iterator[tuple[list[Block], Block | None]]:
     """An incarnation's blocks in about so many runs that each begin with a checkpoint, and the block after each."""
     parts = recording.parts(incarnation)
     # What is not near the time asked for is left out, whole parts at a time.
-    wanted = [p for k, p in enumerate(parts)
-              if p[-1].lot.ended >= since and p[0].lot.begun <= until or k + 1 == len(parts) == 1]
+    wanted = [
+        p
+        for k, p in enumerate(parts)
+        if p[-1].lot.ended >= since and p[0].lot.begun <= until or k + 1 == len(parts) == 1
+    ]
     if not wanted:
         return
     after = parts.index(wanted[-1]) + 1
@@ -213,11 +221,17 @@
             run = []
 
 
-def play(incarnation: str, blocks: list[Block], first: int, then: Block | None, until: float,
-         make: Callable[..., Conductor] = Conductor) -> tuple[Player, list[str]]:
+def play(
+    incarnation: str,
+    blocks: list[Block],
+    first: int,
+    then: Block | None,
+    until: float,
+    make: Callable[..., Conductor] = Conductor,
+) -> tuple[Player, list[str]]:
     """Replay one run of blocks, whose numbers should begin with `first`, up to the checkpoint with which the next
     begins, itself included."""
-    recording = Recording.__new__(Recording)        # the blocks say where they lie: nothing is read twice
+    recording = Recording.__new__(Recording)  # the blocks say where they lie: nothing is read twice
     recording.faults = []
     player = Player(incarnation, make)
     events = recording.events(blocks, first, then)
@@ -233,19 +247,24 @@
 
 def _play(arguments: tuple) -> tuple[Player, list[str]]:
     player, faults = play(*arguments)
-    player.module = None        # it stays in its process
+    player.module = None  # it stays in its process
     return player, faults
 
 
-def replay(recording: Recording, jobs: int = 1, since: float = float("-inf"), until: float = float("inf"),
-           told: Callable[[int, int], None] = lambda done, of: None) -> Outcome:
+def replay(
+    recording: Recording,
+    jobs: int = 1,
+    since: float = float("-inf"),
+    until: float = float("inf"),
+    told: Callable[[int, int], None] = lambda done, of: None,
+) -> Outcome:
     """Replay a recording exactly, with so many processes at once; `told` hears of runs done and of how many.
 
     Raises Unfit for snapshots or settings that this version cannot use.
     """
     work = []
     for incarnation in recording.incarnations:
-        first = 0 if since == float("-inf") else None       # what the budget removed at the front is a loss too
+        first = 0 if since == float("-inf") else None  # what the budget removed at the front is a loss too
         # Some runs a job, so that none waits long for the last.
         for blocks, then in chunks(recording, incarnation, jobs if jobs < 2 else 4 * jobs, since, until):
             work.append((incarnation, blocks, blocks[0].lot.first if first is None else first, then, until))
@@ -268,16 +287,22 @@
             pool.shutdown(cancel_futures=True)
     stretches: list[Stretch] = []
     for a, b in (s for p in players for s in p.stretches):
-        if stretches and stretches[-1].until == a:      # parts that meet at a joint
+        if stretches and stretches[-1].until == a:  # parts that meet at a joint
             stretches[-1] = Stretch(stretches[-1].since, b)
-        elif b > a:     # a checkpoint alone compares nothing
+        elif b > a:  # a checkpoint alone compares nothing
             stretches.append(Stretch(a, b))
     return Outcome(
-        rounds=sum(p.rounds for p in players), orders=sum(p.orders for p in players),
-        joints=sum(p.joints for p in players), lives=sum(p.lives for p in players),
-        failures=sum(p.failures for p in players), stretches=stretches, losses=[x for p in players for x in p.losses],
-        divergences=[x for p in players for x in p.divergences], faults=list(dict.fromkeys(faults)),
-        policies=list(dict.fromkeys(d for p in players for d in p.policies)))
+        rounds=sum(p.rounds for p in players),
+        orders=sum(p.orders for p in players),
+        joints=sum(p.joints for p in players),
+        lives=sum(p.lives for p in players),
+        failures=sum(p.failures for p in players),
+        stretches=stretches,
+        losses=[x for p in players for x in p.losses],
+        divergences=[x for p in players for x in p.divergences],
+        faults=list(dict.fromkeys(faults)),
+        policies=list(dict.fromkeys(d for p in players for d in p.policies)),
+    )
 
 
 def cores() -> int:
--- a/knotwalk/replay/model.py
+++ b/knotwalk/replay/model.py
@@ -18,23 +18,23 @@
 from knotwalk.rules import Break, Rules
 from knotwalk.tape import Tape
 
-GIVE_UP = 5.0       # seconds that a client waits where the recording does not say: past most soft deadlines
-WAIT_MOST = 8.0     # seconds of wait at which a server takes no more: its queues have some end
-SEEN = 6.0          # seconds after which what was heard of a server's speed is old: trouble lasts some 10 s
-SPAN = 10.0         # seconds by which service is told
+GIVE_UP = 5.0  # seconds that a client waits where the recording does not say: past most soft deadlines
+WAIT_MOST = 8.0  # seconds of wait at which a server takes no more: its queues have some end
+SEEN = 6.0  # seconds after which what was heard of a server's speed is old: trouble lasts some 10 s
+SPAN = 10.0  # seconds by which service is told
 
 
 class Run(NamedTuple):
     """What a run came to. Spans are SPAN seconds from the past's start."""
 
-    service: dict[int, list[float]]         # by span: [asked, earned] by method
-    tables: list[tuple[float, int, dict[str, float]]]   # each change: when ordered, slice, its lines from then on
+    service: dict[int, list[float]]  # by span: [asked, earned] by method
+    tables: list[tuple[float, int, dict[str, float]]]  # each change: when ordered, slice, its lines from then on
     breaks: list[Break]
     breaks_more: int
-    messages: dict[int, int]                # by span: the most messages that a proxy got within the rules' span
-    used: dict[int, dict[str, float]]       # by span: utilization by server
-    moves: int                              # lines ordered
-    unseen: float                           # share of RPCs sent to servers whose speed then was not heard of
+    messages: dict[int, int]  # by span: the most messages that a proxy got within the rules' span
+    used: dict[int, dict[str, float]]  # by span: utilization by server
+    moves: int  # lines ordered
+    unseen: float  # share of RPCs sent to servers whose speed then was not heard of
 
 
 class Server:
@@ -57,9 +57,14 @@
 class Model:
     """One run of a past. `settings` maps a life's recorded settings to those to try, `make` makes the module."""
 
-    def __init__(self, past: Past, settings: Callable[[Settings], Settings],
-                 make: Callable[..., Conductor] = Conductor, seed: int = 0,
-                 tick: Callable[[float], None] = lambda now: None):
+    def __init__(
+        self,
+        past: Past,
+        settings: Callable[[Settings], Settings],
+        make: Callable[..., Conductor] = Conductor,
+        seed: int = 0,
+        tick: Callable[[float], None] = lambda now: None,
+    ):
         self.past, self.change, self.make, self.seed, self.tick = past, settings, make, seed, tick
         self.random = Random(seed + 0.25)
         life = past.lives[0]
@@ -68,10 +73,10 @@
         self.rules = Rules(life.settings, life.limits)
         self.module: Conductor | None = None
         self.servers: dict[str, Server] = {}
-        self.proxies: dict[int, float] = {}         # when the last message under way is taken in
-        self.store: dict[int, dict[str, float]] = {}    # lines as ordered
+        self.proxies: dict[int, float] = {}  # when the last message under way is taken in
+        self.store: dict[int, dict[str, float]] = {}  # lines as ordered
         self.ours: set[int] = set()
-        self.lines: dict[int, tuple] = {}           # as they are in effect
+        self.lines: dict[int, tuple] = {}  # as they are in effect
         self.levels: dict[tuple[int, int], float] = {}
         self.shut: set[str] = set()
         self.heap: list[tuple] = []
@@ -117,8 +122,16 @@
                     self.step()
         while self.heap and self.heap[0][0] <= past.until:
             self.step()
-        return Run(self.service, self.tables, self.rules.breaks, self.rules.more, self.messages, self.used, self.moves,
-                   self.unseen / max(1, self.sent))
+        return Run(
+            self.service,
+            self.tables,
+            self.rules.breaks,
+            self.rules.more,
+            self.messages,
+            self.used,
+            self.moves,
+            self.unseen / max(1, self.sent),
+        )
 
     def step(self) -> None:
         self.now, _, call = heapq.heappop(self.heap)
@@ -133,6 +146,7 @@
         self.module = self.make(self.settings, life.seed + self.seed)
         if life.why != "start" and old is not None:
             from knotwalk.state import carry
+
             carry(old, self.module)
         elif life.why == "start":
             self.ours.clear()
@@ -143,7 +157,7 @@
         for name, f in world:
             if name == "given":
                 out.append((name, f))
-                if f[0] in self.store:      # its lines are the run's, not the recording's
+                if f[0] in self.store:  # its lines are the run's, not the recording's
                     told_here.add(f[0])
                     out += [("held", (f[0], server, weight)) for server, weight in self.store[f[0]].items()]
                 else:
@@ -185,8 +199,10 @@
             while at is not None and at.tb_next is not None:
                 at = at.tb_next
             line = f" in line {at.tb_lineno}" if at else ""
-            raise Failed(f"the decisions failed {now - self.past.since:.1f} s into the day{line}: "
-                         f"{type(fault).__name__}: {fault}") from None
+            raise Failed(
+                f"the decisions failed {now - self.past.since:.1f} s into the day{line}: "
+                f"{type(fault).__name__}: {fault}"
+            ) from None
         self.rules.feed(now, inbox, out.orders)
         changed: dict[int, dict[str, float]] = {}
         levels: dict[tuple[int, int], float] = {}
@@ -216,8 +232,9 @@
             return
         self.moves += lines
         span = int((now - self.past.since) / SPAN)
-        self.messages[span] = max(self.messages.get(span, 0),
-                                  max((len(p.sent) for p in self.rules.proxies.values()), default=0))
+        self.messages[span] = max(
+            self.messages.get(span, 0), max((len(p.sent) for p in self.rules.proxies.values()), default=0)
+        )
         for slice_id, held in changed.items():
             self.tables.append((now, slice_id, held))
         # One time of effect for all proxies, a receipt from each; messages to one proxy stay in order.
@@ -230,8 +247,12 @@
                 self.proxies[proxy] = due
                 taken.setdefault(int(due * 20), []).append(proxy)
             for tick, proxies in taken.items():
-                self.at((tick + 1) / 20, lambda proxies=proxies: self.life == life and self.round(
-                    [("applied", (p, mark)) for p in proxies if p in self.proxies]))
+                self.at(
+                    (tick + 1) / 20,
+                    lambda proxies=proxies: (
+                        self.life == life and self.round([("applied", (p, mark)) for p in proxies if p in self.proxies])
+                    ),
+                )
 
     def effect(self, changed: dict, levels: dict, shut: list) -> None:
         """Orders take effect at the proxies."""
@@ -251,8 +272,16 @@
         for (slice_id, method), n in report.wanted.items():
             mean = self.past.work[method] if method < len(self.past.work) else 0.0
             for _ in range(n):
-                out.append((since + span * r.random(), slice_id, method, bisect(
-                    self.zone_sums, r.random() * self.zone_sums[-1]), r.gammavariate(SHAPE, mean / SHAPE), r.random()))
+                out.append(
+                    (
+                        since + span * r.random(),
+                        slice_id,
+                        method,
+                        bisect(self.zone_sums, r.random() * self.zone_sums[-1]),
+                        r.gammavariate(SHAPE, mean / SHAPE),
+                        r.random(),
+                    )
+                )
         out.sort()
         return iter(out)
 
@@ -263,7 +292,7 @@
             row = self.service[span] = [0.0] * (2 * len(self.deadlines))
         row[2 * method] += 1
         lines = self.lines.get(slice_id)
-        if lines is None:       # held by nobody that we heard of: as it stands in the recording
+        if lines is None:  # held by nobody that we heard of: as it stands in the recording
             held = self.past.tables[slice_id].at(t, None) if slice_id in self.past.tables else None
             lines = (list(held), list(accumulate(held.values()))) if held else ()
         if not lines or chance >= self.levels.get((slice_id, method), 1.0):
@@ -289,8 +318,9 @@
             return
         self.sent += 1
         self.unseen += t - host.speed.when(t) > SEEN
-        speed = (host.speed.at(t) or (host.speed.values[0] if host.speed.values else self.usual)) \
-            * host.ramp(t, self.recorded)
+        speed = (host.speed.at(t) or (host.speed.values[0] if host.speed.values else self.usual)) * host.ramp(
+            t, self.recorded
+        )
         others = host.others.at(t, 0.0)
         rate = speed * max(0.05, 1 - others)
         free = x.free
@@ -327,8 +357,9 @@
                 del load["qps"]
             for zone, (tried, aborted, seconds) in x.met.items():
                 good = tried - aborted
-                inbox.append(("heard", (x.id, zone, span, tried, aborted, seconds / good if good else 0.0,
-                                        load if good else {})))
+                inbox.append(
+                    ("heard", (x.id, zone, span, tried, aborted, seconds / good if good else 0.0, load if good else {}))
+                )
             x.met = {}
         inbox += [("wanted", (slice_id, method, span, n)) for (slice_id, method), n in report.wanted.items()]
         self.at(report.at, lambda: self.round(inbox))
--- a/knotwalk/replay/past.py
+++ b/knotwalk/replay/past.py
@@ -18,15 +18,15 @@
 
 # What the world tells whatever the tables are; the rest (heard, applied) is answered by the model.
 FIXED = {"listed", "list_failed", "joined", "left", "given", "taken", "held", "receipts_lost"}
-LATE_LEAST = 0.2    # seconds that the quickest reports are under way: a collector's burst and the way
-CHAIN = 100         # reports whose spans are taken to follow each other on one clock
-SMOOTH = 8          # periods to each side over which a server's speed is averaged: chance spoils single ones
-ALIKE = 0.67        # unless their speeds differ by more than this: then something happened to the server
-TRIES_LEAST = 3     # under so many tries a period says nothing of a server's speed
-FULL = 0.95         # utilization past which work waits, and a report of it says little of the speed
-DEAD = 0.2          # share of tries answered under which a server without a load report is down
-SHAPE = 3           # of the gamma that a method's work is taken for: between regular and memoryless
-PLACES = 25         # fits of methods against speeds: they settle within ten
+LATE_LEAST = 0.2  # seconds that the quickest reports are under way: a collector's burst and the way
+CHAIN = 100  # reports whose spans are taken to follow each other on one clock
+SMOOTH = 8  # periods to each side over which a server's speed is averaged: chance spoils single ones
+ALIKE = 0.67  # unless their speeds differ by more than this: then something happened to the server
+TRIES_LEAST = 3  # under so many tries a period says nothing of a server's speed
+FULL = 0.95  # utilization past which work waits, and a report of it says little of the speed
+DEAD = 0.2  # share of tries answered under which a server without a load report is down
+SHAPE = 3  # of the gamma that a method's work is taken for: between regular and memoryless
+PLACES = 25  # fits of methods against speeds: they settle within ten
 
 
 class Life(NamedTuple):
@@ -44,10 +44,10 @@
 
     tries: int
     good: int
-    seconds: float                      # of the good ones
-    used: float | None                  # utilization
-    rate: float | None                  # RPCs a second by its own word, whoever sent them
-    zones: dict[str, tuple[int, int]]   # by zone of proxies: tries, good ones
+    seconds: float  # of the good ones
+    used: float | None  # utilization
+    rate: float | None  # RPCs a second by its own word, whoever sent them
+    zones: dict[str, tuple[int, int]]  # by zone of proxies: tries, good ones
 
 
 class Report:
@@ -57,10 +57,10 @@
 
     def __init__(self, at: float, span: float):
         self.at, self.span = at, span
-        self.since, self.until = at - LATE_LEAST - span, at - LATE_LEAST    # see Past.align
+        self.since, self.until = at - LATE_LEAST - span, at - LATE_LEAST  # see Past.align
         self.wanted: dict[tuple[int, int], int] = {}
         self.met: dict[str, Met] = {}
-        self.mix: dict[str, list[float]] = {}       # by server: expected tries by method, by the tables
+        self.mix: dict[str, list[float]] = {}  # by server: expected tries by method, by the tables
 
 
 class Steps:
@@ -107,11 +107,11 @@
     def __init__(self, id: str):
         self.id = id
         self.zone, self.size = "", 1.0
-        self.states = Steps()           # (state, started) by the list
-        self.speed = Steps()            # work a second and core, as if warm; by the middle of periods
-        self.alive = Steps()            # whether it answers
-        self.others = Steps()           # utilization by what is not ours
-        self.reach: dict[str, Steps] = {}       # by zone of proxies: the share of tries that get there
+        self.states = Steps()  # (state, started) by the list
+        self.speed = Steps()  # work a second and core, as if warm; by the middle of periods
+        self.alive = Steps()  # whether it answers
+        self.others = Steps()  # utilization by what is not ours
+        self.reach: dict[str, Steps] = {}  # by zone of proxies: the share of tries that get there
 
     def ramp(self, at: float, settings: Settings) -> float:
         """What a start leaves it of its capacity: it grows evenly from the stated share."""
@@ -144,22 +144,22 @@
     def __init__(self) -> None:
         self.lives: list[Life] = []
         self.losses: list[Loss] = []
-        self.fixed: list[tuple[float, list]] = []       # rounds and what the world told in them
+        self.fixed: list[tuple[float, list]] = []  # rounds and what the world told in them
         self.reports: list[Report] = []
-        self.orders: list[tuple[float, list]] = []      # rounds with lines, levels or withdrawals
+        self.orders: list[tuple[float, list]] = []  # rounds with lines, levels or withdrawals
         self.hosts: dict[str, Host] = {}
-        self.tables: dict[int, Steps] = {}              # by slice: lines as ordered
+        self.tables: dict[int, Steps] = {}  # by slice: lines as ordered
         self.levels: dict[tuple[int, int], Steps] = {}
         self.shut: dict[str, Steps] = {}
-        self.asked: dict[int, float] = {}               # receipts asked for: mark, when
-        self.delays: list[float] = []                   # seconds from an order to its receipt
-        self.zones: dict[str, int] = {}                 # tries by zone of proxies
+        self.asked: dict[int, float] = {}  # receipts asked for: mark, when
+        self.delays: list[float] = []  # seconds from an order to its receipt
+        self.zones: dict[str, int] = {}  # tries by zone of proxies
         self.since = self.until = 0.0
         self.proxies: set[int] = set()
-        self.ours: set[int] = set()                     # slices
-        self.blind = False                              # after a loss, until a checkpoint says what stands
-        self.work: list[float] = []                     # by method: core seconds at the mean speed
-        self.unsure = 0.0       # spread of the speeds by period about their smoothed course, as a share
+        self.ours: set[int] = set()  # slices
+        self.blind = False  # after a loss, until a checkpoint says what stands
+        self.work: list[float] = []  # by method: core seconds at the mean speed
+        self.unsure = 0.0  # spread of the speeds by period about their smoothed course, as a share
 
     # --- reading ---
 
@@ -177,8 +177,15 @@
             life, self.blind = rest[0], False
             if life["why"] == "start":
                 self.proxies, self.ours = set(), set()
-            self.lives.append(Life(now, life["why"], int(life["seed"], 16), state.settings_read(life["settings"]),
-                                   limits_read(life["limits"])))
+            self.lives.append(
+                Life(
+                    now,
+                    life["why"],
+                    int(life["seed"], 16),
+                    state.settings_read(life["settings"]),
+                    limits_read(life["limits"]),
+                )
+            )
         elif kind == CHECK and (not self.lives or self.blind):
             self.begin(now, rest[0], rest[1])
         elif kind in (ROUND, FAILED) and not self.blind:
@@ -187,8 +194,15 @@
     def begin(self, now: float, told: dict, life: dict) -> None:
         """What stands at a checkpoint, as if it had come in: at the recording's start, or after a loss."""
         if not self.lives:
-            self.lives.append(Life(now, "start", int(life["seed"], 16), state.settings_read(life["settings"]),
-                                   limits_read(life["limits"])))
+            self.lives.append(
+                Life(
+                    now,
+                    "start",
+                    int(life["seed"], 16),
+                    state.settings_read(life["settings"]),
+                    limits_read(life["limits"]),
+                )
+            )
         self.blind = False
         inbox = state.standing(told)
         joined = {f[0] for name, f in inbox if name == "joined"}
@@ -196,8 +210,20 @@
         gone: list = [("left", (p,)) for p in self.proxies - joined]
         gone += [("taken", (s,)) for s in self.ours - given]
         fresh = joined - self.proxies, given - self.ours
-        self.round(now, gone + [x for x in inbox if x[0] == "listed" or x[0] == "joined" and x[1][0] in fresh[0]
-                                or x[0] in ("given", "held") and x[1][0] in fresh[1]], [])
+        self.round(
+            now,
+            gone
+            + [
+                x
+                for x in inbox
+                if x[0] == "listed"
+                or x[0] == "joined"
+                and x[1][0] in fresh[0]
+                or x[0] in ("given", "held")
+                and x[1][0] in fresh[1]
+            ],
+            [],
+        )
 
     def round(self, now: float, inbox: list, orders: list) -> None:
         world = [x for x in inbox if x[0] in FIXED]
@@ -252,8 +278,10 @@
     def listed(self, now: float, full: bool, _cached: bool, entries: list) -> None:
         if full:
             named = {e[0] for e in entries}
-            entries = [*entries, *((x.id, x.zone, "gone", x.size, 0.0) for x in self.hosts.values()
-                                   if x.id not in named)]
+            entries = [
+                *entries,
+                *((x.id, x.zone, "gone", x.size, 0.0) for x in self.hosts.values() if x.id not in named),
+            ]
         for id, zone, condition, size, started in entries:
             x = self.hosts.get(id)
             if x is None:
@@ -269,16 +297,22 @@
             lines[server] = weight
         steps.put(now, lines)
 
-    def heard(self, report: Report, server: str, zone: str, _span: float, tries: int, aborted: int, latency: float,
-              load: dict) -> None:
+    def heard(
+        self, report: Report, server: str, zone: str, _span: float, tries: int, aborted: int, latency: float, load: dict
+    ) -> None:
         if server not in self.hosts:
             self.hosts[server] = Host(server)
         good = tries - aborted
         self.zones[zone] = self.zones.get(zone, 0) + tries
         old = report.met.get(server, Met(0, 0, 0.0, None, None, {}))
         report.met[server] = Met(
-            old.tries + tries, old.good + good, old.seconds + good * latency, load.get("utilization", old.used),
-            load.get("qps", old.rate), {**old.zones, zone: (tries, good)})
+            old.tries + tries,
+            old.good + good,
+            old.seconds + good * latency,
+            load.get("utilization", old.used),
+            load.get("qps", old.rate),
+            {**old.zones, zone: (tries, good)},
+        )
 
     # --- inference ---
 
@@ -306,8 +340,7 @@
         for k, report in enumerate(self.reports):
             chain.append(report)
             following = self.reports[k + 1] if k + 1 < len(self.reports) else None
-            if following and len(chain) < CHAIN \
-                    and abs(following.at - report.at - following.span) < 0.75 * report.span:
+            if following and len(chain) < CHAIN and abs(following.at - report.at - following.span) < 0.75 * report.span:
                 continue
             ends, end = [], 0.0
             for x in chain:
@@ -359,8 +392,7 @@
         """What a method's RPC costs, and with it how fast each server is: each in turn, the other held."""
         settings = self.lives[0].settings
         count = len(settings.methods)
-        rows = [(server, tried, busy) for report in self.reports
-                for server, _, tried, busy in self.clear(report)]
+        rows = [(server, tried, busy) for report in self.reports for server, _, tried, busy in self.clear(report)]
         self.work = [1.0] * count
         if not rows:
             self.work = [0.1 * m.soft_deadline for m in settings.methods]
@@ -395,7 +427,7 @@
     def course(self, x: Host) -> None:
         """A server's speed, life and reach over the day."""
         settings = self.lives[0].settings
-        points: list[tuple[float, float, float, float, float]] = []     # middle, work, core seconds, ramp, others
+        points: list[tuple[float, float, float, float, float]] = []  # middle, work, core seconds, ramp, others
         seen = [(r, r.met[x.id]) for r in self.reports if x.id in r.met and r.met[x.id].tries > 0]
         x.alive.put(self.since, True)
         wait_before = 0.0
@@ -422,20 +454,22 @@
             speed = points[-1][1] / points[-1][2] * ramp if points else 1.0
             wait = max(0.0, met.seconds / max(1, met.good) - work / met.tries / speed)
             busy = met.used * span * x.size
-            if met.used >= FULL:    # work came that was not done: how much the wait grew says how much
+            if met.used >= FULL:  # work came that was not done: how much the wait grew says how much
                 busy += max(-0.5, min(2.0, wait - wait_before)) * x.size
             wait_before = wait
             if met.used > 0.02:
                 points.append((middle, work, max(1e-6, busy * ours) * ramp, ramp, met.used * (1 - ours)))
-        own = [sum(p[1] for p in points[max(0, k - 1):k + 2]) / sum(p[2] for p in points[max(0, k - 1):k + 2])
-               for k in range(len(points))]     # three periods at a time: what one tells is mostly chance
+        own = [
+            sum(p[1] for p in points[max(0, k - 1) : k + 2]) / sum(p[2] for p in points[max(0, k - 1) : k + 2])
+            for k in range(len(points))
+        ]  # three periods at a time: what one tells is mostly chance
         for k, (middle, *_) in enumerate(points):
             low = high = k
             while low > 0 and k - low < SMOOTH and ALIKE < own[low - 1] / own[k] < 1 / ALIKE:
                 low -= 1
             while high + 1 < len(points) and high - k < SMOOTH and ALIKE < own[high + 1] / own[k] < 1 / ALIKE:
                 high += 1
-            near = points[low:high + 1]
+            near = points[low : high + 1]
             x.speed.put(middle - 0.5 * settings.report_period, sum(p[1] for p in near) / sum(p[2] for p in near))
             x.others.put(middle - 0.5 * settings.report_period, points[k][4])
         for at, (condition, started) in zip(x.states.times, x.states.values):
@@ -520,8 +554,7 @@
 
 def limits_read(told: dict) -> Limits:
     """Limits from plain values, those of an older recording included."""
-    return Limits(**{k: tuple(v) if isinstance(v, list | tuple) else v for k, v in told.items()
-                     if k in Limits._fields})
+    return Limits(**{k: tuple(v) if isinstance(v, list | tuple) else v for k, v in told.items() if k in Limits._fields})
 
 
 def worth(row: list[float], settings: Settings) -> tuple[float, float]:
--- a/knotwalk/replay/report.py
+++ b/knotwalk/replay/report.py
@@ -28,7 +28,7 @@
     out = io.StringIO()
     figure.savefig(out, format="svg", metadata={"Date": None})
     text = out.getvalue()
-    return text[text.index("<svg"):]
+    return text[text.index("<svg") :]
 
 
 def page(past: Past, v: Verdict, names: list[str], conductor: str) -> str:
@@ -38,12 +38,20 @@
 
     def service(axes) -> None:
         axes.plot([k * SPAN / 60 for k in heard], list(heard.values()), color=HEARD, label="by the recorded reports")
-        for side, colour, label in ((v.recorded, RECORDED, "model, recorded settings"),
-                                    (v.tried, TRIED, "model, other settings")):
+        for side, colour, label in (
+            (v.recorded, RECORDED, "model, recorded settings"),
+            (v.tried, TRIED, "model, other settings"),
+        ):
             x, y = [at / 60 for at, _ in side.course], [value for _, value in side.course]
             axes.plot(x, y, color=colour, label=label)
-            axes.fill_between(x, [max(0, value - v.error_span) for value in y],
-                              [min(1, value + v.error_span) for value in y], color=colour, alpha=0.12, linewidth=0)
+            axes.fill_between(
+                x,
+                [max(0, value - v.error_span) for value in y],
+                [min(1, value + v.error_span) for value in y],
+                color=colour,
+                alpha=0.12,
+                linewidth=0,
+            )
         axes.set_ylabel("service")
 
     def apart(axes) -> None:
@@ -52,8 +60,13 @@
 
     def messages(axes) -> None:
         for side, colour, label in ((v.recorded, RECORDED, "recorded settings"), (v.tried, TRIED, "other settings")):
-            axes.step([k * SPAN / 60 for k in sorted(side.messages)],
-                      [side.messages[k] for k in sorted(side.messages)], color=colour, label=label, where="post")
+            axes.step(
+                [k * SPAN / 60 for k in sorted(side.messages)],
+                [side.messages[k] for k in sorted(side.messages)],
+                color=colour,
+                label=label,
+                where="post",
+            )
         if settings.messages_most:
             axes.axhline(settings.messages_most, color="tab:red", linewidth=1, label="cap")
         axes.set_ylabel(f"most messages in {settings.messages_span:g} s")
@@ -61,19 +74,38 @@
     def load(axes) -> None:
         for side, colour, label in ((v.recorded, RECORDED, "recorded settings"), (v.tried, TRIED, "other settings")):
             keys = sorted(side.used)
-            axes.plot([k * SPAN / 60 for k in keys], [side.used[k][1] for k in keys], color=colour,
-                      label=f"fullest server, {label}")
-            axes.plot([k * SPAN / 60 for k in keys], [side.used[k][0] for k in keys], color=colour, linestyle=":",
-                      label=f"mean, {label}")
+            axes.plot(
+                [k * SPAN / 60 for k in keys],
+                [side.used[k][1] for k in keys],
+                color=colour,
+                label=f"fullest server, {label}",
+            )
+            axes.plot(
+                [k * SPAN / 60 for k in keys],
+                [side.used[k][0] for k in keys],
+                color=colour,
+                linestyle=":",
+                label=f"mean, {label}",
+            )
         axes.set_ylabel("utilization")
 
     environment = jinja2.Environment(loader=jinja2.PackageLoader("knotwalk.replay", ""), autoescape=True)
-    plots = [("Service by 10 s", service), ("Where tables differ", apart),
-             ("Messages to a proxy against the cap", messages), ("Load by server", load)]
+    plots = [
+        ("Service by 10 s", service),
+        ("Where tables differ", apart),
+        ("Messages to a proxy against the cap", messages),
+        ("Load by server", load),
+    ]
     return environment.get_template("page.html").render(
-        v=v, names=names, conductor=conductor, start=past.since, minutes=(past.until - past.since) / 60,
-        plots=[(title, drawn(draw)) for title, draw in plots], methods=list(zip(v.recorded.methods, v.tried.methods)),
-        unsure=past.unsure)
+        v=v,
+        names=names,
+        conductor=conductor,
+        start=past.since,
+        minutes=(past.until - past.since) / 60,
+        plots=[(title, drawn(draw)) for title, draw in plots],
+        methods=list(zip(v.recorded.methods, v.tried.methods)),
+        unsure=past.unsure,
+    )
 
 
 def write(path: str, past: Past, v: Verdict, names: list[str], conductor: str) -> None:
--- a/knotwalk/replay/verdict.py
+++ b/knotwalk/replay/verdict.py
@@ -19,7 +19,7 @@
 
 # Student's t, 95% both ways, by degrees of freedom: few runs tell little of how far chance goes.
 T95 = (12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23)
-LEAST = 0.004       # of service: under this nobody would change a setting, and the model has its grain
+LEAST = 0.004  # of service: under this nobody would change a setting, and the model has its grain
 
 
 def judged(events: Iterable[list | Loss], rules: Rules | None = None) -> Rules | None:
@@ -64,30 +64,30 @@
 
     service: Likely
     methods: list[Likely]
-    course: list[tuple[float, float]]       # (seconds from the start, service), by SPAN
-    moves: float                            # lines ordered, the mean of the runs
-    breaks: list[Break]                     # of the first run
+    course: list[tuple[float, float]]  # (seconds from the start, service), by SPAN
+    moves: float  # lines ordered, the mean of the runs
+    breaks: list[Break]  # of the first run
     breaks_more: int
     messages: dict[int, int]
-    used: dict[int, tuple[float, float]]    # by span: mean and highest utilization of servers
+    used: dict[int, tuple[float, float]]  # by span: mean and highest utilization of servers
 
 
 class Verdict(NamedTuple):
     """What a what-if came to."""
 
-    heard: float                # service as the recorded reports make it likely
-    error: float                # the model under the recorded settings, less that
-    error_span: float           # root mean square of the same by SPAN
-    chance: float               # standard deviation of the difference from run to run
-    margin: float               # differences under this are not told apart
+    heard: float  # service as the recorded reports make it likely
+    error: float  # the model under the recorded settings, less that
+    error_span: float  # root mean square of the same by SPAN
+    chance: float  # standard deviation of the difference from run to run
+    margin: float  # differences under this are not told apart
     recorded: Side
     tried: Side
-    difference: Likely          # tried less recorded
-    better: str                 # "tried", "recorded" or "cannot tell"
-    apart: list[tuple[float, int]]      # (seconds from the start, slices whose lines differ), by SPAN
-    apart_from: float | None            # when the first table differs
+    difference: Likely  # tried less recorded
+    better: str  # "tried", "recorded" or "cannot tell"
+    apart: list[tuple[float, int]]  # (seconds from the start, slices whose lines differ), by SPAN
+    apart_from: float | None  # when the first table differs
     runs: int
-    lost: float                 # seconds of the day that the recording does not hold
+    lost: float  # seconds of the day that the recording does not hold
 
 
 def share(rows: Iterable[list[float]], settings: Settings) -> float:
@@ -128,8 +128,9 @@
     error = fmean(a) - heard
     course = spans(heard_rows, s)
     modelled = [spans(run.service, s) for run in recorded]
-    off = [fmean(m[k] for m in modelled if k in m) - value for k, value in course.items()
-           if any(k in m for m in modelled)]
+    off = [
+        fmean(m[k] for m in modelled if k in m) - value for k, value in course.items() if any(k in m for m in modelled)
+    ]
     error_span = sqrt(fmean(x * x for x in off)) if off else 0.0
     differences = [y - x for x, y in zip(a, b)]
     chance = stdev(differences) if len(differences) > 1 else abs(differences[0])
@@ -144,20 +145,38 @@
         methods = []
         for k in range(count):
             moved = base[k] + fmean(x[k] for x in own) - fmean(x[k] for x in zero)
-            spread = max(wide, abs(fmean(x[k] for x in zero) - base[k]),
-                         reach([x[k] for x in own]))
+            spread = max(wide, abs(fmean(x[k] for x in zero) - base[k]), reach([x[k] for x in own]))
             methods.append(likely(moved, spread))
         by_span = [spans(run.service, s) for run in runs]
         keys = sorted(set().union(*by_span))
         used = {k: (fmean(v.values()), max(v.values())) for k, v in runs[0].used.items() if v}
-        return Side(likely(heard + shift, wide), methods,
-                    [(k * SPAN, fmean(m[k] for m in by_span if k in m)) for k in keys],
-                    fmean(run.moves for run in runs), runs[0].breaks, runs[0].breaks_more, runs[0].messages, used)
+        return Side(
+            likely(heard + shift, wide),
+            methods,
+            [(k * SPAN, fmean(m[k] for m in by_span if k in m)) for k in keys],
+            fmean(run.moves for run in runs),
+            runs[0].breaks,
+            runs[0].breaks_more,
+            runs[0].messages,
+            used,
+        )
 
     apart, since = tables_apart(past, recorded[0], tried[0])
-    return Verdict(heard, error, error_span, chance, margin, side(recorded, 0.0, abs(error)),
-                   side(tried, difference, margin), Likely(difference, difference - margin, difference + margin),
-                   better, apart, since, len(recorded), sum(x.until - x.since for x in past.losses))
+    return Verdict(
+        heard,
+        error,
+        error_span,
+        chance,
+        margin,
+        side(recorded, 0.0, abs(error)),
+        side(tried, difference, margin),
+        Likely(difference, difference - margin, difference + margin),
+        better,
+        apart,
+        since,
+        len(recorded),
+        sum(x.until - x.since for x in past.losses),
+    )
 
 
 def reach(values: list[float]) -> float:
@@ -178,8 +197,11 @@
 
 def tables_apart(past: Past, a: Run, b: Run) -> tuple[list[tuple[float, int]], float | None]:
     """How many slices' lines differ at the end of each SPAN, and when the first did."""
-    changes = sorted([(at, 0, slice_id, lines) for at, slice_id, lines in a.tables]
-                     + [(at, 1, slice_id, lines) for at, slice_id, lines in b.tables], key=lambda x: x[0])
+    changes = sorted(
+        [(at, 0, slice_id, lines) for at, slice_id, lines in a.tables]
+        + [(at, 1, slice_id, lines) for at, slice_id, lines in b.tables],
+        key=lambda x: x[0],
+    )
     tables: tuple[dict, dict] = ({}, {})
     out, first, k = [], None, 0
     differ: set[int] = set()
@@ -189,7 +211,7 @@
         while k < len(changes) and changes[k][0] < end:
             at = changes[k][0]
             touched = set()
-            while k < len(changes) and changes[k][0] == at:     # both may change a table in the same round
+            while k < len(changes) and changes[k][0] == at:  # both may change a table in the same round
                 _, which, slice_id, lines = changes[k]
                 tables[which][slice_id] = lines
                 touched.add(slice_id)
--- a/knotwalk/rules.py
+++ b/knotwalk/rules.py
@@ -15,12 +15,12 @@
 class Limits(NamedTuple):
     """What a day is judged by beside the settings, and no decision needs; 0 or empty: not told, not judged."""
 
-    unserved_most: float = 0.0      # rule 1: seconds without a line
-    grace: float = 0.0              # rules 3 and 4: seconds until sending stops
-    once: tuple[int, ...] = ()      # rule 2: the methods that are not idempotent, by place
-    tip_multiple: float = 0.0       # rule 4: times its capacity, over
-    fall_time: float = 0.0          # so many seconds, at which a cold server falls
-    give_up: tuple[float, ...] = ()     # by method: seconds that a client waits
+    unserved_most: float = 0.0  # rule 1: seconds without a line
+    grace: float = 0.0  # rules 3 and 4: seconds until sending stops
+    once: tuple[int, ...] = ()  # rule 2: the methods that are not idempotent, by place
+    tip_multiple: float = 0.0  # rule 4: times its capacity, over
+    fall_time: float = 0.0  # so many seconds, at which a cold server falls
+    give_up: tuple[float, ...] = ()  # by method: seconds that a client waits
     late_share: tuple[float, ...] = ()  # by method: what an answer past its soft deadline still earns
 
 
@@ -29,8 +29,8 @@
 
     at: float
     rule: int
-    whom: str       # proxy, slice, server or method
-    what: str       # with the count and the limit
+    whom: str  # proxy, slice, server or method
+    what: str  # with the count and the limit
     sure: bool
 
 
@@ -53,11 +53,11 @@
 
     def __init__(self) -> None:
         self.state, self.size, self.started = "ready", 1.0, 0.0
-        self.left_at: float | None = None       # since when it must be left
-        self.judged = False                     # whether its drain has been judged
-        self.slices: set[int] = set()           # whose tables name it
+        self.left_at: float | None = None  # since when it must be left
+        self.judged = False  # whether its drain has been judged
+        self.slices: set[int] = set()  # whose tables name it
         self.shut = False
-        self.off_at: int | None = None          # the message that took it out of the last table
+        self.off_at: int | None = None  # the message that took it out of the last table
         self.full_since: float | None = None
 
 
@@ -68,12 +68,12 @@
 
     def __init__(self, joined_at: float, took: int):
         self.joined_at = joined_at
-        self.sent: deque[float] = deque()       # times, over the last span
-        self.took = took                        # the last message that it is known to have taken in
+        self.sent: deque[float] = deque()  # times, over the last span
+        self.took = took  # the last message that it is known to have taken in
 
 
-RECENT = 8.0    # seconds of demand that rule 4's estimate rests on, as long as it takes to be steady
-MOST = 1000     # breaks kept whole; the rest is counted
+RECENT = 8.0  # seconds of demand that rule 4's estimate rests on, as long as it takes to be steady
+MOST = 1000  # breaks kept whole; the rest is counted
 
 
 class Rules:
@@ -83,21 +83,21 @@
         # Whether a round's orders reach every proxy as one message; else the front tells of each by message().
         self.settings, self.limits, self.broadcast = settings, limits, broadcast
         self.breaks: list[Break] = []
-        self.more = 0                       # those past MOST
+        self.more = 0  # those past MOST
         self.slices: dict[int, Table] = {}
         self.servers: dict[str, Listed] = {}
         self.proxies: dict[int, Proxy] = {}
-        self.message = 0                    # number of the last one
-        self.marks: dict[int, int] = {}     # message by receipt mark
-        self.flight: deque[tuple[int, float, float, set[int]]] = deque()    # number, time, lines, proxies to come
-        self.blind_since: float | None = None       # receipts were lost, and none has come since
+        self.message = 0  # number of the last one
+        self.marks: dict[int, int] = {}  # message by receipt mark
+        self.flight: deque[tuple[int, float, float, set[int]]] = deque()  # number, time, lines, proxies to come
+        self.blind_since: float | None = None  # receipts were lost, and none has come since
         self.leaving: set[str] = set()
         self.bare: set[int] = set()
         self.cold: set[str] = set()
         self.demand: dict[int, deque] = {}
-        self.used: dict[str, tuple[float, float]] = {}      # time and utilization, as last reported
+        self.used: dict[str, tuple[float, float]] = {}  # time and utilization, as last reported
         self.waited_most = 0.0
-        self.sent_most = 0                  # messages to a proxy within the span
+        self.sent_most = 0  # messages to a proxy within the span
 
     def broke(self, at: float, rule: int, whom: str, what: str, sure: bool) -> None:
         if len(self.breaks) < MOST:
@@ -108,7 +108,7 @@
     def start(self) -> None:
         """A new life of the program: streams, tables and receipts begin anew; what was found stands."""
         found = self.breaks, self.more, self.waited_most, self.sent_most
-        self.__init__(self.settings, self.limits, self.broadcast)       # type: ignore[misc]
+        self.__init__(self.settings, self.limits, self.broadcast)  # type: ignore[misc]
         self.breaks, self.more, self.waited_most, self.sent_most = found
 
     def follow(self, settings: Settings, limits: Limits) -> None:
@@ -129,8 +129,10 @@
     def on_listed(self, now: float, full: bool, _cached: bool, entries: list) -> None:
         if full:
             named = {e[0] for e in entries}
-            entries = [*entries, *((x, "", "gone", s.size, s.started) for x, s in self.servers.items()
-                                   if x not in named)]
+            entries = [
+                *entries,
+                *((x, "", "gone", s.size, s.started) for x, s in self.servers.items() if x not in named),
+            ]
         for id, _zone, state, size, started in entries:
             x = self.servers.get(id)
             if x is None:
@@ -182,8 +184,17 @@
             cost = self.settings.methods[method].soft_deadline
             self.demand.setdefault(slice_id, deque()).append((now, rpcs * cost / max(span, 0.1)))
 
-    def on_heard(self, now: float, server: str, _zone: str, _span: float, _tries: int, _aborted: int,
-                 _latency: float, load: Mapping[str, float]) -> None:
+    def on_heard(
+        self,
+        now: float,
+        server: str,
+        _zone: str,
+        _span: float,
+        _tries: int,
+        _aborted: int,
+        _latency: float,
+        load: Mapping[str, float],
+    ) -> None:
         if "utilization" in load:
             self.used[server] = now, load["utilization"]
 
@@ -193,7 +204,7 @@
             return
         self.blind_since = None
         self.proxies[proxy].took = max(self.proxies[proxy].took, number)
-        for k, _, _, to_come in self.flight:        # taken in in succession
+        for k, _, _, to_come in self.flight:  # taken in in succession
             if k > number:
                 break
             to_come.discard(proxy)
@@ -233,8 +244,13 @@
                 lines += 1
                 slice_id, method, share, retry = f
                 if retry >= 2 and method in self.limits.once:
-                    self.broke(now, 2, f"method {method}",
-                               f"tries again after any failure (way {retry}) of what must not run twice", True)
+                    self.broke(
+                        now,
+                        2,
+                        f"method {method}",
+                        f"tries again after any failure (way {retry}) of what must not run twice",
+                        True,
+                    )
                 if not 0 <= share <= 1:
                     self.broke(now, 5, f"slice {slice_id}", f"a level of {share}", True)
             elif name == "withdraw":
@@ -276,13 +292,23 @@
             sent.append(now)
             self.sent_most = max(self.sent_most, len(sent))
             if s.messages_most and len(sent) > s.messages_most:
-                self.broke(now, 5, f"proxy {id}",
-                           f"{len(sent)} messages within {s.messages_span:g} s, {s.messages_most} are allowed", True)
+                self.broke(
+                    now,
+                    5,
+                    f"proxy {id}",
+                    f"{len(sent)} messages within {s.messages_span:g} s, {s.messages_most} are allowed",
+                    True,
+                )
         waiting = self.waiting(now)
         self.waited_most = max(self.waited_most, waiting)
         if s.lines_waiting_most and waiting > s.lines_waiting_most:
-            self.broke(now, 5, "the channel", f"{waiting:.0f} lines wait, {s.lines_waiting_most:.0f} are allowed",
-                       self.blind_since is None)
+            self.broke(
+                now,
+                5,
+                "the channel",
+                f"{waiting:.0f} lines wait, {s.lines_waiting_most:.0f} are allowed",
+                self.blind_since is None,
+            )
 
         return self.message
 
@@ -317,8 +343,10 @@
         return not x.shut
 
     def warm(self, now: float) -> bool:
-        return any(x.state == "ready" and not x.shut and now >= x.started + self.settings.cold_time
-                   for x in self.servers.values())
+        return any(
+            x.state == "ready" and not x.shut and now >= x.started + self.settings.cold_time
+            for x in self.servers.values()
+        )
 
     def rule_1(self, now: float) -> None:
         most = self.limits.unserved_most
@@ -332,11 +360,16 @@
                 table.bare_since = now
             joined = [p.joined_at for p in self.proxies.values()]
             if not (most and joined and self.warm(now)):
-                table.bare_since = now      # nobody lacks it, or there is nothing to have
+                table.bare_since = now  # nobody lacks it, or there is nothing to have
             elif not table.told_bare and now - max(table.bare_since, min(joined)) > most:
                 table.told_bare = True
-                self.broke(now, 1, f"slice {slice_id}",
-                           f"no line for {now - table.bare_since:.2f} s, {most:g} s are allowed", True)
+                self.broke(
+                    now,
+                    1,
+                    f"slice {slice_id}",
+                    f"no line for {now - table.bare_since:.2f} s, {most:g} s are allowed",
+                    True,
+                )
 
     def rule_3(self, now: float) -> None:
         grace = self.limits.grace
@@ -348,14 +381,25 @@
             self.leaving.discard(id)
             late = [k for k in x.slices if now > self.slices[k].given_at + grace]
             if late and not x.shut and any(now > p.joined_at + grace for p in self.proxies.values()):
-                self.broke(now, 3, f"server {id}", f"still in the tables of {len(late)} slices "
-                           f"{now - x.left_at:.2f} s after it was told to go, {grace:g} s are allowed", True)
+                self.broke(
+                    now,
+                    3,
+                    f"server {id}",
+                    f"still in the tables of {len(late)} slices "
+                    f"{now - x.left_at:.2f} s after it was told to go, {grace:g} s are allowed",
+                    True,
+                )
             elif x.off_at is not None and self.blind_since is None:
-                behind = [k for k, p in self.proxies.items()
-                          if p.took < x.off_at and now > p.joined_at + grace]
+                behind = [k for k, p in self.proxies.items() if p.took < x.off_at and now > p.joined_at + grace]
                 if behind:
-                    self.broke(now, 3, f"server {id}", f"{len(behind)} proxies, proxy {behind[0]} among them, had "
-                               f"not answered {grace:g} s after it was told to go", False)
+                    self.broke(
+                        now,
+                        3,
+                        f"server {id}",
+                        f"{len(behind)} proxies, proxy {behind[0]} among them, had "
+                        f"not answered {grace:g} s after it was told to go",
+                        False,
+                    )
             if x.state == "gone" and not x.slices:
                 del self.servers[id]
                 self.used.pop(id, None)
@@ -373,12 +417,15 @@
             whole, work = sum(lines.values()), sum(w for _, w in rows) * s.report_period / RECENT
             for server, weight in lines.items():
                 asked[server] = asked.get(server, 0.0) + work * weight / whole
-        warm = [(k, x) for k, x in self.servers.items() if k not in self.cold and x.state == "ready"
-                and k in self.used and self.used[k][0] > now - RECENT]
+        warm = [
+            (k, x)
+            for k, x in self.servers.items()
+            if k not in self.cold and x.state == "ready" and k in self.used and self.used[k][0] > now - RECENT
+        ]
         used = sum(self.used[k][1] * x.size for k, x in warm)
         if not used:
             return
-        unit = sum(asked.get(k, 0.0) for k, _ in warm) / used      # work a second that a size of 1 can do
+        unit = sum(asked.get(k, 0.0) for k, _ in warm) / used  # work a second that a size of 1 can do
         for id in self.cold:
             x = self.servers[id]
             share = s.cold_share + (1 - s.cold_share) * max(0.0, now - x.started) / max(s.cold_time, 0.001)
@@ -388,6 +435,11 @@
             elif x.full_since is None:
                 x.full_since = now
             elif x.full_since >= 0 and now - x.full_since > limits.fall_time:
-                x.full_since = float("-inf")        # told once
-                self.broke(now, 4, f"server {id}", f"asked for {asked[id]:.2f} of work a second, about {most:.2f} is "
-                           "what it can take while cold", False)
+                x.full_since = float("-inf")  # told once
+                self.broke(
+                    now,
+                    4,
+                    f"server {id}",
+                    f"asked for {asked[id]:.2f} of work a second, about {most:.2f} is what it can take while cold",
+                    False,
+                )
--- a/knotwalk/runtime/call.py
+++ b/knotwalk/runtime/call.py
@@ -14,7 +14,7 @@
 # No TLS is spoken here; with it, aiohttp loads the system's certificates when it is imported, a tenth of a core's
 # start.
 kept = sys.modules.get("ssl")
-sys.modules["ssl"] = None   # type: ignore[assignment]
+sys.modules["ssl"] = None  # type: ignore[assignment]
 import aiohttp
 
 if kept is None:
@@ -45,21 +45,36 @@
 
     def __init__(self, connections: int = 256, resets: bool = False):
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=connections, limit_per_host=0, use_dns_cache=False,
-                                           keepalive_timeout=8.0,
-                                           socket_factory=resetting if resets else None),
-            cookie_jar=aiohttp.DummyCookieJar(), auto_decompress=False, trust_env=False,
-            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"))
-
-    async def send(self, method: str, url: str, body: Any = None, patience: float = PATIENCE,
-                   step: str = "call", headers: dict[str, str] | None = None) -> tuple[int, dict[str, str], bytes]:
+            connector=aiohttp.TCPConnector(
+                limit=connections,
+                limit_per_host=0,
+                use_dns_cache=False,
+                keepalive_timeout=8.0,
+                socket_factory=resetting if resets else None,
+            ),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            trust_env=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+        )
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        body: Any = None,
+        patience: float = PATIENCE,
+        step: str = "call",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
         """Status, headers (lower case) and body of an answer; StationError without one, Refused if none listens."""
         data = None if body is None else json.dumps(body, separators=(",", ":")).encode()
         heads = {"Content-Type": "application/json"} if data is not None else {}
         try:
             async with asyncio.timeout(patience):
-                async with self.session.request(method, url, data=data, headers={**heads, **(headers or {})},
-                                                allow_redirects=False) as answer:
+                async with self.session.request(
+                    method, url, data=data, headers={**heads, **(headers or {})}, allow_redirects=False
+                ) as answer:
                     return answer.status, {k.lower(): v for k, v in answer.headers.items()}, await answer.read()
         except aiohttp.ClientConnectorError as error:
             kind = Refused if isinstance(error.os_error, ConnectionRefusedError) else PeerError
@@ -69,8 +84,9 @@
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise PeerError(step, url, f"{type(error).__name__} {error}") from None
 
-    async def json(self, method: str, url: str, body: Any = None, patience: float = PATIENCE,
-                   step: str = "call") -> Any:
+    async def json(
+        self, method: str, url: str, body: Any = None, patience: float = PATIENCE, step: str = "call"
+    ) -> Any:
         """The JSON value of a 200; StationError for any other answer or none."""
         status, _, data = await self.send(method, url, body, patience, step)
         return value(step, url, status, data)
--- a/knotwalk/runtime/life.py
+++ b/knotwalk/runtime/life.py
@@ -89,6 +89,7 @@
             return UNUSABLE
         await program.run()
         return ENDED
+
     try:
         return asyncio.run(whole())
     except Exception:
--- a/knotwalk/runtime/logs.py
+++ b/knotwalk/runtime/logs.py
@@ -21,7 +21,7 @@
 
 def start(level: str = "info") -> None:
     """Route absl's log to JSON lines; everything else's warnings, too."""
-    flags.FLAGS.mark_as_parsed()        # there are none; else absl begins each log with a line that is no JSON
+    flags.FLAGS.mark_as_parsed()  # there are none; else absl begins each log with a line that is no JSON
     absl_logging.use_absl_handler()
     absl_logging.use_python_logging(quiet=True)
     handler = absl_logging.get_absl_handler()
--- a/knotwalk/runtime/serve.py
+++ b/knotwalk/runtime/serve.py
@@ -17,7 +17,7 @@
     for log in (sanic_logger, error_logger, access_logger):
         log.setLevel("CRITICAL")
     made = Sanic(name, configure_logging=False)
-    made.config.TOUCHUP = False     # two apps in one process: the second can't be touched up again
+    made.config.TOUCHUP = False  # two apps in one process: the second can't be touched up again
     made.config.MOTD = made.config.ACCESS_LOG = False
     made.config.REQUEST_MAX_SIZE = BODY_MOST
     made.config.REQUEST_TIMEOUT = 10
@@ -45,8 +45,9 @@
         self.app, self.server = made, None
 
     async def start(self, host: str, port: int) -> None:
-        self.server = await self.app.create_server(host=host, port=port, return_asyncio_server=True, access_log=False,
-                                                   debug=False, backlog=512)
+        self.server = await self.app.create_server(
+            host=host, port=port, return_asyncio_server=True, access_log=False, debug=False, backlog=512
+        )
         await self.server.startup()
         await self.server.start_serving()
 
--- a/knotwalk/runtime/settings.py
+++ b/knotwalk/runtime/settings.py
@@ -122,13 +122,16 @@
         raise SettingsError(where, "not an object")
     known = {f.name for f in fields(kind)}
     data = {k: _span(v, f"{where}.{k}") if k in spans else v for k, v in raw.items() if k in known}
-    data = {k: float(v) if isinstance(v, int) and not isinstance(v, bool) and kind.__annotations__[k] is float else v
-            for k, v in data.items()}
+    data = {
+        k: float(v) if isinstance(v, int) and not isinstance(v, bool) and kind.__annotations__[k] is float else v
+        for k, v in data.items()
+    }
     try:
         return dacite.from_dict(kind, data)
     except dacite.WrongTypeError as error:
-        raise SettingsError(f"{where}.{error.field_path}",
-                            f"{error.value!r} is no {error.field_type.__name__}") from None
+        raise SettingsError(
+            f"{where}.{error.field_path}", f"{error.value!r} is no {error.field_type.__name__}"
+        ) from None
     except dacite.DaciteError as error:
         raise SettingsError(where, error) from None
 
@@ -143,8 +146,23 @@
         raise SettingsError("", "the file holds no object")
     if not isinstance(raw.get("node_name"), str) or not raw["node_name"]:
         raise SettingsError("node_name", "missing or no text")
-    plain = {k: raw[k] for k in ("node_name", "role", "machine_class", "serves", "ip_address", "zone", "region",
-                                 "zones", "initial_boot", "quorum_member", "data_dir") if k in raw}
+    plain = {
+        k: raw[k]
+        for k in (
+            "node_name",
+            "role",
+            "machine_class",
+            "serves",
+            "ip_address",
+            "zone",
+            "region",
+            "zones",
+            "initial_boot",
+            "quorum_member",
+            "data_dir",
+        )
+        if k in raw
+    }
     listen = raw.get("listen_addresses", {})
     if not isinstance(listen, dict):
         raise SettingsError("listen_addresses", "not an object")
@@ -152,8 +170,12 @@
     if not isinstance(seeds, list):
         raise SettingsError("seed_nodes", "not a list")
     ports = raw.get("internal_port_range", [7660, 7675])
-    if (not isinstance(ports, list) or len(ports) != 2 or not all(type(p) is int and 0 < p < 65536 for p in ports)
-            or ports[0] > ports[1]):
+    if (
+        not isinstance(ports, list)
+        or len(ports) != 2
+        or not all(type(p) is int and 0 < p < 65536 for p in ports)
+        or ports[0] > ports[1]
+    ):
         raise SettingsError("internal_port_range", f"two ports, the first not above the second, not {ports!r}")
     cloud = raw.get("cloud_api") or {}
     if not isinstance(cloud, dict):
--- a/knotwalk/settings/operator.py
+++ b/knotwalk/settings/operator.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
-SIZES = {"B": 1.0, "KiB": 2.0 ** 10, "MiB": 2.0 ** 20, "GiB": 2.0 ** 30, "TiB": 2.0 ** 40}
+SIZES = {"B": 1.0, "KiB": 2.0**10, "MiB": 2.0**20, "GiB": 2.0**30, "TiB": 2.0**40}
 TIMES = {"ms": 0.001, "s": 1.0, "m": 60.0, "h": 3600.0, "d": 86400.0}
-FILE_MOST = 1 << 20     # bytes of a file: a whole fleet's settings take some ten thousand
+FILE_MOST = 1 << 20  # bytes of a file: a whole fleet's settings take some ten thousand
 
 
 class Refused(Exception):
@@ -26,10 +26,10 @@
 
     enabled: bool = False
     path: str = ""
-    budget: float = 20 * 1024 ** 3      # bytes in all
-    segment: float = 64 * 1024 ** 2     # bytes of a file
-    segment_age: float = 3600.0         # seconds
-    checkpoint: float = 60.0            # seconds between checkpoints
+    budget: float = 20 * 1024**3  # bytes in all
+    segment: float = 64 * 1024**2  # bytes of a file
+    segment_age: float = 3600.0  # seconds
+    checkpoint: float = 60.0  # seconds between checkpoints
 
 
 class Pubsub(NamedTuple):
@@ -37,12 +37,12 @@
 
     enabled: bool = False
     listen: str = ""
-    secrets: str = ""           # files
+    secrets: str = ""  # files
     certificate: str = ""
     private_key: str = ""
     client_ca: str = ""
-    keep: str = ""              # folder in which epoch and versions outlive the process; empty: a new epoch each time
-    subscribers: float = 4096   # streams at most
+    keep: str = ""  # folder in which epoch and versions outlive the process; empty: a new epoch each time
+    subscribers: float = 4096  # streams at most
 
 
 class Operator(NamedTuple):
@@ -58,6 +58,7 @@
         if match is None or match[2] not in units:
             raise ValueError(f"is no {what}; {example} would be one")
         return float(match[1]) * units[match[2]]
+
     return read
 
 
@@ -90,18 +91,31 @@
 
 # By block: the fields, how each is read, and its least and most.
 FIELDS: dict[str, dict[str, tuple[Callable[[Any], Any], float, float]]] = {
-    "record": {"enabled": (flag, 0, 1), "path": (text, 0, 0), "budget": (size, 1 << 20, 1 << 50),
-               "segment": (size, 1 << 16, 1 << 32), "segment_age": (seconds, 1, 86400 * 7),
-               "checkpoint": (seconds, 1, 3600)},
-    "pubsub": {"enabled": (flag, 0, 1), "listen": (address, 0, 0), "secrets": (text, 0, 0),
-               "certificate": (text, 0, 0), "private_key": (text, 0, 0), "client_ca": (text, 0, 0),
-               "keep": (text, 0, 0), "subscribers": (number, 1, 100_000)},
+    "record": {
+        "enabled": (flag, 0, 1),
+        "path": (text, 0, 0),
+        "budget": (size, 1 << 20, 1 << 50),
+        "segment": (size, 1 << 16, 1 << 32),
+        "segment_age": (seconds, 1, 86400 * 7),
+        "checkpoint": (seconds, 1, 3600),
+    },
+    "pubsub": {
+        "enabled": (flag, 0, 1),
+        "listen": (address, 0, 0),
+        "secrets": (text, 0, 0),
+        "certificate": (text, 0, 0),
+        "private_key": (text, 0, 0),
+        "client_ca": (text, 0, 0),
+        "keep": (text, 0, 0),
+        "subscribers": (number, 1, 100_000),
+    },
 }
 
 
 def value_of(tree: Any) -> Any:
     """A plain value: text, whole number, figure or yes and no; None for whatever else the syntax allows."""
     import hcl2
+
     source = hcl2.reconstruct(tree).strip()
     if source in ("true", "false"):
         return source == "true"
@@ -118,6 +132,7 @@
     import hcl2
     from lark import Tree
     from lark.exceptions import UnexpectedInput
+
     if len(source) > FILE_MOST:
         raise Refused(f"{file}: {len(source)} bytes; {FILE_MOST} at most")
     try:
@@ -143,12 +158,12 @@
             found[name] = block(node, name, file, faults)
     record = Record(**found.get("record", {}))
     if not faults and record.enabled and not record.path:
-        faults.append(f"{file}: record is enabled without a path; path = \"/folder\" would say where")
+        faults.append(f'{file}: record is enabled without a path; path = "/folder" would say where')
     if not faults and record.segment > record.budget / 2:
         faults.append(f"{file}: record.segment is more than half of record.budget; two segments must fit")
     pubsub = Pubsub(**found.get("pubsub", {}))
     if not faults and pubsub.enabled and not pubsub.listen:
-        faults.append(f"{file}: pubsub is enabled without an address; listen = \"127.0.0.1:3100\" would be one")
+        faults.append(f'{file}: pubsub is enabled without an address; listen = "127.0.0.1:3100" would be one')
     if not faults and pubsub.client_ca and not pubsub.certificate:
         faults.append(f"{file}: pubsub.client_ca wants pubsub.certificate too, since it is for TLS")
     if faults:
@@ -159,6 +174,7 @@
 def block(node: Any, name: str, file: str, faults: list[str]) -> dict[str, Any]:
     """The fields of one block; mistakes are added to the faults."""
     from lark import Tree
+
     out: dict[str, Any] = {}
     body = next(x for x in node.children if isinstance(x, Tree) and x.data == "body")
     for field in body.children:
--- a/knotwalk/state.py
+++ b/knotwalk/state.py
@@ -10,24 +10,89 @@
 from knotwalk.decide import Conductor, Server, Slice
 from knotwalk.interface import Method, Settings
 
-FORMAT = 2      # goes up with every change of the lists below; an older snapshot is converted or refused
+FORMAT = 2  # goes up with every change of the lists below; an older snapshot is converted or refused
 
 # What is kept as it is.
-SERVER = ("id", "state", "size", "started", "zone", "proven", "dropped", "left_at", "shut", "once_shut", "quota",
-          "health", "judged", "moved", "used", "reported", "spread", "whole", "capacity", "load", "shut_out",
-          "ours", "empty", "coming")
+SERVER = (
+    "id",
+    "state",
+    "size",
+    "started",
+    "zone",
+    "proven",
+    "dropped",
+    "left_at",
+    "shut",
+    "once_shut",
+    "quota",
+    "health",
+    "judged",
+    "moved",
+    "used",
+    "reported",
+    "spread",
+    "whole",
+    "capacity",
+    "load",
+    "shut_out",
+    "ours",
+    "empty",
+    "coming",
+)
 SLICE = ("id", "given_at", "urgent", "moved", "since", "demand", "unsure")
-CONDUCTOR = ("now", "back", "taken_at", "heard_at", "mark", "next_pass", "next_urgent", "wake_at", "next_send",
-             "next_urgent_send", "next_leave_send", "receipt_at", "list_wait", "list_due", "born", "listed_once",
-             "list_fresh", "pending", "unit", "average", "news")
+CONDUCTOR = (
+    "now",
+    "back",
+    "taken_at",
+    "heard_at",
+    "mark",
+    "next_pass",
+    "next_urgent",
+    "wake_at",
+    "next_send",
+    "next_urgent_send",
+    "next_leave_send",
+    "receipt_at",
+    "list_wait",
+    "list_due",
+    "born",
+    "listed_once",
+    "list_fresh",
+    "pending",
+    "unit",
+    "average",
+    "news",
+)
 # What is taken apart: rows of samples, lists of figures, and what points to servers.
 SERVER_ROWS, SERVER_APART = ("met", "reports", "uses", "shifts"), ()
 SLICE_ROWS, SLICE_APART = ("samples",), ("work", "levels", "told_levels", "shares", "told")
 CONDUCTOR_APART = ("random", "servers", "slices", "proxies", "way", "sent", "way_time")
 # What follows from the settings alone, and is worked out anew.
-DERIVED = ("cost", "late", "slow", "order", "admits", "period", "scarce", "settle", "slices_all", "asked_list",
-           "one_owner", "cold_share", "cold_time", "head", "waiting_most", "rate", "messages_most", "messages_span",
-           "gap", "orders_retry", "gone_binds", "controllers", "seat")
+DERIVED = (
+    "cost",
+    "late",
+    "slow",
+    "order",
+    "admits",
+    "period",
+    "scarce",
+    "settle",
+    "slices_all",
+    "asked_list",
+    "one_owner",
+    "cold_share",
+    "cold_time",
+    "head",
+    "waiting_most",
+    "rate",
+    "messages_most",
+    "messages_span",
+    "gap",
+    "orders_retry",
+    "gone_binds",
+    "controllers",
+    "seat",
+)
 
 
 class Unfit(Exception):
@@ -48,16 +113,27 @@
     return {
         "format": FORMAT,
         "listed": len(module.servers),
-        "servers": [[[getattr(x, name) for name in SERVER],
-                     *(list(getattr(x, name)) for name in SERVER_ROWS)] for x in servers],
-        "slices": [[[getattr(s, name) for name in SLICE], list(s.samples),
-                    list(s.work), list(s.levels), list(s.told_levels), [place[x] for x in s.shares],
-                    [[place[x], weight] for x, weight in s.told.items()]] for s in module.slices.values()],
+        "servers": [
+            [[getattr(x, name) for name in SERVER], *(list(getattr(x, name)) for name in SERVER_ROWS)] for x in servers
+        ],
+        "slices": [
+            [
+                [getattr(s, name) for name in SLICE],
+                list(s.samples),
+                list(s.work),
+                list(s.levels),
+                list(s.told_levels),
+                [place[x] for x in s.shares],
+                [[place[x], weight] for x, weight in s.told.items()],
+            ]
+            for s in module.slices.values()
+        ],
         "module": [getattr(module, name, 0.0) for name in CONDUCTOR],
         "random": [version, list(words), gauss],
         "proxies": list(module.proxies),
-        "way": [[mark, lines, sorted(proxies, key=lambda p: -1 if p is None else p)]
-                for mark, lines, proxies in module.way],
+        "way": [
+            [mark, lines, sorted(proxies, key=lambda p: -1 if p is None else p)] for mark, lines, proxies in module.way
+        ],
         "sent": list(module.sent),
         "way_time": [[*pair, time] for pair, time in module.way_time.items()],
     }
@@ -83,8 +159,9 @@
         told = CONVERT[format](told)
         format = told["format"]
     if format != FORMAT:
-        raise Unfit(f"a snapshot of format {format}; this version reads {FORMAT}"
-                    + "".join(f", {k}" for k in sorted(CONVERT)))
+        raise Unfit(
+            f"a snapshot of format {format}; this version reads {FORMAT}" + "".join(f", {k}" for k in sorted(CONVERT))
+        )
     return told
 
 
@@ -106,7 +183,7 @@
             x.uses.extend(map(tuple, uses))
             x.shifts.extend(map(tuple, shifts))
             servers.append(x)
-        module.servers.update((x.id, x) for x in servers[:told["listed"]])
+        module.servers.update((x.id, x) for x in servers[: told["listed"]])
         methods = len(module.cost)
         for plain, samples, work, levels, told_levels, shares, lines in told["slices"]:
             s = Slice(plain[0], plain[1])
@@ -137,8 +214,12 @@
     told = converted(told)
     at = {name: k for k, name in enumerate(SERVER)}
     servers = [row[0] for row in told["servers"]]
-    inbox: list[tuple[str, tuple]] = [("listed", (True, False, [
-        tuple(x[at[name]] for name in ("id", "zone", "state", "size", "started")) for x in servers]))]
+    inbox: list[tuple[str, tuple]] = [
+        (
+            "listed",
+            (True, False, [tuple(x[at[name]] for name in ("id", "zone", "state", "size", "started")) for x in servers]),
+        )
+    ]
     inbox += [("joined", (proxy,)) for proxy in told["proxies"]]
     for plain, _, _, _, _, _, lines in told["slices"]:
         inbox.append(("given", (plain[0],)))
@@ -164,7 +245,7 @@
 def settings_read(told: Mapping) -> Settings:
     """Settings from plain values; raises Unfit for a name that is missing or unknown."""
     unknown = set(told) - set(Settings._fields)
-    missing = set(Settings._fields) - set(told) - set(Settings._field_defaults)     # an older recording's
+    missing = set(Settings._fields) - set(told) - set(Settings._field_defaults)  # an older recording's
     if unknown or missing:
         raise Unfit(f"settings {'without' if missing else 'with unknown'} {', '.join(sorted(missing or unknown))}")
     return Settings(**{**told, "methods": tuple(Method(*m) for m in told["methods"])})
--- a/knotwalk/told.py
+++ b/knotwalk/told.py
@@ -10,10 +10,23 @@
 from knotwalk.interface import Method, Settings
 from knotwalk.rules import Limits
 
-STATES = {"Running": "ready", "Stopping": "draining", "Deleted": "gone",
-          "active": "ready", "leaving": "draining", "left": "gone"}
-LOADS = {"busy": "utilization", "util": "utilization", "rif": "inflight", "q": "queue", "rate": "qps",
-         "lat_ms": "latency_ms", "fail_rate": "eps"}
+STATES = {
+    "Running": "ready",
+    "Stopping": "draining",
+    "Deleted": "gone",
+    "active": "ready",
+    "leaving": "draining",
+    "left": "gone",
+}
+LOADS = {
+    "busy": "utilization",
+    "util": "utilization",
+    "rif": "inflight",
+    "q": "queue",
+    "rate": "qps",
+    "lat_ms": "latency_ms",
+    "fail_rate": "eps",
+}
 
 
 class Malformed(Exception):
@@ -42,15 +55,14 @@
     elif isinstance(told, list):
         return {at: ",".join(flattened(x, "x")["x"] for x in told)}
     else:
-        return {at: ("true" if told else "false") if isinstance(told, bool) else
-                "" if told is None else str(told)}
+        return {at: ("true" if told else "false") if isinstance(told, bool) else "" if told is None else str(told)}
     pairs: dict[str, str] = {}
     for name, value in parts:
         pairs.update(flattened(value, f"{at}.{name}" if at else name))
     return pairs
 
 
-MOST = 1e300    # of any figure: sums of them stay finite
+MOST = 1e300  # of any figure: sums of them stay finite
 
 
 def figure(text: object, most: float = MOST) -> float:
@@ -59,7 +71,7 @@
     >>> figure("1.5")
     1.5
     """
-    value = -1.0 if isinstance(text, bool) else float(text)     # type: ignore[arg-type]
+    value = -1.0 if isinstance(text, bool) else float(text)  # type: ignore[arg-type]
     if not 0 <= value <= most:
         raise ValueError(f"'{text}' is no figure")
     return value
@@ -87,11 +99,11 @@
 class Bounds(NamedTuple):
     """What a report may say at most, as protocol and settings have it: more is no figure but a spoilt one."""
 
-    zones: frozenset[str]       # empty: not told
+    zones: frozenset[str]  # empty: not told
     slices: int
-    rate: float                 # tries a second
-    latency: float              # seconds that a try can have taken
-    span: float = 3600.0        # seconds that a report may be about: an hour, past any outage's end
+    rate: float  # tries a second
+    latency: float  # seconds that a try can have taken
+    span: float = 3600.0  # seconds that a report may be about: an hour, past any outage's end
     # Of a server's capacity: its report is a noisy one, and one that is full says a little over 1.
     utilization: float = 2.0
 
@@ -104,11 +116,13 @@
         # No proxy sends more than a try a millisecond: the clock of the protocol shows no less.
         rate=1000 * (number(pairs, "family_info.data_plane_size") or 1000),
         # None is waited for longer than its client waits; twice that, for what proxies hold back before.
-        latency=2e-6 * max(waits, default=0) or 3600.0)
+        latency=2e-6 * max(waits, default=0) or 3600.0,
+    )
 
 
 def read_settings(pairs: Mapping[str, str]) -> Settings:
     """Put the settings into our words; what is absent counts as 0, no or the plain case."""
+
     def seconds(path: str) -> float:
         return number(pairs, path) / 1e6
 
@@ -118,14 +132,16 @@
     methods = []
     for k in range(int(number(pairs, "classes.count"))):
         at = f"classes.{k}."
-        methods.append(Method(
-            soft_deadline=seconds(at + "slo_us"), criticality=number(pairs, at + "worth")))
+        methods.append(Method(soft_deadline=seconds(at + "slo_us"), criticality=number(pairs, at + "worth")))
     family, rule = "family_info.", "guarantees."
     return Settings(
-        methods=tuple(methods), slices=int(number(pairs, family + "partitions_n")),
-        one_owner=flag(family + "one_owner"), asked_list=pairs.get("discovery") == "on_request",
+        methods=tuple(methods),
+        slices=int(number(pairs, family + "partitions_n")),
+        one_owner=flag(family + "one_owner"),
+        asked_list=pairs.get("discovery") == "on_request",
         retry_default=int(number(pairs, family + "retry_default")),
-        admits=pairs.get(family + "admit") == "fraction", report_period=seconds(family + "period_us"),
+        admits=pairs.get(family + "admit") == "fraction",
+        report_period=seconds(family + "period_us"),
         message_delay=seconds(family + "push_delay_us"),
         lines_waiting_most=number(pairs, family + "most_waiting"),
         lines_per_message=number(pairs, family + "fixed_cost"),
@@ -133,8 +149,11 @@
         messages_most=int(number(pairs, family + "messages_most")),
         messages_span=seconds(family + "reload_span_us"),
         dropped_stay_open=flag(rule + "dropped_stay_open"),
-        cold_share=number(pairs, rule + "cold_from"), cold_time=seconds(rule + "cold_us"),
-        controllers=max(1, int(number(pairs, "balancers"))), place=int(number(pairs, "me")))
+        cold_share=number(pairs, rule + "cold_from"),
+        cold_time=seconds(rule + "cold_us"),
+        controllers=max(1, int(number(pairs, "balancers"))),
+        place=int(number(pairs, "me")),
+    )
 
 
 def read_limits(pairs: Mapping[str, str]) -> Limits:
@@ -143,11 +162,13 @@
     once = tuple(k for k in methods if pairs.get(f"classes.{k}.idempotency") == "once")
     return Limits(
         unserved_most=number(pairs, "family_info.unserved_max_us") / 1e6,
-        grace=number(pairs, "guarantees.stop_sending_within_us") / 1e6, once=once,
+        grace=number(pairs, "guarantees.stop_sending_within_us") / 1e6,
+        once=once,
         tip_multiple=number(pairs, "guarantees.tip_multiple"),
         fall_time=number(pairs, "guarantees.fall_us") / 1e6,
         give_up=tuple(number(pairs, f"classes.{k}.give_up_us") / 1e6 for k in methods),
-        late_share=tuple(number(pairs, f"classes.{k}.late_share") for k in methods))
+        late_share=tuple(number(pairs, f"classes.{k}.late_share") for k in methods),
+    )
 
 
 def read_methods(pairs: Mapping[str, str]) -> dict[str, int]:
--- a/knotwalk/wirehost/host.py
+++ b/knotwalk/wirehost/host.py
@@ -84,9 +84,20 @@
         self.instances: dict[str, Instance] = {}
         self.banks: dict[int, list[tuple]] = {}
         self.complain = complain
-        self.events = {name: getattr(self, "on_" + name.lower()) for name in (
-            "JOINED", "DROPPED_OFF", "TENURE", "ON_RECORD", "UPSTREAM_STATS", "PRESSURE", "CAUGHT_UP",
-            "REMINDER", "PEERS_KNOWN")}
+        self.events = {
+            name: getattr(self, "on_" + name.lower())
+            for name in (
+                "JOINED",
+                "DROPPED_OFF",
+                "TENURE",
+                "ON_RECORD",
+                "UPSTREAM_STATS",
+                "PRESSURE",
+                "CAUGHT_UP",
+                "REMINDER",
+                "PEERS_KNOWN",
+            )
+        }
         self.unused = {"PONG", "MAIL", "DEMAND"}
 
     # Each event's fields go straight into the call that the conductor will get.
@@ -106,15 +117,35 @@
     def on_upstream_stats(self, instance: Instance, f: Mapping[str, str]) -> None:
         row = f.get("gauge", "")
         load = {k: float(v) for k, v in zip(instance.columns, row.split(",")) if v} if row else {}
-        instance.inbox.append(("heard", (
-            f["node"], f.get("zone", ""), int(f["period_len_us"]) / 1e6, int(f.get("count", 0)),
-            int(f.get("unanswered", 0)), int(f.get("wait_time_us", 0)) / 1e6, load)))
+        instance.inbox.append(
+            (
+                "heard",
+                (
+                    f["node"],
+                    f.get("zone", ""),
+                    int(f["period_len_us"]) / 1e6,
+                    int(f.get("count", 0)),
+                    int(f.get("unanswered", 0)),
+                    int(f.get("wait_time_us", 0)) / 1e6,
+                    load,
+                ),
+            )
+        )
 
     def on_pressure(self, instance: Instance, f: Mapping[str, str]) -> None:
         if f["tier_class"] not in instance.methods:
             raise Malformed(f"no such class '{f['tier_class']}'")
-        instance.inbox.append(("wanted", (int(f["map_id"]), instance.methods[f["tier_class"]],
-                                          int(f["period_len_us"]) / 1e6, int(f.get("count", 0)))))
+        instance.inbox.append(
+            (
+                "wanted",
+                (
+                    int(f["map_id"]),
+                    instance.methods[f["tier_class"]],
+                    int(f["period_len_us"]) / 1e6,
+                    int(f.get("count", 0)),
+                ),
+            )
+        )
 
     def on_caught_up(self, instance: Instance, f: Mapping[str, str]) -> None:
         instance.inbox.append(("applied", (int(f["edge"]), int(f["epoch"]))))
@@ -131,8 +162,7 @@
         elif int(f["bank"]) not in self.banks:
             raise Malformed(f"no PAGE has filled bank {f['bank']}")
         else:
-            instance.inbox.append(("listed", (form != "Partial", form == "Persisted",
-                                              self.banks[int(f["bank"])])))
+            instance.inbox.append(("listed", (form != "Partial", form == "Persisted", self.banks[int(f["bank"])])))
 
     def item(self, line: str) -> tuple:
         """One list entry.
@@ -146,8 +176,13 @@
         f = fields_of(parts[1:])
         if f["readiness"] not in STATES:
             raise Malformed(f"no such readiness '{f['readiness']}'")
-        return (f["node"], f.get("zone", ""), STATES[f["readiness"]], float(f.get("w", 1)),
-                int(f.get("started_at_us", 0)) / 1e6)
+        return (
+            f["node"],
+            f.get("zone", ""),
+            STATES[f["readiness"]],
+            float(f.get("w", 1)),
+            int(f.get("started_at_us", 0)) / 1e6,
+        )
 
     def batch(self, first: str, next_line: Callable[[], str]) -> list[str]:
         """Take in one batch, from its SYNC line on; give the reply's lines."""
@@ -202,6 +237,7 @@
 
 def serve(source: BinaryIO, sink: BinaryIO, errors: TextIO) -> int:
     """Answer batches until the input ends; the exit code."""
+
     def complain(text: str) -> None:
         print(f"wirehost: {text}", file=errors, flush=True)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,10 +6,23 @@
 READ = Method(soft_deadline=1.5, criticality=3)
 WRITE = Method(soft_deadline=1.0, criticality=9)
 PLAIN = Settings(
-    methods=(READ, WRITE), slices=4, one_owner=False, asked_list=False, retry_default=1, admits=True,
-    report_period=1, message_delay=0.2, lines_waiting_most=1000, lines_per_message=10, lines_rate=200,
+    methods=(READ, WRITE),
+    slices=4,
+    one_owner=False,
+    asked_list=False,
+    retry_default=1,
+    admits=True,
+    report_period=1,
+    message_delay=0.2,
+    lines_waiting_most=1000,
+    lines_per_message=10,
+    lines_rate=200,
     messages_most=10,
-    messages_span=10, dropped_stay_open=False, cold_share=0.2, cold_time=10)
+    messages_span=10,
+    dropped_stay_open=False,
+    cold_share=0.2,
+    cold_time=10,
+)
 
 
 class Recorder:
--- a/tests/standins/day.py
+++ b/tests/standins/day.py
@@ -17,12 +17,12 @@
 from knotwalk.tape import Tape
 
 METHODS = (Method(soft_deadline=1.5, criticality=3.0), Method(soft_deadline=1.0, criticality=9.0))
-WORK, SHARE, DEADLINE = (0.26, 0.15), (0.55, 0.45), (5.0, 2.5)      # by method: core seconds, part, seconds
+WORK, SHARE, DEADLINE = (0.26, 0.15), (0.55, 0.45), (5.0, 2.5)  # by method: core seconds, part, seconds
 ZONES = ("east", "west")
-LIST_LATE = 2.0     # seconds until the list tells of a death or a start
-SPAN = 10.0         # seconds by which service is kept
-TURNED_AWAY = 8.0   # seconds of wait at which a server takes no more: the work that waits is bounded
-LEASE_LATE = 1.0    # seconds until a new life of the conductor has its proxies and slices
+LIST_LATE = 2.0  # seconds until the list tells of a death or a start
+SPAN = 10.0  # seconds by which service is kept
+TURNED_AWAY = 8.0  # seconds of wait at which a server takes no more: the work that waits is bounded
+LEASE_LATE = 1.0  # seconds until a new life of the conductor has its proxies and slices
 
 
 class Size(NamedTuple):
@@ -30,17 +30,30 @@
 
     servers: int = 10
     proxies: int = 20
-    slices: int = 60        # in our charge
-    rate: float = 90.0     # RPCs a second that come for them
-    parts: int = 1          # conductors that share the servers: the others' load is even, in the background
+    slices: int = 60  # in our charge
+    rate: float = 90.0  # RPCs a second that come for them
+    parts: int = 1  # conductors that share the servers: the others' load is even, in the background
 
 
 def settings_of(size: Size, **changes: object) -> Settings:
     return Settings(
-        methods=METHODS, slices=size.slices * size.parts, one_owner=False, asked_list=False, retry_default=1,
-        admits=True, report_period=2.0, message_delay=0.2, lines_waiting_most=20000.0, lines_per_message=16.0,
-        lines_rate=14000.0, messages_most=12, messages_span=10.0, dropped_stay_open=False, cold_share=0.25,
-        cold_time=8.0)._replace(**changes)
+        methods=METHODS,
+        slices=size.slices * size.parts,
+        one_owner=False,
+        asked_list=False,
+        retry_default=1,
+        admits=True,
+        report_period=2.0,
+        message_delay=0.2,
+        lines_waiting_most=20000.0,
+        lines_per_message=16.0,
+        lines_rate=14000.0,
+        messages_most=12,
+        messages_span=10.0,
+        dropped_stay_open=False,
+        cold_share=0.25,
+        cold_time=8.0,
+    )._replace(**changes)
 
 
 class Machine:
@@ -48,11 +61,11 @@
 
     def __init__(self, id: str, zone: str, cores: int, speed: float, started: float = 0.0):
         self.id, self.zone, self.cores, self.speed, self.started = id, zone, cores, speed, started
-        self.slow = 1.0             # its speed is divided by that
+        self.slow = 1.0  # its speed is divided by that
         self.alive, self.state = True, "ready"
-        self.free = [0.0] * cores   # by core: when its work is done
-        self.busy = 0.0             # core seconds of work begun, less what is yet to be done
-        self.met: dict[str, list] = {}      # by zone: tries, aborted, seconds of the good ones
+        self.free = [0.0] * cores  # by core: when its work is done
+        self.busy = 0.0  # core seconds of work begun, less what is yet to be done
+        self.met: dict[str, list] = {}  # by zone: tries, aborted, seconds of the good ones
 
     def entry(self) -> tuple:
         return (self.id, self.zone, self.state, float(self.cores), self.started)
@@ -63,10 +76,10 @@
 
     def __init__(self, id: int, zone: str, slices: int):
         self.id, self.zone = id, zone
-        self.lines: list[tuple] = [()] * slices         # by slice: (servers, cumulative weights)
+        self.lines: list[tuple] = [()] * slices  # by slice: (servers, cumulative weights)
         self.levels: dict[tuple, float] = {}
         self.joined = True
-        self.free = 0.0             # when the last message under way to it is taken in
+        self.free = 0.0  # when the last message under way to it is taken in
 
 
 class Day:
@@ -76,9 +89,17 @@
     module) after each round, and `lives` with (now, module, settings, seed) at each life's start.
     """
 
-    def __init__(self, seed: int, size: Size = Size(), settings: Settings | None = None, script: list = (),
-                 make: Callable = Conductor, witness: Callable | None = None, lives: Callable | None = None,
-                 start: float = 1e6):
+    def __init__(
+        self,
+        seed: int,
+        size: Size = Size(),
+        settings: Settings | None = None,
+        script: list = (),
+        make: Callable = Conductor,
+        witness: Callable | None = None,
+        lives: Callable | None = None,
+        start: float = 1e6,
+    ):
         self.random, self.coming, self.size, self.seed = Random(seed), Random(seed + 0.5), size, seed
         self.settings, self.make, self.witness, self.lives = settings or settings_of(size), make, witness, lives
         r = self.random
@@ -96,9 +117,9 @@
         self.rate = size.rate
         self.wanted: Counter = Counter()
         self.since = start
-        self.cut: set[str] = set()              # zones that the other cannot reach
+        self.cut: set[str] = set()  # zones that the other cannot reach
         self.store: dict[int, dict[str, float]] = {}
-        self.service: dict[int, list] = {}      # by span: [asked, earned] by method
+        self.service: dict[int, list] = {}  # by span: [asked, earned] by method
         self.weigh()
         owners = list(self.machines)
         for k in range(size.slices):
@@ -171,8 +192,9 @@
             load = {"utilization": round(busy, 3), "qps": round(tries * self.size.parts / span, 1)}
             for zone, (tried, aborted, seconds) in x.met.items():
                 good = tried - aborted
-                inbox.append(("heard", (x.id, zone, span, tried, aborted, seconds / good if good else 0.0,
-                                        load if good else {})))
+                inbox.append(
+                    ("heard", (x.id, zone, span, tried, aborted, seconds / good if good else 0.0, load if good else {}))
+                )
             x.met = {}
         inbox += [("wanted", (k, m, span, n)) for (k, m), n in self.wanted.items()]
         self.wanted, self.since = Counter(), now
@@ -278,8 +300,13 @@
     def come(self, server: str) -> None:
         """A server starts, anew or for the first time: cold."""
         old = self.machines.get(server)
-        x = Machine(server, old.zone if old else ZONES[len(self.machines) % 2], old.cores if old else 4,
-                    old.speed if old else 1.2, self.now)
+        x = Machine(
+            server,
+            old.zone if old else ZONES[len(self.machines) % 2],
+            old.cores if old else 4,
+            old.speed if old else 1.2,
+            self.now,
+        )
         self.machines[server] = x
         self.at(self.now + LIST_LATE / 2, lambda: self.round([("listed", (False, False, [x.entry()]))]))
 
@@ -306,6 +333,7 @@
             for k, lines in self.store.items():
                 edge.lines[k] = self.drawn(lines)
             self.round([("joined", (proxy,))])
+
         self.at(self.now + seconds, back)
 
 
--- a/tests/standins/disk.py
+++ b/tests/standins/disk.py
@@ -21,7 +21,7 @@
 from knotwalk.consensus import store
 
 SECTOR = 512
-FULL, REFUSED = 13, {"write": 778, "truncate": 1546, "sync": 1034, "delete": 2570}     # SQLite's codes
+FULL, REFUSED = 13, {"write": 778, "truncate": 1546, "sync": 1034, "delete": 2570}  # SQLite's codes
 KEPT: list["FaultyDisk"] = []
 LIBRARY = ctypes.CDLL("libsqlite3.so.0")
 LIBRARY.sqlite3_vfs_find.restype = c_void_p
@@ -38,29 +38,48 @@
 class Methods(Structure):
     """sqlite3_io_methods."""
 
-    _fields_ = [("version", c_int), ("close", CLOSE), ("read", c_void_p), ("write", WRITE), ("truncate", LENGTH),
-                ("sync", FLAGS), ("size", c_void_p), ("lock", FLAGS), ("unlock", FLAGS), ("check", CHECK),
-                ("rest", c_void_p * 9)]
+    _fields_ = [
+        ("version", c_int),
+        ("close", CLOSE),
+        ("read", c_void_p),
+        ("write", WRITE),
+        ("truncate", LENGTH),
+        ("sync", FLAGS),
+        ("size", c_void_p),
+        ("lock", FLAGS),
+        ("unlock", FLAGS),
+        ("check", CHECK),
+        ("rest", c_void_p * 9),
+    ]
 
 
 class Vfs(Structure):
     """sqlite3_vfs."""
 
-    _fields_ = [("version", c_int), ("file", c_int), ("longest", c_int), ("next", c_void_p), ("name", c_char_p),
-                ("data", c_void_p), ("open", OPEN), ("delete", DELETE), ("rest", c_void_p * 14)]
+    _fields_ = [
+        ("version", c_int),
+        ("file", c_int),
+        ("longest", c_int),
+        ("next", c_void_p),
+        ("name", c_char_p),
+        ("data", c_void_p),
+        ("open", OPEN),
+        ("delete", DELETE),
+        ("rest", c_void_p * 14),
+    ]
 
 
 class FaultyDisk:
     """Use as a context: SQLite's files and the store's own renames go through it. `refuse` is asked for each number and
     kind and gives a code of SQLite's, or 0; `most` is how many bytes the folder may hold."""
 
-    open: list[sqlite3.Connection] = []     # that a test left so: closed at the end, while their disk still lives
+    open: list[sqlite3.Connection] = []  # that a test left so: closed at the end, while their disk still lives
 
     def __init__(self) -> None:
         self.done: list[tuple] = []
         self.refuse: Callable[[int, str], int] = lambda number, kind: 0
         self.most, self.folder = 1 << 60, Path(os.devnull)
-        self.files: dict[int, tuple[str, Methods]] = {}     # open files: name, the real methods
+        self.files: dict[int, tuple[str, Methods]] = {}  # open files: name, the real methods
         self.tables: dict[int, Methods] = {}
         real = Vfs.from_address(LIBRARY.sqlite3_vfs_find(None))
         self.real, self.vfs = real, Vfs()
@@ -88,7 +107,7 @@
     # ---- what SQLite calls
 
     def _open(self, _vfs: int, text: int, file: int, flags: int, out: Any) -> int:
-        name = string_at(text) if text else b""         # SQLite keeps the pointer: behind the name stand its options
+        name = string_at(text) if text else b""  # SQLite keeps the pointer: behind the name stand its options
         new = not os.path.exists(name)
         code = self.real.open(c_void_p(ctypes.addressof(self.real)), text, file, flags, out)
         address = cast(file, POINTER(c_void_p))[0]
@@ -123,13 +142,16 @@
     def _write(self, file: int, data: int, size: int, at: int) -> int:
         name, real = self.files[file]
         content = string_at(data, size)
-        if self.most < 1 << 60 and sum(self.sizes().values()) + max(0, at + size - self.sizes().get(name, 0)) > self.most:
+        if (
+            self.most < 1 << 60
+            and sum(self.sizes().values()) + max(0, at + size - self.sizes().get(name, 0)) > self.most
+        ):
             self.done.append(("no write", name, at, b""))
             return FULL
         code = self._act("write", lambda: real.write(file, data, size, at), name, at, content)
-        if code and size > SECTOR:      # half of it came
+        if code and size > SECTOR:  # half of it came
             real.write(file, data, size // 2, at)
-            self.done.append(("write", name, at, content[:size // 2]))
+            self.done.append(("write", name, at, content[: size // 2]))
         return code
 
     def _truncate(self, file: int, size: int) -> int:
@@ -142,8 +164,11 @@
     def _delete(self, _vfs: int, name: bytes, folder: int) -> int:
         if not os.path.exists(name):
             return self.real.delete(c_void_p(ctypes.addressof(self.real)), name, 0)
-        code = self._act("delete", lambda: self.real.delete(c_void_p(ctypes.addressof(self.real)), name, 0),
-                         Path(os.fsdecode(name)).name)
+        code = self._act(
+            "delete",
+            lambda: self.real.delete(c_void_p(ctypes.addressof(self.real)), name, 0),
+            Path(os.fsdecode(name)).name,
+        )
         if not code and folder:
             self.done.append(("folder",))
         return code
@@ -161,8 +186,11 @@
             self.done.append(("rename", Path(old).name, Path(new).name))
             replace(old, new)
 
-        with mock.patch.object(store.os, "replace", renamed), mock.patch.object(
-                store.Store, "_sync_folder", lambda _: self.done.append(("folder",))), self:
+        with (
+            mock.patch.object(store.os, "replace", renamed),
+            mock.patch.object(store.Store, "_sync_folder", lambda _: self.done.append(("folder",))),
+            self,
+        ):
             yield
 
     def sizes(self) -> dict[str, int]:
@@ -175,7 +203,7 @@
         """The files after a loss of power that follows what was done up to `number`; `none`: no unsynced write
         lasts."""
         names: dict[str, int] = {}
-        lasting: dict[str, int] = {}        # names as the folder has them for sure
+        lasting: dict[str, int] = {}  # names as the folder has them for sure
         files: list[tuple[bytearray, list[tuple]]] = []
         for kind, *what in self.done[:number]:
             match kind:
@@ -184,7 +212,7 @@
                     files.append((bytearray(), []))
                 case "write" | "truncate":
                     files[names[what[0]]][1].append((kind, *what[1:]))
-                case "sync" | "no sync":        # what a refused one should have covered is gone
+                case "sync" | "no sync":  # what a refused one should have covered is gone
                     content, waiting = files[names[what[0]]]
                     for one in waiting if kind == "sync" else ():
                         self._put(content, one)
@@ -215,16 +243,16 @@
     def _put(content: bytearray, one: tuple, chance: random.Random | None = None) -> None:
         """Take one write or change of length in, torn by `chance`."""
         if one[0] == "truncate":
-            content[:] = content[:one[1]].ljust(one[1], b"\0")
+            content[:] = content[: one[1]].ljust(one[1], b"\0")
             return
         at, data = one[1:]
         parts = range(at, at + len(data), SECTOR)
         whole = chance is None or chance.random() < 0.5
         for start in parts:
             if whole or chance is not None and chance.random() < 0.5:
-                part = data[start - at:start - at + SECTOR]
+                part = data[start - at : start - at + SECTOR]
                 content.extend(bytes(max(0, start + len(part) - len(content))))
-                content[start:start + len(part)] = part
+                content[start : start + len(part)] = part
 
 
 @atexit.register
--- a/tests/standins/edges.py
+++ b/tests/standins/edges.py
@@ -15,8 +15,14 @@
 
     def __init__(self, loop, addresses, subscriber, **options):
         self.came, self.words = [], []
-        super().__init__(loop, addresses, subscriber, lambda told: self.came.append(loop.now()),
-                         lambda kind, text: self.words.append((kind, text)), **options)
+        super().__init__(
+            loop,
+            addresses,
+            subscriber,
+            lambda told: self.came.append(loop.now()),
+            lambda kind, text: self.words.append((kind, text)),
+            **options,
+        )
 
 
 class Site:
@@ -26,14 +32,26 @@
         self.loop, self.told, self.lines = Loop(), [], []
         self.hub = Hub(table, settings, key, wire.encoded, 1)
         self.publisher = front.Publisher(
-            self.loop, self.hub, access or front.Access(), lambda *x: self.told.append(x), lambda proxy: False,
-            lambda kind, text="": self.lines.append((kind, text)), seats, self.loop.now())
+            self.loop,
+            self.hub,
+            access or front.Access(),
+            lambda *x: self.told.append(x),
+            lambda proxy: False,
+            lambda kind, text="": self.lines.append((kind, text)),
+            seats,
+            self.loop.now(),
+        )
         self.address = self.publisher.listen(("127.0.0.1", 0))
         self.edges = []
 
     def edge(self, name, seed=1, proxy=None, start=True, context=None, server_name=None, **options):
-        edge = Edge(self.loop, [self.address], Subscriber(name, seed, proxy=proxy, **options), context=context,
-                    server_name=server_name)
+        edge = Edge(
+            self.loop,
+            [self.address],
+            Subscriber(name, seed, proxy=proxy, **options),
+            context=context,
+            server_name=server_name,
+        )
         self.edges.append(edge)
         if start:
             edge.start()
@@ -61,8 +79,9 @@
 
     def alike(self, edges=None):
         want = sorted(self.hub.table.rows())
-        return all(e.subscriber.place is None and e.link and sorted(e.subscriber.rows()) == want
-                   for e in edges or self.edges)
+        return all(
+            e.subscriber.place is None and e.link and sorted(e.subscriber.rows()) == want for e in edges or self.edges
+        )
 
 
 def most_within(times, span):
@@ -75,6 +94,7 @@
     from cryptography import x509
     from cryptography.hazmat.primitives import hashes, serialization
     from cryptography.hazmat.primitives.asymmetric import ec
+
     now = datetime.datetime.now(datetime.timezone.utc)
 
     def named(name):
@@ -82,26 +102,46 @@
 
     def made(name, issuer, issuer_key, authority):
         key = ec.generate_private_key(ec.SECP256R1())
-        builder = (x509.CertificateBuilder().subject_name(named(name)).issuer_name(issuer or named(name))
-                   .public_key(key.public_key()).serial_number(x509.random_serial_number())
-                   .not_valid_before(now - datetime.timedelta(days=1))
-                   .not_valid_after(now + datetime.timedelta(days=1))
-                   .add_extension(x509.BasicConstraints(ca=authority, path_length=None), critical=True)
-                   .add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), critical=False)
-                   .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False))
+        builder = (
+            x509.CertificateBuilder()
+            .subject_name(named(name))
+            .issuer_name(issuer or named(name))
+            .public_key(key.public_key())
+            .serial_number(x509.random_serial_number())
+            .not_valid_before(now - datetime.timedelta(days=1))
+            .not_valid_after(now + datetime.timedelta(days=1))
+            .add_extension(x509.BasicConstraints(ca=authority, path_length=None), critical=True)
+            .add_extension(x509.SubjectAlternativeName([x509.DNSName(name)]), critical=False)
+            .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), critical=False)
+        )
         if authority:
-            builder = builder.add_extension(x509.KeyUsage(
-                digital_signature=True, content_commitment=False, key_encipherment=False, data_encipherment=False,
-                key_agreement=False, key_cert_sign=True, crl_sign=True, encipher_only=False, decipher_only=False),
-                critical=True)
+            builder = builder.add_extension(
+                x509.KeyUsage(
+                    digital_signature=True,
+                    content_commitment=False,
+                    key_encipherment=False,
+                    data_encipherment=False,
+                    key_agreement=False,
+                    key_cert_sign=True,
+                    crl_sign=True,
+                    encipher_only=False,
+                    decipher_only=False,
+                ),
+                critical=True,
+            )
         else:
-            builder = builder.add_extension(x509.AuthorityKeyIdentifier.from_issuer_public_key(
-                issuer_key.public_key()), critical=False)
+            builder = builder.add_extension(
+                x509.AuthorityKeyIdentifier.from_issuer_public_key(issuer_key.public_key()), critical=False
+            )
         cert = builder.sign(issuer_key or key, hashes.SHA256())
         (folder / f"{name}.pem").write_bytes(cert.public_bytes(serialization.Encoding.PEM))
-        (folder / f"{name}.key").write_bytes(key.private_bytes(
-            serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()))
+        (folder / f"{name}.key").write_bytes(
+            key.private_bytes(
+                serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+            )
+        )
         return cert, key
+
     authority, key = made("authority", None, None, True)
     for name in names:
         made(name, authority.subject, key, False)
--- a/tests/standins/fleet.py
+++ b/tests/standins/fleet.py
@@ -14,11 +14,25 @@
 from knotwalk.tape import Tape
 
 ZONES = ("east", "west")
-LEASE_LATE = 2.5    # seconds until a lost conductor's slices are the others'
+LEASE_LATE = 2.5  # seconds until a lost conductor's slices are the others'
 SETTINGS = Settings(
-    methods=(Method(soft_deadline=1.0, criticality=1.0),), slices=0, one_owner=False, asked_list=False,
-    retry_default=1, admits=True, report_period=2.0, message_delay=0.28, lines_waiting_most=0, lines_per_message=16.0,
-    lines_rate=0, messages_most=12, messages_span=10.0, dropped_stay_open=False, cold_share=0.15, cold_time=15.0)
+    methods=(Method(soft_deadline=1.0, criticality=1.0),),
+    slices=0,
+    one_owner=False,
+    asked_list=False,
+    retry_default=1,
+    admits=True,
+    report_period=2.0,
+    message_delay=0.28,
+    lines_waiting_most=0,
+    lines_per_message=16.0,
+    lines_rate=0,
+    messages_most=12,
+    messages_span=10.0,
+    dropped_stay_open=False,
+    cold_share=0.15,
+    cold_time=15.0,
+)
 LIMITS = Limits(unserved_most=8.0, grace=4.0, tip_multiple=3.0, fall_time=3.0)
 
 
@@ -44,37 +58,56 @@
     def __init__(self, place: int, module: Conductor, rules: Rules, lag: float, proxies: list[int]):
         self.place, self.module, self.rules, self.lag, self.proxies = place, module, rules, lag, proxies
         self.up, self.slices, self.free = True, set[int](), 0.0
-        self.rounds: list[tuple] = []       # (now, inbox, orders)
+        self.rounds: list[tuple] = []  # (now, inbox, orders)
 
 
 class Fleet:
     """Five conductors as a rule. `script` is a list of (time, name of a method below, arguments)."""
 
-    def __init__(self, seed: int, servers: int, proxies: int, slices: int, parts: int = 5, load: float = 0.45,
-                 script: Iterable = (), lag: float = 0.4, room: float = 175.0, make: Callable = Conductor,
-                 keep: bool = False):
+    def __init__(
+        self,
+        seed: int,
+        servers: int,
+        proxies: int,
+        slices: int,
+        parts: int = 5,
+        load: float = 0.45,
+        script: Iterable = (),
+        lag: float = 0.4,
+        room: float = 175.0,
+        make: Callable = Conductor,
+        keep: bool = False,
+    ):
         self.random, self.now, self.keep = Random(seed), 1000.0, keep
         self.heap: list[tuple] = []
         self.count = 0
-        self.settings = SETTINGS._replace(slices=slices, controllers=parts, lines_waiting_most=room * proxies,
-                                          lines_rate=120.0 * proxies)
+        self.settings = SETTINGS._replace(
+            slices=slices, controllers=parts, lines_waiting_most=room * proxies, lines_rate=120.0 * proxies
+        )
         r = self.random
         self.machines = {f"s{k}": Machine(f"s{k}", ZONES[k % 2], r.uniform(15, 30)) for k in range(servers)}
         weights = [r.paretovariate(2.5) for _ in range(slices)]
         total = load * sum(x.power for x in self.machines.values())
         self.demand = [total * w / sum(weights) for w in weights]
         names = list(self.machines)
-        self.store: list[dict[str, float]] = [{r.choice(names): 1.0} for _ in range(slices)]     # as ordered
-        self.tables = [dict(lines) for lines in self.store]         # as the proxies have it
-        self.shut: set[tuple[int, str]] = set()                     # by conductor and server
+        self.store: list[dict[str, float]] = [{r.choice(names): 1.0} for _ in range(slices)]  # as ordered
+        self.tables = [dict(lines) for lines in self.store]  # as the proxies have it
+        self.shut: set[tuple[int, str]] = set()  # by conductor and server
         self.level = [1.0] * slices
-        self.fallen: list[tuple[float, str]] = []                   # cold servers that fell over
-        self.served: list[tuple[float, float]] = []                 # (time, part of the demand), each half second
+        self.fallen: list[tuple[float, str]] = []  # cold servers that fell over
+        self.served: list[tuple[float, float]] = []  # (time, part of the demand), each half second
         self.seats: list[Seat] = []
         for k in range(parts):
             settings = self.settings._replace(place=k)
-            self.seats.append(Seat(k, make(settings, seed * 100 + k), Rules(settings, LIMITS), lag * r.uniform(0.3, 3),
-                                   list(range(k, proxies, parts))))
+            self.seats.append(
+                Seat(
+                    k,
+                    make(settings, seed * 100 + k),
+                    Rules(settings, LIMITS),
+                    lag * r.uniform(0.3, 3),
+                    list(range(k, proxies, parts)),
+                )
+            )
         for at, name, *arguments in script:
             self.at(self.now + at, lambda name=name, arguments=arguments: getattr(self, name)(*arguments))
         for seat in self.seats:
@@ -162,8 +195,14 @@
             if mine and (tries := round(2.0 * mine)):
                 asked, can = sum(by.values()), x.can(self.now)
                 good = min(1.0, can / asked)
-                load = {"utilization": round(min(1.0, asked / can * r.uniform(0.85, 1.15)), 3),
-                        "qps": round(min(asked, can) * r.uniform(0.9, 1.1), 2)} if can else {}
+                load = (
+                    {
+                        "utilization": round(min(1.0, asked / can * r.uniform(0.85, 1.15)), 3),
+                        "qps": round(min(asked, can) * r.uniform(0.9, 1.1), 2),
+                    }
+                    if can
+                    else {}
+                )
                 aborted = round(tries * (1 - good))
                 latency = 0.1 / max(0.05, 1 - min(0.95, asked / can)) if can else 0.0
                 inbox.append(("heard", (id, x.zone, 2.0, tries, aborted, latency if aborted < tries else 0.0, load)))
@@ -232,7 +271,7 @@
         lost.up = False
         slices, lost.slices = sorted(lost.slices), set()
         left = [seat for seat in self.seats if seat.up]
-        parts = {seat.place: slices[k::len(left)] for k, seat in enumerate(left)}
+        parts = {seat.place: slices[k :: len(left)] for k, seat in enumerate(left)}
         # Until then its tables stand, and count for who will have them.
         for seat in left:
             seat.slices.update(parts[seat.place])
@@ -240,6 +279,7 @@
         def pass_on() -> None:
             for seat in left:
                 self.round(seat, self.given(seat, parts[seat.place]))
+
         self.at(self.now + LEASE_LATE, pass_on)
 
     def list_whole(self, place: int, without: list[str]) -> None:
--- a/tests/standins/holders.py
+++ b/tests/standins/holders.py
@@ -21,8 +21,8 @@
 
     nodes: list[HoldingNode] = field(default_factory=list)
     broken: list[tuple[int, str, str]] = field(default_factory=list)
-    begun: dict[str, list[str]] = field(default_factory=dict)      # by Attempt-Id: nodes that began work on it
-    twice: list[str] = field(default_factory=list)                  # of those that may run once, begun again
+    begun: dict[str, list[str]] = field(default_factory=dict)  # by Attempt-Id: nodes that began work on it
+    twice: list[str] = field(default_factory=list)  # of those that may run once, begun again
 
     def begins(self, node: HoldingNode, request: Request, key: int | None) -> None:
         begun = self.begun.setdefault(request.attempt, [])
@@ -31,8 +31,11 @@
         begun.append(node.id)
         if key is not None:
             now = clock()
-            self.broken += [(key, node.id, other.id) for other in self.nodes
-                            if other is not node and other.up and other.until[key] > now]
+            self.broken += [
+                (key, node.id, other.id)
+                for other in self.nodes
+                if other is not node and other.up and other.until[key] > now
+            ]
 
 
 @dataclass
@@ -45,7 +48,7 @@
     state: str = "ready"
     capacity: int = 4
     up: bool = True
-    shown: bool = True      # in the platform's list, where a node that crashed stays for a while
+    shown: bool = True  # in the platform's list, where a node that crashed stays for a while
     until: list[float] = field(default_factory=lambda: [0.0] * KEYS, repr=False)
     fences: list[int] = field(default_factory=lambda: [0] * KEYS, repr=False)
     running: list[tuple[int, asyncio.Event]] = field(default_factory=list, repr=False)
@@ -76,8 +79,15 @@
     def listed(self) -> dict:
         """Its entry in the platform's list."""
         host, port = self.place
-        return {"service": self.service, "address": f"{host}:{port}", "zone": "a", "config_version": "v1",
-                "capacity": self.capacity, "state": self.state, "warmup_left": "0ms"}
+        return {
+            "service": self.service,
+            "address": f"{host}:{port}",
+            "zone": "a",
+            "config_version": "v1",
+            "capacity": self.capacity,
+            "state": self.state,
+            "warmup_left": "0ms",
+        }
 
     def act(self, request: Request):
         method, target, _ = request.line.split(" ")
@@ -103,8 +113,11 @@
         finally:
             self.running.remove(work)
             done.set()
-        return answer(request, f"{self.id} {request.line}".encode(),
-                      extra=f"Server-Load: {len(self.running)},0,{self.capacity}\r\n")
+        return answer(
+            request,
+            f"{self.id} {request.line}".encode(),
+            extra=f"Server-Load: {len(self.running)},0,{self.capacity}\r\n",
+        )
 
     def _grant(self, request: Request) -> bytes:
         asked = json.loads(request.body)
--- a/tests/standins/hubs.py
+++ b/tests/standins/hubs.py
@@ -30,11 +30,11 @@
         self.table = table or Table("e1")
         self.hub = Hub(self.table, settings, KEY, wire.encoded, seed)
         self.born = born
-        self.pipes = {}             # by the subscriber's name
+        self.pipes = {}  # by the subscriber's name
         self.inbox, self.notes, self.ended = [], [], []
-        self.sent = {}              # by proxy: times
-        self.rules = Rules(settings, Limits(unserved_most=0.8), broadcast=False)     # judges each message sent
-        self.flight = {}            # by stream and number: what the rules call it
+        self.sent = {}  # by proxy: times
+        self.rules = Rules(settings, Limits(unserved_most=0.8), broadcast=False)  # judges each message sent
+        self.flight = {}  # by stream and number: what the rules call it
         self.bytes = 0
 
     # --- as the hub's sender ---
@@ -65,8 +65,9 @@
         """A new stream; what the publisher says to its hello."""
         hello = wire.Hello(json.loads(subscriber.hello()))
         try:
-            cursor = self.hub.hello(self.now, hello.name, hello.proxy, hello.wanted, hello.of_zone, hello.token,
-                                    hello.usable)
+            cursor = self.hub.hello(
+                self.now, hello.name, hello.proxy, hello.wanted, hello.of_zone, hello.token, hello.usable
+            )
         except (Later, Refused) as fault:
             subscriber.refused(str(fault)) if isinstance(fault, Refused) else None
             return fault
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -9,10 +9,10 @@
 from dataclasses import dataclass, field
 
 from knotwalk.configuration.objects import Configuration, Limits, Route, Service
-from knotwalk.discovery.cluster_view import Line, Node, ClusterView, Sharding
+from knotwalk.discovery.cluster_view import ClusterView, Line, Node, Sharding
+from knotwalk.edge.front import Front
 from knotwalk.runtime.logs import clock
 from knotwalk.runtime.settings import parse
-from knotwalk.edge.front import Front
 
 
 @dataclass
@@ -30,8 +30,14 @@
         return self.headers.get("attempt-id", "")
 
 
-def answer(request: Request, body: bytes = b"bytes", status: str = "200 OK", seal: bool = True, extra: str = "",
-           id: str | None = None) -> bytes:
+def answer(
+    request: Request,
+    body: bytes = b"bytes",
+    status: str = "200 OK",
+    seal: bool = True,
+    extra: str = "",
+    id: str | None = None,
+) -> bytes:
     """A whole answer."""
     head = f"HTTP/1.1 {status}\r\nAttempt-Id: {request.attempt if id is None else id}\r\n"
     head += f"Content-Length: {len(body)}\r\n" + ("Server-Seal: s\r\n" if seal else "") + extra + "\r\n"
@@ -111,7 +117,7 @@
                         continue
                 writer.write(act)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass        # cancelled at a test's end: asyncio's streams would print it
+            pass  # cancelled at a test's end: asyncio's streams would print it
         finally:
             self.gone.append(number)
             self.left.set()
@@ -131,9 +137,15 @@
 
 def routes(timeout: float = 5.0, aim: float = 2.0, retry_count: int = 2) -> list[Route]:
     """`/i/` may be repeated, `/n/` not; `/ki/` and `/kn/` the same of a service divided by key."""
-    return [Route(prefix, "h", prefix, idempotent, timeout, aim, 0, ((service, 1.0),), retry_count)
-            for prefix, idempotent, service in (("/i/", True, "s"), ("/n/", False, "s"),
-                                                ("/ki/", True, "k"), ("/kn/", False, "k"))]
+    return [
+        Route(prefix, "h", prefix, idempotent, timeout, aim, 0, ((service, 1.0),), retry_count)
+        for prefix, idempotent, service in (
+            ("/i/", True, "s"),
+            ("/n/", False, "s"),
+            ("/ki/", True, "k"),
+            ("/kn/", False, "k"),
+        )
+    ]
 
 
 def view(nodes: list[Node], found: list[Route] | None = None, limits: Limits | None = None) -> ClusterView:
@@ -142,7 +154,7 @@
     table = found if found is not None else routes()
     services = {"s": Service("s"), "k": Service("k", sharded=True)}
     made.configuration = Configuration(1, {r.name: r for r in table}, services, limits or Limits(), {})
-    made.index = Index(table)       # type: ignore[assignment]
+    made.index = Index(table)  # type: ignore[assignment]
     made.nodes_order = (0, 0)
     show(made, nodes)
     return made
@@ -183,8 +195,15 @@
     async def to(cls, port: int, host: str = "127.0.0.1") -> RawClient:
         return cls(*await asyncio.open_connection(host, port, limit=1 << 22))
 
-    def ask(self, path: str = "/i/x", id: str = "a1", method: str = "GET", headers: str = "", body: bytes = b"",
-            deadline: int = 4000) -> None:
+    def ask(
+        self,
+        path: str = "/i/x",
+        id: str = "a1",
+        method: str = "GET",
+        headers: str = "",
+        body: bytes = b"",
+        deadline: int = 4000,
+    ) -> None:
         head = f"{method} {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline}\r\n{headers}"
         head += f"Content-Length: {len(body)}\r\n" if body else ""
         self.writer.write(head.encode() + b"\r\n" + body)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -84,9 +84,21 @@
     return out.encode()
 
 
-SETTINGS = {"classes": [{"name": "read", "slo_us": 1500000, "worth": 3.0}], "tick_us": 1000, "family_info": {
-    "partitions_n": 2, "admit": "fraction", "retry_default": 1, "period_us": 2000000, "push_delay_us": 200000,
-    "most_waiting": 20000, "fixed_cost": 16, "messages_most": 12, "reload_span_us": 10000000}}
+SETTINGS = {
+    "classes": [{"name": "read", "slo_us": 1500000, "worth": 3.0}],
+    "tick_us": 1000,
+    "family_info": {
+        "partitions_n": 2,
+        "admit": "fraction",
+        "retry_default": 1,
+        "period_us": 2000000,
+        "push_delay_us": 200000,
+        "most_waiting": 20000,
+        "fixed_cost": 16,
+        "messages_most": 12,
+        "reload_span_us": 10000000,
+    },
+}
 
 
 class StandIn:
@@ -95,10 +107,10 @@
     def __init__(self, loop=None):
         self.loop = loop or Loop()
         self.calls, self.links, self.news = [], [], []
-        self.sockets, self.settings = 64, SETTINGS      # that the program may hold, and is told
+        self.sockets, self.settings = 64, SETTINGS  # that the program may hold, and is told
         self.servers = [{"id": id, "zone": "z", "state": "active"} for id in ("a", "b")]
         self.version, self.slices, self.proxies = 1, {0: {"a": 1.0}, 1: {"b": 1.0}}, [1]
-        self.fate = lambda orders: True     # whether a call is carried out; None: it is, and the link breaks
+        self.fate = lambda orders: True  # whether a call is carried out; None: it is, and the link breaks
         self.address = "%s:%d" % self.loop.listen(("127.0.0.1", 0), lambda: Session(self)).sock.getsockname()
 
     def until(self, true, seconds=20.0):
@@ -132,14 +144,21 @@
 
     def start(self, listen="127.0.0.1:0", stderr=subprocess.PIPE, arguments=()):
         """The program, and its address once it says so."""
-        self.told = {"name": "n0", "listen": listen, "discovery": self.address, "seed": "5",
-                     "limits": {"memory_mb": 192, "sockets": self.sockets}, "hub": {"address": self.address},
-                     "known": {"version": 1, "full": True, "servers": self.servers},
-                     "settings": self.settings}
+        self.told = {
+            "name": "n0",
+            "listen": listen,
+            "discovery": self.address,
+            "seed": "5",
+            "limits": {"memory_mb": 192, "sockets": self.sockets},
+            "hub": {"address": self.address},
+            "known": {"version": 1, "full": True, "servers": self.servers},
+            "settings": self.settings,
+        }
         self.config = tempfile.NamedTemporaryFile("w", suffix=".json")
         self.configure()
-        self.program = run({"EDGE_CONFIG": self.config.name, "EDGE_DISCOVERY": self.address},
-                           "serve", *arguments, stderr=stderr)
+        self.program = run(
+            {"EDGE_CONFIG": self.config.name, "EDGE_DISCOVERY": self.address}, "serve", *arguments, stderr=stderr
+        )
         if self.program.stderr:
             while not (line := self.program.stderr.readline()).startswith("knotwalk serving"):
                 assert line, "it ended"
@@ -220,8 +239,9 @@
 def run(environ, *arguments, stderr=subprocess.PIPE):
     """The program."""
     command = [sys.executable, "-m", "knotwalk", *(arguments or ("serve",))]
-    return subprocess.Popen(command, env=environ, cwd=Path(__file__).parent.parent.parent, stdout=subprocess.PIPE,
-                            stderr=stderr, text=True)
+    return subprocess.Popen(
+        command, env=environ, cwd=Path(__file__).parent.parent.parent, stdout=subprocess.PIPE, stderr=stderr, text=True
+    )
 
 
 def call(address, data, count=0, seconds=20):
--- a/tests/standins/tapes.py
+++ b/tests/standins/tapes.py
@@ -8,14 +8,15 @@
 from knotwalk.replay.exact import replay
 from knotwalk.rules import Limits
 
-LIMITS = Limits(unserved_most=0.8, grace=3.0, once=(1,), tip_multiple=2.0, fall_time=1.0, give_up=(5.0, 2.5),
-                late_share=(0.1, 0.1))
+LIMITS = Limits(
+    unserved_most=0.8, grace=3.0, once=(1,), tip_multiple=2.0, fall_time=1.0, give_up=(5.0, 2.5), late_share=(0.1, 0.1)
+)
 BIG = 1 << 40
 
 
 def replayed(folder, lives):
     """A folder's recording of so many lives, replayed exactly, once its writers have ended."""
-    for _ in range(200):        # a killed conductor's writer ends by itself, some time after it
+    for _ in range(200):  # a killed conductor's writer ends by itself, some time after it
         try:
             recording = Recording([folder])
             outcome = replay(recording)
@@ -52,8 +53,8 @@
         self.recorder.settle()
         waiting, at = self.recorder.waiting, 0
         while at < len(waiting):
-            size, = LENGTH.unpack_from(waiting, at)
-            self.writer.frame(bytes(waiting[at + LENGTH.size:at + LENGTH.size + size]))
+            (size,) = LENGTH.unpack_from(waiting, at)
+            self.writer.frame(bytes(waiting[at + LENGTH.size : at + LENGTH.size + size]))
             at += LENGTH.size + size
         waiting.clear()
 
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -31,28 +31,58 @@
 ROOT = Path(__file__).parents[2]
 CORES, EDGES = ("127.0.0.1", "127.0.0.2", "127.0.0.3"), ("127.0.0.4", "127.0.0.5")
 HOST = "tiles.example"
-PAGE = 4            # nodes on a page of the list
+PAGE = 4  # nodes on a page of the list
 SHM = "/dev/shm"
-BOUND = 90.0        # seconds that anything may take; a calm machine needs a few
+BOUND = 90.0  # seconds that anything may take; a calm machine needs a few
 
 
 def route(name: str, prefix: str, service: str, kind: str = "idempotent", **more: Any) -> dict:
     """A route as operators send it."""
-    return {"object_kind": "routes", "metadata": {"name": name}, "specification": {
-        "hostname": HOST, "path_prefix": prefix, "route_type": kind, "timeout": "60s", "target_latency": "20s",
-        "priority": 1, "service": service, "retry_count": 2, **more}}
+    return {
+        "object_kind": "routes",
+        "metadata": {"name": name},
+        "specification": {
+            "hostname": HOST,
+            "path_prefix": prefix,
+            "route_type": kind,
+            "timeout": "60s",
+            "target_latency": "20s",
+            "priority": 1,
+            "service": service,
+            "retry_count": 2,
+            **more,
+        },
+    }
 
 
 def service(name: str, **more: Any) -> dict:
-    return {"object_kind": "services", "metadata": {"name": name}, "specification": {
-        "health_check": "/health", "max_connections": 130, "protocol": "h1", "tls": False, **more}}
-
-
-FIRST = {"config_version": "r3", "objects": [
-    route("frames", "/frames/", "tiles"), route("signup", "/signup/", "tiles", "non_idempotent"),
-    route("desk", "/desk/", "desk"), service("tiles", sharded=True, prewarm="1s", grants="call"), service("desk"),
-    {"object_kind": "limits", "metadata": {}, "specification": {
-        "max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout": "3000ms", "idle_timeout": "15000ms"}}]}
+    return {
+        "object_kind": "services",
+        "metadata": {"name": name},
+        "specification": {"health_check": "/health", "max_connections": 130, "protocol": "h1", "tls": False, **more},
+    }
+
+
+FIRST = {
+    "config_version": "r3",
+    "objects": [
+        route("frames", "/frames/", "tiles"),
+        route("signup", "/signup/", "tiles", "non_idempotent"),
+        route("desk", "/desk/", "desk"),
+        service("tiles", sharded=True, prewarm="1s", grants="call"),
+        service("desk"),
+        {
+            "object_kind": "limits",
+            "metadata": {},
+            "specification": {
+                "max_header_bytes": 16384,
+                "max_body_bytes": 1 << 20,
+                "header_timeout": "3000ms",
+                "idle_timeout": "15000ms",
+            },
+        },
+    ],
+}
 
 
 class Ports:
@@ -98,9 +128,13 @@
     async def list(self, request: web.BaseRequest) -> web.Response:
         self.calls += 1
         first = int(request.query.get("page_token", "p-0").removeprefix("p-"))
-        here = [node for node in self.nodes if node.shown][first:first + PAGE]
-        return web.json_response({"instances": {node.id: node.listed() for node in here},
-                                  "next_token": f"p-{first + PAGE}" if len(here) == PAGE else None})
+        here = [node for node in self.nodes if node.shown][first : first + PAGE]
+        return web.json_response(
+            {
+                "instances": {node.id: node.listed() for node in here},
+                "next_token": f"p-{first + PAGE}" if len(here) == PAGE else None,
+            }
+        )
 
 
 class Program:
@@ -117,8 +151,13 @@
         self.settings |= changes
         self.told.write_text(json.dumps(self.settings))
         with self.log.open("ab") as log:
-            self.process = subprocess.Popen([sys.executable, "-m", self.module], cwd=ROOT, stdout=log, stderr=log,
-                                            env=os.environ | {"KNOTWALK_SETTINGS": str(self.told)})
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", self.module],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"KNOTWALK_SETTINGS": str(self.told)},
+            )
 
     def send(self, sign: int) -> None:
         self.process.send_signal(sign)
@@ -149,8 +188,9 @@
     def __init__(self, village: Village):
         self.village, self.turn = village, 0
 
-    async def send(self, method: str, document: dict | None = None, base: str = "",
-                   within: float = BOUND) -> tuple[int, Any]:
+    async def send(
+        self, method: str, document: dict | None = None, base: str = "", within: float = BOUND
+    ) -> tuple[int, Any]:
         """Status and JSON of the first clear answer."""
         loop = asyncio.get_running_loop()
         until, pause = loop.time() + within, 0.05
@@ -159,8 +199,9 @@
             url = f"http://{CORES[self.turn % 3]}:{self.village.control}/configuration"
             for _ in range(3):
                 try:
-                    status, heads, data = await self.village.caller.send(method, url, document, 6.0, "operator",
-                                                                         {"If-Match": base} if base else None)
+                    status, heads, data = await self.village.caller.send(
+                        method, url, document, 6.0, "operator", {"If-Match": base} if base else None
+                    )
                 except PeerError:
                     break
                 if status != 307:
@@ -187,7 +228,7 @@
         self.internal, self.control = self.ports.take(*CORES), self.ports.take(*CORES)
         self.cores: list[Program] = []
         self.edges: list[Program] = []
-        self.caller: Caller = None      # type: ignore[assignment]
+        self.caller: Caller = None  # type: ignore[assignment]
         self.attempts = 0
 
     async def start(self) -> Village:
@@ -198,13 +239,33 @@
         await self.platform.start()
         for number, ip in enumerate(CORES, 1):
             (data := self.folder / f"core-{number}.d").mkdir()
-            self.cores.append(Program(self.folder, "knotwalk.control_plane", self.told(
-                f"core-{number}", ip, "core", {"control": f"{ip}:{self.control}"}, data_dir=str(data),
-                quorum_member=True)))
+            self.cores.append(
+                Program(
+                    self.folder,
+                    "knotwalk.control_plane",
+                    self.told(
+                        f"core-{number}",
+                        ip,
+                        "core",
+                        {"control": f"{ip}:{self.control}"},
+                        data_dir=str(data),
+                        quorum_member=True,
+                    ),
+                )
+            )
         for number, ip in enumerate(EDGES, 1):
-            self.edges.append(Program(self.folder, "knotwalk.edge", self.told(
-                f"edge-{number}", ip, "edge", {"data_plane": f"{ip}:{self.ports.take(ip)}",
-                                               "readiness": f"{ip}:{self.ports.take(ip)}"})))
+            self.edges.append(
+                Program(
+                    self.folder,
+                    "knotwalk.edge",
+                    self.told(
+                        f"edge-{number}",
+                        ip,
+                        "edge",
+                        {"data_plane": f"{ip}:{self.ports.take(ip)}", "readiness": f"{ip}:{self.ports.take(ip)}"},
+                    ),
+                )
+            )
         for program in self.cores + self.edges:
             program.start()
         return self
@@ -212,16 +273,41 @@
     def told(self, name: str, ip: str, kind: str, listen: dict, **more: Any) -> dict:
         """The settings that the platform writes."""
         return {
-            "node_name": name, "role": kind, "machine_class": kind, "ip_address": ip, "zone": "a", "region": "r",
-            "serves": ["control_plane" if kind == "core" else "edge"], "zones": {"a": "r"}, "listen_addresses": listen,
-            "internal_port_range": [self.internal, self.internal], "initial_boot": True, "quorum_member": False,
-            "seed_nodes": [f"{ip}:{self.control}" for ip in CORES], "data_dir": None, "heartbeat": "1500ms",
-            "limits": {"cpu_share": 1.0, "cpu_cores": 1, "memory_mb": 300, "file_descriptors": 1024,
-                       "link_mbps": 1000.0, "disk_mb": 64 if kind == "core" else 0},
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0}, "grants": "call", "a field to skip": 1,
+            "node_name": name,
+            "role": kind,
+            "machine_class": kind,
+            "ip_address": ip,
+            "zone": "a",
+            "region": "r",
+            "serves": ["control_plane" if kind == "core" else "edge"],
+            "zones": {"a": "r"},
+            "listen_addresses": listen,
+            "internal_port_range": [self.internal, self.internal],
+            "initial_boot": True,
+            "quorum_member": False,
+            "seed_nodes": [f"{ip}:{self.control}" for ip in CORES],
+            "data_dir": None,
+            "heartbeat": "1500ms",
+            "limits": {
+                "cpu_share": 1.0,
+                "cpu_cores": 1,
+                "memory_mb": 300,
+                "file_descriptors": 1024,
+                "link_mbps": 1000.0,
+                "disk_mb": 64 if kind == "core" else 0,
+            },
+            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+            "grants": "call",
+            "a field to skip": 1,
             "timing_bounds": {"drain_timeout": "2500ms", "grace_period": "60s", "max_hold": "10000ms"},
-            "cloud_api": {"address": f"127.0.0.1:{self.platform.port}", "rate_per_s": 52.0, "duties": [],
-                          "max_lag": "800ms"}, **more}
+            "cloud_api": {
+                "address": f"127.0.0.1:{self.platform.port}",
+                "rate_per_s": 52.0,
+                "duties": [],
+                "max_lag": "800ms",
+            },
+            **more,
+        }
 
     async def stop(self) -> None:
         for program in self.cores + self.edges:
@@ -238,8 +324,11 @@
 
     def tails(self) -> str:
         """The ends of all logs."""
-        return "\n".join(f"--- {p.log.name}, process {p.process and p.process.poll()}\n" + p.log.read_text()[-1500:]
-                         for p in self.cores + self.edges if p.log.exists())
+        return "\n".join(
+            f"--- {p.log.name}, process {p.process and p.process.poll()}\n" + p.log.read_text()[-1500:]
+            for p in self.cores + self.edges
+            if p.log.exists()
+        )
 
     async def until(self, condition: Callable[[], Any], what: str, within: float = BOUND) -> Any:
         """Poll a condition until it holds: its value. AssertionError past the bound."""
@@ -301,12 +390,17 @@
         """Send a request; its Attempt-Id."""
         self.attempts += 1
         id = f"a{self.attempts}"
-        client.writer.write((f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 50000\r\n"
-                             f"Shard-Key: {key}\r\n\r\n").encode())
+        client.writer.write(
+            (
+                f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 50000\r\n"
+                f"Shard-Key: {key}\r\n\r\n"
+            ).encode()
+        )
         return id
 
-    async def get(self, edge: Program, path: str, key: int = 0,
-                  method: str = "GET") -> tuple[int, dict[str, str], bytes]:
+    async def get(
+        self, edge: Program, path: str, key: int = 0, method: str = "GET"
+    ) -> tuple[int, dict[str, str], bytes]:
         """One request on a connection of its own: status, headers, body."""
         client = await self.client(edge)
         try:
@@ -325,8 +419,10 @@
         await village.calm()
         for number, (edge, path) in enumerate(zip(village.edges, ("/frames/7/12.png", "/desk/today"))):
             status, heads, body = await village.get(edge, path, key=40000 * number)
-            print(f"client: GET {path} at {edge.settings['node_name']} -> {status}, Server-Seal "
-                  f"{heads.get('server-seal')}, by {body.decode()!r}")
+            print(
+                f"client: GET {path} at {edge.settings['node_name']} -> {status}, Server-Seal "
+                f"{heads.get('server-seal')}, by {body.decode()!r}"
+            )
         return 0
     finally:
         await village.stop()
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -71,7 +71,7 @@
     life: int = 0
     lives: int = 0
     frozen: float = 0.0
-    slow: float = 0.0           # seconds a write takes at most, beyond 1 ms
+    slow: float = 0.0  # seconds a write takes at most, beyond 1 ms
     hangs: bool = False
     writing: Save | None = None
     due: float = -1.0
@@ -88,7 +88,7 @@
         self.leaders: dict[int, str] = {}
         self.entries: dict[int, Entry] = {}
         self.digests: dict[int, str] = {0: ""}
-        self.told = 0               # highest index told committed
+        self.told = 0  # highest index told committed
         self.dead: set[str] = set()
 
     def leads(self, machine: Machine) -> None:
@@ -131,8 +131,11 @@
 
     def leases(self, nodes: list[Node], now: float, length: float) -> None:
         """No two machines hold a proof of leadership at a time."""
-        holders = [node.address for node in nodes if node.machine and node.machine.role == "leader"
-                   and now + node.offset - node.machine.majority_at < length]
+        holders = [
+            node.address
+            for node in nodes
+            if node.machine and node.machine.role == "leader" and now + node.offset - node.machine.majority_at < length
+        ]
         if len(holders) > 1:
             raise Violation(f"{holders} both hold a lease")
 
@@ -140,8 +143,15 @@
 class Cluster:
     """Machines under one seed, and time that only events move."""
 
-    def __init__(self, seed: int, count: int = 3, kind: type[Machine] = Machine, pace: Pace = Pace(),
-                 promises: bool = True, keeps_id: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        count: int = 3,
+        kind: type[Machine] = Machine,
+        pace: Pace = Pace(),
+        promises: bool = True,
+        keeps_id: bool = False,
+    ) -> None:
         self.random = random.Random(f"cluster {seed}")
         self.seed, self.kind, self.pace, self.keeps_id = seed, kind, pace, keeps_id
         self.now = 0.0
@@ -149,7 +159,7 @@
         self.serial = 0
         self.checker = Checker(promises)
         self.loss = self.double = 0.0
-        self.late = 0.001               # seconds by which delays spread
+        self.late = 0.001  # seconds by which delays spread
         self.cuts: set[tuple[str, str]] = set()
         self.answers: dict[Any, Answer] = {}
         self.asked: dict[Any, int] = {}
@@ -342,7 +352,7 @@
         elif answer.outcome == "readable":
             if answer.value < self.asked[answer.ticket]:
                 raise Violation(f"{answer.ticket} reads {answer.value}, {self.asked[answer.ticket]} was told before")
-            checker.told = max(checker.told, answer.value)      # what was read once is never unread
+            checker.told = max(checker.told, answer.value)  # what was read once is never unread
 
     def propose(self, address: str, command: dict) -> int | None:
         """Propose at one machine; the ticket."""
@@ -406,16 +416,23 @@
             return False
         machine = leader.machine
         homes = {node.machine.me: node for node in self.nodes.values() if node.machine}
-        return (machine.commit == machine.log.last and all(id in homes for id in machine.members)
-                and all(homes[id].applied == machine.commit for id in machine.members)
-                and all(homes[id].machine.role in ("leader", "follower") for id in machine.members))
+        return (
+            machine.commit == machine.log.last
+            and all(id in homes for id in machine.members)
+            and all(homes[id].applied == machine.commit for id in machine.members)
+            and all(homes[id].machine.role in ("leader", "follower") for id in machine.members)
+        )
 
     def spares(self) -> bool:
         """Whether any one disk may be lost and a majority of the members is left."""
         leader = self.leader()
-        return (self.settled() and leader is not None and leader.machine is not None
-                and len(leader.machine.members) > 2
-                and not any(node.machine and node.machine.leaving for node in self.nodes.values()))
+        return (
+            self.settled()
+            and leader is not None
+            and leader.machine is not None
+            and len(leader.machine.members) > 2
+            and not any(node.machine and node.machine.leaving for node in self.nodes.values())
+        )
 
 
 def trouble(cluster: Cluster, steps: int, wipes: bool = True) -> None:
--- a/tests/system/model.py
+++ b/tests/system/model.py
@@ -17,14 +17,14 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
+from knotwalk.consensus.machine import Apply, Machine, Pace, Role, Save, Saved, Send
+from knotwalk.discovery.cluster_view import Node
 from knotwalk.leases.keeper import SLOW, Grant, Holder, Keeper, Pace as KeysPace, Propose, Release
 from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.leases.tenure import LEASE, Tenure, reassign
-from knotwalk.consensus.machine import Apply, Machine, Pace, Role, Save, Saved, Send
-from knotwalk.discovery.cluster_view import Node
 from tests.system.cluster import Disk
 
-Step = tuple[str, Any, list[str]]       # what was done, the state after, what is broken by it
+Step = tuple[str, Any, list[str]]  # what was done, the state after, what is broken by it
 
 
 @dataclass
@@ -33,7 +33,7 @@
 
     states: int = 0
     depth: int = 0
-    whole: bool = False         # no state is left within the world's bounds
+    whole: bool = False  # no state is left within the world's bounds
     broken: list[str] = field(default_factory=list)
     trace: list[str] = field(default_factory=list)
 
@@ -114,10 +114,31 @@
 
 # No lease ends by itself and nobody is sticky: safety of the log must not rest on time.
 WALK = Pace(heartbeat=1000.0, election_low=1e5, election_high=1e5, round_low=1.0, round_high=1.0, join=0.0, forget=1e6)
-TIMERS = {"random", "wake", "contacts", "pace", "_seen", "_heard", "_sticky_from", "_lonely_since", "_deadline",
-          "_ask_at", "_rounds", "_elected_at", "_beat_at", "_handed_at", "_number", "_done", "_flight", "_held",
-          "log", "orders", "_votes", "_hint"}
-EPOCH = 0.001       # time moves only when a disk is wiped: what was answered before is told from what was after
+TIMERS = {
+    "random",
+    "wake",
+    "contacts",
+    "pace",
+    "_seen",
+    "_heard",
+    "_sticky_from",
+    "_lonely_since",
+    "_deadline",
+    "_ask_at",
+    "_rounds",
+    "_elected_at",
+    "_beat_at",
+    "_handed_at",
+    "_number",
+    "_done",
+    "_flight",
+    "_held",
+    "log",
+    "orders",
+    "_votes",
+    "_hint",
+}
+EPOCH = 0.001  # time moves only when a disk is wiped: what was answered before is told from what was after
 
 
 @dataclass
@@ -141,10 +162,10 @@
     crashes: int = 1
     wipes: int = 0
     beats: bool = True
-    stood: int = 2              # how many machines ever stand for election
-    newcomers: int = 0          # machines with empty disks at addresses of their own
-    leaves: int = 0             # how many get a SIGTERM, and come back if they crash
-    target: int = 3             # members wanted
+    stood: int = 2  # how many machines ever stand for election
+    newcomers: int = 0  # machines with empty disks at addresses of their own
+    leaves: int = 0  # how many get a SIGTERM, and come back if they crash
+    target: int = 3  # members wanted
 
     def __post_init__(self) -> None:
         self.local = Locals()
@@ -162,19 +183,35 @@
 
     def _born(self, disk: Disk, address: str, now: float) -> Place:
         machine = self.kind(disk.read(), replace(WALK, target=self.target), 0, now)
-        machine.random, machine.address = Still(), address      # type: ignore[assignment]
+        machine.random, machine.address = Still(), address  # type: ignore[assignment]
         machine.contacts = sorted(self.homes)
         return Place(disk, machine)
 
     def _keep(self, place: Place) -> int:
         m, done = place.machine, place.machine._done
         flight = m._flight and (m._flight.number - done, m._flight.last, m._flight.term, m._flight.vote)
-        save = place.writing and (place.writing.term, place.writing.vote, place.writing.entries, place.writing.cut_from,
-                                  place.writing.snapshot)
-        held = list({repr((one[0] - done, *one[1:])): None for one in m._held})    # said twice is on the wire once
-        key = repr(([one for one in sorted(vars(m).items()) if one[0] not in TIMERS], m.log.base, m.log.base_term,
-                    m.log.entries, m._number - done, flight, held,
-                    sorted(m._votes), place.disk.saved, save))
+        save = place.writing and (
+            place.writing.term,
+            place.writing.vote,
+            place.writing.entries,
+            place.writing.cut_from,
+            place.writing.snapshot,
+        )
+        held = list({repr((one[0] - done, *one[1:])): None for one in m._held})  # said twice is on the wire once
+        key = repr(
+            (
+                [one for one in sorted(vars(m).items()) if one[0] not in TIMERS],
+                m.log.base,
+                m.log.base_term,
+                m.log.entries,
+                m._number - done,
+                flight,
+                held,
+                sorted(m._votes),
+                place.disk.saved,
+                save,
+            )
+        )
         return self.local.put(key, place, (m.role, m.term, place.writing is not None, m.commit, m.me))
 
     def step(self, number: int, event: tuple, now: float) -> tuple[int, tuple[int, ...], tuple]:
@@ -183,7 +220,7 @@
         known = self.local.steps.get(asked)
         if known is None:
             known = self.local.steps[asked] = self._step(self.local.get(number), event, now)
-        return known    # type: ignore[return-value]
+        return known  # type: ignore[return-value]
 
     def _step(self, place: Place, event: tuple, now: float) -> tuple[int, tuple[int, ...], tuple]:
         m = place.machine
@@ -278,7 +315,7 @@
             role, term, writing, _, me = facts[number]
             if role in ("follower", "candidate") and term < self.terms and place < self.stood:
                 for other in range(self.total):
-                    if other != place and not (first and (place, other) != (0, 1)):     # all alike at the start
+                    if other != place and not (first and (place, other) != (0, 1)):  # all alike at the start
                         step = self._stand(places, place, other, now)
                         if step is not None:
                             yield self._after(state, step, f"{me} stands, heard by m{other}", counts)
@@ -290,21 +327,36 @@
                 if self.beats:
                     yield self._after(state, [(place, self.step(number, ("beat",), now))], f"{me} beats", counts)
                 if commands < self.commands:
-                    yield self._after(state, [(place, self.step(number, ("propose", commands), now))],
-                                      f"{me} takes command {commands}", (commands + 1, crashes, wipes, leaves))
+                    yield self._after(
+                        state,
+                        [(place, self.step(number, ("propose", commands), now))],
+                        f"{me} takes command {commands}",
+                        (commands + 1, crashes, wipes, leaves),
+                    )
             if leaves < self.leaves and role in ("leader", "follower"):
-                yield self._after(state, [(place, self.step(number, ("leave",), now))], f"{me} is to leave",
-                                  (commands, crashes, wipes, leaves + 1))
+                yield self._after(
+                    state,
+                    [(place, self.step(number, ("leave",), now))],
+                    f"{me} is to leave",
+                    (commands, crashes, wipes, leaves + 1),
+                )
             if role == "outsider":
                 yield self._after(state, [(place, self.step(number, ("ask",), now))], f"{me} asks to join", counts)
             if crashes < self.crashes:
-                for made in (False, True)[:1 + writing]:
-                    yield self._after(state, [(place, self.step(number, ("crash", made), now))],
-                                      f"{me} crashes{', its save made it' if made else ''}, and starts",
-                                      (commands, crashes + 1, wipes, leaves))
+                for made in (False, True)[: 1 + writing]:
+                    yield self._after(
+                        state,
+                        [(place, self.step(number, ("crash", made), now))],
+                        f"{me} crashes{', its save made it' if made else ''}, and starts",
+                        (commands, crashes + 1, wipes, leaves),
+                    )
             if wipes < self.wipes:
-                yield self._after(state, [(place, self.step(number, ("wipe", wipes + 1), now + EPOCH))],
-                                  f"{me} loses its disk, and starts", (commands, crashes, wipes + 1, leaves))
+                yield self._after(
+                    state,
+                    [(place, self.step(number, ("wipe", wipes + 1), now + EPOCH))],
+                    f"{me} loses its disk, and starts",
+                    (commands, crashes, wipes + 1, leaves),
+                )
         left = wire
         while left:
             low = left & -left
@@ -319,7 +371,7 @@
         """A pre-vote that one other answers at once; None where it would not have it."""
         number, asked, said = self.step(places[place], ("stand",), now)
         if not asked and number != places[place] and other == (place + 1) % self.total:
-            return [(place, (number, asked, said))]     # nobody else is a member
+            return [(place, (number, asked, said))]  # nobody else is a member
         for which in asked:
             if self.messages[which][0] == other and self.messages[which][1]["type"] == "prevote":
                 heard = self.step(places[other], ("receive", which), now)
@@ -335,7 +387,7 @@
 # A slack between the steps: at the very moment that it ends, a call may not both arrive and be held impossible.
 KEYS = KeysPace(hold=2.0, renew=1.0, call_timeout=1.0, slack=1.5, release_timeout=1.0)
 NODES = {name: Node(name, "s", ("10.0.0.1", port), "z", 2) for port, name in enumerate(("n", "m"))}
-SLOWEST = 0.98      # a node's clock
+SLOWEST = 0.98  # a node's clock
 
 
 @dataclass
@@ -344,8 +396,8 @@
 
     keeper: Keeper
     ledger: Ledger
-    read: int               # entries of the log
-    base: int = 0           # entries that a mistaken one does not count
+    read: int  # entries of the log
+    base: int = 0  # entries that a mistaken one does not count
     calls: dict[int, Grant | Release] = field(default_factory=dict)
 
 
@@ -360,25 +412,30 @@
     Bounds: seconds, entries of the log, moves that placement asks for, starts, changes of the leader."""
 
     kind: type[Keeper] = Keeper
-    counts_anew: bool = False       # a mistake: a conductor's ledger counts entries from the start of its life
-    grants_early: bool = False      # a mistake: a move is acted on when it is proposed
+    counts_anew: bool = False  # a mistake: a conductor's ledger counts entries from the start of its life
+    grants_early: bool = False  # a mistake: a move is acted on when it is proposed
     seconds: int = 6
     entries: int = 8
     moves: int = 1
     starts: int = 1
     leaders: int = 0
-    asks: str = "ab"                # who renews its lease after the beginning
+    asks: str = "ab"  # who renews its lease after the beginning
     reassigns: int = 1
-    swift: bool = False             # calls take less than a second and none is lost, for a deeper walk
+    swift: bool = False  # calls take less than a second and none is lost, for a deeper walk
 
     def __post_init__(self) -> None:
         self.local = Locals()
         self.ledgers: dict[tuple, Ledger] = {}
         everything = {"s": [[0, 1]]}
-        log = tuple(json.dumps(one) for one in (
-            {"do": "shard"}, {"do": "lease", "to": "a", "slices": everything},
-            {"do": "move", "by": "a", "moves": [["s", 0, 1, 0, "n"]]},
-            {"do": "granted", "by": "a", "fence": 3, "slices": everything}))
+        log = tuple(
+            json.dumps(one)
+            for one in (
+                {"do": "shard"},
+                {"do": "lease", "to": "a", "slices": everything},
+                {"do": "move", "by": "a", "moves": [["s", 0, 1, 0, "n"]]},
+                {"do": "granted", "by": "a", "fence": 3, "slices": everything},
+            )
+        )
         # Both conductors were away for long, and what was granted ended; now both have a lease again.
         nodes = ((0.0, 3), (0.0, 3)), ((0.0, 0), (0.0, 0))
         tenure = Tenure(-9.0)
@@ -386,21 +443,33 @@
             tenure.asked(0.0, name)
         begun = [self._begin(name, log, -9.0, 0.0)[0] for name in "ab"]
         asked = [self.step(number, ("leased", 0.0, LEASE, len(log))) for number in begun]
-        self.start = (0.0, log, tuple(one[0] for one in asked), nodes, asked[0][1] + asked[1][1], frozenset(),
-                      (-9.0, tuple(sorted(tenure.ends.items()))), (3, 3), 0, 0, 0, 0)
+        self.start = (
+            0.0,
+            log,
+            tuple(one[0] for one in asked),
+            nodes,
+            asked[0][1] + asked[1][1],
+            frozenset(),
+            (-9.0, tuple(sorted(tenure.ends.items()))),
+            (3, 3),
+            0,
+            0,
+            0,
+            0,
+        )
 
     # -- one conductor
 
     def _ledger(self, log: tuple[str, ...]) -> Ledger:
         ledger = Ledger()
-        ledger.slices["s"] = [Slice(), Slice()]     # two in place of 512
+        ledger.slices["s"] = [Slice(), Slice()]  # two in place of 512
         for index, text in enumerate(log, 1):
             ledger.apply(index, json.loads(text))
         return ledger
 
     def _begin(self, name: str, log: tuple[str, ...], born: float, now: float) -> tuple:
         keeper = self.kind(name, KEYS, 0, born)
-        keeper._random = Still()        # type: ignore[assignment]
+        keeper._random = Still()  # type: ignore[assignment]
         keeper.nodes(born, NODES)
         desk = Desk(keeper, self._ledger(log), len(log))
         if self.counts_anew and born == now:
@@ -450,21 +519,51 @@
             calls.append((now, keeper.me, number, type(order).__name__, order.node, order.slices, order.fence, None))
         wake = keeper.wake
         slices = tuple((x.conductor == keeper.me, x.owner, x.fence) for x in desk.ledger.slices["s"])
-        key = repr((self._key(keeper, now), desk.read, desk.base, desk.ledger.slices,
-                    [(n, type(o).__name__, o.node, o.slices, o.fence) for n, o in sorted(desk.calls.items())], now))
+        key = repr(
+            (
+                self._key(keeper, now),
+                desk.read,
+                desk.base,
+                desk.ledger.slices,
+                [(n, type(o).__name__, o.node, o.slices, o.fence) for n, o in sorted(desk.calls.items())],
+                now,
+            )
+        )
         return self.local.put(key, desk, (keeper.me, wake, desk.read, slices)), tuple(calls), tuple(proposals)
 
     @staticmethod
     def _key(keeper: Keeper, now: float) -> list:
         def holder(x: Holder) -> tuple:
-            return (_shift(x.until, now), _shift(x.quiet, now), x.flying, x.releasing, x.sure, _shift(x.again, now),
-                    min(x.tries, 2))
+            return (
+                _shift(x.until, now),
+                _shift(x.quiet, now),
+                x.flying,
+                x.releasing,
+                x.sure,
+                _shift(x.again, now),
+                min(x.tries, 2),
+            )
 
         rows = [_shift(keeper.until, now), _shift(keeper._begun, now), keeper._index, keeper._promises, keeper._touched]
         for key, x in sorted(keeper.tenures.items()):
-            rows.append((key, x.since, x.owner, x.fence, x.state.value, x.foreign, x.handover, x.weight,
-                         _shift(x.told, now), _shift(x.granted_at, now), _shift(x.due, now), min(x.tries, 2),
-                         _shift(x.wake, now), sorted((id, holder(h)) for id, h in x.holders.items())))
+            rows.append(
+                (
+                    key,
+                    x.since,
+                    x.owner,
+                    x.fence,
+                    x.state.value,
+                    x.foreign,
+                    x.handover,
+                    x.weight,
+                    _shift(x.told, now),
+                    _shift(x.granted_at, now),
+                    _shift(x.due, now),
+                    min(x.tries, 2),
+                    _shift(x.wake, now),
+                    sorted((id, holder(h)) for id, h in x.holders.items()),
+                )
+            )
         return [keeper.me, rows, sorted((_shift(at, now), s, k) for at, s, k in keeper._heap)]
 
     # -- the world
@@ -475,23 +574,43 @@
         facts = self.local.facts
 
         def after(done: str, broken: tuple = (), **new: Any) -> Step:
-            names = ("now", "log", "desks", "nodes", "calls", "proposals", "tenure", "tops", "moves", "starts",
-                     "leaders", "leases")
+            names = (
+                "now",
+                "log",
+                "desks",
+                "nodes",
+                "calls",
+                "proposals",
+                "tenure",
+                "tops",
+                "moves",
+                "starts",
+                "leaders",
+                "leases",
+            )
             return done, tuple(new.get(name, old) for name, old in zip(names, state)), list(broken)
 
         def stepped(which: int, event: tuple, done: str, **new: Any) -> Step:
             number, sent, proposed = self.step(desks[which], event)
-            return after(done, desks=desks[:which] + (number,) + desks[which + 1:],
-                         calls=tuple(sorted(new.pop("calls", calls) + sent, key=repr)),
-                         proposals=new.pop("proposals", proposals) | frozenset(proposed), **new)
+            return after(
+                done,
+                desks=desks[:which] + (number,) + desks[which + 1 :],
+                calls=tuple(sorted(new.pop("calls", calls) + sent, key=repr)),
+                proposals=new.pop("proposals", proposals) | frozenset(proposed),
+                **new,
+            )
 
         if now < self.seconds and not (self.swift and calls):
             later = now + 1.0
             left = tuple(one for one in calls if one[2] >= 0 or one[0] + KEYS.flight >= later)
-            ends = tuple((name, max(end, later)) for name, end in tenure[1])    # ended is ended
-            yield after(f"it is {later:.0f} s", now=later, calls=left, tenure=(tenure[0], ends),
-                        nodes=tuple(tuple((until if until > later else 0.0, fence) for until, fence in row)
-                                    for row in nodes))
+            ends = tuple((name, max(end, later)) for name, end in tenure[1])  # ended is ended
+            yield after(
+                f"it is {later:.0f} s",
+                now=later,
+                calls=left,
+                tenure=(tenure[0], ends),
+                nodes=tuple(tuple((until if until > later else 0.0, fence) for until, fence in row) for row in nodes),
+            )
         for which, number in enumerate(desks):
             name, wake, at, slices = facts[number]
             if wake <= now:
@@ -501,20 +620,34 @@
             if name in self.asks and dict(tenure[1]).get(name, 0.0) < now + LEASE:
                 table = Tenure(tenure[0], dict(tenure[1]))
                 given = table.asked(now, name)
-                yield stepped(which, ("leased", now, now + given, len(log)), f"{name} renews its lease",
-                              tenure=(tenure[0], tuple(sorted(table.ends.items()))))
+                yield stepped(
+                    which,
+                    ("leased", now, now + given, len(log)),
+                    f"{name} renews its lease",
+                    tenure=(tenure[0], tuple(sorted(table.ends.items()))),
+                )
             if starts < self.starts:
                 lost = tuple((*one[:2], -1, *one[3:]) if one[1] == name else one for one in calls)
-                yield stepped(which, ("start", now, log[:at]), f"{name} starts anew", calls=tuple(
-                    one for one in lost if one[2] >= 0 or one[7] is None), starts=starts + 1)
+                yield stepped(
+                    which,
+                    ("start", now, log[:at]),
+                    f"{name} starts anew",
+                    calls=tuple(one for one in lost if one[2] >= 0 or one[7] is None),
+                    starts=starts + 1,
+                )
             if moves < self.moves and len(log) < self.entries:
                 for k, (mine, owner, fence) in enumerate(slices):
                     if mine:
                         target = "m" if owner == "n" else "n"
                         text = json.dumps({"do": "move", "by": name, "moves": [["s", k, k, fence, target]]})
                         if self.grants_early:
-                            yield stepped(which, ("early", now, text), f"{name} would move {k} to {target}",
-                                          proposals=proposals | {text}, moves=moves + 1)
+                            yield stepped(
+                                which,
+                                ("early", now, text),
+                                f"{name} would move {k} to {target}",
+                                proposals=proposals | {text},
+                                moves=moves + 1,
+                            )
                         else:
                             yield after(f"{name} moves {k} to {target}", log=log + (text,), moves=moves + 1)
         if len(log) < self.entries:
@@ -554,8 +687,13 @@
                     broken.append(f"{node} gets {k} under {fence} after {tops[k]}")
                 row[k], tops[k] = (now + KEYS.hold / SLOWEST, fence), max(tops[k], fence)
         back = ((*call[:7], status),) if number >= 0 else ()
-        return after(f"{what} arrives", tuple(broken), nodes=tuple(tuple(one) for one in nodes), tops=tuple(tops),
-                     calls=tuple(sorted(rest + back, key=repr)))
+        return after(
+            f"{what} arrives",
+            tuple(broken),
+            nodes=tuple(tuple(one) for one in nodes),
+            tops=tuple(tops),
+            calls=tuple(sorted(rest + back, key=repr)),
+        )
 
     def _reassign(self, state: tuple, after: Callable[..., Step]) -> Iterator[Step]:
         """The leader gives slices whose conductor's lease has surely ended to others."""
@@ -621,14 +759,22 @@
     """By name: a world with a mistake, how deep it shows at most, and what is then broken."""
     one = {"terms": 1, "commands": 0, "beats": False}
     return {
-        "votes before the disk holds it": (Agreement(kind=VotesEarly, **one), 9, "two leaders"),    # type: ignore
+        "votes before the disk holds it": (Agreement(kind=VotesEarly, **one), 9, "two leaders"),  # type: ignore
         "a wiped disk votes": (Agreement(keeps_id=True, crashes=0, wipes=1, **one), 11, "two leaders"),  # type: ignore
         "grants before the move is committed": (
-            Keys(grants_early=True, swift=True, asks="b", starts=0, seconds=4), 14, "after 5"),
+            Keys(grants_early=True, swift=True, asks="b", starts=0, seconds=4),
+            14,
+            "after 5",
+        ),
         "a fence is used again after a start": (
-            Keys(counts_anew=True, swift=True, asks="a", reassigns=0), 14, "after 3"),
+            Keys(counts_anew=True, swift=True, asks="a", reassigns=0),
+            14,
+            "after 3",
+        ),
         "a hold counted from the sending": (
-            Keys(kind=FromSending, asks="a", starts=0, reassigns=0), 9, "which the other holds"),
-        "takes over without waiting": (
-            Keys(kind=TrustsPredecessor, reassigns=0), 7, "which the other holds"),
+            Keys(kind=FromSending, asks="a", starts=0, reassigns=0),
+            9,
+            "which the other holds",
+        ),
+        "takes over without waiting": (Keys(kind=TrustsPredecessor, reassigns=0), 7, "which the other holds"),
     }
--- a/tests/system/test_admission.py
+++ b/tests/system/test_admission.py
@@ -5,10 +5,10 @@
 
 from hypothesis import given, settings, strategies as some
 
-from knotwalk.configuration.objects import Route
 from knotwalk.admission.admission import FADE, FORGET, SHUN_LAST, Seen, come_back, worth_offering
 from knotwalk.admission.budget import Budget, Counter
 from knotwalk.admission.outcome import PROMISES, PROOFS, End, Move, Proof, judge, move
+from knotwalk.configuration.objects import Route
 from knotwalk.discovery.cluster_view import Node
 from knotwalk.edge.choose import pick, seen, service_of
 
@@ -16,15 +16,25 @@
 class OutcomeCase(unittest.TestCase):
     def test_what_an_answer_proves(self):
         table = {
-            (200, False, True): End.ANSWERED, (200, False, False): End.LOST, (204, False, True): End.ANSWERED,
-            (200, True, True): End.LOST,            # a success that says it did not run belongs to nobody
-            (503, True, False): End.TURNED_AWAY, (429, True, False): End.TURNED_AWAY,
-            (400, True, False): End.TURNED_AWAY, (421, False, False): End.TURNED_AWAY,
+            (200, False, True): End.ANSWERED,
+            (200, False, False): End.LOST,
+            (204, False, True): End.ANSWERED,
+            (200, True, True): End.LOST,  # a success that says it did not run belongs to nobody
+            (503, True, False): End.TURNED_AWAY,
+            (429, True, False): End.TURNED_AWAY,
+            (400, True, False): End.TURNED_AWAY,
+            (421, False, False): End.TURNED_AWAY,
             (421, True, False): End.TURNED_AWAY,
-            (503, False, False): End.FAILED, (429, False, False): End.FAILED, (408, False, False): End.FAILED,
-            (500, False, False): End.FAILED, (500, False, True): End.FAILED, (502, False, False): End.FAILED,
+            (503, False, False): End.FAILED,
+            (429, False, False): End.FAILED,
+            (408, False, False): End.FAILED,
+            (500, False, False): End.FAILED,
+            (500, False, True): End.FAILED,
+            (502, False, False): End.FAILED,
             (504, False, False): End.FAILED,
-            (404, False, False): End.ANSWERED, (302, False, False): End.ANSWERED, (501, False, False): End.ANSWERED,
+            (404, False, False): End.ANSWERED,
+            (302, False, False): End.ANSWERED,
+            (501, False, False): End.ANSWERED,
         }
         for (status, not_executed, sealed), end in table.items():
             with self.subTest(status=status, not_executed=not_executed, sealed=sealed):
@@ -81,8 +91,16 @@
         self.assertGreaterEqual(counter.at_most(at), true)
 
     @settings(max_examples=25, deadline=None)
-    @given(some.integers(0, 2**32), some.integers(1, 14), some.floats(2, 60), some.floats(0, 1),
-           some.sampled_from([0.1, 0.2]), some.sampled_from([20, 62]), some.floats(0.3, 3.0), some.floats(0, 0.6))
+    @given(
+        some.integers(0, 2**32),
+        some.integers(1, 14),
+        some.floats(2, 60),
+        some.floats(0, 1),
+        some.sampled_from([0.1, 0.2]),
+        some.sampled_from([20, 62]),
+        some.floats(0.3, 3.0),
+        some.floats(0, 0.6),
+    )
     def test_all_edges_together_stay_within_the_rule(self, seed, edges, rate, hunger, ratio, slack, swell, kills):
         """Requests at uneven edges, each wanting up to three more tries; edges lose what they counted, start anew."""
         luck = random.Random(seed)
@@ -107,8 +125,11 @@
         for last in {*arrivals, *(at + window for at in arrivals)}:
             first = last - window
             count = within(arrivals, first, last)
-            most = max(within(requests, first, last), within(requests, first - window, first),
-                       within(requests, first - window / 2, last - window / 2))
+            most = max(
+                within(requests, first, last),
+                within(requests, first - window, first),
+                within(requests, first - window / 2, last - window / 2),
+            )
             self.assertLessEqual(count, ratio * most + slack)
 
 
@@ -117,7 +138,7 @@
         known = Seen()
         known.flying = 2
         known.told(10.0, running=2, waiting=3, slots=2)
-        self.assertEqual(known.in_hand(10.0), 4)      # the answered request was among those told
+        self.assertEqual(known.in_hand(10.0), 4)  # the answered request was among those told
         self.assertEqual(known.in_hand(10.1 + FADE), 2)
 
     def test_a_node_that_is_always_full_is_not_taken_for_an_idle_one(self):
@@ -130,14 +151,14 @@
         self.assertGreater(known.usually(5.0 + FADE), 2)
         self.assertAlmostEqual(known.usually(5.0 + FORGET), 0)
         known.told(6.0, running=1, waiting=0, slots=2)
-        self.assertEqual(known.usually(6.0), 0)       # the last word counts alone while it is fresh
+        self.assertEqual(known.usually(6.0), 0)  # the last word counts alone while it is fresh
 
     def test_the_lowest_rank_yields_where_it_would_be_late(self):
         """Four in hand at two slots: 0.3 s to an answer. The aim binds the lowest rank, higher ones the deadline."""
         offered = [worth_offering(4, 2, False, 0.12, 1.0, rank, aim=0.15) for rank in range(4)]
         self.assertEqual(offered, [True, True, False, False])
         self.assertTrue(worth_offering(4, 2, False, 0.12, 1.0, 2, aim=0.3))
-        self.assertTrue(worth_offering(1, 2, False, 0.5, 1.0, 2, aim=0.15))    # a free slot is always worth it
+        self.assertTrue(worth_offering(1, 2, False, 0.5, 1.0, 2, aim=0.15))  # a free slot is always worth it
 
     def test_a_wrong_mean_is_put_right(self):
         """Whatever the mean of work says, a free slot is offered a request; else nothing would be learned again."""
@@ -154,7 +175,7 @@
     def test_trouble_grows_and_ends(self):
         known = Seen()
         known.trouble(0.0, reached=True)
-        self.assertEqual(known.shunned_until, 0.0)      # one lost answer tells little
+        self.assertEqual(known.shunned_until, 0.0)  # one lost answer tells little
         now = spans = 0
         for _ in range(8):
             known.trouble(now, reached=False)
@@ -185,7 +206,7 @@
         for node in found[:2]:
             seen(node).flying, seen(node).silent_since = 3, 10.0
         self.assertEqual(self.picks(found), {"i-2"})
-        self.assertEqual(self.picks(found, size=4096), {"i-0", "i-1"})     # bytes between zones are priced
+        self.assertEqual(self.picks(found, size=4096), {"i-0", "i-1"})  # bytes between zones are priced
         for node in found[:2]:
             seen(node).flying = 5
         self.assertEqual(self.picks(found, size=10**6), {"i-2"})
--- a/tests/system/test_caller.py
+++ b/tests/system/test_caller.py
@@ -6,8 +6,8 @@
 import unittest
 from unittest import mock
 
-from knotwalk.runtime.errors import PeerError
 from knotwalk.edge.caller import Caller, Connection, Line
+from knotwalk.runtime.errors import PeerError
 
 WELL = b'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{"a":1}'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{"a\r\n4\r\n":1}\r\n0\r\n\r\n'
@@ -22,7 +22,7 @@
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         self.url = f"http://127.0.0.1:{self.server.sockets[0].getsockname()[1]}/cluster-view"
         self.caller = Caller()
-        patched = mock.patch("knotwalk.edge.caller.CONNECT", 60.0)      # a busy machine may stall a test for longer
+        patched = mock.patch("knotwalk.edge.caller.CONNECT", 60.0)  # a busy machine may stall a test for longer
         patched.start()
         self.addCleanup(patched.stop)
 
@@ -60,7 +60,9 @@
             self.assertEqual(await self.call((answer, False)), {"a": 1})
             self.assertEqual(json.loads(self.asked[-1][2]), {"edge": "e"})
         self.assertEqual({number for number, _, _ in self.asked}, {1})
-        self.assertEqual(await self.call((WELL.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"), False)), {"a": 1})
+        self.assertEqual(
+            await self.call((WELL.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"), False)), {"a": 1}
+        )
         self.assertEqual(await self.call((WELL, False)), {"a": 1})
         self.assertEqual(self.asked[-1][0], 2)
 
@@ -73,12 +75,20 @@
                 self.assertEqual(await self.call((WELL, False)), {"a": 1})
 
     async def test_what_is_no_answer_fails_the_call_and_ends_the_connection(self):
-        bad = [b"nonsense\r\n\r\n", b"\0" * 40, WELL + WELL, WELL.replace(b"7", b"x"), WELL.replace(b"200 OK", b"100 Continue"),
-               WELL.replace(b"{", b"["), WELL.replace(b"200 OK", b"503 No"), WELL.replace(b"200 OK", b"307 No")]
+        bad = [
+            b"nonsense\r\n\r\n",
+            b"\0" * 40,
+            WELL + WELL,
+            WELL.replace(b"7", b"x"),
+            WELL.replace(b"200 OK", b"100 Continue"),
+            WELL.replace(b"{", b"["),
+            WELL.replace(b"200 OK", b"503 No"),
+            WELL.replace(b"200 OK", b"307 No"),
+        ]
         for data in bad:
             with self.subTest(data), self.assertRaises(PeerError):
                 await self.call((data, False))
-                if data == WELL + WELL:     # the call itself has its answer; what belongs to none must reach no other
+                if data == WELL + WELL:  # the call itself has its answer; what belongs to none must reach no other
                     self.assertEqual(self.caller.kept, {})
                     raise PeerError("", "", "")
             self.assertEqual(await self.call((WELL, False)), {"a": 1})
@@ -107,11 +117,16 @@
 
     async def test_a_dark_machine_is_given_up_long_before_one_that_is_slow(self):
         """Of edges that start with all, each that asked a core still dark lost 0.85 s."""
+
         async def dark(*given):
             await asyncio.Event().wait()
-        for allowed in (0.02, 0.04):        # and not so soon again, should it be there after all
-            with mock.patch.object(self.loop, "create_connection", dark), \
-                    mock.patch("knotwalk.edge.caller.CONNECT", 0.01), self.assertRaises(PeerError) as met:
+
+        for allowed in (0.02, 0.04):  # and not so soon again, should it be there after all
+            with (
+                mock.patch.object(self.loop, "create_connection", dark),
+                mock.patch("knotwalk.edge.caller.CONNECT", 0.01),
+                self.assertRaises(PeerError) as met,
+            ):
                 await self.call(patience=60)
             self.assertIn("no connection in time", str(met.exception))
             self.assertEqual(list(self.caller.allowed.values()), [allowed])
@@ -126,8 +141,10 @@
             told, limits[:] = Connection(), []
             told.transport, caller = mock.Mock(), Caller()
             caller._connection = mock.AsyncMock(return_value=told)
-            with mock.patch("knotwalk.edge.caller.WHOLE", whole), \
-                    mock.patch("asyncio.timeout", lambda seconds: limits.append(real(seconds)) or limits[-1]):
+            with (
+                mock.patch("knotwalk.edge.caller.WHOLE", whole),
+                mock.patch("asyncio.timeout", lambda seconds: limits.append(real(seconds)) or limits[-1]),
+            ):
                 call = asyncio.ensure_future(caller.json("POST", "http://127.0.0.1:9/cluster view", {}, 60))
                 while told.line is not Line.WAITING:
                     await asyncio.sleep(0)
