--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -28,10 +28,21 @@
 
 
 def route(name, prefix="/a/", host="one.example", **fields):
-    specification = {"hostname": host, "path_prefix": prefix, "route_type": "idempotent", "timeout": "1000ms",
-                     "target_latency": "0.4s", "priority": 2, "service": "calm", "retry_count": 2} | fields
-    return {"object_kind": "routes", "metadata": {"name": name},
-            "specification": {field: value for field, value in specification.items() if value is not ...}}
+    specification = {
+        "hostname": host,
+        "path_prefix": prefix,
+        "route_type": "idempotent",
+        "timeout": "1000ms",
+        "target_latency": "0.4s",
+        "priority": 2,
+        "service": "calm",
+        "retry_count": 2,
+    } | fields
+    return {
+        "object_kind": "routes",
+        "metadata": {"name": name},
+        "specification": {field: value for field, value in specification.items() if value is not ...},
+    }
 
 
 def service(name, **fields):
@@ -61,8 +72,10 @@
     (whole({"metadata": {}}), "objects[0]: object_kind must be a text, not null"),
     (whole({"object_kind": "routes", "metadata": []}), "objects[0]: metadata must be an object, not a list"),
     (whole({"object_kind": "routes"}), "objects[0]: metadata must carry a name"),
-    (whole({"object_kind": "services", "metadata": {"name": "s"}}),
-     "objects[0]: specification must be an object, not null"),
+    (
+        whole({"object_kind": "services", "metadata": {"name": "s"}}),
+        "objects[0]: specification must be an object, not null",
+    ),
     (whole(route("r"), route("r", "/b/")), 'objects[1]: routes "r" stands there twice'),
     (whole(service("calm")), 'objects[1]: services "calm" stands there twice'),
     (whole(limits(), limits()), "objects[1]: limits stand there twice"),
@@ -75,11 +88,15 @@
     (whole(route("r", **split(("calm", "9")))), 'route "r": weight of "calm" must be a number, not "9"'),
     (whole(route("r", **split(("calm", True)))), 'route "r": weight of "calm" must be a number, not true'),
     (whole(route("r", service=...)), 'route "r": service is missing, and so is traffic_split'),
-    (whole(route("r", traffic_split=[{"service": "calm", "weight": 1}])),
-     'route "r": service and traffic_split stand side by side'),
+    (
+        whole(route("r", traffic_split=[{"service": "calm", "weight": 1}])),
+        'route "r": service and traffic_split stand side by side',
+    ),
     (whole(route("r", service=..., traffic_split="x")), 'route "r": traffic_split must be a list, not "x"'),
-    (whole(route("r", service=..., traffic_split=["x"])),
-     'route "r": a part of traffic_split must be an object, not "x"'),
+    (
+        whole(route("r", service=..., traffic_split=["x"])),
+        'route "r": a part of traffic_split must be an object, not "x"',
+    ),
     (whole(route("r", timeout="0ms")), 'route "r": timeout is 0'),
     (whole(route("r", timeout="0.0s")), 'route "r": timeout is 0'),
     (whole(route("r", timeout="600001ms")), 'route "r": timeout is over ten minutes: "600001ms"'),
@@ -87,8 +104,10 @@
     (whole(route("r", timeout="-1s")), 'route "r": timeout must be a time with ms or s, not "-1s"'),
     (whole(route("r", timeout=...)), 'route "r": timeout is missing'),
     (whole(route("r", timeout="9" * 400 + "s")), 'route "r": timeout is beyond any time'),
-    (whole(route("r", timeout="300ms", target_latency="60300ms")),
-     'route "r": target_latency lies a minute or more over the timeout: "60300ms"'),
+    (
+        whole(route("r", timeout="300ms", target_latency="60300ms")),
+        'route "r": target_latency lies a minute or more over the timeout: "60300ms"',
+    ),
     (whole(route("r", prefix="a/")), 'route "r": path_prefix must start and end with a slash: "a/"'),
     (whole(route("r", prefix="/a")), 'route "r": path_prefix must start and end with a slash: "/a"'),
     (whole(route("r", route_type="maybe")), 'route "r": route_type must be idempotent or non_idempotent, not "maybe"'),
@@ -103,7 +122,7 @@
     (whole(service("s", sharded="yes")), 'service "s": sharded must be true or false, not "yes"'),
     (whole(service("s", max_connections=None)), 'service "s": max_connections must be a whole number, not null'),
     (whole(service("s", prewarm="soon")), 'service "s": prewarm must be a time with ms or s, not "soon"'),
-    (whole(limits(max_body_bytes=2 ** 60)), f"limits: max_body_bytes is out of range: {2 ** 60}"),
+    (whole(limits(max_body_bytes=2**60)), f"limits: max_body_bytes is out of range: {2**60}"),
     (whole(limits(idle_timeout=15)), "limits: idle_timeout must be a time with ms or s, not 15"),
 ]
 
@@ -117,21 +136,30 @@
             self.assertEqual(line, f"{caught.exception.where}: {caught.exception.mistake}")
 
     def test_edges_of_what_is_allowed(self):
-        read = read_configuration(whole(
-            route("r", prefix="/", timeout="600s", target_latency="659999ms", priority=0.0, traffic_split=None),
-            route("s", prefix="//", **split(("calm", 0.5), ("brisk", 0))), version="r0"))
+        read = read_configuration(
+            whole(
+                route("r", prefix="/", timeout="600s", target_latency="659999ms", priority=0.0, traffic_split=None),
+                route("s", prefix="//", **split(("calm", 0.5), ("brisk", 0))),
+                version="r0",
+            )
+        )
         self.assertEqual(Route("r", "one.example", "/", True, 600.0, 659.999, 0, (("calm", 1.0),), 2), read.routes["r"])
         self.assertEqual((("calm", 0.5),), read.routes["s"].splits)
 
     def test_fields_left_out_have_defaults(self):
         read = read_configuration(whole(service("s", sharded=True, prewarm="3s"), limits(idle_timeout="1s")))
-        self.assertEqual({"calm": Service("calm"), "brisk": Service("brisk"), "s": Service("s", "/", 100, True, 3.0)},
-                         read.services)
+        self.assertEqual(
+            {"calm": Service("calm"), "brisk": Service("brisk"), "s": Service("s", "/", 100, True, 3.0)}, read.services
+        )
         self.assertEqual(Limits(idle_timeout=1.0), read.limits)
 
     def test_what_is_not_known_is_kept_and_has_no_effect(self):
-        sent = whole({"object_kind": "moons", "specification": [None]}, route("r", colour={"deep": [1.0, True]}),
-                     limits() | {"extra": 1}, note="spring")
+        sent = whole(
+            {"object_kind": "moons", "specification": [None]},
+            route("r", colour={"deep": [1.0, True]}),
+            limits() | {"extra": 1},
+            note="spring",
+        )
         read = read_configuration(copy.deepcopy(sent))
         self.assertEqual(json.dumps(sent), json.dumps(document(read)))
         self.assertEqual(["r"], list(read.routes))
@@ -139,23 +167,39 @@
     def test_versions_are_strict(self):
         self.assertEqual(12, version_number("r12"))
         self.assertEqual("r12", version_text(12))
-        for text in ("12", "r", "r-1", "r+1", " r1", "r1 ", "r1\n", "R1", "xr1", "r1_0", "r\u0661", "r" + "9" * 19, 12,
-                     None):
+        for text in (
+            "12",
+            "r",
+            "r-1",
+            "r+1",
+            " r1",
+            "r1 ",
+            "r1\n",
+            "R1",
+            "xr1",
+            "r1_0",
+            "r\u0661",
+            "r" + "9" * 19,
+            12,
+            None,
+        ):
             with self.subTest(text), self.assertRaises(ValueError):
                 version_number(text)
 
 
 class Patching(unittest.TestCase):
     def setUp(self):
-        self.base = read_configuration(whole(route("a"), route("b", "/b/", service="brisk"), limits(idle_timeout="9s"),
-                                             note=1))
+        self.base = read_configuration(
+            whole(route("a"), route("b", "/b/", service="brisk"), limits(idle_timeout="9s"), note=1)
+        )
 
     def patch(self, *upsert, version="r3", **remove):
         return patched(self.base, {"config_version": version, "upsert": {"objects": list(upsert)}, "remove": remove})
 
     def test_replace_add_remove(self):
-        made = self.patch(route("c", "/c/"), route("a", timeout="2s"), limits(),
-                          routes=["b", "never"], services=["brisk"])
+        made = self.patch(
+            route("c", "/c/"), route("a", timeout="2s"), limits(), routes=["b", "never"], services=["brisk"]
+        )
         self.assertEqual((3, ["a", "c"], ["calm"]), (made.version, list(made.routes), list(made.services)))
         self.assertEqual(2.0, made.routes["a"].timeout)
         self.assertEqual(Limits(), made.limits)
@@ -174,12 +218,13 @@
 
     def test_the_result_is_checked_whole(self):
         for upsert, remove, line in (
-                ([], {"services": ["brisk"]}, 'route "b": names the unknown service "brisk"'),
-                ([route("c")], {}, 'route "c": has the host and path_prefix of route "a"'),
-                ([route("c", "/c/", timeout="0s")], {}, 'route "c": timeout is 0'),
-                ([7], {}, "upsert.objects[0]: must be an object, not 7"),
-                ([], {"routes": "a"}, 'remove: "routes" must be a list of names'),
-                ([], {"routes": [1]}, 'remove: "routes" must be a list of names')):
+            ([], {"services": ["brisk"]}, 'route "b": names the unknown service "brisk"'),
+            ([route("c")], {}, 'route "c": has the host and path_prefix of route "a"'),
+            ([route("c", "/c/", timeout="0s")], {}, 'route "c": timeout is 0'),
+            ([7], {}, "upsert.objects[0]: must be an object, not 7"),
+            ([], {"routes": "a"}, 'remove: "routes" must be a list of names'),
+            ([], {"routes": [1]}, 'remove: "routes" must be a list of names'),
+        ):
             with self.subTest(line), self.assertRaises(Invalid) as caught:
                 self.patch(*upsert, **remove)
             self.assertEqual(line, str(caught.exception))
@@ -190,28 +235,36 @@
 
     def test_shapes_of_patches(self):
         for patch, line in (
-                ([], "patch: must be an object, not a list"),
-                ({"config_version": "r3", "upsert": []}, "upsert: must be an object, not a list"),
-                ({"config_version": "r3", "remove": []}, "remove: must be an object, not a list"),
-                ({"config_version": "r3", "upsert": {"routes": []}},
-                 "patch: items to add or replace belong in upsert.objects"),
-                (whole(), "patch: items to add or replace belong in upsert.objects")):
+            ([], "patch: must be an object, not a list"),
+            ({"config_version": "r3", "upsert": []}, "upsert: must be an object, not a list"),
+            ({"config_version": "r3", "remove": []}, "remove: must be an object, not a list"),
+            (
+                {"config_version": "r3", "upsert": {"routes": []}},
+                "patch: items to add or replace belong in upsert.objects",
+            ),
+            (whole(), "patch: items to add or replace belong in upsert.objects"),
+        ):
             with self.subTest(line), self.assertRaises(Invalid) as caught:
                 patched(self.base, patch)
             self.assertEqual(line, str(caught.exception))
         self.assertEqual(self.base.routes, patched(self.base, {"config_version": "r3"}).routes)
 
 
-ITEMS = some.dictionaries(some.tuples(some.sampled_from(["routes", "services", "moons", "limits"]),
-                                      some.sampled_from("abcd")),
-                          some.sampled_from([0, 1, True, 1.0, "x"]), max_size=12)
+ITEMS = some.dictionaries(
+    some.tuples(some.sampled_from(["routes", "services", "moons", "limits"]), some.sampled_from("abcd")),
+    some.sampled_from([0, 1, True, 1.0, "x"]),
+    max_size=12,
+)
 
 
 def _plain(items, version):
     made = {}
     for (kind, name), value in items.items():
         made[kind, "" if kind == "limits" else name] = {
-            "object_kind": kind, "metadata": {"name": name}, "specification": {"is": value}}
+            "object_kind": kind,
+            "metadata": {"name": name},
+            "specification": {"is": value},
+        }
     return {"config_version": version, "objects": list(made.values())}
 
 
@@ -228,11 +281,23 @@
 
     def test_small_changes_travel_small(self):
         old = whole(*(route(f"r{n}", f"/{n}/") for n in range(50)), note=1)
-        made = patched(read_configuration(old), {"config_version": "r2", "remove": {"routes": ["r7"]},
-                                                 "upsert": {"objects": [route("r9", "/9/", timeout="2s")]}})
+        made = patched(
+            read_configuration(old),
+            {
+                "config_version": "r2",
+                "remove": {"routes": ["r7"]},
+                "upsert": {"objects": [route("r9", "/9/", timeout="2s")]},
+            },
+        )
         patch = difference(old, document(made))
-        self.assertEqual({"config_version": "r2", "remove": {"routes": ["r7"]},
-                          "upsert": {"objects": [route("r9", "/9/", timeout="2s")]}}, patch)
+        self.assertEqual(
+            {
+                "config_version": "r2",
+                "remove": {"routes": ["r7"]},
+                "upsert": {"objects": [route("r9", "/9/", timeout="2s")]},
+            },
+            patch,
+        )
         self.assertEqual(made, read_configuration(apply_difference(old, json.loads(json.dumps(patch)))))
         self.assertIsNone(difference(old, whole(version="r2")))
         self.assertIsNone(difference(old, old | {"note": 2}))
@@ -245,8 +310,10 @@
 
 
 class Looking(unittest.TestCase):
-    @given(some.dictionaries(some.tuples(HOST, PREFIX), some.integers(), max_size=12),
-           some.lists(some.tuples(HOST, PREFIX, some.sampled_from(["", "a", "a/b?/a/", "?a/", "?/"])), max_size=12))
+    @given(
+        some.dictionaries(some.tuples(HOST, PREFIX), some.integers(), max_size=12),
+        some.lists(some.tuples(HOST, PREFIX, some.sampled_from(["", "a", "a/b?/a/", "?a/", "?/"])), max_size=12),
+    )
     @settings(max_examples=150, deadline=None, database=None)
     def test_as_each_in_turn(self, places, asked):
         routes = {}
@@ -257,15 +324,26 @@
         index = Index(Configuration(1, routes, {}, Limits()))
         for host, start, end in asked:
             path = start + end
-            fitting = [one for one in routes.values() if one.hostname.lower() == host.lower()
-                       and path.partition("?")[0].startswith(one.path_prefix)]
+            fitting = [
+                one
+                for one in routes.values()
+                if one.hostname.lower() == host.lower() and path.partition("?")[0].startswith(one.path_prefix)
+            ]
             expected = max(fitting, key=lambda one: len(one.path_prefix), default=None)
             self.assertIs(expected, index.find(host.upper() + ".:81", path))
             self.assertIs(expected, index.find(host, path))
 
     def test_hosts(self):
-        for host, plain in (("A.b", "a.b"), ("a.b.", "a.b"), ("a.b:80", "a.b"), ("a.b.:80", "a.b"), ("", ""),
-                            ("[::1]:80", "[::1]"), ("[::A]", "[::a]"), ("[x", "[x")):
+        for host, plain in (
+            ("A.b", "a.b"),
+            ("a.b.", "a.b"),
+            ("a.b:80", "a.b"),
+            ("a.b.:80", "a.b"),
+            ("", ""),
+            ("[::1]:80", "[::1]"),
+            ("[::A]", "[::a]"),
+            ("[x", "[x"),
+        ):
             self.assertEqual(plain, canonical_host(host))
 
     def test_odd_paths_find_nothing(self):
@@ -310,9 +388,11 @@
         self.assertEqual(["a", "b"], list(self.current.routes))
 
     def test_the_same_call_again_is_taken_once(self):
-        calls = [("PUT", "r0", whole(route("a"), version="r2")),
-                 ("PATCH", "r2", {"config_version": "r3", "remove": {"routes": ["a"]}}),
-                 ("PUT", "r3", whole(version="r8"))]
+        calls = [
+            ("PUT", "r0", whole(route("a"), version="r2")),
+            ("PATCH", "r2", {"config_version": "r3", "remove": {"routes": ["a"]}}),
+            ("PUT", "r3", whole(version="r8")),
+        ]
         for call in calls:
             self.assertFalse(self.call(*call).same)
         self.history = History.from_dict(json.loads(json.dumps(self.history.to_dict())))
@@ -331,8 +411,9 @@
         self.refused(412, line, "PUT", "0", whole(route("a"), version="r3"))
         self.refused(412, line, "PATCH", "0", {"config_version": "r2"})
         # The text of the current version, but built on itself: its version does not rise.
-        self.refused(400, "config_version: r2 is not above the current r2",
-                     "PUT", "r2", whole(route("a"), version="r2"))
+        self.refused(
+            400, "config_version: r2 is not above the current r2", "PUT", "r2", whole(route("a"), version="r2")
+        )
 
     def test_one_of_two_wins(self):
         self.call("PUT", "0", whole(version="r2"))
@@ -348,28 +429,28 @@
         for text in ("", "*", "r", "r5, r6", 'W/"r5"', '"r5', "r-5", "5r", "r\u0665"):
             self.refused(400, f"If-Match: must be a version as r5, or 0, not {json.dumps(text)}", "PUT", text, good)
         for body, line in (
-                (b"", "body: not JSON at line 1, column 1"),
-                (sent(good)[:-1], f"body: not JSON at line 1, column {len(sent(good))}"),
-                (b'{\n "a" 1}', "body: not JSON at line 2, column 6"),
-                (b'{"a":"\xff"}', "body: not UTF-8 at byte 7"),
-                (json.dumps(good).encode("utf-16"), "body: not UTF-8 at byte 1"),
-                (b'{"a":1,"a":1}', 'body: the field "a" stands twice in one object'),
-                (b'{"a":NaN}', "body: NaN is no JSON number"),
-                (b'{"a":-Infinity}', "body: -Infinity is no JSON number"),
-                (b'{"a":1e999}', "body: a number is out of range"),
-                (b'{"a":' + b"9" * 5000 + b"}", "body: a number has too many digits"),
-                (b"[" * 40 + b"]" * 40, "body: nested deeper than 32"),
-                (b"[" * 100_000 + b"]" * 100_000, "body: nested deeper than 32"),
-                (b'{"a":' * 5000 + b"1" + b"}" * 5000, "body: nested deeper than 32"),
-                (b'{"a":"\\ud800"}', "body: a text holds half a surrogate pair"),
-                (b"[]", "body: must be an object, not a list"),
-                (b"{}", "config_version: a version is r and a number, not null"),
-                (whole(version="r0"), "config_version: r0 is not above the current r0"),
-                (whole(route("a", service="gone"), version="r1"), 'route "a": names the unknown service "gone"')):
+            (b"", "body: not JSON at line 1, column 1"),
+            (sent(good)[:-1], f"body: not JSON at line 1, column {len(sent(good))}"),
+            (b'{\n "a" 1}', "body: not JSON at line 2, column 6"),
+            (b'{"a":"\xff"}', "body: not UTF-8 at byte 7"),
+            (json.dumps(good).encode("utf-16"), "body: not UTF-8 at byte 1"),
+            (b'{"a":1,"a":1}', 'body: the field "a" stands twice in one object'),
+            (b'{"a":NaN}', "body: NaN is no JSON number"),
+            (b'{"a":-Infinity}', "body: -Infinity is no JSON number"),
+            (b'{"a":1e999}', "body: a number is out of range"),
+            (b'{"a":' + b"9" * 5000 + b"}", "body: a number has too many digits"),
+            (b"[" * 40 + b"]" * 40, "body: nested deeper than 32"),
+            (b"[" * 100_000 + b"]" * 100_000, "body: nested deeper than 32"),
+            (b'{"a":' * 5000 + b"1" + b"}" * 5000, "body: nested deeper than 32"),
+            (b'{"a":"\\ud800"}', "body: a text holds half a surrogate pair"),
+            (b"[]", "body: must be an object, not a list"),
+            (b"{}", "config_version: a version is r and a number, not null"),
+            (whole(version="r0"), "config_version: r0 is not above the current r0"),
+            (whole(route("a", service="gone"), version="r1"), 'route "a": names the unknown service "gone"'),
+        ):
             with self.subTest(line):
                 self.refused(400, line, "PUT", "0", body)
-        self.refused(413, f"body: longer than {control.MOST_BYTES} bytes",
-                     "PUT", "0", b" " * (control.MOST_BYTES + 1))
+        self.refused(413, f"body: longer than {control.MOST_BYTES} bytes", "PUT", "0", b" " * (control.MOST_BYTES + 1))
         self.refused(412, "built on r1, but r0 is current", "PUT", "r1", good)
         self.assertEqual("\U0001f600", parsed(b'"\\ud83d\\ude00"'))
 
@@ -381,10 +462,16 @@
         self.assertFalse(self.history.holds(199 - control.REMEMBERED, str(199 - control.REMEMBERED)))
 
 
-ANY = some.recursive(some.none() | some.booleans() | some.integers() | some.floats() | some.text(max_size=8)
-                     | some.sampled_from(["1s", "/a/", "calm", "routes", "r9"]),
-                     lambda inner: some.lists(inner, max_size=4) | some.dictionaries(some.text(max_size=5), inner,
-                                                                                     max_size=4), max_leaves=8)
+ANY = some.recursive(
+    some.none()
+    | some.booleans()
+    | some.integers()
+    | some.floats()
+    | some.text(max_size=8)
+    | some.sampled_from(["1s", "/a/", "calm", "routes", "r9"]),
+    lambda inner: some.lists(inner, max_size=4) | some.dictionaries(some.text(max_size=5), inner, max_size=4),
+    max_leaves=8,
+)
 
 
 class Fuzzing(unittest.TestCase):
@@ -410,10 +497,13 @@
     @given(some.sampled_from(["PUT", "PATCH"]), some.data())
     @settings(max_examples=300, deadline=None, database=None)
     def test_one_place_changed(self, method, data):
-        value = whole(route("a", extra=1), route("b", "/b/", **split(("calm", 1), ("brisk", 2))),
-                      service("s", health_check="/h", max_connections=3, sharded=True, prewarm="1s"),
-                      limits(max_header_bytes=1, max_body_bytes=1, header_timeout="1s", idle_timeout="1s"),
-                      version="r2")
+        value = whole(
+            route("a", extra=1),
+            route("b", "/b/", **split(("calm", 1), ("brisk", 2))),
+            service("s", health_check="/h", max_connections=3, sharded=True, prewarm="1s"),
+            limits(max_header_bytes=1, max_body_bytes=1, header_timeout="1s", idle_timeout="1s"),
+            version="r2",
+        )
         if method == "PATCH":
             value = {"config_version": "r2", "upsert": {"objects": value["objects"][:4]}, "remove": {"routes": ["z"]}}
         at = value
@@ -439,8 +529,9 @@
     def test_methods_and_statuses(self):
         self.assertEqual(["/configuration"], list(self.page["paths"]))
         calls = self.page["paths"]["/configuration"]
-        self.assertEqual({method: tuple(sorted(map(int, call["responses"]))) for method, call in calls.items()},
-                         control.STATUSES)
+        self.assertEqual(
+            {method: tuple(sorted(map(int, call["responses"]))) for method, call in calls.items()}, control.STATUSES
+        )
 
     def test_links_hold(self):
         def links(value):
@@ -478,8 +569,12 @@
 
     def test_answers(self):
         verdict = control.Verdict(412, "x", 3)
-        for name, body in (("Taken", control.Verdict(200, "x", version=3).body()), ("OtherVersion", verdict.body()),
-                           ("Error", control.Verdict(400, "x").body()), ("Error", reading(None)[1])):
+        for name, body in (
+            ("Taken", control.Verdict(200, "x", version=3).body()),
+            ("OtherVersion", verdict.body()),
+            ("Error", control.Verdict(400, "x").body()),
+            ("Error", reading(None)[1]),
+        ):
             self.assertEqual(set(self.schemas[name]["required"]), set(body))
         self.assertEqual(set(self.schemas["Configuration"]["required"]), set(whole()))
 
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -12,8 +12,9 @@
 
 def led(cluster: Cluster) -> Node:
     """The leader, once there is one that all follow."""
-    assert cluster.run(10, cluster.settled), {node.address: vars(node.machine) for node in cluster.nodes.values()
-                                              if node.machine}
+    assert cluster.run(10, cluster.settled), {
+        node.address: vars(node.machine) for node in cluster.nodes.values() if node.machine
+    }
     leader = cluster.leader()
     assert leader is not None
     return leader
@@ -41,9 +42,15 @@
             cluster.run(cluster.random.uniform(0, 0.3))
             cluster.stop(leader.address)
             start = cluster.now
-            self.assertTrue(cluster.run(5, lambda: any(
-                node.machine and node.machine.role == "leader" and node.machine.commit >= node.machine._first
-                for node in cluster.nodes.values())))
+            self.assertTrue(
+                cluster.run(
+                    5,
+                    lambda: any(
+                        node.machine and node.machine.role == "leader" and node.machine.commit >= node.machine._first
+                        for node in cluster.nodes.values()
+                    ),
+                )
+            )
             took.append(cluster.now - start)
         took.sort()
         self.assertLess(took[30], 0.8)
@@ -53,7 +60,7 @@
         cluster = Cluster(1)
         leader = led(cluster)
         leader.slow = 1e9
-        cluster.random.uniform = lambda low, high: high    # type: ignore[method-assign]
+        cluster.random.uniform = lambda low, high: high  # type: ignore[method-assign]
         ticket = cluster.propose(leader.address, {"x": 1})
         cluster.run(0.05)
         self.assertEqual(cluster.answers[ticket].outcome, "committed")
@@ -162,7 +169,6 @@
         cluster.leave(leader.address)
         self.assertEqual(leader.machine.majority_at, float("-inf"))
 
-
     def test_what_was_due_in_one_life_never_reaches_the_next(self) -> None:
         cluster, lives = Cluster(17), set()
         led(cluster)
@@ -172,10 +178,10 @@
             stale, before = node.life, node.machine
             cluster.stop("m1")
             cluster.start("m1")
-            node.machine.tick, ticked = lambda now: ticked.append(now), []     # type: ignore[method-assign, union-attr]
+            node.machine.tick, ticked = lambda now: ticked.append(now), []  # type: ignore[method-assign, union-attr]
             cluster._tick(node, stale)
             self.assertEqual(ticked, [])
-            del node.machine.tick           # type: ignore[union-attr]
+            del node.machine.tick  # type: ignore[union-attr]
             self.assertIsNot(node.machine, before)
             led(cluster)
         self.assertEqual(len(lives), 3)
@@ -221,7 +227,7 @@
         leader = cluster.leader()
         self.assertEqual(len(ids(leader)), 3)
         self.assertNotIn(lost.disk.saved.me, ids(leader))
-        cluster.start(lost.address)             # it comes back with its disk, learns it, and is taken in again
+        cluster.start(lost.address)  # it comes back with its disk, learns it, and is taken in again
         cluster.run(4)
         self.assertIn(lost.disk.saved.me, ids(led(cluster)))
 
@@ -250,7 +256,7 @@
             cluster.run(1)
             self.assertEqual(len(ids(led(cluster))), 3)
             cluster.stop(gone.address)
-            if seed < 2:    # a disk is lost meanwhile: with the one that comes back there are two of three
+            if seed < 2:  # a disk is lost meanwhile: with the one that comes back there are two of three
                 cluster.stop(others[0])
                 cluster.start(gone.address)
                 cluster.wipe(others[0])
@@ -258,7 +264,7 @@
                 self.assertFalse(cluster.nodes[others[0]].disk.saved.me.endswith("#founder"))
                 cluster.run(2)
                 self.assertEqual(len(ids(led(cluster))), 3, "who is back is not leaving any more")
-            else:           # nothing is told by one disk alone
+            else:  # nothing is told by one disk alone
                 cluster.leave(others[0])
                 cluster.run(1)
                 cluster.stop(others[0])
@@ -273,15 +279,30 @@
         cluster.run(0.8)
         cluster.stop("m1")
         cluster.add("m9")
-        self.assertTrue(cluster.run(2, lambda: sorted(ids(led(cluster)))[:2] == ["m0#founder", "m2#founder"]
-                                    and len(ids(led(cluster))) == 3))
+        self.assertTrue(
+            cluster.run(
+                2, lambda: sorted(ids(led(cluster)))[:2] == ["m0#founder", "m2#founder"] and len(ids(led(cluster))) == 3
+            )
+        )
 
     def test_an_outsider_promises_nothing(self) -> None:
         machine = Machine(Saved("m3#new"), Pace(), 0, 0.0)
         machine.orders.clear()
         for type in ("prevote", "vote"):
-            machine.receive(5.0, {"type": type, "from": "m0#founder", "at": "m0", "to": "m3#new", "term": 3, "next": 4,
-                                  "last": 9, "last_term": 3, "handed": True})
+            machine.receive(
+                5.0,
+                {
+                    "type": type,
+                    "from": "m0#founder",
+                    "at": "m0",
+                    "to": "m3#new",
+                    "term": 3,
+                    "next": 4,
+                    "last": 9,
+                    "last_term": 3,
+                    "handed": True,
+                },
+            )
         machine.tick(50.0)
         self.assertEqual((machine.role, machine.term, machine.orders), ("outsider", 0, []))
 
@@ -326,16 +347,29 @@
 
     def test_a_start_gives_out_what_the_disk_holds_as_committed_and_no_more(self) -> None:
         members = {"a": "A", "b": "B", "c": "C"}
-        for known in range(5):      # at each point up to which the log may be known as committed
+        for known in range(5):  # at each point up to which the log may be known as committed
             entries = [Entry(index, 1, "command", {"n": index}) for index in range(1, 5)]
             machine = Machine(Saved("a", 1, None, 0, 0, None, members, entries, known), Pace(), 0, 0.0)
             machine.tick(0.1)
             given = [one.entry.body["n"] for one in machine.orders if isinstance(one, Apply)]
             self.assertEqual((given, machine.commit), (list(range(1, known + 1)), known))
             machine.orders.clear()
-            machine.receive(0.2, {"type": "append", "from": "b", "at": "B", "to": "a", "term": 2, "prev": known,
-                                  "prev_term": 1 if known else 0, "entries": [[known + 1, 2, "command", {"n": "other"}]],
-                                  "commit": known + 1, "stamp": 7.0, "round": 3})
+            machine.receive(
+                0.2,
+                {
+                    "type": "append",
+                    "from": "b",
+                    "at": "B",
+                    "to": "a",
+                    "term": 2,
+                    "prev": known,
+                    "prev_term": 1 if known else 0,
+                    "entries": [[known + 1, 2, "command", {"n": "other"}]],
+                    "commit": known + 1,
+                    "stamp": 7.0,
+                    "round": 3,
+                },
+            )
             given = [one.entry.body["n"] for one in machine.orders if isinstance(one, Apply)]
             self.assertEqual(given, ["other"], "the tail lost its race")
             save = next(one for one in machine.orders if isinstance(one, Save))
@@ -343,8 +377,19 @@
 
     def test_an_answer_tells_what_is_kept_apart_from_what_came(self) -> None:
         machine = self.machine()
-        append = {"type": "append", "from": "b", "at": "B", "to": "a", "term": 1, "prev": 1, "prev_term": 1,
-                  "entries": [[2, 1, "command", {}]], "commit": 1, "stamp": 7.0, "round": 3}
+        append = {
+            "type": "append",
+            "from": "b",
+            "at": "B",
+            "to": "a",
+            "term": 1,
+            "prev": 1,
+            "prev_term": 1,
+            "entries": [[2, 1, "command", {}]],
+            "commit": 1,
+            "stamp": 7.0,
+            "round": 3,
+        }
         machine.receive(0.2, append)
         first = next(one.message for one in machine.orders if isinstance(one, Send))
         self.assertEqual((first["match"], first["have"], first["stamp"], first["round"]), (1, 2, 7.0, 3))
@@ -356,8 +401,22 @@
         machine = self.machine()
         machine.failed(0.2)
         save = machine.orders.pop()
-        machine.receive(0.3, {"type": "append", "from": "b", "at": "B", "to": "a", "term": 1, "prev": 1, "prev_term": 1,
-                              "entries": [], "commit": 1, "stamp": 7.0, "round": 3})
+        machine.receive(
+            0.3,
+            {
+                "type": "append",
+                "from": "b",
+                "at": "B",
+                "to": "a",
+                "term": 1,
+                "prev": 1,
+                "prev_term": 1,
+                "entries": [],
+                "commit": 1,
+                "stamp": 7.0,
+                "round": 3,
+            },
+        )
         machine.tick(9.0)
         self.assertEqual([one for one in machine.orders if isinstance(one, Send) and one.message["type"] != "join"], [])
         machine.kept(9.1, save.number)
@@ -375,7 +434,7 @@
 class VotesEarly(Machine):
     """Mistake: promises leave before the disk holds them."""
 
-    def _promise(self, address, type, to, /, **rest):      # type: ignore[no-untyped-def, override]
+    def _promise(self, address, type, to, /, **rest):  # type: ignore[no-untyped-def, override]
         self._send(address, type, to, **rest)
 
 
@@ -409,7 +468,7 @@
                 committed += sum(one.outcome == "committed" for one in cluster.answers.values())
         self.assertGreater(committed, 400)
 
-    def found(self, seeds: int, **how) -> str:      # type: ignore[no-untyped-def]
+    def found(self, seeds: int, **how) -> str:  # type: ignore[no-untyped-def]
         """What the checker says of a mistake, "" if nothing."""
         for seed in range(seeds):
             cluster = Cluster(seed, 3, **how)
@@ -537,5 +596,11 @@
 class TestSteps(Steps.TestCase):
     """The steps as a test that can be named by its module, as a runner of several processes must."""
 
-    settings = settings(max_examples=25, stateful_step_count=25, deadline=None, derandomize=True, database=None,
-                        suppress_health_check=list(HealthCheck))
+    settings = settings(
+        max_examples=25,
+        stateful_step_count=25,
+        deadline=None,
+        derandomize=True,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
--- a/tests/system/test_consensus_store.py
+++ b/tests/system/test_consensus_store.py
@@ -37,7 +37,7 @@
         self.folder = Path(tempfile.mkdtemp(dir="/dev/shm" if os.path.isdir("/dev/shm") else None))
         self.addCleanup(shutil.rmtree, self.folder)
 
-    def open(self, folder: Path | None = None, **how) -> tuple[Store, Saved]:     # type: ignore[no-untyped-def]
+    def open(self, folder: Path | None = None, **how) -> tuple[Store, Saved]:  # type: ignore[no-untyped-def]
         """Open the store of a folder."""
         store = Store(**how)
         return store, store.open(folder or self.folder, True, "10.1.0.15", FOUNDERS)
@@ -110,13 +110,13 @@
             middle = self.files()
             self.assertNotEqual(before[NAME], middle[NAME])
             self.assertEqual(before[NAME + "-wal"], middle[NAME + "-wal"])
-            for _ in range(6):      # the file is synced before the log starts over
+            for _ in range(6):  # the file is synced before the log starts over
                 saved = self.after({**before, NAME: torn(before[NAME], middle[NAME], chance)})
                 self.assertEqual(saved and len(saved.entries), number)
-            store.write(save(number, term=2))       # the log starts over, over the old frames
+            store.write(save(number, term=2))  # the log starts over, over the old frames
             now = self.files()
             self.assertEqual(now[NAME], middle[NAME])
-            for _ in range(12):     # its head is synced before its frames are written
+            for _ in range(12):  # its head is synced before its frames are written
                 begun = now[NAME + "-wal"][:32] + middle[NAME + "-wal"][32:]
                 saved = self.after({**now, NAME + "-wal": torn(begun, now[NAME + "-wal"], chance)})
                 assert saved is not None
@@ -178,8 +178,16 @@
     def act(self, store: Store, number: int) -> None:
         """One of the saves of a life: entries small and large, one cut, a snapshot now and then, a note."""
         if number % 10 == 9:
-            store.write(Save(number, number, None, save(number, term=number).entries, None,
-                             (number - 2, number - 2, FOUNDERS, {"x": "y" * 40_000})))
+            store.write(
+                Save(
+                    number,
+                    number,
+                    None,
+                    save(number, term=number).entries,
+                    None,
+                    (number - 2, number - 2, FOUNDERS, {"x": "y" * 40_000}),
+                )
+            )
         elif number % 10 == 5:
             store.write(Save(number, number, None, save(number, term=number).entries, number, None))
             store.note("n", str(number))
@@ -189,6 +197,7 @@
     def life(self, disk: FaultyDisk, told: dict[int, int]) -> Store:
         """Three lives on one folder, the last left open; whatever is refused is tried again. `told`: done -> act
         kept."""
+
         def until(work: Callable[[], Any]) -> Any:
             for _ in range(9):
                 with contextlib.suppress(Refused):
@@ -205,7 +214,7 @@
                 told[len(disk.done)] = number
             if start == 0:
                 until(store.close)
-            elif start == 1:        # killed: what SQLite does when it closes comes never
+            elif start == 1:  # killed: what SQLite does when it closes comes never
                 files, at = self.files(), len(disk.done)
                 store._connection.close()
                 for name, content in files.items():
@@ -245,7 +254,7 @@
             times = chance.choice((1, 2, 4))
             disk.refuse = lambda at, kind: codes[number % 2](kind) or 0 if number <= at < number + times else 0
             with disk.own(self.folder), self.subTest(number):
-                store = self.life(disk, told)       # noqa: F841  not closed: the disk fails under a life that goes on
+                store = self.life(disk, told)  # noqa: F841  not closed: the disk fails under a life that goes on
             with FaultyDisk(), self.subTest(number):
                 self.holds(self.files(), 3 * self.ACTS, 3 * self.ACTS)
                 for cut in (number, number + times, *(chance.randrange(number, len(disk.done)) for _ in range(2))):
@@ -285,7 +294,7 @@
         self.assertEqual((saved.snapshot, saved.members), ({"state": ["é", 1.5]}, {"a": "A"}))
         self.assertEqual([(one.index, one.term) for one in saved.entries], [(5, 1), (6, 3), (7, 3)])
         self.assertEqual((store.note("configuration"), store.note("other")), ("x", None))
-        store.write(Save(4, 4, "v", [Entry(101, 4, "noop", {})], 5, (100, 4, {}, {})))      # far ahead
+        store.write(Save(4, 4, "v", [Entry(101, 4, "noop", {})], 5, (100, 4, {}, {})))  # far ahead
         store.close()
         saved = self.open()[1]
         self.assertEqual((saved.snapshot_index, [one.index for one in saved.entries]), (100, [101]))
@@ -297,7 +306,7 @@
         store.close()
         store, saved = self.open()
         self.assertEqual(saved.commit, 4)
-        store._connection.execute("DELETE FROM meta WHERE key = 'commit'")      # as the text before this row left it
+        store._connection.execute("DELETE FROM meta WHERE key = 'commit'")  # as the text before this row left it
         store.write(Save(2, 1, None, [], None, (2, 1, {}, {})))
         store.close()
         store, saved = self.open()
@@ -321,10 +330,17 @@
         store.write(save(1, 30))
         store.close()
         good = self.files()[NAME]
-        changes = ("UPDATE entries SET body = '{}' WHERE idx = 7", "DELETE FROM entries WHERE idx = 30",
-                   "DELETE FROM entries WHERE idx = 3", "UPDATE meta SET value = '[1,null,0,29]' WHERE key = 'state'",
-                   "UPDATE meta SET value = '10.1.0.99#x' WHERE key = 'me'", "DELETE FROM meta", "DELETE FROM snapshot",
-                   "UPDATE snapshot SET members = '{}'", "UPDATE entries SET term = 2 WHERE idx = 1")
+        changes = (
+            "UPDATE entries SET body = '{}' WHERE idx = 7",
+            "DELETE FROM entries WHERE idx = 30",
+            "DELETE FROM entries WHERE idx = 3",
+            "UPDATE meta SET value = '[1,null,0,29]' WHERE key = 'state'",
+            "UPDATE meta SET value = '10.1.0.99#x' WHERE key = 'me'",
+            "DELETE FROM meta",
+            "DELETE FROM snapshot",
+            "UPDATE snapshot SET members = '{}'",
+            "UPDATE entries SET term = 2 WHERE idx = 1",
+        )
         for change in changes:
             (self.folder / NAME).write_bytes(good)
             connection = sqlite3.connect(self.folder / NAME)
@@ -340,9 +356,9 @@
         for _ in range(60):
             bad = bytearray(good)
             start = chance.randrange(0, len(bad), SECTOR)
-            bad[start:start + SECTOR] = bytes(SECTOR) if chance.random() < 0.5 else os.urandom(SECTOR)
+            bad[start : start + SECTOR] = bytes(SECTOR) if chance.random() < 0.5 else os.urandom(SECTOR)
             self.assertIn(self.after({NAME: bytes(bad)}), (None, whole))
-        self.assertIsNone(self.after({NAME: good[:len(good) // 2]}))
+        self.assertIsNone(self.after({NAME: good[: len(good) // 2]}))
 
     def test_one_process_at_a_time(self) -> None:
         store, _ = self.open()
@@ -361,11 +377,11 @@
         whole, length = self.after(now), len(now[NAME + "-wal"])
         for start in range(32 + SECTOR, length, 4 * SECTOR):
             log = bytearray(now[NAME + "-wal"])
-            log[start:start + SECTOR] = bytes(255 - one for one in log[start:start + SECTOR])
+            log[start : start + SECTOR] = bytes(255 - one for one in log[start : start + SECTOR])
             saved = self.after({**now, NAME + "-wal": bytes(log)})
             if start < length - 6 * 4120:
                 self.assertIsNone(saved, start)
-            else:       # it may be a commit that was torn
+            else:  # it may be a commit that was torn
                 self.assertTrue(saved is None or saved == whole or len(saved.entries) in (17, 18), start)
 
     def test_what_is_set_aside_makes_another_machine_even_at_a_first_start(self) -> None:
@@ -375,7 +391,7 @@
             store.write(save(1, 30))
             store.close()
             good = self.files()[NAME]
-            (self.folder / NAME).write_bytes(good[:len(good) // 2].ljust(len(good), b"x"))
+            (self.folder / NAME).write_bytes(good[: len(good) // 2].ljust(len(good), b"x"))
             for kind in ("x", "rename"):
                 disk.refuse = lambda at, one: int(one == kind)
                 with self.assertRaises(Refused if kind == "rename" else Damaged):
@@ -388,11 +404,11 @@
             self.assertIn(ASIDE, self.files())
         with FaultyDisk():
             for number in range(begun, len(disk.done)):
-                for _ in range(4):      # whatever a loss of power brings back, the old one is never whole again
+                for _ in range(4):  # whatever a loss of power brings back, the old one is never whole again
                     files = disk.left(number, chance, chance.random() < 0.3)
                     after = self.after(files)
                     if NAME in files and files[NAME] == good:
-                        continue        # the damage itself was no write of this disk's
+                        continue  # the damage itself was no write of this disk's
                     self.assertTrue(after is None or after.me not in FOUNDERS, number)
         small, _ = self.open(Path(tempfile.mkdtemp(dir=self.folder)), disk_mb=0.03)
         small._connection.close()
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -11,24 +11,43 @@
 from unittest import mock
 
 from knotwalk.configuration.read import document, patched, read_configuration
-from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
-from knotwalk.control_plane.slice_manager import LANES, SliceManager
-from knotwalk.control_plane.peer_api import PeerApi
-from knotwalk.control_plane.list_poller import ListPoller
-from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.consensus.machine import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
+from knotwalk.control_plane.list_poller import ListPoller
+from knotwalk.control_plane.peer_api import PeerApi
+from knotwalk.control_plane.slice_manager import LANES, SliceManager
+from knotwalk.discovery.cluster_view import Board, ClusterView, Node
 from knotwalk.discovery.loads import Loads, merge
-from knotwalk.discovery.cluster_view import Board, Node, ClusterView
-from knotwalk.runtime.errors import PeerError
 from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
+from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
+from knotwalk.runtime.errors import PeerError
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
-DOCUMENT = {"config_version": "r3", "objects": [
-    {"object_kind": "services", "metadata": {"name": "s"}, "specification": {"health_check": "/h", "sharded": True}},
-    {"object_kind": "routes", "metadata": {"name": "r"}, "specification": {
-        "hostname": "a.example", "path_prefix": "/a/", "route_type": "idempotent", "timeout": "1s",
-        "target_latency": "300ms", "priority": 1, "service": "s", "retry_count": 2}}]}
+DOCUMENT = {
+    "config_version": "r3",
+    "objects": [
+        {
+            "object_kind": "services",
+            "metadata": {"name": "s"},
+            "specification": {"health_check": "/h", "sharded": True},
+        },
+        {
+            "object_kind": "routes",
+            "metadata": {"name": "r"},
+            "specification": {
+                "hostname": "a.example",
+                "path_prefix": "/a/",
+                "route_type": "idempotent",
+                "timeout": "1s",
+                "target_latency": "300ms",
+                "priority": 1,
+                "service": "s",
+                "retry_count": 2,
+            },
+        },
+    ],
+}
 
 
 class Wire:
@@ -75,7 +94,7 @@
     async def until(self, met):
         async with asyncio.timeout(20):
             while not met():
-                await asyncio.sleep(0.001)      # a turn of the loop, so that timers come due; bounded above
+                await asyncio.sleep(0.001)  # a turn of the loop, so that timers come due; bounded above
 
     async def leader(self) -> ConsensusDriver:
         await self.until(lambda: any(end.machine.settled for end in self.wire.ends.values()))
@@ -93,7 +112,7 @@
         leader = await self.leader()
         command = {"do": "configure", "base": 0, "version": 3, "digest": "d", "document": DOCUMENT}
         self.assertEqual(await leader.propose(command), "done")
-        self.assertEqual(await leader.propose(command), "done")         # the same call, agreed on twice
+        self.assertEqual(await leader.propose(command), "done")  # the same call, agreed on twice
         other = {**command, "version": 4, "digest": "e"}
         self.assertEqual(await leader.propose(other), "another version is in place")
         last = leader.machine.applied
@@ -143,8 +162,9 @@
 
         def start(at: str, first: bool) -> ConsensusDriver:
             store = Store()
-            end = wire.ends[at] = ConsensusDriver(store, opened(store, str(folder / at), first, at, founders), wire, Pace(), 1,
-                                            float("-inf"))
+            end = wire.ends[at] = ConsensusDriver(
+                store, opened(store, str(folder / at), first, at, founders), wire, Pace(), 1, float("-inf")
+            )
             end.machine.address, end.machine.contacts = at, [one for one in ADDRESSES if one != at]
             end.on_damage = lambda: damage.append(at)
             end.start()
@@ -159,16 +179,25 @@
 
         for at in ADDRESSES:
             start(at, True)
-        leads = lambda: next((one for one in wire.ends.values() if one.machine.settled), None)      # noqa: E731
+        leads = lambda: next((one for one in wire.ends.values() if one.machine.settled), None)  # noqa: E731
         await until(leads)
         leader = leads()
-        self.assertEqual(await leader.propose({"do": "configure", "base": 0, "version": 3, "digest": "d",
-                                               "document": DOCUMENT}), "done")
+        self.assertEqual(
+            await leader.propose({"do": "configure", "base": 0, "version": 3, "digest": "d", "document": DOCUMENT}),
+            "done",
+        )
         victim = next(one for one in wire.ends.values() if one is not leader)
         at = victim.machine.address
         with mock.patch.object(victim.store, "write", side_effect=Damaged(victim.store.path, "malformed")):
-            await leader.propose({"do": "configure", "base": 3, "version": 4, "digest": "e",
-                                  "document": DOCUMENT | {"config_version": "r4"}})
+            await leader.propose(
+                {
+                    "do": "configure",
+                    "base": 3,
+                    "version": 4,
+                    "digest": "e",
+                    "document": DOCUMENT | {"config_version": "r4"},
+                }
+            )
             await until(lambda: damage == [at])
         self.assertFalse(victim.machine._may_stand())
         await victim.close()
@@ -176,15 +205,23 @@
         victim.store.close()
         path = folder / at / NAME
         path.write_bytes(path.read_bytes()[:5000].ljust(path.stat().st_size, b"x"))
-        with mock.patch.object(Store, "set_aside", side_effect=Refused(path, "no")), self.assertRaises(StopIteration), \
-                self.assertLogs(level="WARNING"):
+        with (
+            mock.patch.object(Store, "set_aside", side_effect=Refused(path, "no")),
+            self.assertRaises(StopIteration),
+            self.assertLogs(level="WARNING"),
+        ):
             opened(Store(), str(folder / at), True, at, founders, mock.Mock(side_effect=[StopIteration]))
         with self.assertLogs(level="WARNING") as said:
             fresh = start(at, True)
         self.assertEqual(len(said.output), 1)
         self.assertNotIn(fresh.machine.me, founders)
-        await until(lambda: leader.machine.members.keys() - founders == {fresh.machine.me}
-                    and fresh.state.version == 4 and fresh.machine.role == "follower")
+        await until(
+            lambda: (
+                leader.machine.members.keys() - founders == {fresh.machine.me}
+                and fresh.state.version == 4
+                and fresh.machine.role == "follower"
+            )
+        )
         for end in wire.ends.values():
             await end.close()
             await asyncio.to_thread(end.writer.shutdown)
@@ -206,7 +243,7 @@
             async def json(self, method, url, body, patience, step):
                 asked.append(url.split("/")[2])
                 waits.append(body["wait"])
-                if len(asked) == 2:         # the near one, which has answered once
+                if len(asked) == 2:  # the near one, which has answered once
                     raise PeerError(step, url, "no answer")
                 if len(asked) == 3:
                     raise asyncio.CancelledError
@@ -220,8 +257,9 @@
                 await link.run()
             self.assertEqual(asked[0], asked[1])
             self.assertNotEqual(asked[1], asked[2])
-            self.assertEqual(waits, [FIRST_WAIT, WAIT, FIRST_WAIT])     # one that is not known to live is not waited for long
-
+            self.assertEqual(
+                waits, [FIRST_WAIT, WAIT, FIRST_WAIT]
+            )  # one that is not known to live is not waited for long
 
     async def test_a_core_that_never_gets_fresh_is_served_by_and_others_are_asked_all_the_while(self):
         """What an edge that just started has from a core that just started is better than nothing, and no more."""
@@ -237,15 +275,20 @@
                     raise asyncio.CancelledError
                 told = {"fresh": False, "zone": "z", "edges": 1}
                 if len(asked) == 1:
-                    return told | {"provisional": {"config": {"order": 5}, "nodes": {}}}      # not understood
+                    return told | {"provisional": {"config": {"order": 5}, "nodes": {}}}  # not understood
                 return told | {"provisional": json.loads(json.dumps(board.provisional(nodes, 0.0)))}
 
         link = Link("e", ClusterView(), Cores(), ADDRESSES, 1, "z", dict, lambda changed, edges: heard.append(edges))
-        with self.assertRaises(asyncio.CancelledError), mock.patch("knotwalk.edge.link.PAUSE_MOST", 0.0), \
-                self.assertLogs(level="WARNING") as logs:
+        with (
+            self.assertRaises(asyncio.CancelledError),
+            mock.patch("knotwalk.edge.link.PAUSE_MOST", 0.0),
+            self.assertLogs(level="WARNING") as logs,
+        ):
             await link.run()
         self.assertEqual([bare for _, bare in asked], [True, True] + [False] * 7)
-        self.assertEqual(({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/cluster-view" for at in ADDRESSES}, 1))
+        self.assertEqual(
+            ({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/cluster-view" for at in ADDRESSES}, 1)
+        )
         self.assertEqual((heard, link.view.whole, link.view.config_order), ([0], True, -1))
 
 
@@ -253,8 +296,18 @@
     """What a core that only just started tells an edge that has nothing."""
 
     async def asyncSetUp(self):
-        self.calls, entry = 0, {"service": "s", "address": "10.0.1.1:80", "zone": "z", "capacity": 2, "state": "draining",
-                                "config_version": "v1", "warmup_left": "0ms"}
+        self.calls, entry = (
+            0,
+            {
+                "service": "s",
+                "address": "10.0.1.1:80",
+                "zone": "z",
+                "capacity": 2,
+                "state": "draining",
+                "config_version": "v1",
+                "warmup_left": "0ms",
+            },
+        )
         owner = self
 
         class Platform:
@@ -267,8 +320,13 @@
 
         self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(leader=None)
         consensus = SimpleNamespace(machine=self.machine)
-        list_poller = ListPoller(SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"), consensus, self.board,
-                          self.platform, "me")
+        list_poller = ListPoller(
+            SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"),
+            consensus,
+            self.board,
+            self.platform,
+            "me",
+        )
         self.peer_api = PeerApi("me", consensus, list_poller, None, self.board, Loads(), None)
 
     async def ask(self, **more):
@@ -277,10 +335,10 @@
 
     async def test_only_a_bare_edge_is_told_and_only_before_a_leader_is_known(self):
         self.assertNotIn("provisional", await self.ask())
-        self.assertEqual(self.calls, 0)         # nothing on the disk: nothing is asked for
+        self.assertEqual(self.calls, 0)  # nothing on the disk: nothing is asked for
         self.board.set_config(5, DOCUMENT)
         told = await asyncio.gather(self.ask(), self.ask(), self.ask())
-        self.assertEqual(self.calls, 1)         # a platform's call for all
+        self.assertEqual(self.calls, 1)  # a platform's call for all
         for one in told:
             self.assertFalse(one["fresh"])
             view = ClusterView()
@@ -298,7 +356,7 @@
         self.platform.status = 429
         for _ in range(3):
             self.assertNotIn("provisional", await self.ask())
-        self.assertEqual(self.calls, 1)         # no more often than a leader would ask
+        self.assertEqual(self.calls, 1)  # no more often than a leader would ask
 
 
 class BoardCase(unittest.TestCase):
@@ -323,7 +381,7 @@
         ahead.set_nodes((1, 2), self.nodes("x"))
         ahead.set_lines(8, "s", {2: ("x", True)})
         self.assertEqual(self.tell(ahead, view), {"config", "nodes", "lines"})
-        self.assertEqual(self.tell(behind, view), set())             # whole, but older in every topic
+        self.assertEqual(self.tell(behind, view), set())  # whole, but older in every topic
         self.assertEqual((view.configuration.version, set(view.nodes)), (4, {"x"}))
         self.assertEqual(view.shardings["s"].lines[2].owner, "x")
         behind.set_lines(11, "s", {1: ("", False), 2: ("x", True)})
@@ -337,8 +395,10 @@
         before = read_configuration(board.config[1])
         route = before.items["routes", "r"]
         route = route | {"specification": route["specification"] | {"timeout": f"{order}s"}}
-        board.set_config(order, document(patched(before, {
-            "config_version": f"r{before.version + 1}", "upsert": {"objects": [route]}})))
+        board.set_config(
+            order,
+            document(patched(before, {"config_version": f"r{before.version + 1}", "upsert": {"objects": [route]}})),
+        )
 
     def test_a_provisional_picture_is_replaced_by_any_fresh_one_and_never_follows_one(self):
         old, fresh, view = Board("a"), Board("b"), ClusterView()
@@ -348,11 +408,13 @@
         provisional = json.loads(json.dumps(old.provisional(self.nodes("x", "gone"), 0.0)))
         self.assertTrue(view.ask()["bare"])
         self.assertEqual(view.provide(0.0, provisional), {"config", "nodes", "lines"})
-        self.assertEqual(view.provide(0.0, provisional | {"nodes": {}}), set())       # one is enough
+        self.assertEqual(view.provide(0.0, provisional | {"nodes": {}}), set())  # one is enough
         self.assertEqual((view.whole, view.shardings["s"].lines[9].node.id), (True, "gone"))
-        self.assertEqual({k: v for k, v in view.ask().items() if k != "at"},
-                         {"epoch": "", "config": -1, "nodes": (-1, -1), "lines": -1})
-        fresh.set_config(5, DOCUMENT)           # a fresh core before its leader has read the list
+        self.assertEqual(
+            {k: v for k, v in view.ask().items() if k != "at"},
+            {"epoch": "", "config": -1, "nodes": (-1, -1), "lines": -1},
+        )
+        fresh.set_config(5, DOCUMENT)  # a fresh core before its leader has read the list
         fresh.set_lines(7, "s", {0: ("x", True), 1: ("y", True)})
         self.assertEqual(self.tell(fresh, view), {"config", "lines"})
         self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, True, {"x", "gone"}))
@@ -368,8 +430,11 @@
     def test_changes_alone_or_the_whole_by_what_the_picture_has_whichever_board_it_heard(self):
         one, two = Board("a"), Board("b")
         views = [ClusterView(), ClusterView(), ClusterView()]
-        much = {**DOCUMENT, "objects": DOCUMENT["objects"] + [
-            {"object_kind": "services", "metadata": {"name": f"s{n}"}, "specification": {}} for n in range(60)]}
+        much = {
+            **DOCUMENT,
+            "objects": DOCUMENT["objects"]
+            + [{"object_kind": "services", "metadata": {"name": f"s{n}"}, "specification": {}} for n in range(60)],
+        }
         for board in (one, two):
             board.set_config(5, much)
             board.set_lines(7, "s", {k: ("x" if k % 2 else "y", True) for k in range(40)})
@@ -389,7 +454,7 @@
             self.tell(board, view)
             self.assertEqual(document(view.configuration), one.config[1])
             self.assertEqual(view.index.find("a.example", "/a/").timeout, 8.0)
-        two.set_config(9, json.loads(json.dumps(one.config[1])))       # came whole, as by a snapshot
+        two.set_config(9, json.loads(json.dumps(one.config[1])))  # came whole, as by a snapshot
         for order in range(10, 300):
             self.change(one, order)
         self.assertLess(sum(size for _, _, size in one.changes), len(json.dumps(much)))
@@ -403,10 +468,16 @@
         standing = view.configuration
         patch = {"config_version": "r4", "upsert": {"objects": []}, "remove": {}}
         for base, changes in ((4, [patch]), (5, [patch, patch | {"remove": {"services": ["s"]}}]), (5, [{}])):
-            view.apply(0.0, {"epoch": "c", "at": 7, "config": {"order": 9, "base": base, "changes": changes},
-                                "lines": {"order": 9, "set": {}}})
-            self.assertEqual((bool(view.fault), view.ask()["config"], view.epoch, view.lines_order),
-                             (True, -1, "a", 9))
+            view.apply(
+                0.0,
+                {
+                    "epoch": "c",
+                    "at": 7,
+                    "config": {"order": 9, "base": base, "changes": changes},
+                    "lines": {"order": 9, "set": {}},
+                },
+            )
+            self.assertEqual((bool(view.fault), view.ask()["config"], view.epoch, view.lines_order), (True, -1, "a", 9))
             self.assertIs(view.configuration, standing)
         board.set_config(9, {**DOCUMENT, "config_version": "r6"})
         self.assertEqual(self.tell(board, view), {"config"})
@@ -425,7 +496,7 @@
         for turn, until, order in ((1, 0.0, 1), (2, 0.0, 1), (3, 3.0, 3), (4, 3.5, 3)):
             cold = self.nodes("x", "y")
             cold["x"].cold_until = until
-            behind.set_nodes((2, turn), cold, True)                     # read again, the same: nobody need ask for it
+            behind.set_nodes((2, turn), cold, True)  # read again, the same: nobody need ask for it
             self.assertEqual(behind.nodes_order, (2, order))
         for order, ids in (((1, 3), "xy"), ((2, 1), "xy"), ((2, 4), "x")):
             ahead.set_nodes(order, self.nodes(*ids))
@@ -452,19 +523,36 @@
             async def send(self, *_):
                 if not states:
                     raise asyncio.CancelledError
-                node = {"service": "s", "address": "10.0.1.1:80", "zone": "z", "capacity": 2, "state": states.pop(0),
-                        "config_version": "v1", "warmup_left": "0ms"}
+                node = {
+                    "service": "s",
+                    "address": "10.0.1.1:80",
+                    "zone": "z",
+                    "capacity": 2,
+                    "state": states.pop(0),
+                    "config_version": "v1",
+                    "warmup_left": "0ms",
+                }
                 return 200, {}, json.dumps({"instances": {"i-1": node}, "next_token": None}).encode()
 
         machine = SimpleNamespace(term=3, members={})
-        list_poller = ListPoller(SimpleNamespace(platform=SimpleNamespace(address=("h", 1))), SimpleNamespace(machine=machine),
-                          Board("b"), Platform(), "me")
+        list_poller = ListPoller(
+            SimpleNamespace(platform=SimpleNamespace(address=("h", 1))),
+            SimpleNamespace(machine=machine),
+            Board("b"),
+            Platform(),
+            "me",
+        )
         orders = []
         list_poller.on_nodes = lambda: orders.append(list_poller.board.nodes_order)
-        with mock.patch.object(ListPoller, "proven", True), mock.patch("knotwalk.control_plane.list_poller.POLL", 0), \
-                self.assertRaises(asyncio.CancelledError):
+        with (
+            mock.patch.object(ListPoller, "proven", True),
+            mock.patch("knotwalk.control_plane.list_poller.POLL", 0),
+            self.assertRaises(asyncio.CancelledError),
+        ):
             await list_poller.poll()
-        self.assertEqual((orders, list_poller.board.nodes_order), ([(3, 1), (3, 3)], (3, 3)))      # the second was like the first
+        self.assertEqual(
+            (orders, list_poller.board.nodes_order), ([(3, 1), (3, 3)], (3, 3))
+        )  # the second was like the first
         self.assertTrue(list_poller.board.nodes["i-1"].draining)
 
 
@@ -483,8 +571,10 @@
         conductor = SliceManager("me", None, Board("b"), Loads(), Node(), LeasePace(), 1, None)
         conductor.keeper.answered = lambda at, order, status, *_: ends.append((order.fence, status))
         lanes = LANES["grant"]
-        orders = [Grant("i-1", ("10.0.1.1", 80), 0, 31, n, 6.0, None, "s", (0,), 5.0 if n < lanes + 2 else 2.0)
-                  for n in range(lanes + 4)]
+        orders = [
+            Grant("i-1", ("10.0.1.1", 80), 0, 31, n, 6.0, None, "s", (0,), 5.0 if n < lanes + 2 else 2.0)
+            for n in range(lanes + 4)
+        ]
         with mock.patch("knotwalk.control_plane.slice_manager.clock", lambda: now[0]):
             calls = [asyncio.ensure_future(conductor._grant(order)) for order in orders]
             for _ in range(5):
@@ -502,11 +592,17 @@
     def test_sums_kept_up_are_those_of_the_window(self):
         chance, loads = random.Random(4), Loads()
         for step in range(400):
-            now = step / 10      # busy at first, then one report now and then
+            now = step / 10  # busy at first, then one report now and then
             for _ in range(chance.randrange(3) if step < 250 else step % 30 == 0):
                 row = [0, 0, 2, chance.randrange(3), 0, chance.randrange(2), chance.random()]
-                loads.add(now, {"demand": {"s": {str(chance.randrange(9)): chance.randrange(3)}},
-                                "nodes": {f"n{chance.randrange(5)}": row[:6] if step < 50 else row}}, False)
+                loads.add(
+                    now,
+                    {
+                        "demand": {"s": {str(chance.randrange(9)): chance.randrange(3)}},
+                        "nodes": {f"n{chance.randrange(5)}": row[:6] if step < 50 else row},
+                    },
+                    False,
+                )
             found, _ = loads.sums(now)
             plain = {}
             for _, raw in loads.window:
@@ -515,7 +611,7 @@
                 rows, wanted = found.get(topic, {}), plain.get(topic, {})
                 if topic == "demand":
                     rows, wanted = ({k: [n] for k, n in table.get("s", {}).items()} for table in (rows, wanted))
-                self.assertLessEqual(rows.keys(), wanted.keys())        # of rows that say nothing none is kept
+                self.assertLessEqual(rows.keys(), wanted.keys())  # of rows that say nothing none is kept
                 for id, row in wanted.items():
                     for a, b in zip(row, rows.get(id, [0, 0, row[2], 0, 0, 0, 0] if topic == "nodes" else [0])):
                         self.assertAlmostEqual(a, b)
@@ -525,7 +621,7 @@
         seconds."""
         loads = Loads()
         for step in range(96):
-            now, edge = step / 8, step % 8              # eight edges, a report a second each; 80 requests a second from 5.0
+            now, edge = step / 8, step % 8  # eight edges, a report a second each; 80 requests a second from 5.0
             requests = max(0.0, min(1.0, now - 5.0)) * 10
             loads.add(now, {"demand": {"s": {"7": requests}} if requests else {}}, edge < 4)
             found, spans = loads.sums(now)
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -10,10 +10,10 @@
 import unittest
 from unittest import mock
 
-from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, view, routes, show
+from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, routes, show, view
 
-from knotwalk.configuration.objects import Limits
 from knotwalk.admission.connection_budget import ConnectionBudget
+from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.cluster_view import WIDTH, Line
 from knotwalk.edge import upstream
 from knotwalk.edge.choose import seen
@@ -29,9 +29,11 @@
 
 def cut(data):
     """Send this and close."""
+
     def act(request, writer):
         writer.write(data(request) if callable(data) else data)
         writer.close()
+
     return act
 
 
@@ -42,10 +44,12 @@
 
 def late_extra(body):
     """The whole answer, and once more when the connection's next request has come, ahead of its answer."""
+
     def act(request, writer):
         before = getattr(writer, "extra", b"")
         writer.extra = answer(request, b"late")
         return before + answer(request, body(request), extra="Keep-Alive: timeout=9\r\n")
+
     return act
 
 
@@ -86,8 +90,9 @@
 
     async def begin(self, nodes=1, service="s", limits=None, capacity=4, table=None, **raw):
         """A front over some of the stand-ins."""
-        self.view = view([node.node(service, capacity=capacity) for node in self.nodes[:nodes]],
-                               table or routes(), limits)
+        self.view = view(
+            [node.node(service, capacity=capacity) for node in self.nodes[:nodes]], table or routes(), limits
+        )
         self.front = await front(self.view, **raw)
         return self.front
 
@@ -148,8 +153,11 @@
             "no id": ([lambda r, w: answer(r).replace(b"Attempt-Id", b"Other")], (200, 2), (502, 1)),
             "another id": ([lambda r, w: answer(r, id="zz")], (200, 2), (502, 1)),
             "a promise of a success": ([lambda r, w: answer(r, extra="Not-Executed: 1\r\n")], (200, 2), (502, 1)),
-            "a shed with another id": ([lambda r, w: answer(r, status="503 X", id="zz", extra="Not-Executed: 1\r\n")],
-                                       (200, 2), (502, 1)),
+            "a shed with another id": (
+                [lambda r, w: answer(r, status="503 X", id="zz", extra="Not-Executed: 1\r\n")],
+                (200, 2),
+                (502, 1),
+            ),
             "503 that may have run": ([lambda r, w: answer(r, status="503 X")], (200, 2), (502, 1)),
             "its own 500": ([lambda r, w: answer(r, status="500 X")], (200, 2), (500, 1)),
             "its own 500 twice": ([lambda r, w: answer(r, status="500 X")] * 2, (500, 2), (500, 1)),
@@ -164,8 +172,11 @@
     async def test_another_node_after_a_refusal(self):
         """With two nodes a refusal goes on to the other, for either kind; a lost answer only if it may be repeated."""
         await self.begin(2)
-        for script, repeatable, single in (([SHED], (503, 2), (503, 2)), ([ELSEWHERE], (503, 2), (503, 2)),
-                                           ([None], (502, 2), (502, 1))):
+        for script, repeatable, single in (
+            ([SHED], (503, 2), (503, 2)),
+            ([ELSEWHERE], (503, 2), (503, 2)),
+            ([None], (502, 2), (502, 1)),
+        ):
             await self.check(script, repeatable, single)
 
     async def test_never_more_nodes_than_the_route_allows(self):
@@ -246,7 +257,7 @@
         await self.begin()
         self.nodes[0].script = [lambda r, w: answer(r, extra="Keep-Alive: timeout=9\r\n")] * 3
         await self.ask("/n/")
-        connection, = self.front.forwarder.pools["i-0"].idle
+        (connection,) = self.front.forwarder.pools["i-0"].idle
         self.assertTrue(connection.ready(True))
         self.nodes[0].writers[0].write(b"junk")
         select.select([connection.transport.get_extra_info("socket").fileno()], [], [], 5)
@@ -340,7 +351,7 @@
         line.open = False
         self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 503)
         line.open = True
-        self.view.nodes["i-0"].address = ("127.0.0.1", 9)        # nobody listens
+        self.view.nodes["i-0"].address = ("127.0.0.1", 9)  # nobody listens
         self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 503)
         self.assertEqual(len(waits), 2)
         self.assertLess(max(waits), 0.1 - 0.016)
@@ -425,16 +436,22 @@
         self.assertEqual(found["demand"], {"k": {0: 1, 1: 1}})
         self.assertEqual(found["nodes"]["i-0"], [2, 1, 4])
         self.assertEqual(found["nodes"]["i-1"][:6], [0, 0, 4, 1, 0, 0])
-        self.assertGreater(found["nodes"]["i-1"][6], 0.0)       # the answered one's seconds: all that it is judged by
+        self.assertGreater(found["nodes"]["i-1"][6], 0.0)  # the answered one's seconds: all that it is judged by
         self.assertEqual(self.front.report(0.0), {"demand": {}, "nodes": {}, "bad": {}})
 
     async def test_report_of_trouble(self):
         """Lost and failed tries, and refusals by a node that tells free slots, are bad; by a full one they are not."""
         await self.begin(1, "k")
-        shed = [lambda r, w, told=told: answer(r, status="503 X", extra=f"Not-Executed: 1\r\nServer-Load: {told}\r\n")
-                for told in ("1,0,4", "4,9,4")]
-        for script, bad in (([None], [1, 0]), ([lambda r, w: answer(r, status="500 X")], [1, 0]), ([shed[0]], [1, 0]),
-                            ([shed[1]], None)):
+        shed = [
+            lambda r, w, told=told: answer(r, status="503 X", extra=f"Not-Executed: 1\r\nServer-Load: {told}\r\n")
+            for told in ("1,0,4", "4,9,4")
+        ]
+        for script, bad in (
+            ([None], [1, 0]),
+            ([lambda r, w: answer(r, status="500 X")], [1, 0]),
+            ([shed[0]], [1, 0]),
+            ([shed[1]], None),
+        ):
             self.reset(*script)
             seen(self.view.nodes["i-0"]).__init__()
             await self.ask("/kn/", headers=self.key(0))
@@ -450,9 +467,16 @@
         self.front.forwarder.pools["i-0"].close()
         await self.ask("/kn/", headers=self.key(0))
         found = self.front.forwarder.tally()
-        self.assertEqual({cause: count for cause, count in found.items() if "rank" in cause}, {
-            "refused: its owner turned it away, rank 0": 1, "refused: turned away, rank 0": 1,
-            "unknown: connection closed, rank 0": 1, "in time, rank 0": 1, "refused: its owner is not reached, rank 0": 1})
+        self.assertEqual(
+            {cause: count for cause, count in found.items() if "rank" in cause},
+            {
+                "refused: its owner turned it away, rank 0": 1,
+                "refused: turned away, rank 0": 1,
+                "unknown: connection closed, rank 0": 1,
+                "in time, rank 0": 1,
+                "refused: its owner is not reached, rank 0": 1,
+            },
+        )
         self.assertEqual((found["sent"], found["not connected"]), (4, 1))
         self.assertEqual(self.front.forwarder.tally(), {})
 
@@ -483,28 +507,48 @@
     async def test_request_unchanged(self):
         await self.begin()
         client = await self.client()
-        client.ask("/n/a%20b/../c?q=%41&r", "id-1", "PUT", body=b"x" * 999, deadline=3000, headers=(
-            "X-One: a\r\nX-One: b\r\nConnection: x-hop, attempt-id\r\nX-Hop: h\r\nKeep-Alive: timeout=2\r\n"
-            "TE: trailers\r\nTarget-Instance: i-9\r\nAccept-Encoding: identity\r\n"))
+        client.ask(
+            "/n/a%20b/../c?q=%41&r",
+            "id-1",
+            "PUT",
+            body=b"x" * 999,
+            deadline=3000,
+            headers=(
+                "X-One: a\r\nX-One: b\r\nConnection: x-hop, attempt-id\r\nX-Hop: h\r\nKeep-Alive: timeout=2\r\n"
+                "TE: trailers\r\nTarget-Instance: i-9\r\nAccept-Encoding: identity\r\n"
+            ),
+        )
         await client.answer()
-        request, = self.nodes[0].seen
+        (request,) = self.nodes[0].seen
         self.assertEqual(request.line, "PUT /n/a%20b/../c?q=%41&r HTTP/1.1")
         self.assertEqual(request.body, b"x" * 999)
-        self.assertEqual(set(request.headers), {"host", "attempt-id", "deadline-ms", "target-instance", "x-one",
-                                                "accept-encoding", "content-length"})
+        self.assertEqual(
+            set(request.headers),
+            {"host", "attempt-id", "deadline-ms", "target-instance", "x-one", "accept-encoding", "content-length"},
+        )
         self.assertEqual(request.headers["target-instance"], "i-0")
         self.assertTrue(2900 <= int(request.headers["deadline-ms"]) <= 3000)
 
     async def test_answer_unchanged(self):
         await self.begin()
-        self.nodes[0].script = [lambda r, w: answer(r, b"\x00\xff" * 20, extra=(
-            "X-A: 1\r\nX-A: 2\r\nConnection: x-hop, server-seal\r\nX-Hop: h\r\nKeep-Alive: timeout=9\r\n"
-            "Content-Encoding: odd\r\n"))]
+        self.nodes[0].script = [
+            lambda r, w: answer(
+                r,
+                b"\x00\xff" * 20,
+                extra=(
+                    "X-A: 1\r\nX-A: 2\r\nConnection: x-hop, server-seal\r\nX-Hop: h\r\nKeep-Alive: timeout=9\r\n"
+                    "Content-Encoding: odd\r\n"
+                ),
+            )
+        ]
         client = await self.client()
         client.ask()
         head = await client.reader.readuntil(b"\r\n\r\n")
-        self.assertEqual(head, b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nX-A: 1\r\nX-A: 2\r\n"
-                               b"Content-Encoding: odd\r\nContent-Length: 40\r\nKeep-Alive: timeout=14\r\n\r\n")
+        self.assertEqual(
+            head,
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nX-A: 1\r\nX-A: 2\r\n"
+            b"Content-Encoding: odd\r\nContent-Length: 40\r\nKeep-Alive: timeout=14\r\n\r\n",
+        )
         self.assertEqual(await client.reader.readexactly(40), b"\x00\xff" * 20)
 
     async def test_chunks_either_way(self):
@@ -528,8 +572,13 @@
                     client.ask("/n/", method="POST", body=data)
                 else:
                     client.ask("/n/", method="POST", headers=head)
-                    client.writer.write(b"".join(b"%x\r\n%b\r\n" % (len(data[a:a + 70000]), data[a:a + 70000])
-                                                 for a in range(0, len(data), 70000)) + b"0\r\n\r\n")
+                    client.writer.write(
+                        b"".join(
+                            b"%x\r\n%b\r\n" % (len(data[a : a + 70000]), data[a : a + 70000])
+                            for a in range(0, len(data), 70000)
+                        )
+                        + b"0\r\n\r\n"
+                    )
                 status, _, body = await asyncio.wait_for(client.answer(), PATIENCE)
                 self.assertEqual((status, body == data, self.nodes[0].seen[0].body == data), (200, True, True))
                 client.ask("/n/", "next")
@@ -544,23 +593,26 @@
         async def pour(r, w):
             nonlocal sent
             w.transport.set_write_buffer_limits(65536)
-            w.write(f"HTTP/1.1 200 OK\r\nAttempt-Id: {r.attempt}\r\nServer-Seal: s\r\n"
-                    f"Content-Length: {size}\r\n\r\n".encode())
+            w.write(
+                f"HTTP/1.1 200 OK\r\nAttempt-Id: {r.attempt}\r\nServer-Seal: s\r\n"
+                f"Content-Length: {size}\r\n\r\n".encode()
+            )
             piece = bytes(100_000)
             while sent < size:
                 w.write(piece)
                 sent += len(piece)
                 await w.drain()
+
         self.nodes[0].script = [pour]
         client = await self.client()
         client.reader._limit = 1000
         client.ask()
         before = -1
-        while before != sent or not sent:       # until the node gets no further for 50 turns of the loop
+        while before != sent or not sent:  # until the node gets no further for 50 turns of the loop
             before = sent
             for _ in range(50):
                 await asyncio.sleep(0)
-        self.assertLess(sent, 25_000_000)       # buffers of the kernel, mostly
+        self.assertLess(sent, 25_000_000)  # buffers of the kernel, mostly
         held = [c.transport.get_write_buffer_size() for c in self.front.clients]
         self.assertLess(max(held), 600_000)
         client.reader._limit = 1 << 22
@@ -581,6 +633,7 @@
                 await held.wait()
             data = r.attempt.encode() * (size.get(r.line, 30) // 3)
             return answer(r, data) if r.attempt != "id2" else chunked(r, data)
+
         self.nodes[0].script = [act] * 6
         client = await self.client()
         for at in range(6):
@@ -592,15 +645,17 @@
         held.set()
         for at in range(6):
             status, headers, body = await asyncio.wait_for(client.answer(), PATIENCE)
-            self.assertEqual((status, headers["attempt-id"], set(body[a:a + 3] for a in range(0, len(body), 3))),
-                             (200, f"id{at}", {b"id%d" % at}))
+            self.assertEqual(
+                (status, headers["attempt-id"], set(body[a : a + 3] for a in range(0, len(body), 3))),
+                (200, f"id{at}", {b"id%d" % at}),
+            )
 
     async def test_a_cut_looks_cut(self):
         """A streamed answer that ends early ends the client's connection, before its end."""
         await self.begin()
         big = bytes(200_000)
-        whole = lambda r: answer(r, big)        # noqa: E731
-        in_chunks = lambda r: chunked(r, big, big, end=b"")     # noqa: E731
+        whole = lambda r: answer(r, big)  # noqa: E731
+        in_chunks = lambda r: chunked(r, big, big, end=b"")  # noqa: E731
         for data in (lambda r: whole(r)[:-10], in_chunks):
             for prefix, _ in BOTH:
                 self.reset(cut(data))
@@ -612,7 +667,7 @@
         self.reset(cut(in_chunks))
         client = await self.client()
         client.writer.write(b"GET /i/ HTTP/1.0\r\nHost: h\r\nAttempt-Id: q\r\n\r\n")
-        with self.assertRaises(ConnectionResetError):   # its end is the connection's: only a reset tells a cut
+        with self.assertRaises(ConnectionResetError):  # its end is the connection's: only a reset tells a cut
             while await client.reader.read(1 << 20):
                 pass
 
@@ -652,6 +707,7 @@
         async def slow(r, w):
             await held.wait()
             return answer(r, b"slow")
+
         by_path = {"GET /i/0 HTTP/1.1": slow}
         for node in self.nodes:
             node.script = [lambda r, w: by_path.get(r.line, lambda r, w: answer(r, r.line.encode()))(r, w)] * 9
@@ -673,6 +729,7 @@
         async def slow(r, w):
             await held.wait()
             return answer(r)
+
         self.nodes[0].script = [slow]
         client = await self.client()
         client.ask("/i/0", "one")
@@ -729,9 +786,11 @@
             "an upgrade": b"Connection: upgrade\r\nUpgrade: h2c\r\n\r\n",
         }
         wholes = {
-            "HTTP/0.9": b"GET /i/\r\n\r\n", "HTTP/1.2": b"GET /i/ HTTP/1.2\r\nHost: h\r\nAttempt-Id: a\r\n\r\n",
+            "HTTP/0.9": b"GET /i/\r\n\r\n",
+            "HTTP/1.2": b"GET /i/ HTTP/1.2\r\nHost: h\r\nAttempt-Id: a\r\n\r\n",
             "HTTP/2.0": b"GET /i/ HTTP/2.0\r\nHost: h\r\nAttempt-Id: a\r\n\r\n",
-            "no host": b"GET /i/ HTTP/1.1\r\nAttempt-Id: a\r\n\r\n", "no id": b"GET /i/ HTTP/1.1\r\nHost: h\r\n\r\n",
+            "no host": b"GET /i/ HTTP/1.1\r\nAttempt-Id: a\r\n\r\n",
+            "no id": b"GET /i/ HTTP/1.1\r\nHost: h\r\n\r\n",
             "connect": b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n",
             "no path": b"GET i HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n",
             "a space in the path": b"GET /i/ x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a\r\n\r\n",
@@ -744,8 +803,17 @@
         cases["a large head that does not end"] = (start + b"X: " + b"x" * 3000, 431)
         cases["many headers"] = (start + b"X: x\r\n" * 500 + b"\r\n", 431)
         cases["a large body"] = (start + b"Content-Length: 6000\r\n\r\n", 413)
-        cases["large chunks"] = (start + b"Transfer-Encoding: chunked\r\n\r\n" + b"800\r\n" + b"x" * 2048 + b"\r\n"
-                                 + b"C00\r\n" + b"x" * 3072 + b"\r\n", 413)
+        cases["large chunks"] = (
+            start
+            + b"Transfer-Encoding: chunked\r\n\r\n"
+            + b"800\r\n"
+            + b"x" * 2048
+            + b"\r\n"
+            + b"C00\r\n"
+            + b"x" * 3072
+            + b"\r\n",
+            413,
+        )
         smuggled = b"GET /i/smuggled HTTP/1.1\r\nHost: h\r\nAttempt-Id: b\r\n\r\n"
         for name, (data, status) in cases.items():
             for lead in (b"", b"GET /i/first HTTP/1.1\r\nHost: h\r\nAttempt-Id: f\r\n\r\n"):
@@ -765,8 +833,10 @@
     async def test_split_anywhere(self):
         """Two requests in every pair of pieces: the same two requests."""
         await self.begin()
-        data = (b"\r\nPOST /n/a HTTP/1.1\r\nHost: h\r\nAttempt-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n"
-                b"3\r\nabc\r\n0\r\n\r\nPUT /n/b HTTP/1.1\r\nHost: h\r\nAttempt-Id: two\r\nContent-Length: 2\r\n\r\nxy")
+        data = (
+            b"\r\nPOST /n/a HTTP/1.1\r\nHost: h\r\nAttempt-Id: one\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"3\r\nabc\r\n0\r\n\r\nPUT /n/b HTTP/1.1\r\nHost: h\r\nAttempt-Id: two\r\nContent-Length: 2\r\n\r\nxy"
+        )
         for at in range(1, len(data), 3):
             self.reset()
             client = await self.client()
@@ -774,8 +844,10 @@
             await asyncio.sleep(0)
             client.writer.write(data[at:])
             self.assertEqual([(await client.answer())[0] for _ in range(2)], [200, 200])
-            self.assertEqual([(r.line, r.body) for r in self.nodes[0].seen],
-                             [("POST /n/a HTTP/1.1", b"abc"), ("PUT /n/b HTTP/1.1", b"xy")])
+            self.assertEqual(
+                [(r.line, r.body) for r in self.nodes[0].seen],
+                [("POST /n/a HTTP/1.1", b"abc"), ("PUT /n/b HTTP/1.1", b"xy")],
+            )
             client.close()
 
     async def test_no_route(self):
@@ -812,27 +884,29 @@
 
     def act(self, luck):
         """What a node does with one request, and whether that counts as run."""
-        body = lambda r: f"body of {r.attempt}".encode()        # noqa: E731
-        return luck.choice([
-            (lambda r, w: answer(r, body(r), extra="Keep-Alive: timeout=9\r\n"), True),
-            (lambda r, w: answer(r, body(r), extra="Keep-Alive: timeout=9\r\n"), True),
-            (lambda r, w: answer(r, body(r), extra="Keep-Alive: timeout=9\r\n"), True),
-            (lambda r, w: chunked(r, body(r)[:3], body(r)[3:]), True),
-            (lambda r, w: answer(r, body(r)) + answer(r, b"once more"), True),
-            (lambda r, w: answer(r, body(r), extra="Connection: close\r\n"), True),
-            (lambda r, w: answer(r, b"another's", id="other"), True),
-            (lambda r, w: answer(r, b"trouble", status="500 X", seal=False), True),
-            (lambda r, w: answer(r, b"no seal", seal=False), True),
-            (cut(lambda r: answer(r, body(r))[:-3]), True),
-            (cut(b""), True),
-            (None, True),
-            (lambda r, w: b"\xff\xfe no answer", True),
-            (late_extra(body), True),
-            (late_extra(body), True),
-            (lambda r, w: answer(r, status="503 X", seal=False, extra="Not-Executed: 1\r\n"), False),
-            (lambda r, w: SHED, False),
-            (lambda r, w: ELSEWHERE, False),
-        ])
+        body = lambda r: f"body of {r.attempt}".encode()  # noqa: E731
+        return luck.choice(
+            [
+                (lambda r, w: answer(r, body(r), extra="Keep-Alive: timeout=9\r\n"), True),
+                (lambda r, w: answer(r, body(r), extra="Keep-Alive: timeout=9\r\n"), True),
+                (lambda r, w: answer(r, body(r), extra="Keep-Alive: timeout=9\r\n"), True),
+                (lambda r, w: chunked(r, body(r)[:3], body(r)[3:]), True),
+                (lambda r, w: answer(r, body(r)) + answer(r, b"once more"), True),
+                (lambda r, w: answer(r, body(r), extra="Connection: close\r\n"), True),
+                (lambda r, w: answer(r, b"another's", id="other"), True),
+                (lambda r, w: answer(r, b"trouble", status="500 X", seal=False), True),
+                (lambda r, w: answer(r, b"no seal", seal=False), True),
+                (cut(lambda r: answer(r, body(r))[:-3]), True),
+                (cut(b""), True),
+                (None, True),
+                (lambda r, w: b"\xff\xfe no answer", True),
+                (late_extra(body), True),
+                (late_extra(body), True),
+                (lambda r, w: answer(r, status="503 X", seal=False, extra="Not-Executed: 1\r\n"), False),
+                (lambda r, w: SHED, False),
+                (lambda r, w: ELSEWHERE, False),
+            ]
+        )
 
     async def test_mishaps(self):
         for seed in range(6):
@@ -840,7 +914,7 @@
 
     async def mishaps(self, luck):
         self.front = await front(view([node.node(capacity=50) for node in self.nodes]))
-        ran = []        # ids, in the order in which nodes began on them
+        ran = []  # ids, in the order in which nodes began on them
         for node in self.nodes:
             node.seen.clear()
             acts = [self.act(luck) for _ in range(400)]
@@ -853,7 +927,9 @@
                         w.transport.abort()
                         return None
                     return act(r, w)
+
                 return do
+
             node.script = [noting(*act) for act in acts]
         found = {}
 
@@ -875,6 +951,7 @@
                 self.assertEqual(headers["attempt-id"], sent[got])
                 found[sent[got]] = status, body
                 got += 1
+
         await asyncio.gather(*(one_client(name) for name in range(4)))
         for id, (status, body) in found.items():
             if status == 200:
@@ -906,6 +983,7 @@
             while not self.go.is_set() and not r.reader.at_eof():
                 await asyncio.sleep(0)
             return answer(r, extra="Keep-Alive: timeout=9\r\n")
+
         self.nodes[0].script = [None] * len(self.nodes[0].seen) + [slow]
         self.nodes[0].arrived.clear()
         client = await self.client()
@@ -938,7 +1016,7 @@
         await self.held("/n/")
         (client,) = self.front.clients
         client.transport.write_eof = mock.Mock(side_effect=OSError(107, "not connected"))
-        self.front.draining = True      # so that the answer is the connection's last
+        self.front.draining = True  # so that the answer is the connection's last
         with self.assertNoLogs(level="ERROR"):
             self.go.set()
             while self.front.clients:
@@ -1020,6 +1098,7 @@
         async def held(request, writer):
             await gate.wait()
             writer.write(answer(request))
+
         for node in self.nodes:
             node.script = [held] * gates
         clients = [await self.client() for _ in range(count)]
@@ -1039,7 +1118,7 @@
             await asyncio.wait_for(second.answer(), 5)
         gate.set()
         self.assertEqual(((await first.answer())[0], self.runs()), (200, 1))
-        third = await self.client()         # the first has been answered and lies idle: it makes room
+        third = await self.client()  # the first has been answered and lies idle: it makes room
         third.ask()
         self.assertEqual((await asyncio.wait_for(third.answer(), 5))[0], 200)
 
@@ -1050,14 +1129,16 @@
         self.front.connection_budget, self.front.forwarder.docks.most = ConnectionBudget(4, 2, 2), 2
         clients, gate = await self.crowd(4, 2)
         await wait_for(lambda: self.runs() == 2 and len(self.front.forwarder.docks.waiting) == 2)
-        gate.set()      # two wait for a descriptor, not for a node: they go on as soon as one is free
+        gate.set()  # two wait for a descriptor, not for a node: they go on as soon as one is free
         heads = [(await asyncio.wait_for(client.answer(), PATIENCE))[:2] for client in clients]
         self.assertEqual([status for status, _ in heads], [200] * 4)
-        self.assertIn("close", [heads.get("connection") for _, heads in heads])      # past a part of them none is kept
+        self.assertIn("close", [heads.get("connection") for _, heads in heads])  # past a part of them none is kept
         self.assertLessEqual(self.front.forwarder.docks.open, 2)
         for _ in range(12):
             self.assertEqual((await self.ask())[0], 200)
-        self.assertEqual(self.front.forwarder.docks.open, sum(len(pool.all) for pool in self.front.forwarder.pools.values()))
+        self.assertEqual(
+            self.front.forwarder.docks.open, sum(len(pool.all) for pool in self.front.forwarder.pools.values())
+        )
         self.assertLessEqual(len(self.front.clients), 4)
 
     async def test_no_descriptor_whatever_is_counted(self):
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -9,10 +9,10 @@
 import random
 import unittest
 
+from knotwalk.discovery.cluster_view import SLICES, WIDTH, Node
 from knotwalk.leases.keeper import REFUSED, REFUSED_SPAN, SLOW, Grant, Keeper, Pace, Propose, Release, State
 from knotwalk.leases.ledger import LIFT, Change, Ledger, ranges
 from knotwalk.leases.tenure import CALM, HAND, LACK, Tenure, hand_over, reassign
-from knotwalk.discovery.cluster_view import SLICES, WIDTH, Node
 
 LEASE = 3.0
 PACE = Pace(lease=LEASE)
@@ -26,7 +26,7 @@
     """OWNER on true arrivals: no two nodes that are up hold a slice."""
 
     def __init__(self):
-        self.holds = {}     # slice -> {node: end}
+        self.holds = {}  # slice -> {node: end}
         self.broken = []
 
     def begins(self, at, id, slice, until):
@@ -49,7 +49,7 @@
         self.world, self.id, self.address, self.sharded = world, id, address, sharded
         self.rate = world.random.choice((1.0, 0.98))
         self.seen, self.held = {}, {}
-        self.release_counts = world.random.random() < 0.5   # whether a release counts as a fence that was seen
+        self.release_counts = world.random.random() < 0.5  # whether a release counts as a fence that was seen
         self.draining = False
 
     def take(self, order):
@@ -79,7 +79,7 @@
     def __init__(self, world, name):
         self.world, self.name = world, name
         self.life, self.frozen_until, self.cut_until, self.up = 0, 0.0, 0.0, True
-        self.deaf = {}      # nodes that nothing of this conductor reaches, until when
+        self.deaf = {}  # nodes that nothing of this conductor reaches, until when
         self.start(0)
 
     def start(self, at):
@@ -110,6 +110,7 @@
                 return
             do(*given)
             self.run()
+
         self.world.at(self.world.now + delay, come)
 
     def run(self):
@@ -132,9 +133,11 @@
         """For the lease."""
         sent, r = self.world.now, self.world.random
         if sent >= self.cut_until:
+
             def asked():
                 until, index = self.world.leader.answer(self.name, sent)
                 self.later(r.uniform(0, 0.05), lambda: self.keeper.leased(self.world.now, until, index))
+
             self.world.at(sent + r.uniform(0, 0.05), asked)
         self.later(0.5, self.ask)
 
@@ -187,30 +190,31 @@
             self.at += 1
             self.ledger.apply(self.at, world.log[self.at - 1])
         live = sorted(name for name, until in self.good.items() if world.now < until)
-        for n, x in enumerate(self.ledger.slices["s"][:world.slices]):
+        for n, x in enumerate(self.ledger.slices["s"][: world.slices]):
             if live and x.conductor not in live and (not x.conductor or x.conductor in self.good):
                 self.lease(live[n * len(live) // world.slices], n, n)
         if len(live) > 1 and world.trouble and self.random.random() < 0.3:
-            self.handed, first = world.now, self.random.randrange(world.slices)     # of whoever lives and leases them
+            self.handed, first = world.now, self.random.randrange(world.slices)  # of whoever lives and leases them
             self.lease(self.random.choice(live), first, min(first + self.random.randrange(6), world.slices - 1))
         world.at(world.now + 0.3, self.turn)
 
     def lease(self, to, first, last):
-        self.world.log.append({"do": "lease", "to": to, "early": self.world.now < self.handed + LEASE,
-                               "slices": {"s": [[first, last]]}})
+        self.world.log.append(
+            {"do": "lease", "to": to, "early": self.world.now < self.handed + LEASE, "slices": {"s": [[first, last]]}}
+        )
 
 
 class World:
     """Two conductors, some nodes, faults until `calm`, and then quiet until the end."""
 
     FAULTS = ("kill", "freeze", "cut", "deaf", "deaf", "crash", "drain", "add")
-    CUTS = ("cut", *("add",) * 15)      # one at a time, so that the other one is there to move what it was handed
+    CUTS = ("cut", *("add",) * 15)  # one at a time, so that the other one is there to move what it was handed
 
     def __init__(self, seed, keeper=Keeper, length=45.0, calm=25.0, slices=12, faults=FAULTS, good=0.7):
         self.seed, self.random, self.keeper, self.slices, self.calm = seed, random.Random(seed), keeper, slices, calm
         self.now, self.heap, self.count = 0.0, [], itertools.count()
         self.faults = faults
-        self.good = good        # the share of calls that nothing happens to
+        self.good = good  # the share of calls that nothing happens to
         self.checker, self.log = OwnerChecker(), [{"do": "shard", "services": ["s"]}]
         self.up, self.ports, self.rows, self.ids = {}, {}, [], itertools.count()
         for _ in range(4):
@@ -282,7 +286,9 @@
             if not state["done"]:
                 state["done"] = True
                 conductor.keeper.answered(self.now, order, status, handover)
+
         if kind != "lost":
+
             def arrive():
                 x = self.ports.get(order.address)
                 if x is None:
@@ -292,6 +298,7 @@
                 status, handover, work = x.take(order)
                 if kind != "no answer":
                     conductor.later(work + r.uniform(0, 0.3 if kind == "late" else 0.03), answer, status, handover)
+
             delay = r.uniform(0, 0.03) if kind == "good" else r.uniform(0, limit + PACE.slack)
             self.at(sent + delay, arrive)
         conductor.later(limit, answer, None)
@@ -316,6 +323,7 @@
                 def start():
                     if not c.up:
                         c.start(max(1, back))
+
                 self.at(self.now + r.uniform(0.05, 6), start)
             case "freeze":
                 c.frozen_until = self.now + r.uniform(0.5, 6)
@@ -339,8 +347,11 @@
         ledger = Ledger()
         for index, command in enumerate(self.log, 1):
             ledger.apply(index, command)
-        return [(k, x) for k, x in enumerate(ledger.slices["s"][:self.slices])
-                if not x.open or x.owner not in self.up or self.up[x.owner].held.get(k, 0) <= self.now]
+        return [
+            (k, x)
+            for k, x in enumerate(ledger.slices["s"][: self.slices])
+            if not x.open or x.owner not in self.up or self.up[x.owner].held.get(k, 0) <= self.now
+        ]
 
 
 class WorldTest(unittest.TestCase):
@@ -354,8 +365,12 @@
 
     def found(self, keeper, *faults, good=0.7, first=0):
         """A mistake shows in worlds that have what it wants; `first` is a seed shortly before one of a rare kind."""
-        self.assertTrue(any(World(seed, keeper, 30.0, 30.0, 12, faults or World.FAULTS, good).checker.broken
-                            for seed in range(first, first + 60)))
+        self.assertTrue(
+            any(
+                World(seed, keeper, 30.0, 30.0, 12, faults or World.FAULTS, good).checker.broken
+                for seed in range(first, first + 60)
+            )
+        )
 
     def test_finds_a_hold_by_the_conductors_own_clock(self):
         class Mistaken(Keeper):
@@ -364,6 +379,7 @@
                 super()._granted(now, x, holder, order, status, *more)
                 if status == 200:
                     holder.until = max(until, now + order.hold)
+
         self.found(Mistaken, "deaf", good=0.9)
 
     def test_finds_a_hold_counted_from_the_sending(self):
@@ -377,24 +393,28 @@
                 super()._granted(now, x, holder, order, status, *more)
                 if holder.until > until:
                     holder.until = max(until, self.sent[order] + order.hold * SLOW)
+
         self.found(Mistaken, "deaf", good=0.3)
 
     def test_finds_a_grant_before_the_old_holder_is_cleared(self):
         class Mistaken(Keeper):
             def _cleared(self, now, id, holder):
                 return True
+
         self.found(Mistaken)
 
     def test_finds_a_grant_past_the_lease(self):
         class Mistaken(Keeper):
             def _prove(self, now, until):
                 super()._prove(now, math.inf)
+
         self.found(Mistaken, "cut", good=0.9)
 
     def test_finds_a_lease_that_does_not_wait_for_the_log(self):
         class Mistaken(Keeper):
             def leased(self, now, until, index):
                 super().leased(now, until, 0)
+
         self.found(Mistaken, "cut", "kill", good=0.9, first=90)
 
     def test_finds_a_release_that_a_grant_may_overtake(self):
@@ -406,6 +426,7 @@
                 flying, holder.flying = holder.flying, 0
                 super()._released(now, x, holder, *more)
                 holder.flying = flying
+
         self.found(Mistaken, "add", good=0.3)
 
     def test_finds_a_taking_over_that_trusts_its_predecessor(self):
@@ -415,21 +436,25 @@
                 for holder in tenure.holders.values():
                     holder.until = holder.quiet = now
                 return tenure
+
         self.found(Mistaken, "kill")
 
     def test_finds_a_hand_over_that_is_taken_for_a_taking_over(self):
         """The one that hands over may be cut off, lag, and renew for a lease what the other has released and moved."""
+
         class Mistaken(Keeper):
             def look(self, now, ledger, touched=None):
                 for line in ledger.slices.values():
                     for x in line:
                         x.early = False
                 super().look(now, ledger, touched)
+
         self.found(Mistaken, *World.CUTS, good=0.95)
 
     def test_finds_a_start_that_forgets_what_its_last_life_granted(self):
         class Mistaken(Keeper):
             _begun = property(lambda self: -math.inf, lambda self, now: None)
+
         self.found(Mistaken, "kill")
 
 
@@ -467,7 +492,7 @@
         tenure.replaced(50.1, ["h:1#old", "h:2#x", "", "h:9#away"], {"h:1#new": "h:1", "h:2#x": "h:2"})
         self.assertTrue(tenure.ended(50.1, "h:1#old"))
         self.assertFalse(tenure.ended(50.1, "h:2#x"))
-        later = Tenure(50.0)        # of a new leader, which knows of no lease: one whose address is empty is waited for
+        later = Tenure(50.0)  # of a new leader, which knows of no lease: one whose address is empty is waited for
         later.replaced(50.1, ["h:1#old", "h:9#away"], {"h:1#new": "h:1"})
         self.assertEqual([later.ended(50.1, name) for name in ("h:1#old", "h:9#away")], [True, False])
 
@@ -484,8 +509,15 @@
                 self.apply({"do": "lease", "to": to, "early": self.tenure.early(self.now), "slices": {"s": found}})
             if hand := hand_over(self.tenure, self.now, line):
                 self.tenure.hands(self.now)
-                self.apply({"do": "lease", "from": hand[0], "to": hand[1], "early": self.tenure.early(self.now),
-                            "slices": {"s": hand[2]}})
+                self.apply(
+                    {
+                        "do": "lease",
+                        "from": hand[0],
+                        "to": hand[1],
+                        "early": self.tenure.early(self.now),
+                        "slices": {"s": hand[2]},
+                    }
+                )
                 handed.append((self.now, len(self.ledger.touched)))
                 self.assertTrue(all(line[k].early for _, k in self.ledger.touched))
         return handed
@@ -546,9 +578,9 @@
         self.move(7, 9, 9, 3, "m")
         x = self.ledger.slices["s"][9]
         self.assertEqual((x.owner, x.fence, x.open, x.before), ("m", 7, False, [("n", 3)]))
-        self.move(8, 9, 9, 7, "m")          # again to the owner: only the fence is new
+        self.move(8, 9, 9, 7, "m")  # again to the owner: only the fence is new
         self.assertEqual((x.fence, x.before), (8, [("n", 3)]))
-        self.move(9, 9, 9, 8, "n")          # back: not foreign to itself
+        self.move(9, 9, 9, 8, "n")  # back: not foreign to itself
         self.assertEqual((x.owner, x.before), ("n", [("m", 8)]))
         self.granted(10, 9, 9)
         self.assertEqual((x.open, x.before), (True, []))
@@ -558,13 +590,20 @@
         self.granted(4, 3)
         self.ledger.apply(5, {"do": "shard", "services": ["s"]})
         before = self.ledger.to_dict()["services"]
-        for command in ({"do": "move", "by": "a", "moves": [["s", 0, 3, 0, "n"]]}, {"do": "granted"}, {}, {"do": []},
-                        {"do": "move", "by": "a", "moves": [["s", 0, 3, 3], 7, ["x", 0, 1, 0, "n"], [[], 0, 1, 0, 1]]},
-                        {"do": "move", "by": "b", "moves": [["s", 0, 3, 3, "m"]]}, {"do": "shard", "services": 3},
-                        {"do": "move", "by": "", "moves": [["s", 20, 30, 0, "m"]]}, {"do": "put", "services": 3},
-                        {"do": "granted", "by": "a", "fence": 3, "slices": {"s": [[0, 3], [0], "x"], "y": [[0, 1]]}},
-                        {"do": "lease", "to": "a", "slices": {"s": [[0, 9]]}},
-                        {"do": "lease", "from": "c", "to": "b", "slices": {"s": [[0, 9]]}}):
+        for command in (
+            {"do": "move", "by": "a", "moves": [["s", 0, 3, 0, "n"]]},
+            {"do": "granted"},
+            {},
+            {"do": []},
+            {"do": "move", "by": "a", "moves": [["s", 0, 3, 3], 7, ["x", 0, 1, 0, "n"], [[], 0, 1, 0, 1]]},
+            {"do": "move", "by": "b", "moves": [["s", 0, 3, 3, "m"]]},
+            {"do": "shard", "services": 3},
+            {"do": "move", "by": "", "moves": [["s", 20, 30, 0, "m"]]},
+            {"do": "put", "services": 3},
+            {"do": "granted", "by": "a", "fence": 3, "slices": {"s": [[0, 3], [0], "x"], "y": [[0, 1]]}},
+            {"do": "lease", "to": "a", "slices": {"s": [[0, 9]]}},
+            {"do": "lease", "from": "c", "to": "b", "slices": {"s": [[0, 9]]}},
+        ):
             self.assertEqual(self.ledger.apply(9, command), [])
             self.assertEqual(self.ledger.touched, [])
         self.assertEqual(self.ledger.to_dict()["services"], before)
@@ -631,8 +670,10 @@
 
     def test_a_first_grant_goes_at_once_opens_and_is_renewed(self):
         grant = self.opened(1.0, 2, 4, "n")
-        self.assertEqual((grant.first_key, grant.last_key, grant.fence, grant.hold, grant.handover),
-                         (2 * WIDTH, 5 * WIDTH - 1, 3, 6.0, None))
+        self.assertEqual(
+            (grant.first_key, grant.last_key, grant.fence, grant.hold, grant.handover),
+            (2 * WIDTH, 5 * WIDTH - 1, 3, 6.0, None),
+        )
         (again,) = self.next(1.1)
         self.assertTrue(1.0 + 0.8 * PACE.renew <= self.now <= 1.01 + PACE.renew)
         self.assertEqual((again.slices, again.fence), ((2, 3, 4), 3))
@@ -657,7 +698,7 @@
             self.assertIsInstance(release, Release)
             self.assertGreater(self.now - now, 0.4)
             now = self.now
-        (grant,) = self.next(now)       # the last one still out
+        (grant,) = self.next(now)  # the last one still out
         self.assertEqual(grant.node, "m")
         self.assertAlmostEqual(self.now, 1.01 + PACE.hold * SLOW)
 
@@ -665,7 +706,7 @@
         self.opened(1.0, 0, 0, "n")
         (renewal,) = self.next(1.1)
         self.assertEqual(self.move(3.1, 0, 0, "m"), [])
-        self.assertEqual(self.answer(4.0, renewal, None), [])       # may arrive for `slack` more
+        self.assertEqual(self.answer(4.0, renewal, None), [])  # may arrive for `slack` more
         self.assertAlmostEqual(self.keeper.wake, 4.0 + PACE.slack)
         (release,) = self.orders(self.keeper.wake)
         self.assertIsInstance(release, Release)
@@ -706,7 +747,7 @@
         (propose,) = self.answer(1.1, grant, 409)
         self.assertEqual(propose.command["moves"], [["s", 0, 1, 3, "n"]])
         self.assertEqual(self.orders(1.5), [])
-        (again,) = self.orders(2.2)     # the proposal was lost
+        (again,) = self.orders(2.2)  # the proposal was lost
         (grant,) = self.apply(2.3, again.command)
         self.assertEqual((grant.node, grant.fence), ("n", 4 + LIFT))
 
@@ -725,7 +766,7 @@
         self.assertTrue(self.ledger.slices["s"][1].open)
         lift = self.ledger.lift
         old = {"do": "move", "by": "a", "moves": [["s", 5, 5, 0, "m"]], "outbid": True}
-        self.apply(2.0 + rounds, old)       # a refusal from before the last lift lifts no further
+        self.apply(2.0 + rounds, old)  # a refusal from before the last lift lifts no further
         self.assertEqual(self.ledger.lift, lift)
         again = Ledger.from_dict(json.loads(json.dumps(self.ledger.to_dict())))
         self.assertEqual((again.lift, again.lifted), (self.ledger.lift, self.ledger.lifted))
@@ -758,8 +799,9 @@
         self.assertEqual(set(self.keeper.explain(10.2)[0]["held"]), {"n", "m"})
 
     def test_answers_of_one_moves_grants_are_told_together(self):
-        grants = self.apply(1.0, {"do": "move", "by": "a",
-                                  "moves": [["s", 0, 3, 0, "n"], ["s", 4, 6, 0, "m"], ["s", 7, 9, 0, "k"]]})
+        grants = self.apply(
+            1.0, {"do": "move", "by": "a", "moves": [["s", 0, 3, 0, "n"], ["s", 4, 6, 0, "m"], ["s", 7, 9, 0, "k"]]}
+        )
         self.assertEqual([x.node for x in grants], ["n", "m", "k"])
         self.assertEqual(self.answer(1.005, grants[0], 200) + self.answer(1.01, grants[1], 200), [])
         (propose,) = self.answer(1.015, grants[2], 200)
--- a/tests/system/test_model.py
+++ b/tests/system/test_model.py
@@ -7,8 +7,10 @@
 from tests.system.model import Agreement, Keys, Step, explore, mistakes, walk, worlds
 
 # What is committed of members in the worlds that are about them.
-MEMBERS = {"newcomers": {'{"members": {"m0#founder": "m0", "m1#new": "m1"}}'},
-           "leavers": {'{"members": {"m0#founder": "m0"}}', '{"members": {"m1#founder": "m1"}}'}}
+MEMBERS = {
+    "newcomers": {'{"members": {"m0#founder": "m0", "m1#new": "m1"}}'},
+    "leavers": {'{"members": {"m0#founder": "m0"}}', '{"members": {"m1#founder": "m1"}}'},
+}
 
 
 class TestModel(unittest.TestCase):
@@ -42,8 +44,11 @@
                 self.assertEqual(len(found.trace), found.depth)
 
     def test_without_the_mistakes_the_same_worlds_hold(self) -> None:
-        for world, depth in ((Agreement(crashes=0, wipes=1, terms=1, commands=0, beats=False), 11),
-                             (Keys(asks="a", starts=0, reassigns=0), 9), (Keys(swift=True, asks="b", seconds=4), 14)):
+        for world, depth in (
+            (Agreement(crashes=0, wipes=1, terms=1, commands=0, beats=False), 11),
+            (Keys(asks="a", starts=0, reassigns=0), 9),
+            (Keys(swift=True, asks="b", seconds=4), 14),
+        ):
             found = explore(world.start, world.follow, depth, 25_000)
             self.assertEqual(found.broken, [])
 
--- a/tests/system/test_outliers.py
+++ b/tests/system/test_outliers.py
@@ -3,9 +3,9 @@
 import random
 import unittest
 
-from knotwalk.discovery.outliers import AGAIN, PART, REST, REST_LAST, OutlierDetection
+from knotwalk.discovery.cluster_view import Board, ClusterView, Node
 from knotwalk.discovery.loads import SPAN, Loads
-from knotwalk.discovery.cluster_view import Board, Node, ClusterView
+from knotwalk.discovery.outliers import AGAIN, PART, REST, REST_LAST, OutlierDetection
 from knotwalk.edge.choose import pick
 from tests.system.test_placement import Fleet
 
@@ -26,7 +26,7 @@
             mean = self.rate / self.edges
             tries = sum(self.random.random() < mean / 4 for _ in range(4))
             bad = sum(self.random.random() < self.chances[id] for _ in range(tries))
-            if tries and telling:       # lost answers tell no load
+            if tries and telling:  # lost answers tell no load
                 raw["nodes"][id] = [(tries - bad) * (3 if id in self.full else 1), tries - bad, 2]
                 raw["bad"] |= {id: [bad, bad]} if bad else {}
             elif tries:
@@ -92,7 +92,7 @@
         self.assertEqual(list(met.seconds(int(REST_LAST + AGAIN)))[-1], set())
         met.chances["n3"] = 1.0
         list(met.seconds(4))
-        self.assertEqual(record.rest, REST)     # it was well for long
+        self.assertEqual(record.rest, REST)  # it was well for long
 
     def test_what_another_core_was_told_leads_to_the_same(self):
         met, other = Met(), Loads()
@@ -138,11 +138,12 @@
             if message := board.since(view.ask(), 0.0):
                 view.apply(0.0, message)
             return {id for id, node in view.nodes.items() if node.ailing}
+
         self.assertEqual(hear(first), set())
         self.assertTrue(first.set_ailing(frozenset("ad")))
         self.assertFalse(first.set_ailing(frozenset("ad")))
         self.assertEqual(hear(first), {"a"})
         first.set_nodes((1, 2), nodes | {"d": Node("d", "s", ("10.0.0.1", 9), "z", 2)}, True)
-        self.assertEqual(hear(first), {"a", "d"})       # it was held ailing before the list had it
-        self.assertEqual(hear(second), set())           # which has not judged anybody
+        self.assertEqual(hear(first), {"a", "d"})  # it was held ailing before the list had it
+        self.assertEqual(hear(second), set())  # which has not judged anybody
         self.assertEqual(hear(first), {"a", "d"})
--- a/tests/system/test_placement.py
+++ b/tests/system/test_placement.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+from knotwalk.discovery.cluster_view import SLICES, Node
+from knotwalk.leases.ledger import Ledger
 from knotwalk.placement.capacity import SETTLE, Capacities, Report, utilizations
 from knotwalk.placement.passes import place, strip
 from knotwalk.placement.placer import (
@@ -25,10 +27,8 @@
     targets,
     worse,
 )
-from knotwalk.leases.ledger import Ledger
-from knotwalk.discovery.cluster_view import SLICES, Node
 
-UNIT = 512 / SLICES     # a slice's load: 512 of load in all, whatever the number of slices
+UNIT = 512 / SLICES  # a slice's load: 512 of load in all, whatever the number of slices
 
 
 class Fleet:
@@ -45,12 +45,12 @@
         self.demand = {k: UNIT for k in range(SLICES)}
         self.told = {}
         self.spans = {"s": 4.0}
-        self.moves = []         # (when, by, slice, target) of all commands
+        self.moves = []  # (when, by, slice, target) of all commands
         self.apply({"do": "shard", "services": ["s"]})
         for n, name in enumerate(conductors):
             first, last = n * SLICES // len(conductors), (n + 1) * SLICES // len(conductors) - 1
             self.apply({"do": "lease", "to": name, "slices": {"s": [[first, last]]}})
-        self.step()             # the first laying-out waits for nodes that start at the same time
+        self.step()  # the first laying-out waits for nodes that start at the same time
         self.now += GATHER_MOST
 
     def add(self, id, zone="z", **more):
@@ -78,7 +78,7 @@
         """What edges would count at nodes of two slots that tell nothing: queues of random arrivals, full at ten."""
         found = {}
         for id, used in self.use().items():
-            tries, done = used * 2, min(used, 0.95) * 2        # a second, in units of what a slot does
+            tries, done = used * 2, min(used, 0.95) * 2  # a second, in units of what a slot does
             held = done / (1 - (done / 2) ** 2) if used < 0.95 else 10.0
             found[id] = [0, 0, 2, done * span, 0, (tries - done) * span, held * span]
         return found
@@ -87,8 +87,14 @@
         """One look by each conductor; what they order is done before the next one's."""
         made = []
         for name in only or self.conductors:
-            report = Report({"s": dict(self.demand)}, dict(self.told),
-                            {id: self.now for id in self.told}, self.failed, self.ailing, spans=self.spans)
+            report = Report(
+                {"s": dict(self.demand)},
+                dict(self.told),
+                {id: self.now for id in self.told},
+                self.failed,
+                self.ailing,
+                spans=self.spans,
+            )
             for command in self.placers[name].place(self.now, self.ledger, self.nodes, report):
                 made.append(command)
                 if obey:
@@ -150,7 +156,7 @@
 
     def test_a_fresh_service_is_laid_out_within_zones_and_as_evenly(self):
         homes = {"a": "x", "b": "y", "c": "z"}
-        for zones, least in (("xyz", 0.95), ("xyzw", 0.7), ("xxxxy", 0.5), ("xy", 0.6)):   # also zones without the other
+        for zones, least in (("xyz", 0.95), ("xyzw", 0.7), ("xxxxy", 0.5), ("xy", 0.6)):  # also zones without the other
             fleet = Fleet(26, "abc", zones=zones, homes=homes)
             fleet.step()
             self.assertEqual(fleet.step(), [], "what is left waits for what the others lay out")
@@ -209,12 +215,12 @@
         self.assertTrue(placer.due(fleet.now, "list 1"))
         (command,) = fleet.step(obey=False)
         self.assertFalse(placer.due(fleet.now + LOOK / 2, "list 1"))
-        self.assertTrue(placer.due(fleet.now + LOOK / 2, "list 2"))         # at once
+        self.assertTrue(placer.due(fleet.now + LOOK / 2, "list 2"))  # at once
         self.assertFalse(placer.due(fleet.now + LOOK, "list 2"))
-        self.assertTrue(placer.due(fleet.now + 1.6 * LOOK, "list 2"))       # for loads
+        self.assertTrue(placer.due(fleet.now + 1.6 * LOOK, "list 2"))  # for loads
         placer.due(fleet.now + AGAIN - 0.1, "list 2")
         self.assertFalse(placer.due(fleet.now + AGAIN - 0.01, "list 2"))
-        self.assertTrue(placer.due(fleet.now + AGAIN, "list 2"))            # the move may be lost
+        self.assertTrue(placer.due(fleet.now + AGAIN, "list 2"))  # the move may be lost
 
     def test_no_node_no_move(self):
         fleet = Fleet(1)
@@ -229,7 +235,7 @@
                 fleet = Fleet(8, "abc", seed)
                 fleet.run(15.0)
                 draw = random.Random(seed)
-                for k in range(400, 440):       # busy keys sit close together
+                for k in range(400, 440):  # busy keys sit close together
                     fleet.demand[k] = draw.uniform(16, 32) * UNIT
                 self.assertGreater(max(fleet.use().values()), 1.15)
                 fleet.run(60.0)
@@ -240,7 +246,7 @@
                 fleet.run(30.0)
                 self.assertLess(len(fleet.moves) - count, 10)
                 last = {}
-                for at, _, k, _ in fleet.moves:     # a slice rests at its new place
+                for at, _, k, _ in fleet.moves:  # a slice rests at its new place
                     self.assertGreaterEqual(at - last.get(k, -99.0), REST)
                     last[k] = at
 
@@ -308,7 +314,7 @@
 class PassTest(unittest.TestCase):
     def test_the_heaviest_of_the_own_part_is_stripped(self):
         node = Load("n", 10.0, 14.0)
-        pool = stripped(node, {"n": [(1.0, 1), (2.0, 2), (0.5, 3), (3.5, 4)]})      # half of the load is ours
+        pool = stripped(node, {"n": [(1.0, 1), (2.0, 2), (0.5, 3), (3.5, 4)]})  # half of the load is ours
         self.assertEqual([k for _, k, _ in pool], [2])
         self.assertEqual(node.load, 12.0)
 
@@ -319,8 +325,11 @@
 
     def test_the_pool_goes_heaviest_first_where_it_fares_best_and_never_overfills(self):
         source, a, b = Load("s", 10.0, 7.0), Load("a", 10.0, 6.0), Load("b", 5.0, 2.0)
-        moves = place([(9.0, 3, source), (2.0, 2, source), (1.0, 1, source)],
-                      lambda _, node: (x for x in (source, a, b) if x is not node), worse)
+        moves = place(
+            [(9.0, 3, source), (2.0, 2, source), (1.0, 1, source)],
+            lambda _, node: (x for x in (source, a, b) if x is not node),
+            worse,
+        )
         self.assertEqual([(k, target.id) for k, _, target in moves], [(2, "a"), (1, "b")])
         self.assertEqual((source.load, a.load, b.load), (16.0, 8.0, 3.0))
 
@@ -334,8 +343,13 @@
     nodes = {id: Node(id, "s", ("h", n), "z", 2) for n, id in enumerate("abc")}
 
     def hear(self, capacities, at, used, work=None, moved=None, cold=()):
-        capacities.hear(self.nodes, work or {"a": 40.0, "b": 40.0, "c": 40.0},
-                        Report(utilization=used, heard=dict.fromkeys(used, at)), moved or {}, cold)
+        capacities.hear(
+            self.nodes,
+            work or {"a": 40.0, "b": 40.0, "c": 40.0},
+            Report(utilization=used, heard=dict.fromkeys(used, at)),
+            moved or {},
+            cold,
+        )
 
     def test_demand_over_utilization_smoothed_and_the_average_for_the_unheard(self):
         found = Capacities()
@@ -346,7 +360,7 @@
         self.assertAlmostEqual(got["a"], 40 / 0.45, delta=6)
         self.assertAlmostEqual(got["b"], 50, delta=6)
         self.assertAlmostEqual(got["c"], 64, delta=4)
-        self.hear(found, 30.0, {"a": 0.0, "c": 0.01})       # idle: the last estimate stays
+        self.hear(found, 30.0, {"a": 0.0, "c": 0.01})  # idle: the last estimate stays
         self.assertEqual(found.estimates(self.nodes), got)
 
     def test_nodes_that_tell_nothing_are_judged_by_who_is_in_hand(self):
@@ -356,7 +370,7 @@
         self.assertEqual(found.keys(), {"a", "b"})
         self.assertAlmostEqual(found["a"], 0.46, delta=0.01)
         self.assertAlmostEqual(found["a"], found["b"])
-        rows["c"] = [30, 20, 2, 20, 0, 0, 2.0]      # one of the service tells, so only what is told counts
+        rows["c"] = [30, 20, 2, 20, 0, 0, 2.0]  # one of the service tells, so only what is told counts
         self.assertEqual(utilizations(rows, {"s": 4.0}, self.nodes), {"c": 0.75})
 
     def test_nothing_is_learned_of_a_service_whose_demand_has_just_begun(self):
--- a/tests/system/test_points.py
+++ b/tests/system/test_points.py
@@ -9,10 +9,10 @@
 from tests.system.cluster import Cluster
 from tests.system.test_leases import PACE, World
 
-CRASHES = [("before", 0.02), ("after", 1.0)]    # and after how many seconds it restarts
+CRASHES = [("before", 0.02), ("after", 1.0)]  # and after how many seconds it restarts
 MESSAGES = CRASHES + [("lost", 0.0), ("twice", 0.0)]
 FITS = dict.fromkeys(("save", "write", "kept", "read"), CRASHES)
-HANG = 0.6      # as control_plane/consensus_driver.py: so long a write may take before the machine hears of it
+HANG = 0.6  # as control_plane/consensus_driver.py: so long a write may take before the machine hears of it
 FITS["save"] = CRASHES + [("refused", 0.05), ("refused", 2.0), ("hangs", 4.0), ("hangs, killed", 1.0)]
 FITS |= dict.fromkeys(("send", "receive", "answer", "commit"), MESSAGES)
 
@@ -54,6 +54,7 @@
         def failed():
             machine.failed(self.now + node.offset)
             self._carry(node)
+
         self._later(0.001 if what == "refused" else HANG, alive(failed))
         self._later(pause, alive(act if what != "hangs, killed" else lambda: self.crash(address, 0.3)))
 
@@ -73,6 +74,7 @@
                 self.meet("write", node.address, lambda: node.disk.write(save))
             if node.machine is machine:
                 self.meet("kept", node.address, kept)
+
         self.meet("save", node.address, lambda: self._later(0.001, done))
 
     def _post(self, sender, address, text):
@@ -107,6 +109,7 @@
             def look(hooked, now, *given):
                 act = functools.partial(super().look, now, *given)
                 self.meet("read", self.by(hooked.me), act) if len(given) > 1 else act()
+
         super().__init__(number, fault, seed, Hooked, 16.0, 0.0, 2)
 
     def by(self, name):
@@ -122,8 +125,14 @@
 
     def fault(self):
         """The story's move, once there is what it moves; and the end of counting."""
-        c = next((c for c in self.conductors if c.up and (row := c.ledger.slices.get("s")) and row[0].open
-                  and row[0].conductor == c.name), None)
+        c = next(
+            (
+                c
+                for c in self.conductors
+                if c.up and (row := c.ledger.slices.get("s")) and row[0].open and row[0].conductor == c.name
+            ),
+            None,
+        )
         if c is None:
             return self.at(self.now + 0.2, self.fault)
         x, self.moved = c.ledger.slices["s"][0], self.now
@@ -149,6 +158,7 @@
         def arrive():
             x = self.ports.get(order.address)
             self.meet("receive", x, lambda: take(x)) if x else c.later(0.001, answer, REFUSED)
+
         if c.up:
             c.later(PACE.call_timeout if isinstance(order, Grant) else PACE.release_timeout, answer, None)
             self.meet("send", c, lambda: self.at(self.now + r.uniform(0, 0.03), arrive))
@@ -162,13 +172,14 @@
         self.assertGreater(len(counted), floor)
         for n, kind, fault in faults:
             with self.subTest(point=n, kind=kind, fault=fault):
-                self.assertEqual(play(n, fault).points[:n + 1], counted[:n + 1])
+                self.assertEqual(play(n, fault).points[: n + 1], counted[: n + 1])
 
     def test_an_election_and_a_command(self):
         def play(n=-1, fault=None):
             world = Log(n, fault, 1)
             self.assertEqual(len(world.play()), 1)
             return world
+
         self.played(play, 90)
 
     def test_a_grant_a_move_and_the_next_grant(self):
@@ -177,4 +188,5 @@
             self.assertEqual((world.checker.broken, world.unserved()), ([], []))
             self.assertGreater(world.moved, 0)
             return world
+
         self.played(play, 30)
--- a/tests/system/test_runtime.py
+++ b/tests/system/test_runtime.py
@@ -13,18 +13,32 @@
 
 from knotwalk.runtime import life
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import SettingsError, PeerError
+from knotwalk.runtime.errors import PeerError, SettingsError
 from knotwalk.runtime.settings import VARIABLE, load, parse
 
 ROOT = Path(__file__).parents[2]
-GOOD = {"node_name": "a", "listen_addresses": {"control": "127.0.0.1:80"}, "seed_nodes": ["127.0.0.1:80"],
-        "limits": {"cpu_share": 1, "memory_mb": 64}, "timing_bounds": {"max_hold": "9s"}, "later": {"a": 1}}
+GOOD = {
+    "node_name": "a",
+    "listen_addresses": {"control": "127.0.0.1:80"},
+    "seed_nodes": ["127.0.0.1:80"],
+    "limits": {"cpu_share": 1, "memory_mb": 64},
+    "timing_bounds": {"max_hold": "9s"},
+    "later": {"a": 1},
+}
 WRONG = [
-    ({"node_name": 4}, "node_name"), ({"seed_nodes": ["10.0.0.1"]}, "seed_nodes[0]"), ({"seed_nodes": "x"}, "seed_nodes"),
-    ({"listen_addresses": {"control": "1.2.3.4:0"}}, "listen_addresses.control"), ({"limits": {"disk_mb": "x"}}, "disk_mb"),
-    ({"internal_port_range": [9, 2]}, "internal_port_range"), ({"timing_bounds": {"max_hold": 9}}, "timing_bounds.max_hold"),
-    ({"timing_bounds": {"retry_budget_ratio": "2s"}}, "retry_budget_ratio"), ({"cloud_api": {"address": ":1"}}, "cloud_api.address"),
-    ({"heartbeat": "1.5"}, "heartbeat"), ({"initial_boot": "yes"}, "initial_boot"), ({"zones": ["a"]}, "zones")]
+    ({"node_name": 4}, "node_name"),
+    ({"seed_nodes": ["10.0.0.1"]}, "seed_nodes[0]"),
+    ({"seed_nodes": "x"}, "seed_nodes"),
+    ({"listen_addresses": {"control": "1.2.3.4:0"}}, "listen_addresses.control"),
+    ({"limits": {"disk_mb": "x"}}, "disk_mb"),
+    ({"internal_port_range": [9, 2]}, "internal_port_range"),
+    ({"timing_bounds": {"max_hold": 9}}, "timing_bounds.max_hold"),
+    ({"timing_bounds": {"retry_budget_ratio": "2s"}}, "retry_budget_ratio"),
+    ({"cloud_api": {"address": ":1"}}, "cloud_api.address"),
+    ({"heartbeat": "1.5"}, "heartbeat"),
+    ({"initial_boot": "yes"}, "initial_boot"),
+    ({"zones": ["a"]}, "zones"),
+]
 
 
 class SettingsCase(unittest.TestCase):
@@ -42,8 +56,14 @@
             file.write_text(json.dumps(GOOD))
             for name, lacks in (("edge", "data_plane"), ("control_plane", "control")):
                 file.write_text(json.dumps(GOOD | {"listen_addresses": {}}))
-                ended = subprocess.run([sys.executable, "-m", f"knotwalk.{name}"], cwd=ROOT, capture_output=True, text=True,
-                                       env=os.environ | {VARIABLE: str(file)}, timeout=60)
+                ended = subprocess.run(
+                    [sys.executable, "-m", f"knotwalk.{name}"],
+                    cwd=ROOT,
+                    capture_output=True,
+                    text=True,
+                    env=os.environ | {VARIABLE: str(file)},
+                    timeout=60,
+                )
                 self.assertEqual((ended.returncode, ended.stderr.count("\n")), (2, 1), ended.stderr)
                 self.assertIn(f"listen_addresses.{lacks}", ended.stderr)
 
@@ -52,8 +72,11 @@
     async def test_a_file_that_changes_without_a_signal_is_taken_up_and_a_broken_one_is_not(self):
         asyncio.get_running_loop().set_debug(False)
         taken, told = [], []
-        with tempfile.TemporaryDirectory() as folder, mock.patch.object(life, "LOOK", 0.001), \
-                mock.patch.object(life.logs, "warn", lambda event, **fields: told.append(fields["why"])):
+        with (
+            tempfile.TemporaryDirectory() as folder,
+            mock.patch.object(life, "LOOK", 0.001),
+            mock.patch.object(life.logs, "warn", lambda event, **fields: told.append(fields["why"])),
+        ):
             file = Path(folder, "node.json")
 
             def put(text):
@@ -64,6 +87,7 @@
                 async with asyncio.timeout(20):
                     while not met():
                         await asyncio.sleep(0)
+
             put(json.dumps(GOOD))
             with mock.patch.dict(os.environ, {VARIABLE: str(file)}):
                 self.assertEqual(load().seeds, [("127.0.0.1", 80)])
@@ -75,7 +99,7 @@
                 put(json.dumps(GOOD | {"seed_nodes": ["127.0.0.8:80"]}))
                 await until(lambda: len(taken) > 1)
         self.assertEqual([one.seeds[0][0] for one in taken], ["127.0.0.9", "127.0.0.8"])
-        self.assertEqual(len(told), 1)      # once, not at each look
+        self.assertEqual(len(told), 1)  # once, not at each look
 
 
 class CallerCase(unittest.IsolatedAsyncioTestCase):
@@ -86,7 +110,9 @@
         door.setblocking(False)
         caller = Caller(resets=True)
         try:
-            call = asyncio.ensure_future(caller.send("POST", f"http://127.0.0.1:{door.getsockname()[1]}/grant", {}, 0.5))
+            call = asyncio.ensure_future(
+                caller.send("POST", f"http://127.0.0.1:{door.getsockname()[1]}/grant", {}, 0.5)
+            )
             peer, _ = await asyncio.get_running_loop().sock_accept(door)
             with self.assertRaises(PeerError):
                 await call
--- a/tests/system/test_village.py
+++ b/tests/system/test_village.py
@@ -16,12 +16,15 @@
 
 def here(test):
     """Run a test in the village's loop, from calm to calm."""
+
     @functools.wraps(test)
     def run(self):
         async def whole():
             await self.village.calm()
             await test(self, self.village)
+
         self.runner.run(whole())
+
     return run
 
 
@@ -51,7 +54,7 @@
     def test_every_line_of_a_log_is_json_with_a_time_a_level_and_an_event(self):
         for program in self.village.cores + self.village.edges:
             for line in program.log.read_text().splitlines(keepends=True):
-                if line.endswith("\n"):     # the last may be being written
+                if line.endswith("\n"):  # the last may be being written
                     self.assertLessEqual({"at", "level", "event"}, set(json.loads(line)))
 
     async def version(self):
@@ -64,8 +67,10 @@
         before = await self.version()
         after = f"r{int(before[1:]) + 2}"
         status, said = await self.village.operator.send(
-            "PATCH", {"config_version": after, "upsert": {"objects": list(upsert)}, "remove": {"routes": list(remove)}},
-            before)
+            "PATCH",
+            {"config_version": after, "upsert": {"objects": list(upsert)}, "remove": {"routes": list(remove)}},
+            before,
+        )
         self.assertEqual((status, said), (200, {"config_version": after}))
         return after
 
@@ -83,15 +88,17 @@
     async def test_a_configuration_is_acknowledged_read_back_and_refused_where_it_must_be(self, village):
         self.assertEqual(self.first, (200, {"config_version": "r3"}))
         send = village.operator.send
-        self.assertEqual(await send("PUT", FIRST, "0"), (200, {"config_version": "r3"}))      # that very call again
+        self.assertEqual(await send("PUT", FIRST, "0"), (200, {"config_version": "r3"}))  # that very call again
         again = copy.deepcopy(FIRST) | {"config_version": "r90"}
         status, said = await send("PUT", again, "r1")
         self.assertEqual((status, said["config_version"]), (412, await self.version()))
         again["objects"][0]["specification"]["service"] = "nobody"
         self.assertEqual((await send("PUT", again, await self.version()))[0], 400)
         before = (await send("GET"))[1]
-        self.assertEqual([item for item in before["objects"] if item["metadata"].get("name") == "desk"],
-                         [item for item in FIRST["objects"] if item["metadata"].get("name") == "desk"])
+        self.assertEqual(
+            [item for item in before["objects"] if item["metadata"].get("name") == "desk"],
+            [item for item in FIRST["objects"] if item["metadata"].get("name") == "desk"],
+        )
         await self.patch()
         self.assertEqual((await send("GET"))[1]["objects"], before["objects"])
 
@@ -104,7 +111,7 @@
             self.assertEqual((await self.served(edge, "/desk/x")).service, "desk")
             self.assertEqual((await village.get(edge, "/nowhere/x"))[0], 404)
         self.assertLessEqual(max(node.longest for node in village.nodes), 10.0)
-        core = village.cores[1]     # edges that call another core it knows by that one's word, which comes each second
+        core = village.cores[1]  # edges that call another core it knows by that one's word, which comes each second
         await village.until(lambda: self.edges_of(core, {"edge-1", "edge-2"}), "both edges known")
         self.assertEqual((await village.status(core))["config_version"], await self.version())
 
@@ -116,13 +123,14 @@
     async def test_a_patch_is_in_force_at_both_edges_and_stays(self, village):
         async def statuses(path):
             return [(await village.get(edge, path))[0] for edge in village.edges]
+
         await self.patch([route("new", "/new/", "desk")])
         await village.until(lambda: self.all(statuses("/new/x"), 200), "the new route at both edges")
         await self.patch(remove=["new"])
         await village.until(lambda: self.all(statuses("/new/x"), 404), "the route gone at both edges")
         await self.patch([route("new", "/new/", "tiles")])
         await village.until(lambda: self.all(statuses("/new/x"), 200), "the route back at both edges")
-        self.assertTrue((await self.served(village.edges[0], "/new/x", 7)).sharded)     # the one before led to the desk
+        self.assertTrue((await self.served(village.edges[0], "/new/x", 7)).sharded)  # the one before led to the desk
         await self.patch(remove=["new"])
         await village.until(lambda: self.all(statuses("/new/x"), 404), "the route gone again")
 
@@ -141,7 +149,7 @@
         self.assertIsNot(other, leader)
         for edge in village.edges:
             await village.until(lambda edge=edge: self.all(self.status(edge, "/kept/x"), 200), "the route at the edge")
-        after = await self.patch(remove=["kept"])       # two of three still agree
+        after = await self.patch(remove=["kept"])  # two of three still agree
         leader.start(initial_boot=False)
         await village.calm()
         self.assertEqual(await self.version(), after)
@@ -159,11 +167,11 @@
         wiped.start(initial_boot=False)
         await village.until(lambda: village.fresh(wiped), "the wiped core fresh")
         told = await village.status(third)
-        self.assertEqual(len(told["members"]), 3)       # it took the place of the one that it was
-        third.kill()        # now the wiped one's vote is needed
+        self.assertEqual(len(told["members"]), 3)  # it took the place of the one that it was
+        third.kill()  # now the wiped one's vote is needed
         self.assertEqual(await self.version(), version)
         version = await self.patch()
-        leader.kill()       # and here its disk is
+        leader.kill()  # and here its disk is
         leader.start(initial_boot=False)
         third.start(initial_boot=False)
         await village.calm()
@@ -223,11 +231,13 @@
 
     async def served_in_the_end(self, edge, key):
         """A request that must not run twice, by a client that comes back after a promise, as told: its node."""
+
         async def once():
             status, headers, body = await self.village.get(edge, "/signup/x", key, "POST")
             self.assertIn(status, (200, 503), body)
             self.assertIn("server-seal" if status == 200 else "retry-after", headers)
             return status == 200 and body.split()[0].decode()
+
         id = await self.village.until(once, f"key {key} served")
         return next(node for node in self.village.nodes if node.id == id)
 
@@ -237,18 +247,20 @@
         for node in village.nodes:
             node.gate.clear()
         clients = [await village.client(edge) for _ in range(12)]
-        sent = [village.ask(client, path, 5000 * number, method)
-                for number, client in enumerate(clients)
-                for path, method in [("/frames/x", "GET") if number % 2 else ("/signup/x", "POST")]]
-        waiting = [await village.client(edge) for _ in range(3)]        # connected, nothing sent
+        sent = [
+            village.ask(client, path, 5000 * number, method)
+            for number, client in enumerate(clients)
+            for path, method in [("/frames/x", "GET") if number % 2 else ("/signup/x", "POST")]
+        ]
+        waiting = [await village.client(edge) for _ in range(3)]  # connected, nothing sent
         await village.until(lambda: set(sent) <= set(village.watch.begun), "every request at a node")
         before = len(edge.events("draining"))
         edge.send(signal.SIGTERM)
         await village.until(lambda: len(edge.events("draining")) > before, "the edge draining")
         self.assertFalse(await village.ready(edge))
-        with self.assertRaises(OSError):        # it takes no new connections
+        with self.assertRaises(OSError):  # it takes no new connections
             await village.client(edge)
-        late = [village.ask(client, "/desk/x") for client in waiting]   # read by an edge that drains
+        late = [village.ask(client, "/desk/x") for client in waiting]  # read by an edge that drains
         await village.until(lambda: set(late) <= set(village.watch.begun), "late ones, too")
         self.assertIsNone(edge.process.poll())
         for node in village.nodes:
@@ -269,7 +281,7 @@
         self.assertTrue(keys)
         gone.stop()
         for edge in village.edges:
-            for key in keys[::len(keys) // 3]:
+            for key in keys[:: len(keys) // 3]:
                 self.assertIsNot(await self.served_in_the_end(edge, key), gone)
         gone.shown = False
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -9,6 +9,7 @@
 
 # --- what came in --------------------------------------------------------------------------------
 
+
 def test_a_server_absent_from_a_whole_list_is_gone():
     c = conductor(capacities=[1, 1])
     c.listed(True, False, [("b", "east", "ready", 1.0, 0.0)])
@@ -40,7 +41,7 @@
     c.servers["s2990"].shut = True
     c.now += 60
     c.forget()
-    assert list(c.servers) == ["a", "b", "s2990"]   # a slice is told to be on a, and s2990 is yet to be let in
+    assert list(c.servers) == ["a", "b", "s2990"]  # a slice is told to be on a, and s2990 is yet to be let in
     c.heard("s2999", "east", 1.0, 9, 0, 0.1, {})
     assert "s2999" not in c.servers
     out = Recorder()
@@ -60,12 +61,12 @@
     c = conductor(demands=())
     c.sent.extend([95.0, 98.0])
     c.way.extend([(1, 10, {0, 1, 2}), (2, 50, {0, 1, 2, 3, 4, 5, 6, 7})])
-    c.applied(0, 2)     # now: 100; 350 lines wait
+    c.applied(0, 2)  # now: 100; 350 lines wait
     c.now = 101.0
     assert c.waiting() == 350
-    c.receipts_lost()   # half of 200 lines a second since
+    c.receipts_lost()  # half of 200 lines a second since
     assert c.waiting() == 250
-    c.applied(1, 2)     # a straggler's tells nothing of the others
+    c.applied(1, 2)  # a straggler's tells nothing of the others
     c.now = 102.0
     assert c.waiting() == 150
     c.way.append((3, 10, {0, 1}))
@@ -85,7 +86,7 @@
     c.reassign(c.ready(), 1.0, True)
     assert places(c) == {0: ["b"], 1: ["b"], 2: ["a"], 3: ["a"]}
     c.reassign(c.ready(), 0.5, True)
-    assert places(c)[2] == ["a"]    # two moves are untold as yet
+    assert places(c)[2] == ["a"]  # two moves are untold as yet
 
 
 def test_failed_list_calls_wait_longer_each_time():
@@ -118,7 +119,7 @@
     c.way.extend([(1, 10, {0, 1}), (2, 20, {0, 1}), (3, 30, {0, 1})])
     c.applied(0, 2)
     assert list(c.way) == [(2, 20, {1}), (3, 30, {0, 1})]
-    c.left(1)       # what was on its way there is lost
+    c.left(1)  # what was on its way there is lost
     assert list(c.way) == [(2, 20, set()), (3, 30, {0})]
 
 
@@ -135,6 +136,7 @@
 
 # --- estimates -----------------------------------------------------------------------------------
 
+
 def test_demand_counts_work_over_the_time_heard_not_a_whole_window():
     c = conductor(capacities=[1], demands=[0], at="a")
     c.now = c.heard_at = 102.0
@@ -175,7 +177,7 @@
     c = conductor(capacities=[1, 1], demands=[0, 0], at="ab")
     assert uses(c, (10, 0.5), (10, 1.0))[0] > 15 and c.servers["a"].load < 1e-3
     c.servers["b"].uses.clear()
-    c.servers["b"].uses.extend([(c.now, 2.0, 8.0, 1.0)] * 8)    # as full, but hardly by ours
+    c.servers["b"].uses.extend([(c.now, 2.0, 8.0, 1.0)] * 8)  # as full, but hardly by ours
     c.measure()
     assert c.servers["b"].load > 7
 
@@ -185,8 +187,8 @@
     asked(c)
     uses(c, (10, 0.5))
     assert [x.spread for x in c.servers.values()] == [0, 10] and c.fit(c.servers["b"]) == 0.5
-    c.servers["b"].started = c.now - 0.1    # cold and empty: half of what it can do is ours to fill
-    assert uses(c) and 0.49 < c.fit(c.servers["b"]) < 0.51     # theirs for certain
+    c.servers["b"].started = c.now - 0.1  # cold and empty: half of what it can do is ours to fill
+    assert uses(c) and 0.49 < c.fit(c.servers["b"]) < 0.51  # theirs for certain
 
 
 def test_a_server_that_comes_back_empty_is_one_controllers_to_fill():
@@ -196,7 +198,7 @@
         c = conductor(capacities=[1, 1], demands=[0], at="a", slices=5, controllers=5, place=seat)
         asked(c)
         uses(c, (10, 0.9))
-        c.listed(False, False, [("b", "east", "ready", 1.0, c.now - 5)])   # half of its time to warm up
+        c.listed(False, False, [("b", "east", "ready", 1.0, c.now - 5)])  # half of its time to warm up
         uses(c)
         fits.append(c.fit(c.servers["b"]))
         assert c.servers["b"].ours == (fits[-1] == 0)
@@ -205,7 +207,7 @@
         assert c.fit(c.servers["b"]) == 0 if c.servers["b"].ours else c.fit(c.servers["b"]) > 0.5
         c.heard("b", "east", 1.0, 10, 0, 0.1, {"utilization": 0.9})
         c.measure()
-        assert c.fit(c.servers["b"]) > 0.5      # what is heard of it counts for all
+        assert c.fit(c.servers["b"]) > 0.5  # what is heard of it counts for all
     assert sorted(fits) == [0, 1, 1, 1, 1]
 
 
@@ -218,7 +220,7 @@
             x.load = 0.4
         c.listed(False, False, [("a", "east", "draining", 1.0, 0.0)])
         c.place()
-        for server, in places(c).values():
+        for (server,) in places(c).values():
             taken[server] += 0.2
     assert taken["a"] == 0 and max(taken.values()) < 0.7 and sum(x > 0 for x in taken.values()) > 6
 
@@ -234,9 +236,9 @@
     c.listed(False, False, [("b", "east", "ready", 1.0, c.now - 5)])
     c.measure()
     b = c.servers["b"]
-    assert b.empty and 0.29 < b.whole / c.average < 0.31    # of 0.6 that is certain
+    assert b.empty and 0.29 < b.whole / c.average < 0.31  # of 0.6 that is certain
     b.moved = c.now
-    for _ in range(6):      # full at a tenth of what an average one would do
+    for _ in range(6):  # full at a tenth of what an average one would do
         c.heard("b", "east", 1.0, 10, 0, 0.1, {"utilization": 1.0, "qps": 2.0})
         c.measure()
     assert not b.empty and b.whole < 0.3 * c.average
@@ -250,7 +252,7 @@
         s.samples.append((c.now, 8.0, 32.0, 32, 0))
     c.move(c.slices[1], 0, c.servers["b"])
     c.now += 1.0
-    for id, rate in ("a", 8.0), ("b", 4.0):     # as it was before the move
+    for id, rate in ("a", 8.0), ("b", 4.0):  # as it was before the move
         c.heard(id, "east", 1.0, 10, 0, 0.1, {"utilization": 0.5, "qps": rate})
     c.measure()
     assert [x.uses[-1] for x in c.servers.values()] == [(c.now, 8.0, 0.0, 0.5), (c.now, 4.0, 0.0, 0.5)]
@@ -268,7 +270,7 @@
             x.load = 0.5
         c.listed(False, False, [("a", "east", "draining", 1.0, 0.0)])
         c.place()
-        for server, in places(c).values():
+        for (server,) in places(c).values():
             taken[server] += 1
     assert taken["a"] == 0 and sum(taken.values()) == 50 and taken["j"] < 40
 
@@ -323,7 +325,7 @@
 
 
 def test_pushed_back_work_does_not_make_a_server_look_larger():
-    for aborted, level, done in ((5, 1.0, 5.0), (0, 0.2, 2.0)):     # by a full server, or by our levels
+    for aborted, level, done in ((5, 1.0, 5.0), (0, 0.2, 2.0)):  # by a full server, or by our levels
         c = conductor(capacities=[1], demands=[10], at="a")
         asked(c)
         c.slices[0].told_levels = [level, 1.0]
@@ -343,6 +345,7 @@
 
 # --- health --------------------------------------------------------------------------------------
 
+
 def fare(conductor, /, **good):
     """Ten tries a server in each of two zones, of which good[id] of ten went well (a pair: by zone)."""
     for id, share in good.items():
@@ -375,7 +378,7 @@
 def test_a_zone_out_of_reach_is_not_condemned_unless_its_own_proxies_fare_badly_too():
     """Guards against all slices of a cut zone crowding the rest, which they overfill when the cut ends."""
     for dead, zone_heard, sick in (("abc", "east", False), ("abc", "west", True), ("ab", "east", True)):
-        c = conductor(capacities=[9] * 7)   # two servers of a zone may well die together
+        c = conductor(capacities=[9] * 7)  # two servers of a zone may well die together
         for id, server in c.servers.items():
             server.zone = "west" if id in dead else "east"
             # One had no RPC of its own zone in the last reports before the cut.
@@ -393,7 +396,7 @@
 
 
 def test_a_server_that_says_it_is_busy_is_not_called_sick():
-    for used, since, sick in ((1.0, 1, False), (1.0, 9, True), (0.2, 1, True)):     # its word must be fresh
+    for used, since, sick in ((1.0, 1, False), (1.0, 9, True), (0.2, 1, True)):  # its word must be fresh
         c = conductor(capacities=[9, 9, 9])
         c.servers["a"].used, c.servers["a"].reported = used, c.now - since
         fare(c, a=0, b=10, c=10)
@@ -440,6 +443,7 @@
 
 # --- the mechanism -------------------------------------------------------------------------------
 
+
 def test_a_pass_strips_the_heavy_and_fills_the_least_utilized():
     c = conductor(capacities=[10, 10, 10], demands=[4.5, 4, 1, 3], at="aaac")
     c.next_pass = c.now
@@ -505,7 +509,7 @@
 
 
 def test_a_cold_server_that_comes_back_under_its_slices_sheds_them():
-    for demand in (5, 0):       # 0: given just now, nothing heard of it yet
+    for demand in (5, 0):  # 0: given just now, nothing heard of it yet
         c = conductor(capacities=[1, 10], demands=[demand, demand], at="aa")
         c.servers["a"].started = c.now
         c.place()
@@ -529,7 +533,7 @@
         c.place()
         held = [x for s in c.slices.values() for x in s.shares]
         assert max(held.count(x) for x in c.ready()) <= 4, known
-        c.heard_at += c.period      # by then what is still not heard of is not in use
+        c.heard_at += c.period  # by then what is still not heard of is not in use
         c.measure()
         assert sum(s.unsure and not s.demand for s in c.slices.values()) == (9 if known else 10)
 
@@ -558,6 +562,7 @@
 
 # --- levels --------------------------------------------------------------------------------------
 
+
 def test_a_struggling_server_lets_in_the_dearest_first():
     c = conductor(capacities=[10], demands=[10], at="a")
     c.servers["a"].met.append((c.now, "east", 10, 10, 20.0))
@@ -576,7 +581,7 @@
 
 
 def test_time_on_the_way_between_zones_is_not_the_servers():
-    for near, quota in ((0.1, 1.0), (3.0, 0.6)):     # from afar all is late; a full server is late for all
+    for near, quota in ((0.1, 1.0), (3.0, 0.6)):  # from afar all is late; a full server is late for all
         c = conductor(capacities=[9])
         for zone, time in (("east", near), ("west", near + 3)):
             c.servers["a"].met.append((c.now, zone, 30, 30, 30 * time))
@@ -597,7 +602,7 @@
 
 def test_what_a_move_has_just_relieved_lowers_no_quota_till_the_move_is_heard_of():
     """Guards against doors closed under a hot key for a queue that the pass has taken away."""
-    for target, quota in (("a", 0.6), ("b", 1.0)):      # a share came to the one that struggles, or left it
+    for target, quota in (("a", 0.6), ("b", 1.0)):  # a share came to the one that struggles, or left it
         c = conductor(capacities=[10, 10], demands=[4, 4, 4], at="aab" if target == "b" else "abb")
         c.move(c.slices[1], 0, c.servers[target])
         c.now += 1.0
@@ -628,6 +633,7 @@
 
 # --- telling the proxies -------------------------------------------------------------------------
 
+
 def moved(count=1, **settings):
     c = conductor(capacities=[10, 10], demands=[1] * count, at="a" * count, **settings)
     for s in c.slices.values():
@@ -666,14 +672,14 @@
         c.slices[k].told = {c.servers["b"]: 1.0}
         c.slices[k].shares = [c.servers["a"]]
     c.servers["a"].state = "draining"
-    c.sent.extend([c.now - 1] * 8)      # room for nothing but drains
+    c.sent.extend([c.now - 1] * 8)  # room for nothing but drains
     c.send(out := Recorder())
     assert out.of("line")[0][0] == 2
 
 
 def test_drains_have_room_in_a_channel_that_urgent_orders_have_filled():
     c = moved(2)
-    c.slices[1].told = {c.servers["b"]: 1.0}    # urgent only
+    c.slices[1].told = {c.servers["b"]: 1.0}  # urgent only
     c.slices[1].shares, c.slices[1].urgent = [c.servers["a"]], True
     c.listed(False, False, [("a", "east", "draining", 1.0, 0.0)])
     c.way.append((5, 700, {0}))
@@ -755,7 +761,7 @@
 def test_a_server_added_to_the_list_later_earns_trust_by_answers():
     c = conductor(capacities=[9, 9])
     c.listed(False, False, [("x", "east", "ready", 1.0, 0.0), ("y", "east", "ready", 1.0, 99.0)])
-    assert c.servers["y"].health == 1       # started lately: the ramp is guard enough
+    assert c.servers["y"].health == 1  # started lately: the ramp is guard enough
     for good, trust in ((None, c.UNPROVEN), (10, 0.4)):
         c.now += 9
         if good:
@@ -773,7 +779,7 @@
     c.way.clear()
     c.send(again := Recorder())
     assert again.of("withdraw") == [("x1", False)] and not c.server("x1").shut
-    c.joined(7)     # it may not have heard of that
+    c.joined(7)  # it may not have heard of that
     c.now += 9
     c.send(again := Recorder())
     assert again.of("withdraw") == [("x1", False)]
@@ -788,13 +794,15 @@
             c.sent.extend([c.now - 1] * sent)
             c.send(out)
             assert bool(out.of("line")) == (sent < most)
-            assert not out.orders or c.next_urgent_send >= c.now + 10 / 8      # and are paced evenly
+            assert not out.orders or c.next_urgent_send >= c.now + 10 / 8  # and are paced evenly
 
 
 # --- one round -----------------------------------------------------------------------------------
 
+
 def test_a_first_round_with_nothing_known_only_asks():
     from helpers import PLAIN, Conductor
+
     out = Recorder()
     Conductor(PLAIN._replace(asked_list=True, retry_default=0), 1).decide(5.0, [], out)
     assert out.of("watch") == [()] and out.of("admit") == [(None, 0, 1.0, 1), (None, 1, 1.0, 1)]
@@ -812,18 +820,27 @@
 def test_bad_days_are_borne_without_a_storm_of_orders():
     def reports(tries, aborted, **load):
         return [("heard", (id, "east", 1.0, tries, aborted, 0.1, load)) for id in "ab"]
-    for bad in ([("listed", (True, False, []))], [("listed", (True, False, [("b", "", "ready", 1, 0)]))],
-                [("taken", (k,)) for k in range(3)], [("given", (k,)) for k in range(30)], [("left", (0,))],
-                reports(50, 50), reports(9, 0, utilization=0, qps=0), reports(9, 0, utilization=-9, qps=9e9)):
+
+    for bad in (
+        [("listed", (True, False, []))],
+        [("listed", (True, False, [("b", "", "ready", 1, 0)]))],
+        [("taken", (k,)) for k in range(3)],
+        [("given", (k,)) for k in range(30)],
+        [("left", (0,))],
+        reports(50, 50),
+        reports(9, 0, utilization=0, qps=0),
+        reports(9, 0, utilization=-9, qps=9e9),
+    ):
         c, out = moved(3), Recorder()
-        for later in (0, 0, 1, 1e6):    # a clock that jumps ahead, too
+        for later in (0, 0, 1, 1e6):  # a clock that jumps ahead, too
             c.decide(c.now + later, bad, out)
         assert len(out.of("line")) <= 60 and len(out.of("receipt")) <= 4
 
 
 def test_the_same_events_give_the_same_orders():
-    events = [("given", (k,)) for k in range(20)] + [("listed", (True, False, [
-        (id, "east", "ready", 1.0, 0.0) for id in "abcdef"]))]
+    events = [("given", (k,)) for k in range(20)] + [
+        ("listed", (True, False, [(id, "east", "ready", 1.0, 0.0) for id in "abcdef"]))
+    ]
     first, second = Recorder(), Recorder()
     for out in (first, second):
         conductor(slices=20).decide(101.0, events, out)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -41,8 +41,13 @@
 def test_six_in_ten_servers_replaced_within_seconds(seed):
     """Guards against empty servers that each conductor leaves to the others while the rest is past full."""
     first, second = SERVERS[:18], SERVERS[18:36]
-    f = holds(fleet(seed, [(8.0, "drain", first), (11.0, "come", first), (12.0, "drain", second),
-                           (15.0, "come", second)], load=0.42))
+    f = holds(
+        fleet(
+            seed,
+            [(8.0, "drain", first), (11.0, "come", first), (12.0, "drain", second), (15.0, "come", second)],
+            load=0.42,
+        )
+    )
     assert f.part(22, 40) > 0.85
 
 
@@ -60,14 +65,20 @@
 def test_drains_behind_a_full_channel_keep_their_grace():
     """Guards rule 3: waves of drains while hot slices are shared out, and a channel with little room."""
     script = [(8.0 + k / 10, "heat", k, 6.0) for k in range(30)]
-    script += [(9.0 + k, "drain", SERVERS[6 * k:6 * k + 6]) for k in range(4)]
+    script += [(9.0 + k, "drain", SERVERS[6 * k : 6 * k + 6]) for k in range(4)]
     holds(fleet(7, script, seconds=30.0, load=0.3, room=60.0))
 
 
 def test_lists_that_contradict_each_other_break_no_rule():
     gone = SERVERS[:6]
-    script = [(8.0, "drain", gone), (9.0, "list_whole", 0, SERVERS[10:14]), (10.0, "list_whole", 1, SERVERS[20:24]),
-              (11.0, "list_whole", 0, []), (12.0, "list_whole", 1, []), (13.0, "come", gone)]
+    script = [
+        (8.0, "drain", gone),
+        (9.0, "list_whole", 0, SERVERS[10:14]),
+        (10.0, "list_whole", 1, SERVERS[20:24]),
+        (11.0, "list_whole", 0, []),
+        (12.0, "list_whole", 1, []),
+        (13.0, "come", gone),
+    ]
     holds(fleet(8, script, load=0.35, lag=1.0))
 
 
@@ -80,13 +91,20 @@
 def test_same_seed_same_orders_in_any_process_and_alone():
     f, first = digest(9)
     code = "import sys; sys.path[:0] = ['.', 'tests']; import test_fleet; print(test_fleet.digest(9)[1])"
-    for seed in "1", "2":       # the order of a hash table must not tell
-        done = subprocess.run([sys.executable, "-c", code], env={**os.environ, "PYTHONHASHSEED": seed},
-                              cwd=Path(__file__).parent.parent, capture_output=True, text=True, timeout=120)
+    for seed in "1", "2":  # the order of a hash table must not tell
+        done = subprocess.run(
+            [sys.executable, "-c", code],
+            env={**os.environ, "PYTHONHASHSEED": seed},
+            cwd=Path(__file__).parent.parent,
+            capture_output=True,
+            text=True,
+            timeout=120,
+        )
         assert done.stdout.strip() == first, done.stderr
     # Each conductor's inbox, played to a module of its own with no other beside it, gives its orders.
     from knotwalk.decide import Conductor
     from knotwalk.tape import Tape
+
     for seat in f.seats:
         alone = Conductor(f.settings._replace(place=seat.place), 900 + seat.place)
         for now, inbox, orders in seat.rounds:
--- a/tests/test_machines.py
+++ b/tests/test_machines.py
@@ -26,12 +26,20 @@
         resp = Resp()
         assert resp.feed(data[:at]) + resp.feed(data[at:]) == whole
     resp = Resp()
-    assert [x for k in range(len(data)) for x in resp.feed(data[k:k + 1])] == whole and not resp.weight()
+    assert [x for k in range(len(data)) for x in resp.feed(data[k : k + 1])] == whole and not resp.weight()
 
 
 def test_resp_that_is_malformed_or_too_long():
-    for bad in (b"probe\r\n", b"*x\r\n", b"*-1\r\n", b"*1\r\n*1\r\n", b"*1\r\n$2\r\nabcd", b"*" + b"1" * 40,
-                b"\r\n", b"*1\r\n$-1\r\n"):
+    for bad in (
+        b"probe\r\n",
+        b"*x\r\n",
+        b"*-1\r\n",
+        b"*1\r\n*1\r\n",
+        b"*1\r\n$2\r\nabcd",
+        b"*" + b"1" * 40,
+        b"\r\n",
+        b"*1\r\n$-1\r\n",
+    ):
         assert fault_of(Resp(), bad) is Unreadable, bad
     two = b"*2\r\n$900000\r\n" + b"x" * 900000 + b"\r\n$900000\r\n"
     for bad in (b"*1\r\n$1048577\r\n", b"*9999\r\n", two):
@@ -40,14 +48,20 @@
 
 
 def test_http_answers_at_every_split():
-    data = (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
-            b"HTTP/1.1 429 No\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
-            b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+    data = (
+        b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+        b"HTTP/1.1 429 No\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+        b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+    )
     for at in range(len(data)):
         answers = Answers(99)
         events = answers.feed(data[:at]) + answers.feed(data[at:])
         assert [x for x in events if x[0] != "piece"] == [
-            ("status", 200), ("end", True), ("status", 429), ("end", False)]
+            ("status", 200),
+            ("end", True),
+            ("status", 429),
+            ("end", False),
+        ]
         assert b"".join(x[1] for x in events if x[0] == "piece") == b"helloabcde"
 
 
@@ -60,9 +74,9 @@
 def test_a_ring_keeps_the_order_as_it_wraps_and_grows():
     ring, sent, got = Ring(64, 8), bytes(range(200)), b""
     for at in range(0, 200, 5):
-        assert ring.put(sent[at:at + 5])
+        assert ring.put(sent[at : at + 5])
         take = len(ring.data()) - (at % 3)
-        got += bytes(ring.data()[:max(0, take)])
+        got += bytes(ring.data()[: max(0, take)])
         ring.took(max(0, take))
     while ring.size:
         got += bytes(ring.data())
@@ -98,8 +112,11 @@
 
 
 def test_nested_settings_read_as_the_wires_pairs():
-    told = {"classes": [{"name": "read", "slo_us": 1500000, "worth": 3.0}], "tick_us": 1000,
-            "family_info": {"partitions_n": 4, "admit": "fraction", "one_owner": False}}
+    told = {
+        "classes": [{"name": "read", "slo_us": 1500000, "worth": 3.0}],
+        "tick_us": 1000,
+        "family_info": {"partitions_n": 4, "admit": "fraction", "one_owner": False},
+    }
     pairs = flattened(told)
     s = read_settings(pairs)
     assert s.methods[0].soft_deadline == 1.5 and s.slices == 4 and s.admits and not s.one_owner
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -13,8 +13,23 @@
 from knotwalk.told import Bounds
 
 HOME = ("127.0.0.1", 1)
-HEARD = packed("outcomes", "zone", "a", "server", "s", "tries", "9", "failed", "1", "mean_ms", "40",
-               "span_ms", "2000.0", "load", "util:0.5,qps:7")
+HEARD = packed(
+    "outcomes",
+    "zone",
+    "a",
+    "server",
+    "s",
+    "tries",
+    "9",
+    "failed",
+    "1",
+    "mean_ms",
+    "40",
+    "span_ms",
+    "2000.0",
+    "load",
+    "util:0.5,qps:7",
+)
 WANTED = packed("hot", "slice", "3", "class", "read", "tries", "9", "failed", "0", "span_ms", "2000.0")
 
 
@@ -38,10 +53,9 @@
         self.log.append(f"{kind}: {text}")
 
 
-def callers(seats=9, room=10 ** 6):
+def callers(seats=9, room=10**6):
     told, clock = Told(), Clock()
-    all_ = Callers(clock, {"read": 0}, BOUNDS, {"s"}.__contains__, lambda: {"a"}, told.tell, told.note, seats,
-                   room)
+    all_ = Callers(clock, {"read": 0}, BOUNDS, {"s"}.__contains__, lambda: {"a"}, told.tell, told.note, seats, room)
     all_.ready = True
     return all_, clock, told
 
@@ -68,6 +82,7 @@
 
 # --- collectors ----------------------------------------------------------------------------------
 
+
 def test_a_burst_of_reports_is_told_as_a_whole_however_it_is_cut():
     """Guards against a period judged several times over: the module lowers levels once a report."""
     all_, clock, told = callers()
@@ -75,12 +90,13 @@
     wire.feed(JOIN)
     data = HEARD + 3 * WANTED
     for at in range(0, len(data), 50):
-        wire.feed(data[at:at + 50])
+        wire.feed(data[at : at + 50])
         clock.move(0.015)
         assert not told
     clock.move(0.02)
-    assert told == [("heard", "s", "a", 2.0, 9, 1, 0.04, {"utilization": 0.5, "qps": 7.0})] + \
-        3 * [("wanted", 3, 0, 2.0, 9)]
+    assert told == [("heard", "s", "a", 2.0, 9, 1, 0.04, {"utilization": 0.5, "qps": 7.0})] + 3 * [
+        ("wanted", 3, 0, 2.0, 9)
+    ]
 
 
 def test_a_collector_that_fell_silent_in_a_message_does_not_hold_back_the_others():
@@ -120,26 +136,36 @@
     """A message with each of these fields left out, and with all that a figure can't be in its place."""
     words = message.decode().split("\r\n")[2::2]
     for at in [words.index(name) for name in names]:
-        yield words[:at] + words[at + 2:]
+        yield words[:at] + words[at + 2 :]
         for value in ("", "-3", "nan", "inf", "1e30", "38654705664", "s-zz", "[1]", "1.5x"):
-            yield [*words[:at + 1], value, *words[at + 2:]]
+            yield [*words[: at + 1], value, *words[at + 2 :]]
 
 
 def test_a_spoilt_message_of_a_collector_costs_itself_alone():
     """Guards the module's figures against what no collector could mean; it takes a new name for a server."""
-    for message, names in ((HEARD, ("zone", "server", "tries", "failed", "mean_ms", "span_ms")),
-                           (WANTED, ("slice", "class", "tries", "failed", "span_ms"))):
+    for message, names in (
+        (HEARD, ("zone", "server", "tries", "failed", "mean_ms", "span_ms")),
+        (WANTED, ("slice", "class", "tries", "failed", "span_ms")),
+    ):
         for bad in spoilt(message, *names):
             all_, clock, told = callers()
             wire = Wire(all_.accept())
             wire.feed(JOIN + WANTED + packed(*bad) + WANTED)
             clock.move(1)
             assert not wire.over and told == 2 * [("wanted", 3, 0, 2.0, 9)] and len(told.log) == 1, bad
-    for bad in (packed("what"), packed("hot", "slice"), packed("hot"), packed("agent", "zone", "b"),
-                HEARD.replace(b"$1\r\n9", b"$1\r\n0"), HEARD.replace(b"$1\r\n9", b"$3\r\n9.5"),
-                HEARD.replace(b"util:0.5", b"util:4.0"), HEARD.replace(b"util:0.5,qps:7", b"util:,qps:0007"),
-                WANTED.replace(b"$6\r\n2000.0", b"$1\r\n0"), WANTED.replace(b"$1\r\n3", b"$1\r\n9"),
-                WANTED.replace(b"tries\r\n$1\r\n9", b"tries\r\n$7\r\n1000000")):
+    for bad in (
+        packed("what"),
+        packed("hot", "slice"),
+        packed("hot"),
+        packed("agent", "zone", "b"),
+        HEARD.replace(b"$1\r\n9", b"$1\r\n0"),
+        HEARD.replace(b"$1\r\n9", b"$3\r\n9.5"),
+        HEARD.replace(b"util:0.5", b"util:4.0"),
+        HEARD.replace(b"util:0.5,qps:7", b"util:,qps:0007"),
+        WANTED.replace(b"$6\r\n2000.0", b"$1\r\n0"),
+        WANTED.replace(b"$1\r\n3", b"$1\r\n9"),
+        WANTED.replace(b"tries\r\n$1\r\n9", b"tries\r\n$7\r\n1000000"),
+    ):
         all_, clock, told = callers()
         wire = Wire(all_.accept())
         wire.feed(JOIN + bad + b"*0\r\n" + WANTED)
@@ -157,8 +183,15 @@
 
 
 def test_whoever_speaks_without_joining_is_ended_at_once():
-    for said in (WANTED, HEARD, packed("hello", "proxy", "1", "zone", "a"), packed("agent", "zone", "nowhere"),
-                 packed("agent"), packed("push"), packed("demand", "proxy", "7", "tries", "5")):
+    for said in (
+        WANTED,
+        HEARD,
+        packed("hello", "proxy", "1", "zone", "a"),
+        packed("agent", "zone", "nowhere"),
+        packed("agent"),
+        packed("push"),
+        packed("demand", "proxy", "7", "tries", "5"),
+    ):
         all_, clock, told = callers()
         wire = Wire(all_.accept())
         wire.feed(said)
@@ -207,8 +240,7 @@
 
 
 def test_what_is_no_message_ends_the_connection():
-    for bytes_, ending in ((b"GET / HTTP/1.1\r\n\r\n", Ending.MALFORMED),
-                           (b"*1\r\n$2097152\r\n", Ending.TOO_LONG)):
+    for bytes_, ending in ((b"GET / HTTP/1.1\r\n\r\n", Ending.MALFORMED), (b"*1\r\n$2097152\r\n", Ending.TOO_LONG)):
         wire = Wire(callers()[0].accept())
         wire.feed(bytes_)
         assert wire.over is ending
@@ -234,6 +266,7 @@
 
 # --- calls ---------------------------------------------------------------------------------------
 
+
 def test_orders_go_as_one_call_and_what_is_ordered_meanwhile_with_the_next():
     calls, _, _, _ = relay()
     calls.order([line(1, "a"), {"do": "SYNC", "ticket": 1, "on": 0}])
@@ -242,8 +275,7 @@
     calls.order([line(2, "c"), line(2, "a", 0.0), {"do": "SYNC", "ticket": 3, "on": 0}])
     assert bodies(wire) == [[line(1, "a"), {"do": "SYNC", "ticket": 1, "on": 0}]]
     wire.feed(answer({"accepted": 2}))
-    assert bodies(wire)[1] == [line(3, "b"), line(2, "c"), line(2, "a", 0.0),
-                               {"do": "SYNC", "ticket": 3, "on": 0}]
+    assert bodies(wire)[1] == [line(3, "b"), line(2, "c"), line(2, "a", 0.0), {"do": "SYNC", "ticket": 3, "on": 0}]
 
 
 def test_a_call_past_the_limit_is_split_and_its_receipt_comes_last():
@@ -316,25 +348,36 @@
     wire.feed(feed) if feed else wire.end(ending) if ending else clock.move(0.2)
     assert wire.over and calls.doubtful == orders
     calls.order([line(2, "c")])
-    clock.move(0.1)     # a call may be carried out until then
+    clock.move(0.1)  # a call may be carried out until then
     return calls, news, clock, orders, Wire(clock.connects[-1]) if len(clock.connects) > 1 else None
 
 
 def test_a_doubtful_call_that_stands_is_not_given_again():
-    for how in ({"ending": Ending.RESET}, {}, {"feed": answer("{}")}, {"feed": answer("junk")},
-                {"feed": b"junk"}, {"feed": answer({"accepted": 3}, "500 Oh")}, {"feed": answer({"error": 17})},
-                *({"feed": answer({"accepted": x})} for x in (-1, 4, "3", 1.5, True, None, [3]))):
+    for how in (
+        {"ending": Ending.RESET},
+        {},
+        {"feed": answer("{}")},
+        {"feed": answer("junk")},
+        {"feed": b"junk"},
+        {"feed": answer({"accepted": 3}, "500 Oh")},
+        {"feed": answer({"error": 17})},
+        *({"feed": answer({"accepted": x})} for x in (-1, 4, "3", 1.5, True, None, [3])),
+    ):
         calls, news, _, _, look = doubt(**how)
-        look.feed(lines(("lease", {"slice": 1, "on": True}),
-                        ("line", {"slice": 1, "server": "b", "weight": 1.0})))
+        look.feed(lines(("lease", {"slice": 1, "on": True}), ("line", {"slice": 1, "server": "b", "weight": 1.0})))
         assert news.slices[1] == {"b": 1.0} and look.over
         assert bodies(Wire(calls)) == [[line(2, "c")]], how
 
 
 def test_a_doubtful_call_that_does_not_stand_is_given_again_first():
     calls, news, _, orders, look = doubt(Ending.CLOSED)
-    look.feed(lines(("lease", {"slice": 1, "on": True}), ("line", {"slice": 1, "server": "a", "weight": 1.0}),
-                    ("lease", {"slice": 2, "on": True})))
+    look.feed(
+        lines(
+            ("lease", {"slice": 1, "on": True}),
+            ("line", {"slice": 1, "server": "a", "weight": 1.0}),
+            ("lease", {"slice": 2, "on": True}),
+        )
+    )
     assert news.slices[1] == {"a": 1.0} and bodies(Wire(calls)) == [[*orders, line(2, "c")]]
 
 
@@ -359,20 +402,31 @@
 
 # --- news ----------------------------------------------------------------------------------------
 
-STANDS = (("hello", {"proxy": 1, "zone": "a", "weight": 2.5, "fresh": True}),
-          ("lease", {"slice": 3, "on": True}), ("line", {"slice": 3, "server": "a", "weight": 1.0}))
+STANDS = (
+    ("hello", {"proxy": 1, "zone": "a", "weight": 2.5, "fresh": True}),
+    ("lease", {"slice": 3, "on": True}),
+    ("line", {"slice": 3, "server": "a", "weight": 1.0}),
+)
 GIVEN = [("joined", 1), ("given", 3), ("held", 3, "a", 1.0)]
 
 
 def test_news_in_any_pieces():
-    for size in (1, 7, 10 ** 6):
+    for size in (1, 7, 10**6):
         _, news, _, told = relay()
-        wire, data = Wire(news), lines(*STANDS, ("", {}), ("ack", {"proxy": 1, "mark": 9, "took_ms": 1.5}),
-                                       ("line", {"slice": 3, "server": "b", "weight": 2}),
-                                       ("bye", {"proxy": 1}), ("lease", {"slice": 3, "on": False}),
-                                       ("future", {}))
+        wire, data = (
+            Wire(news),
+            lines(
+                *STANDS,
+                ("", {}),
+                ("ack", {"proxy": 1, "mark": 9, "took_ms": 1.5}),
+                ("line", {"slice": 3, "server": "b", "weight": 2}),
+                ("bye", {"proxy": 1}),
+                ("lease", {"slice": 3, "on": False}),
+                ("future", {}),
+            ),
+        )
         for at in range(0, len(data), size):
-            wire.feed(data[at:at + size])
+            wire.feed(data[at : at + size])
         assert told == GIVEN + [("applied", 1, 9), ("held", 3, "b", 2.0), ("left", 1), ("taken", 3)]
 
 
@@ -512,8 +566,15 @@
 
 
 def test_a_spoilt_answer_to_a_mark_costs_itself_alone():
-    for bad in ({}, {"proxy": 1}, {"proxy": 1, "mark": 9.5}, {"proxy": "x", "mark": 9}, {"proxy": 1, "mark": -3},
-                {"proxy": None, "mark": 9}, {"proxy": 1, "mark": [9]}):
+    for bad in (
+        {},
+        {"proxy": 1},
+        {"proxy": 1, "mark": 9.5},
+        {"proxy": "x", "mark": 9},
+        {"proxy": 1, "mark": -3},
+        {"proxy": None, "mark": 9},
+        {"proxy": 1, "mark": [9]},
+    ):
         _, news, _, told = relay()
         wire = Wire(news)
         wire.feed(lines(*STANDS, ("", {}), ("ack", bad), ("ack", {"proxy": 1, "mark": 9})))
@@ -521,10 +582,16 @@
 
 
 def test_news_that_cannot_be_read_end_the_connection():
-    for bad in (lines(("hello", {})), lines(("hello", {"proxy": "x"})),
-                lines(("hello", {"proxy": float("inf")})), lines(("lease", [])),
-                lines(("line", {"slice": 1, "server": "a", "weight": float("nan")})),
-                answer("x", "404 Not Found"), answer("{}\n"), b"junk\r\n\r\n"):
+    for bad in (
+        lines(("hello", {})),
+        lines(("hello", {"proxy": "x"})),
+        lines(("hello", {"proxy": float("inf")})),
+        lines(("lease", [])),
+        lines(("line", {"slice": 1, "server": "a", "weight": float("nan")})),
+        answer("x", "404 Not Found"),
+        answer("{}\n"),
+        b"junk\r\n\r\n",
+    ):
         wire = Wire(relay()[1])
         wire.feed(bad)
         assert wire.over is Ending.MALFORMED, bad
@@ -553,7 +620,7 @@
     stale = Wire(clock.connects.pop())
     assert stale.over is Ending.LEFT and not stale.written and clock.connects == [news]
     news.ended(None, Ending.REFUSED)
-    news.move(HOME)     # while it waits: at once, not when the wait is over
+    news.move(HOME)  # while it waits: at once, not when the wait is over
     assert len(clock.connects) == 2
 
 
@@ -570,9 +637,17 @@
 
 # --- discovery -----------------------------------------------------------------------------------
 
+
 def listing(version, full, *servers):
-    return answer({"version": version, "full": full, "servers": [
-        {"id": id, "zone": "z", "state": state, "weight": 1.5, "started_ms": 0} for id, state in servers]})
+    return answer(
+        {
+            "version": version,
+            "full": full,
+            "servers": [
+                {"id": id, "zone": "z", "state": state, "weight": 1.5, "started_ms": 0} for id, state in servers
+            ],
+        }
+    )
 
 
 def test_the_list_comes_whole_then_by_changes_on_one_connection():
@@ -581,8 +656,10 @@
     wire.feed(listing(41, True, ("s", "active")))
     wire.feed(listing(42, False))
     wire.feed(listing(43, False, ("s", "leaving")))
-    assert told == [("listed", True, False, [("s", "z", "ready", 1.5, 0.0)]),
-                    ("listed", False, False, [("s", "z", "draining", 1.5, 0.0)])]
+    assert told == [
+        ("listed", True, False, [("s", "z", "ready", 1.5, 0.0)]),
+        ("listed", False, False, [("s", "z", "draining", 1.5, 0.0)]),
+    ]
     asked = [x.split(b" ")[1] for x in wire.written.split(b"\r\n\r\n")[:-1]]
     assert asked[0] == b"/v1/servers" and asked[1].startswith(b"/v1/servers?since=41&timeout_ms=")
     assert asked[3].startswith(b"/v1/servers?since=43&")
@@ -594,8 +671,11 @@
     peer.start()
     for version in (41, 41, 41):
         wire = Wire(clock.connects.pop())
-        wire.feed(listing(version, version == 41 and not told, ("s", "active")).replace(
-            b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+        wire.feed(
+            listing(version, version == 41 and not told, ("s", "active")).replace(
+                b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"
+            )
+        )
         assert wire.over is Ending.LEFT
     assert b"since=41" in wire.written and not told.log and len(clock.connects) == 1
 
@@ -619,8 +699,14 @@
 
 
 def test_a_list_that_is_silent_or_cannot_be_read_is_asked_for_anew():
-    for bad in (None, answer("junk"), answer({"version": 1}), answer("{}", "500 Broken"), b"junk\r\n\r\n",
-                answer({"version": 1, "full": True, "servers": [{"id": "s", "state": "odd"}]})):
+    for bad in (
+        None,
+        answer("junk"),
+        answer({"version": 1}),
+        answer("{}", "500 Broken"),
+        b"junk\r\n\r\n",
+        answer({"version": 1, "full": True, "servers": [{"id": "s", "state": "odd"}]}),
+    ):
         peer, clock, told = watch()
         wire = Wire(peer)
         wire.feed(bad) if bad else clock.move(3)
@@ -631,12 +717,13 @@
 
 # --- all of it together --------------------------------------------------------------------------
 
+
 class RoughRelay:
     """A relay whose connections break in every way, drawn by chance, until it is well again."""
 
     def __init__(self, chance, clock, store):
         self.chance, self.clock, self.store = chance, clock, store
-        self.wires, self.well = {}, False       # bytes answered by wire
+        self.wires, self.well = {}, False  # bytes answered by wire
 
     def step(self):
         while self.clock.connects:
@@ -647,7 +734,7 @@
                 peer.ended(None, self.chance.choice([Ending.REFUSED, Ending.TIMED_OUT, Ending.UNREACHABLE]))
         for wire in list(self.wires):
             while not wire.over and len(wire.written) > self.wires[wire]:
-                asked = wire.written[self.wires[wire]:]
+                asked = wire.written[self.wires[wire] :]
                 self.wires[wire] = len(wire.written)
                 self.stream(wire) if asked.startswith(b"GET") else self.take(wire, asked)
             if wire.over or not self.well and self.chance.random() < 0.02:
@@ -657,13 +744,21 @@
                 wire.feed(lines(("", {}), head=False))
 
     def stream(self, wire):
-        data = lines(*(x for k, held in self.store.items() for x in [("lease", {"slice": k, "on": True}), *(
-            ("line", {"slice": k, "server": s, "weight": w}) for s, w in held.items())]))
+        data = lines(
+            *(
+                x
+                for k, held in self.store.items()
+                for x in [
+                    ("lease", {"slice": k, "on": True}),
+                    *(("line", {"slice": k, "server": s, "weight": w}) for s, w in held.items()),
+                ]
+            )
+        )
         if self.well or self.chance.random() < 0.7:
             wire.feed(data)
             wire.feed(lines(("", {}), head=False))
-        else:       # part of it, and then nothing more, or nonsense
-            wire.feed(data[:self.chance.randrange(len(data))])
+        else:  # part of it, and then nothing more, or nonsense
+            wire.feed(data[: self.chance.randrange(len(data))])
             wire.feed(b"\0junk") if self.chance.random() < 0.5 else wire.end(Ending.CLOSED)
 
     def take(self, wire, asked):
@@ -680,7 +775,7 @@
         elif fate == 0:
             wire.feed(answer({"accepted": len(given)}))
         elif fate == 2:
-            wire.feed(answer("{}"))     # 3 and 5: nothing is ever answered
+            wire.feed(answer("{}"))  # 3 and 5: nothing is ever answered
 
 
 def test_the_store_ends_as_ordered_however_the_relay_breaks():
--- a/tests/test_picks.py
+++ b/tests/test_picks.py
@@ -17,7 +17,7 @@
     for name, w in told.items():
         share = w / sum(weights)
         assert abs(drawn[name] / count - share) < 6 * (share * (1 - share) / count) ** 0.5 + 0.002
-    if lines.keep:      # the alias table holds each weight exactly
+    if lines.keep:  # the alias table holds each weight exactly
         n, parts = len(weights), Counter()
         for k in range(n):
             parts[k] += lines.keep[k] / n
@@ -33,8 +33,8 @@
 
 def test_of_two_draws_the_one_with_less_under_way():
     p = picker(a=1.0, b=1.0)
-    p.servers["a"].under_way = 10 ** 6
-    assert Counter(p.pick(0.0, 0).id for _ in range(400))["a"] in range(70, 130)     # only where both draws are a
+    p.servers["a"].under_way = 10**6
+    assert Counter(p.pick(0.0, 0).id for _ in range(400))["a"] in range(70, 130)  # only where both draws are a
 
 
 def test_a_server_that_fails_in_a_row_is_shunned_for_a_while_and_taken_if_all_are():
@@ -78,4 +78,5 @@
             if k % 3:
                 p.done(k * 0.01, x, k % 7 != 0)
         return out
+
     assert run() == run()
--- a/tests/test_publisher.py
+++ b/tests/test_publisher.py
@@ -68,7 +68,7 @@
     edges = site.proxies(5)
     site.until(site.alike)
     silent = []
-    for k in range(1000):       # the oldest go as they come: it holds sixty
+    for k in range(1000):  # the oldest go as they come: it holds sixty
         silent.append(socket.create_connection(site.address))
         if k % 50 == 49:
             site.turn()
@@ -76,13 +76,21 @@
                 sock.close()
             del silent[:-100]
     loud = [socket.create_connection(site.address) for _ in range(5)]
-    for sock, data in zip(loud, (b"GET / HTTP/1.1\r\n\r\n", b"\xff" * 9000, b'{"t":"ack","n":1}\n', b"[]\n",
-                                 b'{"t":"hello","v":1,"name":"' + b"x" * 20_000)):
+    for sock, data in zip(
+        loud,
+        (
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"\xff" * 9000,
+            b'{"t":"ack","n":1}\n',
+            b"[]\n",
+            b'{"t":"hello","v":1,"name":"' + b"x" * 20_000,
+        ),
+    ):
         sock.sendall(data)
     slow = socket.create_connection(site.address)
     slow.sendall(wire.line("hello", v=1, name="slow", proxy=99))
     site.until(lambda: "slow" in site.hub.cursors)
-    for _ in range(30):     # floods of hellos of one name
+    for _ in range(30):  # floods of hellos of one name
         sock = socket.create_connection(site.address)
         sock.sendall(wire.line("hello", v=1, name="flood", proxy=98))
         silent.append(sock)
@@ -158,7 +166,7 @@
     chance = Random(1)
     for _ in range(200):
         at = chance.randrange(len(data))
-        for spoilt in (data[:at], data[:at] + bytes([data[at] ^ 1 << chance.randrange(8)]) + data[at + 1:]):
+        for spoilt in (data[:at], data[:at] + bytes([data[at] ^ 1 << chance.randrange(8)]) + data[at + 1 :]):
             with pytest.raises(keep.Unkept):
                 keep.unpacked(spoilt)
 
@@ -185,7 +193,7 @@
                 loop.turn()
         keeper.close()
         loop.timers.clear()
-        os.close(keep.locked(path))     # its process has ended
+        os.close(keep.locked(path))  # its process has ended
         table, _ = keep.load(path)
         assert table.version >= told
     assert "keeping stands still" in lines
@@ -209,8 +217,12 @@
     publishing(stand, tmp_path, keep=str(tmp_path / "kept"))
     at = stand.published
     stand.until(lambda: stand.news)
-    done = subprocess.Popen([sys.executable, "-m", "knotwalk", "subscribe", "--once", "--json", "--name", "w", at],
-                            cwd=ROOT, stdout=subprocess.PIPE, text=True)
+    done = subprocess.Popen(
+        [sys.executable, "-m", "knotwalk", "subscribe", "--once", "--json", "--name", "w", at],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
     stand.until(lambda: done.poll() is not None)
     told = [json.loads(line) for line in done.stdout]
     assert done.returncode == 0 and told[-1]["slices"] == {"0": {"a": 1.0}, "1": {"b": 1.0}} and told[-1]["whole"]
@@ -229,6 +241,7 @@
 
     def alike():
         return all(e.link and e.subscriber.place is None and e.subscriber.tables == stand.slices for e in edges)
+
     stand.until(alike)
     epochs = {e.subscriber.epoch for e in edges}
     for k in range(3):
@@ -242,9 +255,9 @@
         stand.program.wait(20)
         publishing(stand, tmp_path, keep=str(tmp_path / "kept"), listen=port)
         stand.until(lambda: all(set(lines) == {"ba"[k % 2]} for lines in stand.slices.values()) and alike())
-    assert {e.subscriber.epoch for e in edges} == epochs and len(epochs) == 1       # it went on
+    assert {e.subscriber.epoch for e in edges} == epochs and len(epochs) == 1  # it went on
     assert stand.stop() == 0
-    outcome = replayed(tmp_path / "r", 4)      # what this front told the module is in the recording
+    outcome = replayed(tmp_path / "r", 4)  # what this front told the module is in the recording
     assert outcome.exact and outcome.lives == 4
 
 
@@ -259,7 +272,7 @@
     site.loop, site.address = stand.loop, ("127.0.0.1", int(port.rpartition(":")[2]))
     edges, midst = [site.edge(f"p{k}", k, k) for k in range(20)], 0
     for k in range(4):
-        if k == 0:      # surely in the midst; later at random, when what is left of it goes on
+        if k == 0:  # surely in the midst; later at random, when what is left of it goes on
             stand.until(lambda: any((e.subscriber.place or 0) > 0 for e in edges))
         else:
             stand.until(lambda: any(e.link for e in edges))
@@ -280,11 +293,18 @@
     stand.program.kill()
     taken = socket.create_server(("127.0.0.1", 0))
     port = taken.getsockname()[1]
-    for rows, message in ((f'listen = "127.0.0.1:{port}"', f"pubsub.listen: 127.0.0.1:{port}: "),
-                          ('listen = "127.0.0.1:0"\n secrets = "/none"', "pubsub: /none: No such file"),
-                          ('listen = "127.0.0.1:0"\n keep = "/proc/none"', "pubsub.keep: ")):
+    for rows, message in (
+        (f'listen = "127.0.0.1:{port}"', f"pubsub.listen: 127.0.0.1:{port}: "),
+        ('listen = "127.0.0.1:0"\n secrets = "/none"', "pubsub: /none: No such file"),
+        ('listen = "127.0.0.1:0"\n keep = "/proc/none"', "pubsub.keep: "),
+    ):
         (tmp_path / "o.hcl").write_text(f"pubsub {{\n enabled = true\n {rows}\n}}\n")
-        done = subprocess.run([sys.executable, "-m", "knotwalk", "serve", "--operator", str(tmp_path / "o.hcl")],
-                              cwd=ROOT, env={"EDGE_CONFIG": stand.config.name}, capture_output=True, text=True,
-                              timeout=20)
+        done = subprocess.run(
+            [sys.executable, "-m", "knotwalk", "serve", "--operator", str(tmp_path / "o.hcl")],
+            cwd=ROOT,
+            env={"EDGE_CONFIG": stand.config.name},
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
         assert done.returncode == 2 and message in done.stderr and done.stderr.count("\n") == 1, done.stderr
--- a/tests/test_pubsub.py
+++ b/tests/test_pubsub.py
@@ -44,7 +44,7 @@
 def test_a_restored_table_goes_on_past_its_ceiling_and_knows_what_it_lost():
     table = filled(20)
     kept = json.loads(json.dumps(table.snapshot()))
-    table.line(1, "x", 1.0)         # told, and lost
+    table.line(1, "x", 1.0)  # told, and lost
     back = Table.restored(kept, 1000)
     assert back.version == 1000 and back.holds(20) and not back.holds(21) and back.holds(1000)
     back.line(2, "y", 1.0)
@@ -55,9 +55,17 @@
         Table.restored({"format": 1}, 1000)
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda t: t[:-1], lambda t: t.replace("e1", "e2"), lambda t: t + "0", lambda t: "x" * 4000, lambda t: 7,
-    lambda t: token.written(b"other key, of another one", "p1", "e1", 4, None)])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda t: t[:-1],
+        lambda t: t.replace("e1", "e2"),
+        lambda t: t + "0",
+        lambda t: "x" * 4000,
+        lambda t: 7,
+        lambda t: token.written(b"other key, of another one", "p1", "e1", 4, None),
+    ],
+)
 def test_a_token_that_is_forged_or_anothers_is_none(spoil):
     text = token.written(KEY, "p1", "e1", 4, None)
     assert token.read(KEY, "p1", text) == token.Token("e1", 4, None)
@@ -89,8 +97,13 @@
 def test_snapshot_then_changes_reach_all_alike():
     world, subscribers = joined()
     world.quiet()
-    world.order(("line", (3, "s9", 2.0)), ("admit", (3, 1, 0.5, 1)), ("admit", (None, 0, 1.0, 1)),
-                ("withdraw", ("s4", True)), ("receipt", (77,)))
+    world.order(
+        ("line", (3, "s9", 2.0)),
+        ("admit", (3, 1, 0.5, 1)),
+        ("admit", (None, 0, 1.0, 1)),
+        ("withdraw", ("s4", True)),
+        ("receipt", (77,)),
+    )
     world.quiet()
     assert alike(world, subscribers) and world.caps_kept() and world.hub.waiting == {True: 0, False: 0}
     s = subscribers[0]
@@ -159,7 +172,7 @@
     world.quiet()
     old = s.token
     world.cut("p0")
-    world.table.floor = world.table.version + 1         # everything that it has is too old by now
+    world.table.floor = world.table.version + 1  # everything that it has is too old by now
     world.order(("line", (1, "b", 1.0)))
     assert world.join(s).first
     world.quiet()
@@ -169,7 +182,7 @@
     assert elsewhere.join(s).first
     elsewhere.quiet()
     assert alike(elsewhere, [s])
-    s.token = token.written(KEY, "p0\0\0", "e2", 10 ** 6, None)
+    s.token = token.written(KEY, "p0\0\0", "e2", 10**6, None)
     assert isinstance(elsewhere.join(s), Refused) and s.token is None
     s.token = old[:-1] + ("0" if old[-1] != "0" else "1")
     assert isinstance(elsewhere.join(s), Refused)
@@ -190,7 +203,7 @@
     assert s.tables[1] == {"s1": 1.0} and s.tables[299] == {"gone": 1.0} and s.place is not None
     later.turn()
     later.deliver("p0")
-    assert s.tables[299] == {"s9": 1.0}         # asked for out of turn
+    assert s.tables[299] == {"s9": 1.0}  # asked for out of turn
     later.quiet()
     assert alike(later, [s])
 
@@ -200,8 +213,11 @@
     watcher = Subscriber("w", 9)
     world.join(watcher)
     world.quiet()
-    world.order(("line", (1, "s1", 0.0)), ("line", (1, "s2", 1.0)),
-                inbox=[("listed", (False, False, [("s1", "z", "draining", 1, 0)]))])
+    world.order(
+        ("line", (1, "s1", 0.0)),
+        ("line", (1, "s2", 1.0)),
+        inbox=[("listed", (False, False, [("s1", "z", "draining", 1, 0)]))],
+    )
     fresh = Subscriber("p9", 3, proxy=9)
     world.join(fresh)
     ranks = {name: world.hub.rank(world.now, pipe.cursor) for name, pipe in world.pipes.items()}
@@ -210,7 +226,7 @@
     world.order(("line", (2, "s7", 1.0)))
     assert world.hub.rank(world.now, world.pipes["p0"].cursor) == 2
     full = world.settings.lines_waiting_most
-    world.hub.waiting[False] = full         # observers that answer nothing
+    world.hub.waiting[False] = full  # observers that answer nothing
     world.turn()
     assert world.pipes["p0"].down and world.pipes["p1"].down and not world.pipes["w"].down
 
@@ -269,15 +285,24 @@
     world.order(("line", (1, "x", 1.0)))
     world.turn()
     held = b.rows()
-    b.version -= 1          # it has lost count
+    b.version -= 1  # it has lost count
     world.deliver("p1")
     assert b.rows() == held and world.notes[0][0] == "table refused"
     world.quiet()
     assert alike(world, [a, b])
 
 
-@pytest.mark.parametrize("told", [{"t": "ack", "n": 99}, {"t": "ack", "n": -1}, {"t": "ack"}, {"t": "nack", "n": 50},
-                                  {"t": "ack", "n": "1"}, {"t": "ack", "n": 1, "need": "all"}])
+@pytest.mark.parametrize(
+    "told",
+    [
+        {"t": "ack", "n": 99},
+        {"t": "ack", "n": -1},
+        {"t": "ack"},
+        {"t": "nack", "n": 50},
+        {"t": "ack", "n": "1"},
+        {"t": "ack", "n": 1, "need": "all"},
+    ],
+)
 def test_an_answer_to_what_was_never_sent_is_refused(told):
     world, _ = joined(1)
     world.quiet()
@@ -303,7 +328,7 @@
             told += 1
             assert answer.after > 0
             later.append((world.now - 1000.0 + answer.after, s))
-        if at:      # the first come all at once
+        if at:  # the first come all at once
             world.run(0.05)
     world.quiet()
     assert told > 10 and alike(world, subscribers) and world.caps_kept() and world.now < 1120
@@ -332,10 +357,16 @@
     assert isinstance(world.join(Subscriber("c", 1, proxy=1, wanted=[3])), Refused)
 
 
-@pytest.mark.parametrize("told, message", [
-    ({"t": "ack"}, "a hello comes first"), ({"t": "hello", "v": 9}, "version 9"), ({"t": "hello", "v": 1}, "a name"),
-    ({"t": "hello", "v": 1, "name": "x", "proxy": -1}, "no whole number"),
-    ({"t": "hello", "v": 1, "name": "x", "wants": "some"}, "wants is")])
+@pytest.mark.parametrize(
+    "told, message",
+    [
+        ({"t": "ack"}, "a hello comes first"),
+        ({"t": "hello", "v": 9}, "version 9"),
+        ({"t": "hello", "v": 1}, "a name"),
+        ({"t": "hello", "v": 1, "name": "x", "proxy": -1}, "no whole number"),
+        ({"t": "hello", "v": 1, "name": "x", "wants": "some"}, "wants is"),
+    ],
+)
 def test_a_hello_that_cannot_be_read_is_refused_in_words(told, message):
     with pytest.raises(ValueError, match=message):
         wire.Hello(told)
@@ -426,7 +457,7 @@
                 if s.name not in self.world.pipes:
                     self.world.join(s)
                     if s.name not in self.world.pipes:
-                        self.world.join(s)      # refused with its token, it comes without
+                        self.world.join(s)  # refused with its token, it comes without
             self.world.quiet(300.0)
             assert alike(self.world, self.subscribers), [sorted(s.rows()) for s in self.subscribers]
             assert self.world.caps_kept()
@@ -435,5 +466,6 @@
 
 
 TestStreams = Streams.TestCase
-TestStreams.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True,
-                                suppress_health_check=list(HealthCheck))
+TestStreams.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
+)
