--- a/tests/test_record.py
+++ b/tests/test_record.py
@@ -27,23 +27,33 @@
 from knotwalk.replay.exact import play, replay
 
 SMALL = Size(servers=5, proxies=4, slices=12, rate=40.0)
-NAME, INT = st.text(max_size=8), st.integers(0, 2 ** 63)
-FIGURE = st.floats(allow_nan=False) | st.integers(-5, 2 ** 40)
+NAME, INT = st.text(max_size=8), st.integers(0, 2**63)
+FIGURE = st.floats(allow_nan=False) | st.integers(-5, 2**40)
 ENTRY = st.tuples(NAME, NAME, st.sampled_from(["ready", "draining", "gone"]), FIGURE, FIGURE)
-INBOX = st.lists(st.one_of(
-    st.tuples(st.just("listed"), st.tuples(st.booleans(), st.booleans(), st.lists(ENTRY, max_size=3))),
-    st.tuples(st.sampled_from(["joined", "left", "given", "taken"]), st.tuples(INT)),
-    st.tuples(st.sampled_from(["list_failed", "receipts_lost"]), st.just(())),
-    st.tuples(st.just("held"), st.tuples(INT, NAME, FIGURE)),
-    st.tuples(st.just("wanted"), st.tuples(INT, INT, FIGURE, INT)),
-    st.tuples(st.just("heard"), st.tuples(NAME, NAME, FIGURE, INT, INT, FIGURE,
-                                          st.dictionaries(NAME, FIGURE, max_size=3))),
-    st.tuples(st.just("later"), st.tuples(NAME, FIGURE))), max_size=6)
-ORDERS = st.lists(st.one_of(
-    st.tuples(st.just("line"), st.tuples(INT, NAME, FIGURE)),
-    st.tuples(st.just("admit"), st.tuples(st.none() | INT, INT, FIGURE, INT)),
-    st.tuples(st.just("withdraw"), st.tuples(NAME, st.booleans())),
-    st.tuples(st.just("watch"), st.just(())), st.tuples(st.just("note"), st.tuples(NAME))), max_size=4)
+INBOX = st.lists(
+    st.one_of(
+        st.tuples(st.just("listed"), st.tuples(st.booleans(), st.booleans(), st.lists(ENTRY, max_size=3))),
+        st.tuples(st.sampled_from(["joined", "left", "given", "taken"]), st.tuples(INT)),
+        st.tuples(st.sampled_from(["list_failed", "receipts_lost"]), st.just(())),
+        st.tuples(st.just("held"), st.tuples(INT, NAME, FIGURE)),
+        st.tuples(st.just("wanted"), st.tuples(INT, INT, FIGURE, INT)),
+        st.tuples(
+            st.just("heard"), st.tuples(NAME, NAME, FIGURE, INT, INT, FIGURE, st.dictionaries(NAME, FIGURE, max_size=3))
+        ),
+        st.tuples(st.just("later"), st.tuples(NAME, FIGURE)),
+    ),
+    max_size=6,
+)
+ORDERS = st.lists(
+    st.one_of(
+        st.tuples(st.just("line"), st.tuples(INT, NAME, FIGURE)),
+        st.tuples(st.just("admit"), st.tuples(st.none() | INT, INT, FIGURE, INT)),
+        st.tuples(st.just("withdraw"), st.tuples(NAME, st.booleans())),
+        st.tuples(st.just("watch"), st.just(())),
+        st.tuples(st.just("note"), st.tuples(NAME)),
+    ),
+    max_size=4,
+)
 
 
 def compress(data):
@@ -65,15 +75,19 @@
     frames = [[format.ROUND, k, now, inbox, orders] for k, (now, inbox, orders) in enumerate(rounds)]
     data = format.block(frames, compress)
     lot = format.lot_of(data)
-    back = [[*f[:3], [(h, a) for h, a in f[3]], f[4]] for f in format.frames_of(
-        lot, data[format.LOT.size:], expand)]
+    back = [[*f[:3], [(h, a) for h, a in f[3]], f[4]] for f in format.frames_of(lot, data[format.LOT.size :], expand)]
     assert exactly(back) == exactly(frames) and (lot.first, lot.frames) == (0, len(frames))
 
 
 def recorded(folder, seed=1, seconds=40.0, script=None, **options):
     tapes = Tapes(folder, **options)
-    day = Day(seed, SMALL, script=storm(seed, SMALL, seconds, every=6) if script is None else script,
-              witness=tapes.witness, lives=tapes.lives)
+    day = Day(
+        seed,
+        SMALL,
+        script=storm(seed, SMALL, seconds, every=6) if script is None else script,
+        witness=tapes.witness,
+        lives=tapes.lives,
+    )
     day.run(seconds)
     return tapes, day
 
@@ -104,7 +118,7 @@
     missing = Recording([files[1]]).incarnations["i1"]
     files[1].unlink()
     outcome = replay(Recording([tmp_path]))
-    loss, = outcome.losses
+    (loss,) = outcome.losses
     assert loss.frames == sum(x.lot.frames for x in missing) and loss.since <= missing[0].lot.begun
     assert outcome.exact and len(outcome.stretches) == 2 and outcome.stretches[0].until <= loss.since
 
@@ -137,7 +151,7 @@
     try:
         recording = Recording([folder])
     except Unusable:
-        return      # the head of the only segment: nothing is claimed
+        return  # the head of the only segment: nothing is claimed
     outcome = replay(recording)
     frames = outcome.rounds + outcome.joints + outcome.lives + 2
     assert not outcome.divergences
@@ -161,7 +175,7 @@
 
 def spoilt(data, place, bit, cut):
     at = int(place * len(data))
-    return data[:at] if cut else data[:at] + bytes([data[at] ^ 1 << bit]) + data[at + 1:]
+    return data[:at] if cut else data[:at] + bytes([data[at] ^ 1 << bit]) + data[at + 1 :]
 
 
 def test_a_recorder_without_room_drops_whole_rounds_and_says_so():
@@ -176,7 +190,7 @@
     lost, last = recorder.lost, recorder.number
     recorder.waiting.clear()
     recorder.round(3000.0, [], [], day.module)
-    first = msgpack.unpackb(recorder.waiting[4:4 + LENGTH.unpack_from(recorder.waiting)[0]])
+    first = msgpack.unpackb(recorder.waiting[4 : 4 + LENGTH.unpack_from(recorder.waiting)[0]])
     assert first[:3] == [format.GAP, last + 1, 3000.0] and first[4] == lost + 1 and recorder.gap is None
 
 
@@ -196,10 +210,19 @@
     def __init__(self, folder, **options):
         self.loop, self.lines = Loop(), []
         self.recorder = Recorder("n0", "i1", "digest", options.pop("every", 1e9), **options)
-        self.feed = Feed(self.loop, self.recorder, [str(folder), "n0", "i1", str(1 << 30), "1e9", str(1 << 40)],
-                         lambda kind, text="": self.lines.append(kind))
-        self.day = Day(3, SMALL, script=storm(3, SMALL, 400.0, every=4), witness=self.witness,
-                       lives=lambda now, m, s, seed: self.recorder.life(now, m, s, LIMITS, seed, "start"))
+        self.feed = Feed(
+            self.loop,
+            self.recorder,
+            [str(folder), "n0", "i1", str(1 << 30), "1e9", str(1 << 40)],
+            lambda kind, text="": self.lines.append(kind),
+        )
+        self.day = Day(
+            3,
+            SMALL,
+            script=storm(3, SMALL, 400.0, every=4),
+            witness=self.witness,
+            lives=lambda now, m, s, seed: self.recorder.life(now, m, s, LIMITS, seed, "start"),
+        )
 
     def witness(self, now, inbox, orders, module):
         self.recorder.round(now, inbox, orders, module)
@@ -277,9 +300,10 @@
         """So many bytes fit; then no more."""
         if full[0] <= 0:
             raise OSError(28, "No space left on device")
-        count = real(fd, data[:full[0]])
+        count = real(fd, data[: full[0]])
         full[0] -= count
         return count
+
     monkeypatch.setattr(os, "write", write)
 
     def witness(now, inbox, orders, module):
@@ -287,6 +311,7 @@
         tapes.drain()
         if tapes.writer.failing and not tapes.recorder.held:
             tapes.recorder.hold(now, tapes.said[-1][1])
+
     day = Day(2, SMALL, script=storm(2, SMALL, 60.0, every=4), witness=witness, lives=tapes.lives).run(15.0)
     full[0] = 300
     day.run(15.0)
@@ -327,12 +352,19 @@
 
 def test_a_conductor_cut_off_within_a_frame_leaves_what_was_whole(tmp_path):
     ours, theirs = socket.socketpair()
-    writer = subprocess.Popen([sys.executable, "-m", "knotwalk.record.writer", str(tmp_path), "n0", "i1",
-                               str(1 << 30), "1e9", str(1 << 40)], stdin=theirs)
+    writer = subprocess.Popen(
+        [sys.executable, "-m", "knotwalk.record.writer", str(tmp_path), "n0", "i1", str(1 << 30), "1e9", str(1 << 40)],
+        stdin=theirs,
+    )
     theirs.close()
     recorder = Recorder("n0", "i1", "digest", 1e9)
-    day = Day(3, SMALL, lives=lambda now, m, s, seed: recorder.life(now, m, s, LIMITS, seed, "start"),
-              witness=recorder.round, script=storm(3, SMALL, 30.0, every=4)).run(30.0)
+    day = Day(
+        3,
+        SMALL,
+        lives=lambda now, m, s, seed: recorder.life(now, m, s, LIMITS, seed, "start"),
+        witness=recorder.round,
+        script=storm(3, SMALL, 30.0, every=4),
+    ).run(30.0)
     recorder.settle()
     assert day and recorder.number > 20
     ours.sendall(recorder.waiting[:-7])
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -22,8 +22,15 @@
 
 def taped(folder, seed, size, seconds, script=None, settings=None, every=15.0, **options):
     tapes = Tapes(folder, every=every)
-    day = Day(seed, size, settings, script=storm(seed, size, seconds, 15) if script is None else script,
-              witness=tapes.witness, lives=tapes.lives, **options)
+    day = Day(
+        seed,
+        size,
+        settings,
+        script=storm(seed, size, seconds, 15) if script is None else script,
+        witness=tapes.witness,
+        lives=tapes.lives,
+        **options,
+    )
     day.run(seconds)
     tapes.close(day.now)
     return day, Recording([folder])
@@ -39,6 +46,7 @@
         def come_anew(self):
             """A reload with other settings, in the same process: the streams go on."""
             from knotwalk.state import carry
+
             old, self.settings = self.module, self.settings._replace(messages_most=5)
             self.module = Conductor(self.settings, 77)
             carry(old, self.module)
@@ -57,7 +65,7 @@
 def test_a_failed_decision_fails_again_and_the_next_life_goes_on(tmp_path, monkeypatch):
     tapes = Tapes(tmp_path, every=7.0)
     day = Day(4, SMALL, script=storm(4, SMALL, 30.0, 5), witness=tapes.witness, lives=tapes.lives).run(20.0)
-    bad = [("held", (0, "s1", "heavy"))]        # a weight that is no figure
+    bad = [("held", (0, "s1", "heavy"))]  # a weight that is no figure
     with pytest.raises(TypeError) as fault:
         day.module.decide(day.now + 0.1, bad, exact.Tape())
     tapes.recorder.failed(day.now + 0.1, bad, [], f"TypeError: {fault.value}")
@@ -100,8 +108,13 @@
 
 def tried(past, sets, runs=4):
     c = change.read(sets, None, past.lives[0].settings)
-    return verdict.compare(past, *([Model(past, x.settings, x.make, seed).run() for seed in range(runs)]
-                                   for x in (change.read([], None, past.lives[0].settings), c))), c
+    return verdict.compare(
+        past,
+        *(
+            [Model(past, x.settings, x.make, seed).run() for seed in range(runs)]
+            for x in (change.read([], None, past.lives[0].settings), c)
+        ),
+    ), c
 
 
 @pytest.mark.parametrize("seed, sets", [(2, ["PERIOD=1e6", "URGENT=1e6"]), (6, ["admits=no"]), (3, ["URGENT=6"])])
@@ -157,18 +170,25 @@
 """
 
 
-@pytest.mark.parametrize("sets, policy, message", [
-    (["colour=1"], None, "--set colour=1: no such setting or tuned value; there are slices"),
-    (["PERIOD=soon"], None, "--set PERIOD=soon: not a figure"),
-    (["messages_most=2.5"], None, "whole number"),
-    (["admits=maybe"], None, "neither yes nor no"),
-    (["PERIOD"], None, "NAME=VALUE is wanted"),
-    (["methods.7.criticality=1"], None, "no such setting"),
-    ([], "raise ValueError('broken')\n", "it raises ValueError: broken"),
-    ([], "def f(:\n", "line 1"),
-    ([], "x = 1\n", "it has no class Conductor"),
-    ([], "class Conductor:\n    def __init__(self): pass\n    def decide(self, now, inbox, out): pass\n",
-     "cannot be made with these settings: TypeError")])
+@pytest.mark.parametrize(
+    "sets, policy, message",
+    [
+        (["colour=1"], None, "--set colour=1: no such setting or tuned value; there are slices"),
+        (["PERIOD=soon"], None, "--set PERIOD=soon: not a figure"),
+        (["messages_most=2.5"], None, "whole number"),
+        (["admits=maybe"], None, "neither yes nor no"),
+        (["PERIOD"], None, "NAME=VALUE is wanted"),
+        (["methods.7.criticality=1"], None, "no such setting"),
+        ([], "raise ValueError('broken')\n", "it raises ValueError: broken"),
+        ([], "def f(:\n", "line 1"),
+        ([], "x = 1\n", "it has no class Conductor"),
+        (
+            [],
+            "class Conductor:\n    def __init__(self): pass\n    def decide(self, now, inbox, out): pass\n",
+            "cannot be made with these settings: TypeError",
+        ),
+    ],
+)
 def test_a_change_that_cannot_be_made_is_one_plain_line(tmp_path, sets, policy, message):
     path = None
     if policy is not None:
@@ -196,8 +216,12 @@
 
 
 def knotwalk(*arguments):
-    return subprocess.run([sys.executable, "-m", "knotwalk", *map(str, arguments)], capture_output=True, text=True,
-                          cwd=Path(__file__).parent.parent)
+    return subprocess.run(
+        [sys.executable, "-m", "knotwalk", *map(str, arguments)],
+        capture_output=True,
+        text=True,
+        cwd=Path(__file__).parent.parent,
+    )
 
 
 def test_the_command_replays_asks_what_if_and_writes_its_page(tmp_path):
@@ -217,6 +241,7 @@
 
 def test_a_policy_that_loops_is_ended(tmp_path, monkeypatch):
     from knotwalk.replay import command
+
     monkeypatch.setattr(command, "PATIENCE", 0.3)
     day, recording = taped(tmp_path, 1, SMALL, 10.0)
     (tmp_path / "p.py").write_text(POLICY + "        while True:\n            pass\n")
@@ -227,6 +252,7 @@
 
 def test_records_are_told_verified_and_exported(tmp_path):
     import pyarrow.parquet
+
     day, recording = taped(tmp_path / "r", 2, SMALL, 30.0)
     assert "checkpoints 2" in knotwalk("record", "info", tmp_path / "r").stdout
     assert knotwalk("record", "verify", tmp_path / "r").returncode == 0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -149,7 +149,9 @@
         if not day_rules:
             day_rules.append(Rules(settings, LIMITS))
         day_rules[0].feed(now, inbox, orders)
+
     from standins.day import settings_of
+
     settings = settings_of(size)
     Day(seed, size, script=storm(seed, size, 60.0, every=6), witness=witness).run(60.0)
     r = day_rules[0]
--- a/tests/test_serve.py
+++ b/tests/test_serve.py
@@ -30,6 +30,7 @@
             return sock.recv(99) == ALIVE
         except BlockingIOError:
             return False
+
     try:
         return stand.until(got)
     finally:
@@ -45,8 +46,10 @@
     return [f for x in stand.calls for f in x if f["do"] == "SET"]
 
 
-OFF_A = [{"do": "SET", "group": 0, "server": "b", "weight": 1.0},
-         {"do": "SET", "group": 0, "server": "a", "weight": 0.0}]
+OFF_A = [
+    {"do": "SET", "group": 0, "server": "b", "weight": 1.0},
+    {"do": "SET", "group": 0, "server": "a", "weight": 0.0},
+]
 
 
 def test_it_serves_orders_a_drain_and_ends_at_sigterm():
@@ -130,11 +133,18 @@
     """SIGHUP ended it (exit 129) until the configuration was read. Here that reading is held up by a pipe."""
     stand, other, path = StandIn(), StandIn(), tmp_path / "config"
     os.mkfifo(path)
-    told = {"name": "n0", "listen": "127.0.0.1:0", "discovery": stand.address, "seed": "5", "settings": SETTINGS,
-            "limits": {"memory_mb": 192, "sockets": 64}, "hub": {"address": stand.address},
-            "known": {"version": 1, "full": True, "servers": stand.servers}}
+    told = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": stand.address,
+        "seed": "5",
+        "settings": SETTINGS,
+        "limits": {"memory_mb": 192, "sockets": 64},
+        "hub": {"address": stand.address},
+        "known": {"version": 1, "full": True, "servers": stand.servers},
+    }
     program = run({"EDGE_CONFIG": str(path)}, "serve")
-    with open(path, "w") as pipe:       # comes back once the program reads
+    with open(path, "w") as pipe:  # comes back once the program reads
         program.send_signal(signal.SIGHUP)
         (tmp_path / "new").write_text(json.dumps({**told, "discovery": other.address}))
         os.replace(tmp_path / "new", path)
@@ -188,7 +198,7 @@
     stand = StandIn()
     address = stand.start()
     assert alive(stand, address)
-    socks = [socket.create_connection(address, 20) for _ in range(80)]      # the limit is 64 descriptors
+    socks = [socket.create_connection(address, 20) for _ in range(80)]  # the limit is 64 descriptors
     said = [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$999999999\r\n", b"*9\r\n$5\r\nho", b"\0" * 99]
     for sock, data in zip(socks, said * 20):
         try:
@@ -219,14 +229,23 @@
 def test_a_bad_start_says_what_is_wrong_in_one_line(tmp_path):
     good, bad = tmp_path / "good.json", tmp_path / "bad.json"
     stand = StandIn()
-    told = {"name": "n0", "listen": stand.address, "discovery": stand.address, "seed": "5",
-            "hub": {"address": stand.address}, "settings": SETTINGS}
+    told = {
+        "name": "n0",
+        "listen": stand.address,
+        "discovery": stand.address,
+        "seed": "5",
+        "hub": {"address": stand.address},
+        "settings": SETTINGS,
+    }
     good.write_text(json.dumps(told))
     bad.write_text(json.dumps({**told, "hub": {}}))
-    for environ, code, word in (({}, 2, "EDGE_CONFIG"), ({"EDGE_CONFIG": "/none"}, 2, "/none"),
-                                ({"EDGE_CONFIG": str(bad)}, 2, "'address' is missing"),
-                                ({"EDGE_CONFIG": str(good), "EDGE_LISTEN": "x"}, 2, "EDGE_LISTEN"),
-                                ({"EDGE_CONFIG": str(good)}, 1, "in use")):
+    for environ, code, word in (
+        ({}, 2, "EDGE_CONFIG"),
+        ({"EDGE_CONFIG": "/none"}, 2, "/none"),
+        ({"EDGE_CONFIG": str(bad)}, 2, "'address' is missing"),
+        ({"EDGE_CONFIG": str(good), "EDGE_LISTEN": "x"}, 2, "EDGE_LISTEN"),
+        ({"EDGE_CONFIG": str(good)}, 1, "in use"),
+    ):
         program = run(environ)
         _, errors = program.communicate(timeout=20)
         assert program.returncode == code and word in errors and errors.count("\n") == 1, errors
@@ -234,8 +253,18 @@
 
 def test_commands(tmp_path):
     path = tmp_path / "config.json"
-    path.write_text(json.dumps({"name": "n7", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
-                                "seed": "5", "hub": {"address": "127.0.0.1:2"}, "settings": SETTINGS}))
+    path.write_text(
+        json.dumps(
+            {
+                "name": "n7",
+                "listen": "127.0.0.1:0",
+                "discovery": "127.0.0.1:1",
+                "seed": "5",
+                "hub": {"address": "127.0.0.1:2"},
+                "settings": SETTINGS,
+            }
+        )
+    )
     said = run({"EDGE_CONFIG": str(path)}, "check").communicate(timeout=20)[0]
     assert "n7 listens on 127.0.0.1:0" in said and "methods: read" in said
     assert run({}, "check").wait(20) == 2
@@ -246,9 +275,16 @@
 
 def host(tmp_path, **changes):
     path = tmp_path / "config.json"
-    told = {"name": "n0", "listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "5",
-            "hub": {"address": "127.0.0.1:1"}, "settings": SETTINGS,
-            "known": {"version": 1, "servers": [{"id": "a", "state": "active"}]}, **changes}
+    told = {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:1",
+        "seed": "5",
+        "hub": {"address": "127.0.0.1:1"},
+        "settings": SETTINGS,
+        "known": {"version": 1, "servers": [{"id": "a", "state": "active"}]},
+        **changes,
+    }
     path.write_text(json.dumps(told))
     return Host(Config({"EDGE_CONFIG": str(path)}), Log(open(os.devnull, "w")))
 
@@ -263,8 +299,12 @@
     failed.mark = 40
     h.round()
     assert h.module is not failed and list(h.module.sent) == [7.0] and h.module.mark == 40
-    assert h.inbox == [("joined", (4,)), ("given", (0,)), ("held", (0, "a", 1.0)),
-                       ("listed", (True, False, [("a", "", "ready", 1.0, 0.0)]))]
+    assert h.inbox == [
+        ("joined", (4,)),
+        ("given", (0,)),
+        ("held", (0, "a", 1.0)),
+        ("listed", (True, False, [("a", "", "ready", 1.0, 0.0)])),
+    ]
     h.last = 0.0
     h.round()
     assert h.module.slices[0].told == {h.module.servers["a"]: 1.0} and h.inbox == []
@@ -307,9 +347,14 @@
 
 
 def test_figures_in_the_configuration_that_make_no_sense(tmp_path):
-    for changes in ({"limits": {"sockets": "many"}}, {"seed": "xyz"}, {"settings": {"tick_us": "soon"}},
-                    {"known": {"version": 1, "servers": [{}]}}, {"discovery": "here:1"},
-                    {"settings": {"classes": [{"slo_us": "x"}]}}):
+    for changes in (
+        {"limits": {"sockets": "many"}},
+        {"seed": "xyz"},
+        {"settings": {"tick_us": "soon"}},
+        {"known": {"version": 1, "servers": [{}]}},
+        {"discovery": "here:1"},
+        {"settings": {"classes": [{"slo_us": "x"}]}},
+    ):
         try:
             host(tmp_path, **changes)
         except Misfit as fault:
@@ -329,11 +374,29 @@
     """A collector's word on both servers, a period's worth."""
     sock, _ = call(address, packed("agent", "zone", "z"))
     for server in "ab":
-        sock.sendall(packed("outcomes", "zone", "z", "server", server, "tries", "40", "failed", "1", "mean_ms", "50",
-                            "span_ms", "2000.0", "load", "util:0.5"))
+        sock.sendall(
+            packed(
+                "outcomes",
+                "zone",
+                "z",
+                "server",
+                server,
+                "tries",
+                "40",
+                "failed",
+                "1",
+                "mean_ms",
+                "50",
+                "span_ms",
+                "2000.0",
+                "load",
+                "util:0.5",
+            )
+        )
     for slice_id in "01":
-        sock.sendall(packed("hot", "slice", slice_id, "class", "read", "tries", "40", "failed", "0", "span_ms",
-                            "2000.0"))
+        sock.sendall(
+            packed("hot", "slice", slice_id, "class", "read", "tries", "40", "failed", "0", "span_ms", "2000.0")
+        )
     return sock
 
 
@@ -355,7 +418,7 @@
     assert alive(stand, address)
     drain(stand, "b")
     begun = time.monotonic()
-    stand.until(lambda: time.monotonic() > begun + 3)       # past a block's age
+    stand.until(lambda: time.monotonic() > begun + 3)  # past a block's age
     stand.program.kill()
     stand.program.wait(20)
     stand.start("%s:%d" % address, arguments=recording(tmp_path))
@@ -401,17 +464,25 @@
 def at_size(proxies):
     """A stand-in for a fleet of so many proxies, whose relay acknowledges each message for all of them."""
     stand = StandIn()
-    family = {**SETTINGS["family_info"], "partitions_n": 140, "data_plane_size": proxies, "fixed_cost": 16.0,
-              "most_waiting": 175.0 * proxies, "lines_per_s": 120.0 * proxies}
+    family = {
+        **SETTINGS["family_info"],
+        "partitions_n": 140,
+        "data_plane_size": proxies,
+        "fixed_cost": 16.0,
+        "most_waiting": 175.0 * proxies,
+        "lines_per_s": 120.0 * proxies,
+    }
     stand.settings = {**SETTINGS, "family_info": family}
     stand.servers = [{"id": f"s{k}", "zone": "z", "state": "active"} for k in range(120)]
     stand.slices, stand.proxies = {0: {"s0": 1.0}}, [0]
 
     def fate(given):
         for mark in [f["ticket"] for f in given if f["do"] == "SYNC"]:
-            stand.loop.after(0.1, lambda: stand.tell(*(
-                ("ack", {"proxy": p, "mark": mark, "took_ms": 100.0}) for p in stand.proxies)))
+            stand.loop.after(
+                0.1, lambda: stand.tell(*(("ack", {"proxy": p, "mark": mark, "took_ms": 100.0}) for p in stand.proxies))
+            )
         return True
+
     stand.fate = fate
     return stand
 
@@ -432,7 +503,7 @@
     begun = time.monotonic()
     stand.until(lambda: not any(x in gone for held in stand.slices.values() for x in held))
     assert time.monotonic() - begun < 5 and all(stand.slices.values())
-    for given in stand.calls:       # what a message weighs at all proxies is within the cap
+    for given in stand.calls:  # what a message weighs at all proxies is within the cap
         assert (16 + sum(f["do"] != "SYNC" for f in given)) * 640 <= 175 * 640
     assert stand.stop() == 0
 
@@ -446,8 +517,14 @@
     collector, _ = call(address, packed("agent", "zone", "z"))
     other = StandIn(stand.loop)
     other.slices, other.proxies, other.servers, other.fate = stand.slices, stand.proxies, stand.servers, stand.fate
-    spoilt = [packed("outcomes", "zone", "z"), packed("hot", "slice", "x", "tries", "-1"), packed("agent", "zone"),
-              b"*2\r\n$5\r\nagent\r\n$9", b"POST / HTTP/1.1\r\n\r\n", b""]
+    spoilt = [
+        packed("outcomes", "zone", "z"),
+        packed("hot", "slice", "x", "tries", "-1"),
+        packed("agent", "zone"),
+        b"*2\r\n$5\r\nagent\r\n$9",
+        b"POST / HTTP/1.1\r\n\r\n",
+        b"",
+    ]
     crowd = []
     for wave in range(4):
         for k in range(120):
@@ -471,12 +548,12 @@
     try:
         assert collector.recv(1) != b"", "the collector was ended"
     except BlockingIOError:
-        pass        # still there, and nothing was written to it
+        pass  # still there, and nothing was written to it
     drain(other, "s0")
     stand.until(lambda: "s0" not in other.slices[0])
     assert other.slices[0]
 
-    def closed():       # what was spoilt or silent is ended, not kept
+    def closed():  # what was spoilt or silent is ended, not kept
         left = []
         for sock in crowd:
             try:
@@ -488,5 +565,6 @@
                 pass
         crowd[:] = left
         return not left
+
     assert stand.until(closed) and stand.stop() == 0
     collector.close()
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -26,8 +26,12 @@
 
 def rounds_of(seed, seconds=40.0, size=SMALL):
     rounds = []
-    day = Day(seed, size, script=storm(seed, size, seconds, every=6),
-              witness=lambda now, inbox, orders, _: rounds.append((now, inbox, orders)))
+    day = Day(
+        seed,
+        size,
+        script=storm(seed, size, seconds, every=6),
+        witness=lambda now, inbox, orders, _: rounds.append((now, inbox, orders)),
+    )
     day.run(seconds)
     return rounds, day
 
@@ -82,9 +86,17 @@
     assert state.settings_read({k: v for k, v in told.items() if k not in ("controllers", "place")}) == day.settings
 
 
-@pytest.mark.parametrize("spoil", [
-    lambda t: {}, lambda t: None, lambda t: {**t, "servers": t["servers"][:1]}, lambda t: {**t, "module": [1]},
-    lambda t: {**t, "random": [3, [1], None]}, lambda t: {k: v for k, v in t.items() if k != "sent"}])
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda t: {},
+        lambda t: None,
+        lambda t: {**t, "servers": t["servers"][:1]},
+        lambda t: {**t, "module": [1]},
+        lambda t: {**t, "random": [3, [1], None]},
+        lambda t: {k: v for k, v in t.items() if k != "sent"},
+    ],
+)
 def test_a_spoilt_snapshot_is_refused_in_words(spoil):
     _, day = rounds_of(1)
     with pytest.raises(state.Unfit):
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -4,12 +4,17 @@
 
 from knotwalk.wirehost.host import Host, serve
 
-BORN = ("BORN random_seed=7 classes.count=1 classes.0.name=read classes.0.slo_us=1500000 "
-        "family_info.partitions_n=1 family_info.retry_default=1 family_info.admit=fraction "
-        "stats.columns=busy,new "
-        "family_info.period_us=1000000 family_info.most_waiting=1000 future.key=x")
-LIST = ["PAGE bank=0 members_list=1", "ITEM node=10.0.0.1:80 zone=z readiness=Running w=1",
-        "PEERS_KNOWN form=Persisted bank=0 epoch=1"]
+BORN = (
+    "BORN random_seed=7 classes.count=1 classes.0.name=read classes.0.slo_us=1500000 "
+    "family_info.partitions_n=1 family_info.retry_default=1 family_info.admit=fraction "
+    "stats.columns=busy,new "
+    "family_info.period_us=1000000 family_info.most_waiting=1000 future.key=x"
+)
+LIST = [
+    "PAGE bank=0 members_list=1",
+    "ITEM node=10.0.0.1:80 zone=z readiness=Running w=1",
+    "PEERS_KNOWN form=Persisted bank=0 epoch=1",
+]
 
 
 def run(*lines, end="\n"):
@@ -33,14 +38,28 @@
 
 
 def test_every_event_is_taken():
-    code, reply, errors = run(*batch(
-        "CONTEXT who=c_1", BORN, *LIST, "JOINED active=1 w=6.5 zone=z edge=4", "TENURE map_id=0 active=1",
-        "ON_RECORD map_id=0 node=10.0.0.1:80 w=1", "REMINDER cookie=0", "CAUGHT_UP edge=4 epoch=1",
-        "UPSTREAM_STATS period_len_us=1000000 zone=z node=10.0.0.1:80 unanswered=1 count=9 gauge=0.5,1",
-        "PRESSURE map_id=0 tier_class=read count=9 unanswered=0 period_len_us=1000000",
-        "PEERS_KNOWN form=Error bank=0", "PONG node=10.0.0.1:80 outcome=0 wait_time_us=1",
-        "MAIL src=1 body=-", "DEMAND edge=4 tier_class=read count=1 unanswered=0 period_len_us=1",
-        "DROPPED_OFF edge=4", "CRASH_NOW", BORN, *LIST))
+    code, reply, errors = run(
+        *batch(
+            "CONTEXT who=c_1",
+            BORN,
+            *LIST,
+            "JOINED active=1 w=6.5 zone=z edge=4",
+            "TENURE map_id=0 active=1",
+            "ON_RECORD map_id=0 node=10.0.0.1:80 w=1",
+            "REMINDER cookie=0",
+            "CAUGHT_UP edge=4 epoch=1",
+            "UPSTREAM_STATS period_len_us=1000000 zone=z node=10.0.0.1:80 unanswered=1 count=9 gauge=0.5,1",
+            "PRESSURE map_id=0 tier_class=read count=9 unanswered=0 period_len_us=1000000",
+            "PEERS_KNOWN form=Error bank=0",
+            "PONG node=10.0.0.1:80 outcome=0 wait_time_us=1",
+            "MAIL src=1 body=-",
+            "DEMAND edge=4 tier_class=read count=1 unanswered=0 period_len_us=1",
+            "DROPPED_OFF edge=4",
+            "CRASH_NOW",
+            BORN,
+            *LIST,
+        )
+    )
     assert (code, errors) == (0, "") and not any("FATAL" in line for line in reply)
 
 
@@ -52,10 +71,14 @@
 
 
 def test_what_cannot_be_read_is_named_and_the_rest_goes_on():
-    for bad, word in (("NONSENSE a=1", "no such event"), ("JOINED edge=x", "'x'"),
-                      ("JOINED zone=z", "'edge' is missing"), ("JOINED edge", "not name=value"),
-                      ("PEERS_KNOWN form=Partial bank=5", "bank 5"),
-                      ("PRESSURE map_id=0 tier_class=other count=1 period_len_us=1", "other")):
+    for bad, word in (
+        ("NONSENSE a=1", "no such event"),
+        ("JOINED edge=x", "'x'"),
+        ("JOINED zone=z", "'edge' is missing"),
+        ("JOINED edge", "not name=value"),
+        ("PEERS_KNOWN form=Partial bank=5", "bank 5"),
+        ("PRESSURE map_id=0 tier_class=other count=1 period_len_us=1", "other"),
+    ):
         code, reply, errors = run(*batch("CONTEXT who=c", BORN, bad), *batch(frame=2))
         assert code == 0 and word in errors and "Traceback" not in errors and reply[-1] == "END frame=2", bad
 
