--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -27,7 +27,8 @@
 from typing import Any
 
 from benchmarks import configuration
-from knotwalk.consensus.machine import Answer, Apply, Entry, Machine, Pace, Role, Save, Send
+from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.orders import Answer, Apply, Entry, Pace, Role, Save, Send
 from knotwalk.consensus.store import Store
 from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.discovery.cluster_view import SLICES, Node
--- a/knotwalk/admission/connection_budget.py
+++ b/knotwalk/admission/connection_budget.py
@@ -31,7 +31,7 @@
     """The shares of a machine with so many descriptors.
 
     >>> shared(4100), shared(220)
-    (Berths(clients=2335, kept=1167, nodes=1557), Berths(clients=7, kept=3, nodes=5))
+    (ConnectionBudget(clients=2335, kept=1167, nodes=1557), ConnectionBudget(clients=7, kept=3, nodes=5))
     """
     free = max(2 * LEAST, descriptors - FILES - OWN)
     clients = int(free * CLIENT_PART)
--- a/knotwalk/consensus/store.py
+++ b/knotwalk/consensus/store.py
@@ -28,7 +28,7 @@
 from typing import Any
 from urllib.parse import quote
 
-from knotwalk.consensus.machine import Entry, Save, Saved
+from knotwalk.consensus.orders import Entry, Save, Saved
 
 NAME = "logbook.sqlite"
 # What a damaged file is renamed to; while it is there, no identity of a founder is given.
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -13,7 +13,7 @@
 from zlib import crc32
 
 from knotwalk.configuration.read import document
-from knotwalk.consensus.machine import Pace
+from knotwalk.consensus.orders import Pace
 from knotwalk.consensus.store import Store, StoreBroken
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
 from knotwalk.control_plane.control import Control
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -9,7 +9,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from knotwalk.consensus.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
+from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.orders import Answer, Apply, Pace, Restore, Role, Save, Send
 from knotwalk.consensus.store import Damaged, Refused, Store
 from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.leases.ledger import Change
--- a/knotwalk/discovery/cluster_view.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -1,6 +1,6 @@
 """The cluster view that the core spreads and the edges act on: configuration, nodes, owner lines; changes, not wholes.
 
-A `Board` stands in each core program; a `Cluster view` in each edge program. Every topic has an order that only rises (the
+A `Board` stands in each core program; a `ClusterView` in each edge program. Every topic has an order that only rises (the
 index in the agreed log; for nodes the poller's term and turn), so a cluster view never goes back, whichever core it hears.
 A cluster view that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders,
 so whatever a fresh core tells replaces it.
--- a/tests/system/cluster.py
+++ b/tests/system/cluster.py
@@ -11,18 +11,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from knotwalk.consensus.machine import (
-    Answer,
-    Apply,
-    Entry,
-    Machine,
-    Pace,
-    Restore,
-    Role,
-    Save,
-    Saved,
-    Send,
-)
+from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.orders import Answer, Apply, Entry, Pace, Restore, Role, Save, Saved, Send
 
 
 class Violation(AssertionError):
--- a/tests/system/model.py
+++ b/tests/system/model.py
@@ -17,7 +17,8 @@
 from dataclasses import dataclass, field, replace
 from typing import Any
 
-from knotwalk.consensus.machine import Apply, Machine, Pace, Role, Save, Saved, Send
+from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.orders import Apply, Pace, Role, Save, Saved, Send
 from knotwalk.discovery.cluster_view import Node
 from knotwalk.leases.keeper import SLOW, Grant, Holder, Keeper, Pace as KeysPace, Propose, Release
 from knotwalk.leases.ledger import Ledger, Slice
--- a/tests/system/test_cli.py
+++ b/tests/system/test_cli.py
@@ -17,7 +17,8 @@
 from knotwalk.cli.compare import differences
 from knotwalk.configuration.control import History, judge, reading
 from knotwalk.configuration.read import document, read_configuration
-from knotwalk.consensus.machine import Entry, Machine, Pace, Save, Saved
+from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.orders import Entry, Pace, Save, Saved
 from knotwalk.consensus.store import Store, StoreBroken, read
 from knotwalk.control_plane import account
 from knotwalk.control_plane.replicated_state import ReplicatedState
--- a/tests/system/test_consensus.py
+++ b/tests/system/test_consensus.py
@@ -5,8 +5,9 @@
 from hypothesis import HealthCheck, settings, strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from knotwalk.consensus.machine import Answer, Apply, Entry, Machine, Pace, Save, Saved, Send
+from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.members import Standing, change
+from knotwalk.consensus.orders import Answer, Apply, Entry, Pace, Save, Saved, Send
 from tests.system.cluster import Cluster, Node, Violation, trouble
 
 
--- a/tests/system/test_consensus_store.py
+++ b/tests/system/test_consensus_store.py
@@ -15,7 +15,7 @@
 from pathlib import Path
 from typing import Any
 
-from knotwalk.consensus.machine import Entry, Save, Saved
+from knotwalk.consensus.orders import Entry, Save, Saved
 from knotwalk.consensus.store import ASIDE, NAME, Damaged, Refused, Store, StoreBroken
 from tests.standins.disk import FULL, REFUSED, FaultyDisk
 
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -11,7 +11,7 @@
 from unittest import mock
 
 from knotwalk.configuration.read import document, patched, read_configuration
-from knotwalk.consensus.machine import Pace, Save, Saved
+from knotwalk.consensus.orders import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
 from knotwalk.control_plane.list_poller import ListPoller
--- a/tests/system/test_runtime.py
+++ b/tests/system/test_runtime.py
@@ -75,7 +75,7 @@
         with (
             tempfile.TemporaryDirectory() as folder,
             mock.patch.object(life, "LOOK", 0.001),
-            mock.patch.object(life.logs, "warn", lambda event, **fields: told.append(fields["why"])),
+            mock.patch.object(life.logs, "log_warning", lambda event, **fields: told.append(fields["why"])),
         ):
             file = Path(folder, "node.json")
 
