--- /dev/null
+++ b/knotwalk/control_plane/__main__.py
@@ -0,0 +1,166 @@
+"""python -m knotwalk.control_plane: one core machine's program, until SIGTERM. The platform's settings file says the
+rest."""
+
+from __future__ import annotations
+
+import time
+
+BORN = time.monotonic()  # before the imports, which take a third of a second: no life before this one acts after it
+
+import asyncio
+import os
+import sys
+from zlib import crc32
+
+from knotwalk.configuration.read import document
+from knotwalk.consensus.orders import Pace
+from knotwalk.consensus.store import Store, StoreBroken
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
+from knotwalk.control_plane.control import Control
+from knotwalk.control_plane.list_poller import ListPoller
+from knotwalk.control_plane.peer_api import PeerApi
+from knotwalk.control_plane.slice_manager import SliceManager
+from knotwalk.discovery.cluster_view import Board
+from knotwalk.discovery.loads import Loads
+from knotwalk.leases import keeper
+from knotwalk.runtime import logs
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.life import Ending, live
+from knotwalk.runtime.logs import log_info
+from knotwalk.runtime.serve import Listener
+from knotwalk.runtime.settings import Settings
+
+
+class ControlPlane:
+    """The rooms of a core machine, wired together."""
+
+    def __init__(self, settings: Settings):
+        self.settings = settings
+        settings.at("control")  # said before anything is begun
+        port = settings.ports[0]
+        own = f"{settings.ip_address}:{port}"
+        founders = {f"{ip}:{port}#founder": f"{ip}:{port}" for ip, _ in settings.seeds}
+        self.store = Store(settings.machine.disk_mb or 64)
+        saved = opened(self.store, settings.data_dir, settings.initial_boot, own, founders)
+        self.me = saved.me
+        self.caller = Caller()
+        seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
+        self.consensus = ConsensusDriver(
+            self.store, saved, self.caller, Pace(target=2 * settings.tolerance.machines + 1), seed, BORN
+        )
+        self.consensus.machine.address = own
+        self.consensus.machine.contacts = [at for at in founders.values() if at != own]
+        self.board = Board(os.urandom(6).hex())
+        self.loads = Loads()
+        self.list_poller = ListPoller(settings, self.consensus, self.board, self.caller, self.me)
+        self.granter = Caller(resets=True)
+        self.conductor = SliceManager(
+            self.me,
+            self.consensus,
+            self.board,
+            self.loads,
+            self.granter,
+            keeper.Pace(hold=min(6.0, settings.bounds.max_hold)),
+            seed,
+            self.propose,
+            settings.zone,
+        )
+        self.peer_api = PeerApi(
+            self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads, self.caller
+        )
+        self.control = Control(self.consensus, settings.at("control")[1])
+        self.consensus.on_config = self.configured
+        self.consensus.on_change = self.lines_changed
+        self.consensus.on_role = lambda role: self.list_poller.role(role.role == "leader")
+        self.consensus.on_restore = self.restored
+        self.consensus.on_damage = lambda: os._exit(1)  # nothing more is promised, no leave: the disk may be whole
+        self.list_poller.on_nodes = self.listed
+        self.ending = Ending(self.reload)
+
+    async def propose(self, command: dict) -> str | None:
+        return await self.peer_api.propose(command)
+
+    # --- what the agreed log and the list bring -----------------------------------------------------
+
+    def configured(self) -> None:
+        state = self.consensus.state
+        self.board.set_config(state.order, document(state.configuration))
+        self.peer_api.changed()
+
+    def lines_changed(self, index: int, changes: list) -> None:
+        by_service: dict[str, dict[int, tuple[str, bool]]] = {}
+        for change in changes:
+            by_service.setdefault(change.service, {})[change.slice] = (change.owner, change.open)
+        for service, lines in by_service.items():
+            self.board.set_lines(index, service, lines)
+        if changes:
+            self.peer_api.changed()
+        self.conductor.look()
+
+    def restored(self) -> None:
+        """A whole state stands where there was another or none."""
+        state = self.consensus.state
+        if state.configuration is not None:
+            self.configured()
+        for service, slices in state.ledger.slices.items():
+            self.board.set_lines(state.applied, service, {k: (s.owner, s.open) for k, s in enumerate(slices)})
+        self.peer_api.changed()
+        self.conductor.look(whole=True)
+
+    def listed(self) -> None:
+        self.conductor.listed()
+        self.peer_api.changed()
+
+    # --- life -----------------------------------------------------------------------------------------
+
+    async def run(self) -> None:
+        self.ending.listen()
+        peer_api, control = Listener(self.peer_api.app()), Listener(self.control.app())
+        await peer_api.start(self.settings.ip_address, self.settings.ports[0])
+        await control.start(*self.settings.at("control"))
+        self.restored()
+        self.consensus.start()
+        works = [
+            asyncio.get_running_loop().create_task(work)
+            for work in (
+                self.list_poller.keep_leases(),
+                self.list_poller.poll(),
+                self.peer_api.keep_lease(),
+                self.peer_api.share_loads(),
+                self.conductor.place(),
+                self.watch_members(),
+            )
+        ]
+        log_info(
+            "started", me=self.me, members=list(self.consensus.machine.members), applied=self.consensus.state.applied
+        )
+        await self.ending.wait(*works)
+        log_info("leaving")
+        await self.peer_api.leave()
+        self.consensus.machine.leave(logs.clock())
+        self.consensus.carry_out()
+        await asyncio.sleep(min(1.0, self.settings.bounds.grace_period / 4))
+        for work in works:
+            work.cancel()
+        await control.close()
+        await peer_api.close()
+        await self.consensus.close()
+        await self.caller.close()
+        await self.granter.close()
+
+    async def watch_members(self) -> None:
+        """Tell the edges which cores there are, as members change."""
+        while True:
+            self.board.set_cores(sorted(self.consensus.machine.members.values()))
+            await asyncio.sleep(0.5)
+
+    def reload(self, fresh: Settings) -> None:
+        """The settings file changed: seeds and the platform's address are taken up; the rest wants a start."""
+        self.settings = self.list_poller.settings = fresh
+        port, own = fresh.ports[0], fresh.ip_address
+        self.consensus.machine.contacts = [f"{ip}:{port}" for ip, _ in fresh.seeds if ip != own]
+
+
+if __name__ == "__main__":
+    code = live("control_plane", ControlPlane, StoreBroken)
+    os._exit(code) if code == 0 else sys.exit(code)  # a thread that hangs on a disk must not hold the end up
--- a/knotwalk/barometer/agree.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -9,23 +9,30 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from knotwalk.barometer.record import Record
+from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.orders import Answer, Apply, Pace, Restore, Role, Save, Send
+from knotwalk.consensus.store import Damaged, Refused, Store
+from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.leases.ledger import Change
-from knotwalk.logbook.machine import Answer, Apply, Machine, Pace, Restore, Role, Save, Send
-from knotwalk.logbook.store import Damaged, Refused, Store
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, tell, trouble, warn
-
-HANG = 0.6          # a write that takes longer costs leadership: others serve meanwhile
-PATIENCE = 0.6      # for a peer: a lost message is repeated by the machine's own pace
-COMPACT = 4000      # entries after which the record is put down whole; some MB of log at most
-COMPACT_PART = 0.25     # of the disk: past it, too, since few large entries fill a disk, and a full one takes no more
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.logs import clock, log_exception, log_info, log_warning
+
+HANG = 0.6  # a write that takes longer costs leadership: others serve meanwhile
+PATIENCE = 0.6  # for a peer: a lost message is repeated by the machine's own pace
+COMPACT = 4000  # entries after which the replicated state is put down whole; some MB of log at most
+COMPACT_PART = 0.25  # of the disk: past it, too, since few large entries fill a disk, and a full one takes no more
 WAITING_MOST = 256  # messages for a peer that does not answer; the machine repeats what matters
 
 
-def opened(store: Store, data_dir: str, first_start: bool, address: str, founders: dict[str, str],
-           wait: Callable[[float], None] = time.sleep) -> Any:
+def opened(
+    store: Store,
+    data_dir: str,
+    first_start: bool,
+    address: str,
+    founders: dict[str, str],
+    wait: Callable[[float], None] = time.sleep,
+) -> Any:
     """What a machine's disk holds, once it can be told. A damaged file counts as a lost disk: it is put aside, and this
     machine is another from now on. A disk that refuses is tried until it takes: an end would only be a start again."""
     pause, said = 0.1, ""
@@ -35,12 +42,12 @@
                 return store.open(data_dir, first_start, address, founders)
             except Damaged as error:
                 if str(error) != said:
-                    warn("logbook damaged", why=str(error), done="put aside; this machine counts as a new one")
+                    log_warning("log file damaged", why=str(error), done="put aside; this machine counts as a new one")
                 said = str(error)
                 store.set_aside()
         except Refused as error:
             if str(error) != said:
-                warn("disk", why=str(error))
+                log_warning("disk", why=str(error))
             said = str(error)
             wait(pause)
             pause = min(1.0, 2 * pause)
@@ -58,19 +65,19 @@
         self.leader = leader
 
 
-class Agreement:
+class ConsensusDriver:
     """One core machine's part. `on_change` hears owner lines, `on_config` and `on_role` what their names say."""
 
     def __init__(self, store: Store, saved: Any, caller: Caller, pace: Pace, seed: int, born: float):
         self.store, self.caller = store, caller
         self.machine = Machine(saved, pace, seed, clock(), born)
-        self.record = Record.from_dict(saved.snapshot) if saved.snapshot else Record()
+        self.state = ReplicatedState.from_dict(saved.snapshot) if saved.snapshot else ReplicatedState()
         self.tickets: dict[int, asyncio.Future] = {}
-        self.results: dict[int, str] = {}       # index -> what applying it said, for those who wait
+        self.results: dict[int, str] = {}  # index -> what applying it said, for those who wait
         self.next_ticket = 0
-        self.writer = ThreadPoolExecutor(1, "logbook")
+        self.writer = ThreadPoolExecutor(1, "consensus")
         self.saves: asyncio.Queue[Save] = asyncio.Queue()
-        self.mail: dict[str, list[dict]] = {}
+        self.outbox: dict[str, list[dict]] = {}
         self.posting: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
         self.on_change: Callable[[int, list[Change]], None] = lambda index, changes: None
@@ -115,10 +122,10 @@
                         if (future := self.tickets.pop(ticket, None)) and not future.done():
                             future.set_result((outcome, value))
                     case Restore(state, _):
-                        self.record = Record.from_dict(state)
+                        self.state = ReplicatedState.from_dict(state)
                         self.on_restore()
                     case Role():
-                        tell("role", role=order.role, term=order.term, leader=order.leader_address)
+                        log_info("role", role=order.role, term=order.term, leader=order.leader_address)
                         self.on_role(order)
         if self.timer is not None:
             self.timer.cancel()
@@ -126,7 +133,7 @@
         self.timer = asyncio.get_running_loop().call_later(wait, self.turn) if not self.closing else None
 
     def _apply(self, entry: Any) -> None:
-        said, changes = self.record.apply(entry.index, entry.body if entry.kind == "command" else {})
+        said, changes = self.state.apply(entry.index, entry.body if entry.kind == "command" else {})
         self.results[entry.index] = said
         while len(self.results) > 2000:
             del self.results[next(iter(self.results))]
@@ -137,7 +144,7 @@
         self.since_size += len(json.dumps(entry.body))
         if self.since_compact >= COMPACT or self.since_size >= self.store.disk_mb * 1e6 * COMPACT_PART:
             self.since_compact = self.since_size = 0
-            self.machine.compact(entry.index, self.record.to_dict())
+            self.machine.compact(entry.index, self.state.to_dict())
 
     # --- the store -----------------------------------------------------------------------------------
 
@@ -156,65 +163,68 @@
                         self._fail("a write hangs")
                         await work
                     break
-                except Damaged as error:        # what the disk has must be read anew: by the next life
-                    warn("logbook damaged", why=str(error), done="this life ends; the next one looks at it whole")
-                    self._fail("the logbook is damaged")
+                except Damaged as error:  # what the disk has must be read anew: by the next life
+                    log_warning(
+                        "log file damaged", why=str(error), done="this life ends; the next one looks at it whole"
+                    )
+                    self._fail("the log file is damaged")
                     self.on_damage()
                     return
-                except Exception:   # a disk may refuse in many ways; each is tried again
-                    trouble("write refused", number=save.number)
+                except Exception:  # a disk may refuse in many ways; each is tried again
+                    log_exception("write refused", number=save.number)
                     self._fail("a write was refused")
                     await asyncio.sleep(pause)
                     pause = min(1.0, 2 * pause)
             if self.hung:
                 self.hung = False
-                tell("disk answers again")
+                log_info("disk answers again")
             self.machine.kept(clock(), save.number)
             self.carry_out()
 
     def _fail(self, why: str) -> None:
         if not self.hung:
             self.hung = True
-            warn("disk", why=why)
+            log_warning("disk", why=why)
         self.machine.failed(clock())
         self.carry_out()
 
     # --- peers ---------------------------------------------------------------------------------------
 
     def _post(self, address: str, message: dict) -> None:
-        waiting = self.mail.setdefault(address, [])
+        waiting = self.outbox.setdefault(address, [])
         waiting.append(message)
         if len(waiting) > WAITING_MOST:
-            del waiting[:WAITING_MOST // 2]
+            del waiting[: WAITING_MOST // 2]
         if address not in self.posting:
             self.posting.add(address)
             self._spawn(self._deliver(address))
 
     async def _deliver(self, address: str) -> None:
         try:
-            while letters := self.mail.pop(address, None):
+            while messages := self.outbox.pop(address, None):
                 try:
-                    answers = await self.caller.json("POST", f"http://{address}/agreement", letters, PATIENCE,
-                                                     "agreement")
-                except StationError:
+                    answers = await self.caller.json(
+                        "POST", f"http://{address}/consensus", messages, PATIENCE, "agreement"
+                    )
+                except PeerError:
                     continue
                 self.receive(answers)
         finally:
             self.posting.discard(address)
 
-    def receive(self, letters: list[dict]) -> None:
+    def receive(self, messages: list[dict]) -> None:
         now = clock()
-        for letter in letters:
-            self.machine.receive(now, letter)
+        for message in messages:
+            self.machine.receive(now, message)
         self.carry_out()
 
-    def exchange(self, letters: list[dict]) -> list[dict]:
-        """A peer's letters; what can be answered at once goes back with the answer instead of a call of its own."""
+    def exchange(self, messages: list[dict]) -> list[dict]:
+        """A peer's messages; what can be answered at once goes back with the answer instead of a call of its own."""
         now = clock()
-        for letter in letters:
-            self.machine.receive(now, letter)
+        for message in messages:
+            self.machine.receive(now, message)
         back, rest = [], []
-        origin = letters[0].get("at", "") if letters else ""
+        origin = messages[0].get("at", "") if messages else ""
         for order in self.machine.orders:
             if isinstance(order, Send) and order.to_address == origin:
                 back.append(order.message)
@@ -249,7 +259,7 @@
         return self.results.get(value, "done")
 
     async def current(self, patience: float = 1.0) -> None:
-        """Return once the record here holds all that was agreed on before the call; NotLeader or Lost otherwise."""
+        """Return once the replicated state here holds all that was agreed on before the call; NotLeader or Lost otherwise."""
         outcome, value = await self._wait(self.machine.read, patience)
         if outcome == "not_leader":
             raise NotLeader(value)
--- a/knotwalk/barometer/steward.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -6,25 +6,25 @@
 import json
 from collections.abc import Callable
 
-from knotwalk.barometer.agree import Agreement, Lost, NotLeader
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
+from knotwalk.discovery.cluster_view import Board, Node, entry, node_of
+from knotwalk.discovery.listing import Listing, Unusable
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
-from knotwalk.lookout.listing import Listing, Unusable
-from knotwalk.lookout.picture import Board, Node, entry, node_of
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, tell, warn
-from knotwalk.mast.settings import Settings
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.logs import clock, log_info, log_warning
+from knotwalk.runtime.settings import Settings
 
-POLL = 0.5      # seconds between readings of the list: a fifth of the time a drain is allowed, a few calls a second
-STEP = 0.2      # seconds between looks at the leases
+POLL = 0.5  # seconds between readings of the list: a fifth of the time a drain is allowed, a few calls a second
+STEP = 0.2  # seconds between looks at the leases
 
 
-class Steward:
+class ListPoller:
     """Works only while this machine leads; what it finds goes on the board and to the other cores."""
 
-    def __init__(self, settings: Settings, agreement: Agreement, board: Board, caller: Caller, me: str):
-        self.settings, self.agreement, self.board, self.caller, self.me = settings, agreement, board, caller, me
+    def __init__(self, settings: Settings, consensus: ConsensusDriver, board: Board, caller: Caller, me: str):
+        self.settings, self.consensus, self.board, self.caller, self.me = settings, consensus, board, caller, me
         self.tenure: Tenure | None = None
         self.turn_of_list = 0
         self.own_list: asyncio.Task | None = None
@@ -37,18 +37,26 @@
     @property
     def proven(self) -> bool:
         """Whether no other can lead now: a majority answered this leader a moment ago."""
-        machine = self.agreement.machine
-        return (self.tenure is not None and machine.role == "leader" and machine.settled
-                and clock() - machine.majority_at < PROOF)
+        machine = self.consensus.machine
+        return (
+            self.tenure is not None
+            and machine.role == "leader"
+            and machine.settled
+            and clock() - machine.majority_at < PROOF
+        )
 
     def lease(self, conductor: str) -> dict | None:
         """A conductor asks to act on; None if this machine may not say."""
-        if not self.proven or conductor not in self.agreement.machine.members:
+        if not self.proven or conductor not in self.consensus.machine.members:
             return None
-        machine = self.agreement.machine
-        return {"lease": self.tenure.asked(clock(), conductor), "commit": machine.commit,
-                "last": machine.log.last, "term": machine.term,
-                "nodes": list(self.board.nodes_order)}
+        machine = self.consensus.machine
+        return {
+            "lease": self.tenure.asked(clock(), conductor),
+            "commit": machine.commit,
+            "last": machine.log.last,
+            "term": machine.term,
+            "nodes": list(self.board.nodes_order),
+        }
 
     def leave(self, conductor: str) -> None:
         if self.tenure is not None:
@@ -59,15 +67,15 @@
     async def keep_leases(self) -> None:
         while True:
             await asyncio.sleep(STEP)
-            if not self.proven or self.agreement.machine.applied < self.agreement.machine.commit:
+            if not self.proven or self.consensus.machine.applied < self.consensus.machine.commit:
                 continue
             self.lease(self.me)
             now = clock()
-            for service, slices in list(self.agreement.record.ledger.slices.items()):
+            for service, slices in list(self.consensus.state.ledger.slices.items()):
                 leased = [s.conductor for s in slices]
-                self.tenure.replaced(now, leased, self.agreement.machine.members)
+                self.tenure.replaced(now, leased, self.consensus.machine.members)
                 for conductor, found in reassign(self.tenure, now, leased).items():
-                    tell("slices leased", service=service, to=conductor, runs=found)
+                    log_info("slices leased", service=service, to=conductor, runs=found)
                     by_before: dict[str, list[int]] = {}
                     for first, last in found:
                         for k in range(first, last + 1):
@@ -76,7 +84,7 @@
                         if not await self.give(service, before, conductor, ranges(ks)):
                             break
                 if self.tenure is not None and (hand := hand_over(self.tenure, clock(), slices)):
-                    tell("slices handed over", service=service, by=hand[0], to=hand[1], runs=hand[2])
+                    log_info("slices handed over", service=service, by=hand[0], to=hand[1], runs=hand[2])
                     self.tenure.hands(clock())
                     await self.give(service, *hand)
 
@@ -86,8 +94,9 @@
         if tenure is None:
             return False
         try:
-            await self.agreement.propose({"do": "lease", "from": before, "to": to, "early": tenure.early(clock()),
-                                          "slices": {service: runs}})
+            await self.consensus.propose(
+                {"do": "lease", "from": before, "to": to, "early": tenure.early(clock()), "slices": {service: runs}}
+            )
             return True
         except (NotLeader, Lost):
             return False
@@ -99,25 +108,29 @@
         failing, term = 0, -1
         while True:
             if not self.proven or self.settings.platform.address is None:
-                await asyncio.sleep(0.03)       # a new leader reads at once: edges that start wait for the list
+                await asyncio.sleep(0.03)  # a new leader reads at once: edges that start wait for the list
                 continue
-            if term == self.agreement.machine.term:
+            if term == self.consensus.machine.term:
                 await asyncio.sleep(POLL if not failing else min(2.0, 0.3 * failing))
-            term = self.agreement.machine.term
+            term = self.consensus.machine.term
             try:
                 listing = await self.read()
-            except (StationError, Unusable) as error:
+            except (PeerError, Unusable) as error:
                 failing += 1
                 if failing in (1, 10, 100):
-                    warn("the list can't be read", why=str(error), times=failing)
+                    log_warning("the list can't be read", why=str(error), times=failing)
                 continue
             failing = 0
-            if not self.proven or term != self.agreement.machine.term:
+            if not self.proven or term != self.consensus.machine.term:
                 continue
             self.turn_of_list += 1
             if self.board.set_nodes((term, self.turn_of_list), listing.nodes, True):
-                tell("list", order=self.board.nodes_order, nodes=len(listing.nodes),
-                     draining=sum(n.draining for n in listing.nodes.values()))
+                log_info(
+                    "list",
+                    order=self.board.nodes_order,
+                    nodes=len(listing.nodes),
+                    draining=sum(n.draining for n in listing.nodes.values()),
+                )
                 self.on_nodes()
                 asyncio.get_running_loop().create_task(self.tell_cores())
 
@@ -131,7 +144,7 @@
             self.own_list, self.own_list_at = asyncio.get_running_loop().create_task(self.read()), clock()
         try:
             return (await asyncio.shield(self.own_list)).nodes
-        except (StationError, Unusable):
+        except (PeerError, Unusable):
             return {}
 
     async def read(self) -> Listing:
@@ -141,11 +154,11 @@
             query = f"?page_token={token}" if token else ""
             status, _, data = await self.caller.send("GET", f"http://{host}:{port}/nodes{query}", None, 1.0, "list")
             if status != 200:
-                raise StationError("list", f"{host}:{port}", f"status {status}")
+                raise PeerError("list", f"{host}:{port}", f"status {status}")
             try:
                 page = json.loads(data)
             except ValueError as error:
-                raise StationError("list", f"{host}:{port}", f"no JSON: {error}") from None
+                raise PeerError("list", f"{host}:{port}", f"no JSON: {error}") from None
             token = listing.add(clock(), page)
         return listing
 
@@ -156,9 +169,15 @@
     async def tell_cores(self) -> None:
         """The list to every other core; one that misses it asks for it when a lease's answer names a newer one."""
         message = self.list_message()
-        own = self.agreement.machine.members.get(self.me)
-        await asyncio.gather(*(self.caller.json("POST", f"http://{at}/nodes", message, 0.6, "tell nodes")
-                               for at in self.agreement.machine.members.values() if at != own), return_exceptions=True)
+        own = self.consensus.machine.members.get(self.me)
+        await asyncio.gather(
+            *(
+                self.caller.json("POST", f"http://{at}/nodes", message, 0.6, "tell nodes")
+                for at in self.consensus.machine.members.values()
+                if at != own
+            ),
+            return_exceptions=True,
+        )
 
     def listed(self, message: dict) -> None:
         """The leader told its list."""
--- a/knotwalk/barometer/stations.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -1,4 +1,4 @@
-"""Calls between stations (openapi/stations.yaml): agreement, pictures for edges, leases, lists, loads."""
+"""Calls between peers (openapi/peers.yaml): agreement, cluster views for edges, leases, lists, loads."""
 
 from __future__ import annotations
 
@@ -6,67 +6,82 @@
 
 from sanic import HTTPResponse, Request, Sanic
 
-from knotwalk.barometer import account
-from knotwalk.barometer.agree import Agreement, Lost, NotLeader
-from knotwalk.barometer.conductor import Conductor
-from knotwalk.barometer.steward import Steward
+from knotwalk.control_plane import account
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
+from knotwalk.control_plane.list_poller import ListPoller
+from knotwalk.control_plane.slice_manager import SliceManager
+from knotwalk.discovery.cluster_view import KEYS, Board
+from knotwalk.discovery.loads import Loads
 from knotwalk.leases.tenure import ASK
-from knotwalk.lookout.loads import Loads
-from knotwalk.lookout.picture import KEYS, Board
-from knotwalk.mast.call import Caller
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, warn
-from knotwalk.mast.serve import answer, app, body
-
-FRESH = 1.2         # a core that heard the leader's word longer ago than this sends its edges elsewhere
-GATHER = 0.004      # news that come together go together
-STALE_WAIT = 0.25   # an edge's call waits so long for a core that is about to be fresh, as after a start of all
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.logs import clock, log_warning
+from knotwalk.runtime.serve import answer, app, body
+
+FRESH = 1.2  # a core that heard the leader's word longer ago than this sends its edges elsewhere
+GATHER = 0.004  # news that come together go together
+STALE_WAIT = 0.25  # an edge's call waits so long for a core that is about to be fresh, as after a start of all
 WAIT_MOST = 5.0
-SHARE = 1.0         # seconds between tellings of loads to the other cores
+SHARE = 1.0  # seconds between tellings of loads to the other cores
 
 
-class Stations:
+class PeerApi:
     """The port on which this core is called by edges and other cores, and its own calls to the leader."""
 
-    def __init__(self, me: str, agreement: Agreement, steward: Steward, conductor: Conductor, board: Board,
-                 loads: Loads, caller: Caller):
-        self.me, self.agreement, self.steward, self.conductor = me, agreement, steward, conductor
+    def __init__(
+        self,
+        me: str,
+        consensus: ConsensusDriver,
+        list_poller: ListPoller,
+        conductor: SliceManager,
+        board: Board,
+        loads: Loads,
+        caller: Caller,
+    ):
+        self.me, self.consensus, self.list_poller, self.conductor = me, consensus, list_poller, conductor
         self.board, self.loads, self.caller = board, loads, caller
         self.news = asyncio.Event()
         self.fresh_until = 0.0
         self.leaving = False
-        self.asked: dict[str, tuple[float, str, int]] = {}     # by edge: when it called here, and what it had then
+        self.asked: dict[str, tuple[float, str, int]] = {}  # by edge: when it called here, and what it had then
 
     def app(self) -> Sanic:
-        made = app("stations")
-        for path, handler in (("/agreement", self.letters), ("/picture", self.picture), ("/lease", self.lease),
-                              ("/proposal", self.proposal), ("/nodes", self.nodes), ("/loads", self.share),
-                              ("/status", self.status), ("/explain", self.explain)):
+        made = app("peers")
+        for path, handler in (
+            ("/consensus", self.messages),
+            ("/cluster-view", self.view),
+            ("/lease", self.lease),
+            ("/proposal", self.proposal),
+            ("/nodes", self.nodes),
+            ("/loads", self.share),
+            ("/status", self.status),
+            ("/explain", self.explain),
+        ):
             made.add_route(handler, path, methods=["POST"], error_format="text")
         return made
 
     # --- agreement --------------------------------------------------------------------------------
 
-    async def letters(self, request: Request) -> HTTPResponse:
-        return answer(self.agreement.exchange(body(request)))
+    async def messages(self, request: Request) -> HTTPResponse:
+        return answer(self.consensus.exchange(body(request)))
 
     async def proposal(self, request: Request) -> HTTPResponse:
         """A conductor's command for the log, taken by the leader only."""
         try:
-            return answer({"said": await self.agreement.propose(body(request), 2.0)})
+            return answer({"said": await self.consensus.propose(body(request), 2.0)})
         except (NotLeader, Lost):
             return answer({"error": "not agreed on here"}, 503)
 
     async def propose(self, command: dict) -> str | None:
         """Have a command of this conductor agreed on; None if its outcome is unknown (it may yet come)."""
-        machine = self.agreement.machine
+        machine = self.consensus.machine
         try:
             if machine.role == "leader":
-                return await self.agreement.propose(command, 2.0)
+                return await self.consensus.propose(command, 2.0)
             if machine.leader:
                 reply = await self.caller.json("POST", f"http://{machine.leader}/proposal", command, 2.2, "proposal")
                 return reply["said"]
-        except (NotLeader, Lost, StationError, KeyError):
+        except (NotLeader, Lost, PeerError, KeyError):
             pass
         return None
 
@@ -75,23 +90,24 @@
     async def lease(self, request: Request) -> HTTPResponse:
         asked = body(request)
         if asked.get("leaving"):
-            self.steward.leave(asked["conductor"])
+            self.list_poller.leave(asked["conductor"])
             return answer({})
-        given = self.steward.lease(asked["conductor"])
+        given = self.list_poller.lease(asked["conductor"])
         return answer(given) if given else answer({"error": "not the proven leader"}, 503)
 
     async def keep_lease(self) -> None:
         """Ask for the lease again and again; each answer also says what was agreed on, so how fresh we are."""
         while True:
-            sent, machine = clock(), self.agreement.machine
+            sent, machine = clock(), self.consensus.machine
             given = None
             if machine.role == "leader":
-                given = self.steward.lease(self.me)
+                given = self.list_poller.lease(self.me)
             elif machine.leader:
                 try:
-                    given = await self.caller.json("POST", f"http://{machine.leader}/lease",
-                                                   {"conductor": self.me}, 0.5, "lease")
-                except StationError:
+                    given = await self.caller.json(
+                        "POST", f"http://{machine.leader}/lease", {"conductor": self.me}, 0.5, "lease"
+                    )
+                except PeerError:
                     given = None
             if given:
                 if not self.leaving:
@@ -109,15 +125,15 @@
 
     async def ask_nodes(self, leader: str) -> None:
         try:
-            self.steward.listed(await self.caller.json("POST", f"http://{leader}/nodes", {}, 0.6, "ask nodes"))
-        except StationError:
+            self.list_poller.listed(await self.caller.json("POST", f"http://{leader}/nodes", {}, 0.6, "ask nodes"))
+        except PeerError:
             pass
 
     async def nodes(self, request: Request) -> HTTPResponse:
         message = body(request)
         if not message:
-            return answer(self.steward.list_message())
-        self.steward.listed(message)
+            return answer(self.list_poller.list_message())
+        self.list_poller.listed(message)
         return answer({})
 
     # --- edges ------------------------------------------------------------------------------------
@@ -127,7 +143,7 @@
         self.news.set()
         self.news = asyncio.Event()
 
-    async def picture(self, request: Request) -> HTTPResponse:
+    async def view(self, request: Request) -> HTTPResponse:
         """What the edge lacks, at once if there is any, else as soon as there is, or after its wait."""
         asked = body(request)
         now = clock()
@@ -150,7 +166,7 @@
                     await asyncio.sleep(GATHER)
             except TimeoutError:
                 pass
-        told = {"fresh": fresh, "zone": self.steward.settings.zone, "edges": self.loads.count(now)}
+        told = {"fresh": fresh, "zone": self.list_poller.settings.zone, "edges": self.loads.count(now)}
         if message:
             told["news"] = message
         elif provisional and not fresh:
@@ -161,10 +177,10 @@
         """What an edge that has nothing may serve by until there is a leader: what the disk here holds as committed,
         and the list as read here. None from a core that was fresh in this life, or has heard a leader and is about to
         be."""
-        if self.fresh_until or self.leaving or self.agreement.machine.leader or self.board.config is None:
+        if self.fresh_until or self.leaving or self.consensus.machine.leader or self.board.config is None:
             return None
         try:
-            nodes = await asyncio.wait_for(self.steward.own_nodes(), STALE_WAIT)
+            nodes = await asyncio.wait_for(self.list_poller.own_nodes(), STALE_WAIT)
         except TimeoutError:
             return None
         return self.board.provisional(nodes, clock())
@@ -174,8 +190,18 @@
     async def status(self, request: Request) -> HTTPResponse:
         """This core's account of itself; nothing changes by it."""
         now = clock()
-        return answer(account.status(now, self.me, self.agreement.machine, self.agreement.record, self.board,
-                                     self.loads, now < self.fresh_until and not self.leaving, self.asked))
+        return answer(
+            account.status(
+                now,
+                self.me,
+                self.consensus.machine,
+                self.consensus.state,
+                self.board,
+                self.loads,
+                now < self.fresh_until and not self.leaving,
+                self.asked,
+            )
+        )
 
     async def explain(self, request: Request) -> HTTPResponse:
         """Where this core holds that a request belongs."""
@@ -186,7 +212,7 @@
                 raise ValueError
         except (KeyError, TypeError, ValueError):
             return answer({"error": f"host and path are texts, key a number below {KEYS}, if any"}, 400)
-        return answer(account.explain(clock(), self.agreement.record, self.board, host, path, key))
+        return answer(account.explain(clock(), self.consensus.state, self.board, host, path, key))
 
     # --- loads ------------------------------------------------------------------------------------
 
@@ -204,15 +230,20 @@
             self.judge()
             told = self.loads.take(clock())
             if told:
-                await asyncio.gather(*(self.caller.json("POST", f"http://{at}/loads", told, 0.6, "loads")
-                                       for id, at in self.agreement.machine.members.items() if id != self.me),
-                                     return_exceptions=True)
+                await asyncio.gather(
+                    *(
+                        self.caller.json("POST", f"http://{at}/loads", told, 0.6, "loads")
+                        for id, at in self.consensus.machine.members.items()
+                        if id != self.me
+                    ),
+                    return_exceptions=True,
+                )
 
     def judge(self) -> None:
         """Which nodes ail, by what was heard; told to the edges and minded by the placement."""
         before = self.board.ailing
         if self.board.set_ailing(self.loads.ailing.judge(clock(), self.board.nodes)):
-            warn("nodes ail", found=sorted(self.board.ailing - before), back=sorted(before - self.board.ailing))
+            log_warning("nodes ail", found=sorted(self.board.ailing - before), back=sorted(before - self.board.ailing))
             self.changed()
 
     async def leave(self) -> None:
@@ -220,12 +251,13 @@
         self.leaving = True
         self.conductor.stop()
         self.changed()
-        machine = self.agreement.machine
+        machine = self.consensus.machine
         if machine.role == "leader":
-            self.steward.leave(self.me)
+            self.list_poller.leave(self.me)
         elif machine.leader:
             try:
-                await self.caller.json("POST", f"http://{machine.leader}/lease",
-                                       {"conductor": self.me, "leaving": True}, 0.4, "leave")
-            except StationError:
+                await self.caller.json(
+                    "POST", f"http://{machine.leader}/lease", {"conductor": self.me, "leaving": True}, 0.4, "leave"
+                )
+            except PeerError:
                 pass
--- a/knotwalk/barometer/record.py
+++ b/knotwalk/control_plane/replicated_state.py
@@ -6,9 +6,9 @@
 
 from __future__ import annotations
 
-from knotwalk.atlas.control import History
-from knotwalk.atlas.objects import Configuration
-from knotwalk.atlas.read import Invalid, apply_difference, document, read_configuration
+from knotwalk.configuration.control import History
+from knotwalk.configuration.objects import Configuration
+from knotwalk.configuration.read import Invalid, apply_difference, document, read_configuration
 from knotwalk.leases.ledger import Change, Ledger
 
 # Of snapshots; raised when older programs could not read them. 2: rows of the ledger tell of an `early` lease. 3:
@@ -16,7 +16,7 @@
 FORMAT = 3
 
 
-class Record:
+class ReplicatedState:
     """The agreed state. `order` is the log index of the configuration in force."""
 
     def __init__(self) -> None:
@@ -37,12 +37,15 @@
         if command.get("do") != "configure":
             return "done", self.ledger.apply(index, command)
         if "version" in command and self.history.holds(command["version"], command["digest"]):
-            return "done", self.ledger.apply(index, {})     # the same call, agreed on twice
+            return "done", self.ledger.apply(index, {})  # the same call, agreed on twice
         if command["base"] != self.version:
             return "another version is in place", self.ledger.apply(index, {})
         try:
-            fresh = read_configuration(apply_difference(document(self.configuration), command["difference"])
-                                       if "difference" in command else command["document"])
+            fresh = read_configuration(
+                apply_difference(document(self.configuration), command["difference"])
+                if "difference" in command
+                else command["document"]
+            )
         except Invalid as error:
             return str(error), self.ledger.apply(index, {})
         self.configuration, self.order = fresh, index
@@ -52,13 +55,17 @@
 
     def to_dict(self) -> dict:
         """A snapshot, JSON-able."""
-        return {"format": FORMAT if self.ledger.lift else 2, "applied": self.applied, "order": self.order,
-                "history": self.history.to_dict(),
-                "configuration": document(self.configuration) if self.configuration else None,
-                "ledger": self.ledger.to_dict()}
+        return {
+            "format": FORMAT if self.ledger.lift else 2,
+            "applied": self.applied,
+            "order": self.order,
+            "history": self.history.to_dict(),
+            "configuration": document(self.configuration) if self.configuration else None,
+            "ledger": self.ledger.to_dict(),
+        }
 
     @classmethod
-    def from_dict(cls, raw: dict) -> Record:
+    def from_dict(cls, raw: dict) -> ReplicatedState:
         """The record of a snapshot; ValueError if it is of a later format."""
         if raw["format"] > FORMAT:
             raise ValueError(f"the snapshot has format {raw['format']}, this program reads up to {FORMAT}")
--- a/knotwalk/lookout/picture.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -1,8 +1,8 @@
-"""The picture that the core spreads and the edges act on: configuration, nodes, owner lines; changes, not wholes.
+"""The cluster view that the core spreads and the edges act on: configuration, nodes, owner lines; changes, not wholes.
 
-A `Board` stands in each core program; a `Picture` in each edge program. Every topic has an order that only rises (the
-index in the agreed log; for nodes the poller's term and turn), so a picture never goes back, whichever core it hears.
-A picture that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders,
+A `Board` stands in each core program; a `ClusterView` in each edge program. Every topic has an order that only rises (the
+index in the agreed log; for nodes the poller's term and turn), so a cluster view never goes back, whichever core it hears.
+A cluster view that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders,
 so whatever a fresh core tells replaces it.
 """
 
@@ -12,9 +12,9 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-from knotwalk.atlas.index import Index
-from knotwalk.atlas.objects import Configuration
-from knotwalk.atlas.read import Invalid, difference, patched, read_configuration
+from knotwalk.configuration.index import Index
+from knotwalk.configuration.objects import Configuration
+from knotwalk.configuration.read import Invalid, difference, patched, read_configuration
 
 KEYS = 65536
 # Slices of a sharded service. Measured on a calm day: a hundredth of the keys takes a third of the requests, and of 512
@@ -26,8 +26,8 @@
 # keeps one configuration's bytes of them at most. Storms bring some 3 to 12 a second, and an edge calls once a
 # second at least; who is 32 behind was cut off, and the whole is then one of the smaller things it lacks.
 CHANGES = 32
-HELD = 32       # lists of nodes from which a board can still tell what changed; as above, a release brings one a second
-COLDER = 2.0    # s by which a node must be cold for longer than told: the list's figure is up to a beat of 1.5 s old
+HELD = 32  # lists of nodes from which a board can still tell what changed; as above, a release brings one a second
+COLDER = 2.0  # s by which a node must be cold for longer than told: the list's figure is up to a beat of 1.5 s old
 
 
 @dataclass(eq=False)
@@ -40,9 +40,9 @@
     zone: str
     capacity: int
     draining: bool = False
-    cold_until: float = 0.0     # steady clock of this machine
+    cold_until: float = 0.0  # steady clock of this machine
     software: str = ""
-    ailing: bool = False        # as all edges together meet with it (`lookout.ailing`)
+    ailing: bool = False  # as all edges together meet with it (`discovery.outliers`)
     seen: object = None
 
 
@@ -67,17 +67,30 @@
 
 def entry(node: Node, now: float) -> dict:
     """A node as it goes over the wire; `cold` in seconds from now."""
-    return {"service": node.service, "address": f"{node.address[0]}:{node.address[1]}", "zone": node.zone,
-            "capacity": node.capacity, "draining": node.draining, "cold": round(max(0.0, node.cold_until - now), 3)}
+    return {
+        "service": node.service,
+        "address": f"{node.address[0]}:{node.address[1]}",
+        "zone": node.zone,
+        "capacity": node.capacity,
+        "draining": node.draining,
+        "cold": round(max(0.0, node.cold_until - now), 3),
+    }
 
 
 def node_of(id: str, raw: dict, now: float) -> Node:
     host, _, port = raw["address"].rpartition(":")
-    return Node(id, raw["service"], (host, int(port)), raw["zone"], raw["capacity"], raw["draining"],
-                now + raw["cold"] if raw["cold"] else 0.0)
-
-
-class Picture:
+    return Node(
+        id,
+        raw["service"],
+        (host, int(port)),
+        raw["zone"],
+        raw["capacity"],
+        raw["draining"],
+        now + raw["cold"] if raw["cold"] else 0.0,
+    )
+
+
+class ClusterView:
     """What one edge knows. `apply` takes a core's message; `changed` tells what it changed."""
 
     def __init__(self) -> None:
@@ -91,9 +104,9 @@
         self.config_order = -1
         self.nodes_order: tuple[int, int] = (-1, -1)
         self.lines_order = -1
-        self.epoch, self.at = "", 0     # the board last heard, and how far
-        self.provisional = False        # configuration or nodes are still those of a core that only just started
-        self.fault = ""     # why the newest configuration told was not taken; the old one is then in force
+        self.epoch, self.at = "", 0  # the board last heard, and how far
+        self.provisional = False  # configuration or nodes are still those of a core that only just started
+        self.fault = ""  # why the newest configuration told was not taken; the old one is then in force
 
     @property
     def whole(self) -> bool:
@@ -102,19 +115,19 @@
 
     @property
     def bare(self) -> bool:
-        """Whether nothing was taken yet, so that a provisional picture is better than none."""
+        """Whether nothing was taken yet, so that a provisional cluster view is better than none."""
         return not self.provisional and (self.config_order, self.nodes_order, self.lines_order) == (-1, (-1, -1), -1)
 
     def provide(self, now: float, message: dict) -> set[str]:
-        """Take a provisional picture, whole, or nothing: only who is bare does. Topics changed, as of `apply`.
+        """Take a provisional cluster view, whole, or nothing: only who is bare does. Topics changed, as of `apply`.
 
         No order is taken with it, so any fresh core sends the whole of each topic. ValueError if it can't be taken."""
         if not self.bare:
             return set()
-        made = Picture()
+        made = ClusterView()
         changed = made.apply(now, {"epoch": "", "at": 0, **message})
         if not made.whole:
-            raise ValueError(made.fault or "a provisional picture that is not whole")
+            raise ValueError(made.fault or "a provisional cluster view that is not whole")
         self.configuration, self.index, self.shardings = made.configuration, made.index, made.shardings
         self.nodes, self.by_service, self.cores = made.nodes, made.by_service, made.cores or self.cores
         self.provisional = True
@@ -123,7 +136,7 @@
     def apply(self, now: float, message: dict) -> set[str]:
         """Take what a core's board sent; topics changed among `config`, `nodes`, `lines`, `cores`, `ailing`.
 
-        What is older than what stands is left out, topic by topic. Only when all was taken does the picture count as
+        What is older than what stands is left out, topic by topic. Only when all was taken does the cluster view count as
         having heard so far; a configuration that can't be taken leaves `fault`, and is asked for whole."""
         changed = set()
         if (cores := message.get("cores")) and cores != self.cores:
@@ -164,7 +177,7 @@
         else:
             fresh = self.configuration
             for change in topic["changes"]:
-                fresh = patched(fresh, change)      # for one route of 1,000: 1.4 ms, read anew 8.7, the index 0.5
+                fresh = patched(fresh, change)  # for one route of 1,000: 1.4 ms, read anew 8.7, the index 0.5
         index = Index(fresh)
         self.configuration, self.index, self.config_order = fresh, index, topic["order"]
 
@@ -189,37 +202,42 @@
 
     def _lines(self, topic: dict) -> None:
         if self.lines_order < 0:
-            self.shardings = {}     # provisional ones
+            self.shardings = {}  # provisional ones
         for service, runs in topic["set"].items():
             sharding = self.shardings.setdefault(service, Sharding())
             for first, last, owner, opened in runs:
-                for line in sharding.lines[first:last + 1]:
+                for line in sharding.lines[first : last + 1]:
                     line.owner, line.open, line.node = owner, bool(opened), self.nodes.get(owner)
         self.lines_order = topic["order"]
 
     def ask(self) -> dict:
         """What to tell a core so that it sends only what is new; after a fault the configuration is wanted whole."""
-        return {"epoch": self.epoch, "at": self.at, "config": -1 if self.fault else self.config_order,
-                "nodes": self.nodes_order, "lines": self.lines_order} | ({"bare": True} if self.bare else {})
+        return {
+            "epoch": self.epoch,
+            "at": self.at,
+            "config": -1 if self.fault else self.config_order,
+            "nodes": self.nodes_order,
+            "lines": self.lines_order,
+        } | ({"bare": True} if self.bare else {})
 
 
 class Board:
-    """What one core program has to tell, with a revision for each change; `since` is what a picture lacks.
+    """What one core program has to tell, with a revision for each change; `since` is what a cluster view lacks.
 
     An order names one state, whichever board tells it: the configuration and the lines as of an entry of the log, the
-    list as one leader read it. So what a picture lacks follows from its orders, also when it heard another board."""
+    list as one leader read it. So what a cluster view lacks follows from its orders, also when it heard another board."""
 
     def __init__(self, epoch: str):
         self.epoch, self.at = epoch, 1
         self.config: tuple[int, dict] | None = None
-        self.changes: deque[tuple[int, dict, int]] = deque()    # up to now: (order changed from, change, its bytes)
+        self.changes: deque[tuple[int, dict, int]] = deque()  # up to now: (order changed from, change, its bytes)
         self.nodes: dict[str, Node] = {}
         self.nodes_order = (-1, -1)
-        self.held: dict[tuple[int, int], int] = {}      # the last orders of the list, and the turn of each
-        self.node_at: dict[str, int] = {}       # turn of the last change by id; gone ones too, as far as `held` goes
+        self.held: dict[tuple[int, int], int] = {}  # the last orders of the list, and the turn of each
+        self.node_at: dict[str, int] = {}  # turn of the last change by id; gone ones too, as far as `held` goes
         self.lines: dict[str, list[tuple[str, bool]]] = {}
         self.lines_order = -1
-        self.line_order: dict[str, list[int]] = {}      # order of each line's last change, as far as is known here
+        self.line_order: dict[str, list[int]] = {}  # order of each line's last change, as far as is known here
         self.cores: list[str] = []
         self.cores_at = 0
         self.ailing: frozenset[str] = frozenset()
@@ -290,7 +308,7 @@
             lines[slice], at[slice] = line, order
 
     def since(self, asked: dict, now: float) -> dict | None:
-        """What the picture lacks that `asked`, or None. By its orders; cores and ailing nodes go by the turns of this
+        """What the cluster view lacks that `asked`, or None. By its orders; cores and ailing nodes go by the turns of this
         board."""
         at = asked["at"] if asked["epoch"] == self.epoch and asked["at"] <= self.at else 0
         if at >= self.at:
@@ -305,17 +323,24 @@
         if (held := tuple(asked.get("nodes", (-1, -1)))) < self.nodes_order:
             turn, full = self.held.get(held, 0), held not in self.held
             message["nodes"] = {
-                "order": list(self.nodes_order), "full": full,
+                "order": list(self.nodes_order),
+                "full": full,
                 "set": {id: entry(n, now) for id, n in self.nodes.items() if full or self.node_at[id] > turn},
-                "gone": [] if full else [id for id, at in self.node_at.items() if at > turn and id not in self.nodes]}
+                "gone": [] if full else [id for id, at in self.node_at.items() if at > turn and id not in self.nodes],
+            }
         if (order := asked.get("lines", -1)) < self.lines_order:
-            message["lines"] = {"order": self.lines_order, "set": {
-                service: found for service, orders in self.line_order.items()
-                if (found := runs(self.lines[service], orders, order))}}
+            message["lines"] = {
+                "order": self.lines_order,
+                "set": {
+                    service: found
+                    for service, orders in self.line_order.items()
+                    if (found := runs(self.lines[service], orders, order))
+                },
+            }
         return message
 
     def provisional(self, nodes: dict[str, Node], now: float) -> dict | None:
-        """All that stands here for a picture that is bare, with `nodes` where no leader's list came; None if that would
+        """All that stands here for a cluster view that is bare, with `nodes` where no leader's list came; None if that would
         serve nothing."""
         message = self.since({"epoch": "", "at": 0}, now) or {}
         if "nodes" not in message:
@@ -324,7 +349,7 @@
         return message if "config" in message and message["nodes"]["set"] else None
 
     def _config(self, has: int) -> dict:
-        """The changes from the order that a picture `has`, if all of them are kept; else the document."""
+        """The changes from the order that a cluster view `has`, if all of them are kept; else the document."""
         changes = [change for base, change, _ in self.changes if base >= has]
         if changes and self.changes[-len(changes)][0] == has:
             return {"base": has, "changes": changes}
@@ -337,10 +362,14 @@
 
 
 def differ(old: Node, new: Node) -> bool:
-    """Whether a picture that has the one must hear of the other."""
-    return ((old.address, old.service, old.zone, old.capacity, old.draining)
-            != (new.address, new.service, new.zone, new.capacity, new.draining)
-            or new.cold_until > old.cold_until + COLDER)
+    """Whether a cluster view that has the one must hear of the other."""
+    return (old.address, old.service, old.zone, old.capacity, old.draining) != (
+        new.address,
+        new.service,
+        new.zone,
+        new.capacity,
+        new.draining,
+    ) or new.cold_until > old.cold_until + COLDER
 
 
 def runs(lines: list[tuple[str, bool]], orders: list[int], order: int) -> list[list]:
--- a/knotwalk/windvane/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -1,39 +1,47 @@
-"""python -m knotwalk.windvane: one edge's program, until SIGTERM. The platform's settings file says the rest."""
+"""python -m knotwalk.edge: one edge's program, until SIGTERM. The platform's settings file says the rest."""
 
 from __future__ import annotations
 
 import sys
 
 # No TLS is spoken here, and asyncio does without it: it is a part of an edge's start, and of its memory.
-sys.modules.setdefault("ssl", None)     # type: ignore[arg-type]
+sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
 
 import asyncio
 import os
 from zlib import crc32
 
-from knotwalk.lookout.picture import Picture
-from knotwalk.mast.journal import clock, tell
-from knotwalk.mast.life import Ending, live
-from knotwalk.mast.settings import Settings
-from knotwalk.windvane import ready
-from knotwalk.windvane.caller import Caller
-from knotwalk.windvane.front import Front
-from knotwalk.windvane.link import Link
+from knotwalk.discovery.cluster_view import ClusterView
+from knotwalk.edge import ready
+from knotwalk.edge.caller import Caller
+from knotwalk.edge.front import Front
+from knotwalk.edge.link import Link
+from knotwalk.runtime.life import Ending, live
+from knotwalk.runtime.logs import clock, log_info
+from knotwalk.runtime.settings import Settings
 
 
-class Windvane:
-    """The rooms of an edge, wired together. Ready once a fresh core gave it a whole picture, until it must end."""
+class Edge:
+    """The rooms of an edge, wired together. Ready once a fresh core gave it a whole cluster view, until it must end."""
 
     def __init__(self, settings: Settings):
         self.settings = settings
-        settings.at("data_plane"), settings.at("readiness")     # said before anything is begun
+        settings.at("data_plane"), settings.at("readiness")  # said before anything is begun
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
-        self.picture = Picture()
+        self.view = ClusterView()
         self.caller = Caller()
-        self.front = Front(settings, self.picture, clock, seed)
+        self.front = Front(settings, self.view, clock, seed)
         port = settings.ports[0]
-        self.link = Link(settings.node_name, self.picture, self.caller, [f"{ip}:{port}" for ip, _ in settings.seeds],
-                         seed, settings.zone, lambda: self.front.report(clock()), self.news)
+        self.link = Link(
+            settings.node_name,
+            self.view,
+            self.caller,
+            [f"{ip}:{port}" for ip, _ in settings.seeds],
+            seed,
+            settings.zone,
+            lambda: self.front.report(clock()),
+            self.news,
+        )
         self.ready = False
         self.ending = Ending(self.reload)
 
@@ -41,9 +49,9 @@
         if edges > 1:
             self.front.edges = edges
         self.front.pictured(changed)
-        if not self.ready and self.picture.whole and not self.ending.asked:
+        if not self.ready and self.view.whole and not self.ending.asked:
             self.ready = True
-            tell("ready", version=self.picture.configuration.version, nodes=len(self.picture.nodes))
+            log_info("ready", version=self.view.configuration.version, nodes=len(self.view.nodes))
 
     async def run(self) -> None:
         self.ending.listen()
@@ -51,15 +59,15 @@
         await self.front.start()
         link = asyncio.get_running_loop().create_task(self.link.run())
         await self.ending.wait(link)
-        tell("leaving")
+        log_info("leaving")
         self.ready = False
         self.front.drain()
-        # What was read is finished while the picture is still kept up; the rest of the grace is for the last bytes.
+        # What was read is finished while the cluster view is still kept up; the rest of the grace is for the last bytes.
         await self.front.finished(clock() + self.settings.bounds.grace_period - 0.5)
         link.cancel()
         readiness.close()
         await self.caller.close()
-        tell("ended")
+        log_info("ended")
 
     def reload(self, fresh: Settings) -> None:
         """The settings file changed: the seeds are taken up; the rest wants a start."""
@@ -67,4 +75,4 @@
 
 
 if __name__ == "__main__":
-    sys.exit(live("windvane", Windvane))
+    sys.exit(live("edge", Edge))
--- a/knotwalk/windvane/front.py
+++ b/knotwalk/edge/front.py
@@ -17,14 +17,14 @@
 
 import httptools
 
-from knotwalk.atlas.objects import Limits
-from knotwalk.gust.berths import shared
-from knotwalk.lookout.picture import Picture
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import tell, trouble
-from knotwalk.mast.settings import Settings
-from knotwalk.windvane.forward import Exchange, Forwarder, Stage
-from knotwalk.windvane.upstream import HOP, Answer
+from knotwalk.admission.connection_budget import shared
+from knotwalk.configuration.objects import Limits
+from knotwalk.discovery.cluster_view import ClusterView
+from knotwalk.edge.forward import Exchange, Forwarder, Stage
+from knotwalk.edge.upstream import HOP, Answer
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.logs import log_exception, log_info
+from knotwalk.runtime.settings import Settings
 
 # A request's body up to this size (bytes) is gathered before it is offered to a node; a longer one streams.
 GATHER = 64 * 1024
@@ -42,32 +42,32 @@
 # are reset, to go elsewhere: a request takes some 0.15 s. Behind its last answer a connection lies one look at least,
 # or what the client sent meanwhile would destroy the answer on its way.
 CROWD_LOOK, CROWD_LOOKS = 0.05, 3
-# A client that came before there was a picture is read once there is; after so many seconds it is let go, unread.
+# A client that came before there was a cluster view is read once there is; after so many seconds it is let go, unread.
 STARTING, STARTING_MOST = "starting", 0.9
 # Connections that wait to be accepted.
 BACKLOG = 1024
-LOW, HIGH = 32 * 1024, 128 * 1024      # bytes waiting to be written to a client: reading from the node goes on, pauses
+LOW, HIGH = 32 * 1024, 128 * 1024  # bytes waiting to be written to a client: reading from the node goes on, pauses
 
 OURS = HOP | {b"content-length", b"deadline-ms", b"target-instance", b"expect"}
-KEPT = frozenset({b"host", b"attempt-id", b"shard-key"})   # no Connection header takes these away
+KEPT = frozenset({b"host", b"attempt-id", b"shard-key"})  # no Connection header takes these away
 BODILESS = frozenset({204, 304})
 REASONS = {int(one): one.phrase.encode() for one in HTTPStatus}
 
 
-class Door(Enum):
+class ConnectionState(Enum):
     """States of a client's connection."""
 
-    OPEN = "open"           # requests are read
-    LAST = "last"           # no further request is read; answers are still due
-    LINGER = "linger"       # everything is answered; what comes is thrown away until the client has closed
+    OPEN = "open"  # requests are read
+    LAST = "last"  # no further request is read; answers are still due
+    LINGER = "linger"  # everything is answered; what comes is thrown away until the client has closed
     CLOSED = "closed"
 
 
-DOORS = {
-    Door.OPEN: {Door.LAST, Door.LINGER, Door.CLOSED},
-    Door.LAST: {Door.LINGER, Door.CLOSED},
-    Door.LINGER: {Door.CLOSED},
-    Door.CLOSED: set(),
+CONNECTION_TRANSITIONS = {
+    ConnectionState.OPEN: {ConnectionState.LAST, ConnectionState.LINGER, ConnectionState.CLOSED},
+    ConnectionState.LAST: {ConnectionState.LINGER, ConnectionState.CLOSED},
+    ConnectionState.LINGER: {ConnectionState.CLOSED},
+    ConnectionState.CLOSED: set(),
 }
 
 
@@ -91,17 +91,17 @@
 
     def __init__(self, front: Front):
         self.front = front
-        self.door = Door.OPEN
+        self.state = ConnectionState.OPEN
         self.transport: asyncio.Transport | None = None
-        self.queue: deque[Exchange] = deque()       # oldest first; the first one's answer is written next
-        self.reading: Exchange | None = None        # whose body is being read
+        self.queue: deque[Exchange] = deque()  # oldest first; the first one's answer is written next
+        self.reading: Exchange | None = None  # whose body is being read
         self.parser = httptools.HttpRequestParser(self)
         self.refusal: Refusal | None = None
-        self.holds: set[str] = set()                # why reading pauses
-        self.full = False                           # the client does not read
-        self.over = False                           # the client has ended its side
-        self.touched = front.clock()                # when something moved last
-        self.head_since: float | None = None        # when the head being read began
+        self.holds: set[str] = set()  # why reading pauses
+        self.full = False  # the client does not read
+        self.over = False  # the client has ended its side
+        self.touched = front.clock()  # when something moved last
+        self.head_since: float | None = None  # when the head being read began
         self._fed = 0
         self._new_head()
 
@@ -110,11 +110,11 @@
         self._headers: list[tuple[bytes, bytes]] = []
         self._size = 0
 
-    def _to(self, door: Door) -> None:
+    def _to(self, state: ConnectionState) -> None:
         """The one place where the state changes."""
-        if door not in DOORS[self.door]:
-            raise StationError("client's connection", "", f"from {self.door.value} to {door.value}")
-        self.door = door
+        if state not in CONNECTION_TRANSITIONS[self.state]:
+            raise PeerError("client's connection", "", f"from {self.state.value} to {state.value}")
+        self.state = state
 
     # -- from the loop
 
@@ -123,23 +123,23 @@
         self.transport = transport
         transport.set_write_buffer_limits(HIGH, LOW)
         self.front.entered(self)
-        if not self.front.picture.whole:
+        if not self.front.view.whole:
             # Just started: what is not read may be sent elsewhere, whatever its kind; what is refused is a try lost.
             self._hold(STARTING, True)
             asyncio.get_running_loop().call_later(STARTING_MOST, self._give_up)
 
     def _give_up(self) -> None:
-        if STARTING in self.holds and self.door is Door.OPEN and self.transport is not None:
+        if STARTING in self.holds and self.state is ConnectionState.OPEN and self.transport is not None:
             self.transport.abort()
 
     def begun(self) -> None:
-        """There is a picture to serve by."""
+        """There is a cluster view to serve by."""
         if STARTING in self.holds:
             self._hold(STARTING, False)
 
     def connection_lost(self, error: Exception | None) -> None:
-        if self.door is not Door.CLOSED:
-            self._to(Door.CLOSED)
+        if self.state is not ConnectionState.CLOSED:
+            self._to(ConnectionState.CLOSED)
         self._leave()
 
     def _leave(self) -> None:
@@ -156,28 +156,32 @@
     def eof_received(self) -> bool:
         """The client sends no more: what it sent whole is still answered."""
         self.over = True
-        if self.door is Door.LINGER:
+        if self.state is ConnectionState.LINGER:
             return False
         if self.reading is not None or not self.queue:
-            return False        # half a request, or none: nothing to answer
-        if self.door is Door.OPEN:
-            self._to(Door.LAST)
+            return False  # half a request, or none: nothing to answer
+        if self.state is ConnectionState.OPEN:
+            self._to(ConnectionState.LAST)
         return True
 
     def data_received(self, data: bytes) -> None:
         self.touched = self.front.clock()
-        if self.door is not Door.OPEN:
+        if self.state is not ConnectionState.OPEN:
             return
         if self.reading is None:
             self._fed += len(data)
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self.door is Door.OPEN:
+            if self.state is ConnectionState.OPEN:
                 refusal = self.refusal or Refusal(400, "not a request in the protocol")
                 self._refuse(refusal.status, refusal.text)
         else:
-            if self.door is Door.OPEN and self.reading is None and self._fed > self.front.limits.max_header_bytes:
+            if (
+                self.state is ConnectionState.OPEN
+                and self.reading is None
+                and self._fed > self.front.limits.max_header_bytes
+            ):
                 self._refuse(431, "the head is too large")
         self._write()
 
@@ -224,7 +228,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.reading is not None:
-            return      # a trailer
+            return  # a trailer
         self._headers.append((name, value))
         self._count(len(name) + len(value) + 4)
 
@@ -295,7 +299,7 @@
             self._hold("depth", True)
         front.begin(x, host, self._target, key, deadline)
         if x.stage is Stage.ANSWERED and (x.chunked or x.expects or (x.length or 0) > GATHER):
-            self._shut()        # refused without its body: nothing behind it is read
+            self._shut()  # refused without its body: nothing behind it is read
         elif x.expects and x.stage is Stage.READING and (x.chunked or x.length):
             self._ask_body()
 
@@ -332,8 +336,8 @@
         x.ended()
         if x.stage is Stage.READING:
             x.to(Stage.READY)
-        if not x.keep and self.door is Door.OPEN:
-            self._to(Door.LAST)
+        if not x.keep and self.state is ConnectionState.OPEN:
+            self._to(ConnectionState.LAST)
         self._start()
 
     # -- requests
@@ -354,8 +358,8 @@
     def _shut(self) -> None:
         """Read no more requests."""
         self.head_since = None
-        if self.door is Door.OPEN:
-            self._to(Door.LAST)
+        if self.state is ConnectionState.OPEN:
+            self._to(ConnectionState.LAST)
 
     def _refuse(self, status: int, text: str) -> None:
         """Bytes that can't be read as a request: answer, behind what is due before, and read no more."""
@@ -370,7 +374,7 @@
         self.front.counts[f"unread {status}"] += 1
         if x.stage in (Stage.READING, Stage.READY):
             x.own(status, text)
-        elif x.stage is Stage.RUNNING:      # its body was being passed on
+        elif x.stage is Stage.RUNNING:  # its body was being passed on
             x.own(status, text)
             x.leave()
         elif x.stage is Stage.WRITING:
@@ -380,13 +384,13 @@
         if x.timer is not None and (x.answer is None or x.answer.whole):
             x.timer.cancel()
             x.timer = None
-        if self.door in (Door.LINGER, Door.CLOSED):
+        if self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
             if x.answer is not None and x.answer.stream is not None:
                 x.answer.stream.abort("the client is gone")
             self._end(x)
             return
         if x is self.reading and x.body_gone:
-            self._shut()        # answered before its body was read
+            self._shut()  # answered before its body was read
         self._write()
 
     def _end(self, x: Exchange) -> None:
@@ -406,17 +410,17 @@
             return
         self._writing = True
         try:
-            while self.queue and not self.full and self.door in (Door.OPEN, Door.LAST):
+            while self.queue and not self.full and self.state in (ConnectionState.OPEN, ConnectionState.LAST):
                 x = self.queue[0]
-                if x.stage is not Stage.ANSWERED or (x is self.reading and self.door is Door.OPEN):
-                    break       # not known yet, or its body must be read first to find what is behind it
+                if x.stage is not Stage.ANSWERED or (x is self.reading and self.state is ConnectionState.OPEN):
+                    break  # not known yet, or its body must be read first to find what is behind it
                 if self._answer(x):
                     self._next(x)
                 elif x.stage is not Stage.DONE:
-                    return      # the rest streams
+                    return  # the rest streams
         finally:
             self._writing = False
-        if self.door is Door.LAST and not self.queue:
+        if self.state is ConnectionState.LAST and not self.queue:
             self._linger()
 
     def _next(self, x: Exchange) -> None:
@@ -437,22 +441,28 @@
     def _keeps(self, x: Exchange) -> bool:
         """Whether the connection goes on behind this answer, which is the oldest that is due."""
         front = self.front
-        return x.keep and (len(self.queue) > 1 or self.door is Door.OPEN and not front.draining
-                           and len(front.clients) <= front.berths.kept)
+        return x.keep and (
+            len(self.queue) > 1
+            or self.state is ConnectionState.OPEN
+            and not front.draining
+            and len(front.clients) <= front.connection_budget.kept
+        )
 
     def _answer(self, x: Exchange) -> bool:
         """Write an answer, or the beginning of a streamed one; False if its rest comes later."""
         assert self.transport is not None
         answer = x.answer
         if answer is not None and not answer.whole and answer.length is None and not x.modern:
-            x.keep = False      # ended by the end of the connection
+            x.keep = False  # ended by the end of the connection
         keep = x.keep = self._keeps(x)
         if not keep:
             self._shut()
         if answer is None:
             body = (x.text + "\n").encode() if x.text else b""
-            lines = [b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n" % (
-                x.status, REASONS.get(x.status, b""), len(body))]
+            lines = [
+                b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
+                % (x.status, REASONS.get(x.status, b""), len(body))
+            ]
             if x.attempt:
                 lines.append(b"Attempt-Id: %b\r\n" % x.attempt)
             if x.retry_after:
@@ -497,11 +507,11 @@
 
     def _linger(self) -> None:
         """Everything is answered: end our side, wait for the client to end its own."""
-        if self.door in (Door.LINGER, Door.CLOSED):
+        if self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
             return
         self._shut()
-        self._to(Door.LINGER)
-        for x in self.queue:        # read behind the last answer: counts as not read
+        self._to(ConnectionState.LINGER)
+        for x in self.queue:  # read behind the last answer: counts as not read
             x.leave()
             if x.stage not in (Stage.RUNNING, Stage.DONE):
                 self._end(x)
@@ -516,29 +526,34 @@
             else:
                 try:
                     self.transport.write_eof()
-                except OSError:     # the client has reset the connection, and the loop has not told yet
+                except OSError:  # the client has reset the connection, and the loop has not told yet
                     self.transport.abort()
 
     def part(self) -> None:
         """End a connection on which nothing is due, unless bytes lie unread: then a request has come after all."""
-        if self.door is not Door.OPEN or not self.quiet() or self.transport is None or self.transport.is_closing():
+        if (
+            self.state is not ConnectionState.OPEN
+            or not self.quiet()
+            or self.transport is None
+            or self.transport.is_closing()
+        ):
             return
         made = self.transport.get_extra_info("socket")
         if not unread(made.fileno()):
-            self._to(Door.CLOSED)
+            self._to(ConnectionState.CLOSED)
             self.transport.close()
 
     def give_way(self, now: float) -> bool:
         """End a connection on which nothing is due, for its descriptor's sake; whether it could be."""
-        if self.door is Door.LINGER and self.transport is not None and not self.transport.is_closing():
+        if self.state is ConnectionState.LINGER and self.transport is not None and not self.transport.is_closing():
             if now - self.touched >= CROWD_LOOK and not self.transport.get_write_buffer_size():
                 self.transport.close()
                 return True
             return False
-        if self.door is not Door.OPEN:
+        if self.state is not ConnectionState.OPEN:
             return False
         self.part()
-        return self.door is Door.CLOSED
+        return self.state is ConnectionState.CLOSED
 
     def abort(self) -> None:
         """End the connection by a reset: nobody takes what was written for a whole answer."""
@@ -555,14 +570,14 @@
         """Keep the bounds on idleness and slowness."""
         limits = self.front.limits
         still = now - self.touched
-        if self.transport is None or self.door is Door.CLOSED:
+        if self.transport is None or self.state is ConnectionState.CLOSED:
             return
-        if self.door is Door.LINGER:
+        if self.state is ConnectionState.LINGER:
             if still > (limits.idle_timeout if self.transport.get_write_buffer_size() else LINGER):
                 self.transport.abort()
         elif self.full and still > limits.idle_timeout:
             self.abort()
-        elif self.door is not Door.OPEN:
+        elif self.state is not ConnectionState.OPEN:
             return
         elif self.head_since is not None and now - self.head_since > limits.header_timeout:
             if not self.queue:
@@ -594,7 +609,7 @@
 
     def ended(self) -> None:
         client, x = self.client, self.x
-        if client.door is Door.CLOSED or x.stage is not Stage.WRITING:
+        if client.state is ConnectionState.CLOSED or x.stage is not Stage.WRITING:
             return
         if self.chunked and client.transport is not None:
             client.transport.write(b"0\r\n\r\n")
@@ -610,25 +625,25 @@
 class Front:
     """The clients' port of an edge, at `settings.listen["data_plane"]`."""
 
-    def __init__(self, settings: Settings, picture: Picture, clock: Callable[[], float], seed: int):
-        self.settings, self.picture, self.clock = settings, picture, clock
-        self.forwarder = Forwarder(settings, picture, clock, seed)
+    def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
+        self.settings, self.view, self.clock = settings, view, clock
+        self.forwarder = Forwarder(settings, view, clock, seed)
         self.clients: set[Client] = set()
-        self.berths = shared(settings.machine.file_descriptors)
-        self.coming = 0         # connections accepted that have not entered yet
+        self.connection_budget = shared(settings.machine.file_descriptors)
+        self.coming = 0  # connections accepted that have not entered yet
         self.draining = False
-        self.started = picture.whole
-        self.open = 0           # requests read and not answered
-        self.gate: socket.socket | None = None      # where connections wait to be accepted
-        self._shut_until: asyncio.TimerHandle | None = None     # while none is accepted
+        self.started = view.whole
+        self.open = 0  # requests read and not answered
+        self.gate: socket.socket | None = None  # where connections wait to be accepted
+        self._shut_until: asyncio.TimerHandle | None = None  # while none is accepted
         self._sweep: asyncio.TimerHandle | None = None
-        self._tallied = clock()     # when it was last told how requests ended
+        self._tallied = clock()  # when it was last told how requests ended
         self._tasks: set[asyncio.Task] = set()
         self._calm: asyncio.Event = asyncio.Event()
 
     @property
     def limits(self) -> Limits:
-        configuration = self.picture.configuration
+        configuration = self.view.configuration
         return configuration.limits if configuration is not None else DEFAULT_LIMITS
 
     @property
@@ -652,7 +667,7 @@
         self.gate.setblocking(False)
         loop.add_reader(self.gate, self._accept)
         self._sweep = loop.call_later(SWEEP, self._look)
-        tell("listening", address=f"{host}:{self.port}")
+        log_info("listening", address=f"{host}:{self.port}")
 
     @property
     def port(self) -> int:
@@ -665,7 +680,7 @@
     @property
     def crowded(self) -> bool:
         """Whether there is no descriptor for one more client."""
-        return len(self.clients) + self.coming >= self.berths.clients
+        return len(self.clients) + self.coming >= self.connection_budget.clients
 
     def _accept(self) -> None:
         """Take in who waits, as far as there is room; idle clients make some."""
@@ -673,7 +688,7 @@
             if self.gate is None:
                 return
             if self.crowded:
-                if unread(self.gate.fileno()):      # somebody waits
+                if unread(self.gate.fileno()):  # somebody waits
                     self._make_room()
                     self._wait_for_room()
                 return
@@ -681,7 +696,7 @@
                 made, _ = self.gate.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 return
-            except OSError as error:        # no descriptor, whatever we count
+            except OSError as error:  # no descriptor, whatever we count
                 self.counts[f"not accepted: {error.strerror}"] += 1
                 self._wait_for_room()
                 return
@@ -757,7 +772,7 @@
     def _tell_tally(self, now: float) -> None:
         seconds, self._tallied = round(now - self._tallied, 1), now
         if counts := self.forwarder.tally():
-            tell("requests", seconds=seconds, counts=counts)
+            log_info("requests", seconds=seconds, counts=counts)
 
     def drain(self) -> None:
         """Accept no more connections; answers tell clients to leave; what was read is finished."""
@@ -765,7 +780,7 @@
             return
         self.draining = True
         self._close_gate()
-        tell("draining", clients=len(self.clients), requests=self.open)
+        log_info("draining", clients=len(self.clients), requests=self.open)
 
     async def finished(self, by: float) -> None:
         """Until every request that was read is answered, or the steady clock shows `by`; then connections end."""
@@ -778,8 +793,10 @@
                 pass
         for client in list(self.clients):
             client.part()
-        while any(client.transport is not None and client.transport.get_write_buffer_size()
-                  for client in self.clients) and self.clock() < by:
+        while (
+            any(client.transport is not None and client.transport.get_write_buffer_size() for client in self.clients)
+            and self.clock() < by
+        ):
             await asyncio.sleep(0.01)
         if self._sweep is not None:
             self._sweep.cancel()
@@ -792,9 +809,9 @@
         return self.forwarder.report()
 
     def pictured(self, changed: set[str]) -> None:
-        """The picture changed."""
+        """The cluster view changed."""
         self.forwarder.pictured(changed)
-        if not self.started and self.picture.whole:
+        if not self.started and self.view.whole:
             self.started = True
             for client in list(self.clients):
                 client.begun()
@@ -816,7 +833,7 @@
     def begin(self, x: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
         """A request's head was read: find its route and its deadline."""
         self.open += 1
-        index = self.picture.index
+        index = self.view.index
         if index is None:
             x.own(503, "not ready", 0.2)
             return
@@ -854,7 +871,7 @@
         try:
             await self.forwarder.carry(x)
         except Exception:
-            trouble("carrying a request failed", attempt=x.attempt.decode("latin-1"))
+            log_exception("carrying a request failed", attempt=x.attempt.decode("latin-1"))
             if x.stage is Stage.RUNNING:
                 x.own(502, "trouble of the edge")
 
--- a/knotwalk/windvane/link.py
+++ b/knotwalk/edge/link.py
@@ -1,4 +1,4 @@
-"""An edge's link to the core: one waiting call to one core that is fresh; news go into the picture."""
+"""An edge's link to the core: one waiting call to one core that is fresh; news go into the cluster view."""
 
 from __future__ import annotations
 
@@ -6,41 +6,50 @@
 import random
 from collections.abc import Callable
 
-from knotwalk.lookout.picture import Picture
-from knotwalk.mast.errors import StationError
-from knotwalk.mast.journal import clock, tell, warn
-from knotwalk.windvane.caller import Caller
+from knotwalk.discovery.cluster_view import ClusterView
+from knotwalk.edge.caller import Caller
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.logs import clock, log_info, log_warning
 
-WAIT = 1.0          # seconds a core holds a call without news: also the pace of reports
-FIRST_WAIT = 0.25   # the same for the first call to a core, which may be dark: as long as a core waits to be fresh
-PATIENCE = 0.6      # beyond the wait; then the core is left for another
-PAUSE = 0.03        # between tries at cores, growing to
+WAIT = 1.0  # seconds a core holds a call without news: also the pace of reports
+FIRST_WAIT = 0.25  # the same for the first call to a core, which may be dark: as long as a core waits to be fresh
+PATIENCE = 0.6  # beyond the wait; then the core is left for another
+PAUSE = 0.03  # between tries at cores, growing to
 PAUSE_MOST = 0.3
-PAUSE_BARE = 0.06   # the same while there is nothing to serve by: a port that refuses costs a millisecond to ask
-AVOID = 10.0        # seconds in which a core that failed is not chosen only because it is near
+PAUSE_BARE = 0.06  # the same while there is nothing to serve by: a port that refuses costs a millisecond to ask
+AVOID = 10.0  # seconds in which a core that failed is not chosen only because it is near
 
 
 class Link:
-    """Keeps `picture` up to date. `report` gives what to tell; `on_news` hears which topics changed."""
+    """Keeps `cluster view` up to date. `report` gives what to tell; `on_news` hears which topics changed."""
 
-    def __init__(self, edge: str, picture: Picture, caller: Caller, seeds: list[str], seed: int, zone: str,
-                 report: Callable[[], dict], on_news: Callable[[set[str], int], None]):
-        self.edge, self.picture, self.caller, self.seeds = edge, picture, caller, seeds
+    def __init__(
+        self,
+        edge: str,
+        view: ClusterView,
+        caller: Caller,
+        seeds: list[str],
+        seed: int,
+        zone: str,
+        report: Callable[[], dict],
+        on_news: Callable[[set[str], int], None],
+    ):
+        self.edge, self.view, self.caller, self.seeds = edge, view, caller, seeds
         self.report, self.on_news = report, on_news
         self.random = random.Random(seed)
         self.zone = zone
-        self.zones: dict[str, str] = {}     # of cores that have answered: bytes between zones are priced
+        self.zones: dict[str, str] = {}  # of cores that have answered: bytes between zones are priced
         self.core: str | None = None
-        self.known: str | None = None   # the core that answered the last call
+        self.known: str | None = None  # the core that answered the last call
         self.tried: list[str] = []
-        self.left: dict[str, float] = {}        # cores that failed us, and when: not gone back to for nearness alone
-        self.heard_at = float("-inf")       # when a fresh core last answered
+        self.left: dict[str, float] = {}  # cores that failed us, and when: not gone back to for nearness alone
+        self.heard_at = float("-inf")  # when a fresh core last answered
         self.reported_at = float("-inf")
         self.edges = 0
 
     def next_core(self) -> str | None:
         """Another core than those tried in this round, those that failed us lately last; a new round when all were."""
-        known = list(dict.fromkeys([*self.picture.cores, *self.seeds]))
+        known = list(dict.fromkeys([*self.view.cores, *self.seeds]))
         if not known:
             return None
         left = [at for at in known if at not in self.tried]
@@ -60,7 +69,7 @@
             if self.core is None or not await self.turn(self.core):
                 self.core = None
                 await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
-                pause = min(PAUSE_BARE if self.picture.bare else PAUSE_MOST, 1.5 * pause)
+                pause = min(PAUSE_BARE if self.view.bare else PAUSE_MOST, 1.5 * pause)
             else:
                 pause, self.tried = PAUSE, []
                 self.core = self.nearer(self.core)
@@ -69,35 +78,35 @@
         """A core of this zone instead of one that is not, or one whose zone is not known yet, while there is any."""
         if self.zones.get(core) == self.zone:
             return core
-        known = [at for at in self.picture.cores if self.zones.get(at, self.zone) == self.zone and at not in self.left]
+        known = [at for at in self.view.cores if self.zones.get(at, self.zone) == self.zone and at not in self.left]
         return self.random.choice(known) if known else core
 
     def begin(self, now: float, core: str, provisional: dict | None) -> None:
         """Serve for now by what a core that only just started holds, if there is nothing yet to serve by."""
         try:
-            changed = self.picture.provide(now, provisional) if provisional else set()
+            changed = self.view.provide(now, provisional) if provisional else set()
         except (KeyError, TypeError, ValueError) as error:
-            warn("news not understood", core=core, why=f"{type(error).__name__} {error}")
+            log_warning("news not understood", core=core, why=f"{type(error).__name__} {error}")
             return
         if changed:
-            tell("provisional", core=core, version=self.picture.configuration.version)
-            self.on_news(changed, 0)        # a core that just started has not heard of all edges
+            log_info("provisional", core=core, version=self.view.configuration.version)
+            self.on_news(changed, 0)  # a core that just started has not heard of all edges
 
     async def turn(self, core: str) -> bool:
         """One call; whether the core is fit to be asked again."""
         now = clock()
         wait = WAIT if core == self.known else FIRST_WAIT
         self.known = None
-        asked = {"edge": self.edge, "wait": wait, **self.picture.ask()}
+        asked = {"edge": self.edge, "wait": wait, **self.view.ask()}
         if now - self.reported_at >= 0.9 * WAIT:
             self.reported_at = now
             asked["report"] = self.report()
         try:
-            told = await self.caller.json("POST", f"http://{core}/picture", asked, wait + PATIENCE, "picture")
-        except StationError as error:
+            told = await self.caller.json("POST", f"http://{core}/cluster-view", asked, wait + PATIENCE, "cluster view")
+        except PeerError as error:
             self.left[core] = now
             if self.core is not None and self.heard_at > now - 5:
-                warn("core left", core=core, why=str(error))
+                log_warning("core left", core=core, why=str(error))
             return False
         now = clock()
         self.zones[core] = told.get("zone", "")
@@ -109,19 +118,19 @@
         changed: set[str] = set()
         if news := told.get("news"):
             try:
-                changed = self.picture.apply(now, news)
+                changed = self.view.apply(now, news)
             except (KeyError, TypeError, ValueError) as error:
-                warn("news not understood", core=core, why=f"{type(error).__name__} {error}")
+                log_warning("news not understood", core=core, why=f"{type(error).__name__} {error}")
                 return False
         first = self.heard_at == float("-inf")
         self.heard_at, self.edges = now, told["edges"]
         if changed or first:
             self.on_news(changed, self.edges)
-        if self.picture.fault:
-            warn("configuration not taken", core=core, why=self.picture.fault)
+        if self.view.fault:
+            log_warning("configuration not taken", core=core, why=self.view.fault)
             self.left[core] = now
             return False
         if first:
-            tell("core found", core=core)
+            log_info("core found", core=core)
         self.known = core
         return True
--- a/knotwalk/mast/life.py
+++ b/knotwalk/runtime/life.py
@@ -12,9 +12,9 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from knotwalk.mast import journal, settings as settings_file
-from knotwalk.mast.errors import SettingsError
-from knotwalk.mast.settings import Settings
+from knotwalk.runtime import logs, settings as settings_file
+from knotwalk.runtime.errors import SettingsError
+from knotwalk.runtime.settings import Settings
 
 ENDED, FAILED, UNUSABLE = 0, 1, 2
 # Seconds between looks at the settings file, which may change without a signal: seeds that changed last for minutes.
@@ -56,10 +56,10 @@
         try:
             fresh = settings_file.load()
         except SettingsError as error:
-            journal.warn("settings not taken up", why=str(error))
+            logs.log_warning("settings not taken up", why=str(error))
             return
         self._reload(fresh)
-        journal.tell("settings taken up")
+        logs.log_info("settings taken up")
 
     @property
     def asked(self) -> bool:
@@ -79,7 +79,7 @@
 def live(name: str, make: Callable[[Settings], Program], *unusable: type[Exception]) -> int:
     """Read the settings, make the program, run it: the exit code. `unusable`: what else `make` may find, told in one
     line."""
-    journal.start()
+    logs.start()
 
     async def whole() -> int:
         try:
@@ -89,8 +89,9 @@
             return UNUSABLE
         await program.run()
         return ENDED
+
     try:
         return asyncio.run(whole())
     except Exception:
-        journal.trouble("ended by an error")
+        logs.log_exception("ended by an error")
         return FAILED
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -8,11 +8,11 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from knotwalk.atlas.objects import Configuration, Limits, Route, Service
-from knotwalk.lookout.picture import Line, Node, Picture, Sharding
-from knotwalk.mast.journal import clock
-from knotwalk.mast.settings import parse
-from knotwalk.windvane.front import Front
+from knotwalk.configuration.objects import Configuration, Limits, Route, Service
+from knotwalk.discovery.cluster_view import ClusterView, Line, Node, Sharding
+from knotwalk.edge.front import Front
+from knotwalk.runtime.logs import clock
+from knotwalk.runtime.settings import parse
 
 
 @dataclass
@@ -30,8 +30,14 @@
         return self.headers.get("attempt-id", "")
 
 
-def answer(request: Request, body: bytes = b"bytes", status: str = "200 OK", seal: bool = True, extra: str = "",
-           id: str | None = None) -> bytes:
+def answer(
+    request: Request,
+    body: bytes = b"bytes",
+    status: str = "200 OK",
+    seal: bool = True,
+    extra: str = "",
+    id: str | None = None,
+) -> bytes:
     """A whole answer."""
     head = f"HTTP/1.1 {status}\r\nAttempt-Id: {request.attempt if id is None else id}\r\n"
     head += f"Content-Length: {len(body)}\r\n" + ("Server-Seal: s\r\n" if seal else "") + extra + "\r\n"
@@ -111,7 +117,7 @@
                         continue
                 writer.write(act)
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            pass        # cancelled at a test's end: asyncio's streams would print it
+            pass  # cancelled at a test's end: asyncio's streams would print it
         finally:
             self.gone.append(number)
             self.left.set()
@@ -131,25 +137,31 @@
 
 def routes(timeout: float = 5.0, aim: float = 2.0, retry_count: int = 2) -> list[Route]:
     """`/i/` may be repeated, `/n/` not; `/ki/` and `/kn/` the same of a service divided by key."""
-    return [Route(prefix, "h", prefix, idempotent, timeout, aim, 0, ((service, 1.0),), retry_count)
-            for prefix, idempotent, service in (("/i/", True, "s"), ("/n/", False, "s"),
-                                                ("/ki/", True, "k"), ("/kn/", False, "k"))]
-
-
-def picture(nodes: list[Node], found: list[Route] | None = None, limits: Limits | None = None) -> Picture:
-    """A picture of nodes; those of `k` share its keys evenly."""
-    made = Picture()
+    return [
+        Route(prefix, "h", prefix, idempotent, timeout, aim, 0, ((service, 1.0),), retry_count)
+        for prefix, idempotent, service in (
+            ("/i/", True, "s"),
+            ("/n/", False, "s"),
+            ("/ki/", True, "k"),
+            ("/kn/", False, "k"),
+        )
+    ]
+
+
+def view(nodes: list[Node], found: list[Route] | None = None, limits: Limits | None = None) -> ClusterView:
+    """A cluster view of nodes; those of `k` share its keys evenly."""
+    made = ClusterView()
     table = found if found is not None else routes()
     services = {"s": Service("s"), "k": Service("k", sharded=True)}
     made.configuration = Configuration(1, {r.name: r for r in table}, services, limits or Limits(), {})
-    made.index = Index(table)       # type: ignore[assignment]
+    made.index = Index(table)  # type: ignore[assignment]
     made.nodes_order = (0, 0)
     show(made, nodes)
     return made
 
 
-def show(made: Picture, nodes: list[Node]) -> None:
-    """Put these nodes in the picture."""
+def show(made: ClusterView, nodes: list[Node]) -> None:
+    """Put these nodes in the cluster view."""
     made.nodes = {node.id: node for node in nodes}
     made.by_service = {}
     for node in nodes:
@@ -162,7 +174,7 @@
             sharding.lines[at] = Line(owner, True, owner.id)
 
 
-async def front(made: Picture, now: Callable[[], float] = clock, **raw: object) -> Front:
+async def front(made: ClusterView, now: Callable[[], float] = clock, **raw: object) -> Front:
     """A front on a port that the system chose, with a budget that has room."""
     settings = parse({"node_name": "edge", "zone": "a", "listen_addresses": {"data_plane": "127.0.0.1:1"}, **raw})
     settings.listen["data_plane"] = ("127.0.0.1", 0)
@@ -183,8 +195,15 @@
     async def to(cls, port: int, host: str = "127.0.0.1") -> RawClient:
         return cls(*await asyncio.open_connection(host, port, limit=1 << 22))
 
-    def ask(self, path: str = "/i/x", id: str = "a1", method: str = "GET", headers: str = "", body: bytes = b"",
-            deadline: int = 4000) -> None:
+    def ask(
+        self,
+        path: str = "/i/x",
+        id: str = "a1",
+        method: str = "GET",
+        headers: str = "",
+        body: bytes = b"",
+        deadline: int = 4000,
+    ) -> None:
         head = f"{method} {path} HTTP/1.1\r\nHost: h\r\nAttempt-Id: {id}\r\nDeadline-Ms: {deadline}\r\n{headers}"
         head += f"Content-Length: {len(body)}\r\n" if body else ""
         self.writer.write(head.encode() + b"\r\n" + body)
--- a/tests/system/test_barometer.py
+++ b/tests/system/test_control_plane.py
@@ -10,32 +10,51 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from knotwalk.atlas.read import document, patched, read_configuration
-from knotwalk.barometer.agree import Agreement, NotLeader, opened
-from knotwalk.barometer.conductor import LANES, Conductor
-from knotwalk.barometer.stations import Stations
-from knotwalk.barometer.steward import Steward
+from knotwalk.configuration.read import document, patched, read_configuration
+from knotwalk.consensus.orders import Pace, Save, Saved
+from knotwalk.consensus.store import NAME, Damaged, Refused, Store
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
+from knotwalk.control_plane.list_poller import ListPoller
+from knotwalk.control_plane.peer_api import PeerApi
+from knotwalk.control_plane.slice_manager import LANES, SliceManager
+from knotwalk.discovery.cluster_view import Board, ClusterView, Node
+from knotwalk.discovery.loads import Loads, merge
+from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
-from knotwalk.logbook.machine import Pace, Save, Saved
-from knotwalk.logbook.store import NAME, Damaged, Refused, Store
-from knotwalk.lookout.loads import Loads, merge
-from knotwalk.lookout.picture import Board, Node, Picture
-from knotwalk.mast.errors import StationError
-from knotwalk.windvane.link import FIRST_WAIT, WAIT, Link
+from knotwalk.runtime.errors import PeerError
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
-DOCUMENT = {"config_version": "r3", "objects": [
-    {"object_kind": "services", "metadata": {"name": "s"}, "specification": {"health_check": "/h", "sharded": True}},
-    {"object_kind": "routes", "metadata": {"name": "r"}, "specification": {
-        "hostname": "a.example", "path_prefix": "/a/", "route_type": "idempotent", "timeout": "1s",
-        "target_latency": "300ms", "priority": 1, "service": "s", "retry_count": 2}}]}
+DOCUMENT = {
+    "config_version": "r3",
+    "objects": [
+        {
+            "object_kind": "services",
+            "metadata": {"name": "s"},
+            "specification": {"health_check": "/h", "sharded": True},
+        },
+        {
+            "object_kind": "routes",
+            "metadata": {"name": "r"},
+            "specification": {
+                "hostname": "a.example",
+                "path_prefix": "/a/",
+                "route_type": "idempotent",
+                "timeout": "1s",
+                "target_latency": "300ms",
+                "priority": 1,
+                "service": "s",
+                "retry_count": 2,
+            },
+        },
+    ],
+}
 
 
 class Wire:
     """Calls between agreements, as they would come over a connection; who is cut off is not reached."""
 
     def __init__(self) -> None:
-        self.ends: dict[str, Agreement] = {}
+        self.ends: dict[str, ConsensusDriver] = {}
         self.cut: set[str] = set()
         self.answers: list[tuple[str, list[dict]]] = []
 
@@ -43,9 +62,9 @@
         await asyncio.sleep(0)
         address = url.split("/")[2]
         if address in self.cut:
-            raise StationError(step, address, "cut off")
+            raise PeerError(step, address, "cut off")
         found = self.ends[address].exchange(json.loads(json.dumps(body)))
-        self.answers += [(letter["type"], found) for letter in body]
+        self.answers += [(message["type"], found) for message in body]
         return found
 
 
@@ -64,7 +83,7 @@
         founders = {f"{at}#founder": at for at in ADDRESSES}
         for n, at in enumerate(ADDRESSES):
             saved = Saved(f"{at}#founder", members=founders)
-            self.wire.ends[at] = Agreement(Disk(), saved, self.wire, Pace(), n, float("-inf"))
+            self.wire.ends[at] = ConsensusDriver(Disk(), saved, self.wire, Pace(), n, float("-inf"))
         for end in self.wire.ends.values():
             end.start()
 
@@ -75,32 +94,32 @@
     async def until(self, met):
         async with asyncio.timeout(20):
             while not met():
-                await asyncio.sleep(0.001)      # a turn of the loop, so that timers come due; bounded above
+                await asyncio.sleep(0.001)  # a turn of the loop, so that timers come due; bounded above
 
-    async def leader(self) -> Agreement:
+    async def leader(self) -> ConsensusDriver:
         await self.until(lambda: any(end.machine.settled for end in self.wire.ends.values()))
         return next(end for end in self.wire.ends.values() if end.machine.settled)
 
     async def test_a_follower_answers_the_leaders_letters_with_the_call_itself(self):
-        """What an answer to letters holds is what commits wait for: left to the next heartbeat, each took 0.3 s."""
+        """What an answer to messages holds is what commits wait for: left to the next heartbeat, each took 0.3 s."""
         leader = await self.leader()
         await leader.propose({"do": "shard", "services": ["s"]})
         appends = [found for kind, found in self.wire.answers if kind == "append"]
         self.assertTrue(appends)
-        self.assertTrue(any(letter["type"] == "appended" for found in appends for letter in found))
+        self.assertTrue(any(message["type"] == "appended" for found in appends for message in found))
 
     async def test_what_is_agreed_on_is_the_same_everywhere(self):
         leader = await self.leader()
         command = {"do": "configure", "base": 0, "version": 3, "digest": "d", "document": DOCUMENT}
         self.assertEqual(await leader.propose(command), "done")
-        self.assertEqual(await leader.propose(command), "done")         # the same call, agreed on twice
+        self.assertEqual(await leader.propose(command), "done")  # the same call, agreed on twice
         other = {**command, "version": 4, "digest": "e"}
         self.assertEqual(await leader.propose(other), "another version is in place")
         last = leader.machine.applied
-        await self.until(lambda: all(end.record.applied >= last for end in self.wire.ends.values()))
-        kept = [json.dumps(end.record.to_dict(), sort_keys=True) for end in self.wire.ends.values()]
+        await self.until(lambda: all(end.state.applied >= last for end in self.wire.ends.values()))
+        kept = [json.dumps(end.state.to_dict(), sort_keys=True) for end in self.wire.ends.values()]
         self.assertEqual(len(set(kept)), 1)
-        self.assertEqual(leader.record.version, 3)
+        self.assertEqual(leader.state.version, 3)
 
     async def test_few_large_entries_are_put_down_whole_before_they_fill_the_disk(self):
         """Compaction by count alone let some dozens of them fill it, and a full disk refuses what would make room."""
@@ -130,21 +149,22 @@
         fresh = await self.leader()
         self.assertIsNot(fresh, leader)
         await fresh.propose({"do": "shard", "services": ["s"]})
-        await self.until(lambda: "s" in leader.record.ledger.slices)
+        await self.until(lambda: "s" in leader.state.ledger.slices)
 
 
 class DamageCase(unittest.IsolatedAsyncioTestCase):
     """Three machines with real files; what one of them reads back is not what it wrote."""
 
-    async def test_a_damaged_logbook_is_another_machine_which_the_others_take_in(self):
+    async def test_a_damaged_log_file_is_another_machine_which_the_others_take_in(self):
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
         wire, founders, damage = Wire(), {f"{at}#founder": at for at in ADDRESSES}, []
 
-        def start(at: str, first: bool) -> Agreement:
+        def start(at: str, first: bool) -> ConsensusDriver:
             store = Store()
-            end = wire.ends[at] = Agreement(store, opened(store, str(folder / at), first, at, founders), wire, Pace(), 1,
-                                            float("-inf"))
+            end = wire.ends[at] = ConsensusDriver(
+                store, opened(store, str(folder / at), first, at, founders), wire, Pace(), 1, float("-inf")
+            )
             end.machine.address, end.machine.contacts = at, [one for one in ADDRESSES if one != at]
             end.on_damage = lambda: damage.append(at)
             end.start()
@@ -159,16 +179,25 @@
 
         for at in ADDRESSES:
             start(at, True)
-        leads = lambda: next((one for one in wire.ends.values() if one.machine.settled), None)      # noqa: E731
+        leads = lambda: next((one for one in wire.ends.values() if one.machine.settled), None)  # noqa: E731
         await until(leads)
         leader = leads()
-        self.assertEqual(await leader.propose({"do": "configure", "base": 0, "version": 3, "digest": "d",
-                                               "document": DOCUMENT}), "done")
+        self.assertEqual(
+            await leader.propose({"do": "configure", "base": 0, "version": 3, "digest": "d", "document": DOCUMENT}),
+            "done",
+        )
         victim = next(one for one in wire.ends.values() if one is not leader)
         at = victim.machine.address
         with mock.patch.object(victim.store, "write", side_effect=Damaged(victim.store.path, "malformed")):
-            await leader.propose({"do": "configure", "base": 3, "version": 4, "digest": "e",
-                                  "document": DOCUMENT | {"config_version": "r4"}})
+            await leader.propose(
+                {
+                    "do": "configure",
+                    "base": 3,
+                    "version": 4,
+                    "digest": "e",
+                    "document": DOCUMENT | {"config_version": "r4"},
+                }
+            )
             await until(lambda: damage == [at])
         self.assertFalse(victim.machine._may_stand())
         await victim.close()
@@ -176,15 +205,23 @@
         victim.store.close()
         path = folder / at / NAME
         path.write_bytes(path.read_bytes()[:5000].ljust(path.stat().st_size, b"x"))
-        with mock.patch.object(Store, "set_aside", side_effect=Refused(path, "no")), self.assertRaises(StopIteration), \
-                self.assertLogs(level="WARNING"):
+        with (
+            mock.patch.object(Store, "set_aside", side_effect=Refused(path, "no")),
+            self.assertRaises(StopIteration),
+            self.assertLogs(level="WARNING"),
+        ):
             opened(Store(), str(folder / at), True, at, founders, mock.Mock(side_effect=[StopIteration]))
         with self.assertLogs(level="WARNING") as said:
             fresh = start(at, True)
         self.assertEqual(len(said.output), 1)
         self.assertNotIn(fresh.machine.me, founders)
-        await until(lambda: leader.machine.members.keys() - founders == {fresh.machine.me}
-                    and fresh.record.version == 4 and fresh.machine.role == "follower")
+        await until(
+            lambda: (
+                leader.machine.members.keys() - founders == {fresh.machine.me}
+                and fresh.state.version == 4
+                and fresh.machine.role == "follower"
+            )
+        )
         for end in wire.ends.values():
             await end.close()
             await asyncio.to_thread(end.writer.shutdown)
@@ -194,7 +231,7 @@
 class Cut:
     async def json(self, method, url, body, patience, step):
         await asyncio.sleep(0)
-        raise StationError(step, url, "cut off")
+        raise PeerError(step, url, "cut off")
 
 
 class LinkCase(unittest.IsolatedAsyncioTestCase):
@@ -206,8 +243,8 @@
             async def json(self, method, url, body, patience, step):
                 asked.append(url.split("/")[2])
                 waits.append(body["wait"])
-                if len(asked) == 2:         # the near one, which has answered once
-                    raise StationError(step, url, "no answer")
+                if len(asked) == 2:  # the near one, which has answered once
+                    raise PeerError(step, url, "no answer")
                 if len(asked) == 3:
                     raise asyncio.CancelledError
                 return {"fresh": True, "zone": "z", "edges": 1}
@@ -215,13 +252,14 @@
         for seed in range(4):
             asked.clear()
             waits.clear()
-            link = Link("e", Picture(), Cores(), ADDRESSES, seed, "z", dict, lambda changed, edges: None)
+            link = Link("e", ClusterView(), Cores(), ADDRESSES, seed, "z", dict, lambda changed, edges: None)
             with self.assertRaises(asyncio.CancelledError), self.assertLogs(level="WARNING"):
                 await link.run()
             self.assertEqual(asked[0], asked[1])
             self.assertNotEqual(asked[1], asked[2])
-            self.assertEqual(waits, [FIRST_WAIT, WAIT, FIRST_WAIT])     # one that is not known to live is not waited for long
-
+            self.assertEqual(
+                waits, [FIRST_WAIT, WAIT, FIRST_WAIT]
+            )  # one that is not known to live is not waited for long
 
     async def test_a_core_that_never_gets_fresh_is_served_by_and_others_are_asked_all_the_while(self):
         """What an edge that just started has from a core that just started is better than nothing, and no more."""
@@ -237,24 +275,39 @@
                     raise asyncio.CancelledError
                 told = {"fresh": False, "zone": "z", "edges": 1}
                 if len(asked) == 1:
-                    return told | {"provisional": {"config": {"order": 5}, "nodes": {}}}      # not understood
+                    return told | {"provisional": {"config": {"order": 5}, "nodes": {}}}  # not understood
                 return told | {"provisional": json.loads(json.dumps(board.provisional(nodes, 0.0)))}
 
-        link = Link("e", Picture(), Cores(), ADDRESSES, 1, "z", dict, lambda changed, edges: heard.append(edges))
-        with self.assertRaises(asyncio.CancelledError), mock.patch("knotwalk.windvane.link.PAUSE_MOST", 0.0), \
-                self.assertLogs(level="WARNING") as logs:
+        link = Link("e", ClusterView(), Cores(), ADDRESSES, 1, "z", dict, lambda changed, edges: heard.append(edges))
+        with (
+            self.assertRaises(asyncio.CancelledError),
+            mock.patch("knotwalk.edge.link.PAUSE_MOST", 0.0),
+            self.assertLogs(level="WARNING") as logs,
+        ):
             await link.run()
         self.assertEqual([bare for _, bare in asked], [True, True] + [False] * 7)
-        self.assertEqual(({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/picture" for at in ADDRESSES}, 1))
-        self.assertEqual((heard, link.picture.whole, link.picture.config_order), ([0], True, -1))
+        self.assertEqual(
+            ({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/cluster-view" for at in ADDRESSES}, 1)
+        )
+        self.assertEqual((heard, link.view.whole, link.view.config_order), ([0], True, -1))
 
 
 class ProvisionalCase(unittest.IsolatedAsyncioTestCase):
     """What a core that only just started tells an edge that has nothing."""
 
     async def asyncSetUp(self):
-        self.calls, entry = 0, {"service": "s", "address": "10.0.1.1:80", "zone": "z", "capacity": 2, "state": "draining",
-                                "config_version": "v1", "warmup_left": "0ms"}
+        self.calls, entry = (
+            0,
+            {
+                "service": "s",
+                "address": "10.0.1.1:80",
+                "zone": "z",
+                "capacity": 2,
+                "state": "draining",
+                "config_version": "v1",
+                "warmup_left": "0ms",
+            },
+        )
         owner = self
 
         class Platform:
@@ -266,30 +319,35 @@
                 return self.status, {}, json.dumps({"instances": {"i-1": entry}, "next_token": None}).encode()
 
         self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(leader=None)
-        agreement = SimpleNamespace(machine=self.machine)
-        steward = Steward(SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"), agreement, self.board,
-                          self.platform, "me")
-        self.stations = Stations("me", agreement, steward, None, self.board, Loads(), None)
+        consensus = SimpleNamespace(machine=self.machine)
+        list_poller = ListPoller(
+            SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"),
+            consensus,
+            self.board,
+            self.platform,
+            "me",
+        )
+        self.peer_api = PeerApi("me", consensus, list_poller, None, self.board, Loads(), None)
 
     async def ask(self, **more):
         asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
-        return json.loads((await self.stations.picture(SimpleNamespace(body=asked))).body)
+        return json.loads((await self.peer_api.view(SimpleNamespace(body=asked))).body)
 
     async def test_only_a_bare_edge_is_told_and_only_before_a_leader_is_known(self):
         self.assertNotIn("provisional", await self.ask())
-        self.assertEqual(self.calls, 0)         # nothing on the disk: nothing is asked for
+        self.assertEqual(self.calls, 0)  # nothing on the disk: nothing is asked for
         self.board.set_config(5, DOCUMENT)
         told = await asyncio.gather(self.ask(), self.ask(), self.ask())
-        self.assertEqual(self.calls, 1)         # a platform's call for all
+        self.assertEqual(self.calls, 1)  # a platform's call for all
         for one in told:
             self.assertFalse(one["fresh"])
-            picture = Picture()
-            self.assertEqual(picture.provide(0.0, one["provisional"]), {"config", "nodes"})
-            self.assertTrue(picture.whole and picture.nodes["i-1"].draining)
+            view = ClusterView()
+            self.assertEqual(view.provide(0.0, one["provisional"]), {"config", "nodes"})
+            self.assertTrue(view.whole and view.nodes["i-1"].draining)
         self.assertNotIn("provisional", await self.ask(bare=False))
         self.machine.leader = "a:1"
         self.assertNotIn("provisional", await self.ask())
-        self.machine.leader, self.stations.fresh_until = None, 1.0
+        self.machine.leader, self.peer_api.fresh_until = None, 1.0
         self.assertNotIn("provisional", await self.ask())
         self.assertEqual(self.calls, 1)
 
@@ -298,98 +356,105 @@
         self.platform.status = 429
         for _ in range(3):
             self.assertNotIn("provisional", await self.ask())
-        self.assertEqual(self.calls, 1)         # no more often than a leader would ask
+        self.assertEqual(self.calls, 1)  # no more often than a leader would ask
 
 
 class BoardCase(unittest.TestCase):
-    """A picture never goes back, whichever of two boards it hears."""
+    """A cluster view never goes back, whichever of two boards it hears."""
 
     def nodes(self, *ids):
         return {id: Node(id, "s", ("10.0.1.1", 80 + n), "z", 2) for n, id in enumerate(ids)}
 
-    def tell(self, board: Board, picture: Picture) -> set[str]:
-        message = board.since(json.loads(json.dumps(picture.ask())), 0.0)
-        return picture.apply(0.0, json.loads(json.dumps(message))) if message else set()
+    def tell(self, board: Board, view: ClusterView) -> set[str]:
+        message = board.since(json.loads(json.dumps(view.ask())), 0.0)
+        return view.apply(0.0, json.loads(json.dumps(message))) if message else set()
 
     def test_changes_only_and_never_back(self):
-        ahead, behind, picture = Board("a"), Board("b"), Picture()
+        ahead, behind, view = Board("a"), Board("b"), ClusterView()
         for board in (ahead, behind):
             board.set_config(5, DOCUMENT)
             board.set_nodes((1, 1), self.nodes("x", "y"))
             board.set_lines(7, "s", {0: ("x", True), 1: ("x", True), 2: ("y", False)})
-        self.assertEqual(self.tell(ahead, picture), {"config", "nodes", "lines"})
-        self.assertTrue(picture.whole)
+        self.assertEqual(self.tell(ahead, view), {"config", "nodes", "lines"})
+        self.assertTrue(view.whole)
         ahead.set_config(9, {**DOCUMENT, "config_version": "r4"})
         ahead.set_nodes((1, 2), self.nodes("x"))
         ahead.set_lines(8, "s", {2: ("x", True)})
-        self.assertEqual(self.tell(ahead, picture), {"config", "nodes", "lines"})
-        self.assertEqual(self.tell(behind, picture), set())             # whole, but older in every topic
-        self.assertEqual((picture.configuration.version, set(picture.nodes)), (4, {"x"}))
-        self.assertEqual(picture.shardings["s"].lines[2].owner, "x")
+        self.assertEqual(self.tell(ahead, view), {"config", "nodes", "lines"})
+        self.assertEqual(self.tell(behind, view), set())  # whole, but older in every topic
+        self.assertEqual((view.configuration.version, set(view.nodes)), (4, {"x"}))
+        self.assertEqual(view.shardings["s"].lines[2].owner, "x")
         behind.set_lines(11, "s", {1: ("", False), 2: ("x", True)})
         behind.set_nodes((2, 1), self.nodes("x", "z"))
-        self.assertEqual(self.tell(behind, picture), {"nodes", "lines"})
-        self.assertEqual([line.owner for line in picture.shardings["s"].lines[:3]], ["x", "", "x"])
-        self.assertEqual(set(picture.nodes), {"x", "z"})
+        self.assertEqual(self.tell(behind, view), {"nodes", "lines"})
+        self.assertEqual([line.owner for line in view.shardings["s"].lines[:3]], ["x", "", "x"])
+        self.assertEqual(set(view.nodes), {"x", "z"})
 
     def change(self, board: Board, order: int) -> None:
         """The next configuration, made as the log makes it: items not named stay the same objects."""
         before = read_configuration(board.config[1])
         route = before.items["routes", "r"]
         route = route | {"specification": route["specification"] | {"timeout": f"{order}s"}}
-        board.set_config(order, document(patched(before, {
-            "config_version": f"r{before.version + 1}", "upsert": {"objects": [route]}})))
+        board.set_config(
+            order,
+            document(patched(before, {"config_version": f"r{before.version + 1}", "upsert": {"objects": [route]}})),
+        )
 
     def test_a_provisional_picture_is_replaced_by_any_fresh_one_and_never_follows_one(self):
-        old, fresh, picture = Board("a"), Board("b"), Picture()
+        old, fresh, view = Board("a"), Board("b"), ClusterView()
         old.set_config(50, {**DOCUMENT, "config_version": "r9"})
         old.set_lines(51, "s", {0: ("x", True), 9: ("gone", True)})
         old.set_lines(52, "dropped", {0: ("x", True)})
         provisional = json.loads(json.dumps(old.provisional(self.nodes("x", "gone"), 0.0)))
-        self.assertTrue(picture.ask()["bare"])
-        self.assertEqual(picture.provide(0.0, provisional), {"config", "nodes", "lines"})
-        self.assertEqual(picture.provide(0.0, provisional | {"nodes": {}}), set())       # one is enough
-        self.assertEqual((picture.whole, picture.shardings["s"].lines[9].node.id), (True, "gone"))
-        self.assertEqual({k: v for k, v in picture.ask().items() if k != "at"},
-                         {"epoch": "", "config": -1, "nodes": (-1, -1), "lines": -1})
-        fresh.set_config(5, DOCUMENT)           # a fresh core before its leader has read the list
+        self.assertTrue(view.ask()["bare"])
+        self.assertEqual(view.provide(0.0, provisional), {"config", "nodes", "lines"})
+        self.assertEqual(view.provide(0.0, provisional | {"nodes": {}}), set())  # one is enough
+        self.assertEqual((view.whole, view.shardings["s"].lines[9].node.id), (True, "gone"))
+        self.assertEqual(
+            {k: v for k, v in view.ask().items() if k != "at"},
+            {"epoch": "", "config": -1, "nodes": (-1, -1), "lines": -1},
+        )
+        fresh.set_config(5, DOCUMENT)  # a fresh core before its leader has read the list
         fresh.set_lines(7, "s", {0: ("x", True), 1: ("y", True)})
-        self.assertEqual(self.tell(fresh, picture), {"config", "lines"})
-        self.assertEqual((picture.whole, picture.provisional, set(picture.nodes)), (True, True, {"x", "gone"}))
-        self.assertEqual((picture.configuration.version, set(picture.shardings)), (3, {"s"}))
-        self.assertEqual(picture.shardings["s"].lines[9].owner, "")
+        self.assertEqual(self.tell(fresh, view), {"config", "lines"})
+        self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, True, {"x", "gone"}))
+        self.assertEqual((view.configuration.version, set(view.shardings)), (3, {"s"}))
+        self.assertEqual(view.shardings["s"].lines[9].owner, "")
         fresh.set_nodes((1, 1), self.nodes("x", "y"))
-        self.assertEqual(self.tell(fresh, picture), {"nodes"})
-        self.assertEqual((picture.whole, picture.provisional, set(picture.nodes)), (True, False, {"x", "y"}))
-        self.assertEqual(picture.shardings["s"].lines[1].node.id, "y")
-        self.assertEqual(picture.provide(0.0, provisional), set())
-        self.assertEqual(picture.configuration.version, 3)
+        self.assertEqual(self.tell(fresh, view), {"nodes"})
+        self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, False, {"x", "y"}))
+        self.assertEqual(view.shardings["s"].lines[1].node.id, "y")
+        self.assertEqual(view.provide(0.0, provisional), set())
+        self.assertEqual(view.configuration.version, 3)
 
     def test_changes_alone_or_the_whole_by_what_the_picture_has_whichever_board_it_heard(self):
         one, two = Board("a"), Board("b")
-        pictures = [Picture(), Picture(), Picture()]
-        much = {**DOCUMENT, "objects": DOCUMENT["objects"] + [
-            {"object_kind": "services", "metadata": {"name": f"s{n}"}, "specification": {}} for n in range(60)]}
+        views = [ClusterView(), ClusterView(), ClusterView()]
+        much = {
+            **DOCUMENT,
+            "objects": DOCUMENT["objects"]
+            + [{"object_kind": "services", "metadata": {"name": f"s{n}"}, "specification": {}} for n in range(60)],
+        }
         for board in (one, two):
             board.set_config(5, much)
             board.set_lines(7, "s", {k: ("x" if k % 2 else "y", True) for k in range(40)})
-        for board, picture in zip((one, one, two), pictures):
-            self.tell(board, picture)
+        for board, view in zip((one, one, two), views):
+            self.tell(board, view)
         for order in (6, 7, 8):
             for board in (one, two):
                 self.change(board, order)
-            self.tell(one, pictures[0])
-        self.assertEqual(two.since(pictures[0].ask(), 0.0), {"epoch": "b", "at": two.at})
-        behind = [board.since(pictures[1].ask(), 0.0)["config"] for board in (one, two)]
+            self.tell(one, views[0])
+        self.assertEqual(two.since(views[0].ask(), 0.0), {"epoch": "b", "at": two.at})
+        behind = [board.since(views[1].ask(), 0.0)["config"] for board in (one, two)]
         self.assertEqual(behind[0], behind[1])
         self.assertEqual((behind[0]["base"], len(behind[0]["changes"])), (5, 3))
         two.set_lines(8, "s", {3: ("z", False)})
-        self.assertEqual(two.since(pictures[0].ask(), 0.0)["lines"], {"order": 8, "set": {"s": [[3, 3, "z", 0]]}})
-        for board, picture in zip((one, two, one), pictures):
-            self.tell(board, picture)
-            self.assertEqual(document(picture.configuration), one.config[1])
-            self.assertEqual(picture.index.find("a.example", "/a/").timeout, 8.0)
-        two.set_config(9, json.loads(json.dumps(one.config[1])))       # came whole, as by a snapshot
+        self.assertEqual(two.since(views[0].ask(), 0.0)["lines"], {"order": 8, "set": {"s": [[3, 3, "z", 0]]}})
+        for board, view in zip((one, two, one), views):
+            self.tell(board, view)
+            self.assertEqual(document(view.configuration), one.config[1])
+            self.assertEqual(view.index.find("a.example", "/a/").timeout, 8.0)
+        two.set_config(9, json.loads(json.dumps(one.config[1])))  # came whole, as by a snapshot
         for order in range(10, 300):
             self.change(one, order)
         self.assertLess(sum(size for _, _, size in one.changes), len(json.dumps(much)))
@@ -397,49 +462,55 @@
             self.assertIn("document", board.since({"epoch": "", "at": 0, "config": has}, 0.0)["config"])
 
     def test_a_change_that_fits_not_is_left_out_and_the_whole_is_asked_for(self):
-        board, picture = Board("a"), Picture()
+        board, view = Board("a"), ClusterView()
         board.set_config(5, DOCUMENT)
-        self.tell(board, picture)
-        standing = picture.configuration
+        self.tell(board, view)
+        standing = view.configuration
         patch = {"config_version": "r4", "upsert": {"objects": []}, "remove": {}}
         for base, changes in ((4, [patch]), (5, [patch, patch | {"remove": {"services": ["s"]}}]), (5, [{}])):
-            picture.apply(0.0, {"epoch": "c", "at": 7, "config": {"order": 9, "base": base, "changes": changes},
-                                "lines": {"order": 9, "set": {}}})
-            self.assertEqual((bool(picture.fault), picture.ask()["config"], picture.epoch, picture.lines_order),
-                             (True, -1, "a", 9))
-            self.assertIs(picture.configuration, standing)
+            view.apply(
+                0.0,
+                {
+                    "epoch": "c",
+                    "at": 7,
+                    "config": {"order": 9, "base": base, "changes": changes},
+                    "lines": {"order": 9, "set": {}},
+                },
+            )
+            self.assertEqual((bool(view.fault), view.ask()["config"], view.epoch, view.lines_order), (True, -1, "a", 9))
+            self.assertIs(view.configuration, standing)
         board.set_config(9, {**DOCUMENT, "config_version": "r6"})
-        self.assertEqual(self.tell(board, picture), {"config"})
-        self.assertEqual((picture.fault, picture.ask()["config"]), ("", 9))
+        self.assertEqual(self.tell(board, view), {"config"})
+        self.assertEqual((view.fault, view.ask()["config"]), ("", 9))
 
     def test_a_change_of_the_list_is_told_only_to_who_had_the_list_before(self):
-        """A picture ahead of a board took the board's next change onto another list: a node gone stayed for good."""
-        ahead, behind, picture = Board("a"), Board("b"), Picture()
+        """A cluster view ahead of a board took the board's next change onto another list: a node gone stayed for good."""
+        ahead, behind, view = Board("a"), Board("b"), ClusterView()
         for board, order, ids in ((ahead, (1, 1), "xy"), (behind, (1, 1), "xy"), (ahead, (1, 2), "xyz")):
             board.set_nodes(order, self.nodes(*ids))
-        self.tell(ahead, picture)
-        self.tell(behind, picture)
+        self.tell(ahead, view)
+        self.tell(behind, view)
         behind.set_nodes((1, 3), self.nodes("x", "y"))
-        self.tell(behind, picture)
-        self.assertEqual(set(picture.nodes), {"x", "y"})
+        self.tell(behind, view)
+        self.assertEqual(set(view.nodes), {"x", "y"})
         for turn, until, order in ((1, 0.0, 1), (2, 0.0, 1), (3, 3.0, 3), (4, 3.5, 3)):
             cold = self.nodes("x", "y")
             cold["x"].cold_until = until
-            behind.set_nodes((2, turn), cold, True)                     # read again, the same: nobody need ask for it
+            behind.set_nodes((2, turn), cold, True)  # read again, the same: nobody need ask for it
             self.assertEqual(behind.nodes_order, (2, order))
         for order, ids in (((1, 3), "xy"), ((2, 1), "xy"), ((2, 4), "x")):
             ahead.set_nodes(order, self.nodes(*ids))
-        found = ahead.since(picture.ask(), 0.0)["nodes"]
+        found = ahead.since(view.ask(), 0.0)["nodes"]
         self.assertEqual((found["full"], found["set"], found["gone"]), (False, {}, ["y"]))
 
     def test_a_long_gone_node_needs_no_tombstone(self):
-        board, picture = Board("a"), Picture()
+        board, view = Board("a"), ClusterView()
         board.set_config(1, DOCUMENT)
         for turn in range(300):
             board.set_nodes((1, turn), self.nodes("x", f"n{turn}"))
             if turn in (3, 299):
-                self.tell(board, picture)
-        self.assertEqual(set(picture.nodes), {"x", "n299"})
+                self.tell(board, view)
+        self.assertEqual(set(view.nodes), {"x", "n299"})
         self.assertLess(len(board.node_at), 120)
 
 
@@ -452,20 +523,37 @@
             async def send(self, *_):
                 if not states:
                     raise asyncio.CancelledError
-                node = {"service": "s", "address": "10.0.1.1:80", "zone": "z", "capacity": 2, "state": states.pop(0),
-                        "config_version": "v1", "warmup_left": "0ms"}
+                node = {
+                    "service": "s",
+                    "address": "10.0.1.1:80",
+                    "zone": "z",
+                    "capacity": 2,
+                    "state": states.pop(0),
+                    "config_version": "v1",
+                    "warmup_left": "0ms",
+                }
                 return 200, {}, json.dumps({"instances": {"i-1": node}, "next_token": None}).encode()
 
         machine = SimpleNamespace(term=3, members={})
-        steward = Steward(SimpleNamespace(platform=SimpleNamespace(address=("h", 1))), SimpleNamespace(machine=machine),
-                          Board("b"), Platform(), "me")
+        list_poller = ListPoller(
+            SimpleNamespace(platform=SimpleNamespace(address=("h", 1))),
+            SimpleNamespace(machine=machine),
+            Board("b"),
+            Platform(),
+            "me",
+        )
         orders = []
-        steward.on_nodes = lambda: orders.append(steward.board.nodes_order)
-        with mock.patch.object(Steward, "proven", True), mock.patch("knotwalk.barometer.steward.POLL", 0), \
-                self.assertRaises(asyncio.CancelledError):
-            await steward.poll()
-        self.assertEqual((orders, steward.board.nodes_order), ([(3, 1), (3, 3)], (3, 3)))      # the second was like the first
-        self.assertTrue(steward.board.nodes["i-1"].draining)
+        list_poller.on_nodes = lambda: orders.append(list_poller.board.nodes_order)
+        with (
+            mock.patch.object(ListPoller, "proven", True),
+            mock.patch("knotwalk.control_plane.list_poller.POLL", 0),
+            self.assertRaises(asyncio.CancelledError),
+        ):
+            await list_poller.poll()
+        self.assertEqual(
+            (orders, list_poller.board.nodes_order), ([(3, 1), (3, 3)], (3, 3))
+        )  # the second was like the first
+        self.assertTrue(list_poller.board.nodes["i-1"].draining)
 
 
 class LanesCase(unittest.IsolatedAsyncioTestCase):
@@ -480,12 +568,14 @@
                 await free.wait()
                 return 200, {}, b""
 
-        conductor = Conductor("me", None, Board("b"), Loads(), Node(), LeasePace(), 1, None)
+        conductor = SliceManager("me", None, Board("b"), Loads(), Node(), LeasePace(), 1, None)
         conductor.keeper.answered = lambda at, order, status, *_: ends.append((order.fence, status))
         lanes = LANES["grant"]
-        orders = [Grant("i-1", ("10.0.1.1", 80), 0, 31, n, 6.0, None, "s", (0,), 5.0 if n < lanes + 2 else 2.0)
-                  for n in range(lanes + 4)]
-        with mock.patch("knotwalk.barometer.conductor.clock", lambda: now[0]):
+        orders = [
+            Grant("i-1", ("10.0.1.1", 80), 0, 31, n, 6.0, None, "s", (0,), 5.0 if n < lanes + 2 else 2.0)
+            for n in range(lanes + 4)
+        ]
+        with mock.patch("knotwalk.control_plane.slice_manager.clock", lambda: now[0]):
             calls = [asyncio.ensure_future(conductor._grant(order)) for order in orders]
             for _ in range(5):
                 await asyncio.sleep(0)
@@ -502,11 +592,17 @@
     def test_sums_kept_up_are_those_of_the_window(self):
         chance, loads = random.Random(4), Loads()
         for step in range(400):
-            now = step / 10      # busy at first, then one report now and then
+            now = step / 10  # busy at first, then one report now and then
             for _ in range(chance.randrange(3) if step < 250 else step % 30 == 0):
                 row = [0, 0, 2, chance.randrange(3), 0, chance.randrange(2), chance.random()]
-                loads.add(now, {"demand": {"s": {str(chance.randrange(9)): chance.randrange(3)}},
-                                "nodes": {f"n{chance.randrange(5)}": row[:6] if step < 50 else row}}, False)
+                loads.add(
+                    now,
+                    {
+                        "demand": {"s": {str(chance.randrange(9)): chance.randrange(3)}},
+                        "nodes": {f"n{chance.randrange(5)}": row[:6] if step < 50 else row},
+                    },
+                    False,
+                )
             found, _ = loads.sums(now)
             plain = {}
             for _, raw in loads.window:
@@ -515,7 +611,7 @@
                 rows, wanted = found.get(topic, {}), plain.get(topic, {})
                 if topic == "demand":
                     rows, wanted = ({k: [n] for k, n in table.get("s", {}).items()} for table in (rows, wanted))
-                self.assertLessEqual(rows.keys(), wanted.keys())        # of rows that say nothing none is kept
+                self.assertLessEqual(rows.keys(), wanted.keys())  # of rows that say nothing none is kept
                 for id, row in wanted.items():
                     for a, b in zip(row, rows.get(id, [0, 0, row[2], 0, 0, 0, 0] if topic == "nodes" else [0])):
                         self.assertAlmostEqual(a, b)
@@ -525,7 +621,7 @@
         seconds."""
         loads = Loads()
         for step in range(96):
-            now, edge = step / 8, step % 8              # eight edges, a report a second each; 80 requests a second from 5.0
+            now, edge = step / 8, step % 8  # eight edges, a report a second each; 80 requests a second from 5.0
             requests = max(0.0, min(1.0, now - 5.0)) * 10
             loads.add(now, {"demand": {"s": {"7": requests}} if requests else {}}, edge < 4)
             found, spans = loads.sums(now)
--- a/tests/system/test_ailing.py
+++ b/tests/system/test_outliers.py
@@ -3,11 +3,11 @@
 import random
 import unittest
 
-from knotwalk.lookout.ailing import AGAIN, PART, REST, REST_LAST, Ailing
-from knotwalk.lookout.loads import SPAN, Loads
-from knotwalk.lookout.picture import Board, Node, Picture
-from knotwalk.windvane.choose import pick
-from tests.system.test_isobar import Fleet
+from knotwalk.discovery.cluster_view import Board, ClusterView, Node
+from knotwalk.discovery.loads import SPAN, Loads
+from knotwalk.discovery.outliers import AGAIN, PART, REST, REST_LAST, OutlierDetection
+from knotwalk.edge.choose import pick
+from tests.system.test_placement import Fleet
 
 
 class Met:
@@ -26,7 +26,7 @@
             mean = self.rate / self.edges
             tries = sum(self.random.random() < mean / 4 for _ in range(4))
             bad = sum(self.random.random() < self.chances[id] for _ in range(tries))
-            if tries and telling:       # lost answers tell no load
+            if tries and telling:  # lost answers tell no load
                 raw["nodes"][id] = [(tries - bad) * (3 if id in self.full else 1), tries - bad, 2]
                 raw["bad"] |= {id: [bad, bad]} if bad else {}
             elif tries:
@@ -92,7 +92,7 @@
         self.assertEqual(list(met.seconds(int(REST_LAST + AGAIN)))[-1], set())
         met.chances["n3"] = 1.0
         list(met.seconds(4))
-        self.assertEqual(record.rest, REST)     # it was well for long
+        self.assertEqual(record.rest, REST)  # it was well for long
 
     def test_what_another_core_was_told_leads_to_the_same(self):
         met, other = Met(), Loads()
@@ -103,7 +103,7 @@
         self.assertEqual(met.loads.sums(met.now + SPAN + 1)[0].get("bad", {}), {})
 
     def test_a_node_that_ended_is_forgotten(self):
-        ailing, node = Ailing(), Node("a", "s", ("10.0.0.1", 1), "z", 2)
+        ailing, node = OutlierDetection(), Node("a", "s", ("10.0.0.1", 1), "z", 2)
         others = {f"n{n}": Node(f"n{n}", "s", ("10.0.0.1", n), "z", 2) for n in range(8)}
         ailing.hear(0.0, {"bad": {"a": [9, 9]}, "nodes": {id: [5, 5, 2] for id in others}})
         self.assertEqual(ailing.judge(0.1, others | {"a": node}), {"a"})
@@ -129,20 +129,21 @@
         self.assertEqual({pick(nodes[:2], 0.0, "z", luck).id for _ in range(50)}, {"n0", "n1"})
 
     def test_edges_go_by_the_core_that_they_heard_last(self):
-        first, second, picture = Board("one"), Board("two"), Picture()
+        first, second, view = Board("one"), Board("two"), ClusterView()
         nodes = {id: Node(id, "s", ("10.0.0.1", n), "z", 2) for n, id in enumerate("abc")}
         for board in (first, second):
             board.set_nodes((1, 1), nodes, True)
 
         def hear(board):
-            if message := board.since(picture.ask(), 0.0):
-                picture.apply(0.0, message)
-            return {id for id, node in picture.nodes.items() if node.ailing}
+            if message := board.since(view.ask(), 0.0):
+                view.apply(0.0, message)
+            return {id for id, node in view.nodes.items() if node.ailing}
+
         self.assertEqual(hear(first), set())
         self.assertTrue(first.set_ailing(frozenset("ad")))
         self.assertFalse(first.set_ailing(frozenset("ad")))
         self.assertEqual(hear(first), {"a"})
         first.set_nodes((1, 2), nodes | {"d": Node("d", "s", ("10.0.0.1", 9), "z", 2)}, True)
-        self.assertEqual(hear(first), {"a", "d"})       # it was held ailing before the list had it
-        self.assertEqual(hear(second), set())           # which has not judged anybody
+        self.assertEqual(hear(first), {"a", "d"})  # it was held ailing before the list had it
+        self.assertEqual(hear(second), set())  # which has not judged anybody
         self.assertEqual(hear(first), {"a", "d"})
