Ask again after each await what an answer or a lease decision rests on

Found by reading every await between a check and what relies on it: - ListPoller.keep_leases went on with its table after a commit: with the office lost it met None, which ends the process; with the office won anew, or the conductor back in the meantime, it took slices from who may act. - What applying an entry had said was 'done' where it was no longer remembered; it is unknown now. - A provisional view was told though a leader had been heard of while the platform's list was read, by outsiders, and however long a core had been cut off. Now only within 10 s of its start, by members that know no leader by hearsay. - A provisional configuration had no order, so a core fresh by a former leader's word could take an edge back. Its order is kept (it is committed), and a newer provisional one replaces an older one. - 307 went to a leader not heard for long, or to oneself by hearsay. - /explain did not say whether it may be old. Two tests of BoardCase and LinkCase held the old rule that any fresh view replaces a provisional one, older too; they now hold that an older one never does and a newer one does. ProvisionalCase's stand-in has role and rumour.

--- a/knotwalk/cli/show.py
+++ b/knotwalk/cli/show.py
@@ -38,7 +38,11 @@
 
 
 def explained(told: dict[str, Any]) -> list[str]:
-    """Where a request belongs."""
+    """Where a request belongs; said first if the core that tells may be behind the others."""
+    return ["this core is not fresh: the others may have moved on"] * (told.get("fresh") is False) + _explained(told)
+
+
+def _explained(told: dict[str, Any]) -> list[str]:
     version = told["config_version"]
     if version is None:
         return ["no configuration has been taken yet"]
--- a/knotwalk/consensus/machine_state.py
+++ b/knotwalk/consensus/machine_state.py
@@ -132,6 +132,11 @@
         """The address of the leader of this term, where known."""
         return self.address if self.role == LEADER else self._leader
 
+    @property
+    def rumour(self) -> str | None:
+        """The address of a leader of any term, as far as is known here or was told by others; it may lead no more."""
+        return self._known()
+
     @property
     def heard_at(self) -> float:
         """When a leader was last heard; for a leader `majority_at`."""
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -54,7 +54,7 @@
 
 
 class Lost(Exception):
-    """Leadership was lost before the entry was agreed on: it may be in force or not."""
+    """What became of the entry is not known here: it may be in force or not."""
 
 
 class NotLeader(Exception):
@@ -256,7 +256,9 @@
             raise NotLeader(value)
         if outcome != "committed":
             raise Lost
-        return self.results.get(value, "done")
+        if (said := self.results.get(value)) is None:
+            raise Lost  # agreed on, but what applying it said is not kept any more: neither a yes nor a no is known
+        return said
 
     async def current(self, patience: float = 1.0) -> None:
         """Return once the replicated state here holds all that was agreed on before the call; NotLeader or Lost otherwise."""
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -8,11 +8,13 @@
 
 from knotwalk.configuration.control import judge, reading
 from knotwalk.configuration.read import difference, document
+from knotwalk.consensus.orders import Pace
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
-from knotwalk.runtime.logs import log_info
+from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.serve import answer, app
 
 PATIENCE = 4.0  # for an agreement; a core that lost its majority says so instead of holding the operator
+HEARD = Pace.election_high  # s since a leader's last word after which it may lead no more, and nobody is sent to it
 WAIT_LEADER = 0.8  # an election is over in about this time; the caller moves on after a second of silence
 
 
@@ -35,7 +37,7 @@
         while True:
             if machine.role == "leader":
                 return None
-            if machine.leader:
+            if machine.leader and clock() - machine.heard_at < HEARD:
                 return machine.leader
             if waited >= WAIT_LEADER:
                 raise NotLeader(None)
@@ -43,7 +45,7 @@
             waited += 0.05
 
     def elsewhere(self, leader: str | None) -> HTTPResponse:
-        if leader is None:
+        if leader in (None, self.consensus.machine.address):  # others may still hold this machine for the leader
             return answer({"error": "no leader is known here; ask another or again"}, 503, {"Retry-After": "0.3"})
         host = leader.rpartition(":")[0]
         return HTTPResponse(b"", 307, {"Location": f"http://{host}:{self.port}/configuration"})
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -20,6 +20,19 @@
 STEP = 0.2  # seconds between looks at the leases
 
 
+def by_conductor(leased: list[str], runs: list[list[int]]) -> dict[str, list[list[int]]]:
+    """The runs of slices by who leases them now: `leased` names each slice's conductor.
+
+    >>> by_conductor(["a", "a", "b", "a"], [[0, 3]])
+    {'a': [[0, 1], [3, 3]], 'b': [[2, 2]]}
+    """
+    found: dict[str, list[int]] = {}
+    for first, last in runs:
+        for slice in range(first, last + 1):
+            found.setdefault(leased[slice], []).append(slice)
+    return {before: ranges(slices) for before, slices in found.items()}
+
+
 class ListPoller:
     """Works only while this machine leads; what it finds goes on the board and to the other cores."""
 
@@ -70,23 +83,41 @@
             if not self.proven or self.consensus.machine.applied < self.consensus.machine.commit:
                 continue
             self.lease(self.me)
-            now = clock()
-            for service, slices in list(self.consensus.state.ledger.slices.items()):
-                leased = [s.conductor for s in slices]
-                self.tenure.replaced(now, leased, self.consensus.machine.members)
-                for conductor, found in reassign(self.tenure, now, leased).items():
-                    log_info("slices leased", service=service, to=conductor, runs=found)
-                    by_before: dict[str, list[int]] = {}
-                    for first, last in found:
-                        for k in range(first, last + 1):
-                            by_before.setdefault(leased[k], []).append(k)
-                    for before, ks in by_before.items():
-                        if not await self.give(service, before, conductor, ranges(ks)):
-                            break
-                if self.tenure is not None and (hand := hand_over(self.tenure, clock(), slices)):
-                    log_info("slices handed over", service=service, by=hand[0], to=hand[1], runs=hand[2])
-                    self.tenure.hands(clock())
-                    await self.give(service, *hand)
+            tenure = self.tenure
+            for service in list(self.consensus.state.ledger.slices):
+                await self.mind(tenure, service)
+
+    def holds(self, tenure: Tenure) -> bool:
+        """Whether what `tenure` says still counts: this machine has led ever since, and is proven."""
+        return self.tenure is tenure and self.proven
+
+    async def mind(self, tenure: Tenure, service: str) -> None:
+        """One look at a service's leases. Each proposal waits for its commit, in which time leadership may be lost, also
+        won anew, and a conductor that seemed gone may be given a lease: all is asked again before the next."""
+        slices = self.consensus.state.ledger.slices.get(service)
+        if not self.holds(tenure) or slices is None:
+            return
+        now = clock()
+        leased = [s.conductor for s in slices]
+        tenure.replaced(now, leased, self.consensus.machine.members)
+        for conductor, found in reassign(tenure, now, leased).items():
+            log_info("slices leased", service=service, to=conductor, runs=found)
+            for before, runs in by_conductor(leased, found).items():
+                if not await self.take_from(tenure, service, before, conductor, runs):
+                    return
+        slices = self.consensus.state.ledger.slices.get(service, ())
+        if self.holds(tenure) and (hand := hand_over(tenure, clock(), slices)):
+            log_info("slices handed over", service=service, by=hand[0], to=hand[1], runs=hand[2])
+            tenure.hands(clock())
+            await self.give(service, *hand)
+
+    async def take_from(self, tenure: Tenure, service: str, before: str, to: str, runs: list[list[int]]) -> bool:
+        """Lease what `before` leased to `to`, if by now the one surely may not act and the other may; says whether."""
+        now = clock()
+        gone = not before or not tenure.alive(now, before) and tenure.ended(now, before)
+        if not self.holds(tenure) or not gone or not tenure.alive(now, to):
+            return False
+        return await self.give(service, before, to, runs)
 
     async def give(self, service: str, before: str, to: str, runs: list[list[int]]) -> bool:
         """Have it agreed on that slices which `before` leased are leased by `to`; whether it was."""
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -6,6 +6,7 @@
 
 from sanic import HTTPResponse, Request, Sanic
 
+from knotwalk.consensus.orders import OUTSIDER
 from knotwalk.control_plane import account
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
 from knotwalk.control_plane.list_poller import ListPoller
@@ -22,6 +23,9 @@
 GATHER = 0.004  # news that come together go together
 STALE_WAIT = 0.25  # an edge's call waits so long for a core that is about to be fresh, as after a start of all
 WAIT_MOST = 5.0
+# Seconds of a life in which edges that have nothing are told what the disk alone holds. A core whose fellows start
+# with it is fresh in one to three; who still knows no leader after this is cut off, and the others may have moved on.
+PROVISIONAL = 10.0
 SHARE = 1.0  # seconds between tellings of loads to the other cores
 
 
@@ -42,6 +46,7 @@
         self.board, self.loads, self.caller = board, loads, caller
         self.news = asyncio.Event()
         self.fresh_until = 0.0
+        self.started = clock()
         self.leaving = False
         self.asked: dict[str, tuple[float, str, int]] = {}  # by edge: when it called here, and what it had then
 
@@ -152,7 +157,7 @@
         if asked.get("report"):
             self.loads.add(now, asked["report"], True)
         until, patient = now + min(WAIT_MOST, asked.get("wait", 0.0)), now + STALE_WAIT
-        provisional = await self.provisional() if asked.get("bare") else None
+        provisional = await self.provisional(asked)
         while True:
             now = clock()
             fresh = now < self.fresh_until and not self.leaving
@@ -169,22 +174,35 @@
         told = {"fresh": fresh, "zone": self.list_poller.settings.zone, "edges": self.loads.count(now)}
         if message:
             told["news"] = message
-        elif provisional and not fresh:
+        elif provisional and not fresh and self.alone():
             told["provisional"] = provisional
         return answer(told)
 
-    async def provisional(self) -> dict | None:
-        """What an edge that has nothing may serve by until there is a leader: what the disk here holds as committed,
-        and the list as read here. None from a core that was fresh in this life, or has heard a leader and is about to
-        be."""
-        if self.fresh_until or self.leaving or self.consensus.machine.leader or self.board.config is None:
+    async def provisional(self, asked: dict) -> dict | None:
+        """What an edge that heard no fresh core may serve by until there is a leader: what the disk here holds as
+        committed, and the list as read here. None where it has as much already, or `alone` does not hold."""
+        if not self.has_more(asked) or not self.alone():
             return None
         try:
             nodes = await asyncio.wait_for(self.list_poller.own_nodes(), STALE_WAIT)
         except TimeoutError:
             return None
+        if not self.alone():  # a leader was heard meanwhile, or this process stood still
+            return None
         return self.board.provisional(nodes, clock())
 
+    def has_more(self, asked: dict) -> bool:
+        """Whether the edge that asks goes by no fresh core's word, and by an older configuration than this one's."""
+        unsure = asked.get("bare") or asked.get("provisional")
+        return bool(unsure) and self.board.config is not None and asked.get("config", -1) < self.board.config[0]
+
+    def alone(self) -> bool:
+        """Whether this core only just started, is a member as far as its disk knows, was not fresh in this life, and
+        knows no leader, not even by hearsay: then those that start with it know no more."""
+        machine = self.consensus.machine
+        young = clock() - self.started < PROVISIONAL
+        return young and not self.fresh_until and not self.leaving and machine.role != OUTSIDER and not machine.rumour
+
     # --- operators --------------------------------------------------------------------------------
 
     async def status(self, request: Request) -> HTTPResponse:
@@ -212,7 +230,8 @@
                 raise ValueError
         except (KeyError, TypeError, ValueError):
             return answer({"error": f"host and path are texts, key a number below {KEYS}, if any"}, 400)
-        return answer(account.explain(clock(), self.consensus.state, self.board, host, path, key))
+        told = account.explain(clock(), self.consensus.state, self.board, host, path, key)
+        return answer(told | {"fresh": clock() < self.fresh_until and not self.leaving})
 
     # --- loads ------------------------------------------------------------------------------------
 
--- a/knotwalk/discovery/cluster_view.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -2,8 +2,8 @@
 
 A `Board` stands in each core program; a `ClusterView` in each edge program. Every topic has an order that only rises (the
 index in the agreed log; for nodes the poller's term and turn), so a cluster view never goes back, whichever core it hears.
-A cluster view that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders,
-so whatever a fresh core tells replaces it.
+A cluster view that has nothing yet may begin with a provisional one, from a core that only just started. Of that one
+only the configuration has an order, since it is committed; lists and lines of any fresh core replace it.
 """
 
 from __future__ import annotations
@@ -118,11 +118,19 @@
         """Whether nothing was taken yet, so that a provisional cluster view is better than none."""
         return not self.provisional and (self.config_order, self.nodes_order, self.lines_order) == (-1, (-1, -1), -1)
 
+    @property
+    def unsure(self) -> bool:
+        """Whether no fresh core's list or lines were taken yet."""
+        return (self.nodes_order, self.lines_order) == ((-1, -1), -1) and (self.provisional or self.config_order < 0)
+
     def provide(self, now: float, message: dict) -> set[str]:
-        """Take a provisional cluster view, whole, or nothing: only who is bare does. Topics changed, as of `apply`.
+        """Take a provisional cluster view, whole, or nothing: only who is unsure does, and a later one only if its
+        configuration is newer. Topics changed, as of `apply`.
 
-        No order is taken with it, so any fresh core sends the whole of each topic. ValueError if it can't be taken."""
-        if not self.bare:
+        The order of its configuration is kept: committed, it is what every core's log has there, so nothing older is
+        taken from then on, not even from a core that is fresh by an old leader's word. The others have none, so any
+        fresh core sends the whole of them. ValueError if it can't be taken."""
+        if not self.unsure or message["config"]["order"] <= self.config_order:
             return set()
         made = ClusterView()
         changed = made.apply(now, {"epoch": "", "at": 0, **message})
@@ -130,7 +138,7 @@
             raise ValueError(made.fault or "a provisional cluster view that is not whole")
         self.configuration, self.index, self.shardings = made.configuration, made.index, made.shardings
         self.nodes, self.by_service, self.cores = made.nodes, made.by_service, made.cores or self.cores
-        self.provisional = True
+        self.config_order, self.provisional = made.config_order, True
         return changed
 
     def apply(self, now: float, message: dict) -> set[str]:
@@ -218,7 +226,7 @@
             "config": -1 if self.fault else self.config_order,
             "nodes": self.nodes_order,
             "lines": self.lines_order,
-        } | ({"bare": True} if self.bare else {})
+        } | ({"bare": True} if self.bare else {"provisional": True} if self.unsure else {})
 
 
 class Board:
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -289,7 +289,8 @@
         self.assertEqual(
             ({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/cluster-view" for at in ADDRESSES}, 1)
         )
-        self.assertEqual((heard, link.view.whole, link.view.config_order), ([0], True, -1))
+        self.assertEqual((heard, link.view.whole, link.view.config_order), ([0], True, 5))
+        self.assertTrue(link.view.provisional)
 
 
 class ProvisionalCase(unittest.IsolatedAsyncioTestCase):
@@ -318,7 +319,7 @@
                 await asyncio.sleep(0)
                 return self.status, {}, json.dumps({"instances": {"i-1": entry}, "next_token": None}).encode()
 
-        self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(leader=None)
+        self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(rumour=None, role="follower")
         consensus = SimpleNamespace(machine=self.machine)
         list_poller = ListPoller(
             SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"),
@@ -345,9 +346,9 @@
             self.assertEqual(view.provide(0.0, one["provisional"]), {"config", "nodes"})
             self.assertTrue(view.whole and view.nodes["i-1"].draining)
         self.assertNotIn("provisional", await self.ask(bare=False))
-        self.machine.leader = "a:1"
+        self.machine.rumour = "a:1"
         self.assertNotIn("provisional", await self.ask())
-        self.machine.leader, self.peer_api.fresh_until = None, 1.0
+        self.machine.rumour, self.peer_api.fresh_until = None, 1.0
         self.assertNotIn("provisional", await self.ask())
         self.assertEqual(self.calls, 1)
 
@@ -412,20 +413,23 @@
         self.assertEqual((view.whole, view.shardings["s"].lines[9].node.id), (True, "gone"))
         self.assertEqual(
             {k: v for k, v in view.ask().items() if k != "at"},
-            {"epoch": "", "config": -1, "nodes": (-1, -1), "lines": -1},
+            {"epoch": "", "config": 50, "nodes": (-1, -1), "lines": -1, "provisional": True},
         )
-        fresh.set_config(5, DOCUMENT)  # a fresh core before its leader has read the list
+        fresh.set_config(5, DOCUMENT)  # behind, fresh by a leader of before: what is committed is not gone back from
+        self.assertEqual(self.tell(fresh, view), set())
+        self.assertEqual((view.configuration.version, view.provisional), (9, True))
+        fresh.set_config(60, DOCUMENT | {"config_version": "r11"})  # a fresh core before its leader has read the list
         fresh.set_lines(7, "s", {0: ("x", True), 1: ("y", True)})
         self.assertEqual(self.tell(fresh, view), {"config", "lines"})
         self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, True, {"x", "gone"}))
-        self.assertEqual((view.configuration.version, set(view.shardings)), (3, {"s"}))
+        self.assertEqual((view.configuration.version, set(view.shardings)), (11, {"s"}))
         self.assertEqual(view.shardings["s"].lines[9].owner, "")
         fresh.set_nodes((1, 1), self.nodes("x", "y"))
         self.assertEqual(self.tell(fresh, view), {"nodes"})
         self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, False, {"x", "y"}))
         self.assertEqual(view.shardings["s"].lines[1].node.id, "y")
         self.assertEqual(view.provide(0.0, provisional), set())
-        self.assertEqual(view.configuration.version, 3)
+        self.assertEqual(view.configuration.version, 11)
 
     def test_changes_alone_or_the_whole_by_what_the_picture_has_whichever_board_it_heard(self):
         one, two = Board("a"), Board("b")
