--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -92,7 +92,7 @@
         return self.tenure is tenure and self.proven
 
     async def mind(self, tenure: Tenure, service: str) -> None:
-        """One look at a service's leases. Each proposal waits for its commit, in which time leadership may be lost, also
+        """One look at a service's leases. Each proposal waits for its commit; meanwhile leadership may be lost, also
         won anew, and a conductor that seemed gone may be given a lease: all is asked again before the next."""
         slices = self.consensus.state.ledger.slices.get(service)
         if not self.holds(tenure) or slices is None:
