--- a/tests/system/test_cut_off.py
+++ b/tests/system/test_cut_off.py
@@ -433,6 +433,20 @@
 
                     play(story)
 
+    def test_a_leader_gives_no_lease_on_answers_older_than_its_proof_though_it_has_not_stepped_down(self):
+        async def story(world):
+            leader = world.leader()
+            me = leader.consensus.machine.me
+            self.assertIsNotNone(leader.poller.lease(me))
+            leader.freeze()
+            last = leader.consensus.machine.majority_at
+            await asyncio.sleep(last + PROOF - 0.01 - clock())
+            self.assertIsNotNone(leader.poller.lease(me))
+            await asyncio.sleep(0.02)
+            self.assertEqual((leader.consensus.machine.role, leader.poller.lease(me)), ("leader", None))
+
+        play(story)
+
     def alone(self, world, at):
         """`at` starts anew with its disk, cut off from the other cores but not from edges."""
         machine = world.cores[at].consensus.machine
