--- a/knotwalk/consensus/following.py
+++ b/knotwalk/consensus/following.py
@@ -1,8 +1,11 @@
 """Following a leader: entries and snapshots taken, and acknowledged once kept. Pure."""
 
+from dataclasses import fields
+
 from knotwalk.consensus.log import Log
 from knotwalk.consensus.machine_state import MachineState
 from knotwalk.consensus.orders import CANDIDATE, FOLLOWER, LEADER, OUTSIDER, Entry, Restore
+from knotwalk.consensus.snapshot_transfer import Part, Unsound
 
 
 class Following(MachineState):
@@ -90,6 +93,38 @@
             self._become(now, FOLLOWER, self.term, self._leader_id, self._leader)
             self._ask_at = now
 
+    def _on_part(self, now: float, message: dict) -> None:
+        """Take a part of a snapshot or of a long entry; once it is whole, what it is a part of."""
+        if not self._heed(now, message):
+            return
+        if message["index"] <= self._agreed:
+            self._acknowledge()
+            return
+        part = Part(**{one.name: message[one.name] for one in fields(Part)})
+        if not self._incoming.take(part, (message["term"], message["stamp"])):
+            return
+        try:
+            content = self._incoming.whole(part)
+        except Unsound:
+            content = None
+        if content is None:
+            self._want(message)
+        elif part.kind == "snapshot":
+            self._on_snapshot(now, {**message, **content})
+        else:
+            self._on_append(now, {**message, **content})
+
+    def _want(self, message: dict) -> None:
+        """Say how much is here of what comes in parts."""
+        self._send(
+            message["at"],
+            "taken",
+            message["from"],
+            digest=message["digest"],
+            offset=message["offset"],
+            wanted=self._incoming.held,
+        )
+
     def _on_snapshot(self, now: float, message: dict) -> None:
         if not self._heed(now, message):
             return
--- a/knotwalk/consensus/leading.py
+++ b/knotwalk/consensus/leading.py
@@ -1,11 +1,15 @@
 """Leading: heartbeats, replication, commits and linearizable reads. Pure."""
 
+from dataclasses import asdict
+
+from knotwalk.consensus.log import BATCH
 from knotwalk.consensus.machine_state import NEVER, MachineState, Peer
 from knotwalk.consensus.members import reached
-from knotwalk.consensus.orders import FOLLOWER, LEADER, Answer
+from knotwalk.consensus.orders import FOLLOWER, LEADER, Answer, Entry
+from knotwalk.consensus.snapshot_transfer import QUICK, SLOW, Blob, Outgoing, encode
 
 PIPE = 16  # messages under way to one follower: what a round trip of 3 ms holds; more wait and batch up
-AGAIN = 1.0  # seconds before a snapshot is sent again: several MB at 100 Mbit/s
+LEAST_BATCH = 16 * 1024  # bytes of entries in one message where answers are slow: 65 ms on 2 Mbit/s, half a heartbeat
 STAYS = 3  # requests to be removed: who answers for so long without one has come back
 
 
@@ -34,6 +38,7 @@
             if peer.under_way and not peer.moved:
                 peer.next, peer.probing = max(peer.have, peer.match) + 1, True
                 peer.under_way.clear()
+                self._shrink(peer)
             peer.moved = False
             self._feed(now, peer, True)
 
@@ -44,55 +49,102 @@
 
     def _feed(self, now: float, peer: Peer, force: bool = False) -> None:
         """Send a peer what it lacks, as far as the pipe holds; with `force` at least a heartbeat."""
-        index, term, members, state = self.snapshot
-        until = self.commit if peer.kind == "departing" else self.log.last
         if peer.next <= self.log.base:
-            if now - peer.snapshot_at > AGAIN:
-                peer.snapshot_at, peer.snapshot_index = now, index
-                self._send(
-                    peer.address,
-                    "snapshot",
-                    peer.id,
-                    index=index,
-                    index_term=term,
-                    members=members,
-                    state=state,
-                    stamp=now,
-                    round=self._round,
-                )
-            elif force:
-                self._send(
-                    peer.address,
-                    "append",
-                    peer.id,
-                    prev=self.log.base,
-                    prev_term=self.log.base_term,
-                    entries=[],
-                    commit=self.commit,
-                    stamp=now,
-                    round=self._round,
-                )
+            if force:
+                self._send_entries(now, peer, self.log.base, [])
+            self._feed_part(now, peer, "snapshot")
             return
-        while force or peer.next <= until and not (peer.probing and peer.under_way) and len(peer.under_way) < PIPE:
-            full = len(peer.under_way) >= PIPE or peer.probing and peer.under_way
-            entries = [] if full or peer.next > until else self.log.batch(peer.next, until)
+        until = self.commit if peer.kind == "departing" else self.log.last
+        while force or self._may_send(peer, until):
+            entries = self.log.batch(peer.next, until, peer.batch) if self._may_send(peer, until) else []
             peer.probe = peer.next - 1
-            self._send(
-                peer.address,
-                "append",
-                peer.id,
-                prev=peer.probe,
-                prev_term=self.log.term_at(peer.probe),
-                entries=[[one.index, one.term, one.kind, one.body] for one in entries],
-                commit=self.commit,
-                stamp=now,
-                round=self._round,
-            )
+            self._send_entries(now, peer, peer.probe, entries)
             if entries:
                 peer.under_way.append(entries[-1].index)
                 if not peer.probing:
                     peer.next = entries[-1].index + 1
             force = False
+        if peer.next <= until and self._long(peer) and not peer.probing and not peer.under_way:
+            self._feed_part(now, peer, "entries")
+
+    def _long(self, peer: Peer) -> bool:
+        """Whether the next entry is too long for one message to this peer."""
+        return self.log.size(peer.next) > peer.batch
+
+    def _may_send(self, peer: Peer, until: int) -> bool:
+        """Whether there are entries for a message, and room for it on the way."""
+        if peer.next > until or self._long(peer):
+            return False
+        pipe = 1 if peer.probing or peer.batch < BATCH else PIPE
+        return len(peer.under_way) < pipe
+
+    def _send_entries(self, now: float, peer: Peer, prev: int, entries: list[Entry]) -> None:
+        self._send(
+            peer.address,
+            "append",
+            peer.id,
+            prev=prev,
+            prev_term=self.log.term_at(prev),
+            entries=[[one.index, one.term, one.kind, one.body] for one in entries],
+            commit=self.commit,
+            stamp=now,
+            round=self._round,
+        )
+
+    # ---- in parts
+
+    def _feed_part(self, now: float, peer: Peer, kind: str) -> None:
+        """Send the next part of the snapshot, or of the next entry, unless one is under way."""
+        transfer = peer.transfer
+        if transfer is None or not self._useful(peer, transfer.blob, kind):
+            transfer = peer.transfer = Outgoing(self._blob(peer, kind))
+        part = transfer.next(now)
+        if part is not None:
+            self._send(peer.address, "part", peer.id, **asdict(part), commit=self.commit, stamp=now, round=self._round)
+
+    def _useful(self, peer: Peer, blob: Blob, kind: str) -> bool:
+        """Whether what is on its way still helps: the log goes on from a snapshot that was replaced meanwhile, too."""
+        return blob.kind == kind and (blob.index >= self.log.base if kind == "snapshot" else blob.first == peer.next)
+
+    def _blob(self, peer: Peer, kind: str) -> Blob:
+        """What a peer lacks, encoded once for all peers."""
+        index = self.snapshot[0] if kind == "snapshot" else peer.next
+        for blob in self._blobs:
+            if (blob.kind, blob.index) == (kind, index):
+                return blob
+        made = self._encoded_snapshot() if kind == "snapshot" else self._encoded_entry(index)
+        self._blobs = [*self._blobs[-1:], made]
+        return made
+
+    def _encoded_snapshot(self) -> Blob:
+        index, term, members, state = self.snapshot
+        return encode("snapshot", 0, index, {"index": index, "index_term": term, "members": members, "state": state})
+
+    def _encoded_entry(self, index: int) -> Blob:
+        entry = self.log.at(index)
+        line = [entry.index, entry.term, entry.kind, entry.body]
+        content = {"prev": index - 1, "prev_term": self.log.term_at(index - 1), "entries": [line]}
+        return encode("entries", index, index, content)
+
+    def _on_taken(self, now: float, message: dict) -> None:
+        """A peer took a part: send the next."""
+        peer = self._peers.get(message["from"])
+        if self.role != LEADER or message["term"] != self.term or peer is None or peer.transfer is None:
+            return
+        if peer.transfer.taken(now, message["digest"], message["offset"], message["wanted"]):
+            self._feed(now, peer)
+
+    def _paced(self, now: float, peer: Peer, stamp: float) -> None:
+        """Size the messages of entries by how soon one was answered."""
+        if now - stamp < QUICK:
+            peer.batch = min(BATCH, 2 * peer.batch)
+        elif now - stamp > SLOW:
+            self._shrink(peer)
+
+    def _shrink(self, peer: Peer) -> None:
+        peer.batch = max(LEAST_BATCH, peer.batch // 2)
+
+    # ---- answers
 
     def _on_appended(self, now: float, message: dict) -> None:
         if message["term"] > self.term:
@@ -108,6 +160,8 @@
             peer.moved = True
             peer.match = max(peer.match, message["match"])
             peer.have = max(message["have"], peer.match)
+            if peer.under_way and peer.under_way[0] <= peer.have:
+                self._paced(now, peer, message["stamp"])
             while peer.under_way and peer.under_way[0] <= peer.have:
                 peer.under_way.popleft()
             if peer.probing and peer.have >= peer.probe:
@@ -115,8 +169,8 @@
                 peer.next = peer.have + 1
                 peer.under_way.clear()
             peer.next = max(peer.next, peer.match + 1)
-            if peer.next > self.log.base:
-                peer.snapshot_at = NEVER
+            if peer.transfer is not None and peer.transfer.blob.index <= peer.have:
+                peer.next, peer.transfer = max(peer.next, peer.have + 1), None
             self._count(now)
         elif peer.next > self.log.base and message["prev"] == peer.probe and message["prev"] > peer.match:
             peer.next = max(peer.match + 1, min(self._meeting(message), message["prev"]))
--- a/knotwalk/consensus/log.py
+++ b/knotwalk/consensus/log.py
@@ -56,11 +56,15 @@
             del self.entries[: index - self.base], self.sizes[: index - self.base]
             self.base, self.base_term = index, term
 
-    def batch(self, first: int, until: int) -> list[Entry]:
-        """Entries from `first` to `until`, at least one, at most BATCH bytes."""
+    def size(self, index: int) -> int:
+        """Bytes of the entry at `index`, which is after base."""
+        return self.sizes[index - self.base - 1]
+
+    def batch(self, first: int, until: int, most: int = BATCH) -> list[Entry]:
+        """Entries from `first` to `until`, at least one, at most `most` bytes."""
         size, start = 0, first - self.base - 1
         stop = start
-        while stop < until - self.base and (stop == start or size + self.sizes[stop] <= BATCH):
+        while stop < until - self.base and (stop == start or size + self.sizes[stop] <= most):
             size += self.sizes[stop]
             stop += 1
         return self.entries[start:stop]
--- a/knotwalk/consensus/machine_state.py
+++ b/knotwalk/consensus/machine_state.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from knotwalk.consensus.log import Log
+from knotwalk.consensus.log import BATCH, Log
 from knotwalk.consensus.members import Standing, reached
 from knotwalk.consensus.orders import (
     CANDIDATE,
@@ -21,6 +21,7 @@
     Saved,
     Send,
 )
+from knotwalk.consensus.snapshot_transfer import Blob, Incoming, Outgoing
 
 FROZEN = 0.3  # seconds without a call after which unread messages are given a chance before an election:
 #                         twice a heartbeat, three times the stall of a batch scheduled process
@@ -41,8 +42,8 @@
     under_way: deque[int] = field(default_factory=deque)  # last index of each message not yet answered
     moved: bool = False  # something was answered since the last heartbeat
     round: int = 0  # newest round of heartbeats answered
-    snapshot_at: float = NEVER  # when a snapshot was sent; NEVER: none is under way
-    snapshot_index: int = 0
+    batch: int = BATCH  # bytes of entries in one message; less where answers are slow
+    transfer: Outgoing | None = None  # a snapshot or a long entry on its way in parts
     until: float = 0.0  # when a departing one is let go
     left_at: float = NEVER  # when it said last that it leaves
 
@@ -98,6 +99,7 @@
         self._owed = False
         self._stamp: float | None = None
         self._round_seen = 0
+        self._incoming = Incoming()
         # After a start of all at once nobody leads: stand as soon as no life before can have answered a leader.
         self._deadline = self._sticky_from + self.pace.election_low + self.random.uniform(0.0, 2 * self.pace.round_low)
         self._ask_at = now
@@ -111,6 +113,7 @@
         self._tickets: dict[int, Any] = {}
         self._reads: list[tuple[Any, int, int]] = []  # ticket, index, round that has to be answered
         self._queue: list[Any] = []  # reads for the next round
+        self._blobs: list[Blob] = []  # what goes to peers in parts, encoded once
         self._round = 0
         self._elected_at = NEVER
         self._first = 0  # index of the noop of this term
@@ -186,6 +189,7 @@
             for ticket in [one[0] for one in self._reads] + self._queue:
                 self.orders.append(Answer(ticket, "not_leader", leader))
             self._tickets, self._reads, self._queue, self._peers = {}, [], [], {}
+            self._blobs = []
             self._lonely_since = now
         if role == CANDIDATE:
             self._votes = {self.me} if self._pre else set()
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from typing import Any
 
 from knotwalk.consensus.machine import Machine
@@ -53,6 +54,15 @@
             pause = min(1.0, 2 * pause)
 
 
+@dataclass(frozen=True)
+class Lane:
+    """What goes to one peer in order, a call at a time. Parts of long contents have a lane of their own, so that no
+    heartbeat waits until one has arrived."""
+
+    address: str
+    long: bool
+
+
 class Lost(Exception):
     """Leadership was lost before the entry was agreed on: it may be in force or not."""
 
@@ -77,8 +87,8 @@
         self.next_ticket = 0
         self.writer = ThreadPoolExecutor(1, "consensus")
         self.saves: asyncio.Queue[Save] = asyncio.Queue()
-        self.outbox: dict[str, list[dict]] = {}
-        self.posting: set[str] = set()
+        self.outbox: dict[Lane, list[dict]] = {}
+        self.posting: set[Lane] = set()
         self.tasks: set[asyncio.Task] = set()
         self.on_change: Callable[[int, list[Change]], None] = lambda index, changes: None
         self.on_config: Callable[[], None] = lambda: None
@@ -191,26 +201,29 @@
     # --- peers ---------------------------------------------------------------------------------------
 
     def _post(self, address: str, message: dict) -> None:
-        waiting = self.outbox.setdefault(address, [])
+        lane = Lane(address, message["type"] == "part")
+        waiting = self.outbox.setdefault(lane, [])
+        if lane.long:
+            waiting.clear()  # a part sent again takes the place of the one before
         waiting.append(message)
         if len(waiting) > WAITING_MOST:
             del waiting[: WAITING_MOST // 2]
-        if address not in self.posting:
-            self.posting.add(address)
-            self._spawn(self._deliver(address))
+        if lane not in self.posting:
+            self.posting.add(lane)
+            self._spawn(self._deliver(lane))
 
-    async def _deliver(self, address: str) -> None:
+    async def _deliver(self, lane: Lane) -> None:
         try:
-            while messages := self.outbox.pop(address, None):
+            while messages := self.outbox.pop(lane, None):
                 try:
                     answers = await self.caller.json(
-                        "POST", f"http://{address}/consensus", messages, PATIENCE, "agreement"
+                        "POST", f"http://{lane.address}/consensus", messages, PATIENCE, "agreement"
                     )
                 except PeerError:
                     continue
                 self.receive(answers)
         finally:
-            self.posting.discard(address)
+            self.posting.discard(lane)
 
     def receive(self, messages: list[dict]) -> None:
         now = clock()
