--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -13,6 +13,7 @@
 from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import Answer, Apply, Pace, Restore, Role, Save, Send
 from knotwalk.consensus.store import Damaged, Refused, Store
+from knotwalk.control_plane.compaction import Compaction
 from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.leases.ledger import Change
 from knotwalk.runtime.call import Caller
@@ -21,8 +22,6 @@
 
 HANG = 0.6  # a write that takes longer costs leadership: others serve meanwhile
 PATIENCE = 0.6  # for a peer: a lost message is repeated by the machine's own pace
-COMPACT = 4000  # entries after which the replicated state is put down whole; some MB of log at most
-COMPACT_PART = 0.25  # of the disk: past it, too, since few large entries fill a disk, and a full one takes no more
 WAITING_MOST = 256  # messages for a peer that does not answer; the machine repeats what matters
 
 
@@ -97,7 +96,8 @@
         self.on_damage: Callable[[], None] = lambda: None
         self.timer: asyncio.TimerHandle | None = None
         self.hung = False
-        self.since_compact = self.since_size = 0
+        self.compaction = Compaction(store.disk_mb)
+        self.configured = False  # a configuration was applied, and not told yet
         self.closing = False
 
     def start(self) -> None:
@@ -132,11 +132,14 @@
                         if (future := self.tickets.pop(ticket, None)) and not future.done():
                             future.set_result((outcome, value))
                     case Restore(state, _):
-                        self.state = ReplicatedState.from_dict(state)
+                        self.state, self.configured = ReplicatedState.from_dict(state), False
                         self.on_restore()
                     case Role():
                         log_info("role", role=order.role, term=order.term, leader=order.leader_address)
                         self.on_role(order)
+        if self.configured:  # once for all that came together: a start replays hundreds
+            self.configured = False
+            self.on_config()
         if self.timer is not None:
             self.timer.cancel()
         wait = max(0.0, min(1.0, machine.wake - clock()))
@@ -147,13 +150,11 @@
         self.results[entry.index] = said
         while len(self.results) > 2000:
             del self.results[next(iter(self.results))]
-        if entry.body.get("do") == "configure" and said == "done":
-            self.on_config()
+        configures = entry.body.get("do") == "configure"
+        self.configured |= configures and said == "done"
         self.on_change(entry.index, changes)
-        self.since_compact += 1
-        self.since_size += len(json.dumps(entry.body))
-        if self.since_compact >= COMPACT or self.since_size >= self.store.disk_mb * 1e6 * COMPACT_PART:
-            self.since_compact = self.since_size = 0
+        work = self.state.items if configures else 0
+        if self.compaction.due(len(json.dumps(entry.body)), work):
             self.machine.compact(entry.index, self.state.to_dict())
 
     # --- the store -----------------------------------------------------------------------------------
--- a/knotwalk/control_plane/replicated_state.py
+++ b/knotwalk/control_plane/replicated_state.py
@@ -8,7 +8,7 @@
 
 from knotwalk.configuration.control import History
 from knotwalk.configuration.objects import Configuration
-from knotwalk.configuration.read import Invalid, apply_difference, document, read_configuration
+from knotwalk.configuration.read import Invalid, document, patched, read_configuration
 from knotwalk.leases.ledger import Change, Ledger
 
 # Of snapshots; raised when older programs could not read them. 2: rows of the ledger tell of an `early` lease. 3:
@@ -41,11 +41,7 @@
         if command["base"] != self.version:
             return "another version is in place", self.ledger.apply(index, {})
         try:
-            fresh = read_configuration(
-                apply_difference(document(self.configuration), command["difference"])
-                if "difference" in command
-                else command["document"]
-            )
+            fresh = self._made(command)
         except Invalid as error:
             return str(error), self.ledger.apply(index, {})
         self.configuration, self.order = fresh, index
@@ -53,6 +49,17 @@
         sharded = [s.name for s in fresh.services.values() if s.sharded]
         return "done", self.ledger.apply(index, {"do": "shard", "services": sharded})
 
+    def _made(self, command: dict) -> Configuration:
+        """The configuration that a command makes. What a difference leaves alone was read before, and is taken over."""
+        if "difference" in command and self.configuration is not None:
+            return patched(self.configuration, command["difference"])
+        return read_configuration(command["document"])
+
+    @property
+    def items(self) -> int:
+        """How many items a change goes through."""
+        return len(self.configuration.items) if self.configuration else 0
+
     def to_dict(self) -> dict:
         """A snapshot, JSON-able."""
         return {
--- a/knotwalk/discovery/cluster_view.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -230,6 +230,7 @@
     def __init__(self, epoch: str):
         self.epoch, self.at = epoch, 1
         self.config: tuple[int, dict] | None = None
+        self.sizes: dict[int, int] = {}  # bytes of each item of the configuration, by its object
         self.changes: deque[tuple[int, dict, int]] = deque()  # up to now: (order changed from, change, its bytes)
         self.nodes: dict[str, Node] = {}
         self.nodes_order = (-1, -1)
@@ -261,12 +262,19 @@
         change = difference(before[1], document) if any(id(item) in known for item in document["objects"]) else None
         if change is None:
             self.changes.clear()
+            self.sizes.clear()
             return
-        whole = size(document)
+        whole = self._whole(document)
         self.changes.append((before[0], change, size(change)))
         while self.changes and (len(self.changes) > CHANGES or sum(size for _, _, size in self.changes) >= whole):
             self.changes.popleft()
 
+    def _whole(self, document: dict) -> int:
+        """Bytes of the whole document; items that stood in the one before, which still lives, are not counted anew."""
+        items = document["objects"]
+        self.sizes = {id(item): self.sizes.get(id(item)) or size(item) for item in items}
+        return size(document | {"objects": []}) + sum(self.sizes.values()) + max(0, len(items) - 1)
+
     def set_cores(self, cores: list[str]) -> None:
         if cores != self.cores:
             self.cores, self.cores_at = cores, self._turn()
