Orders remembered for a week; one too old to be told is neither confirmed nor refused

Cause: the history held 64 digests by version, so a repeat that came 65 changes late was answered 412 though it had been taken.

A committed proposal whose result is not known here is Lost (503), no longer done.

Changed test: test_history_is_bounded counts from REMEMBERED instead of 199 notes, as strict. New: tests/system/test_orders.py.

--- a/knotwalk/configuration/control.py
+++ b/knotwalk/configuration/control.py
@@ -2,6 +2,9 @@
 
 A status of 200 means only that the change may be proposed. Whoever applies it from the log looks again: it is in force
 if the version it was built on is still the current one then, and was there before if `History.holds` it.
+
+A 412 or 400 is a promise: this very call was not taken and, sent again as it is, never will be while the versions rise.
+Where that can't be told the answer is 503.
 """
 
 from __future__ import annotations
@@ -9,8 +12,9 @@
 import hashlib
 import json
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from knotwalk.configuration.history import History, Standing
 from knotwalk.configuration.objects import Configuration, Limits
 from knotwalk.configuration.read import (
     Invalid,
@@ -22,8 +26,6 @@
     version_text,
 )
 
-# An operator repeats a call for seconds and versions come seconds apart at the fastest; 64 hold minutes.
-REMEMBERED = 64
 # A route is about 350 bytes: room for some 45,000 of them, and no more memory than a small core has.
 MOST_BYTES = 16 * 1024 * 1024
 # Items are five deep; the rest is for fields that are kept unread. Far from where Python's own readers give up.
@@ -31,7 +33,10 @@
 
 IF_MATCH = re.compile(r'("?)r?(\d{1,18})\1', re.ASCII)
 
-# What is answered on /configuration. 503 is the caller's: nothing agreed, or the outcome is not known.
+# Of an order that can no longer be told from a taken one: what to do instead, since sending it again won't help.
+UNKNOWN = "too old to be told from an order that was taken: read the configuration and build on that"
+
+# What is answered on /configuration. 503: nothing agreed, the outcome not known, or an order that can't be told.
 STATUSES = {"get": (200, 404, 503), "put": (200, 400, 412, 413, 503), "patch": (200, 400, 412, 413, 503)}
 
 
@@ -39,31 +44,6 @@
     """A body that is not JSON as it should be; the text says where."""
 
 
-@dataclass
-class History:
-    """Digests of the calls that were taken, by the number of the version they made; the last `REMEMBERED` of them."""
-
-    taken: dict[int, str] = field(default_factory=dict)
-
-    def note(self, version: int, digest: str) -> None:
-        """Remember a call that is in force now."""
-        self.taken[version] = digest
-        while len(self.taken) > REMEMBERED:
-            del self.taken[min(self.taken)]
-
-    def holds(self, version: int, digest: str) -> bool:
-        """Whether this very call made that version."""
-        return self.taken.get(version) == digest
-
-    def to_dict(self) -> dict[str, str]:
-        """For a snapshot of the agreed state."""
-        return {version_text(version): digest for version, digest in sorted(self.taken.items())}
-
-    @classmethod
-    def from_dict(cls, raw: dict[str, str]) -> History:
-        return cls({version_number(version): digest for version, digest in raw.items()})
-
-
 @dataclass(frozen=True)
 class Verdict:
     """The answer to a call, and with a 200 that is not `same` the change to propose.
@@ -153,7 +133,7 @@
     """The verdict on a PUT or PATCH of a configuration; whatever the body holds, it raises nothing.
 
     `current` and `history` are the agreed state as this machine knows it. A call that was taken before gets 200 and
-    `same`; one on another version than the current gets 412; one that is wrong gets 400."""
+    `same`, one that may have been gets 503; one on another version than the current gets 412; one that is wrong 400."""
     at = current.version if current else 0
     if len(body) > MOST_BYTES:
         return Verdict(413, f"body: longer than {MOST_BYTES} bytes", at)
@@ -175,8 +155,11 @@
         version = version_number(value.get("config_version"))
     except ValueError as error:
         return Verdict(400, f"config_version: {error}", at)
-    if history.holds(version, call):
+    standing = history.standing(base, version, call)
+    if standing is Standing.TAKEN:
         return Verdict(200, "taken before", at, same=True, base=base, version=version, digest=call)
+    if standing is Standing.UNKNOWN:
+        return Verdict(503, UNKNOWN, at)
     if base != at:
         return Verdict(412, f"built on {version_text(base)}, but {version_text(at)} is current", at)
     if version <= at:
--- /dev/null
+++ b/knotwalk/configuration/history.py
@@ -0,0 +1,114 @@
+"""Which orders were taken: what tells a repeat from an order that lost its race, long after both. Pure.
+
+An order is an operator's call that asks for a change. It is the same order again if its method, the version it builds
+on and its content are the same; its own number tells nothing, since two operators may pick the same one. Versions only
+rise, so at most one order was ever taken on top of a version, and at most one made it. Kept are, for each version that
+was made, its number and a mark of the order that made it: 24 bytes in memory, about as many in a snapshot.
+
+The oldest are dropped past `REMEMBERED`. Of what was dropped nothing is guessed: an order for a version below `floor`
+may have been taken, or not, and is neither confirmed nor refused.
+"""
+
+from __future__ import annotations
+
+import base64
+import enum
+import hashlib
+from array import array
+from bisect import bisect_left
+
+from knotwalk.configuration.read import version_number
+
+# A week of 2,700 changes a day, and a little more: longer than any caller repeats a call. 0.5 MB.
+REMEMBERED = 20_000
+# Bytes of a mark. One order at most is compared with it, so that chance needs 2^128 tries, and design as many.
+MARK = 16
+# What programs before format 4 of the agreed state remembered: a shorter history of theirs has lost nothing.
+REMEMBERED_BEFORE = 64
+
+
+class Standing(enum.Enum):
+    """What is known of an order."""
+
+    TAKEN = "taken"
+    NOT_TAKEN = "not taken, and never will be unless its base is the version in force"
+    UNKNOWN = "taken or not: it is too old to be told"
+
+
+def mark(digest: str) -> bytes:
+    """The short form of an order's digest."""
+    return hashlib.sha256(digest.encode("utf-8")).digest()[:MARK]
+
+
+class History:
+    """The orders that were taken. `taken` has the versions that they made, rising; every version from `floor` on that
+    was ever in force is among them."""
+
+    def __init__(self) -> None:
+        self.taken = array("Q")
+        self.marks = bytearray()
+        self.floor = 0
+
+    def note(self, version: int, digest: str) -> None:
+        """Remember an order that is in force now."""
+        self._put(version, mark(digest))
+        if (over := len(self.taken) - REMEMBERED) > 0:
+            del self.taken[:over]
+            del self.marks[: over * MARK]
+            self.floor = self.taken[0]
+
+    def _put(self, version: int, made_by: bytes) -> None:
+        place = bisect_left(self.taken, version)
+        same = place < len(self.taken) and self.taken[place] == version
+        if not same:
+            self.taken.insert(place, version)
+        self.marks[place * MARK : (place + same) * MARK] = made_by
+
+    def holds(self, version: int, digest: str) -> bool:
+        """Whether this very order made that version, as far as is remembered."""
+        place = bisect_left(self.taken, version)
+        if place == len(self.taken) or self.taken[place] != version:
+            return False
+        return self.marks[place * MARK : (place + 1) * MARK] == mark(digest)
+
+    def standing(self, base: int, version: int, digest: str) -> Standing:
+        """What is known of an order on top of `base` that makes `version`."""
+        if self.holds(version, digest):
+            return Standing.TAKEN
+        # Every version from the floor on is remembered; and none was made on top of one that is not lower.
+        if version >= self.floor or version <= base:
+            return Standing.NOT_TAKEN
+        return Standing.UNKNOWN
+
+    def to_dict(self) -> dict[str, object]:
+        """For a snapshot of the agreed state, JSON-able: versions as steps from one to the next, marks in base64."""
+        before = [0, *self.taken[:-1]]
+        return {
+            "floor": self.floor,
+            "steps": [version - last for version, last in zip(self.taken, before, strict=False)],
+            "marks": base64.b64encode(self.marks).decode("ascii"),
+        }
+
+    @classmethod
+    def from_dict(cls, raw: dict) -> History:
+        """What `to_dict` gave; ValueError where it does not fit together."""
+        made, version = cls(), 0
+        made.floor = raw["floor"]
+        made.marks = bytearray(base64.b64decode(raw["marks"], validate=True))
+        for step in raw["steps"]:
+            version += step
+            made.taken.append(version)
+        if len(made.marks) != len(made.taken) * MARK:
+            raise ValueError(f"{len(made.taken)} versions, {len(made.marks)} bytes of marks")
+        return made
+
+    @classmethod
+    def from_before(cls, raw: dict[str, str]) -> History:
+        """From snapshots before format 4: digests by version, the last `REMEMBERED_BEFORE`. As many as that may be all
+        that is left of more, so nothing older than the lowest is told."""
+        made = cls()
+        for version, digest in raw.items():
+            made._put(version_number(version), mark(digest))
+        if len(made.taken) >= REMEMBERED_BEFORE:
+            made.floor = made.taken[0]
+        return made
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -256,7 +256,9 @@
             raise NotLeader(value)
         if outcome != "committed":
             raise Lost
-        return self.results.get(value, "done")
+        if value not in self.results:  # committed, but what applying it said is not known here
+            raise Lost
+        return self.results[value]
 
     async def current(self, patience: float = 1.0) -> None:
         """Return once the replicated state here holds all that was agreed on before the call; NotLeader or Lost otherwise."""
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -6,13 +6,15 @@
 
 from sanic import HTTPResponse, Request, Sanic
 
-from knotwalk.configuration.control import judge, reading
-from knotwalk.configuration.read import difference, document
+from knotwalk.configuration.control import UNKNOWN, judge, reading
+from knotwalk.configuration.read import difference, document, version_text
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
+from knotwalk.control_plane.replicated_state import DONE
 from knotwalk.runtime.logs import log_info
 from knotwalk.runtime.serve import answer, app
 
 PATIENCE = 4.0  # for an agreement; a core that lost its majority says so instead of holding the operator
+LATER = {"Retry-After": "60"}  # s; of an order too old to be told, which another try won't change
 WAIT_LEADER = 0.8  # an election is over in about this time; the caller moves on after a second of silence
 
 
@@ -75,7 +77,7 @@
                     log_info(
                         "change", method=request.method, status=verdict.status, why=verdict.message, same=verdict.same
                     )
-                    return answer(verdict.body(), verdict.status)
+                    return answer(verdict.body(), verdict.status, LATER if verdict.status == 503 else None)
                 command = {
                     "do": "configure",
                     "base": verdict.base,
@@ -89,7 +91,9 @@
             return self.elsewhere(error.leader)
         except Lost:
             return answer({"error": "not known whether it was agreed on; send it again"}, 503, {"Retry-After": "0.3"})
-        log_info("change", method=request.method, said=said, version=state.version)
-        if said != "done":
-            return answer({"error": said}, 412)
+        log_info("change", method=request.method, said=said, version=self.consensus.state.version)
+        if said == UNKNOWN:
+            return answer({"error": said}, 503, LATER)
+        if said != DONE:
+            return answer({"error": said, "config_version": version_text(self.consensus.state.version)}, 412)
         return answer(verdict.body())
--- a/knotwalk/control_plane/replicated_state.py
+++ b/knotwalk/control_plane/replicated_state.py
@@ -2,18 +2,29 @@
 
 Pure and deterministic: the same entries give the same record everywhere. A command that no longer fits is answered
 with why and changes nothing.
+
+Whether an order is taken rests on the version in force and on the order alone, never on what is remembered of earlier
+ones: members whose memories reach back differently (another program, an older snapshot) take the same orders. Memory
+only tells what to answer.
 """
 
 from __future__ import annotations
 
-from knotwalk.configuration.control import History
+from knotwalk.configuration.control import UNKNOWN
+from knotwalk.configuration.history import History, Standing
 from knotwalk.configuration.objects import Configuration
 from knotwalk.configuration.read import Invalid, apply_difference, document, read_configuration
 from knotwalk.leases.ledger import Change, Ledger
 
 # Of snapshots; raised when older programs could not read them. 2: rows of the ledger tell of an `early` lease. 3:
-# fences may have a lift; only those that have say so.
-FORMAT = 3
+# fences may have a lift; only those that have say so. 4: the history has a floor and marks instead of 64 digests.
+FORMAT = 4
+HISTORY_WITH_FLOOR = 4
+
+# What applying an order says.
+DONE = "done"
+ANOTHER = "another version is in place"
+LATE = {Standing.TAKEN: DONE, Standing.NOT_TAKEN: ANOTHER, Standing.UNKNOWN: UNKNOWN}
 
 
 class ReplicatedState:
@@ -32,14 +43,12 @@
         return self.configuration.version if self.configuration else 0
 
     def apply(self, index: int, command: dict) -> tuple[str, list[Change]]:
-        """Take the entry `index`: (`done` or why not, owner lines that changed)."""
+        """Take the entry `index`: (`DONE` or why not, owner lines that changed)."""
         self.applied = index
         if command.get("do") != "configure":
-            return "done", self.ledger.apply(index, command)
-        if "version" in command and self.history.holds(command["version"], command["digest"]):
-            return "done", self.ledger.apply(index, {})  # the same call, agreed on twice
+            return DONE, self.ledger.apply(index, command)
         if command["base"] != self.version:
-            return "another version is in place", self.ledger.apply(index, {})
+            return self._late(command), self.ledger.apply(index, {})
         try:
             fresh = read_configuration(
                 apply_difference(document(self.configuration), command["difference"])
@@ -51,12 +60,17 @@
         self.configuration, self.order = fresh, index
         self.history.note(fresh.version, command["digest"])
         sharded = [s.name for s in fresh.services.values() if s.sharded]
-        return "done", self.ledger.apply(index, {"do": "shard", "services": sharded})
+        return DONE, self.ledger.apply(index, {"do": "shard", "services": sharded})
+
+    def _late(self, command: dict) -> str:
+        """What is said of an order whose base is not in force: it changes nothing now, but may have before."""
+        version = command.get("version", self.version)  # early programs did not say which version an order makes
+        return LATE[self.history.standing(command["base"], version, command["digest"])]
 
     def to_dict(self) -> dict:
         """A snapshot, JSON-able."""
         return {
-            "format": FORMAT if self.ledger.lift else 2,
+            "format": FORMAT,
             "applied": self.applied,
             "order": self.order,
             "history": self.history.to_dict(),
@@ -71,7 +85,8 @@
             raise ValueError(f"the snapshot has format {raw['format']}, this program reads up to {FORMAT}")
         made = cls()
         made.applied, made.order = raw["applied"], raw["order"]
-        made.history = History.from_dict(raw["history"])
+        remembered = History.from_dict if raw["format"] >= HISTORY_WITH_FLOOR else History.from_before
+        made.history = remembered(raw["history"])
         made.configuration = read_configuration(raw["configuration"]) if raw["configuration"] else None
         made.ledger = Ledger.from_dict(raw["ledger"])
         return made
--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -11,6 +11,7 @@
 
 from knotwalk.configuration import control
 from knotwalk.configuration.control import History, judge, parsed, reading
+from knotwalk.configuration.history import REMEMBERED
 from knotwalk.configuration.index import Index, canonical_host
 from knotwalk.configuration.objects import Configuration, Limits, Route, Service
 from knotwalk.configuration.read import (
@@ -455,11 +456,12 @@
         self.assertEqual("\U0001f600", parsed(b'"\\ud83d\\ude00"'))
 
     def test_history_is_bounded(self):
-        for version in range(1, 200):
+        last = REMEMBERED + 135
+        for version in range(1, last + 1):
             self.history.note(version, str(version))
-        self.assertEqual(control.REMEMBERED, len(self.history.taken))
-        self.assertTrue(self.history.holds(199, "199"))
-        self.assertFalse(self.history.holds(199 - control.REMEMBERED, str(199 - control.REMEMBERED)))
+        self.assertEqual(REMEMBERED, len(self.history.taken))
+        self.assertTrue(self.history.holds(last, str(last)))
+        self.assertFalse(self.history.holds(last - REMEMBERED, str(last - REMEMBERED)))
 
 
 ANY = some.recursive(
--- /dev/null
+++ b/tests/system/test_orders.py
@@ -0,0 +1,366 @@
+"""Orders sent again and orders that race: none is refused that was taken, or taken twice, however late it comes."""
+
+import asyncio
+import itertools
+import json
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from hypothesis import given, settings, strategies as some
+
+from knotwalk.configuration import history as memory
+from knotwalk.configuration.control import History, judge
+from knotwalk.configuration.history import REMEMBERED, REMEMBERED_BEFORE, Standing, mark
+from knotwalk.configuration.read import document, version_text
+from knotwalk.consensus.orders import Pace, Saved
+from knotwalk.control_plane import control
+from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost
+from knotwalk.control_plane.control import Control
+from knotwalk.control_plane.replicated_state import DONE, ReplicatedState
+from knotwalk.runtime.errors import PeerError
+from tests.system import cluster
+from tests.system.test_control_plane import ADDRESSES, DOCUMENT, Cut, Wire
+
+
+def body(version, health="/h", method="PUT"):
+    """An order's body; `health` tells contents apart."""
+    services = [{"object_kind": "services", "metadata": {"name": "s"}, "specification": {"health_check": health}}]
+    objects = {"objects": [*services, *DOCUMENT["objects"][1:]]}
+    return {"config_version": version_text(version)} | (objects if method == "PUT" else {"upsert": objects})
+
+
+def command(base, version, health="/h"):
+    """The order as it stands in the log."""
+    verdict = judge(None, History(), "PUT", "0", json.dumps(body(version, health)).encode())
+    digest = f"{base} {version} {health}"
+    return {"do": "configure", "base": base, "version": version, "digest": digest, "document": verdict.document}
+
+
+class Remembering(unittest.TestCase):
+    def test_a_version_tells_only_from_the_floor_on(self):
+        history = History()
+        with mock.patch.object(memory, "REMEMBERED", 3):
+            for version in (2, 5, 9, 14, 15):
+                history.note(version, str(version))
+        history = History.from_dict(json.loads(json.dumps(history.to_dict())))
+        self.assertEqual((list(history.taken), history.floor), ([9, 14, 15], 9))
+        for base, version, digest, standing in (
+            (5, 9, "9", Standing.TAKEN),
+            (5, 9, "another", Standing.NOT_TAKEN),
+            (9, 14, "another", Standing.NOT_TAKEN),
+            (0, 15, "lost its race early, asking for a high number", Standing.NOT_TAKEN),
+            (2, 5, "5", Standing.UNKNOWN),
+            (2, 8, "may have made r8", Standing.UNKNOWN),
+            (8, 8, "does not rise", Standing.NOT_TAKEN),
+        ):
+            self.assertEqual(history.standing(base, version, digest), standing, digest)
+
+    def test_hundreds_of_changes_and_restarts_later_a_repeat_is_known(self):
+        state, repeats = ReplicatedState(), []
+        for number in range(1, 700):
+            repeats.append(command(2 * number - 2, 2 * number))
+            self.assertEqual(state.apply(number, repeats[-1])[0], DONE)
+            if number % 97 == 0:
+                state = ReplicatedState.from_dict(json.loads(json.dumps(state.to_dict())))
+        for number, repeat in enumerate(repeats, 700):
+            self.assertEqual(state.apply(number, repeat)[0], DONE)
+            self.assertNotEqual(state.apply(number, repeat | {"digest": "lost its race"})[0], DONE)
+        self.assertEqual(state.version, 1398)
+
+    def test_a_week_of_changes_is_bounded_in_memory_and_in_a_snapshot(self):
+        history = History()
+        for version in range(3, 7 * (REMEMBERED + 500), 7):
+            history.note(version, str(version))
+        self.assertEqual(len(history.taken), REMEMBERED)
+        self.assertLessEqual(len(history.taken) * history.taken.itemsize + len(history.marks), 24 * REMEMBERED)
+        self.assertLess(len(json.dumps(history.to_dict(), separators=(",", ":"))), 25 * REMEMBERED)
+
+    def test_snapshots_of_earlier_formats_are_read_and_guess_nothing(self):
+        for first, count, floor in ((1, REMEMBERED_BEFORE - 1, 0), (40, REMEMBERED_BEFORE, 40)):
+            versions = range(first, first + count)
+            old = ReplicatedState()
+            old.apply(9, command(0, versions[-1]))
+            raw = old.to_dict() | {"format": 3, "history": {version_text(one): f"{one:064x}" for one in versions}}
+            state = ReplicatedState.from_dict(json.loads(json.dumps(raw)))
+            self.assertEqual(state.history.floor, floor)
+            for one in versions:
+                self.assertEqual(state.history.standing(one - 1, one, f"{one:064x}"), Standing.TAKEN)
+                self.assertEqual(state.history.standing(one - 1, one, "another"), Standing.NOT_TAKEN)
+            again = ReplicatedState.from_dict(json.loads(json.dumps(state.to_dict())))
+            self.assertEqual(again.to_dict(), state.to_dict())
+        self.assertEqual(state.history.standing(38, 39, "dropped, or never taken"), Standing.UNKNOWN)
+        late = state.apply(10, command(38, 39))[0]
+        self.assertEqual((late, state.version), (control.UNKNOWN, versions[-1]))
+
+    def test_a_history_that_does_not_fit_together_is_not_read(self):
+        history = History()
+        history.note(3, "d")
+        with self.assertRaises(ValueError):
+            History.from_dict(history.to_dict() | {"steps": [3, 1]})
+        with self.assertRaises(ValueError):
+            ReplicatedState.from_dict(ReplicatedState().to_dict() | {"format": 5})
+        self.assertEqual(len(mark("d")), 16)
+
+
+class Core:
+    """One agreed log, members that apply it with memories of different reach, and a plain model of what was taken."""
+
+    def __init__(self, reaches):
+        self.reaches, self.states = reaches, [ReplicatedState() for _ in reaches]
+        self.pending, self.applied, self.version = [], 0, 0
+        self.taken, self.order_of, self.refused = [], {}, []
+
+    def send(self, member, order, spelling):
+        """The answer of a member that leads; an order to be agreed on is left pending, and None is the answer."""
+        method, base, version, health = order
+        text = json.dumps(body(version, health, method), indent=len(spelling))
+        state = self.states[member]
+        verdict = judge(state.configuration, state.history, method, spelling.format(base), text.encode())
+        if verdict.status == 200 and not verdict.same:
+            made = {"do": "configure", "base": base, "version": version, "digest": verdict.digest}
+            self.pending.append((order, made | {"document": verdict.document}))
+            return None
+        return verdict.status
+
+    def apply(self):
+        """Commit the oldest that is pending: (order, what members said)."""
+        order, entry = self.pending.pop(0)
+        _, base, version, _ = order
+        if base == self.version:
+            self.taken.append(order)
+            self.version = version
+        self.applied += 1
+        said = []
+        for reach, state in zip(self.reaches, self.states, strict=True):
+            with mock.patch.object(memory, "REMEMBERED", reach):
+                said.append(state.apply(self.applied, entry)[0])
+        return order, said
+
+    def restart(self, member):
+        raw = json.loads(json.dumps(self.states[member].to_dict()))
+        self.states[member] = ReplicatedState.from_dict(raw)
+
+
+ORDERS = some.tuples(
+    some.sampled_from(["PUT", "PATCH"]), some.integers(-3, 1), some.integers(-1, 3), some.sampled_from("ab")
+)
+STEPS = some.one_of(
+    some.tuples(some.just("new"), some.integers(0, 2), ORDERS),
+    some.tuples(some.just("again"), some.integers(0, 2), some.integers(0, 60)),
+    some.tuples(some.sampled_from(["apply", "restart", "lose"]), some.integers(0, 2), some.none()),
+)
+
+
+class Sequences(unittest.TestCase):
+    """Any orders, sent again at any time to any member, before and after their entries are in force or lost."""
+
+    @given(some.lists(STEPS, max_size=60))
+    @settings(max_examples=300, deadline=None, database=None)
+    def test_against_a_plain_model(self, steps):
+        core, sent = Core([1, 3, REMEMBERED]), []
+        spellings = itertools.cycle(["{}", "r{}", '"r{}"', " r{} "])
+        for what, member, more in steps:
+            if what == "new":
+                method, back, up, health = more
+                base = core.version + back if core.version + back in (0, *(one[2] for one in core.taken)) else 0
+                sent.append((method, base, max(base + up, 0), "/" + health))
+                self.judged(core, member, sent[-1], next(spellings))
+            elif what == "again" and sent:
+                self.judged(core, member, sent[more % len(sent)], next(spellings))
+            elif what == "apply" and core.pending:
+                self.applied(core)
+            elif what == "restart":
+                core.restart(member)
+            elif what == "lose":  # another leads, whose log lacks what is pending
+                core.pending.clear()
+        while core.pending:
+            self.applied(core)
+        self.assertFalse(set(core.refused) & set(core.taken))
+        self.assertEqual(len({one[1] for one in core.taken}), len(core.taken))
+        for state in core.states:
+            self.assertEqual(state.version, core.version)
+            self.assertEqual(*(document(one.configuration) for one in (state, core.states[0]) if one.configuration)
+                             if core.taken else (1, 1))  # fmt: skip
+        for member, order in itertools.product(range(3), core.taken):
+            self.judged(core, member, order, "{}")
+
+    def remembered(self, core, member, order):
+        """Whether a member has to know, by the plain model."""
+        kept = [one[2] for one in core.taken][-core.reaches[member] :]
+        return len(core.taken) <= core.reaches[member] or order[2] >= kept[0]
+
+    def judged(self, core, member, order, spelling):
+        status = core.send(member, order, spelling)
+        if order in core.taken:
+            self.assertEqual(status, 200 if self.remembered(core, member, order) else 503)
+        elif status == 503:
+            self.assertFalse(self.remembered(core, member, order))
+        elif status is not None:
+            self.assertIn(status, (400, 412))
+            core.refused.append(order)
+
+    def applied(self, core):
+        order, said = core.apply()
+        for member, one in enumerate(said):
+            if order in core.taken:
+                self.assertIn(one, (DONE,) if self.remembered(core, member, order) else (control.UNKNOWN,))
+            else:
+                self.assertNotEqual(one, DONE)
+        if said[-1] != DONE:
+            core.refused.append(order)
+
+
+class Lossy(Wire):
+    """A wire that also loses the answers of some."""
+
+    def __init__(self):
+        super().__init__()
+        self.mute = set()
+
+    async def json(self, method, url, body, patience, step):
+        answers = await super().json(method, url, body, patience, step)
+        if (address := url.split("/")[2]) in self.mute:
+            raise PeerError(step, address, "the answer is lost")
+        return answers
+
+
+class Disk(cluster.Disk):
+    """A disk in memory that keeps each write at once and hands all back to the next life."""
+
+    disk_mb = 50.0
+
+
+class Operators(unittest.IsolatedAsyncioTestCase):
+    """Operators at the control ports of three machines, which lose answers, leaders and power."""
+
+    async def asyncSetUp(self):
+        self.wire, founders = Lossy(), {f"{at}#founder": at for at in ADDRESSES}
+        self.disks = {at: Disk(Saved(f"{at}#founder", members=founders)) for at in ADDRESSES}
+        self.ports = {}
+        self.restart()
+
+    async def asyncTearDown(self):
+        await self.stop()
+
+    async def stop(self):
+        for end in self.wire.ends.values():
+            tasks = list(end.tasks)
+            await end.close()
+            await asyncio.gather(*tasks, return_exceptions=True)
+            await asyncio.to_thread(end.writer.shutdown)
+
+    def restart(self):
+        for seed, (at, disk) in enumerate(self.disks.items()):
+            end = ConsensusDriver(disk, disk.read(), self.wire, Pace(), seed, float("-inf"))
+            self.wire.ends[at], self.ports[at] = end, Control(end, 1)
+        for end in self.wire.ends.values():
+            end.start()
+
+    async def leads(self, *, other_than=None):
+        """The address of a leader in touch with the rest."""
+        async with asyncio.timeout(20):
+            while True:
+                for at, end in self.wire.ends.items():
+                    if end.machine.settled and at != other_than:
+                        return at
+                await asyncio.sleep(0.001)  # a turn of the loop, so that timers come due; bounded above
+
+    async def send(self, at, base, version, health="/h", method="PUT"):
+        request = SimpleNamespace(
+            method=method,
+            headers={"if-match": version_text(base)},
+            body=json.dumps(body(version, health, method)).encode(),
+        )
+        return await self.ports[at].change(request)
+
+    async def clear(self, base, version, health="/h", method="PUT"):
+        """The status of the first clear answer, asked of whoever leads."""
+        async with asyncio.timeout(20):
+            while (answer := await self.send(await self.leads(), base, version, health, method)).status in (307, 503):
+                await asyncio.sleep(0.001)  # as above
+        return answer.status
+
+    async def until(self, met):
+        async with asyncio.timeout(20):
+            while not met():
+                await asyncio.sleep(0.001)  # as above
+
+    async def unanswered(self, base, version, reached=0):
+        """Send an order whose leader is cut off once it was judged; its entry comes to as many of the others. The
+        leader, which the others can't reach any more."""
+        propose, led = ConsensusDriver.propose, []
+
+        async def cut_off(end, order, patience):
+            at = next(one for one, other in self.wire.ends.items() if other is end)
+            led.append(at)
+            others = [one for one in ADDRESSES if one != at]
+            self.wire.mute, self.wire.cut = set(others[:reached]), {at, *others[reached:]}
+            try:
+                return await propose(end, order, 0.02)
+            finally:
+                index = end.machine.log.last
+                await self.until(lambda: all(self.wire.ends[one].machine.log.last == index for one in others[:reached]))
+
+        with mock.patch.object(ConsensusDriver, "propose", cut_off):
+            while (answer := await self.send(await self.leads(), base, version)).status == 307:
+                await asyncio.sleep(0.001)  # as above
+        self.assertEqual((answer.status, answer.headers["Retry-After"]), (503, "0.3"))
+        return led[-1]
+
+    async def test_one_of_two_wins_and_both_are_told_the_same_ever_after(self):
+        first = await self.leads()
+        answers = await asyncio.gather(*(self.send(first, 0, 5, health) for health in ("/a", "/b")))
+        self.assertEqual(sorted(one.status for one in answers), [200, 412])
+        winner, loser = ("/a", "/b") if answers[0].status == 200 else ("/b", "/a")
+        lost = json.loads(next(one for one in answers if one.status == 412).body)
+        self.assertEqual(lost["config_version"], "r5")
+        for number in range(70):
+            self.assertEqual(await self.clear(5 + number, 6 + number), 200)
+        for _ in range(2):
+            self.assertEqual([await self.clear(0, 5, one) for one in (winner, loser, winner)], [200, 412, 200])
+            for end in self.wire.ends.values():
+                end.machine.compact(end.machine.applied, end.state.to_dict())
+            await self.stop()  # all at once; the disks stay
+            self.restart()
+
+    async def test_an_entry_that_waits_for_a_majority_counts_once(self):
+        for rival_first in (False, True):
+            base = self.wire.ends[await self.leads()].state.version
+            await self.unanswered(base, base + 2)
+            self.wire.cut.clear()
+            orders = [self.clear(base, base + 2), self.clear(base, base + 2, "/rival")]
+            found = await asyncio.gather(*(orders[::-1] if rival_first else orders))
+            self.assertEqual(found, [412, 200] if rival_first else [200, 412])
+            self.assertEqual(self.wire.ends[await self.leads()].state.version, base + 2)
+
+    async def test_an_order_of_a_leader_that_was_lost(self):
+        """Its entry is on no other disk, or on one: whoever leads next knows which by the time that it answers."""
+        for reached in (0, 1):
+            base = self.wire.ends[await self.leads()].state.version
+            old = await self.unanswered(base, base + 2, reached)
+            self.wire.mute, self.wire.cut, self.wire.ends[old].caller = set(), {old}, Cut()
+            new = await self.leads(other_than=old)
+            order, rival = (base, base + 2), (base, base + 2, "/rival")
+            first, second = (order, rival) if reached else (rival, order)
+            turns = (second, first, second) if reached else (first, second)
+            found = [(await self.send(new, *one)).status for one in turns]
+            self.assertEqual(found, [412, 200, 412] if reached else [200, 412], reached)
+            self.wire.ends[old].caller = self.wire
+            self.wire.cut.clear()
+            self.assertEqual([await self.clear(*first), await self.clear(*second)], [200, 412])
+
+    async def test_what_cannot_be_told_is_neither_confirmed_nor_refused(self):
+        with mock.patch.object(memory, "REMEMBERED", 2):
+            for number in range(4):
+                self.assertEqual(await self.clear(number, number + 1), 200)
+            answer = await self.send(await self.leads(), 0, 1)
+        self.assertEqual((answer.status, answer.headers["Retry-After"]), (503, "60"))
+        self.assertIn("too old", json.loads(answer.body)["error"])
+        self.assertEqual([await self.clear(2, 3), await self.clear(2, 3, "/rival")], [200, 412])
+
+    async def test_an_outcome_that_is_not_known_is_not_called_done(self):
+        end = self.wire.ends[await self.leads()]
+        end.results = mock.MagicMock(__contains__=lambda *_: False, __len__=lambda _: 0)
+        with self.assertRaises(Lost):
+            await end.propose(command(0, 3))
