Test: nothing is told of an order before the state is known to be the newest

Found by seeding mistakes: leaving out the contact check before judging, and answering 412 where the log says that it cannot tell, passed. Both fail now.

--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -366,6 +366,15 @@
         self.assertIn("too old", json.loads(answer.body)["error"])
         self.assertEqual([await self.clear(2, 3), await self.clear(2, 3, "/rival")], [200, 412])
 
+    async def test_nothing_is_told_before_the_state_is_known_to_be_the_newest(self):
+        self.assertEqual(await self.clear(0, 3), 200)
+        at = await self.leads()
+        with mock.patch.object(ConsensusDriver, "current", side_effect=Lost):
+            for order in ((0, 3), (0, 3, "/rival"), (3, 2), (3, 4, "no slash")):
+                self.assertEqual((await self.send(at, *order)).status, 503)
+        with mock.patch.object(ConsensusDriver, "propose", return_value=control.UNKNOWN):
+            self.assertEqual((await self.send(at, 3, 4)).status, 503)
+
     async def test_an_outcome_that_is_not_known_is_not_called_done(self):
         end = self.wire.ends[await self.leads()]
         end.results = Forgetful()
