--- a/knotwalk/control_plane/replicated_state.py
+++ b/knotwalk/control_plane/replicated_state.py
@@ -13,7 +13,7 @@
 from knotwalk.configuration.control import UNKNOWN
 from knotwalk.configuration.history import History, Standing
 from knotwalk.configuration.objects import Configuration
-from knotwalk.configuration.read import Invalid, apply_difference, document, read_configuration
+from knotwalk.configuration.read import Invalid, document, patched, read_configuration
 from knotwalk.leases.ledger import Change, Ledger
 
 # Of snapshots; raised when older programs could not read them. 2: rows of the ledger tell of an `early` lease. 3:
@@ -50,11 +50,7 @@
         if command["base"] != self.version:
             return self._late(command), self.ledger.apply(index, {})
         try:
-            fresh = read_configuration(
-                apply_difference(document(self.configuration), command["difference"])
-                if "difference" in command
-                else command["document"]
-            )
+            fresh = self._made(command)
         except Invalid as error:
             return str(error), self.ledger.apply(index, {})
         self.configuration, self.order = fresh, index
@@ -67,6 +63,17 @@
         version = command.get("version", self.version)  # early programs did not say which version an order makes
         return LATE[self.history.standing(command["base"], version, command["digest"])]
 
+    def _made(self, command: dict) -> Configuration:
+        """The configuration that a command makes. What a difference leaves alone was read before, and is taken over."""
+        if "difference" in command and self.configuration is not None:
+            return patched(self.configuration, command["difference"])
+        return read_configuration(command["document"])
+
+    @property
+    def items(self) -> int:
+        """How many items a change goes through."""
+        return len(self.configuration.items) if self.configuration else 0
+
     def to_dict(self) -> dict:
         """A snapshot, JSON-able."""
         return {
