--- a/knotwalk/control_plane/__init__.py
+++ b/knotwalk/control_plane/__init__.py
@@ -1,5 +1,5 @@
 """The control plane's program, which core machines run.
 
-Control calls, agreement, leases, owner lines, and their spreading to edges. Wires the rooms together and decides
+Control calls, agreement, leases, owner lines, and their spreading to edges. Wires the packages together and decides
 nothing itself; must never carry a client's request.
 """
