--- a/knotwalk/consensus/machine_state.py
+++ b/knotwalk/consensus/machine_state.py
@@ -198,6 +198,7 @@
         elif was in (LEADER, CANDIDATE) and role != LEADER:
             self._deadline = now + self._timeout()
         if role == LEADER:
+            self._incoming.clear()
             self._rounds = 0
             self._elected_at, self._beat_at, self._void, self._handed = now, now + self.pace.heartbeat, False, None
             self._peers = {}
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -96,7 +96,7 @@
         self.on_damage: Callable[[], None] = lambda: None
         self.timer: asyncio.TimerHandle | None = None
         self.hung = False
-        self.compaction = Compaction(store.disk_mb)
+        self.compaction = Compaction(store.disk_mb, saved.me)
         self.configured = False  # a configuration was applied, and not told yet
         self.closing = False
 
--- a/tests/system/test_catch_up.py
+++ b/tests/system/test_catch_up.py
@@ -520,6 +520,26 @@
         await driver.close()
 
 
+class TestCompaction(unittest.TestCase):
+    """When the state is put down whole."""
+
+    def test_it_is_due_by_entries_bytes_or_work_and_not_on_all_machines_at_once(self) -> None:
+        for name, size, work, most in (
+            ("entries", 0, 0, compaction.ENTRIES),
+            ("bytes", 100_000, 0, 160),
+            ("work", 0, 12_000, 50),
+        ):
+            firsts = []
+            for me in ("10.0.0.1:7#founder", "10.0.0.2:7#founder", "10.0.0.3:7#founder"):
+                with self.subTest((name, me)):
+                    counted = compaction.Compaction(64, me)
+                    due = [number for number in range(4 * most) if counted.due(size, work)]
+                    self.assertLess(due[0], most)
+                    self.assertEqual({two - one for one, two in zip(due, due[1:])}, {most})
+                    firsts.append(due[0])
+            self.assertEqual(len(set(firsts)), 3, firsts)
+
+
 class TestStart(unittest.IsolatedAsyncioTestCase):
     """A start after 2,700 changes, the changes of a day."""
 
