--- a/tests/system/test_catch_up.py
+++ b/tests/system/test_catch_up.py
@@ -11,7 +11,7 @@
 from typing import Any
 from unittest import mock
 
-from knotwalk.consensus import leading
+from knotwalk.consensus import leading, machine, snapshot_transfer
 from knotwalk.consensus.log import BATCH
 from knotwalk.consensus.orders import Entry, Pace, Save, Saved, Send
 from knotwalk.consensus.snapshot_transfer import (
@@ -30,7 +30,7 @@
 from knotwalk.control_plane import compaction
 from knotwalk.control_plane.consensus_driver import PATIENCE, ConsensusDriver
 from tests.standins.disk import FULL, REFUSED, FaultyDisk
-from tests.system.cluster import Cluster, Node, Violation
+from tests.system.cluster import Cluster, Node, Violation, trouble
 
 TWO_MBIT = 250_000  # bytes a second
 HEADS = 600  # bytes of a message beside what a part or its entries hold
@@ -286,6 +286,30 @@
             self.assertTrue(cluster.run(10, cluster.caught_up(lost)))
 
 
+class TestWalks(unittest.TestCase):
+    """All that goes wrong at once, with snapshots and entries so long against a message that most go in parts."""
+
+    def test_nothing_told_is_lost_and_all_settles(self) -> None:
+        for batch in (45, BATCH):
+            parts = 0
+            for seed in range(10):
+                with (
+                    self.subTest((batch, seed)),
+                    mock.patch.object(machine, "TRAIL", 4),
+                    mock.patch.object(leading, "LEAST_BATCH", 20),
+                    mock.patch.object(leading, "BATCH", batch),
+                    mock.patch.object(snapshot_transfer, "LEAST_PART", 32),
+                    mock.patch.object(snapshot_transfer, "MOST_PART", 64),
+                    mock.patch.object(Outgoing.__init__, "__defaults__", (0, 64, None)),
+                ):
+                    cluster = Cluster(seed, 3 + 2 * (seed % 2))
+                    trouble(cluster, 60)
+                    cluster.heal()
+                    self.assertTrue(cluster.run(60, cluster.settled))
+                    parts += cluster.sent.get("part", 0)
+            self.assertGreater(parts, 200)
+
+
 class TestParts(unittest.TestCase):
     """Both ends by themselves."""
 
