--- a/tests/system/test_catch_up.py
+++ b/tests/system/test_catch_up.py
@@ -13,6 +13,7 @@
 
 from knotwalk.consensus import leading, machine, snapshot_transfer
 from knotwalk.consensus.log import BATCH
+from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import Entry, Pace, Save, Saved, Send
 from knotwalk.consensus.snapshot_transfer import (
     FIRST_PART,
@@ -286,6 +287,57 @@
             self.assertTrue(cluster.run(10, cluster.caught_up(lost)))
 
 
+class Older(Machine):
+    """A machine of the text before, to which parts are messages of an unknown type."""
+
+    _on_part = None  # type: ignore[assignment]
+
+
+class TestMix(unittest.TestCase):
+    """Members of two texts."""
+
+    def test_an_older_member_is_not_harmed_and_catches_up_once_it_runs_this_text(self) -> None:
+        cluster = SlowCluster(13)
+        cluster.lead()
+        leader = cluster.lead()
+        old = next(node for node in cluster.nodes.values() if node is not leader)
+        cluster.stop(old.address)
+        cluster.change(1200)
+        cluster.compact(leader.address)
+        cluster.kind = Older
+        cluster.start(old.address)
+        term = leader.machine.term
+        cluster.change(3, 2 * BATCH)
+        cluster.run(20)
+        self.assertEqual((leader.machine.term, old.machine.role, old.applied < 100), (term, "follower", True))
+        self.assertEqual(leader.applied, leader.machine.log.last, "the others go on")
+        cluster.stop(old.address)
+        cluster.kind = Machine
+        cluster.start(old.address)
+        self.assertTrue(cluster.run(20, cluster.settled))
+        self.assertEqual(cluster.lead().machine.term, term)
+
+    def test_a_whole_snapshot_of_an_older_leader_is_taken(self) -> None:
+        cluster = SlowCluster(14)
+        leader = cluster.lead()
+        lost = next(node for node in cluster.nodes.values() if node is not leader)
+        cluster.stop(lost.address)
+        cluster.change(1200)
+        cluster.compact(leader.address)
+        with mock.patch.object(Machine, "_feed_part", whole):
+            cluster.start(lost.address)
+            self.assertTrue(cluster.run(10, cluster.settled))
+        self.assertEqual((cluster.sent["snapshot"] > 0, cluster.sent.get("part", 0)), (True, 0))
+
+
+def whole(leader: Machine, now: float, peer: Any, kind: str) -> None:
+    """What the text before sent to a peer that its log does not reach any more."""
+    assert kind == "snapshot"
+    index, term, members, state = leader.snapshot
+    held = {"index": index, "index_term": term, "members": members, "state": state}
+    leader._send(peer.address, "snapshot", peer.id, **held, stamp=now, round=leader._round)
+
+
 class TestWalks(unittest.TestCase):
     """All that goes wrong at once, with snapshots and entries so long against a message that most go in parts."""
 
