--- a/knotwalk/discovery/cluster_view.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -1,9 +1,9 @@
 """The cluster view that the core spreads and the edges act on: configuration, nodes, owner lines; changes, not wholes.
 
-A `Board` stands in each core program; a `ClusterView` in each edge program. Every topic has an order that only rises (the
-index in the agreed log; for nodes the poller's term and turn), so a cluster view never goes back, whichever core it hears.
-A cluster view that has nothing yet may begin with a provisional one, from a core that only just started: it has no orders,
-so whatever a fresh core tells replaces it.
+A `Board` stands in each core program; a `ClusterView` in each edge program. Every topic has an order that only rises
+(the index in the agreed log; for nodes the poller's term and turn), so a cluster view never goes back, whichever core
+it hears. A cluster view that has nothing yet may begin with a provisional one, from a core that only just started: it
+has no orders, so whatever a fresh core tells replaces it.
 """
 
 from __future__ import annotations
@@ -62,6 +62,7 @@
     lines: list[Line] = field(default_factory=lambda: [Line() for _ in range(SLICES)])
 
     def line(self, key: int) -> Line:
+        """The owner line of a key."""
         return self.lines[key // WIDTH]
 
 
@@ -78,6 +79,7 @@
 
 
 def node_of(id: str, raw: dict, now: float) -> Node:
+    """The node that a board told as `raw`, read at `now`."""
     host, _, port = raw["address"].rpartition(":")
     return Node(
         id,
@@ -136,8 +138,8 @@
     def apply(self, now: float, message: dict) -> set[str]:
         """Take what a core's board sent; topics changed among `config`, `nodes`, `lines`, `cores`, `ailing`.
 
-        What is older than what stands is left out, topic by topic. Only when all was taken does the cluster view count as
-        having heard so far; a configuration that can't be taken leaves `fault`, and is asked for whole."""
+        What is older than what stands is left out, topic by topic. Only when all was taken does the cluster view count
+        as having heard so far; a configuration that can't be taken leaves `fault`, and is asked for whole."""
         changed = set()
         if (cores := message.get("cores")) and cores != self.cores:
             self.cores = cores
@@ -225,11 +227,13 @@
     """What one core program has to tell, with a revision for each change; `since` is what a cluster view lacks.
 
     An order names one state, whichever board tells it: the configuration and the lines as of an entry of the log, the
-    list as one leader read it. So what a cluster view lacks follows from its orders, also when it heard another board."""
+    list as one leader read it. So what a cluster view lacks follows from its orders, also when it heard another board.
+    """
 
     def __init__(self, epoch: str):
         self.epoch, self.at = epoch, 1
         self.config: tuple[int, dict] | None = None
+        self.sizes: dict[int, int] = {}  # bytes of each item of the configuration, by its object
         self.changes: deque[tuple[int, dict, int]] = deque()  # up to now: (order changed from, change, its bytes)
         self.nodes: dict[str, Node] = {}
         self.nodes_order = (-1, -1)
@@ -261,13 +265,21 @@
         change = difference(before[1], document) if any(id(item) in known for item in document["objects"]) else None
         if change is None:
             self.changes.clear()
+            self.sizes.clear()
             return
-        whole = size(document)
+        whole = self._whole(document)
         self.changes.append((before[0], change, size(change)))
         while self.changes and (len(self.changes) > CHANGES or sum(size for _, _, size in self.changes) >= whole):
             self.changes.popleft()
 
+    def _whole(self, document: dict) -> int:
+        """Bytes of the whole document; items that stood in the one before, which still lives, are not counted anew."""
+        items = document["objects"]
+        self.sizes = {id(item): self.sizes.get(id(item)) or size(item) for item in items}
+        return size(document | {"objects": []}) + sum(self.sizes.values()) + max(0, len(items) - 1)
+
     def set_cores(self, cores: list[str]) -> None:
+        """Tell the core machines from now on, if they are others than before."""
         if cores != self.cores:
             self.cores, self.cores_at = cores, self._turn()
 
@@ -308,8 +320,9 @@
             lines[slice], at[slice] = line, order
 
     def since(self, asked: dict, now: float) -> dict | None:
-        """What the cluster view lacks that `asked`, or None. By its orders; cores and ailing nodes go by the turns of this
-        board."""
+        """What the cluster view lacks that `asked`, or None.
+
+        By its orders; cores and ailing nodes go by the turns of this board."""
         at = asked["at"] if asked["epoch"] == self.epoch and asked["at"] <= self.at else 0
         if at >= self.at:
             return None
@@ -340,8 +353,9 @@
         return message
 
     def provisional(self, nodes: dict[str, Node], now: float) -> dict | None:
-        """All that stands here for a cluster view that is bare, with `nodes` where no leader's list came; None if that would
-        serve nothing."""
+        """All that stands here for a cluster view that is bare, with `nodes` where no leader's list came.
+
+        None if that would serve nothing."""
         message = self.since({"epoch": "", "at": 0}, now) or {}
         if "nodes" not in message:
             found = {id: entry(n, now) for id, n in nodes.items()}
