--- a/knotwalk/configuration/control.py
+++ b/knotwalk/configuration/control.py
@@ -41,7 +41,7 @@
 
 
 class Unreadable(Exception):
-    """A body that is not JSON as it should be; the text says where."""
+    """A call, or the JSON of its body, that is not as it should be; the text says where."""
 
 
 @dataclass(frozen=True)
@@ -129,35 +129,56 @@
     return hashlib.sha256(canonical.encode("ascii")).hexdigest()
 
 
-def judge(current: Configuration | None, history: History, method: str, if_match: str | None, body: bytes) -> Verdict:
-    """The verdict on a PUT or PATCH of a configuration; whatever the body holds, it raises nothing.
+@dataclass(frozen=True)
+class Order:
+    """A readable call: `value` is its body's JSON, `base` and `version` what it builds on and makes."""
 
-    `current` and `history` are the agreed state as this machine knows it. A call that was taken before gets 200 and
-    `same`, one that may have been gets 503; one on another version than the current gets 412; one that is wrong 400."""
-    at = current.version if current else 0
-    if len(body) > MOST_BYTES:
-        return Verdict(413, f"body: longer than {MOST_BYTES} bytes", at)
+    method: str
+    base: int
+    version: int
+    value: dict
+    digest: str
+
+
+def order(method: str, if_match: str | None, body: bytes) -> Order:
+    """The order that a call brings; Unreadable where it brings none, which no core ever took."""
     if if_match is None:
-        return Verdict(400, "If-Match: is missing; it carries the version built on, 0 for the first", at)
+        raise Unreadable("If-Match: is missing; it carries the version built on, 0 for the first")
     if not (match := IF_MATCH.fullmatch(if_match.strip(" \t"))):
-        return Verdict(400, f"If-Match: must be a version as r5, or 0, not {shown(if_match)}", at)
+        raise Unreadable(f"If-Match: must be a version as r5, or 0, not {shown(if_match)}")
     base = int(match[2])
     try:
         value = parsed(body)
         call = digest(method, base, value)
     except Unreadable as error:
-        return Verdict(400, f"body: {error}", at)
+        raise Unreadable(f"body: {error}") from None
     except ValueError:
-        return Verdict(400, "body: a number is out of range", at)
+        raise Unreadable("body: a number is out of range") from None
     if type(value) is not dict:
-        return Verdict(400, f"body: must be an object, not {shown(value)}", at)
+        raise Unreadable(f"body: must be an object, not {shown(value)}")
     try:
         version = version_number(value.get("config_version"))
     except ValueError as error:
-        return Verdict(400, f"config_version: {error}", at)
-    standing = history.standing(base, version, call)
+        raise Unreadable(f"config_version: {error}") from None
+    return Order(method, base, version, value, call)
+
+
+def judge(current: Configuration | None, history: History, method: str, if_match: str | None, body: bytes) -> Verdict:
+    """The verdict on a PUT or PATCH of a configuration; whatever the body holds, it raises nothing.
+
+    `current` and `history` are the agreed state as this machine knows it. A call that was taken before gets 200 and
+    `same`, one that may have been gets 503; one on another version than the current gets 412; one that is wrong 400."""
+    at = current.version if current else 0
+    if len(body) > MOST_BYTES:
+        return Verdict(413, f"body: longer than {MOST_BYTES} bytes", at)
+    try:
+        call = order(method, if_match, body)
+    except Unreadable as error:
+        return Verdict(400, str(error), at)
+    base, version = call.base, call.version
+    standing = history.standing(base, version, call.digest)
     if standing is Standing.TAKEN:
-        return Verdict(200, "taken before", at, same=True, base=base, version=version, digest=call)
+        return Verdict(200, "taken before", at, same=True, base=base, version=version, digest=call.digest)
     if standing is Standing.UNKNOWN:
         return Verdict(503, UNKNOWN, at)
     if base != at:
@@ -165,13 +186,17 @@
     if version <= at:
         return Verdict(400, f"config_version: {version_text(version)} is not above the current {version_text(at)}", at)
     try:
-        if method == "PUT":
-            made = read_configuration(value)
-        else:
-            made = patched(current or Configuration(0, {}, {}, Limits()), value)
+        made = _made(current, call)
     except Invalid as error:
         return Verdict(400, str(error), at)
-    return Verdict(200, "to be agreed", at, made, document(made), False, base, version, call)
+    return Verdict(200, "to be agreed", at, made, document(made), False, base, version, call.digest)
+
+
+def _made(current: Configuration | None, call: Order) -> Configuration:
+    """The configuration that an order makes of the current one; Invalid."""
+    if call.method == "PUT":
+        return read_configuration(call.value)
+    return patched(current or Configuration(0, {}, {}, Limits()), call.value)
 
 
 def reading(current: Configuration | None) -> tuple[int, dict]:
