--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -9,11 +9,12 @@
 from knotwalk.configuration.control import judge, reading
 from knotwalk.configuration.read import difference, document
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
-from knotwalk.runtime.logs import log_info
+from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.serve import answer, app
 
 PATIENCE = 4.0  # for an agreement; a core that lost its majority says so instead of holding the operator
 WAIT_LEADER = 0.8  # an election is over in about this time; the caller moves on after a second of silence
+LOOK = 0.02  # seconds between looks for a leader's word: a sixth of a heartbeat
 
 
 class Control:
@@ -29,18 +30,20 @@
         made.add_route(self.change, "/configuration", methods=["PUT", "PATCH"], error_format="text")
         return made
 
-    async def leader(self) -> str | None:
-        """The leader's peer address, waited for briefly; None if this machine leads; NotLeader if none is known."""
-        machine, waited = self.consensus.machine, 0.0
-        while True:
-            if machine.role == "leader":
-                return None
-            if machine.leader:
+    async def leader(self, asked_at: float) -> str | None:
+        """The peer address of a leader that was heard after the call came at `asked_at`, by a heartbeat at the latest;
+        None if this machine leads; NotLeader if none was heard in time.
+
+        A leader that only was heard before may be gone since. Sent to it, the caller would wait a second for nothing,
+        and its next try may begin there again; meanwhile the others elect."""
+        machine = self.consensus.machine
+        while machine.role != "leader":
+            if machine.leader and machine.heard_at >= asked_at:
                 return machine.leader
-            if waited >= WAIT_LEADER:
+            if clock() - asked_at >= WAIT_LEADER:
                 raise NotLeader(None)
-            await asyncio.sleep(0.05)
-            waited += 0.05
+            await asyncio.sleep(LOOK)
+        return None
 
     def elsewhere(self, leader: str | None) -> HTTPResponse:
         if leader is None:
@@ -48,22 +51,31 @@
         host = leader.rpartition(":")[0]
         return HTTPResponse(b"", 307, {"Location": f"http://{host}:{self.port}/configuration"})
 
+    async def another(self, asked_at: float) -> HTTPResponse:
+        """The answer where this machine turned out not to lead: who does by now is heard, not guessed."""
+        try:
+            return self.elsewhere(await self.leader(asked_at))
+        except NotLeader:
+            return self.elsewhere(None)
+
     async def read(self, request: Request) -> HTTPResponse:
         """The newest configuration, whole; never an older one than was acknowledged anywhere."""
+        asked_at = clock()
         try:
-            if (leader := await self.leader()) is not None:
+            if (leader := await self.leader(asked_at)) is not None:
                 return self.elsewhere(leader)
             await self.consensus.current()
-        except NotLeader as error:
-            return self.elsewhere(error.leader)
+        except NotLeader:
+            return await self.another(asked_at)
         except Lost:
             return answer({"error": "no majority answers; ask another or again"}, 503, {"Retry-After": "0.3"})
         status, found = reading(self.consensus.state.configuration)
         return answer(found, status)
 
     async def change(self, request: Request) -> HTTPResponse:
+        asked_at = clock()
         try:
-            if (leader := await self.leader()) is not None:
+            if (leader := await self.leader(asked_at)) is not None:
                 return self.elsewhere(leader)
             async with self.taking:
                 await self.consensus.current()
@@ -85,8 +97,8 @@
                 less = difference(document(state.configuration), verdict.document) if state.configuration else None
                 command |= {"difference": less} if less else {"document": verdict.document}
                 said = await self.consensus.propose(command, PATIENCE)
-        except NotLeader as error:
-            return self.elsewhere(error.leader)
+        except NotLeader:
+            return await self.another(asked_at)
         except Lost:
             return answer({"error": "not known whether it was agreed on; send it again"}, 503, {"Retry-After": "0.3"})
         log_info("change", method=request.method, said=said, version=state.version)
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -14,6 +14,7 @@
 from knotwalk.consensus.orders import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
+from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.slice_manager import LANES, SliceManager
@@ -151,6 +152,25 @@
         await fresh.propose({"do": "shard", "services": ["s"]})
         await self.until(lambda: "s" in leader.state.ledger.slices)
 
+    async def test_an_operator_is_sent_only_to_a_leader_heard_since_it_called(self):
+        """One that was heard before the call may be gone by then: the caller would wait a second for it, and again."""
+        leader = await self.leader()
+        own = leader.machine.address
+        await self.until(lambda: all(end.machine.leader == own for end in self.wire.ends.values()))
+        self.wire.cut.add(own)
+        reach, leader.caller = leader.caller, Cut()
+        fellows = [end for end in self.wire.ends.values() if end is not leader]
+        found = await asyncio.gather(*(Control(end, 8).read(None) for end in (leader, *fellows)))
+        self.assertEqual(found[0].status, 503)  # it found out that it leads no more, and who does is not known there
+        for one in found[1:]:
+            self.assertNotEqual(one.headers.get("location"), f"http://{own.partition(':')[0]}:8/configuration")
+        await self.until(lambda: any(end.machine.settled for end in fellows))
+        self.wire.cut.discard(own)
+        leader.caller = reach
+        fresh = await self.leader()
+        back = await Control(leader, 8).read(None)
+        self.assertEqual(back.headers["location"], f"http://{fresh.machine.address.partition(':')[0]}:8/configuration")
+
 
 class DamageCase(unittest.IsolatedAsyncioTestCase):
     """Three machines with real files; what one of them reads back is not what it wrote."""
