--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -16,7 +16,7 @@
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_warning
-from knotwalk.runtime.serve import answer, app, body
+from knotwalk.runtime.serve import answer, app, body, packed
 
 FRESH = 1.2  # a core that heard the leader's word longer ago than this sends its edges elsewhere
 GATHER = 0.004  # news that come together go together
@@ -171,7 +171,7 @@
             told["news"] = message
         elif provisional and not fresh:
             told["provisional"] = provisional
-        return answer(told)
+        return packed(request, answer(told))
 
     async def provisional(self) -> dict | None:
         """What an edge that has nothing may serve by until there is a leader: what the disk here holds as committed,
--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -15,6 +15,7 @@
 import httptools
 
 from knotwalk.runtime.errors import PeerError, value
+from knotwalk.runtime.packing import ENCODING, unpack
 
 # Seconds after which an idle connection is not used again: less than half of what a core keeps one open for.
 IDLE = 8.0
@@ -56,6 +57,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body: list[bytes] = []
         self.size = 0
+        self.packed = False
 
     def _to(self, line: Line) -> None:
         """The one place where the state changes."""
@@ -110,6 +112,10 @@
 
     # -- from the parser
 
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"content-encoding":
+            self.packed = value.strip().lower() == ENCODING.encode()
+
     def on_body(self, data: bytes) -> None:
         self.size += len(data)
         if self.size > MOST:
@@ -123,8 +129,13 @@
             self.end("bytes that belong to no answer")
             return
         assert self.future is not None
+        try:
+            body = unpack(b"".join(self.body), MOST) if self.packed else b"".join(self.body)
+        except ValueError as error:
+            self.end(f"not an answer: {error}")
+            return
         if not self.future.done():
-            self.future.set_result((status, b"".join(self.body)))
+            self.future.set_result((status, body))
         if not self.parser.should_keep_alive():
             self.end("")
             return
@@ -150,6 +161,7 @@
         data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
         head = (
             f"{method} {parts.path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
+            f"Accept-Encoding: {ENCODING}\r\n"
             f"Content-Length: {len(data)}\r\n\r\n"
         )
         connection: Connection | None = None
--- a/knotwalk/runtime/serve.py
+++ b/knotwalk/runtime/serve.py
@@ -8,6 +8,7 @@
 from sanic.log import access_logger, error_logger, logger as sanic_logger
 
 from knotwalk.runtime.logs import log_exception
+from knotwalk.runtime.packing import ENCODING, pack
 
 BODY_MOST = 64 * 1024 * 1024
 
@@ -63,6 +64,15 @@
     return HTTPResponse(json.dumps(value, separators=(",", ":")), status, headers, "application/json")
 
 
+def packed(request: Request, whole: HTTPResponse) -> HTTPResponse:
+    """The same answer, its body packed if that is worth it and the caller takes it."""
+    small = pack(whole.body, request.headers.get("accept-encoding", ""))
+    if small is not None:
+        whole.body = small
+        whole.headers["Content-Encoding"] = ENCODING
+    return whole
+
+
 def body(request: Request) -> Any:
     """The JSON value of a request's body; ValueError if it has none."""
     return json.loads(request.body)
--- a/tests/system/test_caller.py
+++ b/tests/system/test_caller.py
@@ -8,6 +8,7 @@
 
 from knotwalk.edge.caller import Caller, Connection, Line
 from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.packing import pack
 
 WELL = b'HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\n{"a":1}'
 CHUNKED = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n{"a\r\n4\r\n":1}\r\n0\r\n\r\n'
@@ -74,6 +75,20 @@
                 self.assertEqual((met.exception.step, met.exception.peer), ("cluster view", self.url))
                 self.assertEqual(await self.call((WELL, False)), {"a": 1})
 
+    async def test_a_packed_answer_is_unpacked_and_one_that_is_not_whole_is_none(self):
+        """An edge's link of 2.5 Mbit/s took 0.4 s for each whole view, beside its clients' traffic."""
+        large = {"a": ["x" * 10] * 1000}
+        data = pack(json.dumps(large).encode(), "deflate")
+        head = b"HTTP/1.1 200 OK\r\ncontent-encoding: deflate\r\nContent-Length: %d\r\n\r\n"
+        self.assertEqual(await self.call((head % len(data) + data, False)), large)
+        self.assertIn(b"Accept-Encoding: deflate", self.asked[-1][1])
+        for bad in (data[:-1], data + b"x", b"", b'{"a":1}', data[:20] + b"!!" + data[22:]):
+            with self.subTest(bad[-20:]), self.assertRaises(PeerError):
+                await self.call((head % len(bad) + bad, False))
+            self.assertEqual(await self.call((WELL, False)), {"a": 1})
+        with mock.patch("knotwalk.edge.caller.MOST", 5000), self.assertRaises(PeerError):
+            await self.call((head % len(data) + data, False))
+
     async def test_what_is_no_answer_fails_the_call_and_ends_the_connection(self):
         bad = [
             b"nonsense\r\n\r\n",
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -23,6 +23,7 @@
 from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.packing import LEAST, unpack
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
 DOCUMENT = {
@@ -351,7 +352,19 @@
 
     async def ask(self, **more):
         asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
-        return json.loads((await self.peer_api.view(SimpleNamespace(body=asked))).body)
+        return json.loads((await self.peer_api.view(SimpleNamespace(body=asked, headers={}))).body)
+
+    async def test_a_large_view_is_packed_for_an_edge_that_takes_it(self):
+        self.board.set_config(5, DOCUMENT | {"filler": "x" * LEAST})
+        asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True}).encode()
+        plain, found = [
+            await self.peer_api.view(SimpleNamespace(body=asked, headers=headers))
+            for headers in ({}, {"accept-encoding": "deflate"})
+        ]
+        self.assertNotIn("content-encoding", plain.headers)
+        self.assertEqual(found.headers["content-encoding"], "deflate")
+        self.assertEqual(unpack(found.body, 10 * LEAST), plain.body)
+        self.assertLess(len(found.body), len(plain.body) / 4)
 
     async def test_only_a_bare_edge_is_told_and_only_before_a_leader_is_known(self):
         self.assertNotIn("provisional", await self.ask())
