--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -113,6 +113,7 @@
     # -- from the parser
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        """Note whether the body is packed."""
         if name.lower() == b"content-encoding":
             self.packed = value.strip().lower() == ENCODING.encode()
 
