--- a/tests/system/test_cut_off.py
+++ b/tests/system/test_cut_off.py
@@ -150,7 +150,7 @@
         await self.thawed.wait()
         handler = {"/consensus": self.peers.messages, "/lease": self.peers.lease, "/nodes": self.peers.nodes}
         handler |= {"/cluster-view": self.peers.view, "/proposal": self.peers.proposal, "/loads": self.peers.share}
-        found = await handler[path](SimpleNamespace(body=json.dumps(body).encode()))
+        found = await handler[path](SimpleNamespace(body=json.dumps(body).encode(), headers={}))
         await self.thawed.wait()
         return found
 
@@ -431,7 +431,9 @@
                         asked = {"edge": "e", "epoch": core.board.epoch, "at": core.board.at, "wait": 1.0}
                         while clock() < start + 5:
                             begun = clock()
-                            told = json.loads((await core.peers.view(SimpleNamespace(body=json.dumps(asked)))).body)
+                            told = json.loads(
+                                (await core.peers.view(SimpleNamespace(body=json.dumps(asked), headers={}))).body
+                            )
                             if told["fresh"]:
                                 fresh.append(clock() - start)
                             await asyncio.sleep(max(0.01, begun + 0.05 - clock()))
@@ -501,7 +503,8 @@
     def test_a_core_alone_for_long_or_left_out_or_that_hears_of_a_leader_gives_no_picture(self):
         async def story(world):
             core, _ = await self.behind(world)
-            asked = SimpleNamespace(body=json.dumps(ClusterView().ask() | {"edge": "e", "wait": 0.0}).encode())
+            wanted = json.dumps(ClusterView().ask() | {"edge": "e", "wait": 0.0}).encode()
+            asked = SimpleNamespace(body=wanted, headers={})
 
             async def given():
                 return "provisional" in json.loads((await core.peers.view(asked)).body)
