Calls of cores: no kept connection hands out another call's answer

Cause: aiohttp's pool looks for surplus bytes when a connection is given back, not when it is taken out. It also sends a PUT or GET twice by itself.

--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -140,7 +140,11 @@
         host, port = order.address
         try:
             patience = self.pace.call_timeout if step == "grant" else self.pace.release_timeout
-            status, heads, _ = await self.caller.send("POST", f"http://{host}:{port}/{step}", body, patience, step)
+            # A release that counts as answered while work runs on would give the keys to two at once. Nodes name no
+            # call in their answers, so each release has a connection of its own, on which no other answer can come.
+            alone = step == "release"
+            url = f"http://{host}:{port}/{step}"
+            status, heads, _ = await self.caller.send("POST", url, body, patience, step, None, alone)
             return status, heads.get("handover")
         except Refused:
             return REFUSED, None
--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -329,7 +329,11 @@
         if status is None:
             holder.quiet = max(holder.quiet, now + self.pace.slack)
             holder.until = max(holder.until, now + self.pace.slack + order.hold * SLOW)
-        elif status not in (REFUSED, UNSENT, 400, 409):
+        elif status in (400, 409):
+            # No proof that it was not taken: nodes name no call in their answers, so on a connection that is used again
+            # this may be an earlier call's answer, come late, and the grant may be on its way.
+            holder.until = max(holder.until, now + self.pace.slack + order.hold * SLOW)
+        elif status not in (REFUSED, UNSENT):
             holder.until = max(holder.until, now + order.hold * SLOW)
         if x.owner != order.node or x.fence != order.fence:
             return
--- a/knotwalk/runtime/serve.py
+++ b/knotwalk/runtime/serve.py
@@ -25,9 +25,17 @@
     made.config.KEEP_ALIVE_TIMEOUT = 20
     made.config.FALLBACK_ERROR_FORMAT = "text"
     made.exception(Exception)(failed)
+    made.register_middleware(name_call, "response")
     return made
 
 
+def name_call(request: Request, response: HTTPResponse) -> None:
+    """Repeat the id of the call in its answer, so that a caller never takes an answer for another call's."""
+    call = request.headers.get("call-id")
+    if call is not None and call.isdigit():
+        response.headers["Call-Id"] = call
+
+
 async def failed(request: Request, error: Exception) -> HTTPResponse:
     """A handler raised: what sanic itself refuses keeps its status; anything else is a fault of ours, and logged."""
     if isinstance(error, SanicException):
