--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -273,9 +273,9 @@
         keep = [lambda r, w: answer(r, extra="Keep-Alive: timeout=9\r\n")] * 9
         self.nodes[0].script = keep
         used = []
-        for prefix, idle in (("/n/", 0), ("/n/", 3.9), ("/i/", 4.1), ("/n/", 4.1), ("/i/", 8.1)):
+        for at, (prefix, idle) in enumerate((("/n/", 0), ("/n/", 3.9), ("/i/", 4.1), ("/n/", 4.1), ("/i/", 8.1))):
             now[0] += idle
-            await self.ask(prefix, deadline=4000)
+            await self.ask(prefix, f"id{at}", deadline=4000)
             used.append(self.nodes[0].seen[-1].connection)
         self.assertEqual(used[:3], [0, 0, 0])
         self.assertEqual(used[3], 1)
