Reuse of connections: given up, idle and held-up cases; seeded mistakes that the tables find

A call given up by time or by its task's end, what comes on an idle connection (read by the loop or not), an answer held up while it came whole. Seeded and found: aiohttp's own look at kept connections; an edge's connection to a core without its looks; ids unchecked at a node, a core, a kept call; a reset counted as proof that nothing ran; the library's own repeat; a release on a shared connection.

--- a/tests/system/test_reuse.py
+++ b/tests/system/test_reuse.py
@@ -10,6 +10,7 @@
 import unittest
 from unittest import mock
 
+import aiohttp
 from standins import mishaps
 from standins.mishaps import HEAD_READ, MISHAPS, POINTS, POISED, READ, Peer
 from standins.nodes import RawClient, front, view
@@ -17,7 +18,7 @@
 from knotwalk.admission import outcome
 from knotwalk.cli.offer import NoAnswer, Operator
 from knotwalk.discovery.cluster_view import Node
-from knotwalk.edge import caller as edge_caller
+from knotwalk.edge import caller as edge_caller, forward, upstream
 from knotwalk.runtime import call as runtime_call
 from knotwalk.runtime.errors import PeerError
 
@@ -50,7 +51,7 @@
         client = await RawClient.to(self.front.port)
         try:
             client.ask(self.path, f"id{number}", deadline=int(patience * 1000) if patience < 4 else 4000)
-            status, headers, body = await client.answer()
+            status, headers, body = await asyncio.wait_for(client.answer(), LONG)
         except (asyncio.IncompleteReadError, ConnectionError):
             return FAILED
         finally:
@@ -192,6 +193,23 @@
                 found.append(f"the connection was used on by calls {peer.used_on()}")
             return [f"{path.__name__}, {mishap.__name__} at {point} of call {at}: {text}" for text in found]
 
+    async def idle(self, path, mishap, count):
+        """Call 0 is answered; its connection meets with the mishap; the loop turns so often; calls 1 and 2 are made."""
+        async with self.against(path) as (peer, one):
+            results = [await one.call(0)]
+            mishap(peer, peer.calls[0], peer.writers[peer.calls[0].connection])
+            await turns(count)
+            results += [await one.call(1), await one.call(2)]
+            found = self.judged(path, peer, results)
+            # An end that the peer's loop has not carried out can't be seen: then the call is lost, and not sent again by
+            # anybody who doesn't know that it may be.
+            unseen = mishap in (mishaps.close, mishaps.reset) and not count
+            if results != [0, 1, 2] and not (unseen and results == [0, FAILED, 2]):
+                found.append(f"calls got {results}")
+            if [call.connection for call in peer.calls[1:]].count(0):
+                found.append("the connection was used on")
+            return found
+
     async def table(self, paths=PATHS, chosen=MISHAPS, points=POINTS):
         """All cases of the table; what is wrong, and how many there were."""
         found, count = [], 0
@@ -234,5 +252,139 @@
         await self.check(Order)
 
 
+class IdleCase(ReuseCase):
+    """What comes on a connection that lies idle, read by the loop or not, costs no call and is nobody's answer."""
+
+    async def test_table(self):
+        for path in PATHS:
+            for mishap in set(MISHAPS) - {mishaps.silence}:
+                for count in (0, 50):
+                    with self.subTest(f"{path.__name__}, {mishap.__name__}, {count}"):
+                        self.assertEqual(await self.idle(path, mishap, count), [])
+
+
+class GivenUpCase(ReuseCase):
+    """A call that is given up, by its time or by its task's end, and the answer that comes afterwards."""
+
+    async def late(self, path, cancelled):
+        """Call 1 is given up on a connection that has been used; its answer comes; call 2 gets its own."""
+        async with self.against(path, point=READ, mishap=mishaps.silence, at=1) as (peer, one):
+            self.assertEqual(await one.call(0), 0)
+            task = asyncio.ensure_future(one.call(1, LONG if cancelled else SHORT))
+            while len(peer.calls) < 2:
+                await asyncio.sleep(0)
+            if cancelled:
+                task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            spoilt = peer.calls[1].connection
+            if not peer.writers[spoilt].is_closing():
+                peer.writers[spoilt].write(mishaps.answer(peer.calls[1]))
+            self.assertEqual(await one.call(2), 2)
+            self.assertEqual(self.judged(path, peer, [0, FAILED, 2]), [])
+            self.assertNotEqual(peer.calls[-1].connection, spoilt)
+
+    async def test_a_call_given_up_ends_its_connection(self):
+        for path in (EdgeToNode, EdgeToNodeRepeatable, EdgeToCore, CoreToCore, Grant, Release, List):
+            for cancelled in (False, True):
+                if cancelled and path is EdgeToNode:
+                    continue  # what may not be repeated is carried to its end, whoever has gone
+                with self.subTest(path.__name__, cancelled=cancelled):
+                    await self.late(path, cancelled)
+
+
+class HeldUpCase(ReuseCase):
+    async def test_a_connection_whose_answer_was_held_up_is_read_on(self):
+        """An answer past the size that is gathered, come whole at once: the next request's answer was never read."""
+
+        async def serve(reader, writer):
+            try:
+                while True:
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                    id = head.split("Attempt-Id: ")[1].split("\r\n")[0]
+                    size = 100_000 if id == "id0" else 2
+                    writer.write(
+                        f"HTTP/1.1 200 OK\r\nAttempt-Id: {id}\r\nServer-Seal: s\r\nKeep-Alive: timeout=9\r\n"
+                        f"Content-Length: {size}\r\n\r\n".encode()
+                        + b"7" * size
+                    )
+            except (asyncio.IncompleteReadError, ConnectionError):
+                writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        made = await front(view([Node("i-1", "s", server.sockets[0].getsockname()[:2], "a", 4)]))
+        for number in range(3):
+            client = await RawClient.to(made.port)
+            client.ask("/n/", f"id{number}")
+            self.assertEqual((await asyncio.wait_for(client.answer(), LONG))[0], 200)
+            client.close()
+            (connection,) = made.forwarder.pools["i-1"].all
+            self.assertTrue(connection.transport.is_reading())
+        made.drain()
+        await made.finished(0)
+        server.close()
+        await turns(3)
+
+
+class SeededCase(ReuseCase):
+    """The tables find these mistakes, each put in on purpose."""
+
+    async def found(self, paths, chosen, points):
+        return (await self.table(paths, chosen, points))[0]
+
+    async def test_a_stale_connection_used_again(self):
+        with mock.patch.object(runtime_call, "spoilt", lambda protocol: not protocol.is_connected()):  # as aiohttp does
+            self.assertTrue(await self.idle(Grant, mishaps.extra, 50))
+            self.assertTrue(await self.idle(List, mishaps.extra, 0))
+        with mock.patch.object(edge_caller.Connection, "fit", lambda self: self.line is edge_caller.Line.IDLE):
+            with mock.patch.object(edge_caller.Connection, "on_headers_complete", lambda self: None):
+                self.assertTrue(await self.idle(EdgeToCore, mishaps.extra, 0))
+
+    async def test_a_late_answer_taken_for_the_next_calls(self):
+        """Ids unchecked: a stray answer is passed on as the request's own, or as the call's."""
+        read_head = upstream.Connection._read_head
+
+        def unchecked(self, status, headers):
+            self.attempt = dict(headers).get(b"Attempt-Id", self.attempt)
+            read_head(self, status, headers)
+
+        with mock.patch.object(upstream.Connection, "_read_head", unchecked):
+            with self.assertRaises(AssertionError):
+                await self.found((EdgeToNode,), (mishaps.stray,), (READ,))
+        with mock.patch.object(edge_caller.Connection, "on_headers_complete", lambda self: None):
+            self.assertTrue(await self.found((EdgeToCore,), (mishaps.stray,), (READ,)))
+        with mock.patch.object(runtime_call.NamedResponse, "start", aiohttp.ClientResponse.start):
+            self.assertTrue(await self.found((CoreToCore,), (mishaps.stray,), (READ,)))
+
+    async def test_what_may_not_be_repeated_sent_twice(self):
+        """A reset after a byte left counts as proof that nothing ran; a library that sends again by itself."""
+        proofs = {**outcome.PROOFS, outcome.End.LOST: outcome.Proof.NEVER_RAN}
+        with mock.patch.object(outcome, "PROOFS", proofs), mock.patch.object(forward, "PROOFS", proofs):
+            self.assertTrue(await self.found((EdgeToNode,), (mishaps.reset,), (READ,)))
+        session = runtime_call.session
+
+        def retrying(*asked):
+            made = session(*asked)
+            made._retry_connection = True
+            return made
+
+        with mock.patch.object(runtime_call, "session", retrying):
+            self.assertTrue(await self.found((List,), (mishaps.reset,), (READ,)))
+
+    async def test_a_release_on_a_connection_that_is_used_again(self):
+        """Node's answers bear no id: without a connection of its own a release takes what comes late for its answer."""
+
+        class Shared(Release):
+            alone = False
+
+        async with self.against(Shared) as (peer, one):
+            await one.call(0)
+            peer.before_answer = lambda call: mishaps.answer(call, 0)
+            self.assertEqual(await one.call(1), 0)
+        async with self.against(Release) as (peer, one):
+            for number in range(3):
+                self.assertEqual(await one.call(number), number)
+            self.assertEqual([call.connection for call in peer.calls], [0, 1, 2])
+
+
 if __name__ == "__main__":
     unittest.main()
