--- a/tests/system/test_reuse.py
+++ b/tests/system/test_reuse.py
@@ -201,7 +201,7 @@
             await turns(count)
             results += [await one.call(1), await one.call(2)]
             found = self.judged(path, peer, results)
-            # An end that the peer's loop has not carried out can't be seen: then the call is lost, and not sent again by
+            # An end that the peer's loop has not carried out can't be seen: the call is lost then, and not sent again by
             # anybody who doesn't know that it may be.
             unseen = mishap in (mishaps.close, mishaps.reset) and not count
             if results != [0, 1, 2] and not (unseen and results == [0, FAILED, 2]):
