--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -16,6 +16,7 @@
 import httptools
 
 from knotwalk.runtime.errors import PeerError, value
+from knotwalk.runtime.packing import ENCODING, unpack
 
 # Seconds after which an idle connection is not used again: less than half of what a core keeps one open for.
 IDLE = 8.0
@@ -30,10 +31,6 @@
 WHOLE = 30.0
 
 
-# Names a call, and in an answer the call that is answered; see `runtime.serve`.
-CALL_ID = b"call-id"
-
-
 class Line(Enum):
     """States of a connection to a core."""
 
@@ -63,6 +60,7 @@
         self.body: list[bytes] = []
         self.size = 0
         self.answered = b""  # id of the call that is answered, if the core names it
+        self.packed = False
 
     def _to(self, line: Line) -> None:
         """The one place where the state changes."""
@@ -131,8 +129,12 @@
             self.end("bytes that belong to no answer")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if name.lower() == CALL_ID:
-            self.answered = value.strip()
+        """Note whose answer it is, and whether its body is packed."""
+        match name.lower():
+            case b"call-id":
+                self.answered = value.strip()
+            case b"content-encoding":
+                self.packed = value.strip().lower() == ENCODING.encode()
 
     def on_headers_complete(self) -> None:
         if self.answered and self.answered != self.call:
@@ -151,8 +153,13 @@
             self.end("bytes that belong to no answer")
             return
         assert self.future is not None
+        try:
+            body = unpack(b"".join(self.body), MOST) if self.packed else b"".join(self.body)
+        except ValueError as error:
+            self.end(f"not an answer: {error}")
+            return
         if not self.future.done():
-            self.future.set_result((status, b"".join(self.body)))
+            self.future.set_result((status, body))
         if not self.parser.should_keep_alive():
             self.end("")
             return
@@ -181,7 +188,8 @@
         call = b"%d" % self.calls
         head = (
             f"{method} {parts.path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
-            f"Call-Id: {self.calls}\r\nContent-Length: {len(data)}\r\n\r\n"
+            f"Accept-Encoding: {ENCODING}\r\nCall-Id: {self.calls}\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
         )
         connection: Connection | None = None
         loop = asyncio.get_running_loop()
--- a/knotwalk/runtime/call.py
+++ b/knotwalk/runtime/call.py
@@ -54,6 +54,7 @@
         self.used: WeakSet = WeakSet()  # protocols that have carried a call
 
     async def connect(self, *asked: Any, **options: Any) -> Any:
+        """A connection that a call may be sent on."""
         while True:
             connection = await super().connect(*asked, **options)
             protocol = connection.protocol
@@ -81,6 +82,7 @@
     """An answer that bears the id of another call than the one it came for is none, and ends its connection."""
 
     async def start(self, connection: Any) -> Any:
+        """Read the head, and see whose answer it is."""
         protocol = connection.protocol
         await super().start(connection)
         asked = self.request_info.headers.get("Call-Id")
@@ -166,5 +168,6 @@
         return value(step, url, status, data)
 
     async def close(self) -> None:
+        """Close the connections to all peers."""
         await self.session.close()
         await self.single.close()
--- a/knotwalk/runtime/serve.py
+++ b/knotwalk/runtime/serve.py
@@ -8,6 +8,7 @@
 from sanic.log import access_logger, error_logger, logger as sanic_logger
 
 from knotwalk.runtime.logs import log_exception
+from knotwalk.runtime.packing import ENCODING, pack
 
 BODY_MOST = 64 * 1024 * 1024
 
@@ -53,6 +54,7 @@
         self.app, self.server = made, None
 
     async def start(self, host: str, port: int) -> None:
+        """Listen at an address and serve."""
         self.server = await self.app.create_server(
             host=host, port=port, return_asyncio_server=True, access_log=False, debug=False, backlog=512
         )
@@ -60,6 +62,7 @@
         await self.server.start_serving()
 
     async def close(self) -> None:
+        """Stop listening and end the connections."""
         if self.server is not None:
             self.server.close()
 
@@ -69,6 +72,15 @@
     return HTTPResponse(json.dumps(value, separators=(",", ":")), status, headers, "application/json")
 
 
+def packed(request: Request, whole: HTTPResponse) -> HTTPResponse:
+    """The same answer, its body packed if that is worth it and the caller takes it."""
+    small = pack(whole.body, request.headers.get("accept-encoding", ""))
+    if small is not None:
+        whole.body = small
+        whole.headers["Content-Encoding"] = ENCODING
+    return whole
+
+
 def body(request: Request) -> Any:
     """The JSON value of a request's body; ValueError if it has none."""
     return json.loads(request.body)
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -14,6 +14,7 @@
 from knotwalk.consensus.orders import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
+from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.slice_manager import LANES, SliceManager
@@ -22,6 +23,7 @@
 from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.packing import LEAST, unpack
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
 DOCUMENT = {
@@ -151,6 +153,25 @@
         await fresh.propose({"do": "shard", "services": ["s"]})
         await self.until(lambda: "s" in leader.state.ledger.slices)
 
+    async def test_an_operator_is_sent_only_to_a_leader_heard_since_it_called(self):
+        """One that was heard before the call may be gone by then: the caller would wait a second for it, and again."""
+        leader = await self.leader()
+        own = leader.machine.address
+        await self.until(lambda: all(end.machine.leader == own for end in self.wire.ends.values()))
+        self.wire.cut.add(own)
+        reach, leader.caller = leader.caller, Cut()
+        fellows = [end for end in self.wire.ends.values() if end is not leader]
+        found = await asyncio.gather(*(Control(end, 8).read(None) for end in (leader, *fellows)))
+        self.assertEqual(found[0].status, 503)  # it found out that it leads no more, and who does is not known there
+        for one in found[1:]:
+            self.assertNotEqual(one.headers.get("location"), f"http://{own.partition(':')[0]}:8/configuration")
+        await self.until(lambda: any(end.machine.settled for end in fellows))
+        self.wire.cut.discard(own)
+        leader.caller = reach
+        fresh = await self.leader()
+        back = await Control(leader, 8).read(None)
+        self.assertEqual(back.headers["location"], f"http://{fresh.machine.address.partition(':')[0]}:8/configuration")
+
 
 class DamageCase(unittest.IsolatedAsyncioTestCase):
     """Three machines with real files; what one of them reads back is not what it wrote."""
@@ -331,7 +352,19 @@
 
     async def ask(self, **more):
         asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
-        return json.loads((await self.peer_api.view(SimpleNamespace(body=asked))).body)
+        return json.loads((await self.peer_api.view(SimpleNamespace(body=asked, headers={}))).body)
+
+    async def test_a_large_view_is_packed_for_an_edge_that_takes_it(self):
+        self.board.set_config(5, DOCUMENT | {"filler": "x" * LEAST})
+        asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True}).encode()
+        plain, found = [
+            await self.peer_api.view(SimpleNamespace(body=asked, headers=headers))
+            for headers in ({}, {"accept-encoding": "deflate"})
+        ]
+        self.assertNotIn("content-encoding", plain.headers)
+        self.assertEqual(found.headers["content-encoding"], "deflate")
+        self.assertEqual(unpack(found.body, 10 * LEAST), plain.body)
+        self.assertLess(len(found.body), len(plain.body) / 4)
 
     async def test_only_a_bare_edge_is_told_and_only_before_a_leader_is_known(self):
         self.assertNotIn("provisional", await self.ask())
@@ -484,7 +517,7 @@
         self.assertEqual((view.fault, view.ask()["config"]), ("", 9))
 
     def test_a_change_of_the_list_is_told_only_to_who_had_the_list_before(self):
-        """A cluster view ahead of a board took the board's next change onto another list: a node gone stayed for good."""
+        """A cluster view ahead of a board took the board's next change onto another list: a gone node stayed."""
         ahead, behind, view = Board("a"), Board("b"), ClusterView()
         for board, order, ids in ((ahead, (1, 1), "xy"), (behind, (1, 1), "xy"), (ahead, (1, 2), "xyz")):
             board.set_nodes(order, self.nodes(*ids))
