--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -125,6 +125,7 @@
     # -- from the parser
 
     def on_message_begin(self) -> None:
+        """End at the beginning of a further answer."""
         if self.line is not Line.WAITING:
             self.end("bytes that belong to no answer")
 
@@ -137,6 +138,7 @@
                 self.packed = value.strip().lower() == ENCODING.encode()
 
     def on_headers_complete(self) -> None:
+        """End at another call's answer."""
         if self.answered and self.answered != self.call:
             self.end("another call's answer")
 
