--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -63,7 +63,7 @@
 
 
 class Lost(Exception):
-    """Leadership was lost before the entry was agreed on: it may be in force or not."""
+    """What became of the entry is not known here: it may be in force or not."""
 
 
 class NotLeader(Exception):
