--- a/tests/system/test_cut_off.py
+++ b/tests/system/test_cut_off.py
@@ -478,6 +478,16 @@
         world.cores[core.at] = self.alone(world, core.at)
         return world.cores[core.at], others
 
+    def test_one_that_came_back_alone_answers_no_operator_clearly(self):
+        async def story(world):
+            core, _ = await self.behind(world)
+            for after in (0.0, 0.5, 2.0, 6.0):
+                await asyncio.sleep(after)
+                found = await asyncio.gather(*(core.operate(*call) for call, *_ in CALLS.values()))
+                self.assertEqual([status for status, _ in found], [503] * len(CALLS))
+
+        play(story)
+
     def test_an_edge_that_starts_at_one_that_is_alone_goes_by_it_until_it_has_asked_the_others(self):
         for seed in range(6):
             for silent in (0, 1):
@@ -518,7 +528,7 @@
 
             async def slow():
                 await reading.wait()
-                return {}
+                return {"i-1": list_node()}
 
             with mock.patch.object(core.poller, "own_nodes", slow):
                 call = asyncio.ensure_future(given())
