--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -48,7 +48,7 @@
         return None
 
     def elsewhere(self, leader: str | None) -> HTTPResponse:
-        if leader is None:
+        if leader in (None, self.consensus.machine.address):  # others may still hold this machine for the leader
             return answer({"error": "no leader is known here; ask another or again"}, 503, {"Retry-After": "0.3"})
         host = leader.rpartition(":")[0]
         return HTTPResponse(b"", 307, {"Location": f"http://{host}:{self.port}/configuration"})
