--- /dev/null
+++ b/knotwalk/edge/answer_writer.py
@@ -0,0 +1,210 @@
+"""Answers written to a client: in the order of their requests, whole or passed on as they come, and how each ends.
+
+Owns the framing of answers, whether the connection is kept behind one, and the end of our side behind the last. An
+answer that must end early ends by a reset connection, so that it never looks complete.
+"""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+
+from knotwalk.edge.client_state import DEPTH, ClientState, ConnectionState
+from knotwalk.edge.forward import Exchange, Stage
+from knotwalk.edge.upstream import Answer
+
+# Seconds by which the time told to clients lies before our own end of an idle connection.
+KEEP_MARGIN = 1
+
+BODILESS = frozenset({204, 304})
+REASONS = {int(one): one.phrase.encode() for one in HTTPStatus}
+
+
+class AnswerWriter(ClientState):
+    """A client's connection as its answers are written."""
+
+    _writing = False
+
+    def _write(self) -> None:
+        """Write the answers that are due, in order."""
+        if self._writing or self.transport is None:
+            return
+        self._writing = True
+        try:
+            while self.queue and not self.full and self.state in (ConnectionState.OPEN, ConnectionState.LAST):
+                x = self.queue[0]
+                if x.stage is not Stage.ANSWERED or (x is self.reading and self.state is ConnectionState.OPEN):
+                    break  # not known yet, or its body must be read first to find what is behind it
+                if self._answer(x):
+                    self._next(x)
+                elif x.stage is not Stage.DONE:
+                    return  # the rest streams
+        finally:
+            self._writing = False
+        if self.state is ConnectionState.LAST and not self.queue:
+            self._linger()
+
+    def _next(self, x: Exchange) -> None:
+        """The first answer is written whole: on to the one behind it."""
+        self.queue.popleft()
+        self.touched = self.front.clock()
+        last = not x.keep
+        if x.stage is not Stage.DONE:
+            self._end(x)
+        if last:
+            self._linger()
+            return
+        if len(self.queue) < DEPTH:
+            self._hold("depth", False)
+        self._start()
+        self._ask_body()
+
+    def _keeps(self, x: Exchange) -> bool:
+        """Whether the connection goes on behind this answer, which is the oldest that is due."""
+        front = self.front
+        return x.keep and (
+            len(self.queue) > 1
+            or self.state is ConnectionState.OPEN
+            and not front.draining
+            and len(front.clients) <= front.connection_budget.kept
+        )
+
+    def _answer(self, x: Exchange) -> bool:
+        """Write an answer, or the beginning of a streamed one; False if its rest comes later."""
+        assert self.transport is not None
+        answer = x.answer
+        if answer is not None and not answer.whole and answer.length is None and not x.modern:
+            x.keep = False  # ended by the end of the connection
+        keep = x.keep = self._keeps(x)
+        if not keep:
+            self._shut()
+        if answer is None:
+            self._answer_own(x, keep)
+            return True
+        lines = [b"HTTP/1.1 %d %b\r\n" % (answer.status, REASONS.get(answer.status, b""))]
+        for name, value in answer.headers:
+            lines += (name, b": ", value, b"\r\n")
+        bodiless = x.method == b"HEAD" or answer.status in BODILESS
+        if bodiless:
+            if answer.length is not None:
+                lines.append(b"Content-Length: %d\r\n" % answer.length)
+        elif answer.whole:
+            lines.append(b"Content-Length: %d\r\n" % len(answer.body))
+        elif answer.length is not None:
+            lines.append(b"Content-Length: %d\r\n" % answer.length)
+        elif x.modern:
+            lines.append(b"Transfer-Encoding: chunked\r\n")
+        lines.append(self._connection(x, keep))
+        if answer.whole:
+            self.transport.write(b"".join(lines) + (b"" if bodiless else answer.body))
+            return True
+        x.to(Stage.WRITING)
+        self.transport.write(b"".join(lines))
+        self._pass_on(x, answer)
+        return False
+
+    def _pass_on(self, x: Exchange, answer: Answer) -> None:
+        """Pass on the body of an answer whose head is written: what has come of it now, the rest as it comes."""
+        passage = Passage(self, x, answer.length is None and x.modern)
+        if answer.body:
+            passage.data(answer.body)
+            answer.body = b""
+        assert answer.stream is not None
+        answer.stream.take(passage)
+        if self.full:
+            answer.stream.flow(False)
+
+    def _answer_own(self, x: Exchange, keep: bool) -> None:
+        """Write the edge's own answer."""
+        assert self.transport is not None
+        body = (x.text + "\n").encode() if x.text else b""
+        lines = [
+            b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
+            % (x.status, REASONS.get(x.status, b""), len(body))
+        ]
+        if x.attempt:
+            lines.append(b"Attempt-Id: %b\r\n" % x.attempt)
+        if x.retry_after:
+            lines.append(b"Retry-After: %.3f\r\n" % x.retry_after)
+        lines.append(self._connection(x, keep))
+        self.transport.write(b"".join(lines) + (b"" if x.method == b"HEAD" else body))
+
+    def _connection(self, x: Exchange, keep: bool) -> bytes:
+        if not keep:
+            return b"Connection: close\r\n\r\n"
+        line = b"Keep-Alive: timeout=%d\r\n\r\n" % max(1, int(self.front.limits.idle_timeout) - KEEP_MARGIN)
+        return line if x.modern else b"Connection: keep-alive\r\n" + line
+
+    def _ask_body(self) -> None:
+        """Tell a client that waits for it to send its body, once its turn to be told has come."""
+        x = self.reading
+        if x is not None and x.expects and self.queue and self.queue[0] is x and self.transport is not None:
+            x.expects = False
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _settled(self, x: Exchange) -> None:
+        if x.timer is not None and (x.answer is None or x.answer.whole):
+            x.timer.cancel()
+            x.timer = None
+        if self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
+            if x.answer is not None and x.answer.stream is not None:
+                x.answer.stream.abort("the client is gone")
+            self._end(x)
+            return
+        if x is self.reading and x.body_gone:
+            self._shut()  # answered before its body was read
+        self._write()
+
+    def _linger(self) -> None:
+        """Everything is answered: end our side, wait for the client to end its own."""
+        if self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
+            return
+        self._shut()
+        self._to(ConnectionState.LINGER)
+        for x in self.queue:  # read behind the last answer: counts as not read
+            x.leave()
+            if x.stage not in (Stage.RUNNING, Stage.DONE):
+                self._end(x)
+        self.queue.clear()
+        self.holds.clear()
+        self.touched = self.front.clock()
+        if self.transport is not None and not self.transport.is_closing():
+            if not self.transport.is_reading():
+                self.transport.resume_reading()
+            if self.over:
+                self.transport.close()
+            else:
+                try:
+                    self.transport.write_eof()
+                except OSError:  # the client has reset the connection, and the loop has not told yet
+                    self.transport.abort()
+
+
+class Passage:
+    """Passes a streamed answer on to the client."""
+
+    def __init__(self, client: AnswerWriter, x: Exchange, chunked: bool):
+        self.client, self.x, self.chunked = client, x, chunked
+
+    def data(self, data: bytes) -> None:
+        """A piece of the body came from the node."""
+        transport = self.client.transport
+        if transport is None or transport.is_closing():
+            return
+        self.client.touched = self.client.front.clock()
+        transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self.chunked else data)
+
+    def ended(self) -> None:
+        """The answer is whole."""
+        client, x = self.client, self.x
+        if client.state is ConnectionState.CLOSED or x.stage is not Stage.WRITING:
+            return
+        if self.chunked and client.transport is not None:
+            client.transport.write(b"0\r\n\r\n")
+        client._next(x)
+        client._write()
+
+    def cut(self, why: str) -> None:
+        """The answer will not become whole: the client is shown that."""
+        if self.x.stage is Stage.WRITING:
+            self.client.front.counts["cut"] += 1
+            self.client.abort()
--- /dev/null
+++ b/knotwalk/edge/client_state.py
@@ -0,0 +1,135 @@
+"""The state of one client's connection: its requests in order, why reading pauses, and the one change of state.
+
+Owns what the reader of requests and the writer of answers share. Nothing here reads bytes or writes any.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections import deque
+from enum import Enum
+from typing import TYPE_CHECKING
+
+import httptools
+
+from knotwalk.edge.forward import Exchange, Stage
+from knotwalk.runtime.errors import PeerError
+
+if TYPE_CHECKING:
+    from knotwalk.edge.front import Front
+
+# Requests of one connection that are carried or wait for their turn before reading pauses.
+DEPTH = 16
+
+
+class ConnectionState(Enum):
+    """States of a client's connection."""
+
+    OPEN = "open"  # requests are read
+    LAST = "last"  # no further request is read; answers are still due
+    LINGER = "linger"  # everything is answered; what comes is thrown away until the client has closed
+    CLOSED = "closed"
+
+
+CONNECTION_TRANSITIONS = {
+    ConnectionState.OPEN: {ConnectionState.LAST, ConnectionState.LINGER, ConnectionState.CLOSED},
+    ConnectionState.LAST: {ConnectionState.LINGER, ConnectionState.CLOSED},
+    ConnectionState.LINGER: {ConnectionState.CLOSED},
+    ConnectionState.CLOSED: set(),
+}
+
+
+class Refusal(Exception):
+    """A request that is not read on: the status that says so."""
+
+    def __init__(self, status: int, text: str):
+        super().__init__(text)
+        self.status, self.text = status, text
+
+
+class ClientState(asyncio.Protocol):
+    """What is known of one client's connection; reading, writing and the loop's calls are built on it."""
+
+    def __init__(self, front: Front):
+        self.front = front
+        self.state = ConnectionState.OPEN
+        self.transport: asyncio.Transport | None = None
+        self.queue: deque[Exchange] = deque()  # oldest first; the first one's answer is written next
+        self.reading: Exchange | None = None  # whose body is being read
+        self.parser = httptools.HttpRequestParser(self)
+        self.refusal: Refusal | None = None
+        self.holds: set[str] = set()  # why reading pauses
+        self.full = False  # the client does not read
+        self.over = False  # the client has ended its side
+        self.touched = front.clock()  # when something moved last
+        self.head_since: float | None = None  # when the head being read began
+        self._fed = 0
+        self._new_head()
+
+    def _new_head(self) -> None:
+        self._target = b""
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._size = 0
+
+    def _to(self, state: ConnectionState) -> None:
+        """The one place where the state changes."""
+        if state not in CONNECTION_TRANSITIONS[self.state]:
+            raise PeerError("client's connection", "", f"from {self.state.value} to {state.value}")
+        self.state = state
+
+    def _hold(self, why: str, on: bool) -> None:
+        """Pause reading for one more reason, or one less."""
+        (self.holds.add if on else self.holds.discard)(why)
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.holds and self.transport.is_reading():
+            self.transport.pause_reading()
+        elif not self.holds and not self.transport.is_reading():
+            self.transport.resume_reading()
+            self.touched = self.front.clock()
+            if self.head_since is not None:
+                self.head_since = self.touched
+
+    def _starve(self, on: bool) -> None:
+        self._hold("body", on)
+
+    def _shut(self) -> None:
+        """Read no more requests."""
+        self.head_since = None
+        if self.state is ConnectionState.OPEN:
+            self._to(ConnectionState.LAST)
+
+    def _start(self) -> None:
+        """Carry what may be carried: repeatable requests side by side, others when all before them are answered."""
+        for at, x in enumerate(self.queue):
+            if at >= DEPTH:
+                break
+            if x.stage is Stage.READY:
+                if at and not (x.route is not None and x.route.idempotent):
+                    break
+                x.to(Stage.RUNNING)
+                self.front.carry(x)
+            elif x.stage is Stage.RUNNING and not (x.route is not None and x.route.idempotent):
+                break
+
+    def _end(self, x: Exchange) -> None:
+        if x.timer is not None:
+            x.timer.cancel()
+            x.timer = None
+        x.to(Stage.DONE)
+        self.front.ended(x)
+
+    def quiet(self) -> bool:
+        """Whether nothing of a request has come that is not answered."""
+        return not self.queue and self.head_since is None
+
+    def abort(self) -> None:
+        """End the connection by a reset: nobody takes what was written for a whole answer."""
+        if self.transport is None:
+            return
+        made = self.transport.get_extra_info("socket")
+        if made is not None and not self.transport.is_closing():
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
--- /dev/null
+++ b/knotwalk/edge/request_reader.py
@@ -0,0 +1,186 @@
+"""Requests read from a client: their heads, the framing of their bodies, and what is refused unread.
+
+Parsing is httptools', strict; what it leaves open (versions, codings, doubled hosts, sizes) is checked here.
+"""
+
+from __future__ import annotations
+
+import httptools
+
+from knotwalk.edge.answer_writer import AnswerWriter
+from knotwalk.edge.client_state import DEPTH, ConnectionState, Refusal
+from knotwalk.edge.forward import Exchange, Stage
+from knotwalk.edge.upstream import HOP
+
+# A request's body up to this size (bytes) is gathered before it is offered to a node; a longer one streams.
+GATHER = 64 * 1024
+
+OURS = HOP | {b"content-length", b"deadline-ms", b"target-instance", b"expect"}
+KEPT = frozenset({b"host", b"attempt-id", b"shard-key"})  # no Connection header takes these away
+
+
+class RequestReader(AnswerWriter):
+    """A client's connection as its requests are read."""
+
+    def data_received(self, data: bytes) -> None:
+        """Bytes came: read them, and write what is due by then."""
+        self.touched = self.front.clock()
+        if self.state is not ConnectionState.OPEN:
+            return
+        if self.reading is None:
+            self._fed += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if self.state is ConnectionState.OPEN:
+                refusal = self.refusal or Refusal(400, "not a request in the protocol")
+                self._refuse(refusal.status, refusal.text)
+        else:
+            if (
+                self.state is ConnectionState.OPEN
+                and self.reading is None
+                and self._fed > self.front.limits.max_header_bytes
+            ):
+                self._refuse(431, "the head is too large")
+        self._write()
+
+    # -- from the parser
+
+    def on_message_begin(self) -> None:
+        """A request's head begins."""
+        self._new_head()
+        self.head_since = self.touched
+
+    def on_url(self, url: bytes) -> None:
+        """A piece of the target, which may come in several."""
+        self._target += url
+        self._count(len(url) + 16)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """A header was read, or a trailer, which is dropped."""
+        if self.reading is not None:
+            return  # a trailer
+        self._headers.append((name, value))
+        self._count(len(name) + len(value) + 4)
+
+    def on_headers_complete(self) -> None:
+        """A head was read: check it, write it anew towards the node, and find its route."""
+        front = self.front
+        now = front.clock()
+        self.head_since, self._fed = None, 0
+        version = self.parser.get_http_version()
+        if version not in ("1.1", "1.0"):
+            self._stop(400, "the version is not spoken here")
+        x = Exchange(now, self.parser.get_method(), self._settled)
+        x.modern = version == "1.1"
+        x.keep = self.parser.should_keep_alive()
+        if self.parser.should_upgrade():
+            self._stop(400, "nothing else is spoken here")  # the parser would take its body for another protocol's
+        if not self._target.startswith(b"/"):
+            self._stop(400, "the target is no path")
+        host, key, deadline, names = None, None, None, OURS
+        for name, value in self._headers:
+            if name.lower() == b"connection":
+                names = names | ({token.strip().lower() for token in value.split(b",")} - KEPT)
+        lines = [x.method, b" ", self._target, b" HTTP/1.1\r\n"]
+        for name, value in self._headers:
+            low = name.lower()
+            if low == b"host":
+                if host is not None:
+                    self._stop(400, "two hosts")
+                host = value.strip()
+            elif low == b"attempt-id":
+                if x.attempt:
+                    self._stop(400, "two ids")
+                x.attempt = value.strip()
+            elif low == b"shard-key":
+                key = value.strip() if key is None else b""
+            elif low == b"deadline-ms":
+                deadline = value.strip() if deadline is None else b""
+            elif low == b"content-length":
+                x.length = int(value)
+            elif low == b"transfer-encoding":
+                if value.strip().lower() != b"chunked" or not x.modern:
+                    self._stop(400, "a coding that is not spoken here")
+                x.chunked = True
+            elif low == b"expect":
+                x.expects = x.modern and value.strip().lower() == b"100-continue"
+            if low not in names:
+                lines += (name, b": ", value, b"\r\n")
+        x.head = b"".join(lines)
+        if host is None:
+            self._stop(400, "no Host")
+            return
+        if not x.attempt:
+            self._stop(400, "no Attempt-Id")
+        if (x.length or 0) > front.limits.max_body_bytes:
+            self._stop(413, "the body is too large")
+        self.queue.append(x)
+        self.reading = x
+        if len(self.queue) >= DEPTH:
+            self._hold("depth", True)
+        front.begin(x, host, self._target, key, deadline)
+        if x.stage is Stage.ANSWERED and (x.chunked or x.expects or (x.length or 0) > GATHER):
+            self._shut()  # refused without its body: nothing behind it is read
+        elif x.expects and x.stage is Stage.READING and (x.chunked or x.length):
+            self._ask_body()
+
+    def on_body(self, data: bytes) -> None:
+        """A piece of the body was read: gather it, or pass it on."""
+        x = self.reading
+        if x is None:
+            return
+        x.expects = False
+        x.size += len(data)
+        if x.size > self.front.limits.max_body_bytes:
+            self._stop(413, "the body is too large")
+        x.arrived(data)
+        if x.stage is Stage.READING and len(x.body) > GATHER:
+            x.starve = self._starve
+            x.to(Stage.READY)
+            self._starve(True)
+            self._start()
+
+    def on_message_complete(self) -> None:
+        """The request was read to its end."""
+        x, self.reading = self.reading, None
+        if x is None:
+            return
+        self._starve(False)
+        x.ended()
+        if x.stage is Stage.READING:
+            x.to(Stage.READY)
+        if not x.keep and self.state is ConnectionState.OPEN:
+            self._to(ConnectionState.LAST)
+        self._start()
+
+    # -- what is refused
+
+    def _count(self, size: int) -> None:
+        self._size += size
+        if self._size > self.front.limits.max_header_bytes:
+            self._stop(431, "the head is too large")
+
+    def _stop(self, status: int, text: str) -> None:
+        """Stop the parser: nothing behind this is read."""
+        self.refusal = Refusal(status, text)
+        raise self.refusal
+
+    def _refuse(self, status: int, text: str) -> None:
+        """Bytes that can't be read as a request: answer, behind what is due before, and read no more."""
+        self._shut()
+        x = self.reading
+        self.reading = None
+        self._starve(False)
+        if x is None or x.stage is Stage.DONE:
+            x = Exchange(self.front.clock(), b"GET", self._settled)
+            self.queue.append(x)
+        x.keep = False
+        self.front.counts[f"unread {status}"] += 1
+        if x.stage in (Stage.READING, Stage.READY):
+            x.own(status, text)
+        elif x.stage is Stage.RUNNING:  # its body was being passed on
+            x.own(status, text)
+            x.leave()
+        elif x.stage is Stage.WRITING:
+            self.abort()
