Split edge/upstream.py by concern: answer, connection's state, reader, pool

Cause: one file of 553 lines held a node's answer, the connection with its parser, and the pools. Moved by a script, whole methods: node_answer (the answer, who takes it, who gives a body), node_connection_state (phases, the request carried, how it is broken off), answer_reader (whose answer it is, its framing, whether the connection is kept), node_connection (sending, the loop's calls), connection_pool (a pool for each node). `Docks` is `ConnectionSlots` now, `_docked` `_have_slot`. Ruled out: a reader object beside the connection, one more call on each piece read.

Tests: imports, patch targets and the attribute `connection_slots` only.

--- a/knotwalk/edge/forward.py
+++ b/knotwalk/edge/forward.py
@@ -1,6 +1,6 @@
 """Carrying one request: which node it is offered to, what its tries prove, and the one answer that it gets.
 
-Decides by the pure parts (`choose`, `admission`); the connections are `upstream`'s, the client's side is `front`'s.
+Decides by the pure parts (`choose`, `admission`); connections are `connection_pool`'s, the client's side `front`'s.
 """
 
 from __future__ import annotations
@@ -18,7 +18,9 @@
 from knotwalk.configuration.objects import Route, Service
 from knotwalk.discovery.cluster_view import WIDTH, ClusterView, Node
 from knotwalk.edge.choose import load, pick, seen, service_of, wait_at
-from knotwalk.edge.upstream import Answer, Connection, Docks, Pool
+from knotwalk.edge.connection_pool import ConnectionSlots, Pool
+from knotwalk.edge.node_answer import Answer
+from knotwalk.edge.node_connection import Connection
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.settings import Settings
 
@@ -232,7 +234,7 @@
         self.began = clock()
         self.budgets: dict[str, Budget] = {}
         self.pools: dict[str, Pool] = {}
-        self.docks = Docks(shared(settings.machine.file_descriptors).nodes)
+        self.connection_slots = ConnectionSlots(shared(settings.machine.file_descriptors).nodes)
         self.waiting: set[asyncio.Future] = set()
         self.counts: Counts[str] = Counts()
         self.demand: dict[str, Counts[int]] = {}
@@ -508,18 +510,18 @@
             x.route.target_latency,
         )
 
-    async def _docked(self, x: Exchange) -> bool:
+    async def _have_slot(self, x: Exchange) -> bool:
         """Have a descriptor for one more connection to a node: an idle one's, the one that has idled longest, or one
         that comes free while the request may wait."""
         assert x.route is not None
-        while self.docks.full:
+        while self.connection_slots.full:
             idle = min(
                 (pool.idle[0] for pool in self.pools.values() if pool.idle), key=lambda c: c.idle_since, default=None
             )
             if idle is not None:
                 idle.abort("room for another")
                 await asyncio.sleep(0)  # its descriptor is free after a turn of the loop
-            elif not await self._waited(x, self.docks.waiting, min(_patience(x, x.begun), x.until)):
+            elif not await self._waited(x, self.connection_slots.waiting, min(_patience(x, x.begun), x.until)):
                 return False
         return True
 
@@ -561,13 +563,13 @@
         if pool is None or pool.node is not node:
             if pool is not None:
                 pool.close()
-            pool = self.pools[node.id] = Pool(node, self.clock, self.docks)
+            pool = self.pools[node.id] = Pool(node, self.clock, self.connection_slots)
         connection = None if fresh else pool.reuse(not x.route.idempotent, x.attempt)
         if connection is None:
             bound = max(LEAST_CONNECTIONS, self.service(node.service).max_connections // max(1, self.edges))
             if len(pool.all) >= bound and not pool.shed():
                 return Answer(End.UNREACHED, "full"), False
-            if not await self._docked(x):
+            if not await self._have_slot(x):
                 return Answer(End.UNREACHED, "full"), False
             patience = max(CONNECT_LEAST, _patience(x, x.begun) - self.clock())
             try:
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -15,7 +15,7 @@
 from knotwalk.admission.connection_budget import ConnectionBudget
 from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.cluster_view import WIDTH, Line
-from knotwalk.edge import upstream
+from knotwalk.edge import connection_pool
 from knotwalk.edge.choose import seen
 
 BOTH = (("/i/", True), ("/n/", False))
@@ -1126,18 +1126,19 @@
         """A crowd on a machine of a dozen descriptors: none of the clients' answers is lost, and idle connections give
         way. Before, accepting failed a thousand times a second, and what was accepted found no descriptor to a node."""
         await self.begin(nodes=2)
-        self.front.connection_budget, self.front.forwarder.docks.most = ConnectionBudget(4, 2, 2), 2
+        self.front.connection_budget, self.front.forwarder.connection_slots.most = ConnectionBudget(4, 2, 2), 2
         clients, gate = await self.crowd(4, 2)
-        await wait_for(lambda: self.runs() == 2 and len(self.front.forwarder.docks.waiting) == 2)
+        await wait_for(lambda: self.runs() == 2 and len(self.front.forwarder.connection_slots.waiting) == 2)
         gate.set()  # two wait for a descriptor, not for a node: they go on as soon as one is free
         heads = [(await asyncio.wait_for(client.answer(), PATIENCE))[:2] for client in clients]
         self.assertEqual([status for status, _ in heads], [200] * 4)
         self.assertIn("close", [heads.get("connection") for _, heads in heads])  # past a part of them none is kept
-        self.assertLessEqual(self.front.forwarder.docks.open, 2)
+        self.assertLessEqual(self.front.forwarder.connection_slots.open, 2)
         for _ in range(12):
             self.assertEqual((await self.ask())[0], 200)
         self.assertEqual(
-            self.front.forwarder.docks.open, sum(len(pool.all) for pool in self.front.forwarder.pools.values())
+            self.front.forwarder.connection_slots.open,
+            sum(len(pool.all) for pool in self.front.forwarder.pools.values()),
         )
         self.assertLessEqual(len(self.front.clients), 4)
 
@@ -1145,7 +1146,7 @@
         """A node can't be called for want of a descriptor: the request has not run, and is told so."""
         await self.begin()
         client = await self.client()
-        with mock.patch.object(upstream.socket, "socket", side_effect=OSError(24, "Too many open files")):
+        with mock.patch.object(connection_pool.socket, "socket", side_effect=OSError(24, "Too many open files")):
             client.ask(method="POST", path="/n/")
             status, heads, _ = await asyncio.wait_for(client.answer(), PATIENCE)
         self.assertEqual((status, "retry-after" in heads, self.runs()), (503, True, 0))
--- a/tests/system/test_reuse.py
+++ b/tests/system/test_reuse.py
@@ -18,7 +18,7 @@
 from knotwalk.admission import outcome
 from knotwalk.cli.offer import NoAnswer, Operator
 from knotwalk.discovery.cluster_view import Node
-from knotwalk.edge import caller as edge_caller, forward, upstream
+from knotwalk.edge import caller as edge_caller, forward, node_connection
 from knotwalk.runtime import call as runtime_call
 from knotwalk.runtime.errors import PeerError
 
@@ -341,13 +341,13 @@
 
     async def test_a_late_answer_taken_for_the_next_calls(self):
         """Ids unchecked: a stray answer is passed on as the request's own, or as the call's."""
-        read_head = upstream.Connection._read_head
+        read_head = node_connection.Connection._read_head
 
         def unchecked(self, status, headers):
             self.attempt = dict(headers).get(b"Attempt-Id", self.attempt)
             read_head(self, status, headers)
 
-        with mock.patch.object(upstream.Connection, "_read_head", unchecked):
+        with mock.patch.object(node_connection.Connection, "_read_head", unchecked):
             with self.assertRaises(AssertionError):
                 await self.found((EdgeToNode,), (mishaps.stray,), (READ,))
         with mock.patch.object(edge_caller.Connection, "on_headers_complete", lambda self: None):
