Leave a lost core machine out within sync_time, also where two are lost

Cause, found by reading and shown in the in-memory cluster: a machine that is gone for good and replaced at another address stays a voter for `forget` (8 s), so that three members and the newcomer are four of which one is dead. A leaver that was one too many ended 1 s after its SIGTERM whether or not its removal was committed.

Change: `forget` is 2 s, and counts only past the target. One is left out when those that stay and have all that is committed, on their disks and answering now, are a majority without it. A leaver that is one too many ends only when its removal is committed, or 1.5 s before the platform ends it. A tolerance told in zones or regions counts for the members wanted; before, only that in machines did, and with zones alone one member would have been wanted.

Ruled out: swapping the newcomer for the lost one in one entry. The lost one's disk may live, behind a cut, and form another majority with one that has not heard of the change.

--- a/knotwalk/consensus/members.py
+++ b/knotwalk/consensus/members.py
@@ -50,19 +50,21 @@
     forget: float,
     target: int,
     sure: float,
+    kept: bool = True,
 ) -> dict[str, str] | None:
     """The members to have next, or None for no change.
 
-    `voters` are the others than `me`. While there are more than `target`, leaves a voter out that is leaving or unheard
-    of for `forget` seconds, if all others have answered what was sent in the last `sure` seconds: the entry binds
-    at once, and were one of two left dead, none could undo it. Takes in a newcomer that has caught up to `commit` and
-    has answered what was sent in the last `fresh` seconds.
+    `voters` are the others than `me`; `kept` says whether the own disk holds all up to `commit`. While there are more
+    than `target`, leaves a voter out that is leaving, or else unheard of for `forget` seconds (see `_can_spare`). Takes
+    in a newcomer that has caught up to `commit` and has answered what was sent in the last `fresh` seconds.
     """
-    late = [one for one in voters.values() if one.answered < now - sure]
-    for one in voters.values():
-        gone = one.leaving or one.answered < now - forget and one.since < now - forget
-        if gone and len(members) > max(1, target) and all(other is one for other in late):
-            return {id: address for id, address in members.items() if id != one.id}
+    if len(members) > max(1, target):
+        holding = {one.id for one in voters.values() if one.match >= commit and one.answered >= now - sure}
+        leaving = [one for one in voters.values() if one.leaving]
+        lost = [one for one in voters.values() if max(one.answered, one.since) < now - forget]
+        for one in leaving + lost:
+            if _can_spare(len(members), kept + len(holding - {one.id})):
+                return {id: address for id, address in members.items() if id != one.id}
     for one in learners:
         if one.id in members or one.leaving or one.match < commit or one.answered < now - fresh:
             continue
@@ -75,3 +77,14 @@
         if heard >= quorum(len(members)):
             return {one.id if id == old[0] else id: address for id, address in members.items()}
     return None
+
+
+def _can_spare(members: int, holding: int) -> bool:
+    """Whether one of so many members may be left out, where `holding` of those that stay answer at this moment and have
+    all that is committed on their disks.
+
+    They must be a majority without it: the entry binds at once, and fewer could neither commit nor undo it. That the
+    others, beyond this majority, answer too is not asked for: where two of six are lost for good, each would keep the
+    other in, and no further loss could ever be borne.
+    """
+    return holding >= quorum(members - 1)
--- a/knotwalk/consensus/membership.py
+++ b/knotwalk/consensus/membership.py
@@ -27,6 +27,7 @@
             self.pace.forget,
             self.pace.target,
             SURE * self.pace.heartbeat,
+            self._stored >= self.commit,
         )
         if members is not None:
             self._append("members", {"members": members})
@@ -80,6 +81,12 @@
                 self._send(address, "join", "", id=self.me, address=self.address)
             self._hint = None
 
+    @property
+    def may_end(self) -> bool:
+        """For one that leaves: whether its end takes nothing from the others that they still count on. Left out, which
+        it learns once that is committed, or one of no more than are wanted, who keeps its place and may come back."""
+        return self.role == OUTSIDER or len(self.members) <= self.pace.target
+
     def _handing(self) -> bool:
         return self.leaving and len(self.members) > 1
 
--- a/knotwalk/consensus/orders.py
+++ b/knotwalk/consensus/orders.py
@@ -16,7 +16,8 @@
     round_low: float = 0.1  # a round of votes that failed is tried again after this to round_high: far above
     round_high: float = 0.3  # a round trip with two writes to disk, and spread enough for three to miss another
     join: float = 0.3  # between requests of an outsider, or of one that leaves
-    forget: float = 8.0  # unheard of for so long, a voter past the target is left out
+    forget: float = 2.0  # unheard of for so long, a voter past the target is left out: with an election before it,
+    #                      within the time after which a newcomer counts (sync_time, 4 s), while a stall never lasts so
     target: int = 3  # members wanted: 2 * f + 1
 
 
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -30,6 +30,10 @@
 from knotwalk.runtime.serve import Listener
 from knotwalk.runtime.settings import Settings
 
+LEAVE_LEAST = 1.0  # seconds from SIGTERM to the end: calls under way are answered, leadership is handed over
+LEAVE_SPARE = 1.5  # seconds before the platform's SIGKILL in which the listeners are closed
+LEAVE_LOOK = 0.05  # seconds between looks at whether the others have let this machine go
+
 
 class ControlPlane:
     """The rooms of a core machine, wired together."""
@@ -46,7 +50,7 @@
         self.caller = Caller()
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
         self.consensus = ConsensusDriver(
-            self.store, saved, self.caller, Pace(target=2 * settings.tolerance.machines + 1), seed, BORN
+            self.store, saved, self.caller, Pace(target=settings.tolerance.members), seed, BORN
         )
         self.consensus.machine.address = own
         self.consensus.machine.contacts = [at for at in founders.values() if at != own]
@@ -139,7 +143,7 @@
         await self.peer_api.leave()
         self.consensus.machine.leave(logs.clock())
         self.consensus.carry_out()
-        await asyncio.sleep(min(1.0, self.settings.bounds.grace_period / 4))
+        await self.let_go()
         for work in works:
             work.cancel()
         await control.close()
@@ -148,6 +152,14 @@
         await self.caller.close()
         await self.granter.close()
 
+    async def let_go(self) -> None:
+        """Wait until the others can do without this machine, as long as the platform allows. While it is one too many, it
+        is counted on until its removal is committed: gone before, with another lost, it would leave no majority."""
+        grace, begun = self.settings.bounds.grace_period, logs.clock()
+        least, most = min(LEAVE_LEAST, grace / 4), grace - LEAVE_SPARE
+        while (waited := logs.clock() - begun) < least or waited < most and not self.consensus.machine.may_end:
+            await asyncio.sleep(LEAVE_LOOK)
+
     async def watch_members(self) -> None:
         """Tell the edges which cores there are, as members change."""
         while True:
--- a/knotwalk/runtime/settings.py
+++ b/knotwalk/runtime/settings.py
@@ -37,6 +37,12 @@
     zones: int = 0
     regions: int = 0
 
+    @property
+    def members(self) -> int:
+        """How many core machines make agreement bear that: a majority is left after the loss of the most. Of a zone or
+        region one is counted, the least that there can be."""
+        return 2 * max(self.machines, self.zones, self.regions) + 1
+
 
 @dataclass(frozen=True)
 class Bounds:
