Tests of members that are lost, replaced and come back, with mistakes that they must find

Seeded clusters of three and five members with lines of finite speed, in which each change of members is held against what the disks have. The span from an empty disk's start until it counts with all that is committed is measured, and the next loss follows right at the platform's bound.

--- /dev/null
+++ b/tests/system/test_membership.py
@@ -0,0 +1,537 @@
+"""Members that are lost, replaced, wiped and come back, one after the other, as soon as the last repair counts."""
+
+import json
+import unittest
+from collections.abc import Callable
+from dataclasses import replace
+from unittest import mock
+
+from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.members import Standing, change, quorum
+from knotwalk.consensus.orders import OUTSIDER, Pace, Saved
+from knotwalk.runtime.settings import Tolerance
+from tests.system.cluster import Cluster, Node, Violation
+
+SYNC_TIME = {3: 4.0, 5: 6.0}  # seconds after which the platform counts on one that came, by members
+LARGE = 12_000 * 260  # bytes: a state of 12,000 routes
+RATE = 86e6 / 8  # bytes a second of a machine's line
+ONE_WAY = 0.002  # seconds
+SENDING = 0.6  # seconds after which a driver gives a message up
+
+
+class Watched(Cluster):
+    """A cluster on lines of finite speed, in which each change of members is held against what the disks have.
+
+    It knows only members entries, commits and disks; it shares no rule with `change`."""
+
+    def __init__(
+        self, seed: int, count: int = 3, kind: type[Machine] = Machine, rate: float = 1e9, pace: Pace = Pace()
+    ) -> None:
+        self.rate, self.free = rate, {}  # type: ignore[var-annotated]
+        self.state_size = 0
+        self.seen: set[tuple[int, int, str]] = set()
+        super().__init__(seed, count, kind, replace(pace, target=count))
+
+    def _post(self, sender: str, address: str, text: str) -> None:
+        if (sender, address) in self.cuts or self.random.random() < self.loss:
+            return
+        begun = max(self.now, self.free.get(sender, 0.0))
+        self.free[sender] = begun + len(text) / self.rate
+        wait = self.free[sender] - self.now + ONE_WAY + self.random.uniform(0, self.late)
+        if wait < SENDING:
+            self._later(wait, lambda: self._deliver(address, json.loads(text)))
+
+    def compact(self, address: str) -> None:
+        """The application gives its snapshot, as large as the state is."""
+        node = self.nodes[address]
+        if node.machine is not None and node.applied:
+            node.machine.compact(node.applied, {"digest": node.digest, "state": "x" * self.state_size})
+            self._carry(node)
+
+    def _carry(self, node: Node) -> None:
+        machine = node.machine
+        if machine is not None and machine.role == "leader":
+            for before, now in zip(machine.configs, machine.configs[1:]):
+                self._changes(machine, before, now)
+        super()._carry(node)
+
+    def _changes(self, machine: Machine, before: tuple[int, dict], now: tuple[int, dict]) -> None:
+        """A leader has put a change of members into its log: once each."""
+        entry = machine.log.at(now[0]) if now[0] > machine.log.base else None
+        if entry is None or entry.term != machine.term or (now[0], entry.term, machine.me) in self.seen:
+            return
+        self.seen.add((now[0], entry.term, machine.me))
+        came, went = set(now[1]) - set(before[1]), set(before[1]) - set(now[1])
+        if len(came) > 1 or len(went) > 1 or came and went and now[1][min(came)] != before[1][min(went)]:
+            raise Violation(f"more than one change: {before[1]} to {now[1]}")
+        if before[0] > machine.commit:
+            raise Violation(f"a change while the one before, entry {before[0]}, is not committed")
+        if machine.log.term_at(machine.commit) != machine.term:
+            raise Violation(f"{machine.me} changes members with no entry of its own term committed")
+        if went and len(now[1]) < len(before[1]):
+            stay = sum(self._last(id) >= machine.commit for id in now[1])
+            if stay < quorum(len(now[1])):
+                raise Violation(f"{went} left out while {stay} of those that stay have all that is committed")
+        for id in came:
+            if self._last(id) < machine.commit:
+                raise Violation(f"{id} counts without all that is committed")
+
+    def _last(self, id: str) -> int:
+        saved = next((node.disk.saved for node in self.nodes.values() if node.disk.saved.me == id), None)
+        return saved.snapshot_index + len(saved.entries) if saved is not None else -1
+
+    # ---- what tests do
+
+    def led(self) -> Node:
+        """The leader, once there is one that all follow."""
+        assert self.run(10, self.settled)
+        leader = self.leader()
+        assert leader is not None
+        return leader
+
+    def members(self) -> set[str]:
+        """As the leader has them."""
+        leader = self.leader()
+        return set(leader.machine.members) if leader and leader.machine else set()
+
+    def counts(self, address: str) -> bool:
+        """Whether a place is a voter by a committed entry, and has all that was told committed on its disk."""
+        leader, node = self.leader(), self.nodes[address]
+        if leader is None or leader.machine is None or node.machine is None:
+            return False
+        machine = leader.machine
+        return (
+            node.disk.saved.me in machine.members
+            and machine.configs[-1][0] <= machine.commit
+            and self._last(node.disk.saved.me) >= self.checker.told
+        )
+
+    def serves(self, seconds: float = 2.5) -> bool:
+        """Whether a command gets committed, told, and read back within that time, by whoever runs."""
+        tickets: list = []
+
+        def told() -> bool:
+            leader = self.leader()
+            if leader is not None and not any(one in self.answers for one in tickets[-1:]):
+                if not tickets or self.now - self.tried > 0.2:
+                    self.tried = self.now
+                    tickets.append(self.propose(leader.address, {"n": len(self.asked)}))
+            return any(one in self.answers and self.answers[one].outcome == "committed" for one in tickets)
+
+        self.tried = self.now
+        tickets.clear()
+        return self.run(seconds, told)
+
+    def ends(self, address: str, grace: float = 4.5, stays: bool = False) -> None:
+        """SIGTERM, and the end once the others can do without it, or the platform's patience is over."""
+        self.leave(address)
+        machine = self.nodes[address].machine
+        assert machine is not None
+        self.run(grace, lambda: machine.may_end)
+        self.stop(address)
+        if not stays:
+            del self.nodes[address]
+
+    def running(self, first: str = "") -> list[str]:
+        """Places where a machine runs; `first` at the head."""
+        places = [at for at, node in sorted(self.nodes.items()) if node.machine]
+        return sorted(places, key=lambda at: at != first)
+
+
+def lost_in_turn(cluster: Watched, f: int, rounds: int, mend: Callable[[Watched, list[str]], list[str]]) -> list[float]:
+    """Rounds in which `f` places are lost, the leader's among them each second time, and `mend`ed; the next follow
+    right when those that came count by the platform's bound. Spans from a mending to where all that came count."""
+    spans, bound = [], SYNC_TIME[2 * f + 1]
+    for number in range(rounds):
+        assert cluster.serves(), f"round {number}: the loss before is not borne: {cluster.members()}"
+        places = cluster.running(cluster.leader().address)  # type: ignore[union-attr]
+        lost = places[:f] if number % 2 else places[-f:]
+        fresh = mend(cluster, lost)
+        begun = cluster.now
+        repaired = cluster.run(bound, lambda: all(cluster.counts(one) for one in fresh))
+        assert repaired, f"round {number}: the loss is not borne: {cluster.members()}"
+        spans.append(cluster.now - begun)
+        cluster.run(begun + bound - cluster.now)
+    assert cluster.serves()
+    return spans
+
+
+def wiped(cluster: Watched, lost: list[str]) -> list[str]:
+    """Down for half a second, then back at their addresses with empty disks."""
+    for address in lost:
+        cluster.stop(address)
+    cluster.run(0.5)
+    for address in lost:
+        cluster.wipe(address)
+    return lost
+
+
+def replaced(cluster: Watched, lost: list[str]) -> list[str]:
+    """Gone for good; as many come a little later elsewhere."""
+    for address in lost:
+        cluster.stop(address)
+        del cluster.nodes[address]
+    cluster.run(0.5)
+    fresh = [f"n{cluster.now:.3f}-{one}" for one in range(len(lost))]
+    for address in fresh:
+        cluster.add(address)
+    return fresh
+
+
+def with_a_loss_more(cluster: Watched, lost: list[str]) -> list[str]:
+    """As `wiped`, and the leader of that moment is killed as they start, and starts again with its disk."""
+    fresh = wiped(cluster, lost)
+    leader = cluster.leader()
+    if leader is not None:
+        cluster.stop(leader.address)
+        cluster.run(0.3)
+        cluster.start(leader.address)
+    return fresh
+
+
+def grown(cluster: Watched, size: int) -> None:
+    """Past the entries that are kept beside a snapshot, so that only one of the whole state helps."""
+    cluster.state_size = size
+    for _ in range(6):
+        for _ in range(100):
+            cluster.propose(cluster.led().address, {"n": len(cluster.asked)})
+        cluster.run(0.2)
+    for address in cluster.nodes:
+        cluster.compact(address)
+    cluster.run(0.1)
+
+
+class TestNextLoss(unittest.TestCase):
+    """The repaired core bears the next loss by the time that the platform counts on it, and long before."""
+
+    def spans(
+        self, how: Callable, size: int = 0, rate: float = 1e9, seeds: int = 2, rounds: int = 6, pace: Pace = Pace()
+    ) -> dict[int, float]:
+        """The longest span by members, over seeds and rounds."""
+        longest: dict[int, float] = {}
+        for count in (3, 5):
+            for seed in range(seeds):
+                cluster = Watched(seed, count, rate=rate, pace=pace)
+                cluster.led()
+                if size:
+                    grown(cluster, size)
+                spans = lost_in_turn(cluster, count // 2, rounds, how)
+                longest[count] = max(longest.get(count, 0.0), *spans)
+        return longest
+
+    def test_disks_lost_one_after_the_other(self) -> None:
+        spans = self.spans(wiped)
+        self.assertLess(max(spans.values()), 1.5, spans)
+
+    def test_machines_replaced_one_after_the_other_until_no_founder_is_left(self) -> None:
+        spans = self.spans(replaced)
+        self.assertLess(max(spans.values()), 1.5, spans)
+
+    def test_the_leader_killed_just_as_the_lost_ones_come_back(self) -> None:
+        spans = self.spans(with_a_loss_more)
+        self.assertLess(max(spans.values()), 3.0, spans)
+
+    def test_a_lost_one_counted_for_longer_than_a_newcomer_takes_costs_the_next_loss(self) -> None:
+        with self.assertRaisesRegex(AssertionError, "is not borne"):
+            self.spans(replaced, pace=Pace(forget=8.0))
+
+
+class TestComingAndGoing(unittest.TestCase):
+    """Each hard case by itself."""
+
+    def test_a_planned_replacement_while_another_loses_its_disk(self) -> None:
+        for count in (3, 5):
+            for seed in range(2):
+                for down in (0.0, 0.5, 3.0):
+                    with self.subTest(count=count, seed=seed, down=down):
+                        cluster = Watched(seed, count)
+                        self.replaced_by_plan(cluster, down)
+                        self.assertTrue(cluster.run(SYNC_TIME[count], lambda: cluster.counts("m0")), cluster.members())
+                        lost = cluster.running(cluster.leader().address)[: count // 2]  # type: ignore[union-attr]
+                        for address in lost:
+                            cluster.stop(address)
+                        self.assertTrue(cluster.serves(), cluster.members())
+
+    def replaced_by_plan(self, cluster: Watched, down: float) -> None:
+        """A newcomer counts; the one that it replaces gets its SIGTERM as another loses its disk."""
+        leader = cluster.led()
+        cluster.add("n0")
+        cluster.run(4.0)
+        goes = next(at for at in (leader.address, "m1", "m2") if at != "m0")
+        cluster.stop("m0")
+        if not down:
+            cluster.wipe("m0")
+        back = cluster.now + down
+        cluster.ends(goes)
+        if down:
+            cluster.run(max(0.0, back - cluster.now))
+            cluster.wipe("m0")
+
+    def test_a_leaver_that_is_not_waited_for_costs_the_next_loss(self) -> None:
+        class EndsAtOnce(Machine):
+            may_end = True  # type: ignore[assignment]
+
+        cluster = Watched(0, kind=EndsAtOnce)
+        self.replaced_by_plan(cluster, 0.5)
+        self.assertFalse(cluster.serves(10.0))
+
+    def test_who_was_left_out_comes_back_with_votes_of_a_higher_term(self) -> None:
+        for count in (3, 5):
+            for seed in range(3):
+                with self.subTest(count=count, seed=seed):
+                    cluster = Watched(seed, count)
+                    cluster.led()
+                    lost = "m0"
+                    cluster.stop(lost)
+                    cluster.add("n0")
+                    cluster.run(4.0)
+                    self.assertNotIn("m0#founder", cluster.members())
+                    term = cluster.led().machine.term  # type: ignore[union-attr]
+                    saved = cluster.nodes[lost].disk.saved
+                    saved.term, saved.vote = term + 5, saved.me
+                    cluster.start(lost)
+                    self.assertTrue(cluster.run(SYNC_TIME[count], lambda: cluster.counts(lost)), cluster.members())
+                    self.assertTrue(cluster.serves())
+                    self.assertLessEqual(cluster.led().machine.term, term + 6, "one election")  # type: ignore[union-attr]
+
+    def test_two_that_were_left_out_come_back_as_the_leader_is_lost(self) -> None:
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                cluster = Watched(seed)
+                cluster.led()
+                for number, lost in enumerate(("m0", "m1")):
+                    cluster.stop(lost)
+                    cluster.add(f"n{number}")
+                    cluster.run(4.0)
+                    self.assertTrue(cluster.serves())
+                cluster.stop(cluster.led().address)
+                cluster.start("m0")
+                cluster.start("m1")
+                self.assertTrue(cluster.serves(4.0))
+                self.assertTrue(cluster.run(6.0, lambda: cluster.counts("m0") and cluster.counts("m1")))
+
+    def test_an_address_whose_disk_is_lost_twice_in_a_row(self) -> None:
+        for count in (3, 5):
+            for seed in range(3):
+                for between in (0.0, 0.003, 0.02, 0.3):  # seconds: unheard, a learner, caught up, a voter
+                    with self.subTest(count=count, seed=seed, between=between):
+                        cluster = Watched(seed, count)
+                        address = cluster.led().address if seed % 2 else "m1"
+                        cluster.wipe(address)
+                        if count == 5:  # another is down meanwhile
+                            cluster.stop("m3" if address != "m3" else "m2")
+                        cluster.run(between)
+                        cluster.wipe(address)
+                        self.assertTrue(cluster.run(SYNC_TIME[count], lambda: cluster.counts(address)))
+                        self.assertTrue(cluster.serves())
+
+    def test_its_seeds_are_gone_and_the_members_on_its_disk_are_there_or_the_reverse(self) -> None:
+        for seed in range(2):
+            for seeds_live in (False, True):
+                with self.subTest(seed=seed, seeds_live=seeds_live):
+                    cluster = Watched(seed)
+                    cluster.led()
+                    cluster.stop("m0")
+                    cluster.add("n0")
+                    cluster.run(4.0)
+                    if seeds_live:  # all that its disk knows is replaced
+                        for number, gone in enumerate(("m1", "m2")):
+                            cluster.stop(gone)
+                            cluster.add(f"n{number + 1}")
+                            cluster.run(4.0)
+                    cluster.start("m0")
+                    machine = cluster.nodes["m0"].machine
+                    machine.contacts = ["n0"] if seeds_live else ["x0", "x1"]  # type: ignore[union-attr]
+                    self.assertTrue(cluster.run(4.0, lambda: cluster.counts("m0")), cluster.members())
+
+    def test_an_empty_disk_after_the_first_start_founds_nothing(self) -> None:
+        cluster = Watched(0)
+        cluster.led()
+        for address in list(cluster.nodes):
+            cluster.wipe(address)
+        cluster.run(20.0)
+        roles = {node.machine.role for node in cluster.nodes.values() if node.machine}
+        self.assertEqual((roles, cluster.leader()), ({OUTSIDER}, None))
+        machine = Machine(Saved("m9#new"), Pace(), 0, 0.0)
+        machine.orders.clear()
+        machine.tick(60.0)
+        self.assertEqual((machine.role, machine.orders), (OUTSIDER, []), "with no seeds it asks nobody")
+
+    def test_a_tolerance_in_zones_wants_members_too(self) -> None:
+        wanted = [Tolerance(*one).members for one in ((0, 0, 0), (1, 0, 0), (2, 0, 0), (0, 1, 0), (0, 0, 1), (2, 1, 0))]
+        self.assertEqual(wanted, [1, 3, 5, 3, 3, 5])
+
+
+class TestChange(unittest.TestCase):
+    """The decision alone: who is left out, while the members `a` (which leads) to `g` are more than wanted."""
+
+    def left_out(self, count: int, lost: str = "", late: str = "", behind: str = "", leaving: str = "", **how) -> str:  # type: ignore[no-untyped-def]
+        """Who goes, "" if nobody. Five are wanted from six on, three from four on."""
+        names = "abcdefg"[:count]
+        voters = {
+            one: Standing(
+                one,
+                one.upper(),
+                8 if one in behind else 9,
+                90.0 if one in lost else 99.5 if one in late else 99.9,
+                0.0,
+                one in leaving,
+            )
+            for one in names[1:]
+        }
+        members = {one: one.upper() for one in names}
+        wanted = 5 if count > 5 else 3
+        after = change("a", members, voters, [], 9, 100.0, 0.6, 2.0, wanted, 0.2, **how)
+        return "" if after is None else "".join(set(members) - set(after))
+
+    def test_cases(self) -> None:
+        for case, expected in (
+            ({"count": 3, "lost": "c"}, ""),  # no more than wanted
+            ({"count": 4, "lost": "d"}, "d"),
+            ({"count": 4, "late": "d"}, ""),  # not for so long
+            ({"count": 4, "leaving": "b"}, "b"),
+            ({"count": 4, "leaving": "b", "lost": "d"}, "b"),  # who says so goes first
+            ({"count": 4, "leaving": "b", "late": "d"}, "b"),
+            ({"count": 4, "leaving": "b", "lost": "d", "behind": "c"}, "d"),  # a and b have all, b goes next
+            ({"count": 4, "leaving": "b", "late": "d", "behind": "c"}, ""),  # a alone has all
+            ({"count": 4, "leaving": "b", "behind": "cd"}, ""),
+            ({"count": 4, "leaving": "b", "behind": "c", "kept": False}, ""),  # not even a
+            ({"count": 4, "leaving": "b", "kept": False}, "b"),
+            ({"count": 6, "lost": "de"}, "d"),
+            ({"count": 7, "lost": "de"}, "d"),
+            ({"count": 7, "lost": "def"}, "d"),
+            ({"count": 6, "lost": "def"}, "d"),  # three of five commit it
+            ({"count": 6, "lost": "cdef"}, ""),
+            ({"count": 5, "leaving": "b", "behind": "cd"}, ""),  # two of four
+        ):
+            with self.subTest(case):
+                self.assertEqual(self.left_out(**case), expected)  # type: ignore[arg-type]
+
+
+class CountsAtOnce(Machine):
+    """Mistake: a newcomer counts as soon as it is heard."""
+
+    def _change_members(self, now: float) -> None:
+        behind = [one for one in self._peers.values() if one.kind == "learner" and one.match < self.commit]
+        was = [(one.match, one.answered) for one in behind]
+        for one in behind:
+            one.match, one.answered = self.commit, now
+        super()._change_members(now)
+        for one, (match, answered) in zip(behind, was):
+            one.match, one.answered = match, answered
+
+
+class ChangesBeforeItsTerm(Machine):
+    """Mistake: members are changed before an entry of the leader's own term is committed."""
+
+    def _change_members(self, now: float) -> None:
+        first, self._first = self._first, 0
+        super()._change_members(now)
+        self._first = first
+
+
+class TwoAtOnce(Machine):
+    """Mistake: the next change does not wait for the commit of the one before."""
+
+    def _change_members(self, now: float) -> None:
+        before = self.configs
+        self.configs = [(0, before[-1][1])]
+        super()._change_members(now)
+        self.configs = before + self.configs[1:]
+
+
+def turnover(cluster: Watched, steps: int) -> None:
+    """Losses within what may be lost, by chance, each followed by the next once the lost ones count again."""
+    chance, f = cluster.random, len(cluster.founders) // 2
+    for step in range(steps):
+        assert cluster.serves(4.0), (step, cluster.members())
+        places = cluster.running(cluster.leader().address if chance.random() < 0.5 else "")  # type: ignore[union-attr]
+        lost = places[: chance.randint(1, f)]
+        for node in cluster.nodes.values():
+            node.slow = chance.choice((0.0, 0.0, 0.02, 0.1))
+        cluster.loss = chance.choice((0.0, 0.0, 0.02))
+        what = chance.choice((wiped, replaced, "kill all", "roll", "plan", "cut"))
+        if callable(what):
+            lost = what(cluster, lost)
+        elif what == "plan":
+            cluster.add(f"p{step}")
+            cluster.run(SYNC_TIME[2 * f + 1])
+            cluster.ends(lost[0])
+            lost = [f"p{step}"]
+        elif what == "roll":
+            cluster.ends(lost[0], 1.0, stays=True)
+            cluster.start(lost[0])
+        elif what == "cut":
+            cluster.cuts = {pair for at in cluster.nodes for one in lost for pair in ((at, one), (one, at))}
+            cluster.run(chance.choice((0.5, 3.0)))
+            cluster.cuts.clear()
+        else:
+            for address in cluster.running():
+                cluster.stop(address)
+            cluster.run(0.2)
+            for address in list(cluster.nodes):
+                cluster.start(address)
+        begun, bound = cluster.now, SYNC_TIME[2 * f + 1]
+        assert cluster.run(bound, lambda: all(cluster.counts(one) for one in lost)), (step, what, lost)
+        cluster.run(begun + bound - cluster.now)
+
+
+class TestTurnover(unittest.TestCase):
+    """Seeded runs of all that comes and goes, and mistakes that they must find."""
+
+    def test_nothing_is_lost_and_each_next_loss_is_borne(self) -> None:
+        for count in (3, 5):
+            for seed in range(3):
+                with self.subTest(count=count, seed=seed):
+                    cluster = Watched(seed, count)
+                    cluster.led()
+                    turnover(cluster, 10)
+
+    def found(self, kind: type[Machine] = Machine, seeds: int = 8) -> str:
+        """What the runs say of a mistake, "" if nothing."""
+        for seed in range(seeds):
+            cluster = Watched(seed, (3, 5)[seed % 2], kind)
+            try:
+                cluster.led()
+                turnover(cluster, 12)
+            except Violation as violation:
+                return str(violation)
+        return ""
+
+    def test_a_learner_that_counts_is_found(self) -> None:
+        self.assertIn("counts without all that is committed", self.found(CountsAtOnce))
+
+    def test_a_change_before_the_leaders_own_term_is_committed_is_found(self) -> None:
+        self.assertIn("no entry of its own term", self.found(ChangesBeforeItsTerm, 24))
+
+    def test_two_changes_at_once_are_found(self) -> None:
+        self.assertIn("the one before", self.found(TwoAtOnce))
+
+    def left_out_beside_slow_disks(self) -> Watched:
+        """Five members, three wanted; one leaves just as an entry is committed that two of the others lack."""
+        cluster = Watched(0)
+        for address in ("n0", "n1"):
+            cluster.led()
+            cluster.add(address)
+            cluster.run(1.0)
+        leader = cluster.led().address
+        others = [one for one in cluster.running() if one != leader]
+        for address in others[:2]:
+            cluster.nodes[address].slow = 1.0
+        cluster.random.uniform = lambda low, high: high  # type: ignore[method-assign]
+        cluster.propose(leader, {"x": 1})
+        cluster.run(0.02)
+        cluster.leave(others[2])
+        self.assertTrue(cluster.run(4.0, lambda: cluster.nodes[others[2]].machine.role == OUTSIDER))  # type: ignore
+        return cluster
+
+    def test_one_leaves_only_when_those_that_stay_have_all_and_the_mistake_is_found(self) -> None:
+        cluster = self.left_out_beside_slow_disks()
+        self.assertEqual(len(cluster.members()), 4)
+        with mock.patch("knotwalk.consensus.members._can_spare", lambda members, holding: True):
+            with self.assertRaisesRegex(Violation, "2 of those that stay have all"):
+                self.left_out_beside_slow_disks()
+
+
+if __name__ == "__main__":
+    unittest.main()
