--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -153,8 +153,8 @@
         await self.granter.close()
 
     async def let_go(self) -> None:
-        """Wait until the others can do without this machine, as long as the platform allows. While it is one too many, it
-        is counted on until its removal is committed: gone before, with another lost, it would leave no majority."""
+        """Wait until the others can do without this machine, as long as the platform allows. While it is one too many,
+        it is counted on until its removal is committed: gone before, with another lost, it would leave no majority."""
         grace, begun = self.settings.bounds.grace_period, logs.clock()
         least, most = min(LEAVE_LEAST, grace / 4), grace - LEAVE_SPARE
         while (waited := logs.clock() - begun) < least or waited < most and not self.consensus.machine.may_end:
