--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -57,7 +57,7 @@
         self.board = Board(os.urandom(6).hex())
         self.loads = Loads()
         self.list_poller = ListPoller(settings, self.consensus, self.board, self.caller, self.me)
-        self.granter = Caller(resets=True)
+        self.granter = Caller(resets=True, named=False)  # nodes repeat no id of ours
         self.conductor = SliceManager(
             self.me,
             self.consensus,
