--- /dev/null
+++ b/tests/simulation/mistakes.py
@@ -0,0 +1,230 @@
+"""Mistakes put into the real code, one at a time, that walks must find: by point of docs/design/control-safety.md.
+
+Each is a patch of a class or function of the running system, and says within how many walks it is found.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+from unittest import mock
+
+from knotwalk.configuration import control as verdicts
+from knotwalk.consensus import elections, following, leading, membership
+from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.orders import LEADER, Answer
+from knotwalk.control_plane import control, peer_api
+from knotwalk.control_plane.consensus_driver import ConsensusDriver
+from knotwalk.control_plane.replicated_state import ReplicatedState
+from knotwalk.discovery.cluster_view import ClusterView
+
+
+@dataclass(frozen=True)
+class Mistake:
+    """A mistake: of which point, its patches (room, name, made), and within how many walks it shows."""
+
+    point: int
+    patches: tuple[tuple[Any, str, Any], ...]
+    seed: int = 0  # of a walk that showed it; the text moves on, so others are tried after it
+    within: int = 30
+
+    def seeds(self) -> list[int]:
+        """Walks by which it has to be found."""
+        return [self.seed, *(seed for seed in range(self.within) if seed != self.seed)]
+
+    @contextlib.contextmanager
+    def inside(self) -> Iterator[None]:
+        """The system with the mistake."""
+        with contextlib.ExitStack() as stack:
+            for room, name, made in self.patches:
+                stack.enter_context(mock.patch.object(room, name, made))
+            yield
+
+
+def _read_at_once(machine: Machine, now: float, ticket: Any) -> None:
+    """A leader answers reads without asking anyone."""
+    machine._expire(now)
+    if machine.role != LEADER:
+        machine.orders.append(Answer(ticket, "not_leader", machine._known()))
+    else:
+        machine.orders.append(Answer(ticket, "readable", machine.applied))
+    machine._close(now)
+
+
+def _read_anywhere(machine: Machine, now: float, ticket: Any) -> None:
+    machine.orders.append(Answer(ticket, "readable", machine.applied))
+    machine._close(now)
+
+
+def _provisional_always(api: peer_api.PeerApi) -> Any:
+    async def given() -> Any:
+        if api.board.config is None:
+            return None
+        return api.board.provisional(await api.list_poller.own_nodes(), peer_api.clock())
+
+    return given()
+
+
+def _promise_unkept(machine: Machine, address: str, type: str, to: str, /, **rest: Any) -> None:
+    machine._send(address, type, to, **rest)
+
+
+def _holds_nothing(history: Any, version: int, digest: str) -> bool:
+    return False
+
+
+def _joins_as_voter(
+    me: str,
+    members: dict,
+    voters: dict,
+    learners: list,
+    commit: int,
+    now: float,
+    fresh: float,
+    forget: float,
+    target: int,
+    sure: float,
+) -> dict[str, str] | None:
+    """Takes a newcomer in before it has caught up, beside whoever lives at its address."""
+    for one in learners:
+        if one.id not in members:
+            return {**{id: at for id, at in members.items() if at != one.address}, one.id: one.address}
+    for one in voters.values():
+        if one.leaving:
+            return {id: at for id, at in members.items() if id != one.id}
+    return None
+
+
+def _leaves_at_once(machine: Machine, now: float) -> None:
+    """One that leaves calls itself out at once, whoever stays."""
+    machine._expire(now)
+    machine.leaving, machine._ask_at = True, now
+    machine._become(now, "outsider", machine.term)
+    machine._close(now)
+
+
+def _two_changes(machine: Any, now: float) -> None:
+    """Changes members whatever of the change before is committed."""
+    if machine.role != LEADER:
+        return
+    voters = {id: machine._peers[id] for id, _ in machine._others()}
+    learners = [one for one in machine._peers.values() if one.kind == "learner"]
+    members = membership.change(
+        machine.me, machine.members, voters, learners, machine.commit, now, 99.0, 2.0, machine.pace.target, 99.0
+    )
+    if members is not None:
+        machine._append("members", {"members": members})
+        machine._sync_peers(now)
+        machine._spread(now)
+
+
+def _empty_history(kind: type, raw: dict) -> Any:
+    made = RESTORE(raw)
+    made.history = verdicts.History()
+    return made
+
+
+RESTORE = ReplicatedState.from_dict
+
+
+def _loses_state(kind: type, raw: dict) -> Any:
+    """A snapshot whose configuration is taken, and whose order is not."""
+    made = RESTORE(raw)
+    made.configuration, made.order = None, -1
+    return made
+
+
+async def _done_by_default(driver: ConsensusDriver, command: dict, patience: float = 4.0) -> str:
+    """Says done whatever applying a command said."""
+    outcome, value = await driver._wait(lambda now, ticket: driver.machine.propose(now, command, ticket), patience)
+    if outcome == "not_leader":
+        raise control.NotLeader(value)
+    if outcome != "committed":
+        raise control.Lost
+    return "done"
+
+
+async def _done_if_lost(driver: ConsensusDriver, command: dict, patience: float = 4.0) -> str:
+    """Takes an order whose leader went for one that was agreed on."""
+    outcome, value = await driver._wait(lambda now, ticket: driver.machine.propose(now, command, ticket), patience)
+    if outcome == "not_leader":
+        raise control.NotLeader(value)
+    return driver.results.get(value, "done")
+
+
+def _count_any_term(machine: Any, now: float) -> None:
+    """Commits what a majority has received, kept or not."""
+    index = int(
+        leading.reached([machine.log.last if id == machine.me else machine._peers[id].have for id in machine.members])
+    )
+    if index > machine.commit and machine.log.term_at(index) == machine.term:
+        machine._advance(index)
+        for peer in machine._peers.values():
+            machine._feed(now, peer, True)
+        machine._serve_reads(now)
+
+
+def _votes_for_any(machine: Any, message: dict) -> bool:
+    return True
+
+
+def _match_received(machine: Any) -> int:
+    return machine._agreed
+
+
+def _judged_alone(state: ReplicatedState, index: int, command: dict) -> Any:
+    """Applies what was judged good once, whatever stands now."""
+    if command.get("do") == "configure":
+        command = {**command, "base": state.version}
+    return APPLY(state, index, command)
+
+
+APPLY = ReplicatedState.apply
+
+
+def _same_number(history: Any, version: int, digest: str) -> bool:
+    """Takes an order for one taken before by its number alone."""
+    return version in history.taken
+
+
+class _NoLock:
+    """Lets all in at once."""
+
+    async def __aenter__(self) -> None:
+        pass
+
+    async def __aexit__(self, *error: object) -> None:
+        pass
+
+
+def _one(point: int, room: Any, name: str, made: Any, seed: int = 0) -> Mistake:
+    return Mistake(point, ((room, name, made),), seed)
+
+
+MISTAKES: dict[str, Mistake] = {
+    "no contact before a read": _one(1, Machine, "read", _read_at_once, 1),
+    "any member answers reads": _one(1, Machine, "read", _read_anywhere, 1),
+    "provisional view though fresh before": _one(1, peer_api.PeerApi, "provisional", _provisional_always, 1),
+    "provisional view over a better one": _one(1, ClusterView, "bare", True),
+    "fresh whatever was heard": _one(1, peer_api, "FRESH", 60.0, 8),
+    "history forgotten": _one(2, verdicts.History, "holds", _holds_nothing),
+    "identity by number": _one(2, verdicts.History, "holds", _same_number),
+    "snapshot without history": _one(2, ReplicatedState, "from_dict", classmethod(_empty_history), 1),
+    "done though lost": _one(2, ConsensusDriver, "propose", _done_if_lost, 12),
+    "two judged at once, done by default": Mistake(
+        2, ((control.asyncio, "Lock", _NoLock), (ConsensusDriver, "propose", _done_by_default))
+    ),
+    "two judged at once, applied on another base": Mistake(
+        2, ((control.asyncio, "Lock", _NoLock), (ReplicatedState, "apply", _judged_alone))
+    ),
+    "newcomer votes before it has all": _one(3, membership, "change", _joins_as_voter, 11),
+    "leaver not waited for": _one(3, Machine, "leave", _leaves_at_once),
+    "two changes of members at once": _one(3, membership.Membership, "_change_members", _two_changes),
+    "vote before it is kept": _one(4, elections.Elections, "_promise", _promise_unkept),
+    "acknowledged before kept": _one(4, following.Following, "_match", _match_received),
+    "committed by what was received": _one(4, leading.Leading, "_count", _count_any_term),
+    "votes whatever the log": _one(4, elections.Elections, "_current", _votes_for_any),
+    "snapshot loses the configuration": _one(4, ReplicatedState, "from_dict", classmethod(_loses_state)),
+}
--- /dev/null
+++ b/tests/simulation/programs.py
@@ -0,0 +1,109 @@
+"""The real programs on the loop of a walk: what of them is put in place of clocks, sockets, files and chance."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+from collections.abc import Iterator
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from knotwalk.consensus import machine as consensus_machine
+from knotwalk.control_plane import __main__ as program, consensus_driver, control, list_poller, peer_api, slice_manager
+from knotwalk.edge import link
+from knotwalk.runtime import life, logs
+from knotwalk.runtime.settings import Machine, Platform, Settings, Tolerance
+from tests.simulation.disk import Disk, Store
+from tests.simulation.loop import PROCESS, Process, clock
+from tests.simulation.wire import App, Caller, Listener, Wire
+
+PEERS, CONTROL = 7660, 8080  # ports of a core
+PLATFORM = ("10.9.0.1", 80)
+SAYS = ("log_info", "log_warning", "log_exception")
+ROOMS = (program, consensus_driver, control, list_poller, peer_api, slice_manager, link)
+
+
+class Exited(Exception):
+    """A program ended itself at once."""
+
+
+def _exit(code: int) -> None:
+    PROCESS.get().kill()
+    raise Exited(code)
+
+
+@contextlib.contextmanager
+def in_place(wire: Wire, seed: int, say: Any, compact: int, trail: int) -> Iterator[None]:
+    """The rooms of core and edge, with a world's clocks, wire, disks and chance. `say` hears their log."""
+    chance = random.Random(f"programs {seed}")
+
+    def told(event: str, **fields: object) -> None:
+        say(PROCESS.get(), event, fields)
+
+    with contextlib.ExitStack() as stack:
+
+        def put(room: Any, name: str, made: Any) -> None:
+            stack.enter_context(mock.patch.object(room, name, made))
+
+        for room in ROOMS:
+            for name in ("clock", *SAYS):
+                if hasattr(room, name):
+                    put(room, name, clock if name == "clock" else told)
+        put(logs, "clock", clock)
+        put(program, "Store", lambda disk_mb: Store(PROCESS.get().disk, disk_mb))
+        put(program, "Caller", lambda resets=False: Caller(wire, resets))
+        put(program, "Listener", lambda made: Listener(wire, made))
+        put(program, "os", SimpleNamespace(urandom=chance.randbytes, getpid=lambda: 1, _exit=_exit))
+        put(peer_api, "app", App)
+        put(control, "app", App)
+        put(life.Ending, "listen", lambda ending: None)
+        put(consensus_driver, "COMPACT", compact)
+        put(consensus_machine, "TRAIL", trail)
+        yield
+
+
+def settings(host: str, seeds: list[str], first_start: bool, machines: int) -> Settings:
+    """A core's settings file."""
+    return Settings(
+        node_name=host,
+        ip_address=host,
+        zone="z",
+        listen={"control": (host, CONTROL)},
+        ports=(PEERS, PEERS + 15),
+        seeds=[(seed, PEERS) for seed in seeds],
+        initial_boot=first_start,
+        data_dir=host,
+        machine=Machine(disk_mb=64),
+        tolerance=Tolerance(machines=machines),
+        platform=Platform(address=PLATFORM),
+    )
+
+
+class CoreProcess(Process):
+    """A core program, from its start to its end."""
+
+    def __init__(self, loop: Any, name: str, host: str, disk: Disk, offset: float, rate: float):
+        super().__init__(loop, name, host, offset, rate)
+        self.disk = disk
+        self.plane: program.ControlPlane = None  # type: ignore[assignment]
+        self.ended = False
+
+    def begin(self, given: Settings) -> None:
+        """Start the program."""
+
+        def make() -> None:
+            program.BORN = self.clock()
+            self.plane = program.ControlPlane(given)
+
+        async def live() -> None:
+            make()
+            await self.plane.run()
+            self.ended = True
+
+        self.spawn(live())
+
+    @property
+    def machine(self) -> Any:
+        """The consensus machine, None before it is made."""
+        return self.plane.consensus.machine if self.plane else None
--- /dev/null
+++ b/tests/simulation/walk.py
@@ -0,0 +1,184 @@
+"""Random walks: run by seed, replayed exactly, shrunk to the faults that matter.
+
+python -m tests.simulation.walk [--first N] [--walks N] [--seconds S] [--mistakes] [--trace SEED] [--digest SEED]
+"""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import random
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from hashlib import sha256
+
+from tests.simulation import faults, programs
+from tests.simulation.faults import Fault
+from tests.simulation.mistakes import MISTAKES, Mistake
+from tests.simulation.world import World
+
+SPAN = 20.0  # seconds of faults
+SHARDED = 0.25  # share of the walks with slices, leases and grants: each takes three times as long
+CALM = 12.0  # seconds without any, in which all has to become well again
+LAST = 5.0  # seconds of them without changes, in which edges have to come to the newest
+
+
+@dataclass
+class Outcome:
+    """What came of a walk."""
+
+    seed: int
+    broken: list[str]
+    faults: list[Fault]
+    steps: int = 0
+    changes: int = 0
+    calls: int = 0
+    said: list = field(default_factory=list)
+
+
+def walk(seed: int, plan: list[Fault] | None = None, span: float = SPAN, early: bool = False) -> Outcome:
+    """One walk; with a `plan`, with those faults alone. With `early` it ends a second after something broke."""
+    chance = random.Random(f"walk {seed}")
+    world = World(seed, chance.choice((3, 3, 3, 5)), chance.random() < SHARDED)
+    plan = faults.plan(seed, span) if plan is None else plan
+    compact, trail = chance.choice((8, 40, 4000)), chance.choice((2, 512))
+    with programs.in_place(world.wire, seed, world.say, compact, trail):
+        try:
+            world.start()
+            for fault in plan:
+                world.loop.world.soon(faults.meet, world, fault, wait=fault.at)
+            if _pass(world, span, early):
+                faults.heal(world)
+                _pass(world, span + CALM, early)
+            if not (early and _broken(world)):
+                world.operators.resting = True
+                world.loop.run(span + CALM + LAST)
+                _last(world)
+        except AssertionError as error:
+            world.judge.says(f"{world.loop.now:.3f} {type(error).__name__} {error}")
+    taken = {one.content for one in world.register.told if one.status == 200 and one.content}
+    broken = _broken(world)
+    return Outcome(seed, broken, plan, world.loop.steps, len(taken), len(world.register.told), list(world.said))
+
+
+def _pass(world: World, until: float, early: bool) -> bool:
+    """Let time pass; False where something broke and the walk ends with that."""
+    while early and world.loop.now < until - 1.0:
+        world.loop.run(world.loop.now + 1.0)
+        if _broken(world):
+            return False
+    world.loop.run(until)
+    return True
+
+
+def _broken(world: World) -> list[str]:
+    """All that the judges hold against a walk."""
+    register = world.register.broken()
+    return [*world.judge.broken, *world.owners.broken, *world.loop.failed(), *([register] if register else [])]
+
+
+def _last(world: World) -> None:
+    """After all faults: an order is taken, a read is answered, and each edge shows what is in force."""
+
+    async def ends() -> bool:
+        for _ in range(30):
+            if await world.operators.read() and await world.operators.change():
+                return await world.operators.read()
+        return False
+
+    task = world.loop.world.spawn(ends())
+    world.loop.run(world.loop.now + 10.0)
+    if not task.done() or not task.result():
+        world.judge.says("no order is taken after all faults have ended")
+        return
+    newest = world.register.known(world.loop.now)
+    for name, process in world.edge_processes.items():
+        configuration = process.link.view.configuration  # type: ignore[attr-defined]
+        if configuration is None or configuration.version < newest:
+            world.judge.says(
+                f"{name} shows {configuration and configuration.version} in the end, r{newest} is in force"
+            )
+
+
+def shrink(plan: list[Fault], breaks: Callable[[list[Fault]], bool]) -> list[Fault]:
+    """A smaller plan that still breaks something: leaves out ever smaller parts while it does, until none can go."""
+    part = max(1, len(plan) // 2)
+    while True:
+        at, smaller = 0, False
+        while at < len(plan):
+            fewer = plan[:at] + plan[at + part :]
+            if breaks(fewer):
+                plan, smaller = fewer, True
+            else:
+                at += part
+        if part == 1 and not smaller:
+            return plan
+        part = max(1, part // 2)
+
+
+def find(mistake: Mistake, seeds: Iterable[int]) -> Outcome | None:
+    """The first walk of some that shows a mistake."""
+    with mistake.inside():
+        for seed in seeds:
+            found = walk(seed, early=True)
+            gc.collect()
+            if found.broken:
+                return found
+    return None
+
+
+def walks(seeds: Iterable[int], until: float = float("inf")) -> Iterable[Outcome]:
+    """Walks one after the other, until a time of the process."""
+    for seed in seeds:
+        if time.monotonic() > until:
+            return
+        yield walk(seed)
+        gc.collect()
+
+
+def traced(seed: int) -> None:
+    """Print a walk: what its programs said, its faults and what broke; where it broke, the least faults that do so."""
+    found = walk(seed)
+    for line in found.said:
+        print(*line)
+    print(*found.broken, sep="\n")
+    if found.broken:
+        print(*shrink(found.faults, lambda fewer: bool(walk(seed, fewer, early=True).broken)), sep="\n")
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--walks", type=int, default=100)
+    parser.add_argument("--seconds", type=float, default=float("inf"))
+    parser.add_argument("--mistakes", action="store_true")
+    parser.add_argument("--trace", type=int)
+    parser.add_argument("--digest", type=int)
+    given = parser.parse_args()
+    begun = time.monotonic()
+    if given.trace is not None:
+        traced(given.trace)
+        return
+    if given.digest is not None:
+        found = walk(given.digest, span=4.0)
+        print(found.steps, sha256(repr(found.said).encode()).hexdigest())
+        return
+    if given.mistakes:
+        for name, mistake in MISTAKES.items():
+            found = find(mistake, mistake.seeds())
+            print(name, found and (found.seed, found.broken[0]), flush=True)
+        return
+    done = broken = changes = 0
+    for found in walks(range(given.first, given.first + given.walks), begun + given.seconds):
+        done, changes = done + 1, changes + found.changes
+        if found.broken:
+            broken += 1
+            print(found.seed, *found.broken[:5], sep="\n   ", flush=True)
+    took = time.monotonic() - begun
+    print(json.dumps({"walks": done, "walks_broken": broken, "changes": changes, "seconds": round(took, 1)}))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/simulation/wire.py
@@ -0,0 +1,189 @@
+"""The wire between processes: calls and answers that are lost, held up, doubled, reset and refused."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any
+from urllib.parse import urlsplit
+
+from knotwalk.runtime.call import Refused
+from knotwalk.runtime.errors import PeerError, value
+from tests.simulation.loop import PROCESS, Process, VirtualLoop
+
+DELAY = 0.0014  # seconds one way
+DOUBLED = frozenset({"/consensus", "/lease", "/cluster-view", "/configuration"})  # what may come twice without harm
+CANCELS = 0.5  # share of the calls given up whose handler is cancelled by the end of its connection
+
+
+@dataclass
+class Cut:
+    """What happens to messages from one host to another: lost, held until it heals, or answered by a reset."""
+
+    mode: str
+    until: float
+
+
+@dataclass
+class Answered:
+    """What came back: status, headers in lower case, body."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+Handler = Callable[[Any], Awaitable[Any]]
+
+
+class Wire:
+    """All hosts and what lies between them."""
+
+    def __init__(self, loop: VirtualLoop, seed: int):
+        self.loop, self.random = loop, random.Random(f"wire {seed}")
+        self.listening: dict[str, tuple[Process, dict[str, Handler]]] = {}
+        self.cuts: dict[tuple[str, str], Cut] = {}
+        self.dark: set[str] = set()  # hosts that say nothing at all where no program listens
+        self.loss = self.double = 0.0
+        self.late = 0.0005
+        self.heard: Callable[[str, str, str, Any], None] = lambda sender, to, path, body: None
+
+    # -- one way
+
+    def _cut(self, sender: str, to: str) -> Cut | None:
+        cut = self.cuts.get((sender, to))
+        return cut if cut is not None and cut.until > self.loop.now else None
+
+    def _travel(self, sender: str, to: str, arrive: Callable[[], None], reset: Callable[[], None]) -> None:
+        """Have one message arrive, or not."""
+        cut = self._cut(sender, to)
+        wait = DELAY + self.random.uniform(0, self.late)
+        if cut is not None and cut.mode == "reset":
+            self.loop.world.soon(reset, wait=wait)
+        elif cut is not None and cut.mode == "hold":
+            self.loop.world.soon(arrive, wait=cut.until - self.loop.now + wait)
+        elif cut is None and self.random.random() >= self.loss:
+            self.loop.world.soon(arrive, wait=wait)
+        elif cut is None and self.random.random() < 0.8:  # lost once, sent again by the kernel
+            self.loop.world.soon(arrive, wait=wait + self.random.choice((0.2, 0.2, 0.6, 1.4)))
+
+    # -- a call and its answer
+
+    async def call(
+        self, method: str, url: str, data: bytes, headers: dict, patience: float, step: str, resets: bool
+    ) -> Answered:
+        """An HTTP call from the process that runs."""
+        caller, parts = PROCESS.get(), urlsplit(url)
+        to, given_up = parts.netloc, [False]
+        serving: list[tuple[Process, asyncio.Task]] = []
+        future = self.loop.create_future()
+
+        def fail(error: Exception) -> None:
+            caller.soon(lambda: future.done() or future.set_exception(error))
+
+        def reset() -> None:
+            fail(PeerError(step, url, "reset"))
+
+        def arrive() -> None:
+            if (given_up[0] or not caller.alive) and (resets or self.random.random() < 0.2):
+                return
+            found = self.listening.get(to)
+            if found is None or not found[0].alive:
+                if to.partition(":")[0] not in self.dark:
+                    self._travel(parts.hostname, caller.host, lambda: fail(Refused(step, url, "refused")), reset)
+                return
+            process, routes = found
+            handler = routes.get(f"{method} {parts.path}") or routes.get("*")
+            if handler is None:
+                raise LookupError(f"nothing at {url}")
+            request = SimpleNamespace(method=method, path=parts.path, headers=headers, body=data, query=parts.query)
+            self.heard(caller.host, to, parts.path, data)
+            process.soon(lambda: serving.append((process, process.spawn(serve(process, handler, request)))))
+
+        async def serve(process: Process, handler: Handler, request: Any) -> None:
+            answer = await handler(request)
+            found = Answered(answer.status, {k.lower(): v for k, v in answer.headers.items()}, answer.body)
+            self.heard(process.host, caller.host, "answer " + parts.path, found.body)
+            self._travel(
+                process.host,
+                caller.host,
+                lambda: caller.soon(lambda: future.done() or future.set_result(found)),
+                reset,
+            )
+
+        self._travel(caller.host, parts.hostname, arrive, reset)
+        if parts.path in DOUBLED and self.random.random() < self.double:
+            self._travel(caller.host, parts.hostname, arrive, reset)
+        try:
+            async with asyncio.timeout(patience):
+                return await future
+        except TimeoutError:
+            raise PeerError(step, url, f"no answer within {patience:g} s") from None
+        finally:
+            given_up[0] = True
+            if not future.done() or future.cancelled():
+                self._give_up(caller, parts.hostname, serving)
+
+    def _give_up(self, caller: Process, to: str, serving: list[tuple[Process, asyncio.Task]]) -> None:
+        """The connection ends: its server may cancel what it does for it."""
+        if self.random.random() < CANCELS:
+            self._travel(
+                caller.host, to, lambda: [process.soon(task.cancel) for process, task in serving], lambda: None
+            )
+
+
+class Caller:
+    """In place of `runtime.call.Caller` and `edge.caller.Caller`: the same interface, over the wire of the world."""
+
+    def __init__(self, wire: Wire, resets: bool = False):
+        self.wire, self.resets = wire, resets
+
+    async def send(
+        self,
+        method: str,
+        url: str,
+        body: Any = None,
+        patience: float = 1.0,
+        step: str = "call",
+        headers: dict[str, str] | None = None,
+    ) -> tuple[int, dict[str, str], bytes]:
+        data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
+        found = await self.wire.call(method, url, data, headers or {}, patience, step, self.resets)
+        return found.status, found.headers, found.body
+
+    async def json(self, method: str, url: str, body: Any = None, patience: float = 1.0, step: str = "call") -> Any:
+        status, _, data = await self.send(method, url, body, patience, step)
+        return value(step, url, status, data)
+
+    async def close(self) -> None:
+        pass
+
+
+class App:
+    """In place of a sanic app: its routes alone."""
+
+    def __init__(self, name: str):
+        self.name, self.routes = name, {}
+
+    def add_route(self, handler: Handler, path: str, methods: list[str], error_format: str) -> None:
+        for method in methods:
+            self.routes[f"{method} {path}"] = handler
+
+
+class Listener:
+    """In place of `runtime.serve.Listener`."""
+
+    def __init__(self, wire: Wire, made: App):
+        self.wire, self.made, self.at = wire, made, ""
+
+    async def start(self, host: str, port: int) -> None:
+        self.at = f"{host}:{port}"
+        self.wire.listening[self.at] = PROCESS.get(), self.made.routes
+
+    async def close(self) -> None:
+        if self.wire.listening.get(self.at, (None,))[0] is PROCESS.get():
+            del self.wire.listening[self.at]
--- /dev/null
+++ b/tests/simulation/world.py
@@ -0,0 +1,266 @@
+"""A world of a walk: cores, edges, operators, nodes and the platform's list, under one seed."""
+
+from __future__ import annotations
+
+import json
+import random
+from collections import deque
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from typing import Any
+
+from knotwalk.discovery.cluster_view import SLICES, WIDTH, ClusterView
+from knotwalk.edge.link import Link
+from knotwalk.runtime.units import seconds
+from tests.simulation.disk import Disk
+from tests.simulation.judges import Edges, Judge, Letters
+from tests.simulation.loop import Process, VirtualLoop
+from tests.simulation.operators import Operators
+from tests.simulation.programs import PEERS, PLATFORM, CoreProcess, settings
+from tests.simulation.register import Register
+from tests.simulation.wire import Caller, Wire
+from tests.system.test_leases import OwnerChecker
+
+EDGES = 2
+LINES_KEPT = 400  # of what programs say, for the account of a broken walk
+
+
+@dataclass
+class Place:
+    """A host of a core: its disk, the program that runs there if any, and the seeds that its settings name."""
+
+    host: str
+    disk: Disk
+    offset: float
+    rate: float
+    seeds: list[str]
+    first_start: bool
+    process: CoreProcess | None = None
+    gone: bool = False  # taken out of service for good
+
+
+@dataclass
+class World:
+    """Everything of one walk. Faults act on it (`faults`), judges look on."""
+
+    seed: int
+    cores: int = 3
+    sharded: bool = False
+    places: dict[str, Place] = field(default_factory=dict)
+    said: deque = field(default_factory=lambda: deque(maxlen=LINES_KEPT))
+
+    def __post_init__(self) -> None:
+        self.random = random.Random(f"world {self.seed}")
+        self.loop = VirtualLoop(self.seed)
+        self.wire = Wire(self.loop, self.seed)
+        self.loop.disk = lambda process, future, act, given: process.disk.work(process, future, act, given)  # type: ignore
+        self.judge = Judge()
+        self.letters = Letters(self.judge, self.loop)
+        self.wire.heard = self.letters.heard
+        self.register = Register()
+        self.owners = OwnerChecker()
+        self.edges = Edges(self.judge, self.loop, self.register)
+        self.edge_processes: dict[str, Process] = {}
+        self.nodes: dict[str, NodeProgram] = {}
+        self.hosts = 0
+        self.lives: dict[str, int] = {}  # starts of programs by host
+        founders = [f"10.0.0.{n + 1}" for n in range(self.cores)]
+        for host in founders:
+            self._place(host, founders, True)
+        self.operators = Operators(self)
+
+    def say(self, process: Process, event: str, fields: dict) -> None:
+        """A line of a program's log."""
+        self.said.append((round(self.loop.now, 4), process.name, event, fields))
+
+    # -- cores
+
+    def _place(self, host: str, seeds: list[str], first_start: bool) -> Place:
+        disk = Disk(self.loop, host, self.seed)
+        offset, rate = self.random.uniform(0, 1000), self.random.choice((1.0, 0.995, 1.005))
+        self.places[host] = place = Place(host, disk, offset, rate, list(seeds), first_start)
+        return place
+
+    def start(self) -> None:
+        """Begin it all."""
+        platform = Process(self.loop, "platform", PLATFORM[0])
+        self.wire.listening[f"{PLATFORM[0]}:{PLATFORM[1]}"] = platform, {"*": self._listed}
+        for n in range(3):
+            self.add_node()
+        for place in list(self.places.values()):
+            self.start_core(place)
+        for n in range(EDGES):
+            self.start_edge(f"e{n}")
+        self.operators.start()
+
+    def start_core(self, place: Place) -> None:
+        """Start the program of a place from what its disk holds."""
+        if place.process is not None or place.gone:
+            return
+        self.lives[place.host] = self.lives.get(place.host, 0) + 1
+        place.process = CoreProcess(
+            self.loop, f"{place.host}/{self.loop.serial}", place.host, place.disk, place.offset, place.rate
+        )
+        place.process.begin(settings(place.host, place.seeds, place.first_start, self.cores // 2))
+
+    def crash(self, place: Place) -> None:
+        """The program ends in the midst of whatever it does; what its disk was writing is kept or is not."""
+        if place.process is not None:
+            place.process.kill()
+            place.disk.power_lost()
+            place.process = None
+            for at in [at for at, (process, _) in self.wire.listening.items() if not process.alive]:
+                del self.wire.listening[at]
+
+    def wipe(self, place: Place) -> None:
+        """Its disk is lost; a new one is empty."""
+        self.crash(place)
+        place.disk, place.first_start = Disk(self.loop, place.host, self.seed + self.loop.serial), False
+
+    def add_core(self, seeds: list[str]) -> Place:
+        """A new machine, at an address that was not there."""
+        self.hosts += 1
+        place = self._place(f"10.0.1.{self.hosts}", seeds, False)
+        self.start_core(place)
+        return place
+
+    def retire(self, place: Place) -> None:
+        """A machine is taken away for good, and its disk with it."""
+        self.crash(place)
+        place.gone = True
+
+    def running(self) -> list[Place]:
+        return [place for place in self.places.values() if place.process is not None and place.process.machine]
+
+    def leader(self) -> Place | None:
+        """Who leads by the newest term."""
+        leads = [place for place in self.running() if place.process.machine.role == "leader"]
+        return max(leads, key=lambda place: place.process.machine.term, default=None)
+
+    def whole(self) -> bool:
+        """Whether all members run and hold all that is committed, so that the core bears the loss of any one."""
+        leader = self.leader()
+        if leader is None:
+            return False
+        machine = leader.process.machine
+        homes = {place.process.machine.me: place.process for place in self.running() if not place.process.frozen}
+        # The loss of a disk is borne once what is *kept* elsewhere needs it no more: by the disks, not by the programs.
+        return (
+            machine.settled
+            and machine.commit == machine.log.last
+            and len(machine.members) >= self.cores
+            and all(id in homes for id in machine.members)
+            and all(self._holds(homes[id], machine) for id in machine.members)
+        )
+
+    def _holds(self, process: CoreProcess, leader: Any) -> bool:
+        saved = process.disk.kept.saved if process.disk.kept else None
+        if saved is None or process.machine.leaving:
+            return False
+        last = saved.entries[-1].index if saved.entries else saved.snapshot_index
+        return saved.term == leader.term and last >= leader.commit and process.machine.applied >= leader.commit
+
+    # -- edges
+
+    def start_edge(self, name: str) -> None:
+        """An edge starts, bare."""
+        if (before := self.edge_processes.get(name)) is not None:
+            before.kill()
+        process = Process(self.loop, f"{name}/{self.loop.serial}", name, self.random.uniform(0, 1000))
+        self.edge_processes[name] = process
+        view = ClusterView()
+        seeds = [f"{place.host}:{PEERS}" for place in self.places.values() if not place.gone][:5]
+        link = Link(
+            name,
+            view,
+            EdgeCaller(self, process.name, view),  # type: ignore[arg-type]
+            seeds,
+            self.random.randrange(1 << 30),
+            "z",
+            dict,
+            lambda changed, edges: self.edges.news(process.name, view),
+        )
+        process.link = link  # type: ignore[attr-defined]
+        process.spawn(link.run())
+
+    # -- the platform and its nodes
+
+    def add_node(self) -> None:
+        self.hosts += 1
+        name = f"n{self.hosts}"
+        node = NodeProgram(self, name, f"10.2.0.{self.hosts}")
+        self.nodes[name] = node
+        self.wire.listening[f"{node.process.host}:9000"] = (
+            node.process,
+            {"POST /grant": node.grant, "POST /release": node.release},
+        )
+
+    def lose_node(self, name: str) -> None:
+        """A node dies."""
+        node = self.nodes.pop(name)
+        node.process.kill()
+        self.owners.died(name)
+
+    async def _listed(self, request: Any) -> Any:
+        instances = {
+            name: {
+                "address": f"{node.process.host}:9000",
+                "service": "s",
+                "zone": "z",
+                "capacity": 4,
+                "state": node.state,
+            }
+            for name, node in self.nodes.items()
+        }
+        return SimpleNamespace(status=200, headers={}, body=json.dumps({"instances": instances}).encode())
+
+
+class EdgeCaller(Caller):
+    """An edge's calls to cores, looked on."""
+
+    def __init__(self, world: World, edge: str, view: ClusterView):
+        super().__init__(world.wire)
+        self.world, self.edge, self.view = world, edge, view
+
+    async def json(self, method: str, url: str, body: Any = None, patience: float = 1.0, step: str = "call") -> Any:
+        begun = self.world.loop.now
+        told = await super().json(method, url, body, patience, step)
+        core = url.split("/")[2]
+        life = f"{core}/{self.world.lives.get(core.partition(':')[0], 0)}"
+        self.world.loop.call_soon(self.world.edges.answered, self.edge, life, begun, told, self.view)
+        return told
+
+
+class NodeProgram:
+    """A node that takes grants and releases by their fences, as its protocol says."""
+
+    def __init__(self, world: World, name: str, host: str):
+        self.world, self.name, self.state = world, name, "ready"
+        self.process = Process(world.loop, name, host, 0.0, world.random.choice((1.0, 0.99)))
+        self.seen: dict[int, int] = {}
+        self.held: dict[int, float] = {}
+
+    @staticmethod
+    def _slices(asked: dict) -> range:
+        return range(asked["source_version"] // WIDTH, min(SLICES - 1, asked["target_version"] // WIDTH) + 1)
+
+    async def grant(self, request: Any) -> Any:
+        asked, at = json.loads(request.body), self.world.loop.now
+        found = self._slices(asked)
+        if any(self.seen.get(k, 0) > asked["fence"] for k in found):
+            return SimpleNamespace(status=409, headers={}, body=b"{}")
+        for k in found:
+            self.seen[k] = asked["fence"]
+            self.held[k] = at + seconds(asked["hold"]) / self.process.rate
+            self.world.owners.begins(at, self.name, k, self.held[k])
+        return SimpleNamespace(status=200, headers={}, body=b"{}")
+
+    async def release(self, request: Any) -> Any:
+        asked, at = json.loads(request.body), self.world.loop.now
+        for k in self._slices(asked):
+            if self.seen.get(k, 0) > asked["fence"]:
+                continue
+            self.seen[k] = asked["fence"]
+            if self.held.pop(k, 0) > at:
+                self.world.owners.ends(self.name, k)
+        return SimpleNamespace(status=200, headers={"Handover": f"h-{self.name}"}, body=b"{}")
--- /dev/null
+++ b/tests/system/test_simulation.py
@@ -0,0 +1,93 @@
+"""A fixed set of the simulation's walks, the mistakes that walks must find, and the judges by themselves."""
+
+import os
+import subprocess
+import sys
+import unittest
+
+from tests.simulation.faults import plan
+from tests.simulation.mistakes import MISTAKES
+from tests.simulation.register import Content, Register, Told
+from tests.simulation.walk import find, shrink, walk
+
+WALKS = 6
+
+
+class WalksTest(unittest.TestCase):
+    def test_nothing_is_broken_on_walks(self):
+        for seed in range(WALKS):
+            with self.subTest(seed=seed):
+                found = walk(seed)
+                self.assertEqual(found.broken, [])
+                self.assertGreater(found.changes, 5)
+
+    def test_a_walk_replays_exactly_in_another_process(self):
+        told = [
+            subprocess.run(
+                [sys.executable, "-m", "tests.simulation.walk", "--digest", "3"],
+                env={**os.environ, "PYTHONHASHSEED": seed},
+                capture_output=True,
+                text=True,
+                check=True,
+            ).stdout
+            for seed in ("1", "2")
+        ]
+        self.assertTrue(told[0].strip())
+        self.assertEqual(told[0], told[1])
+
+    def test_a_plan_is_shrunk_to_the_faults_that_matter(self):
+        faults = plan(1, 20.0)
+        need = {faults[2], faults[5]}
+        self.assertEqual(shrink(faults, lambda fewer: need <= set(fewer)), [faults[2], faults[5]])
+
+
+class RegisterTest(unittest.TestCase):
+    A, B, C = Content(1, 0, "a"), Content(2, 1, "b"), Content(2, 1, "c")
+
+    def broken(self, *told):
+        return Register(list(told)).broken()
+
+    def test_a_plain_story_is_one_register(self):
+        self.assertIsNone(
+            self.broken(
+                Told(0, 1, 200, self.A),
+                Told(0, 3, 0, self.B),
+                Told(2, 4, 412, self.C, 2),
+                Told(4, 5, 200, None, 2, "b"),
+                Told(6, 7, 200, self.B),
+            )
+        )
+
+    def test_what_cannot_be_is_told(self):
+        stories = {
+            "an old read": (Told(0, 1, 200, self.A), Told(2, 3, 404, None, 0)),
+            "a lost change": (Told(0, 1, 200, self.A), Told(2, 3, 200, Content(2, 0, "x"))),
+            "two under one number": (Told(0, 1, 200, self.A), Told(2, 3, 200, self.B), Told(2, 3, 200, self.C)),
+            "a repeat refused": (Told(0, 1, 200, self.A), Told(2, 3, 412, self.A)),
+            "a refusal without reason": (Told(0, 1, 200, self.A), Told(2, 3, 412, self.B)),
+            "an old refusal": (
+                Told(0, 1, 200, self.A),
+                Told(2, 3, 200, self.B),
+                Told(4, 5, 412, Content(3, 0, "x"), 1),
+            ),
+            "what was never sent": (Told(0, 1, 200, None, 1, "z"),),
+        }
+        for name, told in stories.items():
+            with self.subTest(name):
+                self.assertIsNotNone(self.broken(*told))
+
+
+class MistakesTest(unittest.TestCase):
+    """Each mistake in the real code is found within its number of walks."""
+
+
+def _case(name):
+    def test(self):
+        mistake = MISTAKES[name]
+        self.assertIsNotNone(find(mistake, mistake.seeds()), f"{name}: not found in {mistake.within} walks")
+
+    return test
+
+
+for _name in MISTAKES:
+    setattr(MistakesTest, "test_found_" + "".join(c if c.isalnum() else "_" for c in _name), _case(_name))
