--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -7,11 +7,13 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
 from typing import Any
 
 from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import Answer, Apply, Pace, Restore, Role, Save, Send
 from knotwalk.consensus.store import Damaged, Refused, Store
+from knotwalk.control_plane.compaction import Compaction
 from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.leases.ledger import Change
 from knotwalk.runtime.call import Caller
@@ -20,8 +22,6 @@
 
 HANG = 0.6  # a write that takes longer costs leadership: others serve meanwhile
 PATIENCE = 0.6  # for a peer: a lost message is repeated by the machine's own pace
-COMPACT = 4000  # entries after which the replicated state is put down whole; some MB of log at most
-COMPACT_PART = 0.25  # of the disk: past it, too, since few large entries fill a disk, and a full one takes no more
 WAITING_MOST = 256  # messages for a peer that does not answer; the machine repeats what matters
 
 
@@ -53,6 +53,15 @@
             pause = min(1.0, 2 * pause)
 
 
+@dataclass(frozen=True)
+class Lane:
+    """What goes to one peer in order, a call at a time. Parts of long contents have a lane of their own, so that no
+    heartbeat waits until one has arrived."""
+
+    address: str
+    long: bool
+
+
 class Lost(Exception):
     """Leadership was lost before the entry was agreed on: it may be in force or not."""
 
@@ -77,8 +86,8 @@
         self.next_ticket = 0
         self.writer = ThreadPoolExecutor(1, "consensus")
         self.saves: asyncio.Queue[Save] = asyncio.Queue()
-        self.outbox: dict[str, list[dict]] = {}
-        self.posting: set[str] = set()
+        self.outbox: dict[Lane, list[dict]] = {}
+        self.posting: set[Lane] = set()
         self.tasks: set[asyncio.Task] = set()
         self.on_change: Callable[[int, list[Change]], None] = lambda index, changes: None
         self.on_config: Callable[[], None] = lambda: None
@@ -87,7 +96,8 @@
         self.on_damage: Callable[[], None] = lambda: None
         self.timer: asyncio.TimerHandle | None = None
         self.hung = False
-        self.since_compact = self.since_size = 0
+        self.compaction = Compaction(store.disk_mb)
+        self.configured = False  # a configuration was applied, and not told yet
         self.closing = False
 
     def start(self) -> None:
@@ -122,11 +132,14 @@
                         if (future := self.tickets.pop(ticket, None)) and not future.done():
                             future.set_result((outcome, value))
                     case Restore(state, _):
-                        self.state = ReplicatedState.from_dict(state)
+                        self.state, self.configured = ReplicatedState.from_dict(state), False
                         self.on_restore()
                     case Role():
                         log_info("role", role=order.role, term=order.term, leader=order.leader_address)
                         self.on_role(order)
+        if self.configured:  # once for all that came together: a start replays hundreds
+            self.configured = False
+            self.on_config()
         if self.timer is not None:
             self.timer.cancel()
         wait = max(0.0, min(1.0, machine.wake - clock()))
@@ -137,13 +150,11 @@
         self.results[entry.index] = said
         while len(self.results) > 2000:
             del self.results[next(iter(self.results))]
-        if entry.body.get("do") == "configure" and said == "done":
-            self.on_config()
+        configures = entry.body.get("do") == "configure"
+        self.configured |= configures and said == "done"
         self.on_change(entry.index, changes)
-        self.since_compact += 1
-        self.since_size += len(json.dumps(entry.body))
-        if self.since_compact >= COMPACT or self.since_size >= self.store.disk_mb * 1e6 * COMPACT_PART:
-            self.since_compact = self.since_size = 0
+        work = self.state.items if configures else 0
+        if self.compaction.due(len(json.dumps(entry.body)), work):
             self.machine.compact(entry.index, self.state.to_dict())
 
     # --- the store -----------------------------------------------------------------------------------
@@ -191,26 +202,29 @@
     # --- peers ---------------------------------------------------------------------------------------
 
     def _post(self, address: str, message: dict) -> None:
-        waiting = self.outbox.setdefault(address, [])
+        lane = Lane(address, message["type"] == "part")
+        waiting = self.outbox.setdefault(lane, [])
+        if lane.long:
+            waiting.clear()  # a part sent again takes the place of the one before
         waiting.append(message)
         if len(waiting) > WAITING_MOST:
             del waiting[: WAITING_MOST // 2]
-        if address not in self.posting:
-            self.posting.add(address)
-            self._spawn(self._deliver(address))
+        if lane not in self.posting:
+            self.posting.add(lane)
+            self._spawn(self._deliver(lane))
 
-    async def _deliver(self, address: str) -> None:
+    async def _deliver(self, lane: Lane) -> None:
         try:
-            while messages := self.outbox.pop(address, None):
+            while messages := self.outbox.pop(lane, None):
                 try:
                     answers = await self.caller.json(
-                        "POST", f"http://{address}/consensus", messages, PATIENCE, "agreement"
+                        "POST", f"http://{lane.address}/consensus", messages, PATIENCE, "agreement"
                     )
                 except PeerError:
                     continue
                 self.receive(answers)
         finally:
-            self.posting.discard(address)
+            self.posting.discard(lane)
 
     def receive(self, messages: list[dict]) -> None:
         now = clock()
@@ -259,7 +273,10 @@
         return self.results.get(value, "done")
 
     async def current(self, patience: float = 1.0) -> None:
-        """Return once the replicated state here holds all that was agreed on before the call; NotLeader or Lost otherwise."""
+        """Return once the replicated state here holds all that was agreed on before the call.
+
+        NotLeader or Lost otherwise.
+        """
         outcome, value = await self._wait(self.machine.read, patience)
         if outcome == "not_leader":
             raise NotLeader(value)
