--- a/tests/system/test_catch_up.py
+++ b/tests/system/test_catch_up.py
@@ -11,8 +11,9 @@
 from typing import Any
 from unittest import mock
 
-from knotwalk.consensus import leading
+from knotwalk.consensus import leading, machine, snapshot_transfer
 from knotwalk.consensus.log import BATCH
+from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import Entry, Pace, Save, Saved, Send
 from knotwalk.consensus.snapshot_transfer import (
     FIRST_PART,
@@ -30,7 +31,7 @@
 from knotwalk.control_plane import compaction
 from knotwalk.control_plane.consensus_driver import PATIENCE, ConsensusDriver
 from tests.standins.disk import FULL, REFUSED, FaultyDisk
-from tests.system.cluster import Cluster, Node, Violation
+from tests.system.cluster import Cluster, Node, Violation, trouble
 
 TWO_MBIT = 250_000  # bytes a second
 HEADS = 600  # bytes of a message beside what a part or its entries hold
@@ -286,6 +287,81 @@
             self.assertTrue(cluster.run(10, cluster.caught_up(lost)))
 
 
+class Older(Machine):
+    """A machine of the text before, to which parts are messages of an unknown type."""
+
+    _on_part = None  # type: ignore[assignment]
+
+
+class TestMix(unittest.TestCase):
+    """Members of two texts."""
+
+    def test_an_older_member_is_not_harmed_and_catches_up_once_it_runs_this_text(self) -> None:
+        cluster = SlowCluster(13)
+        cluster.lead()
+        leader = cluster.lead()
+        old = next(node for node in cluster.nodes.values() if node is not leader)
+        cluster.stop(old.address)
+        cluster.change(1200)
+        cluster.compact(leader.address)
+        cluster.kind = Older
+        cluster.start(old.address)
+        term = leader.machine.term
+        cluster.change(3, 2 * BATCH)
+        cluster.run(20)
+        self.assertEqual((leader.machine.term, old.machine.role, old.applied < 100), (term, "follower", True))
+        self.assertEqual(leader.applied, leader.machine.log.last, "the others go on")
+        cluster.stop(old.address)
+        cluster.kind = Machine
+        cluster.start(old.address)
+        self.assertTrue(cluster.run(20, cluster.settled))
+        self.assertEqual(cluster.lead().machine.term, term)
+
+    def test_a_whole_snapshot_of_an_older_leader_is_taken(self) -> None:
+        cluster = SlowCluster(14)
+        leader = cluster.lead()
+        lost = next(node for node in cluster.nodes.values() if node is not leader)
+        cluster.stop(lost.address)
+        cluster.change(1200)
+        cluster.compact(leader.address)
+        with mock.patch.object(Machine, "_feed_part", whole):
+            cluster.start(lost.address)
+            self.assertTrue(cluster.run(10, cluster.settled))
+        self.assertEqual((cluster.sent["snapshot"] > 0, cluster.sent.get("part", 0)), (True, 0))
+
+
+def whole(leader: Machine, now: float, peer: Any, kind: str) -> None:
+    """What the text before sent to a peer that its log does not reach any more."""
+    assert kind == "snapshot"
+    index, term, members, state = leader.snapshot
+    held = {"index": index, "index_term": term, "members": members, "state": state}
+    leader._send(peer.address, "snapshot", peer.id, **held, stamp=now, round=leader._round)
+
+
+class TestWalks(unittest.TestCase):
+    """All that goes wrong at once, with snapshots and entries so long against a message that most go in parts."""
+
+    def test_nothing_told_is_lost_and_all_settles(self) -> None:
+        for batch, least in ((45, 1000), (BATCH, 100)):
+            parts = 0
+            for seed in range(10):
+                with (
+                    self.subTest((batch, seed)),
+                    mock.patch.object(machine, "TRAIL", 4),
+                    mock.patch.object(leading, "LEAST_BATCH", 20),
+                    mock.patch.object(leading, "BATCH", batch),
+                    mock.patch.object(snapshot_transfer, "LEAST_PART", 32),
+                    mock.patch.object(snapshot_transfer, "MOST_PART", 64),
+                    mock.patch.object(Outgoing.__init__, "__defaults__", (0, 64, None)),
+                ):
+                    cluster = Cluster(seed, 3 + 2 * (seed % 2))
+                    trouble(cluster, 60)
+                    cluster.heal()
+                    self.assertTrue(cluster.run(60, cluster.settled))
+                    parts += cluster.sent.get("part", 0)
+            self.assertGreater(parts, least)
+
+
 class TestParts(unittest.TestCase):
     """Both ends by themselves."""
 
@@ -520,6 +596,26 @@
         await driver.close()
 
 
+class TestCompaction(unittest.TestCase):
+    """When the state is put down whole."""
+
+    def test_it_is_due_by_entries_bytes_or_work_and_not_on_all_machines_at_once(self) -> None:
+        for name, size, work, most in (
+            ("entries", 0, 0, compaction.ENTRIES),
+            ("bytes", 100_000, 0, 160),
+            ("work", 0, 12_000, 50),
+        ):
+            firsts = []
+            for me in ("10.0.0.1:7#founder", "10.0.0.2:7#founder", "10.0.0.3:7#founder"):
+                with self.subTest((name, me)):
+                    counted = compaction.Compaction(64, me)
+                    due = [number for number in range(4 * most) if counted.due(size, work)]
+                    self.assertLess(due[0], most)
+                    self.assertEqual({two - one for one, two in zip(due, due[1:])}, {most})
+                    firsts.append(due[0])
+            self.assertEqual(len(set(firsts)), 3, firsts)
+
+
 class TestStart(unittest.IsolatedAsyncioTestCase):
     """A start after 2,700 changes, the changes of a day."""
 
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -14,6 +14,7 @@
 from knotwalk.consensus.orders import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
+from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.slice_manager import LANES, SliceManager
@@ -22,6 +23,7 @@
 from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.packing import LEAST, unpack
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
 DOCUMENT = {
@@ -151,6 +153,25 @@
         await fresh.propose({"do": "shard", "services": ["s"]})
         await self.until(lambda: "s" in leader.state.ledger.slices)
 
+    async def test_an_operator_is_sent_only_to_a_leader_heard_since_it_called(self):
+        """One that was heard before the call may be gone by then: the caller would wait a second for it, and again."""
+        leader = await self.leader()
+        own = leader.machine.address
+        await self.until(lambda: all(end.machine.leader == own for end in self.wire.ends.values()))
+        self.wire.cut.add(own)
+        reach, leader.caller = leader.caller, Cut()
+        fellows = [end for end in self.wire.ends.values() if end is not leader]
+        found = await asyncio.gather(*(Control(end, 8).read(None) for end in (leader, *fellows)))
+        self.assertEqual(found[0].status, 503)  # it found out that it leads no more, and who does is not known there
+        for one in found[1:]:
+            self.assertNotEqual(one.headers.get("location"), f"http://{own.partition(':')[0]}:8/configuration")
+        await self.until(lambda: any(end.machine.settled for end in fellows))
+        self.wire.cut.discard(own)
+        leader.caller = reach
+        fresh = await self.leader()
+        back = await Control(leader, 8).read(None)
+        self.assertEqual(back.headers["location"], f"http://{fresh.machine.address.partition(':')[0]}:8/configuration")
+
 
 class DamageCase(unittest.IsolatedAsyncioTestCase):
     """Three machines with real files; what one of them reads back is not what it wrote."""
@@ -289,7 +310,8 @@
         self.assertEqual(
             ({url for url, _ in asked}, len(logs.output)), ({f"http://{at}/cluster-view" for at in ADDRESSES}, 1)
         )
-        self.assertEqual((heard, link.view.whole, link.view.config_order), ([0], True, -1))
+        self.assertEqual((heard, link.view.whole, link.view.config_order), ([0], True, 5))
+        self.assertTrue(link.view.provisional)
 
 
 class ProvisionalCase(unittest.IsolatedAsyncioTestCase):
@@ -318,7 +340,7 @@
                 await asyncio.sleep(0)
                 return self.status, {}, json.dumps({"instances": {"i-1": entry}, "next_token": None}).encode()
 
-        self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(leader=None)
+        self.platform, self.board, self.machine = Platform(), Board("b"), SimpleNamespace(rumour=None, role="follower")
         consensus = SimpleNamespace(machine=self.machine)
         list_poller = ListPoller(
             SimpleNamespace(platform=SimpleNamespace(address=("h", 1)), zone="z"),
@@ -331,7 +353,19 @@
 
     async def ask(self, **more):
         asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True} | more).encode()
-        return json.loads((await self.peer_api.view(SimpleNamespace(body=asked))).body)
+        return json.loads((await self.peer_api.view(SimpleNamespace(body=asked, headers={}))).body)
+
+    async def test_a_large_view_is_packed_for_an_edge_that_takes_it(self):
+        self.board.set_config(5, DOCUMENT | {"filler": "x" * LEAST})
+        asked = json.dumps({"edge": "e", "epoch": "", "at": 0, "wait": 0.0, "bare": True}).encode()
+        plain, found = [
+            await self.peer_api.view(SimpleNamespace(body=asked, headers=headers))
+            for headers in ({}, {"accept-encoding": "deflate"})
+        ]
+        self.assertNotIn("content-encoding", plain.headers)
+        self.assertEqual(found.headers["content-encoding"], "deflate")
+        self.assertEqual(unpack(found.body, 10 * LEAST), plain.body)
+        self.assertLess(len(found.body), len(plain.body) / 4)
 
     async def test_only_a_bare_edge_is_told_and_only_before_a_leader_is_known(self):
         self.assertNotIn("provisional", await self.ask())
@@ -345,9 +379,9 @@
             self.assertEqual(view.provide(0.0, one["provisional"]), {"config", "nodes"})
             self.assertTrue(view.whole and view.nodes["i-1"].draining)
         self.assertNotIn("provisional", await self.ask(bare=False))
-        self.machine.leader = "a:1"
+        self.machine.rumour = "a:1"
         self.assertNotIn("provisional", await self.ask())
-        self.machine.leader, self.peer_api.fresh_until = None, 1.0
+        self.machine.rumour, self.peer_api.fresh_until = None, 1.0
         self.assertNotIn("provisional", await self.ask())
         self.assertEqual(self.calls, 1)
 
@@ -412,20 +446,23 @@
         self.assertEqual((view.whole, view.shardings["s"].lines[9].node.id), (True, "gone"))
         self.assertEqual(
             {k: v for k, v in view.ask().items() if k != "at"},
-            {"epoch": "", "config": -1, "nodes": (-1, -1), "lines": -1},
+            {"epoch": "", "config": 50, "nodes": (-1, -1), "lines": -1, "provisional": True},
         )
-        fresh.set_config(5, DOCUMENT)  # a fresh core before its leader has read the list
+        fresh.set_config(5, DOCUMENT)  # behind, fresh by a leader of before: what is committed is not gone back from
+        self.assertEqual(self.tell(fresh, view), set())
+        self.assertEqual((view.configuration.version, view.provisional), (9, True))
+        fresh.set_config(60, DOCUMENT | {"config_version": "r11"})  # a fresh core before its leader has read the list
         fresh.set_lines(7, "s", {0: ("x", True), 1: ("y", True)})
         self.assertEqual(self.tell(fresh, view), {"config", "lines"})
         self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, True, {"x", "gone"}))
-        self.assertEqual((view.configuration.version, set(view.shardings)), (3, {"s"}))
+        self.assertEqual((view.configuration.version, set(view.shardings)), (11, {"s"}))
         self.assertEqual(view.shardings["s"].lines[9].owner, "")
         fresh.set_nodes((1, 1), self.nodes("x", "y"))
         self.assertEqual(self.tell(fresh, view), {"nodes"})
         self.assertEqual((view.whole, view.provisional, set(view.nodes)), (True, False, {"x", "y"}))
         self.assertEqual(view.shardings["s"].lines[1].node.id, "y")
         self.assertEqual(view.provide(0.0, provisional), set())
-        self.assertEqual(view.configuration.version, 3)
+        self.assertEqual(view.configuration.version, 11)
 
     def test_changes_alone_or_the_whole_by_what_the_picture_has_whichever_board_it_heard(self):
         one, two = Board("a"), Board("b")
