--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -6,8 +6,8 @@
 and three real files on this disk, middle. `election_s`: simulated, from a leader's death to an entry committed by the
 next, middle and `election_most_s` the worst; `election_ticks` the middle in heartbeats. `model_states`: states of the
 small models in which nothing is broken (`model_broken`), `seeded_found` of `seeded` mistakes that the models and the
-walks show. `walks`: of the whole simulation (tests/simulation), `walks_broken` those that broke something; `walk_seeded` and
-`walk_seeded_found`: the walks' share of the mistakes.
+walks show. `walks`: of the whole simulation (tests/simulation), `walks_broken` those that broke something;
+`walk_seeded` and `walk_seeded_found`: the walks' share of the mistakes.
 `lost`, `twice`: of commands told committed in seeded clusters with crashes, cuts, freezes and wiped disks, those that
 are not in the log in the end, or more than once. `owner_overlaps`: grants of a key that another node that is up holds,
 in seeded worlds of leases. `recovery_ratio`: all core machines die and two of three come back after 10 s; until all
--- a/tests/simulation/programs.py
+++ b/tests/simulation/programs.py
@@ -59,7 +59,7 @@
                     put(room, name, clock if name == "clock" else told)
         put(logs, "clock", clock)
         put(program, "Store", lambda disk_mb: Store(PROCESS.get().disk, disk_mb))
-        put(program, "Caller", lambda resets=False: Caller(wire, resets))
+        put(program, "Caller", lambda resets=False, named=True: Caller(wire, resets))
         put(program, "Listener", lambda made: Listener(wire, made))
         put(program, "os", SimpleNamespace(urandom=chance.randbytes, getpid=lambda: 1, _exit=_exit))
         put(peer_api, "app", App)
--- a/tests/simulation/wire.py
+++ b/tests/simulation/wire.py
@@ -150,6 +150,7 @@
         patience: float = 1.0,
         step: str = "call",
         headers: dict[str, str] | None = None,
+        alone: bool = False,
     ) -> tuple[int, dict[str, str], bytes]:
         data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
         found = await self.wire.call(method, url, data, headers or {}, patience, step, self.resets)
