--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import select
 from collections.abc import Callable
 from enum import Enum
 from typing import Any
@@ -47,6 +48,7 @@
 
     def __init__(self) -> None:
         self.line = Line.IDLE
+        self.call = b""  # id of the call that waits
         self.idle_since = asyncio.get_running_loop().time()
         self.transport: asyncio.Transport | None = None
         self.future: asyncio.Future[tuple[int, bytes]] | None = None
@@ -57,6 +59,7 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body: list[bytes] = []
         self.size = 0
+        self.answered = b""  # id of the call that is answered, if the core names it
         self.packed = False
 
     def _to(self, line: Line) -> None:
@@ -72,12 +75,21 @@
             and self.transport is not None
             and not self.transport.is_closing()
             and asyncio.get_running_loop().time() - self.idle_since < IDLE
+            and not self._unread()
         )
 
-    def send(self, data: bytes) -> asyncio.Future[tuple[int, bytes]]:
-        """Send a call: its answer's status and body, or an OSError."""
+    def _unread(self) -> bool:
+        """Whether bytes or an end lie at the socket that the loop has not got to yet."""
+        assert self.transport is not None
+        poll = select.poll()
+        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+    def send(self, data: bytes, call: bytes) -> asyncio.Future[tuple[int, bytes]]:
+        """Send the call with this id: its answer's status and body, or an OSError."""
         assert self.transport is not None
         self._to(Line.WAITING)
+        self.call = call
         self.future = asyncio.get_running_loop().create_future()
         self.transport.write(data)
         return self.future
@@ -112,10 +124,23 @@
 
     # -- from the parser
 
+    def on_message_begin(self) -> None:
+        """End at the beginning of a further answer."""
+        if self.line is not Line.WAITING:
+            self.end("bytes that belong to no answer")
+
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Note whether the body is packed."""
-        if name.lower() == b"content-encoding":
-            self.packed = value.strip().lower() == ENCODING.encode()
+        """Note whose answer it is, and whether its body is packed."""
+        match name.lower():
+            case b"call-id":
+                self.answered = value.strip()
+            case b"content-encoding":
+                self.packed = value.strip().lower() == ENCODING.encode()
+
+    def on_headers_complete(self) -> None:
+        """End at another call's answer."""
+        if self.answered and self.answered != self.call:
+            self.end("another call's answer")
 
     def on_body(self, data: bytes) -> None:
         self.size += len(data)
@@ -150,6 +175,7 @@
 
     def __init__(self) -> None:
         self.kept: dict[tuple[str, int], Connection] = {}
+        self.calls = 0
         self.allowed: dict[tuple[str, int], float] = {}  # seconds for the next opening, after one that took too long
 
     async def json(
@@ -160,9 +186,11 @@
         parts = urlsplit(url)
         at = parts.hostname or "", parts.port or 80
         data = b"" if body is None else json.dumps(body, separators=(",", ":")).encode()
+        self.calls += 1
+        call = b"%d" % self.calls
         head = (
             f"{method} {parts.path} HTTP/1.1\r\nHost: {parts.netloc}\r\nContent-Type: application/json\r\n"
-            f"Accept-Encoding: {ENCODING}\r\n"
+            f"Accept-Encoding: {ENCODING}\r\nCall-Id: {self.calls}\r\n"
             f"Content-Length: {len(data)}\r\n\r\n"
         )
         connection: Connection | None = None
@@ -171,8 +199,13 @@
             async with asyncio.timeout(patience) as limit:
                 connection = await self._connection(at)
                 last = loop.time() + WHOLE
-                connection.came = lambda: limit.reschedule(min(last, loop.time() + patience))
-                status, told = await connection.send(head.encode() + data)
+
+                def came() -> None:
+                    if not limit.expired():  # else it has been cut off, and has not been told yet
+                        limit.reschedule(min(last, loop.time() + patience))
+
+                connection.came = came
+                status, told = await connection.send(head.encode() + data, call)
         except TimeoutError:
             raise PeerError(step, url, f"no answer within {patience:g} s") from None
         except OSError as error:
