--- a/knotwalk/configuration/control.py
+++ b/knotwalk/configuration/control.py
@@ -2,6 +2,9 @@
 
 A status of 200 means only that the change may be proposed. Whoever applies it from the log looks again: it is in force
 if the version it was built on is still the current one then, and was there before if `History.holds` it.
+
+A 412 or 400 is a promise: this very call was not taken and, sent again as it is, never will be while the versions rise.
+Where that can't be told the answer is 503.
 """
 
 from __future__ import annotations
@@ -9,8 +12,9 @@
 import hashlib
 import json
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
+from knotwalk.configuration.history import History, Standing
 from knotwalk.configuration.objects import Configuration, Limits
 from knotwalk.configuration.read import (
     Invalid,
@@ -22,8 +26,6 @@
     version_text,
 )
 
-# An operator repeats a call for seconds and versions come seconds apart at the fastest; 64 hold minutes.
-REMEMBERED = 64
 # A route is about 350 bytes: room for some 45,000 of them, and no more memory than a small core has.
 MOST_BYTES = 16 * 1024 * 1024
 # Items are five deep; the rest is for fields that are kept unread. Far from where Python's own readers give up.
@@ -31,37 +33,15 @@
 
 IF_MATCH = re.compile(r'("?)r?(\d{1,18})\1', re.ASCII)
 
-# What is answered on /configuration. 503 is the caller's: nothing agreed, or the outcome is not known.
+# Of an order that can no longer be told from a taken one: what to do instead, since sending it again won't help.
+UNKNOWN = "too old to be told from an order that was taken: read the configuration and build on that"
+
+# What is answered on /configuration. 503: nothing agreed, the outcome not known, or an order that can't be told.
 STATUSES = {"get": (200, 404, 503), "put": (200, 400, 412, 413, 503), "patch": (200, 400, 412, 413, 503)}
 
 
 class Unreadable(Exception):
-    """A body that is not JSON as it should be; the text says where."""
-
-
-@dataclass
-class History:
-    """Digests of the calls that were taken, by the number of the version they made; the last `REMEMBERED` of them."""
-
-    taken: dict[int, str] = field(default_factory=dict)
-
-    def note(self, version: int, digest: str) -> None:
-        """Remember a call that is in force now."""
-        self.taken[version] = digest
-        while len(self.taken) > REMEMBERED:
-            del self.taken[min(self.taken)]
-
-    def holds(self, version: int, digest: str) -> bool:
-        """Whether this very call made that version."""
-        return self.taken.get(version) == digest
-
-    def to_dict(self) -> dict[str, str]:
-        """For a snapshot of the agreed state."""
-        return {version_text(version): digest for version, digest in sorted(self.taken.items())}
-
-    @classmethod
-    def from_dict(cls, raw: dict[str, str]) -> History:
-        return cls({version_number(version): digest for version, digest in raw.items()})
+    """A call, or the JSON of its body, that is not as it should be; the text says where."""
 
 
 @dataclass(frozen=True)
@@ -149,46 +129,74 @@
     return hashlib.sha256(canonical.encode("ascii")).hexdigest()
 
 
-def judge(current: Configuration | None, history: History, method: str, if_match: str | None, body: bytes) -> Verdict:
-    """The verdict on a PUT or PATCH of a configuration; whatever the body holds, it raises nothing.
+@dataclass(frozen=True)
+class Order:
+    """A readable call: `value` is its body's JSON, `base` and `version` what it builds on and makes."""
 
-    `current` and `history` are the agreed state as this machine knows it. A call that was taken before gets 200 and
-    `same`; one on another version than the current gets 412; one that is wrong gets 400."""
-    at = current.version if current else 0
-    if len(body) > MOST_BYTES:
-        return Verdict(413, f"body: longer than {MOST_BYTES} bytes", at)
+    method: str
+    base: int
+    version: int
+    value: dict
+    digest: str
+
+
+def order(method: str, if_match: str | None, body: bytes) -> Order:
+    """The order that a call brings; Unreadable where it brings none, which no core ever took."""
     if if_match is None:
-        return Verdict(400, "If-Match: is missing; it carries the version built on, 0 for the first", at)
+        raise Unreadable("If-Match: is missing; it carries the version built on, 0 for the first")
     if not (match := IF_MATCH.fullmatch(if_match.strip(" \t"))):
-        return Verdict(400, f"If-Match: must be a version as r5, or 0, not {shown(if_match)}", at)
+        raise Unreadable(f"If-Match: must be a version as r5, or 0, not {shown(if_match)}")
     base = int(match[2])
     try:
         value = parsed(body)
         call = digest(method, base, value)
     except Unreadable as error:
-        return Verdict(400, f"body: {error}", at)
+        raise Unreadable(f"body: {error}") from None
     except ValueError:
-        return Verdict(400, "body: a number is out of range", at)
+        raise Unreadable("body: a number is out of range") from None
     if type(value) is not dict:
-        return Verdict(400, f"body: must be an object, not {shown(value)}", at)
+        raise Unreadable(f"body: must be an object, not {shown(value)}")
     try:
         version = version_number(value.get("config_version"))
     except ValueError as error:
-        return Verdict(400, f"config_version: {error}", at)
-    if history.holds(version, call):
-        return Verdict(200, "taken before", at, same=True, base=base, version=version, digest=call)
+        raise Unreadable(f"config_version: {error}") from None
+    return Order(method, base, version, value, call)
+
+
+def judge(current: Configuration | None, history: History, method: str, if_match: str | None, body: bytes) -> Verdict:
+    """The verdict on a PUT or PATCH of a configuration; whatever the body holds, it raises nothing.
+
+    `current` and `history` are the agreed state as this machine knows it. A call that was taken before gets 200 and
+    `same`, one that may have been gets 503; one on another version than the current gets 412; one that is wrong 400."""
+    at = current.version if current else 0
+    if len(body) > MOST_BYTES:
+        return Verdict(413, f"body: longer than {MOST_BYTES} bytes", at)
+    try:
+        call = order(method, if_match, body)
+    except Unreadable as error:
+        return Verdict(400, str(error), at)
+    base, version = call.base, call.version
+    standing = history.standing(base, version, call.digest)
+    if standing is Standing.TAKEN:
+        return Verdict(200, "taken before", at, same=True, base=base, version=version, digest=call.digest)
+    if standing is Standing.UNKNOWN:
+        return Verdict(503, UNKNOWN, at)
     if base != at:
         return Verdict(412, f"built on {version_text(base)}, but {version_text(at)} is current", at)
     if version <= at:
         return Verdict(400, f"config_version: {version_text(version)} is not above the current {version_text(at)}", at)
     try:
-        if method == "PUT":
-            made = read_configuration(value)
-        else:
-            made = patched(current or Configuration(0, {}, {}, Limits()), value)
+        made = _made(current, call)
     except Invalid as error:
         return Verdict(400, str(error), at)
-    return Verdict(200, "to be agreed", at, made, document(made), False, base, version, call)
+    return Verdict(200, "to be agreed", at, made, document(made), False, base, version, call.digest)
+
+
+def _made(current: Configuration | None, call: Order) -> Configuration:
+    """The configuration that an order makes of the current one; Invalid."""
+    if call.method == "PUT":
+        return read_configuration(call.value)
+    return patched(current or Configuration(0, {}, {}, Limits()), call.value)
 
 
 def reading(current: Configuration | None) -> tuple[int, dict]:
--- a/knotwalk/consensus/machine_state.py
+++ b/knotwalk/consensus/machine_state.py
@@ -135,6 +135,11 @@
         """The address of the leader of this term, where known."""
         return self.address if self.role == LEADER else self._leader
 
+    @property
+    def rumour(self) -> str | None:
+        """The address of a leader of any term, as far as is known here or was told by others; it may lead no more."""
+        return self._known()
+
     @property
     def heard_at(self) -> float:
         """When a leader was last heard; for a leader `majority_at`."""
@@ -198,6 +203,7 @@
         elif was in (LEADER, CANDIDATE) and role != LEADER:
             self._deadline = now + self._timeout()
         if role == LEADER:
+            self._incoming.clear()
             self._rounds = 0
             self._elected_at, self._beat_at, self._void, self._handed = now, now + self.pace.heartbeat, False, None
             self._peers = {}
--- a/knotwalk/runtime/serve.py
+++ b/knotwalk/runtime/serve.py
@@ -8,6 +8,7 @@
 from sanic.log import access_logger, error_logger, logger as sanic_logger
 
 from knotwalk.runtime.logs import log_exception
+from knotwalk.runtime.packing import ENCODING, pack
 
 BODY_MOST = 64 * 1024 * 1024
 
@@ -25,9 +26,17 @@
     made.config.KEEP_ALIVE_TIMEOUT = 20
     made.config.FALLBACK_ERROR_FORMAT = "text"
     made.exception(Exception)(failed)
+    made.register_middleware(name_call, "response")
     return made
 
 
+def name_call(request: Request, response: HTTPResponse) -> None:
+    """Repeat the id of the call in its answer, so that a caller never takes an answer for another call's."""
+    call = request.headers.get("call-id")
+    if call is not None and call.isdigit():
+        response.headers["Call-Id"] = call
+
+
 async def failed(request: Request, error: Exception) -> HTTPResponse:
     """A handler raised: what sanic itself refuses keeps its status; anything else is a fault of ours, and logged."""
     if isinstance(error, SanicException):
@@ -63,6 +72,15 @@
     return HTTPResponse(json.dumps(value, separators=(",", ":")), status, headers, "application/json")
 
 
+def packed(request: Request, whole: HTTPResponse) -> HTTPResponse:
+    """The same answer, its body packed if that is worth it and the caller takes it."""
+    small = pack(whole.body, request.headers.get("accept-encoding", ""))
+    if small is not None:
+        whole.body = small
+        whole.headers["Content-Encoding"] = ENCODING
+    return whole
+
+
 def body(request: Request) -> Any:
     """The JSON value of a request's body; ValueError if it has none."""
     return json.loads(request.body)
