Walks over used connections, mistakes of points 3, 4 and 5

Cause: the simulation put its own callers in place of the edge's, so no walk met a connection that is used again, and no mistake of points 4 and 5 was held to be found.

connections.py drives the real edge.caller and, through the real Forwarder, the node connections over bytes that come late, doubled, torn, unasked or not at all. Judged by calls and answers: no answer of another call's, none that must run once runs twice or is sent where something lies unread, none told to come back has run.

--- a/tests/system/test_simulation.py
+++ b/tests/system/test_simulation.py
@@ -5,12 +5,14 @@
 import sys
 import unittest
 
+from tests.simulation import connections
 from tests.simulation.faults import plan
 from tests.simulation.mistakes import MISTAKES
 from tests.simulation.register import Content, Register, Told
 from tests.simulation.walk import find, shrink, walk
 
 WALKS = 6
+CONNECTIONS = 40  # walks over connections: each takes some 25 ms
 
 
 class WalksTest(unittest.TestCase):
@@ -21,6 +23,11 @@
                 self.assertEqual(found.broken, [])
                 self.assertGreater(found.changes, 5)
 
+    def test_nothing_is_broken_on_connections(self):
+        for seed in range(CONNECTIONS):
+            with self.subTest(seed=seed):
+                self.assertEqual(connections.walk(seed), [])
+
     def test_a_walk_replays_exactly_in_another_process(self):
         told = [
             subprocess.run(
@@ -94,3 +101,9 @@
 
     def test_mistakes_of_point_3_are_found(self):
         self.found(3)
+
+    def test_mistakes_of_point_4_are_found(self):
+        self.found(4)
+
+    def test_mistakes_of_point_5_are_found(self):
+        self.found(5)
