Slice keeper split by concern: orders, a slice's tenure, nodes' liveness, planning

Now: orders.py (Grant, Release, Propose, Pace, how calls end), slice_tenure.py (State, its transitions, holders), node_liveness.py (the list, refused ports, who can be called), planning.py (neighbours as one call or one line of an entry), and Keeper as the facade, which keeps the order of steps and the draws of chance. Behaviour is meant to be the same; no shim is left for the old imports.

The class of a slice's tenure is SliceTenure (was Tenure), since leases/tenure.py has another Tenure, the leader's table. Keeper keeps the methods that tests of the checker override (_take_over, _granted, _released, _cleared, _may_release, _prove). Ruled out: moving these as well, which would have changed tests.

--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -32,8 +32,9 @@
 from knotwalk.consensus.store import Store
 from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.discovery.cluster_view import SLICES, Node
-from knotwalk.leases.keeper import Grant, Keeper, Pace as KeysPace, Propose, Release
+from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.ledger import Ledger, ranges
+from knotwalk.leases.orders import Grant, Pace as KeysPace, Propose, Release
 from knotwalk.leases.tenure import ASK, DRIFT, LEASE, MARGIN, PROOF, Tenure, reassign
 from tests.system.cluster import Cluster, Violation, trouble
 from tests.system.model import explore, mistakes, worlds
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -22,7 +22,7 @@
 from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.discovery.cluster_view import Board
 from knotwalk.discovery.loads import Loads
-from knotwalk.leases import keeper
+from knotwalk.leases.orders import Pace as KeysPace
 from knotwalk.runtime import logs
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.life import Ending, live
@@ -64,7 +64,7 @@
             self.board,
             self.loads,
             self.granter,
-            keeper.Pace(hold=min(6.0, settings.bounds.max_hold)),
+            KeysPace(hold=min(6.0, settings.bounds.max_hold)),
             seed,
             self.propose,
             settings.zone,
--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -8,7 +8,8 @@
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.discovery.cluster_view import Board
 from knotwalk.discovery.loads import Loads
-from knotwalk.leases.keeper import REFUSED, UNSENT, Grant, Keeper, Pace, Propose, Release
+from knotwalk.leases.keeper import Keeper
+from knotwalk.leases.orders import REFUSED, UNSENT, Grant, Pace, Propose, Release
 from knotwalk.placement.capacity import Report, utilizations
 from knotwalk.placement.placer import Placer
 from knotwalk.runtime.call import Caller, Refused
--- a/tests/system/model.py
+++ b/tests/system/model.py
@@ -20,8 +20,10 @@
 from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import Apply, Pace, Role, Save, Saved, Send
 from knotwalk.discovery.cluster_view import Node
-from knotwalk.leases.keeper import SLOW, Grant, Holder, Keeper, Pace as KeysPace, Propose, Release
+from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.ledger import Ledger, Slice
+from knotwalk.leases.orders import SLOW, Grant, Pace as KeysPace, Propose, Release
+from knotwalk.leases.slice_tenure import Holder
 from knotwalk.leases.tenure import LEASE, Tenure, reassign
 from tests.system.cluster import Disk
 
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -21,7 +21,7 @@
 from knotwalk.discovery.cluster_view import Board, ClusterView, Node
 from knotwalk.discovery.loads import Loads, merge
 from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
-from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
+from knotwalk.leases.orders import UNSENT, Grant, Pace as LeasePace
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.packing import LEAST, unpack
 
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -10,8 +10,11 @@
 import unittest
 
 from knotwalk.discovery.cluster_view import SLICES, WIDTH, Node
-from knotwalk.leases.keeper import REFUSED, REFUSED_SPAN, SLOW, Grant, Keeper, Pace, Propose, Release, State
+from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.ledger import LIFT, Change, Ledger, ranges
+from knotwalk.leases.node_liveness import REFUSED_SPAN
+from knotwalk.leases.orders import REFUSED, SLOW, Grant, Pace, Propose, Release
+from knotwalk.leases.slice_tenure import State
 from knotwalk.leases.tenure import CALM, HAND, LACK, Tenure, hand_over, reassign
 
 LEASE = 3.0
--- a/tests/system/test_points.py
+++ b/tests/system/test_points.py
@@ -5,7 +5,8 @@
 import functools
 import unittest
 
-from knotwalk.leases.keeper import REFUSED, Grant, Keeper
+from knotwalk.leases.keeper import Keeper
+from knotwalk.leases.orders import REFUSED, Grant
 from tests.system.cluster import Cluster
 from tests.system.test_leases import PACE, World
 
