Cluster view split by concern: types and wire form, the core's board, the edge's view

Now: view_types.py (Node, Line, Sharding, sizes of the keys, a node's wire form), board.py (Board, what a core tells) and cluster_view.py (ClusterView, what an edge knows). An edge no longer loads the board. Behaviour is meant to be the same; no shim is left for the old imports.

--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -31,7 +31,7 @@
 from knotwalk.consensus.orders import Answer, Apply, Entry, Pace, Role, Save, Send
 from knotwalk.consensus.store import Store
 from knotwalk.control_plane.replicated_state import ReplicatedState
-from knotwalk.discovery.cluster_view import SLICES, Node
+from knotwalk.discovery.view_types import SLICES, Node
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.ledger import Ledger, ranges
 from knotwalk.leases.orders import Grant, Pace as KeysPace, Propose, Release
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -20,7 +20,7 @@
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.slice_manager import SliceManager
-from knotwalk.discovery.cluster_view import Board
+from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
 from knotwalk.leases.orders import Pace as KeysPace
 from knotwalk.runtime import logs
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
-from knotwalk.discovery.cluster_view import Board, Node, entry, node_of
+from knotwalk.discovery.board import Board
 from knotwalk.discovery.listing import Listing, Unusable
+from knotwalk.discovery.view_types import Node, entry, node_of
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.tenure import PROOF, Tenure, hand_over, reassign
 from knotwalk.runtime.call import Caller
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -11,8 +11,9 @@
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.slice_manager import SliceManager
-from knotwalk.discovery.cluster_view import KEYS, Board
+from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.view_types import KEYS
 from knotwalk.leases.tenure import ASK
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
-from knotwalk.discovery.cluster_view import Board
+from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.orders import REFUSED, UNSENT, Grant, Pace, Propose, Release
--- a/knotwalk/discovery/cluster_view.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -1,95 +1,18 @@
 """The cluster view that the core spreads and the edges act on: configuration, nodes, owner lines; changes, not wholes.
 
-A `Board` stands in each core program; a `ClusterView` in each edge program. Every topic has an order that only rises
-(the index in the agreed log; for nodes the poller's term and turn), so a cluster view never goes back, whichever core
-it hears. A cluster view that has nothing yet may begin with a provisional one, from a core that only just started. Of
-that one only the configuration has an order, since it is committed; lists and lines of any fresh core replace it.
+A `Board` (`discovery.board`) stands in each core program; a `ClusterView` in each edge program. Each topic has an order
+that only rises (the index in the agreed log; for nodes the poller's term and turn), so a cluster view never goes back,
+whichever core it hears. A cluster view that has nothing yet may begin with a provisional one, from a core that only
+just started. Of that one only the configuration has an order, since it is committed; lists and lines of any fresh core
+replace it.
 """
 
 from __future__ import annotations
 
-import json
-from collections import deque
-from dataclasses import dataclass, field
-
 from knotwalk.configuration.index import Index
 from knotwalk.configuration.objects import Configuration
-from knotwalk.configuration.read import Invalid, difference, patched, read_configuration
-
-KEYS = 65536
-# Slices of a sharded service. Measured on a calm day: a hundredth of the keys takes a third of the requests, and of 512
-# slices the busiest alone was more than a node; of 2,048 it is a third of one. Lines travel as runs, so most cost
-# nothing.
-SLICES = 2048
-WIDTH = KEYS // SLICES
-# Changes of the configuration kept to be sent alone. Together they stay smaller than the whole, so a board
-# keeps one configuration's bytes of them at most. Storms bring some 3 to 12 a second, and an edge calls once a
-# second at least; who is 32 behind was cut off, and the whole is then one of the smaller things it lacks.
-CHANGES = 32
-HELD = 32  # lists of nodes from which a board can still tell what changed; as above, a release brings one a second
-COLDER = 2.0  # s by which a node must be cold for longer than told: the list's figure is up to a beat of 1.5 s old
-
-
-@dataclass(eq=False)
-class Node:
-    """A node as the platform's list has it. `seen` is free for the program that carries requests."""
-
-    id: str
-    service: str
-    address: tuple[str, int]
-    zone: str
-    capacity: int
-    draining: bool = False
-    cold_until: float = 0.0  # steady clock of this machine
-    software: str = ""
-    ailing: bool = False  # as all edges together meet with it (`discovery.outliers`)
-    seen: object = None
-
-
-@dataclass(eq=False)
-class Line:
-    """Who owns a slice; not `open` while the keys change hands: requests wait for it briefly."""
-
-    node: Node | None = None
-    open: bool = False
-    owner: str = ""
-
-
-@dataclass(eq=False)
-class Sharding:
-    """The owner lines of one service, a line a slice."""
-
-    lines: list[Line] = field(default_factory=lambda: [Line() for _ in range(SLICES)])
-
-    def line(self, key: int) -> Line:
-        """The owner line of a key."""
-        return self.lines[key // WIDTH]
-
-
-def entry(node: Node, now: float) -> dict:
-    """A node as it goes over the wire; `cold` in seconds from now."""
-    return {
-        "service": node.service,
-        "address": f"{node.address[0]}:{node.address[1]}",
-        "zone": node.zone,
-        "capacity": node.capacity,
-        "draining": node.draining,
-        "cold": round(max(0.0, node.cold_until - now), 3),
-    }
-
-
-def node_of(id: str, raw: dict, now: float) -> Node:
-    """The node that a board told as `raw`, read at `now`."""
-    host, _, port = raw["address"].rpartition(":")
-    return Node(
-        id,
-        raw["service"],
-        (host, int(port)),
-        raw["zone"],
-        raw["capacity"],
-        raw["draining"],
-        now + raw["cold"] if raw["cold"] else 0.0,
-    )
+from knotwalk.configuration.read import Invalid, patched, read_configuration
+from knotwalk.discovery.view_types import Node, Sharding, node_of
 
 
 class ClusterView:
@@ -126,12 +49,13 @@
         return (self.nodes_order, self.lines_order) == ((-1, -1), -1) and (self.provisional or self.config_order < 0)
 
     def provide(self, now: float, message: dict) -> set[str]:
-        """Take a provisional cluster view, whole, or nothing: only who is unsure does, and a later one only if its
-        configuration is newer. Topics changed, as of `apply`.
+        """Take a provisional cluster view, whole, or nothing; topics changed, as of `apply`.
 
-        The order of its configuration is kept: committed, it is what every core's log has there, so nothing older is
-        taken from then on, not even from a core that is fresh by an old leader's word. The others have none, so any
-        fresh core sends the whole of them. ValueError if it can't be taken."""
+        Only who is unsure takes one, and a later one only if its configuration is newer. The order of its configuration
+        is kept: committed, it is what every core's log has there, so nothing older is taken from then on, not even from
+        a core that is fresh by an old leader's word. The others have none, so any fresh core sends the whole of them.
+        ValueError if it can't be taken.
+        """
         if not self.unsure or message["config"]["order"] <= self.config_order:
             return set()
         made = ClusterView()
@@ -158,26 +82,37 @@
         if (topic := message.get("lines")) and topic["order"] > self.lines_order:
             self._lines(topic)
             changed.add("lines")
-        # Each core judges for itself; what another one told before does not count beside the word of this one.
-        ailing = frozenset(message.get("ailing", self.ailing if message["epoch"] == self.epoch else ()))
-        if ailing != self.ailing:
-            self.ailing = ailing
+        if self._ailing(message):
             changed.add("ailing")
         if changed & {"nodes", "ailing"}:
             for node in self.nodes.values():
                 node.ailing = node.id in self.ailing
         self.fault = ""
         if (topic := message.get("config")) and topic["order"] > self.config_order:
-            try:
-                self._config(topic)
-                changed.add("config")
-            except (Invalid, KeyError, TypeError, ValueError, AttributeError) as error:
-                self.fault = f"{type(error).__name__} {error}"
+            self._try_config(topic)
+            changed |= set() if self.fault else {"config"}
         if not self.fault:
             self.epoch, self.at = message["epoch"], message["at"]
         self.provisional &= self.config_order < 0 or self.nodes_order < (0, 0)
         return changed
 
+    def _ailing(self, message: dict) -> bool:
+        """Take the nodes held ailing; whether they are others than before.
+
+        Each core judges for itself; what another one told before does not count beside the word of this one.
+        """
+        ailing = frozenset(message.get("ailing", self.ailing if message["epoch"] == self.epoch else ()))
+        changed = ailing != self.ailing
+        self.ailing = ailing
+        return changed
+
+    def _try_config(self, topic: dict) -> None:
+        """Take a configuration, or say in `fault` why it can't be taken."""
+        try:
+            self._config(topic)
+        except (Invalid, KeyError, TypeError, ValueError, AttributeError) as error:
+            self.fault = f"{type(error).__name__} {error}"
+
     def _config(self, topic: dict) -> None:
         """Take a configuration, whole or as changes of the very one that stands; nothing is in force before all is."""
         if "document" in topic:
@@ -229,183 +164,3 @@
             "nodes": self.nodes_order,
             "lines": self.lines_order,
         } | ({"bare": True} if self.bare else {"provisional": True} if self.unsure else {})
-
-
-class Board:
-    """What one core program has to tell, with a revision for each change; `since` is what a cluster view lacks.
-
-    An order names one state, whichever board tells it: the configuration and the lines as of an entry of the log, the
-    list as one leader read it. So what a cluster view lacks follows from its orders, also when it heard another board.
-    """
-
-    def __init__(self, epoch: str):
-        self.epoch, self.at = epoch, 1
-        self.config: tuple[int, dict] | None = None
-        self.sizes: dict[int, int] = {}  # bytes of each item of the configuration, by its object
-        self.changes: deque[tuple[int, dict, int]] = deque()  # up to now: (order changed from, change, its bytes)
-        self.nodes: dict[str, Node] = {}
-        self.nodes_order = (-1, -1)
-        self.held: dict[tuple[int, int], int] = {}  # the last orders of the list, and the turn of each
-        self.node_at: dict[str, int] = {}  # turn of the last change by id; gone ones too, as far as `held` goes
-        self.lines: dict[str, list[tuple[str, bool]]] = {}
-        self.lines_order = -1
-        self.line_order: dict[str, list[int]] = {}  # order of each line's last change, as far as is known here
-        self.cores: list[str] = []
-        self.cores_at = 0
-        self.ailing: frozenset[str] = frozenset()
-        self.ailing_at = 0
-
-    def _turn(self) -> int:
-        self.at += 1
-        return self.at
-
-    def set_config(self, order: int, document: dict) -> None:
-        """The configuration of the log's entry `order`; what is not newer is left out.
-
-        Only items that are the very objects of the document before count as unchanged at once; where there are none,
-        it came whole, and goes whole."""
-        before = self.config
-        if before is not None and order <= before[0]:
-            return
-        self.config = order, document
-        self._turn()
-        known = {id(item) for item in before[1]["objects"]} if before else set()
-        change = difference(before[1], document) if any(id(item) in known for item in document["objects"]) else None
-        if change is None:
-            self.changes.clear()
-            self.sizes.clear()
-            return
-        whole = self._whole(document)
-        self.changes.append((before[0], change, size(change)))
-        while self.changes and (len(self.changes) > CHANGES or sum(size for _, _, size in self.changes) >= whole):
-            self.changes.popleft()
-
-    def _whole(self, document: dict) -> int:
-        """Bytes of the whole document; items that stood in the one before, which still lives, are not counted anew."""
-        items = document["objects"]
-        self.sizes = {id(item): self.sizes.get(id(item)) or size(item) for item in items}
-        return size(document | {"objects": []}) + sum(self.sizes.values()) + max(0, len(items) - 1)
-
-    def set_cores(self, cores: list[str]) -> None:
-        """Tell the core machines from now on, if they are others than before."""
-        if cores != self.cores:
-            self.cores, self.cores_at = cores, self._turn()
-
-    def set_ailing(self, ailing: frozenset[str]) -> bool:
-        """The nodes that this core holds ailing; says whether they are others than before."""
-        if ailing == self.ailing:
-            return False
-        self.ailing, self.ailing_at = ailing, self._turn()
-        return True
-
-    def set_nodes(self, order: tuple[int, int], nodes: dict[str, Node], read: bool = False) -> bool:
-        """A newer whole list; says whether it differs from what stood. One that this machine `read` itself and that
-        is like its last one keeps that one's order: at a new one every other core would ask for it again."""
-        if order <= self.nodes_order:
-            return False
-        first, before = not self.held, self.nodes
-        fresh = {id for id, node in nodes.items() if (old := before.get(id)) is None or differ(old, node)}
-        fresh |= before.keys() - nodes.keys()
-        self.nodes = nodes
-        if read and not fresh and order[0] == self.nodes_order[0]:
-            return False
-        turn = self._turn()
-        self.nodes_order, self.held[order] = order, turn
-        self.node_at |= dict.fromkeys(fresh, turn)
-        if len(self.held) > HELD:
-            del self.held[next(iter(self.held))]
-        oldest = next(iter(self.held.values()))
-        self.node_at = {id: at for id, at in self.node_at.items() if id in nodes or at > oldest}
-        return first or bool(fresh)
-
-    def set_lines(self, order: int, service: str, changes: dict[int, tuple[str, bool]]) -> None:
-        """Owner lines of a service that changed with the log's entry `order`: slice -> (node's id, open)."""
-        self.lines_order = max(order, self.lines_order)
-        lines = self.lines.setdefault(service, [("", False)] * SLICES)
-        at = self.line_order.setdefault(service, [-1] * SLICES)
-        self._turn()
-        for slice, line in changes.items():
-            lines[slice], at[slice] = line, order
-
-    def since(self, asked: dict, now: float) -> dict | None:
-        """What the cluster view lacks that `asked`, or None.
-
-        By its orders; cores and ailing nodes go by the turns of this board."""
-        at = asked["at"] if asked["epoch"] == self.epoch and asked["at"] <= self.at else 0
-        if at >= self.at:
-            return None
-        message: dict = {"epoch": self.epoch, "at": self.at}
-        if self.cores_at > at:
-            message["cores"] = self.cores
-        if self.ailing_at > at:
-            message["ailing"] = sorted(self.ailing)
-        if self.config is not None and (has := asked.get("config", -1)) < self.config[0]:
-            message["config"] = {"order": self.config[0]} | self._config(has)
-        if (held := tuple(asked.get("nodes", (-1, -1)))) < self.nodes_order:
-            turn, full = self.held.get(held, 0), held not in self.held
-            message["nodes"] = {
-                "order": list(self.nodes_order),
-                "full": full,
-                "set": {id: entry(n, now) for id, n in self.nodes.items() if full or self.node_at[id] > turn},
-                "gone": [] if full else [id for id, at in self.node_at.items() if at > turn and id not in self.nodes],
-            }
-        if (order := asked.get("lines", -1)) < self.lines_order:
-            message["lines"] = {
-                "order": self.lines_order,
-                "set": {
-                    service: found
-                    for service, orders in self.line_order.items()
-                    if (found := runs(self.lines[service], orders, order))
-                },
-            }
-        return message
-
-    def provisional(self, nodes: dict[str, Node], now: float) -> dict | None:
-        """All that stands here for a cluster view that is bare, with `nodes` where no leader's list came.
-
-        None if that would serve nothing."""
-        message = self.since({"epoch": "", "at": 0}, now) or {}
-        if "nodes" not in message:
-            found = {id: entry(n, now) for id, n in nodes.items()}
-            message["nodes"] = {"order": [0, 0], "full": True, "gone": [], "set": found}
-        return message if "config" in message and message["nodes"]["set"] else None
-
-    def _config(self, has: int) -> dict:
-        """The changes from the order that a cluster view `has`, if all of them are kept; else the document."""
-        changes = [change for base, change, _ in self.changes if base >= has]
-        if changes and self.changes[-len(changes)][0] == has:
-            return {"base": has, "changes": changes}
-        return {"document": self.config[1]}
-
-
-def size(value: dict) -> int:
-    """Bytes on the wire."""
-    return len(json.dumps(value, separators=(",", ":")))
-
-
-def differ(old: Node, new: Node) -> bool:
-    """Whether a cluster view that has the one must hear of the other."""
-    return (old.address, old.service, old.zone, old.capacity, old.draining) != (
-        new.address,
-        new.service,
-        new.zone,
-        new.capacity,
-        new.draining,
-    ) or new.cold_until > old.cold_until + COLDER
-
-
-def runs(lines: list[tuple[str, bool]], orders: list[int], order: int) -> list[list]:
-    """Lines that changed after `order`, neighbours alike as one: [first, last, owner, open].
-
-    >>> runs([("a", True), ("a", True), ("b", False)], [2, 2, 3], 1)
-    [[0, 1, 'a', 1], [2, 2, 'b', 0]]
-    """
-    found: list[list] = []
-    for slice, (owner, opened) in enumerate(lines):
-        if orders[slice] <= order:
-            continue
-        if found and found[-1][1] == slice - 1 and found[-1][2:] == [owner, int(opened)]:
-            found[-1][1] = slice
-        else:
-            found.append([slice, slice, owner, int(opened)])
-    return found
--- a/knotwalk/discovery/listing.py
+++ b/knotwalk/discovery/listing.py
@@ -1,6 +1,6 @@
 """The platform's list of nodes, read page by page: whole, or not used at all."""
 
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.runtime.units import seconds
 
 
--- a/knotwalk/discovery/outliers.py
+++ b/knotwalk/discovery/outliers.py
@@ -25,7 +25,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 
 # Seconds in which what was met with fades to 1/e: a report a second, and two of them must tell.
 FADE = 1.5
--- a/knotwalk/edge/choose.py
+++ b/knotwalk/edge/choose.py
@@ -7,7 +7,7 @@
 
 from knotwalk.admission.admission import Seen, expected_wait, slots
 from knotwalk.configuration.objects import Route
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 
 # A node in another zone must be so many requests a slot better: bytes between zones are priced. One more for each 4 kB
 # of the request, two in all: at high load a quarter of an undivided service's requests crossed, some with 4 kB that
--- a/knotwalk/edge/forward.py
+++ b/knotwalk/edge/forward.py
@@ -16,7 +16,8 @@
 from knotwalk.admission.connection_budget import shared
 from knotwalk.admission.outcome import PROOFS, End, Move, Proof, move
 from knotwalk.configuration.objects import Route, Service
-from knotwalk.discovery.cluster_view import WIDTH, ClusterView, Node
+from knotwalk.discovery.cluster_view import ClusterView
+from knotwalk.discovery.view_types import WIDTH, Node
 from knotwalk.edge.choose import load, pick, seen, service_of, wait_at
 from knotwalk.edge.upstream import Answer, Connection, Docks, Pool
 from knotwalk.runtime.errors import PeerError
--- a/knotwalk/edge/upstream.py
+++ b/knotwalk/edge/upstream.py
@@ -17,7 +17,7 @@
 import httptools
 
 from knotwalk.admission.outcome import End, judge
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.runtime.errors import PeerError
 
 # An answer up to this size (bytes) is gathered whole before its head is passed on: a cut one can be tried again.
--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -19,7 +19,7 @@
 import random
 from collections.abc import Iterable, Mapping
 
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.leases.node_liveness import NodeLiveness
 from knotwalk.leases.orders import Grant, Order, Pace, Release, Status
--- a/knotwalk/leases/ledger.py
+++ b/knotwalk/leases/ledger.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
-from knotwalk.discovery.cluster_view import SLICES
+from knotwalk.discovery.view_types import SLICES
 
 # The first lift, about as many entries as a quarter of an hour brings; and the last, well within what JSON carries
 # exactly.
--- a/knotwalk/leases/node_liveness.py
+++ b/knotwalk/leases/node_liveness.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Mapping, Set as AbstractSet
 
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.leases.orders import REFUSED, Grant, Release, Status
 
 # A port that refuses twice so far apart (s), and nothing heard between, is of a process that is gone.
--- a/knotwalk/leases/planning.py
+++ b/knotwalk/leases/planning.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 
-from knotwalk.discovery.cluster_view import WIDTH
+from knotwalk.discovery.view_types import WIDTH
 from knotwalk.leases.ledger import ranges
 from knotwalk.leases.orders import Propose
 from knotwalk.leases.slice_tenure import GATHER, PROPOSE_AGAIN, SliceTenure, State
--- a/knotwalk/placement/capacity.py
+++ b/knotwalk/placement/capacity.py
@@ -20,7 +20,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 
 SAMPLES = 10  # as many as the service's estimates keep
 EVERY = 0.9  # s between two samples: reports tell of the last second or two, so closer ones say the same twice
--- a/knotwalk/placement/placer.py
+++ b/knotwalk/placement/placer.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.placement.capacity import Capacities, Report
 from knotwalk.placement.passes import fit, place, strip
--- a/tests/standins/holders.py
+++ b/tests/standins/holders.py
@@ -6,7 +6,7 @@
 import json
 from dataclasses import dataclass, field
 
-from knotwalk.discovery.cluster_view import KEYS
+from knotwalk.discovery.view_types import KEYS
 from knotwalk.runtime.logs import clock
 from knotwalk.runtime.units import seconds
 
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -9,7 +9,8 @@
 from dataclasses import dataclass, field
 
 from knotwalk.configuration.objects import Configuration, Limits, Route, Service
-from knotwalk.discovery.cluster_view import ClusterView, Line, Node, Sharding
+from knotwalk.discovery.cluster_view import ClusterView
+from knotwalk.discovery.view_types import Line, Node, Sharding
 from knotwalk.edge.front import Front
 from knotwalk.runtime.logs import clock
 from knotwalk.runtime.settings import parse
--- a/tests/system/model.py
+++ b/tests/system/model.py
@@ -19,7 +19,7 @@
 
 from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import Apply, Pace, Role, Save, Saved, Send
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.leases.orders import SLOW, Grant, Pace as KeysPace, Propose, Release
--- a/tests/system/test_admission.py
+++ b/tests/system/test_admission.py
@@ -9,7 +9,7 @@
 from knotwalk.admission.budget import Budget, Counter
 from knotwalk.admission.outcome import PROMISES, PROOFS, End, Move, Proof, judge, move
 from knotwalk.configuration.objects import Route
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge.choose import pick, seen, service_of
 
 
--- a/tests/system/test_cli.py
+++ b/tests/system/test_cli.py
@@ -22,8 +22,9 @@
 from knotwalk.consensus.store import Store, StoreBroken, read
 from knotwalk.control_plane import account
 from knotwalk.control_plane.replicated_state import ReplicatedState
-from knotwalk.discovery.cluster_view import WIDTH, Board, Node
+from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.view_types import WIDTH, Node
 from knotwalk.leases.ledger import SLICES
 from knotwalk.runtime.errors import PeerError
 from tests.standins.village import FIRST, route, service
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -18,8 +18,10 @@
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.slice_manager import LANES, SliceManager
-from knotwalk.discovery.cluster_view import Board, ClusterView, Node
+from knotwalk.discovery.board import Board
+from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.discovery.loads import Loads, merge
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge.link import FIRST_WAIT, WAIT, Link
 from knotwalk.leases.orders import UNSENT, Grant, Pace as LeasePace
 from knotwalk.runtime.errors import PeerError
--- a/tests/system/test_cut_off.py
+++ b/tests/system/test_cut_off.py
@@ -19,8 +19,10 @@
 from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.peer_api import FRESH, PROVISIONAL, PeerApi
-from knotwalk.discovery.cluster_view import Board, ClusterView, Node
+from knotwalk.discovery.board import Board
+from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge import link
 from knotwalk.edge.link import Link
 from knotwalk.leases.tenure import LEASE, PROOF
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -14,7 +14,7 @@
 
 from knotwalk.admission.connection_budget import ConnectionBudget
 from knotwalk.configuration.objects import Limits
-from knotwalk.discovery.cluster_view import WIDTH, Line
+from knotwalk.discovery.view_types import WIDTH, Line
 from knotwalk.edge import upstream
 from knotwalk.edge.choose import seen
 
--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -9,7 +9,7 @@
 import random
 import unittest
 
-from knotwalk.discovery.cluster_view import SLICES, WIDTH, Node
+from knotwalk.discovery.view_types import SLICES, WIDTH, Node
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.ledger import LIFT, Change, Ledger, ranges
 from knotwalk.leases.node_liveness import REFUSED_SPAN
--- a/tests/system/test_placement.py
+++ b/tests/system/test_placement.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from knotwalk.discovery.cluster_view import SLICES, Node
+from knotwalk.discovery.view_types import SLICES, Node
 from knotwalk.leases.ledger import Ledger
 from knotwalk.placement.capacity import SETTLE, Capacities, Report, utilizations
 from knotwalk.placement.passes import place, strip
--- a/tests/system/test_reuse.py
+++ b/tests/system/test_reuse.py
@@ -17,7 +17,7 @@
 
 from knotwalk.admission import outcome
 from knotwalk.cli.offer import NoAnswer, Operator
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge import caller as edge_caller, forward, upstream
 from knotwalk.runtime import call as runtime_call
 from knotwalk.runtime.errors import PeerError
