Split edge/forward.py by concern: exchange, choice of a node, one try, forwarder

Cause: one file of 613 lines held a request's state, the choice of a node, a single try, the decision to try again and what is told to the core. Moved by a script, whole methods: exchange (a request and its one answer), forwarding_state (budgets, pools, counts, reports, waiting), node_selection, node_try (a connection, the sending, what is learned), forwarder (what the tries prove, the end). Each builds on the one before it. Ruled out: collaborators that share budgets and pools through the forwarder.

Tests: imports and patch targets only.

--- a/knotwalk/edge/answer_writer.py
+++ b/knotwalk/edge/answer_writer.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 
 from knotwalk.edge.client_state import DEPTH, ClientState, ConnectionState
-from knotwalk.edge.forward import Exchange, Stage
+from knotwalk.edge.exchange import Exchange, Stage
 from knotwalk.edge.node_answer import Answer
 
 # Seconds by which the time told to clients lies before our own end of an idle connection.
--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -6,7 +6,7 @@
 import select
 
 from knotwalk.edge.client_state import ConnectionState
-from knotwalk.edge.forward import Stage
+from knotwalk.edge.exchange import Stage
 from knotwalk.edge.request_reader import RequestReader
 
 # Seconds that a connection stays open behind its last answer, so that unread bytes don't destroy it on the way.
--- a/knotwalk/edge/client_state.py
+++ b/knotwalk/edge/client_state.py
@@ -14,7 +14,7 @@
 
 import httptools
 
-from knotwalk.edge.forward import Exchange, Stage
+from knotwalk.edge.exchange import Exchange, Stage
 from knotwalk.runtime.errors import PeerError
 
 if TYPE_CHECKING:
--- /dev/null
+++ b/knotwalk/edge/exchange.py
@@ -0,0 +1,188 @@
+"""One client's request and its one answer: its stages, its body on the way to a node, and its ends from outside."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+
+from knotwalk.configuration.objects import Route
+from knotwalk.edge.node_answer import Answer
+from knotwalk.edge.node_connection import Connection
+from knotwalk.runtime.errors import PeerError
+
+
+class Stage(Enum):
+    """States of a request."""
+
+    READING = "reading"  # its body has not been read as far as it must be
+    READY = "ready"  # may be carried, waits its turn
+    RUNNING = "running"  # being carried
+    ANSWERED = "answered"  # its answer is known, waits its turn
+    WRITING = "writing"  # its answer is passed on as it comes
+    DONE = "done"
+
+
+STAGES = {
+    Stage.READING: {Stage.READY, Stage.ANSWERED, Stage.DONE},
+    Stage.READY: {Stage.RUNNING, Stage.ANSWERED, Stage.DONE},
+    Stage.RUNNING: {Stage.ANSWERED, Stage.DONE},
+    Stage.ANSWERED: {Stage.WRITING, Stage.DONE},
+    Stage.WRITING: {Stage.DONE},
+    Stage.DONE: set(),
+}
+
+
+class Exchange:
+    """A client's request and its answer. `settled` is called once, when the answer is known."""
+
+    __slots__ = (
+        "stage",
+        "begun",
+        "until",
+        "method",
+        "attempt",
+        "head",
+        "length",
+        "chunked",
+        "body",
+        "body_whole",
+        "body_gone",
+        "size",
+        "route",
+        "service",
+        "key",
+        "connection",
+        "waiter",
+        "expired",
+        "gone",
+        "timer",
+        "status",
+        "retry_after",
+        "answer",
+        "settled",
+        "keep",
+        "modern",
+        "expects",
+        "starve",
+        "task",
+        "text",
+        "way",
+    )
+
+    def __init__(self, begun: float, method: bytes, settled: Callable[[Exchange], None]):
+        self.stage = Stage.READING
+        self.begun, self.until = begun, begun
+        self.method, self.attempt, self.head = method, b"", b""
+        self.length: int | None = None  # of the body, as told
+        self.chunked = False
+        self.body = bytearray()  # what was read and not yet passed on
+        self.body_whole = self.body_gone = False
+        self.size = 0
+        self.route: Route | None = None
+        self.service, self.key = "", -1
+        self.connection: Connection | None = None
+        self.waiter: asyncio.Future | None = None
+        self.expired = self.gone = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.task: asyncio.Task | None = None
+        self.status, self.retry_after, self.text = 0, 0.0, ""
+        self.way = ""  # what its last try met with, one of those of `NodeTry._way`
+        self.answer: Answer | None = None
+        self.settled = settled
+        self.keep, self.modern, self.expects = True, True, False
+        self.starve: Callable[[bool], None] | None = None  # told whether the body can not be passed on for now
+
+    def to(self, stage: Stage) -> None:
+        """The one place where the state changes."""
+        if stage not in STAGES[self.stage]:
+            raise PeerError("request", self.attempt.decode("latin-1"), f"from {self.stage.value} to {stage.value}")
+        self.stage = stage
+
+    def own(self, status: int, text: str = "", retry_after: float = 0.0) -> None:
+        """The edge's own answer; the first one that is known stands."""
+        if self.stage in (Stage.ANSWERED, Stage.WRITING, Stage.DONE):
+            return
+        self.status, self.text, self.retry_after = status, text, retry_after
+        self._settle()
+
+    def passed_on(self, answer: Answer) -> None:
+        """The node's answer."""
+        if self.stage is not Stage.RUNNING:
+            if answer.stream is not None:
+                answer.stream.abort("answered already")
+            return
+        self.answer, self.status = answer, answer.status
+        self._settle()
+
+    def _settle(self) -> None:
+        if self.stage in (Stage.ANSWERED, Stage.WRITING, Stage.DONE):
+            return
+        self.to(Stage.ANSWERED)
+        self.settled(self)
+
+    # -- the body, towards the node
+
+    def arrived(self, data: bytes) -> None:
+        """A piece of the body was read."""
+        if self.body_gone and self.connection is not None:
+            self.connection.more(self._framed(data))
+        elif self.stage in (Stage.READING, Stage.READY, Stage.RUNNING):
+            self.body += data
+
+    def ended(self) -> None:
+        """The body was read to its end."""
+        self.body_whole = True
+        if self.body_gone and self.connection is not None:
+            if self.chunked:
+                self.connection.more(b"0\r\n\r\n")
+            self.connection.finish()
+
+    def _framed(self, data: bytes) -> bytes:
+        return b"%x\r\n%b\r\n" % (len(data), data) if self.chunked and data else bytes(data)
+
+    def writable(self, on: bool) -> None:
+        """The connection to the node can (not) take more of the body."""
+        if self.starve is not None:
+            self.starve(not on)
+
+    def sent_on(self, connection: Connection, deadline_ms: int, node: str) -> asyncio.Future[Answer]:
+        """Send the request on a connection, as much of the body as is there."""
+        self.connection = connection
+        if self.body_whole:
+            framing = b"Content-Length: %d\r\n" % len(self.body) if self.length is not None or self.chunked else b""
+            body = bytes(self.body)
+        else:
+            framing = b"Content-Length: %d\r\n" % (self.length or 0)
+            framing = b"Transfer-Encoding: chunked\r\n" if self.chunked else framing
+            body, self.body, self.body_gone = self._framed(bytes(self.body)), bytearray(), True
+            connection.source = self
+        head = b"%bDeadline-Ms: %d\r\nTarget-Instance: %b\r\n%b\r\n" % (
+            self.head,
+            deadline_ms,
+            node.encode("latin-1"),
+            framing,
+        )
+        future = connection.send(head, body, self.attempt, self.method, self.body_whole)
+        if not self.body_whole:
+            self.writable(True)
+        return future
+
+    # -- ends from outside
+
+    def expire(self) -> None:
+        """The deadline has come."""
+        self.expired = True
+        self._wake("the deadline passed")
+
+    def leave(self) -> None:
+        """The client is gone: a request that may run again is broken off, another is carried to its end."""
+        self.gone = True
+        if self.route is None or self.route.idempotent or not self.body_whole:
+            self._wake("the client is gone")
+
+    def _wake(self, why: str) -> None:
+        if self.connection is not None:
+            self.connection.abort(why)
+        if self.waiter is not None and not self.waiter.done():
+            self.waiter.set_result(None)
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -14,7 +14,8 @@
 from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.client_connection import CROWD_LOOK, ClientConnection, unread
-from knotwalk.edge.forward import Exchange, Forwarder, Stage
+from knotwalk.edge.exchange import Exchange, Stage
+from knotwalk.edge.forwarder import Forwarder
 from knotwalk.runtime.logs import log_exception, log_info
 from knotwalk.runtime.settings import Settings
 
--- a/tests/system/test_reuse.py
+++ b/tests/system/test_reuse.py
@@ -18,7 +18,7 @@
 from knotwalk.admission import outcome
 from knotwalk.cli.offer import NoAnswer, Operator
 from knotwalk.discovery.cluster_view import Node
-from knotwalk.edge import caller as edge_caller, forward, node_connection
+from knotwalk.edge import caller as edge_caller, forwarder, node_connection
 from knotwalk.runtime import call as runtime_call
 from knotwalk.runtime.errors import PeerError
 
@@ -154,7 +154,7 @@
 class ReuseCase(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         asyncio.get_running_loop().set_debug(False)
-        for target in ("knotwalk.edge.caller.CONNECT", "knotwalk.edge.forward.CONNECT"):
+        for target in ("knotwalk.edge.caller.CONNECT", "knotwalk.edge.node_try.CONNECT"):
             patched = mock.patch(target, LONG)  # a busy machine may stall a test for longer
             patched.start()
             self.addCleanup(patched.stop)
@@ -358,7 +358,7 @@
     async def test_what_may_not_be_repeated_sent_twice(self):
         """A reset after a byte left counts as proof that nothing ran; a library that sends again by itself."""
         proofs = {**outcome.PROOFS, outcome.End.LOST: outcome.Proof.NEVER_RAN}
-        with mock.patch.object(outcome, "PROOFS", proofs), mock.patch.object(forward, "PROOFS", proofs):
+        with mock.patch.object(outcome, "PROOFS", proofs), mock.patch.object(forwarder, "PROOFS", proofs):
             self.assertTrue(await self.found((EdgeToNode,), (mishaps.reset,), (READ,)))
         session = runtime_call.session
 
