--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -27,7 +27,8 @@
 from knotwalk.configuration.control import History, judge
 from knotwalk.configuration.read import difference, document, read_configuration
 from knotwalk.control_plane.replicated_state import ReplicatedState
-from knotwalk.discovery.cluster_view import Board, ClusterView
+from knotwalk.discovery.board import Board
+from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.discovery.listing import Listing
 from knotwalk.discovery.loads import merge
 
--- a/benchmarks/hollow.py
+++ b/benchmarks/hollow.py
@@ -14,10 +14,12 @@
 from knotwalk.configuration.read import document
 from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.control_plane.slice_manager import SliceManager
-from knotwalk.discovery.cluster_view import SLICES, Board, Node
+from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
-from knotwalk.leases.keeper import Grant, Keeper, Pace, Propose, Release
+from knotwalk.discovery.view_types import SLICES, Node
+from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.ledger import ranges
+from knotwalk.leases.orders import Grant, Pace, Propose, Release
 from knotwalk.placement.placer import Placer
 
 EDGES, NODES, SERVICES, REQUESTS, ROUTES = 630, 7900, 230, 45_000, 12_000  # the users' size
--- a/benchmarks/hollow_wire.py
+++ b/benchmarks/hollow_wire.py
@@ -18,7 +18,7 @@
 
 from benchmarks.hollow import Core, Fleet
 from knotwalk.control_plane.peer_api import PeerApi
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge.caller import Caller
 from knotwalk.runtime.call import Caller as CoreCaller
 from knotwalk.runtime.errors import PeerError
