Tests of agreement in time that only jumps; a silent node by a clock that stands

AgreementCase, DamageCase and Operators ran on the machine's clock: a stall longer than an election's time deposes a leader, as it should, and what is proposed meanwhile is Lost or NotLeader. They now run in the loop of test_cut_off, moved to tests/standins/jumps.py, whose time stands while other threads work, and which ends a wait that nothing can end. DamageCase: the machine that ended is cut off and time passes before it starts again; in one moment, its last answer counted as later than its heir's call. TriesCase.test_silence_is_waited_out: a stall of 80 ms before the request had reached the node gave 503; the loop's time now stands until the node has read it, then nothing comes at 79 ms and 504 past 80 ms (before: only not before 75 ms). wait_for is bounded by time, not by turns.

--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -13,6 +13,7 @@
 from knotwalk.configuration.read import document, patched, read_configuration
 from knotwalk.consensus.orders import Pace, Save, Saved
 from knotwalk.consensus.store import NAME, Damaged, Refused, Store
+from knotwalk.control_plane import consensus_driver, control
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeader, opened
 from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.list_poller import ListPoller
@@ -24,6 +25,7 @@
 from knotwalk.leases.keeper import UNSENT, Grant, Pace as LeasePace
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.packing import LEAST, unpack
+from tests.standins.jumps import JumpingCase
 
 ADDRESSES = ["10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"]
 DOCUMENT = {
@@ -79,7 +81,9 @@
         pass
 
 
-class AgreementCase(unittest.IsolatedAsyncioTestCase):
+class AgreementCase(JumpingCase):
+    clocks = (consensus_driver, control)
+
     async def asyncSetUp(self) -> None:
         self.wire = Wire()
         founders = {f"{at}#founder": at for at in ADDRESSES}
@@ -173,9 +177,11 @@
         self.assertEqual(back.headers["location"], f"http://{fresh.machine.address.partition(':')[0]}:8/configuration")
 
 
-class DamageCase(unittest.IsolatedAsyncioTestCase):
+class DamageCase(JumpingCase):
     """Three machines with real files; what one of them reads back is not what it wrote."""
 
+    clocks = (consensus_driver,)
+
     async def test_a_damaged_log_file_is_another_machine_which_the_others_take_in(self):
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
@@ -221,6 +227,7 @@
             )
             await until(lambda: damage == [at])
         self.assertFalse(victim.machine._may_stand())
+        wire.cut.add(at)  # an ended process answers nobody
         await victim.close()
         await asyncio.to_thread(victim.writer.shutdown)
         victim.store.close()
@@ -232,6 +239,8 @@
             self.assertLogs(level="WARNING"),
         ):
             opened(Store(), str(folder / at), True, at, founders, mock.Mock(side_effect=[StopIteration]))
+        await asyncio.sleep(0.01)  # an end and a start aren't one moment: who answers at it is alive
+        wire.cut.discard(at)
         with self.assertLogs(level="WARNING") as said:
             fresh = start(at, True)
         self.assertEqual(len(said.output), 1)
--- a/tests/system/test_cut_off.py
+++ b/tests/system/test_cut_off.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import json
-import selectors
 import unittest
 from concurrent.futures import Future
 from contextlib import ExitStack, contextmanager
@@ -25,6 +24,7 @@
 from knotwalk.edge.link import Link
 from knotwalk.leases.tenure import LEASE, PROOF
 from knotwalk.runtime.errors import PeerError
+from tests.standins.jumps import Loop, clock
 from tests.system.test_control_plane import ADDRESSES, DOCUMENT
 
 CUT = 20.0  # seconds, as in the users' letter
@@ -39,33 +39,6 @@
 }
 
 
-class Jumps(selectors.DefaultSelector):
-    """Waits for nothing: the time that a loop would have waited is added to `now`."""
-
-    now = 0.0
-
-    def select(self, timeout=None):
-        found = super().select(0)
-        if not found and timeout:
-            self.now += timeout + 1e-6  # past the moment, whatever the rounding
-        return found
-
-
-class Loop(asyncio.SelectorEventLoop):
-    """An event loop whose time only jumps, so that twenty seconds last some milliseconds."""
-
-    def __init__(self):
-        self.jumps = Jumps()
-        super().__init__(self.jumps)
-
-    def time(self):
-        return self.jumps.now
-
-
-def clock():
-    return asyncio.get_running_loop().time()
-
-
 class Inline:
     """An executor that works at once, in the caller's thread."""
 
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -7,9 +7,11 @@
 import dataclasses
 import random
 import select
+import time
 import unittest
 from unittest import mock
 
+from standins.jumps import Held
 from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, routes, show, view
 
 from knotwalk.admission.connection_budget import ConnectionBudget
@@ -59,11 +61,17 @@
 
 async def wait_for(met):
     """Give the loop turns until the condition is met."""
-    for _ in range(10000):
-        if met():
-            return
+    end = time.monotonic() + PATIENCE
+    while not met():
+        if time.monotonic() > end:
+            raise AssertionError("the condition was not met")
+        await asyncio.sleep(0)
+
+
+async def turns(count=100):
+    """Give the loop turns: timers that are due go off, and what was sent is read."""
+    for _ in range(count):
         await asyncio.sleep(0)
-    raise AssertionError("the condition was not met")
 
 
 class EdgeCase(unittest.IsolatedAsyncioTestCase):
@@ -208,12 +216,20 @@
 
     async def test_silence_is_waited_out(self):
         """A silent node is given up at the deadline, not before; then it may have run."""
-        await self.begin()
+        held = Held(self.loop)
+        await self.begin(now=held.now)
         for prefix, _ in BOTH:
             self.reset(lambda r, w: None)
-            begun = self.loop.time()
-            self.assertEqual((await self.ask(prefix, deadline=80))[0], 504)
-            self.assertGreater(self.loop.time() - begun, 0.075)
+            client = await self.client()
+            client.ask(prefix, deadline=80)
+            answer = self.loop.create_task(client.answer())
+            await wait_for(self.runs)
+            held.moment += 0.079
+            await turns()
+            self.assertFalse(answer.done())
+            held.moment += 0.0011  # past it, whatever the rounding
+            await wait_for(answer.done)
+            self.assertEqual((await answer)[0], 504)
             self.assertEqual(self.runs(), 1)
 
     async def test_too_late_is_refused_at_once(self):
--- a/tests/system/test_orders.py
+++ b/tests/system/test_orders.py
@@ -14,11 +14,12 @@
 from knotwalk.configuration.history import REMEMBERED, REMEMBERED_BEFORE, Standing, mark
 from knotwalk.configuration.read import document, version_text
 from knotwalk.consensus.orders import Pace, Saved
-from knotwalk.control_plane import control
+from knotwalk.control_plane import consensus_driver, control
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost
 from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.replicated_state import DONE, ReplicatedState
 from knotwalk.runtime.errors import PeerError
+from tests.standins.jumps import JumpingCase
 from tests.system import cluster
 from tests.system.test_control_plane import ADDRESSES, DOCUMENT, Cut, Wire
 
@@ -238,9 +239,11 @@
         pass
 
 
-class Operators(unittest.IsolatedAsyncioTestCase):
+class Operators(JumpingCase):
     """Operators at the control ports of three machines, which lose answers, leaders and power."""
 
+    clocks = (consensus_driver, control)
+
     async def asyncSetUp(self):
         self.wire, founders = Lossy(), {f"{at}#founder": at for at in ADDRESSES}
         self.disks = {at: Disk(Saved(f"{at}#founder", members=founders)) for at in ADDRESSES}
