--- a/tests/simulation/connections.py
+++ b/tests/simulation/connections.py
@@ -20,7 +20,8 @@
 from knotwalk.configuration.objects import Route
 from knotwalk.discovery.cluster_view import ClusterView, Node
 from knotwalk.edge import caller, connection_pool, node_connection, node_connection_state
-from knotwalk.edge.forward import Exchange, Forwarder, Stage
+from knotwalk.edge.exchange import Exchange, Stage
+from knotwalk.edge.forwarder import Forwarder
 from knotwalk.runtime.errors import PeerError
 from tests.simulation.loop import Process, VirtualLoop, clock
 from tests.simulation.programs import settings
--- a/tests/simulation/mistakes.py
+++ b/tests/simulation/mistakes.py
@@ -18,7 +18,7 @@
 from knotwalk.control_plane import control, peer_api
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.control_plane.replicated_state import ReplicatedState
-from knotwalk.edge import caller, forward
+from knotwalk.edge import caller, forwarder
 from knotwalk.edge.answer_reader import AnswerReader
 from knotwalk.edge.node_connection import Connection
 from knotwalk.edge.node_connection_state import Phase
@@ -217,7 +217,7 @@
     """Takes any call's answer of a core."""
 
 
-MOVE = forward.move
+MOVE = forwarder.move
 
 
 def _move_again(end: Any, idempotent: bool, may_have_run: bool, again: bool, status: int = 0) -> Any:
@@ -255,5 +255,5 @@
     "stale connection used again": _one(5, Connection, "ready", _ready_unasked),
     "answer of a node taken with its id unchecked": _one(5, AnswerReader, "_read_head", _any_answer),
     "answer of a core taken with its id unchecked": _one(5, caller.Connection, "on_headers_complete", _any_call),
-    "sent again though a byte left": _one(5, forward, "move", _move_again),
+    "sent again though a byte left": _one(5, forwarder, "move", _move_again),
 }
