Walks: a leader left alone with newcomers, and learners counted in place of newcomers voting

In its place stands one that is a fault of safety: learners counted towards the members' majority; the aimed fault 'newcomers alone' shows it.

--- a/tests/simulation/aimed.py
+++ b/tests/simulation/aimed.py
@@ -170,9 +170,28 @@
     _later(world, GONE, lambda: _when(world, world.loop.now + 2.0, changing, hold_up))
 
 
+def _newcomers(world: World, fault: Fault, place: Place) -> None:
+    """Two come at once; as soon as who leads has heard one of them, it is left with them alone."""
+    leader = world.leader()
+    if leader is None or not world.whole():
+        return
+    before = [one for one in world.places.values() if one is not leader]
+    there = [one.host for one in world.places.values() if not one.gone]
+    for _ in range(2):
+        world.add_core(there)
+    machine = leader.process.machine  # type: ignore[union-attr]
+    _when(
+        world,
+        world.loop.now + 1.0,
+        lambda: any(peer.kind == "learner" for peer in machine._peers.values()),
+        lambda: _cut(world, [leader], before, max(AWAY, fault.length)),
+    )
+
+
 AIMED: dict[str, Callable[[World, Fault, Place], None]] = {
-    "unkept entries": _entries,
+    "newcomers alone": _newcomers,
     "unkept vote": _vote,
     "cut after a look": _between,
     "change under way": _change,
+    "unkept entries": _entries,
 }
--- a/tests/simulation/mistakes.py
+++ b/tests/simulation/mistakes.py
@@ -14,6 +14,7 @@
 from knotwalk.configuration import control as verdicts
 from knotwalk.consensus import elections, following, leading, membership
 from knotwalk.consensus.machine import Machine
+from knotwalk.consensus.members import quorum
 from knotwalk.consensus.orders import LEADER, Answer
 from knotwalk.control_plane import control, peer_api
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
@@ -74,27 +75,15 @@
     return False
 
 
-def _joins_as_voter(
-    me: str,
-    members: dict,
-    voters: dict,
-    learners: list,
-    commit: int,
-    now: float,
-    fresh: float,
-    forget: float,
-    target: int,
-    sure: float,
-    kept: bool = True,
-) -> dict[str, str] | None:
-    """Takes a newcomer in before it has caught up, beside whoever lives at its address."""
-    for one in learners:
-        if one.id not in members:
-            return {**{id: at for id, at in members.items() if at != one.address}, one.id: one.address}
-    for one in voters.values():
-        if one.leaving:
-            return {id: at for id, at in members.items() if id != one.id}
-    return None
+def _count_learners(machine: Any, now: float) -> None:
+    """Counts whoever keeps an entry, learners too, towards the members' majority."""
+    kept = sorted([machine._stored, *(peer.match for peer in machine._peers.values())], reverse=True)
+    index = kept[quorum(len(machine.members)) - 1]
+    if index > machine.commit and machine.log.term_at(index) == machine.term:
+        machine._advance(index)
+        for peer in machine._peers.values():
+            machine._feed(now, peer, True)
+        machine._serve_reads(now)
 
 
 def _leaves_at_once(machine: Machine, now: float) -> None:
@@ -230,22 +219,22 @@
 
 
 MISTAKES: dict[str, Mistake] = {
-    "no contact before a read": _one(1, Machine, "read", _read_at_once, 1),
-    "any member answers reads": _one(1, Machine, "read", _read_anywhere, 1),
+    "no contact before a read": _one(1, Machine, "read", _read_at_once, 18),
+    "any member answers reads": _one(1, Machine, "read", _read_anywhere, 18),
     "provisional view though fresh before": _one(1, peer_api.PeerApi, "alone", _alone_always, 1),
-    "fresh whatever was heard": _one(1, peer_api, "FRESH", 60.0, 19),
+    "fresh whatever was heard": _one(1, peer_api, "FRESH", 60.0, 11),
     "history forgotten": _one(2, verdicts.History, "holds", _holds_nothing),
     "identity by number": _one(2, verdicts.History, "holds", _same_number),
     "snapshot without history": _one(2, ReplicatedState, "from_dict", classmethod(_empty_history), 1),
-    "done though lost": _one(2, ConsensusDriver, "propose", _done_if_lost, 5),
+    "done though lost": _one(2, ConsensusDriver, "propose", _done_if_lost, 17),
     "two judged at once, done by default": Mistake(
         2, ((control.asyncio, "Lock", _NoLock), (ConsensusDriver, "propose", _done_by_default))
     ),
     "two judged at once, applied on another base": Mistake(
         2, ((control.asyncio, "Lock", _NoLock), (ReplicatedState, "apply", _judged_alone))
     ),
-    "newcomer votes before it has all": _one(3, membership, "change", _joins_as_voter, 24),
-    "leaver not waited for": _one(3, Machine, "leave", _leaves_at_once),
+    "learners counted": _one(3, leading.Leading, "_count", _count_learners, 5),
+    "leaver not waited for": _one(3, Machine, "leave", _leaves_at_once, 10),
     "two changes of members at once": _one(3, membership.Membership, "_change_members", _two_changes, 2),
     "vote before it is kept": _one(4, elections.Elections, "_promise", _promise_unkept, 11),
     "acknowledged before kept": _one(4, following.Following, "_match", _match_received, 29),
