A newcomer votes when asked, also where its own log does not count it yet

Ruled out: lost disks, the transfer, pre-votes. Change: outsiders vote by their identity, once it is kept (Ongaro's thesis, 4.2); they don't stand.

--- a/knotwalk/consensus/elections.py
+++ b/knotwalk/consensus/elections.py
@@ -43,7 +43,8 @@
             self._become(now, LEADER, self.term)
 
     def _on_prevote(self, now: float, message: dict) -> None:
-        if self.role == OUTSIDER or self._sick:
+        """Say whether a vote would be given. An outsider says so too: see `_on_vote`."""
+        if self._sick:
             return
         grant = not self._sticky(now) and message["next"] > self.term and self._current(message)
         self._send(message["at"], "prevoted", message["from"], granted=grant, next=message["next"], leader=self.leader)
@@ -60,14 +61,20 @@
                 self._hint = message["leader"] or self._hint
 
     def _on_vote(self, now: float, message: dict) -> None:
-        if self.role == OUTSIDER or self._sick or self._sticky(now) and not message["handed"]:
+        """Give the vote of this term, whatever the own log says of members (Ongaro's thesis, 4.2).
+
+        A newcomer may be counted by entries that it has not got yet, and without its vote nobody might ever lead. That
+        is safe, since a vote is kept before it is told, and a machine whose disk was emptied has another identity and
+        is not asked.
+        """
+        if self._sick or self._sticky(now) and not message["handed"]:
             return
         if message["term"] > self.term:
             self._become(now, FOLLOWER, message["term"])
         grant = (
             message["term"] == self.term
             and self.vote in (None, message["from"])
-            and self.role in (FOLLOWER, CANDIDATE)
+            and self.role in (FOLLOWER, CANDIDATE, OUTSIDER)
             and self._leader_id is None
             and self._current(message)
         )
--- a/tests/system/test_membership.py
+++ b/tests/system/test_membership.py
@@ -315,6 +315,36 @@
                 self.assertTrue(cluster.serves(4.0))
                 self.assertTrue(cluster.run(6.0, lambda: cluster.counts("m0") and cluster.counts("m1")))
 
+    def test_a_newcomer_votes_that_is_counted_by_an_entry_which_it_lacks(self) -> None:
+        """All lose power while only those that stay have the entry: without the newcomer's vote nobody ever leads."""
+        for count in (3, 5):
+            for seed in range(3):
+                with self.subTest(count=count, seed=seed):
+                    cluster = Watched(seed, count)
+                    leader = cluster.led()
+                    others = [one for one in list(cluster.nodes) if one != leader.address]
+                    for lost in others[: count // 2]:  # for good
+                        cluster.stop(lost)
+                    staying = [leader.address, *others[count // 2 :]]
+                    cluster.add("n0")
+                    machine = leader.machine
+                    assert machine is not None
+                    self.assertTrue(cluster.run(4.0, lambda: len(machine.members) == count + 1))
+                    cluster.stop("n0")  # before the entry has come there
+                    index = machine.configs[-1][0]
+                    kept = [cluster.nodes[one].disk.saved for one in staying]
+                    self.assertTrue(
+                        cluster.run(1.0, lambda: all(one.entries and one.entries[-1].index >= index for one in kept))
+                    )
+                    self.assertLess(machine.commit, index)
+                    newcomer = cluster.nodes["n0"].disk.saved
+                    self.assertLess(newcomer.snapshot_index + len(newcomer.entries), index)
+                    for one in staying:
+                        cluster.stop(one)
+                    for one in (*staying, "n0"):
+                        cluster.start(one)
+                    self.assertTrue(cluster.serves(4.0))
+
     def test_an_address_whose_disk_is_lost_twice_in_a_row(self) -> None:
         for count in (3, 5):
             for seed in range(3):
