--- a/tests/simulation/mistakes.py
+++ b/tests/simulation/mistakes.py
@@ -12,12 +12,16 @@
 from unittest import mock
 
 from knotwalk.configuration import control as verdicts
-from knotwalk.consensus import leading, membership
+from knotwalk.consensus import elections, following, leading, membership
 from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import LEADER, Answer
 from knotwalk.control_plane import control, peer_api
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.control_plane.replicated_state import ReplicatedState
+from knotwalk.edge import caller, forwarder
+from knotwalk.edge.answer_reader import AnswerReader
+from knotwalk.edge.node_connection import Connection
+from knotwalk.edge.node_connection_state import Phase
 
 
 @dataclass(frozen=True)
@@ -57,13 +61,9 @@
     machine._close(now)
 
 
-def _provisional_always(api: peer_api.PeerApi) -> Any:
-    async def given() -> Any:
-        if api.board.config is None:
-            return None
-        return api.board.provisional(await api.list_poller.own_nodes(), peer_api.clock())
-
-    return given()
+def _alone_always(api: peer_api.PeerApi) -> bool:
+    """A core gives provisional views whatever it or others have heard."""
+    return True
 
 
 def _promise_unkept(machine: Machine, address: str, type: str, to: str, /, **rest: Any) -> None:
@@ -85,6 +85,7 @@
     forget: float,
     target: int,
     sure: float,
+    kept: bool = True,
 ) -> dict[str, str] | None:
     """Takes a newcomer in before it has caught up, beside whoever lives at its address."""
     for one in learners:
@@ -198,23 +199,61 @@
         pass
 
 
+def _ready_unasked(connection: Connection, careful: bool) -> bool:
+    """A connection is used again though its end, or bytes, lie unread at the socket."""
+    return connection.phase is Phase.IDLE and connection.transport is not None and not connection.transport.is_closing()
+
+
+READ_HEAD = AnswerReader._read_head
+
+
+def _any_answer(reader: AnswerReader, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+    """Takes whatever answer comes for the one that is waited for."""
+    reader.attempt = next((value.strip() for name, value in headers if name.lower() == b"attempt-id"), b"")
+    READ_HEAD(reader, status, headers)
+
+
+def _any_call(connection: caller.Connection) -> None:
+    """Takes any call's answer of a core."""
+
+
+MOVE = forwarder.move
+
+
+def _move_again(end: Any, idempotent: bool, may_have_run: bool, again: bool, status: int = 0) -> Any:
+    """Offers any request again, as if all might run twice."""
+    return MOVE(end, True, may_have_run, again, status)
+
+
 def _one(point: int, room: Any, name: str, made: Any, seed: int = 0) -> Mistake:
     return Mistake(point, ((room, name, made),), seed)
 
 
 MISTAKES: dict[str, Mistake] = {
-    "no contact before a read": _one(1, Machine, "read", _read_at_once, 22),
-    "any member answers reads": _one(1, Machine, "read", _read_anywhere, 22),
-    "provisional view though fresh before": _one(1, peer_api.PeerApi, "provisional", _provisional_always, 1),
-    "fresh whatever was heard": _one(1, peer_api, "FRESH", 60.0, 1),
+    "no contact before a read": _one(1, Machine, "read", _read_at_once, 1),
+    "any member answers reads": _one(1, Machine, "read", _read_anywhere, 1),
+    "provisional view though fresh before": _one(1, peer_api.PeerApi, "alone", _alone_always, 1),
+    "fresh whatever was heard": _one(1, peer_api, "FRESH", 60.0, 19),
     "history forgotten": _one(2, verdicts.History, "holds", _holds_nothing),
     "identity by number": _one(2, verdicts.History, "holds", _same_number),
-    "snapshot without history": _one(2, ReplicatedState, "from_dict", classmethod(_empty_history), 3),
+    "snapshot without history": _one(2, ReplicatedState, "from_dict", classmethod(_empty_history), 1),
+    "done though lost": _one(2, ConsensusDriver, "propose", _done_if_lost, 5),
     "two judged at once, done by default": Mistake(
         2, ((control.asyncio, "Lock", _NoLock), (ConsensusDriver, "propose", _done_by_default))
     ),
     "two judged at once, applied on another base": Mistake(
         2, ((control.asyncio, "Lock", _NoLock), (ReplicatedState, "apply", _judged_alone))
     ),
-    "leaver not waited for": _one(3, Machine, "leave", _leaves_at_once, 5),
+    "newcomer votes before it has all": _one(3, membership, "change", _joins_as_voter, 24),
+    "leaver not waited for": _one(3, Machine, "leave", _leaves_at_once),
+    "two changes of members at once": _one(3, membership.Membership, "_change_members", _two_changes, 2),
+    "vote before it is kept": _one(4, elections.Elections, "_promise", _promise_unkept, 11),
+    "acknowledged before kept": _one(4, following.Following, "_match", _match_received, 29),
+    "committed by what was received": _one(4, leading.Leading, "_count", _count_any_term, 29),
+    "votes whatever the log": _one(4, elections.Elections, "_current", _votes_for_any, 8),
+    "snapshot loses the configuration": _one(4, ReplicatedState, "from_dict", classmethod(_loses_state), 1),
+    "stale connection used again": _one(5, Connection, "ready", _ready_unasked),
+    "answer of a node taken with its id unchecked": _one(5, AnswerReader, "_read_head", _any_answer),
+    "answer of a core taken with its id unchecked": _one(5, caller.Connection, "on_headers_complete", _any_call),
+    "sent again though a byte left": _one(5, forwarder, "move", _move_again),
 }
