--- a/tests/system/test_simulation.py
+++ b/tests/system/test_simulation.py
@@ -5,12 +5,14 @@
 import sys
 import unittest
 
+from tests.simulation import connections
 from tests.simulation.faults import plan
 from tests.simulation.mistakes import MISTAKES
 from tests.simulation.register import Content, Register, Told
 from tests.simulation.walk import find, shrink, walk
 
 WALKS = 6
+CONNECTIONS = 40  # walks over connections: each takes some 25 ms
 
 
 class WalksTest(unittest.TestCase):
@@ -21,6 +23,11 @@
                 self.assertEqual(found.broken, [])
                 self.assertGreater(found.changes, 5)
 
+    def test_nothing_is_broken_on_connections(self):
+        for seed in range(CONNECTIONS):
+            with self.subTest(seed=seed):
+                self.assertEqual(connections.walk(seed), [])
+
     def test_a_walk_replays_exactly_in_another_process(self):
         told = [
             subprocess.run(
@@ -84,7 +91,12 @@
         for name, mistake in MISTAKES.items():
             if mistake.point == point:
                 with self.subTest(name):
-                    self.assertIsNotNone(find(mistake, mistake.seeds()), f"not found in {mistake.within} walks")
+                    self.held(find(mistake, mistake.seeds()), mistake)
+
+    def held(self, found, mistake):
+        self.assertIsNotNone(found, f"not found in {mistake.within} walks")
+        # A patch that no longer fits what it patches breaks the programs, which says nothing of the mistake.
+        self.assertNotRegex(found.broken[0], "TypeError|AttributeError|NameError")
 
     def test_mistakes_of_point_1_are_found(self):
         self.found(1)
@@ -94,3 +106,9 @@
 
     def test_mistakes_of_point_3_are_found(self):
         self.found(3)
+
+    def test_mistakes_of_point_4_are_found(self):
+        self.found(4)
+
+    def test_mistakes_of_point_5_are_found(self):
+        self.found(5)
