--- a/knotwalk/edge/connection_pool.py
+++ b/knotwalk/edge/connection_pool.py
@@ -9,7 +9,7 @@
 import socket
 from collections.abc import Callable
 
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge.node_connection import Connection
 from knotwalk.edge.node_connection_state import Phase
 from knotwalk.runtime.errors import PeerError
--- a/knotwalk/edge/forwarder.py
+++ b/knotwalk/edge/forwarder.py
@@ -10,7 +10,7 @@
 from knotwalk.admission.admission import SHUN_LAST, SHUN_OWNER, come_back
 from knotwalk.admission.outcome import PROOFS, End, Move, Proof, move
 from knotwalk.configuration.objects import Route
-from knotwalk.discovery.cluster_view import WIDTH
+from knotwalk.discovery.view_types import WIDTH
 from knotwalk.edge.choose import seen, service_of, wait_at
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.node_answer import Answer
--- a/knotwalk/edge/node_connection_state.py
+++ b/knotwalk/edge/node_connection_state.py
@@ -11,7 +11,7 @@
 import httptools
 
 from knotwalk.admission.outcome import End
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge.node_answer import Answer, Sink, Source
 from knotwalk.runtime.errors import PeerError
 
--- a/knotwalk/edge/node_selection.py
+++ b/knotwalk/edge/node_selection.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from knotwalk.admission.admission import worth_offering, yields
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge.choose import load, pick, seen
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarding_state import ForwardingState, waits_until
--- a/knotwalk/edge/node_try.py
+++ b/knotwalk/edge/node_try.py
@@ -6,7 +6,7 @@
 
 from knotwalk.admission.admission import Seen
 from knotwalk.admission.outcome import End
-from knotwalk.discovery.cluster_view import Node
+from knotwalk.discovery.view_types import Node
 from knotwalk.edge.choose import seen
 from knotwalk.edge.connection_pool import Pool
 from knotwalk.edge.exchange import Exchange
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -9,7 +9,8 @@
 from types import SimpleNamespace
 from typing import Any
 
-from knotwalk.discovery.cluster_view import SLICES, WIDTH, ClusterView
+from knotwalk.discovery.cluster_view import ClusterView
+from knotwalk.discovery.view_types import SLICES, WIDTH
 from knotwalk.edge.link import Link
 from knotwalk.runtime.units import seconds
 from tests.simulation.disk import Disk
