Simulation: a change of an earlier term counts as committed by what follows it

Cause: walk 21183 said that a leaver was a member still. Its removal, entry 24 of term 3, was committed by entry 25 of term 5, whose leader did not send 24 again, so the judge had no word of it. Ruled out: the code (the leaver was told by a commit past 24). Change: the judge takes a change up to the newest commit unless another entry of its index was.

--- a/tests/simulation/judges.py
+++ b/tests/simulation/judges.py
@@ -131,8 +131,16 @@
             self.judge.says(f"{self.loop.now:.3f} {message['from']} changes members before it has committed anything")
 
     def is_member(self, id: str) -> bool:
-        """Whether an id is among the members by the newest change that was told to be committed."""
-        found = [members for index, (of, members) in sorted(self.changes.items()) if self.committed.get(index) == of]
+        """Whether an id is among the members by the newest change that was told to be committed.
+
+        A change of an earlier term is committed by what follows it; the leader that tells so need not send it again.
+        """
+        newest = max(self.committed, default=0)
+        found = [
+            members
+            for index, (of, members) in sorted(self.changes.items())
+            if index <= newest and self.committed.get(index, of) == of
+        ]
         return id in found[-1] if found else id.endswith("#founder")
 
     def _commits(self, leader: str, index: int, of: int) -> None:
