Keeper tells by which evidence a former holder of keys was cleared

Change: the keeper adds typed events (HolderCleared, PortRefused) for the program to log; no decision reads them. Ruled out: counting in metrics, which tell neither node nor time.

--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -8,13 +8,14 @@
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
+from knotwalk.leases.evidence import Event, Evidence, HolderCleared, PortRefused
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.orders import REFUSED, UNSENT, Grant, Pace, Propose, Release
 from knotwalk.placement.capacity import Report, utilizations
 from knotwalk.placement.placer import Placer
 from knotwalk.runtime.call import Caller, Refused
 from knotwalk.runtime.errors import PeerError
-from knotwalk.runtime.logs import clock, log_exception, log_info
+from knotwalk.runtime.logs import clock, log_exception, log_info, log_warning
 from knotwalk.runtime.units import text
 
 STEP = 0.1  # seconds between questions whether the placement is to be looked at
@@ -25,6 +26,23 @@
 LANE_WAIT = 1.0  # seconds that a call waits for its turn: as long as a node that says nothing holds the others up
 
 
+def log_event(event: Event) -> None:
+    """A line of the log for what the keeper found; none for the ordinary way, a release."""
+    match event:
+        case PortRefused(node, address, span):
+            log_warning("port refuses", node=node, address=list(address), span=span)
+        case HolderCleared(node, service, evidence, slices, first, left) if evidence is not Evidence.RELEASED:
+            log_info(
+                "holder cleared",
+                node=node,
+                service=service,
+                by=evidence.value,
+                slices=slices,
+                first=first,
+                left=round(left, 2),
+            )
+
+
 class SliceManager:
     """Acts only on slices that the agreed log leases to `me`, and only while its lease is proven."""
 
@@ -79,6 +97,9 @@
         if self.stopped:
             return
         keeper = self.keeper
+        events, keeper.events = keeper.events, []
+        for event in events:
+            log_event(event)
         while keeper.orders:
             orders, keeper.orders = keeper.orders, []
             for order in orders:
--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -20,8 +20,9 @@
 from collections.abc import Iterable, Mapping
 
 from knotwalk.discovery.view_types import Node
+from knotwalk.leases.evidence import Event, Evidence, HolderCleared, PortRefused
 from knotwalk.leases.ledger import Ledger, Slice
-from knotwalk.leases.node_liveness import NodeLiveness
+from knotwalk.leases.node_liveness import REFUSED_SPAN, NodeLiveness
 from knotwalk.leases.orders import Grant, Order, Pace, Release, Status
 from knotwalk.leases.planning import plan_grants, plan_openings, plan_outbids, plan_releases
 from knotwalk.leases.slice_tenure import Holder, SliceTenure, State
@@ -40,6 +41,7 @@
     def __init__(self, me: str, pace: Pace, seed: int, now: float) -> None:
         self.me, self.pace = me, pace
         self.orders: list[Order] = []
+        self.events: list[Event] = []  # for the log
         self.until = -math.inf  # the lease is proven until then
         self.tenures: dict[tuple[str, int], SliceTenure] = {}
         self._random = random.Random(seed)
@@ -134,6 +136,7 @@
     def answered(self, now: float, order: Grant | Release, status: Status, handover: str | None = None) -> None:
         """How a call ended: its HTTP status, REFUSED, UNSENT, or None for no answer (then its connection is reset)."""
         if self._liveness.heard(now, order, status):
+            self.events.append(PortRefused(order.node, order.address, REFUSED_SPAN))
             self._touched.update(key for key, x in self.tenures.items() if order.node in x.holders)
         held = self._calls.pop(order, [])
         self._touched.update(x.key for x, _ in held)
@@ -158,6 +161,7 @@
         holder.releasing = False
         if status == 200 and holder.flying == 0:
             holder.until = -math.inf
+            holder.released = True
             x.take_handover(order, holder, handover)
         else:
             holder.tries += 1
@@ -180,8 +184,11 @@
         releases: list[tuple[SliceTenure, str]] = []
         grants: list[SliceTenure] = []
         tell: list[SliceTenure] = []
+        cleared: list[SliceTenure] = []
         for x in tenures:
-            self._step(now, x, releases, grants, tell)
+            if self._step(now, x, releases, grants, tell):
+                cleared.append(x)
+        self._note_cleared(now, cleared)
         if now < self.until:
             self._release(releases)
             self._grant(now, grants)
@@ -197,12 +204,14 @@
         releases: list[tuple[SliceTenure, str]],
         grants: list[SliceTenure],
         tell: list[SliceTenure],
-    ) -> None:
-        """What a slice wants now."""
+    ) -> bool:
+        """What a slice wants now; whether its last former holder has just been cleared."""
+        cleared = False
         if x.state is State.CLEARING:
             held = [(id, h) for id in x.foreign if not self._cleared(now, id, h := x.holders[id])]
             releases += [(x, id) for id, h in held if self._may_release(now, id, h)]
             if not held:
+                cleared = True
                 x.turn(State.GRANTING)
         if x.state in (State.GRANTING, State.GRANTED, State.OPEN):
             mine = x.holders[x.owner]
@@ -210,6 +219,26 @@
                 grants.append(x)
         if x.tells(now):
             tell.append(x)
+        return cleared
+
+    def _note_cleared(self, now: float, cleared: list[SliceTenure]) -> None:
+        """Add to `events` by which evidence the former holders of slices were cleared, neighbours or not as one."""
+        found: dict[tuple[str, str, Evidence], list[tuple[int, float]]] = {}
+        for x in cleared:
+            for id in x.foreign:
+                key = id, x.service, self._evidence(now, id, x.holders[id])
+                found.setdefault(key, []).append((x.slice, max(0.0, x.holders[id].until - now)))
+        for (id, service, evidence), rows in found.items():
+            first, left = min(k for k, _ in rows), max(left for _, left in rows)
+            self.events.append(HolderCleared(id, service, evidence, len(rows), first, left))
+
+    def _evidence(self, now: float, id: str, holder: Holder) -> Evidence:
+        """Why a cleared holder holds nothing more."""
+        if holder.released:
+            return Evidence.RELEASED
+        if holder.flying == 0 and holder.until <= now:
+            return Evidence.EXPIRED
+        return Evidence.PORT_REFUSED if self._liveness.dead(id) else Evidence.DROPPED
 
     def _cleared(self, now: float, id: str, holder: Holder) -> bool:
         return self._liveness.ended(id) or (holder.flying == 0 and holder.until <= now)
--- a/knotwalk/leases/slice_tenure.py
+++ b/knotwalk/leases/slice_tenure.py
@@ -50,12 +50,14 @@
     flying: int = 0  # grants to it that are out
     releasing: bool = False  # a release is out
     sure: bool = False  # has answered 200 to a grant
+    released: bool = False  # has answered 200 to a release since the last grant to it
     again: float = -math.inf  # the next release not before
     tries: int = 0
 
     def grant_ended(self, now: float, hold: float, status: Status, slack: float) -> None:
         """A grant of `hold` seconds to it ended: until when it may hold the keys by that."""
         self.flying -= 1
+        self.released = False
         if status is None:
             self.quiet = max(self.quiet, now + slack)
             self.until = max(self.until, now + slack + hold * SLOW)
