--- a/tests/system/test_leases.py
+++ b/tests/system/test_leases.py
@@ -83,6 +83,7 @@
         self.world, self.name = world, name
         self.life, self.frozen_until, self.cut_until, self.up = 0, 0.0, 0.0, True
         self.deaf = {}  # nodes that nothing of this conductor reaches, until when
+        self.refused = {}  # nodes that live, but whose connections something on the way refuses, until when
         self.start(0)
 
     def start(self, at):
@@ -220,6 +221,7 @@
         self.good = good  # the share of calls that nothing happens to
         self.checker, self.log = OwnerChecker(), [{"do": "shard", "services": ["s"]}]
         self.up, self.ports, self.rows, self.ids = {}, {}, [], itertools.count()
+        self.missed = {}  # nodes that live and that no reading of the list has, until when
         for _ in range(4):
             self.start_node()
         self.history = [(-9.0, self.snapshot())]
@@ -266,7 +268,8 @@
 
     def listed(self):
         lag = self.now - self.random.uniform(0.2, 1.0)
-        return next(rows for at, rows in reversed(self.history) if at <= lag)
+        rows = next(rows for at, rows in reversed(self.history) if at <= lag)
+        return {id: x for id, x in rows.items() if self.now >= self.missed.get(id, 0.0)}
 
     # --- calls ---
 
@@ -283,6 +286,9 @@
         kind = "good" if not self.trouble or r.random() < self.good else r.choice(("late", "late", "no answer", "lost"))
         if sent < conductor.deaf.get(order.node, 0.0):
             kind = "lost"
+        if sent < conductor.refused.get(order.node, 0.0):
+            conductor.later(r.uniform(0.001, 0.01), lambda: conductor.keeper.answered(self.now, order, REFUSED))
+            return
         state = {"done": False}
 
         def answer(status, handover=None):
@@ -314,6 +320,7 @@
                 if not c.up:
                     c.start(c.at)
                 c.deaf.clear()
+                c.refused.clear()
                 c.frozen_until = c.cut_until = 0.0
             return
         r, c = self.random, self.random.choice(self.conductors)
@@ -334,6 +341,14 @@
                 c.cut_until = self.now + r.uniform(2, 12)
             case "deaf":
                 c.deaf[r.choice(sharded).id] = self.now + r.uniform(5, 10)
+            case "refuse":
+                c.refused[r.choice(sharded).id] = self.now + r.uniform(1, 10)
+            case "refuse all":
+                until = self.now + r.uniform(1, 10)
+                for conductor, x in itertools.product(self.conductors, r.sample(sharded, len(sharded) // 2)):
+                    conductor.refused[x.id] = until
+            case "miss":
+                self.missed[r.choice(sharded).id] = self.now + r.uniform(0.3, 4)
             case "crash" if len(sharded) > 2:
                 self.end_node(r.choice(sharded))
             case "drain" if len(sharded) > 2:
@@ -624,8 +639,8 @@
             Ledger.from_dict({"index": 1, "services": {"s": []}})
 
 
-class KeeperTest(unittest.TestCase):
-    """One conductor, its calls in hand."""
+class KeeperHarness(unittest.TestCase):
+    """One conductor, its calls in hand; has no tests of its own."""
 
     def setUp(self):
         self.ledger, self.index = Ledger(), 0
@@ -671,6 +686,10 @@
         self.assertEqual(self.apply(now + 0.02, propose.command), [])
         return grant
 
+
+class KeeperTest(KeeperHarness):
+    """What one conductor orders, call by call."""
+
     def test_a_first_grant_goes_at_once_opens_and_is_renewed(self):
         grant = self.opened(1.0, 2, 4, "n")
         self.assertEqual(
