--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -8,7 +8,7 @@
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
-from knotwalk.leases.evidence import Event, Evidence, HolderCleared, PortRefused
+from knotwalk.leases.evidence import Event, Evidence, HolderCleared, NodeUnreachable
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.orders import REFUSED, UNSENT, Grant, Pace, Propose, Release
 from knotwalk.placement.capacity import Report, utilizations
@@ -29,18 +29,10 @@
 def log_event(event: Event) -> None:
     """A line of the log for what the keeper found; none for the ordinary way, a release."""
     match event:
-        case PortRefused(node, address, span):
-            log_warning("port refuses", node=node, address=list(address), span=span)
-        case HolderCleared(node, service, evidence, slices, first, left) if evidence is not Evidence.RELEASED:
-            log_info(
-                "holder cleared",
-                node=node,
-                service=service,
-                by=evidence.value,
-                slices=slices,
-                first=first,
-                left=round(left, 2),
-            )
+        case NodeUnreachable(node, address, refused):
+            log_warning("node unreachable", node=node, address=list(address), refused=refused)
+        case HolderCleared(node, service, evidence, slices, first) if evidence is not Evidence.RELEASED:
+            log_info("holder cleared", node=node, service=service, by=evidence.value, slices=slices, first=first)
 
 
 class SliceManager:
@@ -191,12 +183,15 @@
 
     def moves(self, now: float) -> list[dict]:
         """What the placer wants moved, if there is anything new to look at."""
-        ledger, failed = self.consensus.state.ledger, {id for id in self.board.nodes if self.keeper.dead(id)}
-        if not self.placer.due(now, (ledger, ledger.index, self.board.nodes_order, failed, self.board.ailing)):
+        ledger = self.consensus.state.ledger
+        unreachable = {id for id in self.board.nodes if self.keeper.unreachable(id)}
+        lapsed = self.keeper.lapsed(now)
+        news = ledger, ledger.index, self.board.nodes_order, unreachable, lapsed, self.board.ailing
+        if not self.placer.due(now, news):
             return []
-        return self.placer.place(now, ledger, self.board.nodes, self.report(now, failed))
+        return self.placer.place(now, ledger, self.board.nodes, self.report(now, unreachable, lapsed))
 
-    def report(self, now: float, failed: set[str]) -> Report:
+    def report(self, now: float, unreachable: set[str], lapsed: frozenset[tuple[str, int]]) -> Report:
         sums, spans = self.loads.sums(now)
         # Requests, not their seconds: those grow with a node's queue, and would make the slices of a full node heavier.
         demand = {
@@ -210,6 +205,7 @@
             utilization=told,
             heard={id: now for id in told},
             spans=spans,
-            failed=failed,
+            unreachable=unreachable,
+            lapsed=lapsed,
             ailing=self.board.ailing,
         )
--- a/knotwalk/leases/evidence.py
+++ b/knotwalk/leases/evidence.py
@@ -1,5 +1,8 @@
 """By which evidence a former holder of keys was found to hold them no more, and other findings worth a line of the log.
 
+Only a holder's own answer and time are evidence. That a node isn't reached, or isn't listed, tells nothing of what it
+holds (incident inc1).
+
 Pure values: the keeper adds them to its `events`, the program that drives it writes them to the log.
 """
 
@@ -14,32 +17,26 @@
 
     RELEASED = "released"  # it answered 200 to a release, and no grant to it was out
     EXPIRED = "hold expired"  # the last hold that may have reached it has run out
-    DROPPED = "dropped by the list"  # the platform's list had it long enough, and has it no more
-    PORT_REFUSED = "port refused"  # its port refused, twice in a row
 
 
 @dataclass(frozen=True)
 class HolderCleared:
-    """`node` holds `slices` slices of `service` no more, the lowest of which is `first`.
-
-    `left`: seconds that the longest of its holds still had by this conductor's count, 0 where it had run out.
-    """
+    """`node` holds `slices` slices of `service` no more, the lowest of which is `first`."""
 
     node: str
     service: str
     evidence: Evidence
     slices: int
     first: int
-    left: float
 
 
 @dataclass(frozen=True)
-class PortRefused:
-    """A node's port has refused twice in a row, `span` seconds apart or more."""
+class NodeUnreachable:
+    """Calls to a node were refused, or one was not answered: it gets no more keys for now, and keeps what it holds."""
 
     node: str
     address: tuple[str, int]
-    span: float
+    refused: bool
 
 
-Event = HolderCleared | PortRefused
+Event = HolderCleared | NodeUnreachable
--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -8,8 +8,9 @@
 hold it and until when at most (`slice_tenure`). A conductor that takes a slice over knows of no calls, so all that the
 ledger names count as granted just now. A lease binds to the log as well: it counts only once the ledger has followed
 the log to where the leader was when it answered, or a program that lags would act on slices that are another's by now.
-A holder is cleared by a release answered 200 (sent when no grant to it could still arrive), by its time, or by its
-death (`node_liveness`). What slices want becomes calls and entries in `planning`.
+A holder is cleared by a release answered 200 (sent when no grant to it could still arrive) or by its time, and by
+nothing else: a node whose port refuses, or that the list lacks, may run on. What slices want becomes calls and entries
+in `planning`.
 """
 
 from __future__ import annotations
@@ -20,12 +21,12 @@
 from collections.abc import Iterable, Mapping
 
 from knotwalk.discovery.view_types import Node
-from knotwalk.leases.evidence import Event, Evidence, HolderCleared, PortRefused
+from knotwalk.leases.evidence import Event, Evidence, HolderCleared, NodeUnreachable
 from knotwalk.leases.ledger import Ledger, Slice
-from knotwalk.leases.node_liveness import REFUSED_SPAN, NodeLiveness
-from knotwalk.leases.orders import Grant, Order, Pace, Release, Status
+from knotwalk.leases.node_liveness import NodeLiveness
+from knotwalk.leases.orders import REFUSED, Grant, Order, Pace, Release, Status
 from knotwalk.leases.planning import plan_grants, plan_openings, plan_outbids, plan_releases
-from knotwalk.leases.slice_tenure import Holder, SliceTenure, State
+from knotwalk.leases.slice_tenure import MOVE_TIME, SHORT_HOLD, Holder, SliceTenure, State
 
 # Renewals come a drawn 0.8 to 1 of `renew` apart, so that those of one start do not stay together.
 SPREAD = 0.2
@@ -49,6 +50,7 @@
         self._calls: dict[Grant | Release, list[tuple[SliceTenure, Holder]]] = {}
         self._promises: list[tuple[int, float]] = []  # leases that wait for the ledger: (entry, until)
         self._touched: set[tuple[str, int]] = set()
+        self._failing: set[tuple[str, int]] = set()  # slices whose owner may not have taken the last grant
         self._heap: list[tuple[float, str, int]] = []
         self._begun = now
         self._index = -1  # how far the ledger has followed the log
@@ -136,8 +138,7 @@
     def answered(self, now: float, order: Grant | Release, status: Status, handover: str | None = None) -> None:
         """How a call ended: its HTTP status, REFUSED, UNSENT, or None for no answer (then its connection is reset)."""
         if self._liveness.heard(now, order, status):
-            self.events.append(PortRefused(order.node, order.address, REFUSED_SPAN))
-            self._touched.update(key for key, x in self.tenures.items() if order.node in x.holders)
+            self.events.append(NodeUnreachable(order.node, order.address, status == REFUSED))
         held = self._calls.pop(order, [])
         self._touched.update(x.key for x, _ in held)
         if isinstance(order, Release):
@@ -145,7 +146,8 @@
                 self._released(now, x, holder, order, status, handover)
             return
         pause = self._pause(max((x.tries for x, _ in held), default=0))
-        due = now + self.pace.renew * (1 - SPREAD * self._random.random())
+        whole = isinstance(order, Grant) and order.hold >= self.pace.hold
+        due = now + (self.pace.renew * (1 - SPREAD * self._random.random()) if whole else 0.0)
         for x, holder in held:
             self._granted(now, x, holder, order, status, due, pause)
 
@@ -154,6 +156,8 @@
     ) -> None:
         holder.grant_ended(now, order.hold, status, self.pace.slack)
         x.grant_ended(now, order, holder, status, due, pause)
+        if holder.failing:
+            self._failing.add(x.key)
 
     def _released(
         self, now: float, x: SliceTenure, holder: Holder, order: Release, status: Status, handover: str | None
@@ -208,7 +212,7 @@
         """What a slice wants now; whether its last former holder has just been cleared."""
         cleared = False
         if x.state is State.CLEARING:
-            held = [(id, h) for id in x.foreign if not self._cleared(now, id, h := x.holders[id])]
+            held = [(id, h) for id in x.foreign if not self._cleared(now, h := x.holders[id])]
             releases += [(x, id) for id, h in held if self._may_release(now, id, h)]
             if not held:
                 cleared = True
@@ -216,32 +220,28 @@
         if x.state in (State.GRANTING, State.GRANTED, State.OPEN):
             mine = x.holders[x.owner]
             if x.due <= now and mine.flying == 0 and not mine.releasing and self._liveness.usable(x.owner):
-                grants.append(x)
+                if mine.next_hold(now, self.pace) > 0:
+                    grants.append(x)
+                else:
+                    x.due = max(now, mine.until) + MOVE_TIME
         if x.tells(now):
             tell.append(x)
         return cleared
 
     def _note_cleared(self, now: float, cleared: list[SliceTenure]) -> None:
         """Add to `events` by which evidence the former holders of slices were cleared, neighbours or not as one."""
-        found: dict[tuple[str, str, Evidence], list[tuple[int, float]]] = {}
+        found: dict[tuple[str, str, Evidence], list[int]] = {}
         for x in cleared:
             for id in x.foreign:
-                key = id, x.service, self._evidence(now, id, x.holders[id])
-                found.setdefault(key, []).append((x.slice, max(0.0, x.holders[id].until - now)))
-        for (id, service, evidence), rows in found.items():
-            first, left = min(k for k, _ in rows), max(left for _, left in rows)
-            self.events.append(HolderCleared(id, service, evidence, len(rows), first, left))
-
-    def _evidence(self, now: float, id: str, holder: Holder) -> Evidence:
-        """Why a cleared holder holds nothing more."""
-        if holder.released:
-            return Evidence.RELEASED
-        if holder.flying == 0 and holder.until <= now:
-            return Evidence.EXPIRED
-        return Evidence.PORT_REFUSED if self._liveness.dead(id) else Evidence.DROPPED
-
-    def _cleared(self, now: float, id: str, holder: Holder) -> bool:
-        return self._liveness.ended(id) or (holder.flying == 0 and holder.until <= now)
+                released = x.holders[id].released
+                found.setdefault((id, x.service, Evidence.RELEASED if released else Evidence.EXPIRED), []).append(
+                    x.slice
+                )
+        for (id, service, evidence), slices in found.items():
+            self.events.append(HolderCleared(id, service, evidence, len(slices), min(slices)))
+
+    def _cleared(self, now: float, holder: Holder) -> bool:
+        return holder.flying == 0 and holder.until <= now
 
     def _may_release(self, now: float, id: str, h: Holder) -> bool:
         return h.flying == 0 and not h.releasing and h.quiet <= now and h.again <= now and id in self._known
@@ -277,7 +277,7 @@
                 first_key=run.first_key,
                 last_key=run.last_key,
                 fence=first.fence,
-                hold=self.pace.hold,
+                hold=min(x.holders[run.node].next_hold(now, self.pace) or SHORT_HOLD for x in run.slices),
                 handover=run.handover,
                 service=first.service,
                 slices=run.numbers,
@@ -288,9 +288,19 @@
 
     # --- to be seen ---
 
-    def dead(self, id: str) -> bool:
-        """Whether a node that the list may still have is known to be gone by its port: for placement."""
-        return self._liveness.dead(id)
+    def unreachable(self, id: str) -> bool:
+        """Whether a node should be given no more keys for now, since it isn't reached: for placement."""
+        return self._liveness.unreachable(id)
+
+    def lapsed(self, now: float) -> frozenset[tuple[str, int]]:
+        """Slices whose owner surely holds them no more, since it took no renewal: for placement."""
+        for key in list(self._failing):
+            x = self.tenures.get(key)
+            if x is None or x.owner not in x.holders or not x.holders[x.owner].failing:
+                self._failing.discard(key)
+        states = (State.GRANTING, State.GRANTED, State.OPEN)
+        found = ((key, self.tenures[key]) for key in self._failing)
+        return frozenset(key for key, x in found if x.state in states and x.holders[x.owner].lapsed(now))
 
     def explain(self, now: float) -> list[dict]:
         """Slices as runs of neighbours alike: state, owner, fence and who else may hold them for how many seconds."""
@@ -299,7 +309,7 @@
             held = {
                 id: round(x.holders[id].until - now, 1)
                 for id in x.foreign
-                if x.state is State.CLEARING and not self._cleared(now, id, x.holders[id])
+                if x.state is State.CLEARING and not self._cleared(now, x.holders[id])
             }
             row = {"service": service, "state": x.state.value, "owner": x.owner, "fence": x.fence, "held": held}
             if rows and rows[-1]["last"] == k - 1 and all(rows[-1][name] == value for name, value in row.items()):
--- a/knotwalk/leases/slice_tenure.py
+++ b/knotwalk/leases/slice_tenure.py
@@ -13,10 +13,15 @@
 from enum import Enum
 
 from knotwalk.leases.ledger import Slice
-from knotwalk.leases.orders import REFUSED, SLOW, UNSENT, Grant, Release, Status
+from knotwalk.leases.orders import REFUSED, SLOW, UNSENT, Grant, Pace, Release, Status
 
 # What was proposed and is not in the log after so long (s) is proposed again: several times the time of a commit.
 PROPOSE_AGAIN = 1.0
+# The shortest hold (s) that is asked for: a node that answers to one is asked for a whole one at once.
+SHORT_HOLD = 0.5
+# After an owner's hold has surely run out without an answer from it, placement has so long (s) to move the slice before
+# the owner is asked again: each call that may have arrived makes the next owner wait.
+MOVE_TIME = 0.5
 # Answers of one move's grants come over some ms; one entry for all of them costs each line this much (s) at most.
 GATHER = 0.02
 
@@ -41,6 +46,25 @@
 }
 
 
+class Outcome(Enum):
+    """How the last grant to a holder that was sent ended."""
+
+    NONE = "none"  # none has ended yet
+    TAKEN = "taken"
+    ANSWERED = "answered"  # with another status
+    REFUSED = "refused"  # at connect
+    SILENT = "silent"
+
+
+def outcome(status: Status) -> Outcome:
+    """The outcome of a grant that was sent and ended so."""
+    if status is None:
+        return Outcome.SILENT
+    if status == REFUSED:
+        return Outcome.REFUSED
+    return Outcome.TAKEN if status == 200 else Outcome.ANSWERED
+
+
 @dataclass(eq=False, slots=True)
 class Holder:
     """A node that may hold a slice."""
@@ -53,11 +77,37 @@
     released: bool = False  # has answered 200 to a release since the last grant to it
     again: float = -math.inf  # the next release not before
     tries: int = 0
+    last: Outcome = Outcome.NONE
+
+    @property
+    def failing(self) -> bool:
+        """Whether the last grant got no answer from it."""
+        return self.last in (Outcome.REFUSED, Outcome.SILENT)
+
+    def lapsed(self, now: float) -> bool:
+        """Whether it surely holds nothing, and did not answer the last grant."""
+        return self.failing and self.flying == 0 and self.until <= now
+
+    def next_hold(self, now: float, pace: Pace) -> float:
+        """The hold to ask for in a grant sent now, 0 for none yet.
+
+        A holder that did not answer the last grant is asked for what it may have by our count anyway: the count must
+        come to an end, or nobody else could ever be granted the keys.
+        """
+        if not self.failing:
+            return pace.hold
+        left = (self.until - now - pace.flight) / SLOW
+        if left >= SHORT_HOLD:
+            return min(left, pace.hold)
+        return 0.0 if self.last is Outcome.SILENT and now < self.until + MOVE_TIME else SHORT_HOLD
 
     def grant_ended(self, now: float, hold: float, status: Status, slack: float) -> None:
         """A grant of `hold` seconds to it ended: until when it may hold the keys by that."""
         self.flying -= 1
+        if status == UNSENT:
+            return
         self.released = False
+        self.last = outcome(status)
         if status is None:
             self.quiet = max(self.quiet, now + slack)
             self.until = max(self.until, now + slack + hold * SLOW)
@@ -65,7 +115,7 @@
             # No proof that it was not taken: nodes name no call in their answers, so on a connection that is used again
             # this may be an earlier call's answer, come late, and the grant may be on its way.
             self.until = max(self.until, now + slack + hold * SLOW)
-        elif status not in (REFUSED, UNSENT):
+        elif status != REFUSED:
             self.until = max(self.until, now + hold * SLOW)
 
 
@@ -123,7 +173,7 @@
             self.turn(State.CLEARING)
 
     def grant_ended(self, now: float, order: Grant, holder: Holder, status: Status, due: float, pause: float) -> None:
-        """A grant to `holder` ended; `due`: its renewal if a 200, `pause`: seconds until a failed one is sent again."""
+        """A grant to `holder` ended; `due`: the next after a 200, `pause`: seconds until a failed one is sent again."""
         if self.owner != order.node or self.fence != order.fence:
             return
         if status == 200:
--- a/knotwalk/placement/capacity.py
+++ b/knotwalk/placement/capacity.py
@@ -42,9 +42,10 @@
     demand: dict[str, dict[int, float]] = field(default_factory=dict)  # by service and slice, of the last seconds
     utilization: dict[str, float] = field(default_factory=dict)  # by node
     heard: dict[str, float] = field(default_factory=dict)  # by node: when (the caller's clock, s)
-    failed: set[str] = field(default_factory=set)  # listed, but known to be gone (Keeper.dead)
+    unreachable: set[str] = field(default_factory=set)  # listed, but not reached (Keeper.unreachable)
     ailing: frozenset[str] = frozenset()  # listed and there, but most that goes there goes wrong
     spans: dict[str, float] = field(default_factory=dict)  # by service: the seconds that its demand was heard over
+    lapsed: frozenset[tuple[str, int]] = frozenset()  # slices that such a node held no longer (Keeper.lapsed)
 
 
 def utilizations(
--- a/knotwalk/placement/placer.py
+++ b/knotwalk/placement/placer.py
@@ -1,6 +1,7 @@
 """Where slices should go: the passes of one conductor, over the slices that it leases.
 
-Slices of nobody, and those of gone, failed, ailing and draining nodes, are placed at once, even past capacity. All else
+Slices of nobody, and those of gone, ailing and draining nodes, are placed at once, even past capacity; those of a node
+that isn't reached once it holds them no more. All else
 is the paper's: a pass every 5 s strips nodes above k_p = (1 + mean utilization) / 2 and places what it stripped,
 heaviest first, where (load + slice) / capacity is least, skipping a move that would overfill its target; a node above
 k_e = 1 brings a pass on at once. Conductors do not ask each other: each strips its own part of a node's excess, and
@@ -143,8 +144,8 @@
         self._wanted = HEARD  # seconds of demand heard that a pass wants
 
     def due(self, now: float, news: object) -> bool:
-        """Whether `place` has anything to do: `news` (the ledger's entry, the list, the failed) is not what it was,
-        loads were last looked at a while ago, or the time of a pass, a batch or a lost move has come."""
+        """Whether `place` has anything to do: `news` (the ledger's entry, the list, who isn't reached) is not what it
+        was, loads were last looked at a while ago, or the time of a pass, a batch or a lost move has come."""
         if news == self._news and now < min(self._wake, self._looked + LOOK):
             return False
         self._news, self._looked = news, now
@@ -181,7 +182,11 @@
                     loads[owner] += load
             for id, load in loads.items():
                 fleet[id].load = load
-            left = [k for k in self._mine[service] if owners[service][k] not in fleet]
+            left = [
+                k
+                for k in self._mine[service]
+                if (owner := owners[service][k]) not in fleet and not self._waits((service, k), owner, nodes, report)
+            ]
             urgent += self._settle(now, service, left, demand[service], fleet, owners[service])
         if self._last is None:
             self._last = now - PERIOD * self._random.random()
@@ -214,6 +219,13 @@
 
     # --- what is known ---
 
+    @staticmethod
+    def _waits(key: tuple[str, int], owner: str, nodes: Mapping[str, Node], report: Report) -> bool:
+        """Whether a slice stays with an owner that isn't reached: until it lapses nobody else can be granted it, and
+        edges may reach the owner."""
+        node = nodes.get(owner)
+        return node is not None and not node.draining and owner in report.unreachable and key not in report.lapsed
+
     def _gathering(self, now: float, ledger: Ledger, nodes: Mapping[str, Node]) -> bool:
         """Whether the first laying-out of all waits for nodes that start with us: each would come empty, and filling
         it costs moves. Not when any slice has an owner already."""
@@ -293,7 +305,9 @@
     ) -> dict[str, Load]:
         """The nodes that may take slices, ailing ones only where the rest has no room for theirs. Where no capacity is
         known, the service counts as half used."""
-        live = [id for id, x in nodes.items() if x.service == service and not x.draining and id not in report.failed]
+        live = [
+            id for id, x in nodes.items() if x.service == service and not x.draining and id not in report.unreachable
+        ]
         slots = sum(max(1, nodes[id].capacity) for id in live)
         fleet = {}
         for id in sorted(live):
--- a/tests/system/test_unproven_ends.py
+++ b/tests/system/test_unproven_ends.py
@@ -6,7 +6,8 @@
 
 import unittest
 
-from knotwalk.leases.orders import REFUSED, SLOW, Grant
+from knotwalk.leases.orders import REFUSED, SLOW, Grant, Release
+from knotwalk.leases.slice_tenure import MOVE_TIME
 from tests.system.test_leases import PACE, KeeperHarness, World
 
 SEEDS = range(40)
@@ -25,6 +26,9 @@
     def test_connections_refused_on_the_way_to_nodes_that_live(self):
         self.holds("refuse", "refuse all", "add")
 
+    def test_refusals_among_all_other_faults(self):
+        self.holds(*World.FAULTS, "refuse", "refuse all", "miss")
+
     def test_readings_of_the_list_that_lack_nodes_that_live(self):
         self.holds("miss", "miss", "add")
 
@@ -44,6 +48,35 @@
         self.assertEqual(granted.node, "m")
         self.assertGreaterEqual(now, 1.01 + PACE.hold * SLOW)
 
+    def test_an_owner_that_does_not_answer_lapses_when_the_hold_it_took_has_run_out(self):
+        """Renewals go on, but ask for no more than it may have already; answered once, it gets a whole hold again."""
+        self.opened(1.0, 0, 0, "n")
+        (renewal,) = self.next(1.1)
+        first = self.now + PACE.flight + PACE.hold * SLOW  # it may have come; those after it change nothing
+        while self.now < first:
+            self.assertLessEqual(self.now + PACE.flight + renewal.hold * SLOW, first + 1e-6)
+            ended = self.now + PACE.call_timeout
+            self.answer(ended, renewal, None)
+            self.assertEqual(self.keeper.lapsed(ended), frozenset())
+            (renewal,) = self.next(ended)
+        self.assertAlmostEqual(self.now, first + MOVE_TIME)
+        self.assertTrue(self.keeper.unreachable("n"))
+        (renewal,) = self.answer(self.now + 0.01, renewal, 200)
+        self.assertEqual((renewal.node, renewal.hold), ("n", PACE.hold))
+        self.assertFalse(self.keeper.unreachable("n"))
+
+    def test_a_lapsed_slice_is_granted_elsewhere_at_once(self):
+        self.opened(1.0, 0, 0, "n")
+        (renewal,) = self.next(1.1)
+        self.answer(self.now, renewal, REFUSED)
+        while ("s", 0) not in self.keeper.lapsed(self.now):
+            (renewal,) = self.next(self.now)
+            self.answer(self.now, renewal, REFUSED)
+        now = self.now
+        self.assertLess(now - 1.01 - PACE.hold * SLOW, 1.2)
+        (grant,) = [x for x in self.move(now, 0, 0, "m") if not isinstance(x, Release)]
+        self.assertEqual(grant.node, "m")
+
 
 if __name__ == "__main__":
     unittest.main()
