Simulation: connections to nodes refused on the way, and the mistake of taking that for an end

Change: a cut may refuse; each walk cuts nodes from one or all cores besides its other faults (drawn apart, so those stay what they were). A seeded mistake takes a refused connection for the end of a node.

--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -47,7 +47,17 @@
         length = chance.choice((0.05, 0.3, 0.8, 2.0, 5.0, 20.0)[: 4 if every < 0.3 else 6])
         found.append(Fault(round(at, 3), sort, min(length, span - at), chance.random(), chance.random()))
         at += chance.expovariate(1 / every)
-    return found
+    return sorted(found + _unreached_nodes(seed, span), key=lambda fault: fault.at)
+
+
+def _unreached_nodes(seed: int, span: float) -> list[Fault]:
+    """Cuts between nodes and cores, drawn apart so that the other faults of a seed stay what they were."""
+    chance = random.Random(f"nodes {seed}")
+    times = [chance.uniform(0.0, span) for _ in range(int(span / 4))]
+    return [
+        Fault(round(at, 3), "nodes unreached", chance.choice((1.0, 3.0, 9.0)), chance.random(), chance.random())
+        for at in times
+    ]
 
 
 def _aimed(seed: int, span: float) -> list[Fault]:
@@ -109,7 +119,10 @@
 
 
 def _between(world: World, ones: list[str], others: list[str], fault: Fault, both: bool) -> None:
-    mode = ("lost", "hold", "reset")[int(fault.how * 97) % 3]
+    _cut_all(world, ones, others, ("lost", "hold", "reset")[int(fault.how * 97) % 3], fault, both)
+
+
+def _cut_all(world: World, ones: list[str], others: list[str], mode: str, fault: Fault, both: bool) -> None:
     for one in ones:
         for other in others:
             if one != other:
@@ -146,6 +159,17 @@
     _between(world, [place.host], others, fault, fault.how < 0.7)
 
 
+def _nodes_unreached(world: World, fault: Fault, place: Place) -> None:
+    """Half of the nodes, or one, cut off from all cores or from one; every second time connections are refused."""
+    hosts = sorted(node.process.host for node in world.nodes.values())
+    if not hosts:
+        return
+    first = int(fault.who * 7919) % len(hosts)
+    cut = (hosts[first:] + hosts[:first])[: max(1, len(hosts) // 2) if fault.how < 0.6 else 1]
+    mode = ("refused", "lost", "refused", "reset")[int(fault.how * 97) % 4]
+    _cut_all(world, _hosts(world) if fault.who < 0.6 else [place.host], cut, mode, fault, True)
+
+
 def _weather(world: World, fault: Fault, place: Place) -> None:
     wire = world.wire
     wire.loss, wire.double, wire.late = fault.how * 0.3, fault.who * 0.2, (0.0005, 0.02, 0.2)[int(fault.how * 89) % 3]
@@ -279,12 +303,15 @@
 }
 
 
+NODES: dict[str, Callable[[World, Fault, Place], None]] = {"nodes unreached": _nodes_unreached}
+
+
 def meet(world: World, fault: Fault) -> None:
     """A fault comes about."""
     place = _pick(world, fault.who)
     if place is not None:
         world.said.append((round(world.loop.now, 4), "FAULT", fault.sort, {"at": place.host, "fault": fault}))
-        (SORTS | AIMED)[fault.sort](world, fault, place)
+        (SORTS | AIMED | NODES)[fault.sort](world, fault, place)
 
 
 def heal(world: World) -> None:
--- a/tests/simulation/mistakes.py
+++ b/tests/simulation/mistakes.py
@@ -23,6 +23,8 @@
 from knotwalk.edge.answer_reader import AnswerReader
 from knotwalk.edge.node_connection import Connection
 from knotwalk.edge.node_connection_state import Phase
+from knotwalk.leases.keeper import Keeper
+from knotwalk.leases.orders import REFUSED
 
 
 @dataclass(frozen=True)
@@ -206,6 +208,7 @@
     """Takes any call's answer of a core."""
 
 
+ANSWERED = Keeper.answered
 MOVE = forwarder.move
 
 
@@ -214,6 +217,15 @@
     return MOVE(end, True, may_have_run, again, status)
 
 
+def _refused_is_gone(keeper: Keeper, now: float, order: Any, status: Any, handover: str | None = None) -> None:
+    """Takes a refused connection for the end of the node (incident inc1)."""
+    ANSWERED(keeper, now, order, status, handover)
+    if status == REFUSED:
+        for tenure in keeper.tenures.values():
+            if order.node in tenure.holders:
+                tenure.holders[order.node].until = now
+
+
 def _one(point: int, room: Any, name: str, made: Any, seed: int = 0) -> Mistake:
     return Mistake(point, ((room, name, made),), seed)
 
@@ -241,6 +253,7 @@
     "committed by what was received": _one(4, leading.Leading, "_count", _count_any_term, 29),
     "votes whatever the log": _one(4, elections.Elections, "_current", _votes_for_any, 8),
     "snapshot loses the configuration": _one(4, ReplicatedState, "from_dict", classmethod(_loses_state), 1),
+    "a refused connection ends a node": _one(4, Keeper, "answered", _refused_is_gone, 6),
     "stale connection used again": _one(5, Connection, "ready", _ready_unasked),
     "answer of a node taken with its id unchecked": _one(5, AnswerReader, "_read_head", _any_answer),
     "answer of a core taken with its id unchecked": _one(5, caller.Connection, "on_headers_complete", _any_call),
--- a/tests/simulation/wire.py
+++ b/tests/simulation/wire.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import json
 import random
 from collections.abc import Awaitable, Callable
@@ -22,7 +23,10 @@
 
 @dataclass
 class Cut:
-    """What happens to messages from one host to another: lost, held until it heals, or answered by a reset."""
+    """What happens to messages from one host to another: lost, held until it heals, answered by a reset, or refused.
+
+    `refused`: connections are refused as by a closed port, though the host lives; what is under way is reset.
+    """
 
     mode: str
     until: float
@@ -59,11 +63,21 @@
         cut = self.cuts.get((sender, to))
         return cut if cut is not None and cut.until > self.loop.now else None
 
+    def _set_out(
+        self, sender: str, to: str, arrive: Callable[[], None], reset: Callable[[], None], refuse: Callable[[], None]
+    ) -> None:
+        """Have a call's first message arrive, unless something on the way refuses its connection."""
+        cut = self._cut(sender, to)
+        if cut is not None and cut.mode == "refused":
+            self.loop.world.soon(refuse, wait=DELAY)
+        else:
+            self._travel(sender, to, arrive, reset)
+
     def _travel(self, sender: str, to: str, arrive: Callable[[], None], reset: Callable[[], None]) -> None:
         """Have one message arrive, or not."""
         cut = self._cut(sender, to)
         wait = DELAY + self.random.uniform(0, self.late)
-        if cut is not None and cut.mode == "reset":
+        if cut is not None and cut.mode in ("reset", "refused"):
             self.loop.world.soon(reset, wait=wait)
         elif cut is not None and cut.mode == "hold":
             self.loop.world.soon(arrive, wait=cut.until - self.loop.now + wait)
@@ -118,7 +132,8 @@
                 reset,
             )
 
-        self._travel(caller.host, parts.hostname, arrive, reset)
+        refuse = functools.partial(fail, Refused(step, url, "refused on the way"))
+        self._set_out(caller.host, parts.hostname, arrive, reset, refuse)
         if parts.path in DOUBLED and self.random.random() < self.double:
             self._travel(caller.host, parts.hostname, arrive, reset)
         try:
