--- a/tests/system/model.py
+++ b/tests/system/model.py
@@ -22,7 +22,7 @@
 from knotwalk.discovery.view_types import Node
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.ledger import Ledger, Slice
-from knotwalk.leases.orders import SLOW, Grant, Pace as KeysPace, Propose, Release
+from knotwalk.leases.orders import REFUSED, SLOW, Grant, Pace as KeysPace, Propose, Release
 from knotwalk.leases.slice_tenure import Holder
 from knotwalk.leases.tenure import LEASE, Tenure, reassign
 from tests.system.cluster import Disk
@@ -430,6 +430,7 @@
     asks: str = "ab"  # who renews its lease after the beginning
     reassigns: int = 1
     swift: bool = False  # calls take less than a second and none is lost, for a deeper walk
+    refuses: bool = False  # calls may be refused at connect, though the node lives
 
     def __post_init__(self) -> None:
         self.local = Locals()
@@ -675,6 +676,8 @@
                 yield self._arrive(state, call, rest, what, after)
             if number >= 0 and status is not None:
                 yield stepped(which, ("answered", now, number, status), f"{what} is answered {status}", calls=rest)
+            if self.refuses and number >= 0 and status is None and now == sent:
+                yield stepped(which, ("answered", now, number, REFUSED), f"{what} is refused", calls=rest)
             if number >= 0 and not self.swift and now >= sent + KEYS.call_timeout:
                 late = ((*call[:2], -1, *call[3:]),) if status is None and now <= sent + KEYS.flight else ()
                 yield stepped(which, ("answered", now, number, None), f"{what} is given up", calls=rest + late)
@@ -730,6 +733,7 @@
         "newcomers": (Agreement(count=1, newcomers=1, terms=1, commands=0), 99 if big else 18, most),
         "leavers": (Agreement(count=2, target=1, leaves=1, terms=1, commands=0), 99 if big else 19, most),
         "calls": (Keys(), 10 if big else 7, most),
+        "refusals": (Keys(swift=True, refuses=True, asks="a", starts=0, reassigns=0), 99 if big else 12, most),
         "leases": (Keys(swift=True, leaders=1, moves=1), 99 if big else 10, most),
     }
 
@@ -765,6 +769,16 @@
         return tenure
 
 
+class ClearsRefused(Keeper):
+    """Mistake: a refused connection counts as the end of the node (incident inc1)."""
+
+    def answered(self, now: float, order: Any, status: Any, handover: str | None = None) -> None:
+        super().answered(now, order, status, handover)
+        for tenure in self.tenures.values() if status == REFUSED else ():
+            if order.node in tenure.holders:
+                tenure.holders[order.node].until = now
+
+
 def mistakes() -> dict[str, tuple[Agreement | Keys, int, str]]:
     """By name: a world with a mistake, how deep it shows at most, and what is then broken."""
     one = {"terms": 1, "commands": 0, "beats": False}
@@ -786,5 +800,10 @@
             9,
             "which the other holds",
         ),
+        "takes a refused connection for an end": (
+            Keys(kind=ClearsRefused, refuses=True, swift=True, asks="a", starts=0, reassigns=0),
+            14,
+            "which the other holds",
+        ),
         "takes over without waiting": (Keys(kind=TrustsPredecessor, reassigns=0), 7, "which the other holds"),
     }
