--- a/tests/system/model.py
+++ b/tests/system/model.py
@@ -669,18 +669,27 @@
         if leaders < self.leaders:
             yield after("another leads", tenure=(now, ()), leaders=leaders + 1)
         for call in calls:
-            sent, name, number, kind, node, slices, fence, status, _ = call
-            which, rest = "ab".index(name), tuple(one for one in calls if one is not call)
-            what = f"{kind} {fence} of {slices} from {name} at {node}"
-            if status is None and now <= sent + KEYS.flight:
-                yield self._arrive(state, call, rest, what, after)
-            if number >= 0 and status is not None:
-                yield stepped(which, ("answered", now, number, status), f"{what} is answered {status}", calls=rest)
-            if self.refuses and number >= 0 and status is None and now == sent:
-                yield stepped(which, ("answered", now, number, REFUSED), f"{what} is refused", calls=rest)
-            if number >= 0 and not self.swift and now >= sent + KEYS.call_timeout:
-                late = ((*call[:2], -1, *call[3:]),) if status is None and now <= sent + KEYS.flight else ()
-                yield stepped(which, ("answered", now, number, None), f"{what} is given up", calls=rest + late)
+            yield from self._call_steps(state, call, after, stepped)
+
+    def _call_steps(
+        self, state: tuple, call: tuple, after: Callable[..., Step], stepped: Callable[..., Step]
+    ) -> Iterator[Step]:
+        """What may become of a call: it arrives, is answered, refused at connect, or given up."""
+        now, calls = state[0], state[4]
+        sent, name, number, kind, node, slices, fence, status, _ = call
+        which, rest = "ab".index(name), tuple(one for one in calls if one is not call)
+        what = f"{kind} {fence} of {slices} from {name} at {node}"
+        if status is None and now <= sent + KEYS.flight:
+            yield self._arrive(state, call, rest, what, after)
+        if number < 0:
+            return
+        if status is not None:
+            yield stepped(which, ("answered", now, number, status), f"{what} is answered {status}", calls=rest)
+        if self.refuses and status is None and now == sent:
+            yield stepped(which, ("answered", now, number, REFUSED), f"{what} is refused", calls=rest)
+        if not self.swift and now >= sent + KEYS.call_timeout:
+            late = ((*call[:2], -1, *call[3:]),) if status is None and now <= sent + KEYS.flight else ()
+            yield stepped(which, ("answered", now, number, None), f"{what} is given up", calls=rest + late)
 
     def _arrive(self, state: tuple, call: tuple, rest: tuple, what: str, after: Callable[..., Step]) -> Step:
         now, nodes, tops = state[0], [list(row) for row in state[3]], list(state[7])
