A silent node meets one whole renewal; cores tell whom they do not reach

Ruled out: the move itself (0.2 s) and the list (4 s of listing ends before the hold).

Change: renewals of one node go one after the other, and while an answer is owed for over 0.3 s they ask for no more than the node may hold anyway (`NodeLiveness.doubted`, `Holder.next_hold`). Only time and answers clear holders, as before. Cores tell each other with the loads of each second which nodes they do not reach (`discovery.reachability`); placement gives such nodes no more keys while there are others. A machine whose disk was emptied while all its seeds are gone asks whoever calls its former self.

--- a/knotwalk/consensus/machine.py
+++ b/knotwalk/consensus/machine.py
@@ -43,12 +43,17 @@
         self._close(now)
 
     def receive(self, now: float, message: dict) -> None:
-        """Take a message in; those for another id, or of no known type, are dropped."""
+        """Take a message in; those for another id, or of no known type, are dropped.
+
+        Who knows no group notes who calls an id before its own: its disk was emptied, and the others still count it.
+        """
         self._expire(now)
         handle = getattr(self, "_on_" + str(message.get("type")), None)
         silent = self.leaving and self.role == OUTSIDER
         if handle is not None and message.get("to") in (self.me, "") and message["from"] != self.me and not silent:
             handle(now, message)
+        elif handle is not None and self.role == OUTSIDER and not self.leaving and self._leader is None:
+            self._hint = message["at"]  # calls the life before at this address, so it may know the group: asked to join
         self._close(now)
 
     def propose(self, now: float, command: dict, ticket: Any) -> None:
--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.reachability import PeerReachability, UnreachedNodes
 from knotwalk.leases.evidence import Event, Evidence, HolderCleared, NodeUnreachable
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.orders import REFUSED, UNSENT, Grant, Pace, Propose, Release
@@ -53,11 +55,14 @@
         self.me, self.consensus, self.board, self.loads, self.caller = me, consensus, board, loads, caller
         self.pace, self.propose = pace, propose
         self.keeper = Keeper(me, pace, seed, clock())
+        self.peers_reach = PeerReachability()
         self.placer = Placer(me, seed, zone)
         self.timer: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task] = set()
         self.lanes: dict[tuple[tuple[str, int], str], asyncio.Semaphore] = {}  # by a node's address and the call
         self.stopped = False
+        self.cleared: Counter[Evidence] = Counter()  # slices whose former holder was cleared
+        self.calls: Counter[tuple[str, str]] = Counter()  # by call, and how it ended
 
     def leased(self, until: float, index: int) -> None:
         """A lease until then, given when the leader's log went to `index`."""
@@ -92,6 +97,8 @@
         events, keeper.events = keeper.events, []
         for event in events:
             log_event(event)
+            if isinstance(event, HolderCleared):
+                self.cleared[event.evidence] += event.slices
         while keeper.orders:
             orders, keeper.orders = keeper.orders, []
             for order in orders:
@@ -146,6 +153,7 @@
                     status, handover = await self._sent(order, step, body)
             finally:
                 lane.release()
+        self.calls[step, str(status or "silent")] += 1
         if not self.stopped:
             self.keeper.answered(clock(), order, status, handover)
             self.carry_out()
@@ -186,12 +194,21 @@
         ledger = self.consensus.state.ledger
         unreachable = {id for id in self.board.nodes if self.keeper.unreachable(id)}
         lapsed = self.keeper.lapsed(now)
-        news = ledger, ledger.index, self.board.nodes_order, unreachable, lapsed, self.board.ailing
+        avoided = frozenset(self.peers_reach.since(now))
+        news = ledger, ledger.index, self.board.nodes_order, unreachable, lapsed, avoided, self.board.ailing
         if not self.placer.due(now, news):
             return []
-        return self.placer.place(now, ledger, self.board.nodes, self.report(now, unreachable, lapsed))
+        return self.placer.place(now, ledger, self.board.nodes, self.report(now, unreachable, lapsed, avoided))
 
-    def report(self, now: float, unreachable: set[str], lapsed: frozenset[tuple[str, int]]) -> Report:
+    def unreached(self, now: float) -> UnreachedNodes | None:
+        """What to tell the other cores of nodes that this one does not reach; None where it reaches all."""
+        nodes = self.keeper.unreached(now)
+        return UnreachedNodes(self.me, nodes) if nodes else None
+
+    def report(
+        self, now: float, unreachable: set[str], lapsed: frozenset[tuple[str, int]], avoided: frozenset[str]
+    ) -> Report:
+        """What the placement goes by, besides the ledger and the list."""
         sums, spans = self.loads.sums(now)
         # Requests, not their seconds: those grow with a node's queue, and would make the slices of a full node heavier.
         demand = {
@@ -207,5 +224,6 @@
             spans=spans,
             unreachable=unreachable,
             lapsed=lapsed,
+            avoided=avoided,
             ailing=self.board.ailing,
         )
--- a/knotwalk/leases/keeper.py
+++ b/knotwalk/leases/keeper.py
@@ -32,6 +32,9 @@
 SPREAD = 0.2
 # Pause (s) before a call is tried again, doubled each time: a lost packet is over in 0.3 s; one try a second is cheap.
 PAUSE, PAUSE_MOST = 0.3, 1.2
+# Seconds between looks whether a node has answered the grant that its other renewals wait for, and the most that they
+# wait beyond the time of their renewal.
+ANSWER_LOOK, PATIENT = 0.05, 0.5
 # Proven leases that wait for the ledger: so many of the newest are kept besides the one that just came.
 PROMISES = 8
 
@@ -51,6 +54,7 @@
         self._promises: list[tuple[int, float]] = []  # leases that wait for the ledger: (entry, until)
         self._touched: set[tuple[str, int]] = set()
         self._failing: set[tuple[str, int]] = set()  # slices whose owner may not have taken the last grant
+        self._renewing: set[str] = set()  # nodes that this tick asks to renew
         self._heap: list[tuple[float, str, int]] = []
         self._begun = now
         self._index = -1  # how far the ledger has followed the log
@@ -183,6 +187,7 @@
             self._touched.add((service, k))
         if not self._touched:
             return
+        self._renewing.clear()
         keys, self._touched = sorted(self._touched), set()
         tenures = [x for key in keys if (x := self.tenures.get(key)) is not None]
         releases: list[tuple[SliceTenure, str]] = []
@@ -220,7 +225,10 @@
         if x.state in (State.GRANTING, State.GRANTED, State.OPEN):
             mine = x.holders[x.owner]
             if x.due <= now and mine.flying == 0 and not mine.releasing and self._liveness.usable(x.owner):
-                if mine.next_hold(now, self.pace) > 0:
+                if self._may_wait(now, x, mine):
+                    x.due = now + ANSWER_LOOK
+                elif self._next_hold(now, x) > 0:
+                    self._renewing.add(x.owner)
                     grants.append(x)
                 else:
                     x.due = max(now, mine.until) + MOVE_TIME
@@ -228,6 +236,20 @@
             tell.append(x)
         return cleared
 
+    def _may_wait(self, now: float, x: SliceTenure, mine: Holder) -> bool:
+        """Whether a renewal waits for the answer to another grant of the same node.
+
+        Renewals of one node go one after the other, so that a node that has crashed meets with one at most, and what it
+        holds otherwise ends in time.
+        """
+        node, owes = x.owner, x.owner in self._renewing or self._liveness.owes(x.owner)
+        if x.state is not State.OPEN or not owes or self._liveness.doubted(now, node):
+            return False
+        return mine.until - now > self.pace.hold - self.pace.renew - PATIENT
+
+    def _next_hold(self, now: float, x: SliceTenure) -> float:
+        return x.holders[x.owner].next_hold(now, self.pace, self._liveness.doubted(now, x.owner))
+
     def _note_cleared(self, now: float, cleared: list[SliceTenure]) -> None:
         """Add to `events` by which evidence the former holders of slices were cleared, neighbours or not as one."""
         found: dict[tuple[str, str, Evidence], list[int]] = {}
@@ -277,12 +299,13 @@
                 first_key=run.first_key,
                 last_key=run.last_key,
                 fence=first.fence,
-                hold=min(x.holders[run.node].next_hold(now, self.pace) or SHORT_HOLD for x in run.slices),
+                hold=min(self._next_hold(now, x) or SHORT_HOLD for x in run.slices),
                 handover=run.handover,
                 service=first.service,
                 slices=run.numbers,
                 expires=self.until,
             )
+            self._liveness.called(now, order)
             self._calls[order] = [(x, x.holders[run.node]) for x in run.slices]
             self.orders.append(order)
 
@@ -292,6 +315,10 @@
         """Whether a node should be given no more keys for now, since it isn't reached: for placement."""
         return self._liveness.unreachable(id)
 
+    def unreached(self, now: float) -> dict[str, float]:
+        """The listed nodes that are not reached, by seconds: for the other cores."""
+        return self._liveness.unreached(now)
+
     def lapsed(self, now: float) -> frozenset[tuple[str, int]]:
         """Slices whose owner surely holds them no more, since it took no renewal: for placement."""
         for key in list(self._failing):
--- a/knotwalk/leases/node_liveness.py
+++ b/knotwalk/leases/node_liveness.py
@@ -15,6 +15,9 @@
 # A node whose port refuses twice so far apart (s), and nothing heard between, counts as unreachable. Once may be a full
 # queue of connections.
 REFUSED_SPAN = 0.2
+# A node that has not answered a grant for so long (s) is in doubt; answers take some ms, a lost packet 0.2 s. What
+# is asked of it meanwhile must not make its holds longer: if it has crashed, the keys wait for each of them.
+DOUBT = 0.3
 # A node that isn't reached gets no more keys, so nothing is sent there either, and nothing tells when it is back. After
 # so long (s) without a call it may be given some again; a crashed one has left the platform's list by then.
 UNREACHABLE_MOST = 10.0
@@ -29,6 +32,8 @@
         self._taken: dict[tuple[str, int], int] = {}  # how many listed nodes have an address
         self._refused: dict[str, float] = {}  # the first of refusals in a row
         self._unreachable: dict[str, float] = {}  # the last call that was not answered
+        self._since: dict[str, float] = {}  # of these: the first one in a row
+        self._owing: dict[str, float] = {}  # nodes asked since their last call ended, and when they were first
 
     def listed(self, now: float, nodes: Mapping[str, Node]) -> bool:
         """Take the platform's list, whole; whether that changes what may be called."""
@@ -58,10 +63,24 @@
         self.known = {id: address for id, address in self.known.items() if id in named}
         self._refused = {id: at for id, at in self._refused.items() if id in named}
         self._unreachable = {id: at for id, at in self._unreachable.items() if id in named}
+        self._since = {id: at for id, at in self._since.items() if id in named}
+
+    def called(self, now: float, order: Grant) -> None:
+        """A grant is ordered now."""
+        self._owing.setdefault(order.node, now)
+
+    def owes(self, id: str) -> bool:
+        """Whether the node has been asked since its last answer."""
+        return id in self._owing
+
+    def doubted(self, now: float, id: str) -> bool:
+        """Whether the node owes an answer for longer than DOUBT, or is unreachable."""
+        return id in self._unreachable or self._owing.get(id, now) < now - DOUBT
 
     def heard(self, now: float, order: Grant | Release, status: Status) -> bool:
         """How a call ended; whether the node is found to be unreachable by it, and was not before."""
         id = order.node
+        self._owing.pop(id, None)
         if status == UNSENT or self.known.get(id) != order.address:
             return False
         if isinstance(status, int):
@@ -71,16 +90,22 @@
             return False
         found = id not in self._unreachable
         self._unreachable[id] = now
+        self._since.setdefault(id, now)
         return found
 
     def _forgive(self, id: str) -> None:
         self._refused.pop(id, None)
         self._unreachable.pop(id, None)
+        self._since.pop(id, None)
 
     def unreachable(self, id: str) -> bool:
         """Whether the last calls to a node were refused, or the last one was not answered."""
         return id in self._unreachable
 
+    def unreached(self, now: float) -> dict[str, float]:
+        """The listed nodes that are not reached, by the seconds since the first call in a row that failed."""
+        return {id: now - at for id, at in self._since.items() if id in self._nodes}
+
     def usable(self, id: str) -> bool:
         """Whether a node may be granted keys: listed, and alone at its address."""
         node = self._nodes.get(id)
--- a/knotwalk/leases/slice_tenure.py
+++ b/knotwalk/leases/slice_tenure.py
@@ -88,13 +88,14 @@
         """Whether it surely holds nothing, and did not answer the last grant."""
         return self.failing and self.flying == 0 and self.until <= now
 
-    def next_hold(self, now: float, pace: Pace) -> float:
-        """The hold to ask for in a grant sent now, 0 for none yet.
+    def next_hold(self, now: float, pace: Pace, doubted: bool = False) -> float:
+        """The hold to ask for in a grant sent now, 0 for none yet; `doubted`: its node owes answers to other grants.
 
         A holder that did not answer the last grant is asked for what it may have by our count anyway: the count must
-        come to an end, or nobody else could ever be granted the keys.
+        come to an end, or nobody else could ever be granted the keys. So is one whose node is in doubt, where it holds
+        the keys already: were the node gone, each whole hold would make the next owner wait for longer.
         """
-        if not self.failing:
+        if not self.failing and not (doubted and self.until > now + SHORT_HOLD):
             return pace.hold
         left = (self.until - now - pace.flight) / SLOW
         if left >= SHORT_HOLD:
--- a/knotwalk/placement/capacity.py
+++ b/knotwalk/placement/capacity.py
@@ -46,6 +46,7 @@
     ailing: frozenset[str] = frozenset()  # listed and there, but most that goes there goes wrong
     spans: dict[str, float] = field(default_factory=dict)  # by service: the seconds that its demand was heard over
     lapsed: frozenset[tuple[str, int]] = frozenset()  # slices that such a node held no longer (Keeper.lapsed)
+    avoided: frozenset[str] = frozenset()  # not reached by another core: given no more keys while there are others
 
 
 def utilizations(
--- a/knotwalk/placement/placer.py
+++ b/knotwalk/placement/placer.py
@@ -20,7 +20,7 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import NamedTuple
 
 from knotwalk.discovery.view_types import Node
@@ -78,6 +78,7 @@
     capacity: float
     load: float = 0.0
     near: bool = False  # in the conductor's own zone
+    avoided: bool = False  # another core does not reach it: no target while there are others
 
 
 def _room(of: Mapping[str, Load], fleet: Mapping[str, Load], whole: float) -> dict[str, float]:
@@ -110,9 +111,15 @@
     return fit(node, load) + EQUAL
 
 
+def open_targets(loads: Iterable[Load]) -> list[Load]:
+    """Those that are not avoided, or all where all are."""
+    found = list(loads)
+    return [x for x in found if not x.avoided] or found
+
+
 def targets(loads: Iterable[Load]) -> list[Load]:
     """Those of the own zone, unless the best of them is much worse than the best of all."""
-    found = list(loads)
+    found = open_targets(loads)
     near = [x for x in found if x.near]
     return near if near and fit(min(near, key=fit)) <= fit(min(found, key=fit)) + NEAR else found
 
@@ -312,7 +319,12 @@
         fleet = {}
         for id in sorted(live):
             capacity = estimates[id] or 2 * whole * max(1, nodes[id].capacity) / slots
-            fleet[id] = Load(id, capacity * (RAMP_SHARE if id in cold else 1.0), near=nodes[id].zone == self.zone)
+            fleet[id] = Load(
+                id,
+                capacity * (RAMP_SHARE if id in cold else 1.0),
+                near=nodes[id].zone == self.zone,
+                avoided=id in report.avoided,
+            )
         room = AILING_ROOM * sum(x.capacity for x in fleet.values()) - whole
         for id in sorted(report.ailing & fleet.keys()):
             if (room := room - AILING_ROOM * fleet[id].capacity) < 0:
@@ -328,6 +340,7 @@
         """Places for slices that have none: many at once as runs of neighbours (a run is one grant), few one by one."""
         if not left:
             return []
+        fleet = {x.id: x for x in open_targets(fleet.values())}
         first = not any(owners[k] for k in left)
         if first and now < self._laid.get(service, float("-inf")) + REMAINDER:
             return []
@@ -406,7 +419,7 @@
                 and (service, k) not in self._pending
             ):
                 own.setdefault(x.owner, []).append((demand[k], k))
-        loads = [Load(x.id, x.capacity, x.load, x.near) for x in fleet.values()]  # apart: moves go out by and by
+        loads = [replace(x) for x in fleet.values()]  # apart: moves go out by and by
         threshold = (1 + mean) / 2
         pool = strip(loads, lambda x: own.get(x.id, ()), threshold, may_go=own_part(loads, threshold, own))
         moves = place(pool, lambda _, source: targets(x for x in loads if x is not source), worse)
--- a/tests/simulation/mistakes.py
+++ b/tests/simulation/mistakes.py
@@ -16,7 +16,7 @@
 from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.members import quorum
 from knotwalk.consensus.orders import LEADER, Answer
-from knotwalk.control_plane import control, peer_api
+from knotwalk.control_plane import __main__ as program, control, peer_api
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.control_plane.replicated_state import ReplicatedState
 from knotwalk.edge import caller, forwarder
@@ -217,6 +217,14 @@
     return MOVE(end, True, may_have_run, again, status)
 
 
+OPENED = program.opened
+
+
+def _founds_again(store: Any, data_dir: str, first_start: bool, *rest: Any) -> Any:
+    """Takes an emptied disk for that of a first start, so that it votes as the member it was."""
+    return OPENED(store, data_dir, True, *rest)
+
+
 def _refused_is_gone(keeper: Keeper, now: float, order: Any, status: Any, handover: str | None = None) -> None:
     """Takes a refused connection for the end of the node (incident inc1)."""
     ANSWERED(keeper, now, order, status, handover)
@@ -253,6 +261,7 @@
     "committed by what was received": _one(4, leading.Leading, "_count", _count_any_term, 29),
     "votes whatever the log": _one(4, elections.Elections, "_current", _votes_for_any, 8),
     "snapshot loses the configuration": _one(4, ReplicatedState, "from_dict", classmethod(_loses_state), 1),
+    "an emptied disk founds again": _one(4, program, "opened", _founds_again, 24),
     "a refused connection ends a node": _one(4, Keeper, "answered", _refused_is_gone, 6),
     "stale connection used again": _one(5, Connection, "ready", _ready_unasked),
     "answer of a node taken with its id unchecked": _one(5, AnswerReader, "_read_head", _any_answer),
--- a/tests/system/test_unproven_ends.py
+++ b/tests/system/test_unproven_ends.py
@@ -6,6 +6,7 @@
 
 import unittest
 
+from knotwalk.discovery.reachability import WORD, PeerReachability, UnreachedNodes, unreached_nodes
 from knotwalk.leases.orders import REFUSED, SLOW, Grant, Release
 from knotwalk.leases.slice_tenure import MOVE_TIME
 from tests.system.test_leases import PACE, KeeperHarness, World
@@ -65,6 +66,34 @@
         self.assertEqual((renewal.node, renewal.hold), ("n", PACE.hold))
         self.assertFalse(self.keeper.unreachable("n"))
 
+    def test_a_node_that_has_fallen_silent_meets_one_whole_renewal_at_most(self):
+        """Else its keys would wait for a hold that only began after its end."""
+        for first in (0, 2, 4):  # three runs, none a neighbour of another
+            self.opened(1.0, first, first, "n")
+        begun, asked, end = {}, [], 1.1 + PACE.hold * SLOW
+        now = 1.1
+        while now < end:
+            renewals = self.orders(now)
+            begun |= dict.fromkeys(renewals, now)
+            asked += renewals
+            for renewal in [x for x, at in begun.items() if now >= at + PACE.call_timeout]:
+                del begun[renewal]
+                self.keeper.answered(now, renewal, None)
+            now += 0.01
+        self.assertEqual(sum(renewal.hold >= PACE.hold for renewal in asked), 1)
+        self.assertEqual({x.slices for x in asked}, {(0,), (2,), (4,)})
+        self.assertEqual(len(self.keeper.lapsed(end)), 2)
+
+    def test_a_release_that_waits_for_long_work_is_a_node_not_reached_until_it_answers(self):
+        self.opened(1.0, 0, 1, "n")
+        (release,) = self.move(2.0, 0, 0, "m")
+        self.answer(2.0 + PACE.release_timeout, release, None)
+        self.assertEqual(self.keeper.unreached(5.0), {"n": 5.0 - 2.0 - PACE.release_timeout})
+        (again,) = [x for x in self.next(4.5) if isinstance(x, Release)]
+        self.answer(self.now + 0.1, again, 200)
+        self.assertEqual(self.keeper.unreached(6.0), {})
+        self.assertFalse(self.keeper.unreachable("n"))
+
     def test_a_lapsed_slice_is_granted_elsewhere_at_once(self):
         self.opened(1.0, 0, 0, "n")
         (renewal,) = self.next(1.1)
@@ -80,3 +109,21 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class PeerReachabilityTest(unittest.TestCase):
+    """What cores tell each other of nodes that they do not reach."""
+
+    def test_the_longest_word_counts_until_it_is_withdrawn_or_old(self):
+        reach = PeerReachability()
+        reach.hear(10.0, unreached_nodes(UnreachedNodes("a", {"n": 2.0, "m": 1.0}).to_dict()))
+        reach.hear(10.5, UnreachedNodes("b", {"n": 0.5}))
+        self.assertEqual(reach.since(11.0), {"n": 8.0, "m": 9.0})
+        reach.hear(11.0, UnreachedNodes("a", {}))
+        self.assertEqual(reach.since(11.0), {"n": 10.0})
+        self.assertEqual(reach.since(10.5 + WORD), {})
+
+    def test_what_is_no_word_names_the_mistake(self):
+        for raw in (None, {"core": "a"}, {"core": 1, "nodes": {}}, {"core": "a", "nodes": {"n": "long"}}):
+            with self.assertRaisesRegex(ValueError, "unreached nodes: "):
+                unreached_nodes(raw)
