Each role tells its own figures as text, and the deploy file says where

Cause: an incident could be told apart by logs alone; the platform fetches figures where `metrics` names a port and path. Change: `runtime.metrics` and `runtime.text_port` (readiness uses the same port code), figures of edge and core, one page of names in the guide that a test holds to what is told; `--metrics=PORT` with one line for a wrong one, a port in use costs figures only. The deploy test looked for a bare module; it now also holds argument and `metrics` to each other.

--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -17,13 +17,14 @@
 from knotwalk.consensus.store import Store, StoreBroken
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
 from knotwalk.control_plane.control import Control
+from knotwalk.control_plane.figures import figures
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
 from knotwalk.leases.orders import Pace as KeysPace
-from knotwalk.runtime import logs
+from knotwalk.runtime import logs, metrics
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.logs import log_info
@@ -32,6 +33,7 @@
 
 LEAVE_LEAST = 1.0  # seconds from SIGTERM to the end: calls under way are answered, leadership is handed over
 LEAVE_SPARE = 1.5  # seconds before the platform's SIGKILL in which the listeners are closed
+MEMBERS_LOOK = 0.5  # seconds between looks at who the members are
 LEAVE_LOOK = 0.05  # seconds between looks at whether the others have let this machine go
 
 
@@ -79,6 +81,7 @@
         self.consensus.on_restore = self.restored
         self.consensus.on_damage = lambda: os._exit(1)  # nothing more is promised, no leave: the disk may be whole
         self.list_poller.on_nodes = self.listed
+        self.delay = metrics.LoopDelay()
         self.ending = Ending(self.reload)
 
     async def propose(self, command: dict) -> str | None:
@@ -122,6 +125,9 @@
         peer_api, control = Listener(self.peer_api.app()), Listener(self.control.app())
         await peer_api.start(self.settings.ip_address, self.settings.ports[0])
         await control.start(*self.settings.at("control"))
+        told = await metrics.listen(
+            self.settings.ip_address, self.settings.metrics_port, lambda: figures(logs.clock(), self)
+        )
         self.restored()
         self.consensus.start()
         works = [
@@ -146,6 +152,8 @@
         await self.let_go()
         for work in works:
             work.cancel()
+        if told is not None:
+            told.close()
         await control.close()
         await peer_api.close()
         await self.consensus.close()
@@ -164,7 +172,9 @@
         """Tell the edges which cores there are, as members change."""
         while True:
             self.board.set_cores(sorted(self.consensus.machine.members.values()))
-            await asyncio.sleep(0.5)
+            due = logs.clock() + MEMBERS_LOOK
+            await asyncio.sleep(MEMBERS_LOOK)
+            self.delay.note(logs.clock() - due)
 
     def reload(self, fresh: Settings) -> None:
         """The settings file changed: seeds and the platform's address are taken up; the rest wants a start."""
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 
 from sanic import HTTPResponse, Request, Sanic
 
@@ -24,6 +25,7 @@
 
     def __init__(self, consensus: ConsensusDriver, port: int):
         self.consensus, self.port = consensus, port
+        self.answers: Counter[tuple[str, str]] = Counter()  # by method and status
         self.taking = asyncio.Lock()  # one change at a time is judged and agreed on
 
     def app(self) -> Sanic:
@@ -61,6 +63,18 @@
             return self.elsewhere(None)
 
     async def read(self, request: Request) -> HTTPResponse:
+        """GET: the newest configuration, counted."""
+        return self._counted("GET", await self._read())
+
+    async def change(self, request: Request) -> HTTPResponse:
+        """PUT and PATCH: a change, counted."""
+        return self._counted(request.method, await self._change(request))
+
+    def _counted(self, method: str, answered: HTTPResponse) -> HTTPResponse:
+        self.answers[method, str(answered.status)] += 1
+        return answered
+
+    async def _read(self) -> HTTPResponse:
         """The newest configuration, whole; never an older one than was acknowledged anywhere."""
         asked_at = clock()
         try:
@@ -74,7 +88,7 @@
         status, found = reading(self.consensus.state.configuration)
         return answer(found, status)
 
-    async def change(self, request: Request) -> HTTPResponse:
+    async def _change(self, request: Request) -> HTTPResponse:
         asked_at = clock()
         try:
             if (leader := await self.leader(asked_at)) is not None:
--- /dev/null
+++ b/knotwalk/control_plane/figures.py
@@ -0,0 +1,84 @@
+"""A core machine's own figures, read off its state when somebody asks. Names stand in docs/guides/system.md."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import TYPE_CHECKING
+
+from knotwalk.leases.slice_tenure import State
+from knotwalk.runtime.metrics import Figure, Kind, gauge, loop_delay
+
+if TYPE_CHECKING:
+    from knotwalk.control_plane.__main__ import ControlPlane
+
+
+def counter(name: str, meaning: str, counts: Mapping[tuple[str, ...], float], *labels: str) -> Figure:
+    """A count by labels."""
+    return Figure(name, Kind.COUNTER, meaning, counts, labels)
+
+
+def slices(plane: ControlPlane) -> Figure:
+    """The slices that this core leases, by where each stands on its way to an owner."""
+    found = Counter((x.service, x.state.value) for x in plane.conductor.keeper.tenures.values())
+    samples: dict[tuple[str, ...], float] = {
+        (service, state.value): found[service, state.value]
+        for service in plane.consensus.state.ledger.slices
+        for state in State
+    }
+    return Figure(
+        "knotwalk_core_slices", Kind.GAUGE, "slices that this core leases, by state", samples, ("service", "state")
+    )
+
+
+def nodes(now: float, plane: ControlPlane) -> Figure:
+    """Nodes of the platform's list, and those in trouble; a node may count under several."""
+    board, keeper = plane.board, plane.conductor.keeper
+    found = {
+        "listed": len(board.nodes),
+        "draining": sum(node.draining for node in board.nodes.values()),
+        "ailing": len(board.ailing & board.nodes.keys()),
+        "unreachable": len(keeper.unreached(now)),
+        "unreached by others": len(plane.conductor.peers_reach.since(now)),
+    }
+    samples: dict[tuple[str, ...], float] = {(state,): count for state, count in found.items()}
+    return Figure("knotwalk_core_nodes", Kind.GAUGE, "nodes, by what this core knows of them", samples, ("state",))
+
+
+def figures(now: float, plane: ControlPlane) -> Iterator[Figure]:
+    """All figures of a core machine."""
+    machine, state, manager = plane.consensus.machine, plane.consensus.state, plane.conductor
+    yield gauge("knotwalk_core_fresh", "1 while this core heard the leader's word lately", plane.peer_api.fresh(now))
+    yield gauge("knotwalk_core_leader", "1 while this core leads", machine.role == "leader")
+    yield gauge("knotwalk_core_term", "the term of the agreement", machine.term)
+    yield gauge("knotwalk_core_members", "members of the agreement, as far as is known here", len(machine.members))
+    yield gauge("knotwalk_core_commit_index", "the last entry known as committed", machine.commit)
+    yield gauge("knotwalk_core_last_index", "the last entry of the log here", machine.log.last)
+    yield gauge("knotwalk_core_configuration_version", "the configuration in force, 0 for none", state.version)
+    yield gauge("knotwalk_core_disk_refuses", "1 while a write hangs or was refused", plane.consensus.hung)
+    yield gauge("knotwalk_core_lease_seconds", "left of this core's lease of its slices", manager.keeper.until - now)
+    yield gauge("knotwalk_core_edges", "edges heard of in the last ten seconds", plane.loads.count(now))
+    yield slices(plane)
+    yield nodes(now, plane)
+    yield counter(
+        "knotwalk_core_holders_cleared",
+        "slices whose former holder was found to hold them no more",
+        {(evidence.value,): count for evidence, count in manager.cleared.items()},
+        "by",
+    )
+    yield counter(
+        "knotwalk_core_node_calls", "calls to nodes by how they ended", dict(manager.calls), "call", "outcome"
+    )
+    yield counter(
+        "knotwalk_core_operator_answers",
+        "answers to operators",
+        dict(plane.control.answers),
+        "method",
+        "status",
+    )
+    sent = {(step, "sent"): count for step, count in plane.caller.sent.items()}
+    got = {(step, "received"): count for step, count in plane.caller.received.items()}
+    yield counter("knotwalk_core_call_bytes", "bytes of bodies of calls to peers", sent | got, "step", "direction")
+    told: dict[tuple[str, ...], float] = {(path,): count for path, count in plane.peer_api.told.items()}
+    yield counter("knotwalk_core_answer_bytes", "bytes of bodies told to edges and cores", told, "path")
+    yield loop_delay(plane.delay)
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import functools
+from collections import Counter
+from collections.abc import Awaitable, Callable
 
 from sanic import HTTPResponse, Request, Sanic
 
@@ -13,6 +16,7 @@
 from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
+from knotwalk.discovery.reachability import unreached_nodes
 from knotwalk.discovery.view_types import KEYS
 from knotwalk.leases.tenure import ASK
 from knotwalk.runtime.call import Caller
@@ -20,6 +24,8 @@
 from knotwalk.runtime.logs import clock, log_warning
 from knotwalk.runtime.serve import answer, app, body, packed
 
+Handler = Callable[[Request], Awaitable[HTTPResponse]]
+
 FRESH = 1.2  # a core that heard the leader's word longer ago than this sends its edges elsewhere
 GATHER = 0.004  # news that come together go together
 STALE_WAIT = 0.25  # an edge's call waits so long for a core that is about to be fresh, as after a start of all
@@ -49,6 +55,7 @@
         self.fresh_until = 0.0
         self.started = clock()
         self.leaving = False
+        self.told: Counter[str] = Counter()  # bytes of bodies answered, by path
         self.asked: dict[str, tuple[float, str, int]] = {}  # by edge: when it called here, and what it had then
 
     def app(self) -> Sanic:
@@ -63,9 +70,20 @@
             ("/status", self.status),
             ("/explain", self.explain),
         ):
-            made.add_route(handler, path, methods=["POST"], error_format="text")
+            made.add_route(self.counted(path, handler), path, methods=["POST"], error_format="text")
         return made
 
+    def counted(self, path: str, handler: Handler) -> Handler:
+        """The same handler, the bytes of its answers counted."""
+
+        @functools.wraps(handler)
+        async def answered(request: Request) -> HTTPResponse:
+            found = await handler(request)
+            self.told[path] += len(found.body or b"")
+            return found
+
+        return answered
+
     # --- agreement --------------------------------------------------------------------------------
 
     async def messages(self, request: Request) -> HTTPResponse:
@@ -161,7 +179,7 @@
         provisional = await self.provisional(asked)
         while True:
             now = clock()
-            fresh = now < self.fresh_until and not self.leaving
+            fresh = self.fresh(now)
             message = self.board.since(asked, now) if fresh else None
             if message is not None or now >= until or self.leaving or not fresh and (provisional or now >= patient):
                 break
@@ -197,6 +215,10 @@
         unsure = asked.get("bare") or asked.get("provisional")
         return bool(unsure) and self.board.config is not None and asked.get("config", -1) < self.board.config[0]
 
+    def fresh(self, now: float) -> bool:
+        """Whether edges may go by what this core tells."""
+        return now < self.fresh_until and not self.leaving
+
     def alone(self) -> bool:
         """Whether this core only just started, is a member as far as its disk knows, was not fresh in this life, and
         knows no leader, not even by hearsay: then those that start with it know no more."""
@@ -217,7 +239,7 @@
                 self.consensus.state,
                 self.board,
                 self.loads,
-                now < self.fresh_until and not self.leaving,
+                self.fresh(now),
                 self.asked,
             )
         )
@@ -232,13 +254,15 @@
         except (KeyError, TypeError, ValueError):
             return answer({"error": f"host and path are texts, key a number below {KEYS}, if any"}, 400)
         told = account.explain(clock(), self.consensus.state, self.board, host, path, key)
-        return answer(told | {"fresh": clock() < self.fresh_until and not self.leaving})
+        return answer(told | {"fresh": self.fresh(clock())})
 
     # --- loads ------------------------------------------------------------------------------------
 
     async def share(self, request: Request) -> HTTPResponse:
         raw = body(request)
         now = clock()
+        if word := raw.pop("unreached", None):
+            self.conductor.peers_reach.hear(now, unreached_nodes(word))
         for edge in raw.pop("edges", ()):
             self.loads.heard(now, edge, False)
         self.loads.add(now, raw, False)
@@ -249,6 +273,8 @@
             await asyncio.sleep(SHARE)
             self.judge()
             told = self.loads.take(clock())
+            if unreached := self.conductor.unreached(clock()):
+                told["unreached"] = unreached.to_dict()
             if told:
                 await asyncio.gather(
                     *(
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -14,8 +14,10 @@
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge import ready
 from knotwalk.edge.caller import Caller
+from knotwalk.edge.figures import figures
 from knotwalk.edge.front import Front
 from knotwalk.edge.link import Link
+from knotwalk.runtime import metrics
 from knotwalk.runtime.life import Ending, live
 from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.settings import Settings
@@ -57,6 +59,11 @@
         self.ending.listen()
         readiness = await ready.listen(*self.settings.at("readiness"), lambda: self.ready)
         await self.front.start()
+        told = await metrics.listen(
+            self.settings.ip_address,
+            self.settings.metrics_port,
+            lambda: figures(clock(), self.ready, self.front, self.link),
+        )
         link = asyncio.get_running_loop().create_task(self.link.run())
         await self.ending.wait(link)
         log_info("leaving")
@@ -66,6 +73,8 @@
         await self.front.finished(clock() + self.settings.bounds.grace_period - 0.5)
         link.cancel()
         readiness.close()
+        if told is not None:
+            told.close()
         await self.caller.close()
         log_info("ended")
 
--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -8,6 +8,7 @@
 import asyncio
 import json
 import select
+from collections import Counter
 from collections.abc import Callable
 from enum import Enum
 from typing import Any
@@ -176,12 +177,13 @@
     def __init__(self) -> None:
         self.kept: dict[tuple[str, int], Connection] = {}
         self.calls = 0
+        self.bytes: Counter[str] = Counter()  # of bodies, unpacked: sent and received
         self.allowed: dict[tuple[str, int], float] = {}  # seconds for the next opening, after one that took too long
 
     async def json(
         self, method: str, url: str, body: Any = None, patience: float = PATIENCE, step: str = "call"
     ) -> Any:
-        """The JSON value of a 200 from `http://ip:port/path`; StationError for any other answer or none in `patience`
+        """The JSON value of a 200 from `http://ip:port/path`; PeerError for any other answer or none in `patience`
         s."""
         parts = urlsplit(url)
         at = parts.hostname or "", parts.port or 80
@@ -217,6 +219,8 @@
                 connection.end("given up")  # a late answer must not be taken for the next call's
         if connection.line is Line.IDLE:
             self.kept[at] = connection
+        self.bytes["sent"] += len(data)
+        self.bytes["received"] += len(told)
         return value(step, url, status, told)
 
     async def _connection(self, at: tuple[str, int]) -> Connection:
--- a/knotwalk/edge/connection_pool.py
+++ b/knotwalk/edge/connection_pool.py
@@ -87,7 +87,7 @@
         return True
 
     async def open(self, timeout: float) -> Connection:
-        """A new connection; StationError if none came up within `timeout` seconds."""
+        """A new connection; PeerError if none came up within `timeout` seconds."""
         step, peer = "connect to a node", f"{self.node.id} {self.node.address[0]}:{self.node.address[1]}"
         connection = Connection(self.node, self.clock, self._changed)
         self.all.add(connection)
--- /dev/null
+++ b/knotwalk/edge/figures.py
@@ -0,0 +1,76 @@
+"""An edge's own figures, read off its state when somebody asks. Names stand in docs/guides/system.md."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+
+from knotwalk.discovery.cluster_view import ClusterView
+from knotwalk.edge.front import Front
+from knotwalk.edge.link import Link
+from knotwalk.runtime.metrics import Figure, Kind, gauge, loop_delay
+
+RANK = ", rank "  # in a count's name: what stands between how a request ended and the rank of its route
+
+
+def requests(counts: Counter[str]) -> Figure:
+    """How requests ended."""
+    found: dict[tuple[str, ...], float] = {}
+    for name, count in counts.items():
+        ending, parted, rank = name.partition(RANK)
+        outcome, _, cause = ending.partition(": ")
+        if parted:
+            found[outcome, cause, rank] = count
+    return Figure(
+        "knotwalk_edge_requests",
+        Kind.COUNTER,
+        "requests by how they ended, the cause, and the rank of their route",
+        found,
+        ("outcome", "cause", "rank"),
+    )
+
+
+def events(counts: Counter[str]) -> Figure:
+    """What was met with: tries, connections, and what ended before it had a route."""
+    found: dict[tuple[str, ...], float] = {(name,): count for name, count in counts.items() if RANK not in name}
+    return Figure("knotwalk_edge_events", Kind.COUNTER, "what was met with, by event", found, ("event",))
+
+
+def nodes(view: ClusterView) -> Figure:
+    """Nodes of the view by state; one that drains or ails is not counted as ready."""
+    found = Counter(
+        "draining" if node.draining else "ailing" if node.ailing else "ready" for node in view.nodes.values()
+    )
+    samples: dict[tuple[str, ...], float] = {(state,): found[state] for state in ("ready", "draining", "ailing")}
+    return Figure("knotwalk_edge_nodes", Kind.GAUGE, "nodes of the cluster view", samples, ("state",))
+
+
+def figures(now: float, ready: bool, front: Front, link: Link) -> Iterator[Figure]:
+    """All figures of an edge."""
+    view, forwarder = front.view, front.forwarder
+    counts = forwarder.totals + forwarder.counts
+    yield gauge("knotwalk_edge_ready", "1 while the edge calls itself ready", ready)
+    yield gauge(
+        "knotwalk_edge_configuration_version",
+        "the number of the configuration in force here, 0 for none",
+        view.configuration.version if view.configuration else 0,
+    )
+    yield gauge("knotwalk_edge_core_heard_seconds", "since a fresh core last answered", now - link.heard_at)
+    yield gauge("knotwalk_edge_requests_open", "requests read and not answered", front.open)
+    yield gauge("knotwalk_edge_requests_waiting", "requests that wait for a node", len(forwarder.waiting))
+    yield gauge("knotwalk_edge_clients", "connections of clients", len(front.clients))
+    yield nodes(view)
+    yield requests(counts)
+    yield events(counts)
+    room: dict[tuple[str, ...], float] = {
+        (name,): budget.room(now, front.edges) for name, budget in forwarder.budgets.items()
+    }
+    yield Figure("knotwalk_edge_retry_room", Kind.GAUGE, "further tries that may be made now", room, ("service",))
+    yield Figure(
+        "knotwalk_edge_core_bytes",
+        Kind.COUNTER,
+        "bytes of bodies to and from cores",
+        {(direction,): count for direction, count in link.caller.bytes.items()},
+        ("direction",),
+    )
+    yield loop_delay(front.delay)
--- a/knotwalk/edge/forwarding_state.py
+++ b/knotwalk/edge/forwarding_state.py
@@ -35,7 +35,8 @@
         self.pools: dict[str, Pool] = {}
         self.connection_slots = ConnectionSlots(shared(settings.machine.file_descriptors).nodes)
         self.waiting: set[asyncio.Future] = set()
-        self.counts: Counts[str] = Counts()
+        self.counts: Counts[str] = Counts()  # since they were last told in the log
+        self.totals: Counts[str] = Counts()  # of this life, without `counts`
         self.demand: dict[str, Counts[int]] = {}
 
     def budget(self, service: str) -> Budget:
@@ -100,6 +101,7 @@
     def tally(self) -> dict[str, int]:
         """How requests ended, by cause and rank, and what was met with; since the call before."""
         counts, self.counts = self.counts, Counts()
+        self.totals.update(counts)
         return dict(counts)
 
     def age(self) -> None:
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -17,6 +17,7 @@
 from knotwalk.edge.exchange import Exchange, Stage
 from knotwalk.edge.forwarder import Forwarder
 from knotwalk.runtime.logs import log_exception, log_info
+from knotwalk.runtime.metrics import LoopDelay
 from knotwalk.runtime.settings import Settings
 
 # Seconds between looks at idle connections: the bounds they keep are whole seconds.
@@ -45,6 +46,8 @@
         self.gate: socket.socket | None = None  # where connections wait to be accepted
         self._shut_until: asyncio.TimerHandle | None = None  # while none is accepted
         self._sweep: asyncio.TimerHandle | None = None
+        self.delay = LoopDelay()
+        self._look_due = 0.0
         self._tallied = clock()  # when it was last told how requests ended
         self._tasks: set[asyncio.Task] = set()
         self._calm: asyncio.Event = asyncio.Event()
@@ -76,7 +79,7 @@
         self.gate = socket.create_server((host, port), backlog=BACKLOG)
         self.gate.setblocking(False)
         loop.add_reader(self.gate, self._accept)
-        self._sweep = loop.call_later(SWEEP, self._look)
+        self._look_later()
         log_info("listening", address=f"{host}:{self.port}")
 
     @property
@@ -172,11 +175,16 @@
 
     def _look(self) -> None:
         now = self.clock()
+        self.delay.note(now - self._look_due)
         for client in list(self.clients):
             client.look(now)
         self.forwarder.age()
         if now - self._tallied >= TALLY:
             self._tell_tally(now)
+        self._look_later()
+
+    def _look_later(self) -> None:
+        self._look_due = self.clock() + SWEEP
         self._sweep = asyncio.get_running_loop().call_later(SWEEP, self._look)
 
     def _tell_tally(self, now: float) -> None:
--- a/knotwalk/runtime/call.py
+++ b/knotwalk/runtime/call.py
@@ -10,6 +10,7 @@
 import socket
 import struct
 import sys
+from collections import Counter
 from typing import Any
 from weakref import WeakSet
 
@@ -123,6 +124,8 @@
         self.session = session(connections, resets, True)
         self.single = session(connections, resets, False)
         self.named, self.calls = named, 0
+        self.sent: Counter[str] = Counter()  # bytes of bodies by step
+        self.received: Counter[str] = Counter()
 
     async def send(
         self,
@@ -137,6 +140,7 @@
         """Status, headers (lower case) and body of an answer; PeerError without one, Refused if none listens. `alone`:
         on a connection of its own, for a call whose answer bears no id and must not be another's."""
         data = None if body is None else json.dumps(body, separators=(",", ":")).encode()
+        self.sent[step] += len(data or b"")
         heads = {"Content-Type": "application/json"} if data is not None else {}
         call = self._next_call()
         if call:
@@ -146,7 +150,9 @@
                 async with (self.single if alone else self.session).request(
                     method, url, data=data, headers={**heads, **(headers or {})}, allow_redirects=False
                 ) as answer:
-                    return answer.status, {k.lower(): v for k, v in answer.headers.items()}, await answer.read()
+                    found = await answer.read()
+                    self.received[step] += len(found)
+                    return answer.status, {k.lower(): v for k, v in answer.headers.items()}, found
         except aiohttp.ClientConnectorError as error:
             kind = Refused if isinstance(error.os_error, ConnectionRefusedError) else PeerError
             raise kind(step, url, error.os_error) from None
--- a/knotwalk/runtime/errors.py
+++ b/knotwalk/runtime/errors.py
@@ -20,7 +20,7 @@
 
 
 def value(step: str, peer: str, status: int, data: bytes) -> Any:
-    """The JSON value of a peer's answer; StationError if its status is not 200, or it holds none."""
+    """The JSON value of a peer's answer; PeerError if its status is not 200, or it holds none."""
     if status != 200:
         raise PeerError(step, peer, f"status {status}")
     try:
--- a/knotwalk/runtime/life.py
+++ b/knotwalk/runtime/life.py
@@ -9,7 +9,8 @@
 import asyncio
 import signal
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
+from dataclasses import replace
 from typing import Protocol
 
 from knotwalk.runtime import logs, settings as settings_file
@@ -79,6 +80,21 @@
                 work.result()
 
 
+METRICS = "--metrics="  # the one argument of a program: the port on which it tells its own figures
+
+
+def metrics_port(arguments: Sequence[str]) -> int | None:
+    """The port that a program's arguments name for its figures, None without one; SettingsError if they are wrong."""
+    if not arguments:
+        return None
+    (first, *more), number = arguments, arguments[0].removeprefix(METRICS)
+    if more or not first.startswith(METRICS):
+        raise SettingsError(" ".join(arguments), f"no argument is known but {METRICS}PORT")
+    if not (number.isascii() and number.isdigit() and 0 < int(number) < 65536):
+        raise SettingsError(METRICS.removesuffix("="), f"a port is a number from 1 to 65535, not {number!r}")
+    return int(number)
+
+
 def live(name: str, make: Callable[[Settings], Program], *unusable: type[Exception]) -> int:
     """Read the settings, make the program, run it: the exit code. `unusable`: what else `make` may find, told in one
     line."""
@@ -86,7 +102,7 @@
 
     async def whole() -> int:
         try:
-            program = make(settings_file.load())
+            program = make(replace(settings_file.load(), metrics_port=metrics_port(sys.argv[1:])))
         except (SettingsError, *unusable) as error:
             print(f"{name}: {error}", file=sys.stderr)
             return UNUSABLE
--- a/knotwalk/runtime/settings.py
+++ b/knotwalk/runtime/settings.py
@@ -99,6 +99,7 @@
     tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
     platform: Platform = Platform()
+    metrics_port: int | None = None  # of the program's arguments, not of the file: see `runtime.life`
 
     def at(self, name: str) -> Address:
         """Where this role listens for `name`; SettingsError if the file does not say."""
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -140,8 +140,8 @@
 class Program:
     """One program of the system: its settings file, its folder, its log, and the process."""
 
-    def __init__(self, folder: Path, module: str, settings: dict):
-        self.folder, self.module, self.settings = folder, module, settings
+    def __init__(self, folder: Path, module: str, settings: dict, metrics: int):
+        self.folder, self.module, self.settings, self.metrics = folder, module, settings, metrics
         self.ip, self.process = settings["ip_address"], None
         self.log = folder / f"{settings['node_name']}.log"
         self.told = folder / f"{settings['node_name']}.json"
@@ -152,7 +152,7 @@
         self.told.write_text(json.dumps(self.settings))
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", self.module],
+                [sys.executable, "-m", self.module, f"--metrics={self.metrics}"],
                 cwd=ROOT,
                 stdout=log,
                 stderr=log,
@@ -226,6 +226,7 @@
         self.nodes += [HoldingNode(f"i-d{n}", watch=self.watch, service="desk", sharded=False) for n in range(desk)]
         self.platform = Platform(self.nodes)
         self.internal, self.control = self.ports.take(*CORES), self.ports.take(*CORES)
+        self.metrics = self.ports.take(*CORES, *EDGES)
         self.cores: list[Program] = []
         self.edges: list[Program] = []
         self.caller: Caller = None  # type: ignore[assignment]
@@ -251,6 +252,7 @@
                         data_dir=str(data),
                         quorum_member=True,
                     ),
+                    self.metrics,
                 )
             )
         for number, ip in enumerate(EDGES, 1):
@@ -264,6 +266,7 @@
                         "edge",
                         {"data_plane": f"{ip}:{self.ports.take(ip)}", "readiness": f"{ip}:{self.ports.take(ip)}"},
                     ),
+                    self.metrics,
                 )
             )
         for program in self.cores + self.edges:
--- a/tests/system/test_deploy.py
+++ b/tests/system/test_deploy.py
@@ -6,6 +6,9 @@
 import tomllib
 import unittest
 
+from knotwalk.runtime.life import metrics_port
+from knotwalk.runtime.metrics import PATH
+
 ROOT = pathlib.Path(__file__).parents[2]
 
 
@@ -17,7 +20,9 @@
         for name in deploy["packages"]:
             self.assertRegex(name, r"^[a-z0-9][a-z0-9+.-]+$")
         for role in deploy["roles"].values():
-            self.assertIsNotNone(importlib.util.find_spec(role["run"].removeprefix("python3 -m ")))
+            module, argument = role["run"].removeprefix("python3 -m ").split()
+            self.assertIsNotNone(importlib.util.find_spec(module))
+            self.assertEqual(role["metrics"], f"{metrics_port([argument])}{PATH.decode()}")
 
     def test_each_library_is_pinned(self):
         for line in (ROOT / "requirements-system.txt").read_text().splitlines():
--- a/tests/system/test_runtime.py
+++ b/tests/system/test_runtime.py
@@ -11,9 +11,10 @@
 from pathlib import Path
 from unittest import mock
 
-from knotwalk.runtime import life
+from knotwalk.runtime import life, metrics, text_port
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError, SettingsError
+from knotwalk.runtime.life import metrics_port
 from knotwalk.runtime.settings import VARIABLE, load, parse
 
 ROOT = Path(__file__).parents[2]
@@ -127,3 +128,58 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class MetricsTest(unittest.IsolatedAsyncioTestCase):
+    """The port for a program's own figures; what it tells is looked at in test_village."""
+
+    async def test_an_argument_that_is_no_port_is_one_line(self):
+        self.assertIsNone(metrics_port([]))
+        self.assertEqual(metrics_port(["--metrics=9464"]), 9464)
+        for wrong in (["--metrics=x"], ["--metrics="], ["--metrics=70000"], ["--port=1"], ["--metrics=1", "more"]):
+            with self.subTest(wrong), self.assertRaises(SettingsError) as found:
+                metrics_port(wrong)
+            self.assertNotIn("\n", str(found.exception))
+
+    async def test_a_port_in_use_costs_the_figures_alone(self):
+        taken = await metrics.listen("127.0.0.1", free_port(), list)
+        self.addCleanup(taken.close)
+        port = taken.sockets[0].getsockname()[1]
+        with self.assertLogs(level="WARNING") as logged:
+            self.assertIsNone(await metrics.listen("127.0.0.1", port, list))
+        self.assertIn("no port for figures", logged.output[0])
+
+    async def test_answers_keep_their_order_though_the_first_takes_long(self):
+        begun = asyncio.Event()
+
+        async def late():
+            await begun.wait()
+            return b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na"
+
+        server = await text_port.listen("127.0.0.1", 0, lambda target: late() if target == b"/a" else metrics.NOT_FOUND)
+        self.addCleanup(server.close)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        self.addCleanup(writer.close)
+        writer.write(b"GET /a HTTP/1.1\r\n\r\nGET /b HTTP/1.1\r\nConnection: close\r\n\r\n")
+        await writer.drain()
+        begun.set()
+        told = await reader.read()
+        self.assertEqual([line for line in told.split(b"\r\n") if b"HTTP/1.1" in line][0], b"HTTP/1.1 200 OK")
+        self.assertTrue(told.endswith(metrics.NOT_FOUND))
+
+    async def test_figures_that_fail_are_a_500_and_a_line(self):
+        def broken():
+            raise ValueError("no figure")
+
+        server = await metrics.listen("127.0.0.1", free_port(), broken)
+        self.addCleanup(server.close)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        self.addCleanup(writer.close)
+        with self.assertLogs(level="ERROR"):
+            writer.write(b"GET /metrics HTTP/1.1\r\nConnection: close\r\n\r\n")
+            self.assertEqual(await reader.read(), metrics.FAILED)
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as made:
+        return made.getsockname()[1]
--- a/tests/system/test_village.py
+++ b/tests/system/test_village.py
@@ -8,9 +8,13 @@
 import copy
 import functools
 import json
+import pathlib
+import re
 import signal
 import unittest
 
+from prometheus_client.parser import text_string_to_metric_families
+
 from knotwalk.runtime.logs import clock
 from tests.standins.village import FIRST, Village, route
 
@@ -118,6 +122,27 @@
         await village.until(lambda: self.edges_of(core, {"edge-1", "edge-2"}), "both edges known")
         self.assertEqual((await village.status(core))["config_version"], await self.version())
 
+    @here
+    async def test_each_program_tells_its_figures_under_the_names_of_the_guide(self, village):
+        told = {}
+        for program in village.cores + village.edges:
+            status, _, text = await village.caller.send(
+                "GET", f"http://{program.ip}:{village.metrics}/metrics", None, 9.0
+            )
+            self.assertEqual(status, 200)
+            for family in text_string_to_metric_families(text.decode()):
+                told.setdefault(family.name, {})[program.ip] = {
+                    tuple(sample.labels.values()): sample.value for sample in family.samples
+                }
+        guide = (pathlib.Path(__file__).parents[2] / "docs" / "guides" / "system.md").read_text()
+        self.assertEqual(set(told), set(re.findall(r"^\| `(knotwalk_[a-z_]+)`", guide, re.MULTILINE)))
+        self.assertEqual(sum(value[()] for value in told["knotwalk_core_leader"].values()), 1)
+        self.assertEqual({value[()] for value in told["knotwalk_edge_ready"].values()}, {1})
+        leased = [slices["tiles", "open"] for slices in told["knotwalk_core_slices"].values()]
+        self.assertGreater(sum(leased), 0)
+        versions = told["knotwalk_core_configuration_version"] | told["knotwalk_edge_configuration_version"]
+        self.assertEqual(len(versions), len(village.cores + village.edges))
+
     async def edges_of(self, core, wanted):
         told = await self.village.status(core)
         return told is not None and {edge["edge"] for edge in told["edges"]} == wanted
