--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -9,6 +9,7 @@
 import yaml
 from hypothesis import given, settings, strategies as some
 
+from benchmarks.configuration import made
 from knotwalk.configuration import control
 from knotwalk.configuration.control import History, judge, parsed, reading
 from knotwalk.configuration.history import REMEMBERED
@@ -24,6 +25,9 @@
     version_number,
     version_text,
 )
+from knotwalk.control_plane.replicated_state import ReplicatedState
+from knotwalk.discovery.board import Board
+from knotwalk.discovery.cluster_view import ClusterView
 
 OPENAPI = pathlib.Path(__file__).parents[2] / "openapi" / "control.yaml"
 
@@ -476,6 +480,31 @@
 )
 
 
+class Growing(unittest.TestCase):
+    """What is agreed on and told grows with the change, not with the configuration."""
+
+    def sizes(self, routes):
+        """Bytes of the log's entry and of the news to an edge when one route of so many changes."""
+        state, board, view = ReplicatedState(), Board("b"), ClusterView()
+        base = made(routes, max(1, routes // 100))
+        state.apply(1, {"do": "configure", "base": 0, "version": 1, "digest": "0", "document": base})
+        board.set_config(1, document(state.configuration))
+        view.apply(1.0, board.since(view.ask(), 1.0))
+        route = copy.deepcopy(base["objects"][1])
+        route["specification"]["timeout"] = "1002ms"
+        patch = json.dumps({"config_version": "r2", "upsert": {"objects": [route]}}).encode()
+        verdict = judge(state.configuration, History(), "PATCH", "1", patch)
+        less = difference(document(state.configuration), verdict.document)
+        command = {"do": "configure", "base": 1, "version": 2, "digest": "2", "difference": less}
+        self.assertEqual(state.apply(2, command)[0], "done")
+        board.set_config(2, document(state.configuration))
+        return len(json.dumps(command)), len(json.dumps(board.since(view.ask(), 1.0)))
+
+    def test_a_change_of_one_route_stays_small(self):
+        for few, many in zip(self.sizes(3), self.sizes(300)):
+            self.assertLess(many, 1.2 * few)
+
+
 class Fuzzing(unittest.TestCase):
     """Whatever is sent, an answer comes, and what is taken reads back as it was sent."""
 
