--- a/tests/system/test_configuration.py
+++ b/tests/system/test_configuration.py
@@ -9,7 +9,7 @@
 import yaml
 from hypothesis import given, settings, strategies as some
 
-from benchmarks.configuration import made
+from benchmarks import configuration as sizes
 from knotwalk.configuration import control
 from knotwalk.configuration.control import History, judge, parsed, reading
 from knotwalk.configuration.history import REMEMBERED
@@ -486,7 +486,7 @@
     def sizes(self, routes):
         """Bytes of the log's entry and of the news to an edge when one route of so many changes."""
         state, board, view = ReplicatedState(), Board("b"), ClusterView()
-        base = made(routes, max(1, routes // 100))
+        base = sizes.made(routes, max(1, routes // 100))
         state.apply(1, {"do": "configure", "base": 0, "version": 1, "digest": "0", "document": base})
         board.set_config(1, document(state.configuration))
         view.apply(1.0, board.since(view.ask(), 1.0))
