--- a/knotwalk/edge/client_state.py
+++ b/knotwalk/edge/client_state.py
@@ -10,16 +10,13 @@
 import struct
 from collections import deque
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import httptools
 
+from knotwalk.edge.clients_port import ClientsPort
 from knotwalk.edge.exchange import Exchange, Stage
 from knotwalk.runtime.errors import PeerError
 
-if TYPE_CHECKING:
-    from knotwalk.edge.front import Front
-
 # Requests of one connection that are carried or wait for their turn before reading pauses.
 DEPTH = 16
 
@@ -52,7 +49,7 @@
 class ClientState(asyncio.Protocol):
     """What is known of one client's connection; reading, writing and the loop's calls are built on it."""
 
-    def __init__(self, front: Front):
+    def __init__(self, front: ClientsPort):
         self.front = front
         self.state = ConnectionState.OPEN
         self.transport: asyncio.Transport | None = None
--- a/knotwalk/edge/node_answer.py
+++ b/knotwalk/edge/node_answer.py
@@ -2,14 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Protocol
+from typing import Protocol
 
 from knotwalk.admission.outcome import End
 from knotwalk.discovery.view_types import Node
 
-if TYPE_CHECKING:
-    from knotwalk.edge.node_connection import Connection
-
 HOP = frozenset(
     {
         b"connection",
@@ -44,6 +41,19 @@
         """Whether more of the body can be taken for now."""
 
 
+class Stream(Protocol):
+    """Where the rest of an answer comes from that is passed on as it comes: a connection to a node."""
+
+    def take(self, sink: Sink) -> None:
+        """Give the rest to `sink`, beginning with what has come."""
+
+    def flow(self, on: bool) -> None:
+        """Whether more is wanted for now."""
+
+    def abort(self, why: str = "dropped") -> None:
+        """Break off: nothing that comes later counts."""
+
+
 class Answer:
     """A node's answer, whole or beginning. `end` tells what it proves; a lost one has `why` and no status."""
 
@@ -56,7 +66,7 @@
         self.body = b""
         self.length: int | None = None  # bytes of the body as told, None if in chunks
         self.whole = True
-        self.stream: Connection | None = None  # where the rest comes from, if not whole
+        self.stream: Stream | None = None  # where the rest comes from, if not whole
         self.node: Node | None = None
         self.load: tuple[int, int, int] | None = None  # running, waiting, slots
 
--- a/knotwalk/edge/node_connection_state.py
+++ b/knotwalk/edge/node_connection_state.py
@@ -6,7 +6,6 @@
 import select
 from collections.abc import Callable
 from enum import Enum
-from typing import TYPE_CHECKING
 
 import httptools
 
@@ -15,9 +14,6 @@
 from knotwalk.edge.node_answer import Answer, Sink, Source
 from knotwalk.runtime.errors import PeerError
 
-if TYPE_CHECKING:
-    from knotwalk.edge.node_connection import Connection
-
 # Idle seconds of a connection whose node told no time: nodes that close within less than a second can't tell it.
 IDLE_GUESS = 0.6
 
@@ -44,7 +40,7 @@
 class NodeConnectionState(asyncio.Protocol):
     """What is known of one connection to a node; reading answers and sending requests are built on it."""
 
-    def __init__(self, node: Node, clock: Callable[[], float], changed: Callable[[Connection], None]):
+    def __init__(self, node: Node, clock: Callable[[], float], changed: Callable[[NodeConnectionState], None]):
         self.node, self.clock, self.changed = node, clock, changed
         self.phase = Phase.OPENING
         self.transport: asyncio.Transport | None = None
--- a/knotwalk/replay/model.py
+++ b/knotwalk/replay/model.py
@@ -14,7 +14,8 @@
 
 from knotwalk.decide import Conductor
 from knotwalk.interface import Settings
-from knotwalk.replay.past import SHAPE, Past, Report
+from knotwalk.replay.day_parts import SHAPE, Report
+from knotwalk.replay.past import Past
 from knotwalk.rules import Break, Rules
 from knotwalk.tape import Tape
 
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -13,8 +13,9 @@
 from knotwalk.interface import Settings
 from knotwalk.record.reader import Loss, Recording
 from knotwalk.replay import change, exact, verdict
+from knotwalk.replay.day_parts import Steps
 from knotwalk.replay.model import Failed, Model
-from knotwalk.replay.past import Past, Steps, worth
+from knotwalk.replay.past import Past, worth
 
 SMALL = Size(servers=5, proxies=4, slices=12, rate=40.0)
 DAY = Size(servers=8, proxies=8, slices=40, rate=75.0)
