Benchmark: what an edge adds to a request's time, and how long a crashed node's keys rest

Change: `benchmarks/added_time.py` (real programs on loopback, requests in turns straight to the node and through the edge, light and with loaders); both figures go into benchmarks.system.

--- a/benchmarks/system.py
+++ b/benchmarks/system.py
@@ -1,4 +1,4 @@
-"""What the system promises, measured without sockets; the last line is one JSON object.
+"""What the system promises, measured without sockets but for the last figures; the last line is one JSON object.
 
     python3 -m benchmarks.system [--quick]
 
@@ -15,9 +15,12 @@
 keys are held again, over the least that elections and leases allow; `recovery_all_s` and `recovery_all_ratio` if all
 three come back: no lease has to end then, since each takes up its own. `reopen_ms`: from a start to a whole state, by
 entries of the log that the core was killed with; `reopen_each`: of the last two lengths, time for an entry in the
-longer over that in the shorter.
+longer over that in the shorter. `gap_p50`, `gap_p99`: seconds that the keys of a crashed node rest, in simulated
+worlds (tests/simulation/crash_gap.py). `added_ms_p50`, `added_ms_p99` and `loaded_ms_...`: on loopback sockets, what an
+edge adds to a request's time (benchmarks/added_time.py).
 """
 
+import asyncio
 import contextlib
 import io
 import json
@@ -29,7 +32,7 @@
 from collections import Counter
 from typing import Any
 
-from benchmarks import configuration
+from benchmarks import added_time, configuration
 from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import Answer, Apply, Entry, Pace, Role, Save, Send
 from knotwalk.consensus.store import Store
@@ -39,6 +42,7 @@
 from knotwalk.leases.ledger import Ledger, ranges
 from knotwalk.leases.orders import Grant, Pace as KeysPace, Propose, Release
 from knotwalk.leases.tenure import ASK, DRIFT, LEASE, MARGIN, PROOF, Tenure, reassign
+from tests.simulation import crash_gap
 from tests.simulation.walk import measure
 from tests.system.cluster import Cluster, Violation, trouble
 from tests.system.model import explore, mistakes, worlds
@@ -319,6 +323,9 @@
     found["recovery_s"], found["recovery_ratio"] = round(two, 2), round(two / least, 2)
     whole = statistics.median([recovery(seed, 3) for seed in seeds])
     found["recovery_all_s"], found["recovery_all_ratio"] = round(whole, 2), round(whole / Pace().election_low, 2)
+    found |= crash_gap.measure(2 if quick else 20)
+    print(json.dumps(found), flush=True)
+    found |= asyncio.run(added_time.whole(4.0 if quick else 20.0))
     print(json.dumps(found))
 
 
