--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -85,16 +85,19 @@
         self.ending = Ending(self.reload)
 
     async def propose(self, command: dict) -> str | None:
+        """Have a command of this core's conductor agreed on; see `PeerApi.propose`."""
         return await self.peer_api.propose(command)
 
     # --- what the agreed log and the list bring -----------------------------------------------------
 
     def configured(self) -> None:
+        """The configuration in force is another: edges are told."""
         state = self.consensus.state
         self.board.set_config(state.order, document(state.configuration))
         self.peer_api.changed()
 
     def lines_changed(self, index: int, changes: list) -> None:
+        """An entry changed owner lines: edges are told, and the keeper looks at the ledger."""
         by_service: dict[str, dict[int, tuple[str, bool]]] = {}
         for change in changes:
             by_service.setdefault(change.service, {})[change.slice] = (change.owner, change.open)
@@ -115,12 +118,14 @@
         self.conductor.look(whole=True)
 
     def listed(self) -> None:
+        """The platform's list is another: keeper and edges are told."""
         self.conductor.listed()
         self.peer_api.changed()
 
     # --- life -----------------------------------------------------------------------------------------
 
     async def run(self) -> None:
+        """Serve until the end is asked for, then leave in order."""
         self.ending.listen()
         peer_api, control = Listener(self.peer_api.app()), Listener(self.control.app())
         await peer_api.start(self.settings.ip_address, self.settings.ports[0])
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -101,6 +101,7 @@
         self.closing = False
 
     def start(self) -> None:
+        """Begin to write, and let the machine see the time."""
         self._spawn(self._write())
         self.turn()
 
@@ -117,6 +118,7 @@
         self.carry_out()
 
     def carry_out(self) -> None:
+        """Carry out what the machine ordered, and see when to call it next."""
         machine = self.machine
         while machine.orders:
             orders, machine.orders = machine.orders, []
@@ -227,6 +229,7 @@
             self.posting.discard(lane)
 
     def receive(self, messages: list[dict]) -> None:
+        """Messages of a peer, as answers to ours."""
         now = clock()
         for message in messages:
             self.machine.receive(now, message)
@@ -286,6 +289,7 @@
             raise Lost
 
     async def close(self) -> None:
+        """End all work; a write under way is not waited for."""
         self.closing = True
         if self.timer is not None:
             self.timer.cancel()
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -30,6 +30,7 @@
         self.taking = asyncio.Lock()  # one change at a time is judged and agreed on
 
     def app(self) -> Sanic:
+        """The port's routes."""
         made = app("control")
         made.add_route(self.read, "/configuration", methods=["GET"], error_format="text")
         made.add_route(self.change, "/configuration", methods=["PUT", "PATCH"], error_format="text")
@@ -51,6 +52,7 @@
         return None
 
     def elsewhere(self, leader: str | None) -> HTTPResponse:
+        """Where an operator should go: a redirection to the leader, or 503 where none is known."""
         if leader in (None, self.consensus.machine.address):  # others may still hold this machine for the leader
             return answer({"error": "no leader is known here; ask another or again"}, 503, {"Retry-After": "0.3"})
         host = leader.rpartition(":")[0]
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -46,6 +46,7 @@
         self.on_nodes: Callable[[], None] = lambda: None
 
     def role(self, leads: bool) -> None:
+        """This machine leads from now on, or does no more."""
         self.tenure = Tenure(clock()) if leads else None
 
     @property
@@ -73,12 +74,14 @@
         }
 
     def leave(self, conductor: str) -> None:
+        """A conductor said that it acts no more."""
         if self.tenure is not None:
             self.tenure.left(clock(), conductor)
 
     # --- slices without a conductor ---------------------------------------------------------------
 
     async def keep_leases(self) -> None:
+        """Mind conductors' leases again and again, while this machine leads."""
         while True:
             await asyncio.sleep(STEP)
             if not self.proven or self.consensus.machine.applied < self.consensus.machine.commit:
@@ -180,6 +183,7 @@
             return {}
 
     async def read(self) -> Listing:
+        """Read the platform's list, all pages; PeerError or Unusable."""
         host, port = self.settings.platform.address
         listing, token = Listing(), ""
         while token is not None:
@@ -195,6 +199,7 @@
         return listing
 
     def list_message(self) -> dict:
+        """The list as cores tell it each other."""
         now = clock()
         return {"order": list(self.board.nodes_order), "nodes": {i: entry(n, now) for i, n in self.board.nodes.items()}}
 
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -59,6 +59,7 @@
         self.asked: dict[str, tuple[float, str, int]] = {}  # by edge: when it called here, and what it had then
 
     def app(self) -> Sanic:
+        """The port's routes."""
         made = app("peers")
         for path, handler in (
             ("/consensus", self.messages),
@@ -87,6 +88,7 @@
     # --- agreement --------------------------------------------------------------------------------
 
     async def messages(self, request: Request) -> HTTPResponse:
+        """Messages of the agreement, answered by those that go back."""
         return answer(self.consensus.exchange(body(request)))
 
     async def proposal(self, request: Request) -> HTTPResponse:
@@ -112,6 +114,7 @@
     # --- leases and freshness ---------------------------------------------------------------------
 
     async def lease(self, request: Request) -> HTTPResponse:
+        """A conductor asks for its lease, or says that it leaves."""
         asked = body(request)
         if asked.get("leaving"):
             self.list_poller.leave(asked["conductor"])
@@ -148,12 +151,14 @@
             await asyncio.sleep(max(0.0, sent + (ASK if given else 0.03) - clock()))
 
     async def ask_nodes(self, leader: str) -> None:
+        """Ask the leader for a list that is newer than the one here."""
         try:
             self.list_poller.listed(await self.caller.json("POST", f"http://{leader}/nodes", {}, 0.6, "ask nodes"))
         except PeerError:
             pass
 
     async def nodes(self, request: Request) -> HTTPResponse:
+        """The leader tells its list; or, without a body, another core asks for it."""
         message = body(request)
         if not message:
             return answer(self.list_poller.list_message())
@@ -259,6 +264,7 @@
     # --- loads ------------------------------------------------------------------------------------
 
     async def share(self, request: Request) -> HTTPResponse:
+        """Another core tells what it heard of loads, edges, and nodes that it does not reach."""
         raw = body(request)
         now = clock()
         if word := raw.pop("unreached", None):
@@ -269,6 +275,7 @@
         return answer({})
 
     async def share_loads(self) -> None:
+        """Tell the other cores each SHARE seconds what was heard here."""
         while True:
             await asyncio.sleep(SHARE)
             self.judge()
--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -76,21 +76,25 @@
         self.carry_out()
 
     def listed(self) -> None:
+        """The platform's list is another."""
         self.keeper.nodes(clock(), self.board.nodes)
         listed = {node.address for node in self.board.nodes.values()}
         self.lanes = {key: lane for key, lane in self.lanes.items() if key[0] in listed}
         self.carry_out()
 
     def tick(self) -> None:
+        """Let the keeper see the time."""
         self.keeper.tick(clock())
         self.carry_out()
 
     def stop(self) -> None:
+        """Act no more: nothing is granted, renewed or released from now on."""
         self.stopped = True
         if self.timer is not None:
             self.timer.cancel()
 
     def carry_out(self) -> None:
+        """Log what the keeper found, make its calls, and see when to call it next."""
         if self.stopped:
             return
         keeper = self.keeper
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -48,6 +48,7 @@
         self.ending = Ending(self.reload)
 
     def news(self, changed: set[str], edges: int) -> None:
+        """Topics of the cluster view changed; so many `edges` share the budgets."""
         if edges > 1:
             self.front.edges = edges
         self.front.pictured(changed)
@@ -56,6 +57,7 @@
             log_info("ready", version=self.view.configuration.version, nodes=len(self.view.nodes))
 
     async def run(self) -> None:
+        """Serve until the end is asked for, then finish what was read."""
         self.ending.listen()
         readiness = await ready.listen(*self.settings.at("readiness"), lambda: self.ready)
         await self.front.start()
--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -107,13 +107,16 @@
     # -- from the loop
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """The connection is up."""
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
 
     def connection_lost(self, error: Exception | None) -> None:
+        """The connection ended."""
         self.end(str(error) if error else "the connection ended before the answer")
 
     def data_received(self, data: bytes) -> None:
+        """Bytes came; those that no call waits for end the connection."""
         if self.line is not Line.WAITING:
             self.end("bytes that belong to no answer")
             return
@@ -144,6 +147,7 @@
             self.end("another call's answer")
 
     def on_body(self, data: bytes) -> None:
+        """A piece of an answer's body."""
         self.size += len(data)
         if self.size > MOST:
             self.end("the answer is too large")
@@ -151,6 +155,7 @@
             self.body.append(data)
 
     def on_message_complete(self) -> None:
+        """An answer is whole."""
         status = self.parser.get_status_code()
         if self.line is not Line.WAITING or status < 200:  # a second answer in one piece, or not the answer yet
             self.end("bytes that belong to no answer")
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -62,6 +62,7 @@
         return core
 
     async def run(self) -> None:
+        """Keep calling: one core, and another where that one fails."""
         pause = PAUSE
         while True:
             if self.core is None:
