The port for figures opens three seconds after a start, and its modules load then

Change: `tell_figures` loads them after FIGURES_AFTER; the loop's delay is a module of its own without imports.

--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -17,17 +17,17 @@
 from knotwalk.consensus.store import Store, StoreBroken
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
 from knotwalk.control_plane.control import Control
-from knotwalk.control_plane.figures import figures
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.peer_api import PeerApi
 from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
 from knotwalk.leases.orders import Pace as KeysPace
-from knotwalk.runtime import logs, metrics
+from knotwalk.runtime import logs
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.life import Ending, live
+from knotwalk.runtime.life import FIGURES_AFTER, Ending, live
 from knotwalk.runtime.logs import log_info
+from knotwalk.runtime.loop_delay import LoopDelay
 from knotwalk.runtime.serve import Listener
 from knotwalk.runtime.settings import Settings
 
@@ -81,7 +81,7 @@
         self.consensus.on_restore = self.restored
         self.consensus.on_damage = lambda: os._exit(1)  # nothing more is promised, no leave: the disk may be whole
         self.list_poller.on_nodes = self.listed
-        self.delay = metrics.LoopDelay()
+        self.delay = LoopDelay()
         self.ending = Ending(self.reload)
 
     async def propose(self, command: dict) -> str | None:
@@ -130,9 +130,6 @@
         peer_api, control = Listener(self.peer_api.app()), Listener(self.control.app())
         await peer_api.start(self.settings.ip_address, self.settings.ports[0])
         await control.start(*self.settings.at("control"))
-        told = await metrics.listen(
-            self.settings.ip_address, self.settings.metrics_port, lambda: figures(logs.clock(), self)
-        )
         self.restored()
         self.consensus.start()
         works = [
@@ -144,6 +141,7 @@
                 self.peer_api.share_loads(),
                 self.conductor.place(),
                 self.watch_members(),
+                self.tell_figures(),
             )
         ]
         log_info(
@@ -157,8 +155,6 @@
         await self.let_go()
         for work in works:
             work.cancel()
-        if told is not None:
-            told.close()
         await control.close()
         await peer_api.close()
         await self.consensus.close()
@@ -181,6 +177,18 @@
             await asyncio.sleep(MEMBERS_LOOK)
             self.delay.note(logs.clock() - due)
 
+    async def tell_figures(self) -> None:
+        """Tell this core's figures at a port, if it is given one, until cancelled."""
+        if self.settings.metrics_port is not None:
+            await asyncio.sleep(FIGURES_AFTER)
+            from knotwalk.control_plane.figures import figures
+            from knotwalk.runtime import metrics
+
+            await metrics.listen(
+                self.settings.ip_address, self.settings.metrics_port, lambda: figures(logs.clock(), self)
+            )
+        await asyncio.Event().wait()  # a work that ended would end the program
+
     def reload(self, fresh: Settings) -> None:
         """The settings file changed: seeds and the platform's address are taken up; the rest wants a start."""
         self.settings = self.list_poller.settings = fresh
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -14,11 +14,9 @@
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge import ready
 from knotwalk.edge.caller import Caller
-from knotwalk.edge.figures import figures
 from knotwalk.edge.front import Front
 from knotwalk.edge.link import Link
-from knotwalk.runtime import metrics
-from knotwalk.runtime.life import Ending, live
+from knotwalk.runtime.life import FIGURES_AFTER, Ending, live
 from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.settings import Settings
 
@@ -61,11 +59,7 @@
         self.ending.listen()
         readiness = await ready.listen(*self.settings.at("readiness"), lambda: self.ready)
         await self.front.start()
-        told = await metrics.listen(
-            self.settings.ip_address,
-            self.settings.metrics_port,
-            lambda: figures(clock(), self.ready, self.front, self.link),
-        )
+        told = asyncio.get_running_loop().create_task(self.tell_figures())
         link = asyncio.get_running_loop().create_task(self.link.run())
         await self.ending.wait(link)
         log_info("leaving")
@@ -75,11 +69,24 @@
         await self.front.finished(clock() + self.settings.bounds.grace_period - 0.5)
         link.cancel()
         readiness.close()
-        if told is not None:
-            told.close()
+        told.cancel()
         await self.caller.close()
         log_info("ended")
 
+    async def tell_figures(self) -> None:
+        """Tell this edge's figures at a port, if it is given one, until cancelled."""
+        if self.settings.metrics_port is None:
+            return
+        await asyncio.sleep(FIGURES_AFTER)
+        from knotwalk.edge.figures import figures
+        from knotwalk.runtime import metrics
+
+        await metrics.listen(
+            self.settings.ip_address,
+            self.settings.metrics_port,
+            lambda: figures(clock(), self.ready, self.front, self.link),
+        )
+
     def reload(self, fresh: Settings) -> None:
         """The settings file changed: the seeds are taken up; the rest wants a start."""
         self.link.seeds = [f"{ip}:{fresh.ports[0]}" for ip, _ in fresh.seeds]
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -17,7 +17,7 @@
 from knotwalk.edge.exchange import Exchange, Stage
 from knotwalk.edge.forwarder import Forwarder
 from knotwalk.runtime.logs import log_exception, log_info
-from knotwalk.runtime.metrics import LoopDelay
+from knotwalk.runtime.loop_delay import LoopDelay
 from knotwalk.runtime.settings import Settings
 
 # Seconds between looks at idle connections: the bounds they keep are whole seconds.
--- a/knotwalk/runtime/metrics.py
+++ b/knotwalk/runtime/metrics.py
@@ -2,7 +2,8 @@
 
 Nothing is gathered for it but plain counts: the figures are read off the program's state when somebody asks, and the
 library that writes the format is loaded by the first question, on a thread, since loading takes a tenth of a second of
-a core. Names are stated in docs/guides/system.md and never change.
+a core. This module is itself loaded a while after the start (`life.FIGURES_AFTER`), for which a loss of all waits.
+Names are stated in docs/guides/system.md and never change.
 
 Source: Prometheus, "Exposition formats", text format 0.0.4.
 """
@@ -18,6 +19,7 @@
 
 from knotwalk.runtime import text_port
 from knotwalk.runtime.logs import log_exception, log_info, log_warning
+from knotwalk.runtime.loop_delay import LoopDelay
 
 PATH = b"/metrics"
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain; version=0.0.4; charset=utf-8\r\nContent-Length: %d\r\n\r\n"
@@ -48,22 +50,6 @@
     return Figure(name, Kind.GAUGE, meaning, {(): value})
 
 
-class LoopDelay:
-    """How late the event loop ran what was due, at most, since it was last asked."""
-
-    def __init__(self) -> None:
-        self._most = 0.0
-
-    def note(self, late: float) -> None:
-        """Something ran so many seconds late."""
-        self._most = max(self._most, late)
-
-    def take(self) -> float:
-        """The most, in seconds; begins anew."""
-        most, self._most = self._most, 0.0
-        return most
-
-
 def loop_delay(delay: LoopDelay) -> Figure:
     """The figure of it, the same for every program."""
     return gauge(
