--- a/knotwalk/runtime/life.py
+++ b/knotwalk/runtime/life.py
@@ -80,8 +80,8 @@
                 work.result()
 
 
-# Seconds from a start until the port for figures is opened: loading its modules takes a tenth of an edge's start, for
-# which a loss of all machines waits.
+# Seconds from a start until the port for figures is opened: a start, for which a loss of all machines waits, does only
+# what serving needs.
 FIGURES_AFTER = 3.0
 METRICS = "--metrics="  # the one argument of a program: the port on which it tells its own figures
 
