--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -16,6 +16,11 @@
 CROWD_LOOK = 0.05
 # A client that came before there was a cluster view is read once there is; after so many seconds it is let go, unread.
 STARTING, STARTING_MOST = "starting", 0.9
+# Events that the port counts: how a client went while a request of its was under way. It ended its side (a plain close
+# looks the same), reset the connection, or did either while nothing was read, which only a look at the socket finds.
+ENDED_ITS_SIDE = "client ended its side, requests under way"
+RESET = "client reset, requests under way"
+LEFT_UNREAD = "client left while reading paused"
 LOW, HIGH = 32 * 1024, 128 * 1024  # bytes waiting to be written to a client: reading from the node goes on, pauses
 
 
@@ -26,9 +31,18 @@
     return bool(poll.poll(0))
 
 
+def hung_up(descriptor: int) -> bool:
+    """Whether the other side has ended its side or reset, whatever lies unread before that."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 class ClientConnection(RequestReader):
     """One client's connection."""
 
+    _left_unread = False  # counted as one that left while reading paused
+
     # -- from the loop
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -55,6 +69,8 @@
         """The connection has ended: nobody waits for what is due on it."""
         if self.state is not ConnectionState.CLOSED:
             self._to(ConnectionState.CLOSED)
+        if error is not None and self.queue:
+            self.front.counts[RESET] += 1
         self._leave()
 
     def _leave(self) -> None:
@@ -75,6 +91,7 @@
             return False
         if self.reading is not None or not self.queue:
             return False  # half a request, or none: nothing to answer
+        self.front.counts[ENDED_ITS_SIDE] += 1
         if self.state is ConnectionState.OPEN:
             self._to(ConnectionState.LAST)
         return True
@@ -129,12 +146,22 @@
 
     # -- time
 
+    def _look_for_end(self) -> None:
+        """Count a client that left while nothing is read from it."""
+        if not self.holds or not self.queue or self._left_unread or self.transport is None:
+            return
+        made = self.transport.get_extra_info("socket")
+        if hung_up(made.fileno()):
+            self._left_unread = True
+            self.front.counts[LEFT_UNREAD] += 1
+
     def look(self, now: float) -> None:
         """Keep the bounds on idleness and slowness."""
         limits = self.front.limits
         still = now - self.touched
         if self.transport is None or self.state is ConnectionState.CLOSED:
             return
+        self._look_for_end()
         if self.state is ConnectionState.LINGER:
             if still > (limits.idle_timeout if self.transport.get_write_buffer_size() else LINGER):
                 self.transport.abort()
