--- /dev/null
+++ b/tests/system/test_client_leaves.py
@@ -0,0 +1,195 @@
+"""Clients that leave while requests of theirs are under way: nodes stop, by whichever way the client went.
+
+A client leaves by ending its side (as a plain close looks on the wire) or by a reset, at any step of a request, also
+while the edge reads nothing from it. What may be repeated is broken off at once; what must not is carried to its end.
+Nodes hold each request until its connection ends, so only the edge's word can end their work.
+"""
+
+import asyncio
+import random
+import time
+import unittest
+
+from standins.nodes import SHED, RawClient, StandIn, answer, front, routes, view
+
+from knotwalk.edge.client_state import DEPTH
+
+LONG = 60.0  # seconds of deadline and route time: none of them ends work here
+BOUND = 10.0  # seconds in which a calm or busy machine gets to what the edge should do within some tenths
+KINDS = ("/i/", "/ki/")  # undivided and keyed, both repeatable
+DEADLINE = int(LONG * 1000)
+HELD = {"headers": "Shard-Key: 7\r\n", "deadline": DEADLINE}
+BODY_MORE = 1 << 22  # bytes of a body that no node takes: more than sockets' buffers hold
+
+
+async def until(met, what):
+    end = time.monotonic() + BOUND
+    while not met():
+        if time.monotonic() > end:
+            raise AssertionError(f"{what}: not within {BOUND:g} s")
+        await asyncio.sleep(0.002)
+
+
+class Holding(StandIn):
+    """A node at work on every request until its connection ends; `go` lets it answer."""
+
+    def __init__(self, id):
+        super().__init__(id)
+        self.working: list[str] = []
+        self.go = asyncio.Event()
+
+    def act(self, request):
+        return self.work
+
+    async def work(self, request, writer):
+        self.working.append(request.attempt)
+        try:
+            while not self.go.is_set() and not request.reader.at_eof():
+                await asyncio.sleep(0.002)
+        finally:
+            self.working.remove(request.attempt)
+        return answer(request)
+
+
+class LeavesCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.nodes, self.clients = [], []
+        self.front = None
+
+    async def begin(self, kind=Holding, count=1, limits=None, **raw):
+        self.nodes = [await kind(f"i-{at}").start() for at in range(count)]
+        nodes = [node.node(service, capacity=40) for service in ("s", "k") for node in self.nodes]
+        for at, node in enumerate(nodes):
+            node.id = f"{node.id}-{node.service}"
+        self.front = await front(view(nodes, routes(timeout=LONG, aim=LONG), limits), **raw)
+
+    async def asyncTearDown(self):
+        for client in self.clients:
+            client.close()
+        for node in self.nodes:
+            node.stop()
+        if self.front is not None:
+            self.front.drain()
+            await self.front.finished(0)
+            self.front._sweep.cancel()
+        for _ in range(3):
+            await asyncio.sleep(0)
+
+    async def client(self):
+        self.clients.append(await RawClient.to(self.front.port))
+        return self.clients[-1]
+
+    def working(self):
+        return [attempt for node in self.nodes for attempt in node.working]
+
+    async def idle(self):
+        """Nobody works and nothing is open any more."""
+        await until(lambda: not self.working(), "nodes stop")
+        await until(lambda: not self.front.open and not self.front.clients, "the edge is rid of it")
+
+    # -- ways to go, at a request that is under way
+
+    async def test_a_close_stops_work_that_may_be_repeated(self):
+        await self.begin()
+        for prefix in KINDS:
+            for leave in (RawClient.close, RawClient.reset):
+                with self.subTest(prefix=prefix, leave=leave.__name__):
+                    client = await self.client()
+                    client.ask(prefix, **HELD)
+                    await until(self.working, "at work")
+                    leave(client)
+                    await self.idle()
+
+    async def test_a_close_is_heard_while_reading_pauses(self):
+        """A full pipeline, and a body that the node does not take: neither is read on, and the close is heard."""
+        await self.begin()
+        for leave in (RawClient.close, RawClient.reset):
+            with self.subTest("pipeline", leave=leave.__name__):
+                client = await self.client()
+                for at in range(DEPTH):
+                    client.ask(id=f"p{at}", **HELD)
+                await until(lambda: len(self.working()) == DEPTH, "all at work")
+                leave(client)
+                await self.idle()
+        await self.begin_deaf()
+        for leave in (RawClient.close, RawClient.reset):
+            with self.subTest("body", leave=leave.__name__):
+                client = await self.client()
+                client.ask("/i/", "b1", "POST", f"Content-Length: {BODY_MORE}\r\n", deadline=DEADLINE)
+                client.writer.write(bytes(BODY_MORE // 2))
+                await until(lambda: any("body" in c.holds for c in self.front.clients), "the body stays unread")
+                leave(client)
+                await until(lambda: not self.front.open, "given up")
+
+    async def begin_deaf(self):
+        """A front before a node that takes connections and reads nothing."""
+        self.front.drain()
+        await self.front.finished(0)
+        self.front._sweep.cancel()
+        await self.begin(Deaf)
+
+    async def test_nothing_is_begun_or_goes_on_whenever_it_leaves(self):
+        """Over seeds: pipelines of both kinds left at any turn of the loop, by either way, before nodes that hold, shed
+        or answer. In the end nobody works, nothing is open, and nothing that must not be repeated ran twice."""
+        await self.begin(Mixed, 3)
+        for seed in range(40):
+            luck = random.Random(seed)
+            for node in self.nodes:
+                node.luck = random.Random(seed)
+                node.seen.clear()
+            client = await self.client()
+            for at in range(luck.randint(1, 5)):
+                prefix = luck.choice(("/i/", "/n/", "/ki/", "/kn/"))
+                client.ask(prefix, f"s{seed}-{at}", luck.choice(("GET", "POST")), "Shard-Key: 7\r\n", b"", DEADLINE)
+            for _ in range(luck.randrange(30)):
+                await asyncio.sleep(0)
+            luck.choice((RawClient.close, RawClient.reset))(client)
+            # what must not be repeated is carried to its end: let it, once all else has stopped
+            await until(
+                lambda: all("n" in line for line in self.lines_at_work()), f"only single runs go on, seed {seed}"
+            )
+            for node in self.nodes:
+                node.go.set()
+            await self.idle()
+            single = [r.attempt for node in self.nodes for r in node.seen if "n/" in r.line]
+            ran = [attempt for attempt in single if attempt not in self.shed()]
+            self.assertEqual(len(ran), len(set(ran)), seed)
+            for node in self.nodes:
+                node.go.clear()
+
+    def shed(self):
+        return {attempt for node in self.nodes for attempt in node.refused}
+
+    def lines_at_work(self):
+        """Targets of the requests that nodes work on."""
+        at_work = set(self.working())
+        return [r.line.split(" ")[1] for node in self.nodes for r in node.seen if r.attempt in at_work]
+
+
+class Deaf(Holding):
+    """It takes connections, and reads nothing from them."""
+
+    async def _serve(self, reader, writer):
+        writer.transport.pause_reading()
+        self.writers.append(writer)
+
+
+class Mixed(Holding):
+    """It holds, sheds or answers, by its luck."""
+
+    def __init__(self, id):
+        super().__init__(id)
+        self.luck, self.refused = random.Random(0), set()
+
+    async def work(self, request, writer):
+        choice = self.luck.random()
+        if choice < 0.2:
+            self.refused.add(request.attempt)
+            return SHED
+        if choice < 0.4:
+            return answer(request)
+        return await super().work(request, writer)
+
+
+if __name__ == "__main__":
+    unittest.main()
