A client that ends its side has left: what may be repeated is broken off at once

Cause: on the wire a close looks like a client that ends only its side; the edge took each for the latter, answered on, and read no more, so that it heard no reset either. While reading paused (full pipeline, body not taken, reader too slow) no end was heard at all. Class: an end that is only heard by reading, and taken for the one that asks for more work. Paused connections are looked at each 0.15 s for FIN and reset; what lay unread (accepted, resumed) is looked at once more before it is begun.

--- a/knotwalk/edge/answer_writer.py
+++ b/knotwalk/edge/answer_writer.py
@@ -9,8 +9,9 @@
 from http import HTTPStatus
 
 from knotwalk.edge.client_state import DEPTH, ClientState, ConnectionState
-from knotwalk.edge.exchange import Exchange, Stage
+from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.node_answer import Answer
+from knotwalk.edge.stages import Stage
 
 # Seconds by which the time told to clients lies before our own end of an idle connection.
 KEEP_MARGIN = 1
@@ -145,7 +146,7 @@
         if x.timer is not None and (x.answer is None or x.answer.whole):
             x.timer.cancel()
             x.timer = None
-        if self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
+        if x.gone or self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
             if x.answer is not None and x.answer.stream is not None:
                 x.answer.stream.abort("the client is gone")
             self._end(x)
--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import select
+from enum import Enum
 
 from knotwalk.edge.client_state import ConnectionState
-from knotwalk.edge.exchange import Stage
 from knotwalk.edge.request_reader import RequestReader
+from knotwalk.edge.stages import Stage, outlives_its_client
 
 # Seconds that a connection stays open behind its last answer, so that unread bytes don't destroy it on the way.
 LINGER = 1.0
@@ -21,6 +22,8 @@
 ENDED_ITS_SIDE = "client ended its side, requests under way"
 RESET = "client reset, requests under way"
 LEFT_UNREAD = "client left while reading paused"
+# Seconds between looks for the end of a client from which nothing is read.
+PAUSED_LOOK = 0.15
 LOW, HIGH = 32 * 1024, 128 * 1024  # bytes waiting to be written to a client: reading from the node goes on, pauses
 
 
@@ -31,17 +34,28 @@
     return bool(poll.poll(0))
 
 
-def hung_up(descriptor: int) -> bool:
+class Hearing(Enum):
+    """What a look at a client's socket tells of its end."""
+
+    NOTHING = "nothing"
+    ENDED = "ended"  # it sends no more: it has closed, or ended its side
+    RESET = "reset"  # the connection is over, both ways
+
+
+def hear(descriptor: int) -> Hearing:
     """Whether the other side has ended its side or reset, whatever lies unread before that."""
     poll = select.poll()
     poll.register(descriptor, select.POLLRDHUP)
-    return bool(poll.poll(0))
+    events = [event for _, event in poll.poll(0)]
+    if not events:
+        return Hearing.NOTHING
+    return Hearing.RESET if events[0] & (select.POLLERR | select.POLLHUP) else Hearing.ENDED
 
 
 class ClientConnection(RequestReader):
     """One client's connection."""
 
-    _left_unread = False  # counted as one that left while reading paused
+    _watching: asyncio.TimerHandle | None = None  # the next look for its end, while reading pauses
 
     # -- from the loop
 
@@ -71,30 +85,60 @@
             self._to(ConnectionState.CLOSED)
         if error is not None and self.queue:
             self.front.counts[RESET] += 1
-        self._leave()
+        if self._watching is not None:
+            self._watching.cancel()
+        self._abandon(0)
+        self.front.left(self)
 
-    def _leave(self) -> None:
-        """Nobody waits for the answers any more."""
-        for x in self.queue:
+    def data_received(self, data: bytes) -> None:
+        """Bytes came. Where they may have lain a while, the client's end may lie right behind them."""
+        long_unread, self.long_unread = self.long_unread, False
+        super().data_received(data)
+        if long_unread and self.queue and self.reading is None and self._hear() is not Hearing.NOTHING:
+            self._client_ended()
+
+    def _hear(self) -> Hearing:
+        if self.transport is None or self.transport.is_closing():
+            return Hearing.NOTHING
+        return hear(self.transport.get_extra_info("socket").fileno())
+
+    def _abandon(self, kept: int) -> None:
+        """Nobody waits for the answers any more, but for the first `kept` of them."""
+        while len(self.queue) > kept:
+            x = self.queue.pop()
             x.leave()
             if x.answer is not None and x.answer.stream is not None:
                 x.answer.stream.abort("the client is gone")
             if x.stage not in (Stage.RUNNING, Stage.DONE):
                 self._end(x)
-        self.queue.clear()
-        self.front.left(self)
 
     def eof_received(self) -> bool:
-        """The client sends no more: what it sent whole is still answered."""
+        """The client sends no more: it has closed, or still reads."""
         self.over = True
-        if self.state is ConnectionState.LINGER:
+        if self.state is ConnectionState.LINGER or not self.queue:
+            return False  # nothing to answer
+        if self.reading is not None:
+            self._abandon(0)  # half a request is no request, and whoever sends it has gone
             return False
-        if self.reading is not None or not self.queue:
-            return False  # half a request, or none: nothing to answer
         self.front.counts[ENDED_ITS_SIDE] += 1
-        if self.state is ConnectionState.OPEN:
-            self._to(ConnectionState.LAST)
-        return True
+        return self._client_ended()
+
+    def _client_ended(self) -> bool:
+        """The client has ended its side: only what outlives it goes on, to be answered; whether anything does."""
+        self.over = True
+        first = self.queue[0]
+        if outlives_its_client(first.stage, first.repeatable):
+            first.half_closed(self.front.clock())
+            self._abandon(1)
+            self._shut()
+            return True
+        cut = self.full or first.stage is Stage.WRITING
+        self._abandon(0)
+        if cut:
+            self.abort()  # a close would wait for its reading, and could look like the end of the answer
+        elif self.transport is not None:
+            self.transport.close()
+        return False
 
     def pause_writing(self) -> None:
         """The client does not read: no more is written, or read, until it does."""
@@ -146,14 +190,23 @@
 
     # -- time
 
+    def _watch_for_end(self) -> None:
+        if self._watching is None:
+            self._watching = asyncio.get_running_loop().call_later(PAUSED_LOOK, self._look_for_end)
+
     def _look_for_end(self) -> None:
-        """Count a client that left while nothing is read from it."""
-        if not self.holds or not self.queue or self._left_unread or self.transport is None:
+        """While nothing is read, its end is neither: look at the socket for it."""
+        self._watching = None
+        if not self.holds or self.transport is None or self.transport.is_closing():
             return
-        made = self.transport.get_extra_info("socket")
-        if hung_up(made.fileno()):
-            self._left_unread = True
+        heard = self._hear()
+        if heard is Hearing.RESET:
+            self.front.counts[LEFT_UNREAD] += 1
+            self.abort()
+        elif heard is Hearing.ENDED and self.queue and not self.over:
             self.front.counts[LEFT_UNREAD] += 1
+            self._client_ended()
+        self._watch_for_end()
 
     def look(self, now: float) -> None:
         """Keep the bounds on idleness and slowness."""
@@ -161,7 +214,6 @@
         still = now - self.touched
         if self.transport is None or self.state is ConnectionState.CLOSED:
             return
-        self._look_for_end()
         if self.state is ConnectionState.LINGER:
             if still > (limits.idle_timeout if self.transport.get_write_buffer_size() else LINGER):
                 self.transport.abort()
--- a/knotwalk/edge/client_state.py
+++ b/knotwalk/edge/client_state.py
@@ -14,7 +14,8 @@
 import httptools
 
 from knotwalk.edge.clients_port import ClientsPort
-from knotwalk.edge.exchange import Exchange, Stage
+from knotwalk.edge.exchange import Exchange
+from knotwalk.edge.stages import Stage
 from knotwalk.runtime.errors import PeerError
 
 # Requests of one connection that are carried or wait for their turn before reading pauses.
@@ -60,6 +61,7 @@
         self.holds: set[str] = set()  # why reading pauses
         self.full = False  # the client does not read
         self.over = False  # the client has ended its side
+        self.long_unread = True  # what is read next may have lain for a while, with the client's end behind it
         self.touched = front.clock()  # when something moved last
         self.head_since: float | None = None  # when the head being read began
         self._fed = 0
@@ -83,12 +85,17 @@
             return
         if self.holds and self.transport.is_reading():
             self.transport.pause_reading()
+            self._watch_for_end()
         elif not self.holds and not self.transport.is_reading():
             self.transport.resume_reading()
+            self.long_unread = True
             self.touched = self.front.clock()
             if self.head_since is not None:
                 self.head_since = self.touched
 
+    def _watch_for_end(self) -> None:
+        """Reading pauses: hear of the client's end by other means."""
+
     def _starve(self, on: bool) -> None:
         self._hold("body", on)
 
--- a/knotwalk/edge/exchange.py
+++ b/knotwalk/edge/exchange.py
@@ -3,36 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
-from enum import Enum
 
 from knotwalk.configuration.objects import Route
 from knotwalk.edge.node_answer import Answer
 from knotwalk.edge.node_connection import Connection
+from knotwalk.edge.stages import OFFER_AFTER_END, STAGES, Stage
 from knotwalk.runtime.errors import PeerError
 
 
-class Stage(Enum):
-    """States of a request."""
-
-    READING = "reading"  # its body has not been read as far as it must be
-    READY = "ready"  # may be carried, waits its turn
-    RUNNING = "running"  # being carried
-    ANSWERED = "answered"  # its answer is known, waits its turn
-    WRITING = "writing"  # its answer is passed on as it comes
-    DONE = "done"
-
-
-STAGES = {
-    Stage.READING: {Stage.READY, Stage.ANSWERED, Stage.DONE},
-    Stage.READY: {Stage.RUNNING, Stage.ANSWERED, Stage.DONE},
-    Stage.RUNNING: {Stage.ANSWERED, Stage.DONE},
-    Stage.ANSWERED: {Stage.WRITING, Stage.DONE},
-    Stage.WRITING: {Stage.DONE},
-    Stage.DONE: set(),
-}
-
-
 class Exchange:
     """A client's request and its answer. `settled` is called once, when the answer is known."""
 
@@ -56,6 +36,7 @@
         "waiter",
         "expired",
         "gone",
+        "offer_until",
         "timer",
         "status",
         "retry_after",
@@ -84,6 +65,7 @@
         self.connection: Connection | None = None
         self.waiter: asyncio.Future | None = None
         self.expired = self.gone = False
+        self.offer_until = math.inf  # on the steady clock: it is offered to no node later
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
         self.status, self.retry_after, self.text = 0, 0.0, ""
@@ -175,14 +157,30 @@
         self.expired = True
         self._wake("the deadline passed")
 
+    @property
+    def repeatable(self) -> bool:
+        """Whether it may run again, so that its work may be broken off."""
+        return self.route is not None and self.route.idempotent
+
     def leave(self) -> None:
-        """The client is gone: a request that may run again is broken off, another is carried to its end."""
+        """The client is gone: what may be repeated, or was not sent whole, is broken off.
+
+        What must not be repeated goes on at the node that has it; while it waits for one, it is offered to none."""
         self.gone = True
         if self.route is None or self.route.idempotent or not self.body_whole:
             self._wake("the client is gone")
+        else:
+            self._stop_waiting()
+
+    def half_closed(self, now: float) -> None:
+        """The client has ended its side, and may have left: go on, but be offered to no node much later."""
+        self.offer_until = now + OFFER_AFTER_END
 
     def _wake(self, why: str) -> None:
         if self.connection is not None:
             self.connection.abort(why)
+        self._stop_waiting()
+
+    def _stop_waiting(self) -> None:
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(None)
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -14,8 +14,9 @@
 from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.client_connection import CROWD_LOOK, ClientConnection, unread
-from knotwalk.edge.exchange import Exchange, Stage
+from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import Forwarder
+from knotwalk.edge.stages import Stage
 from knotwalk.runtime.logs import log_exception, log_info
 from knotwalk.runtime.loop_delay import LoopDelay
 from knotwalk.runtime.settings import Settings
--- a/knotwalk/edge/node_selection.py
+++ b/knotwalk/edge/node_selection.py
@@ -20,12 +20,12 @@
     async def _node(self, x: Exchange, tried: set[str], may_have_run: bool, offered: bool) -> tuple[Node | None, str]:
         """The node to offer the request to, waiting briefly if there is none; or None and the cause. `offered`: whether
         a node has had it already; only then does a further wait begin."""
-        hold = min(waits_until(x, self.clock() if offered else x.begun), x.until - TOO_LATE)
+        hold = min(waits_until(x, self.clock() if offered else x.begun), x.until - TOO_LATE, x.offer_until)
         while True:
             now = self.clock()
             if x.until - now <= TOO_LATE:
                 return None, "no time left"
-            if x.gone:
+            if x.gone or now > x.offer_until:
                 return None, "the client is gone"
             node, why = self._owner(x, tried, now) if x.key >= 0 else self._best(x, tried, now, may_have_run)
             if node is not None:
--- a/knotwalk/edge/request_reader.py
+++ b/knotwalk/edge/request_reader.py
@@ -9,8 +9,9 @@
 
 from knotwalk.edge.answer_writer import AnswerWriter
 from knotwalk.edge.client_state import DEPTH, ConnectionState, Refusal
-from knotwalk.edge.exchange import Exchange, Stage
+from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.node_answer import HOP
+from knotwalk.edge.stages import Stage
 
 # A request's body up to this size (bytes) is gathered before it is offered to a node; a longer one streams.
 GATHER = 64 * 1024
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -233,7 +233,7 @@
             return b""
 
     def reset(self) -> None:
-        """Go away at once. (A mere close can't be told from the end of one side: the answer is still wanted then.)"""
+        """Go away at once. A mere close can't be told from the end of one side, a reset can."""
         made = self.writer.get_extra_info("socket")
         made.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.writer.transport.abort()
--- a/tests/system/test_client_leaves.py
+++ b/tests/system/test_client_leaves.py
@@ -12,6 +12,8 @@
 
 from standins.nodes import SHED, RawClient, StandIn, answer, front, routes, view
 
+from knotwalk.discovery.view_types import Line
+from knotwalk.edge.client_connection import Hearing
 from knotwalk.edge.client_state import DEPTH
 
 LONG = 60.0  # seconds of deadline and route time: none of them ends work here
@@ -165,6 +167,70 @@
         at_work = set(self.working())
         return [r.line.split(" ")[1] for node in self.nodes for r in node.seen if r.attempt in at_work]
 
+    # -- before anything has begun
+
+    async def test_what_lay_unread_with_its_clients_end_behind_it_begins_nowhere(self):
+        """An edge without a cluster view reads nothing: once it has one, who has left meanwhile is not served."""
+        await self.begin()
+        self.front.view.configuration, configuration = None, self.front.view.configuration
+        for leave in (RawClient.close, RawClient.reset):
+            with self.subTest(leave=leave.__name__):
+                client, other = await self.client(), await self.client()
+                client.ask("/i/", "left", **HELD)
+                other.ask("/i/", "stays", **HELD)
+                await until(lambda: len(self.front.clients) == 2, "both are connected")
+                leave(client)
+                await until(lambda: len(self.heard_ends()) == 1, "its end has come")
+                self.front.view.configuration = configuration
+                for one in list(self.front.clients):
+                    one.begun()
+                await until(self.working, "at work")
+                self.assertEqual({r.attempt for r in self.nodes[0].seen}, {"stays"})
+                other.reset()
+                await self.idle()
+                self.front.view.configuration = None
+
+    def heard_ends(self):
+        """Clients whose end can be heard on their sockets, or has been."""
+        count = 2 - len(self.front.clients)
+        return [1] * count + [one for one in self.front.clients if one._hear() is not Hearing.NOTHING]
+
+    async def test_who_waits_for_a_node_is_offered_to_none_once_its_client_has_reset(self):
+        await self.begin()
+        owners = self.front.view.shardings["k"]
+        for prefix in ("/ki/", "/kn/"):
+            with self.subTest(prefix=prefix):
+                lines, owners.lines = owners.lines, [Line() for _ in owners.lines]
+                client = await self.client()
+                client.ask(prefix, "waits", "POST", **HELD)
+                await until(lambda: self.front.forwarder.waiting, "it waits for an owner")
+                client.reset()
+                await self.idle()
+                owners.lines = lines
+                self.front.pictured({"lines"})
+                for _ in range(20):
+                    await asyncio.sleep(0)
+                self.assertEqual(self.nodes[0].seen, [])
+
+    # -- what stays
+
+    async def test_what_must_not_be_repeated_is_carried_to_its_end_and_answered(self):
+        """The client ended one side only: it takes the answer. What it sent behind is not begun."""
+        await self.begin()
+        client = await self.client()
+        client.ask("/n/", "one", "POST", deadline=DEADLINE)
+        client.ask("/i/", "behind", deadline=DEADLINE)
+        await until(self.working, "at work")
+        client.writer.write_eof()
+        for _ in range(20):
+            await asyncio.sleep(0.002)
+        self.assertEqual(self.working(), ["one"])
+        self.nodes[0].go.set()
+        status, headers, _ = await asyncio.wait_for(client.answer(), BOUND)
+        self.assertEqual((status, headers["attempt-id"], headers["connection"]), (200, "one", "close"))
+        self.assertEqual(await client.rest(), b"")
+        await self.idle()
+
 
 class Deaf(Holding):
     """It takes connections, and reads nothing from them."""
