An end right behind a request is looked for at each read, not only behind pauses

Cause: an edge whose loop lags (slow machine, burst) finds a request and its client's end together on a connection that never paused; the request went out in the turn in which it was read.

--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -91,10 +91,10 @@
         self.front.left(self)
 
     def data_received(self, data: bytes) -> None:
-        """Bytes came. Where they may have lain a while, the client's end may lie right behind them."""
-        long_unread, self.long_unread = self.long_unread, False
+        """Bytes came. Where they lay a while (a slow edge, a pause, a start), the client's end may lie right behind them:
+        what it asked is begun in the next turn of the loop, unless it has left by then."""
         super().data_received(data)
-        if long_unread and self.queue and self.reading is None and self._hear() is not Hearing.NOTHING:
+        if self.queue and self.reading is None and self._hear() is not Hearing.NOTHING:
             self._client_ended()
 
     def _hear(self) -> Hearing:
@@ -120,12 +120,12 @@
         if self.reading is not None:
             self._abandon(0)  # half a request is no request, and whoever sends it has gone
             return False
-        self.front.counts[ENDED_ITS_SIDE] += 1
         return self._client_ended()
 
     def _client_ended(self) -> bool:
         """The client has ended its side: only what outlives it goes on, to be answered; whether anything does."""
         self.over = True
+        self.front.counts[ENDED_ITS_SIDE] += 1
         first = self.queue[0]
         if outlives_its_client(first.stage, first.repeatable):
             first.half_closed(self.front.clock())
--- a/knotwalk/edge/client_state.py
+++ b/knotwalk/edge/client_state.py
@@ -61,7 +61,6 @@
         self.holds: set[str] = set()  # why reading pauses
         self.full = False  # the client does not read
         self.over = False  # the client has ended its side
-        self.long_unread = True  # what is read next may have lain for a while, with the client's end behind it
         self.touched = front.clock()  # when something moved last
         self.head_since: float | None = None  # when the head being read began
         self._fed = 0
@@ -88,7 +87,6 @@
             self._watch_for_end()
         elif not self.holds and not self.transport.is_reading():
             self.transport.resume_reading()
-            self.long_unread = True
             self.touched = self.front.clock()
             if self.head_since is not None:
                 self.head_since = self.touched
