--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -91,8 +91,9 @@
         self.front.left(self)
 
     def data_received(self, data: bytes) -> None:
-        """Bytes came. Where they lay a while (a slow edge, a pause, a start), the client's end may lie right behind them:
-        what it asked is begun in the next turn of the loop, unless it has left by then."""
+        """Bytes came, and with them perhaps the client's end, if they lay a while (a slow edge, a pause, a start).
+
+        What it asked begins in the next turn of the loop, so that who has left by now is not served."""
         super().data_received(data)
         if self.queue and self.reading is None and self._hear() is not Hearing.NOTHING:
             self._client_ended()
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -29,13 +29,18 @@
 from .nodes import RawClient
 
 ROOT = Path(__file__).parents[2]
-CORES, EDGES = ("127.0.0.1", "127.0.0.2", "127.0.0.3"), ("127.0.0.4", "127.0.0.5")
+CORES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
 HOST = "tiles.example"
 PAGE = 4  # nodes on a page of the list
 SHM = "/dev/shm"
 BOUND = 90.0  # seconds that anything may take; a calm machine needs a few
 
 
+def edge_address(number: int) -> str:
+    """The address of an edge, counted from 0."""
+    return f"127.0.{1 + number // 200}.{4 + number % 200}"
+
+
 def route(name: str, prefix: str, service: str, kind: str = "idempotent", **more: Any) -> dict:
     """A route as operators send it."""
     return {
@@ -218,15 +223,24 @@
 class Village:
     """The whole. `start` it in the loop that everything is to run in; `stop` leaves nothing behind."""
 
-    def __init__(self, tiles: int = 4, desk: int = 2):
+    def __init__(
+        self,
+        tiles: int = 4,
+        desk: int = 2,
+        edges: int = 2,
+        kind: type[HoldingNode] = HoldingNode,
+        bounds: dict[str, str] | None = None,
+    ):
         # In memory where that can be had: a disk that stalls would cost cores their leadership, as it should.
         self.folder = Path(tempfile.mkdtemp(prefix="village-", dir=SHM if os.access(SHM, os.W_OK) else None))
         self.ports, self.watch = Ports(), Watch()
-        self.nodes = [HoldingNode(f"i-t{n}", watch=self.watch, service="tiles") for n in range(tiles)]
-        self.nodes += [HoldingNode(f"i-d{n}", watch=self.watch, service="desk", sharded=False) for n in range(desk)]
+        self.nodes = [kind(f"i-t{n}", watch=self.watch, service="tiles") for n in range(tiles)]
+        self.nodes += [kind(f"i-d{n}", watch=self.watch, service="desk", sharded=False) for n in range(desk)]
+        self.edge_addresses = [edge_address(number) for number in range(edges)]
+        self.bounds = {"drain_timeout": "2500ms", "grace_period": "60s", "max_hold": "10000ms", **(bounds or {})}
         self.platform = Platform(self.nodes)
         self.internal, self.control = self.ports.take(*CORES), self.ports.take(*CORES)
-        self.metrics = self.ports.take(*CORES, *EDGES)
+        self.metrics = self.ports.take(*CORES, *self.edge_addresses)
         self.cores: list[Program] = []
         self.edges: list[Program] = []
         self.caller: Caller = None  # type: ignore[assignment]
@@ -255,7 +269,7 @@
                     self.metrics,
                 )
             )
-        for number, ip in enumerate(EDGES, 1):
+        for number, ip in enumerate(self.edge_addresses, 1):
             self.edges.append(
                 Program(
                     self.folder,
@@ -302,7 +316,7 @@
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
             "grants": "call",
             "a field to skip": 1,
-            "timing_bounds": {"drain_timeout": "2500ms", "grace_period": "60s", "max_hold": "10000ms"},
+            "timing_bounds": self.bounds,
             "cloud_api": {
                 "address": f"127.0.0.1:{self.platform.port}",
                 "rate_per_s": 52.0,
