--- /dev/null
+++ b/tests/soak/nodes.py
@@ -0,0 +1,43 @@
+"""Nodes that work for a time, stop when their caller leaves, and tell the ledger."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+
+from knotwalk.runtime.logs import clock
+from tests.soak.ledger import Ledger, Run
+from tests.standins.holders import HoldingNode
+from tests.standins.nodes import Request, answer
+
+# Seconds of work: mostly short, now and then longer than any client that leaves would wait.
+SHORT, LONG, LONG_PART = (0.01, 0.12), (1.5, 3.0), 0.15
+LOOK = 0.02  # seconds between looks whether the caller has left
+
+
+@dataclass
+class WorkingNode(HoldingNode):
+    """A node whose work takes its time. `ledger` and `luck` are given before the first request."""
+
+    ledger: Ledger = field(default_factory=Ledger)
+    luck: Random = field(default_factory=Random)
+    capacity: int = 12
+
+    async def _work(self, request: Request, writer: asyncio.StreamWriter) -> bytes:
+        done = asyncio.Event()
+        work = (int(request.headers.get("shard-key", 0)), done)
+        run = Run(request.attempt, self.id, clock())
+        self.ledger.runs.append(run)
+        self.running.append(work)
+        try:
+            until = clock() + self.luck.uniform(*(LONG if self.luck.random() < LONG_PART else SHORT))
+            while clock() < until and not request.reader.at_eof() and not writer.transport.is_closing():
+                await asyncio.sleep(LOOK)
+            run.finished = clock() >= until
+        finally:
+            run.stopped = clock()
+            self.running.remove(work)
+            done.set()
+        load = f"Server-Load: {len(self.running)},0,{self.capacity}\r\nKeep-Alive: timeout=5\r\n"
+        return answer(request, f"{self.id} {request.line}".encode(), extra=load)
