A SIGHUP during a start ends no program; a settings file that changed meanwhile is taken up

Cause: found by the soak's first sketch: until the loop runs (0.1 s an edge, 0.3 s a core) SIGHUP had its usual effect, the end; and a file that changed between the reading and the first look was taken for the one that was read. SIGHUP is ignored from the first line on, the state of the file is kept from before its reading, and the first look comes at once. Ruled out for the rest: the interpreter's own start, some 20 ms, where nothing of ours runs.

--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -3,8 +3,11 @@
 
 from __future__ import annotations
 
+import signal
 import time
 
+if __name__ == "__main__":  # a change of the settings file must not end a start: it is looked for once the loop runs
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 BORN = time.monotonic()  # before the imports, which take a third of a second: no life before this one acts after it
 
 import asyncio
@@ -82,7 +85,7 @@
         self.consensus.on_damage = lambda: os._exit(1)  # nothing more is promised, no leave: the disk may be whole
         self.list_poller.on_nodes = self.listed
         self.delay = LoopDelay()
-        self.ending = Ending(self.reload)
+        self.ending = Ending(self.reload, settings.mark)
 
     async def propose(self, command: dict) -> str | None:
         """Have a command of this core's conductor agreed on; see `PeerApi.propose`."""
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
+if __name__ == "__main__":  # a change of the settings file must not end a start: it is looked for once the loop runs
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
 # No TLS is spoken here, and asyncio does without it: it is a part of an edge's start, and of its memory.
 sys.modules.setdefault("ssl", None)  # type: ignore[arg-type]
 
@@ -43,7 +46,7 @@
             self.news,
         )
         self.ready = False
-        self.ending = Ending(self.reload)
+        self.ending = Ending(self.reload, settings.mark)
 
     def news(self, changed: set[str], edges: int) -> None:
         """Topics of the cluster view changed; so many `edges` share the budgets."""
--- a/knotwalk/runtime/life.py
+++ b/knotwalk/runtime/life.py
@@ -36,18 +36,18 @@
     """Asked for by SIGTERM or SIGINT. SIGHUP, or another file in place of the settings' one, has `reload` take it
     up."""
 
-    def __init__(self, reload: Callable[[Settings], None]):
+    def __init__(self, reload: Callable[[Settings], None], read: settings_file.Mark | None):
+        """`read`: the state of the settings file that the program goes by."""
         self._asked, self._reload = asyncio.Event(), reload
-        self._file: tuple | None = None
+        self._file = read
 
     def listen(self) -> None:
-        """Take the signals and look at the file; in the running loop."""
+        """Take the signals and look at the file, which may have changed since it was read; in the running loop."""
         loop = asyncio.get_running_loop()
         for sign in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(sign, self._asked.set)
         loop.add_signal_handler(signal.SIGHUP, self.take_up)
-        self._file = settings_file.mark()
-        loop.call_later(LOOK, self._look)
+        loop.call_soon(self._look)
 
     def _look(self) -> None:
         if settings_file.mark() not in (self._file, None):
--- a/knotwalk/runtime/settings.py
+++ b/knotwalk/runtime/settings.py
@@ -5,7 +5,7 @@
 
 import json
 import os
-from dataclasses import dataclass, field, fields
+from dataclasses import dataclass, field, fields, replace
 from typing import Any
 
 import dacite
@@ -15,6 +15,7 @@
 
 VARIABLE = "KNOTWALK_SETTINGS"
 Address = tuple[str, int]
+Mark = tuple[int, int, int]  # tells one state of the file from another: time of its change, size, inode
 
 
 @dataclass(frozen=True)
@@ -99,6 +100,7 @@
     tolerance: Tolerance = Tolerance()
     bounds: Bounds = Bounds()
     platform: Platform = Platform()
+    mark: Mark | None = None  # of the file that this was read from
     metrics_port: int | None = None  # of the program's arguments, not of the file: see `runtime.life`
 
     def at(self, name: str) -> Address:
@@ -206,7 +208,7 @@
         raise SettingsError(error.field_path, f"{error.value!r} is no {error.field_type}") from None
 
 
-def mark(path: str | None = None) -> tuple[int, int, int] | None:
+def mark(path: str | None = None) -> Mark | None:
     """What tells one state of the settings file from another; None while there is none."""
     try:
         found = os.stat(path or os.environ.get(VARIABLE, ""))
@@ -220,9 +222,10 @@
     path = path or os.environ.get(VARIABLE, "")
     if not path:
         raise SettingsError(VARIABLE, "not set, and it tells where the settings file is")
+    before = mark(path)
     try:
         with open(path, "rb") as file:
-            return parse(json.loads(file.read()))
+            return replace(parse(json.loads(file.read())), mark=before)
     except OSError as error:
         raise SettingsError(path, error.strerror) from None
     except ValueError as error:
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -25,6 +25,7 @@
 
     async def stop_and_keep() -> None:
         if keep is not None:
+            shutil.rmtree(keep / f"seed-{seed}", ignore_errors=True)
             shutil.copytree(run.village.folder, keep / f"seed-{seed}", ignore=shutil.ignore_patterns("*.d"))
         await stop()
 
