--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -75,7 +75,7 @@
         now = clock()
         for asked in due:
             asked.end, asked.at = End.LEFT, now
-        if self.luck.random() < RESET_PART:
+        if self.luck.random() < RESET_PART and not connection.writer.transport.is_closing():
             connection.reset()
         else:
             connection.close()
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -73,7 +73,11 @@
         if runs and all(run.finished for run in runs):
             return [f"LOST {asked.id} ran to its end at {runs[-1].node}, no answer from {asked.life.name}"]
         if not runs and asked.at - asked.sent > LATE_CUT + self.slack:
-            return [f"LOST {asked.id} cut unanswered {asked.at - asked.sent:.2f} s after it was sent"]
+            life = asked.life
+            return [
+                f"LOST {asked.id} cut unanswered {asked.at - asked.sent:.2f} s after it was sent, {life.name} "
+                f"{asked.sent - life.begun:.2f} s old, its end {life.death} at {(life.asked_to_end or 0) - life.begun:.2f}"
+            ]
         return []
 
     def _ended(self, life: Life) -> list[str]:
