--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -85,9 +85,8 @@
         if not runs and read and asked.at - asked.sent > LATE_CUT + self.slack:
             age = asked.sent - asked.life.begun
             waited = asked.at - asked.sent
-            return [
-                f"LOST {asked.id} cut unanswered after {waited:.2f} s, sent to {asked.life.name} at its age of {age:.2f} s"
-            ]
+            where = f"sent to {asked.life.name} at its age of {age:.2f} s"
+            return [f"LOST {asked.id} cut unanswered after {waited:.2f} s, {where}"]
         return []
 
     def _ended(self, life: Life) -> list[str]:
