--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -52,7 +52,7 @@
         """Topics of the cluster view changed; so many `edges` share the budgets."""
         if edges > 1:
             self.front.edges = edges
-        self.front.pictured(changed)
+        self.front.view_changed(changed)
         if not self.ready and self.view.whole and not self.ending.asked:
             self.ready = True
             log_info("ready", version=self.view.configuration.version, nodes=len(self.view.nodes))
--- a/knotwalk/edge/answer_writer.py
+++ b/knotwalk/edge/answer_writer.py
@@ -32,25 +32,27 @@
         self._writing = True
         try:
             while self.queue and not self.full and self.state in (ConnectionState.OPEN, ConnectionState.LAST):
-                x = self.queue[0]
-                if x.stage is not Stage.ANSWERED or (x is self.reading and self.state is ConnectionState.OPEN):
+                exchange = self.queue[0]
+                if exchange.stage is not Stage.ANSWERED or (
+                    exchange is self.reading and self.state is ConnectionState.OPEN
+                ):
                     break  # not known yet, or its body must be read first to find what is behind it
-                if self._answer(x):
-                    self._next(x)
-                elif x.stage is not Stage.DONE:
+                if self._answer(exchange):
+                    self._next(exchange)
+                elif exchange.stage is not Stage.DONE:
                     return  # the rest streams
         finally:
             self._writing = False
         if self.state is ConnectionState.LAST and not self.queue:
             self._linger()
 
-    def _next(self, x: Exchange) -> None:
+    def _next(self, exchange: Exchange) -> None:
         """The first answer is written whole: on to the one behind it."""
         self.queue.popleft()
         self.touched = self.front.clock()
-        last = not x.keep
-        if x.stage is not Stage.DONE:
-            self._end(x)
+        last = not exchange.keep
+        if exchange.stage is not Stage.DONE:
+            self._end(exchange)
         if last:
             self._linger()
             return
@@ -59,32 +61,32 @@
         self._start()
         self._ask_body()
 
-    def _keeps(self, x: Exchange) -> bool:
+    def _keeps(self, exchange: Exchange) -> bool:
         """Whether the connection goes on behind this answer, which is the oldest that is due."""
         front = self.front
-        return x.keep and (
+        return exchange.keep and (
             len(self.queue) > 1
             or self.state is ConnectionState.OPEN
             and not front.draining
             and len(front.clients) <= front.connection_budget.kept
         )
 
-    def _answer(self, x: Exchange) -> bool:
+    def _answer(self, exchange: Exchange) -> bool:
         """Write an answer, or the beginning of a streamed one; False if its rest comes later."""
         assert self.transport is not None
-        answer = x.answer
-        if answer is not None and not answer.whole and answer.length is None and not x.modern:
-            x.keep = False  # ended by the end of the connection
-        keep = x.keep = self._keeps(x)
+        answer = exchange.answer
+        if answer is not None and not answer.whole and answer.length is None and not exchange.modern:
+            exchange.keep = False  # ended by the end of the connection
+        keep = exchange.keep = self._keeps(exchange)
         if not keep:
             self._shut()
         if answer is None:
-            self._answer_own(x, keep)
+            self._answer_own(exchange, keep)
             return True
         lines = [b"HTTP/1.1 %d %b\r\n" % (answer.status, REASONS.get(answer.status, b""))]
         for name, value in answer.headers:
             lines += (name, b": ", value, b"\r\n")
-        bodiless = x.method == b"HEAD" or answer.status in BODILESS
+        bodiless = exchange.method == b"HEAD" or answer.status in BODILESS
         if bodiless:
             if answer.length is not None:
                 lines.append(b"Content-Length: %d\r\n" % answer.length)
@@ -92,20 +94,20 @@
             lines.append(b"Content-Length: %d\r\n" % len(answer.body))
         elif answer.length is not None:
             lines.append(b"Content-Length: %d\r\n" % answer.length)
-        elif x.modern:
+        elif exchange.modern:
             lines.append(b"Transfer-Encoding: chunked\r\n")
-        lines.append(self._connection(x, keep))
+        lines.append(self._connection(exchange, keep))
         if answer.whole:
             self.transport.write(b"".join(lines) + (b"" if bodiless else answer.body))
             return True
-        x.to(Stage.WRITING)
+        exchange.to(Stage.WRITING)
         self.transport.write(b"".join(lines))
-        self._pass_on(x, answer)
+        self._pass_on(exchange, answer)
         return False
 
-    def _pass_on(self, x: Exchange, answer: Answer) -> None:
+    def _pass_on(self, exchange: Exchange, answer: Answer) -> None:
         """Pass on the body of an answer whose head is written: what has come of it now, the rest as it comes."""
-        passage = Passage(self, x, answer.length is None and x.modern)
+        passage = Passage(self, exchange, answer.length is None and exchange.modern)
         if answer.body:
             passage.data(answer.body)
             answer.body = b""
@@ -114,44 +116,50 @@
         if self.full:
             answer.stream.flow(False)
 
-    def _answer_own(self, x: Exchange, keep: bool) -> None:
+    def _answer_own(self, exchange: Exchange, keep: bool) -> None:
         """Write the edge's own answer."""
         assert self.transport is not None
-        body = (x.text + "\n").encode() if x.text else b""
+        body = (exchange.text + "\n").encode() if exchange.text else b""
         lines = [
             b"HTTP/1.1 %d %b\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n"
-            % (x.status, REASONS.get(x.status, b""), len(body))
+            % (exchange.status, REASONS.get(exchange.status, b""), len(body))
         ]
-        if x.attempt:
-            lines.append(b"Attempt-Id: %b\r\n" % x.attempt)
-        if x.retry_after:
-            lines.append(b"Retry-After: %.3f\r\n" % x.retry_after)
-        lines.append(self._connection(x, keep))
-        self.transport.write(b"".join(lines) + (b"" if x.method == b"HEAD" else body))
-
-    def _connection(self, x: Exchange, keep: bool) -> bytes:
+        if exchange.attempt:
+            lines.append(b"Attempt-Id: %b\r\n" % exchange.attempt)
+        if exchange.retry_after:
+            lines.append(b"Retry-After: %.3f\r\n" % exchange.retry_after)
+        lines.append(self._connection(exchange, keep))
+        self.transport.write(b"".join(lines) + (b"" if exchange.method == b"HEAD" else body))
+
+    def _connection(self, exchange: Exchange, keep: bool) -> bytes:
         if not keep:
             return b"Connection: close\r\n\r\n"
         line = b"Keep-Alive: timeout=%d\r\n\r\n" % max(1, int(self.front.limits.idle_timeout) - KEEP_MARGIN)
-        return line if x.modern else b"Connection: keep-alive\r\n" + line
+        return line if exchange.modern else b"Connection: keep-alive\r\n" + line
 
     def _ask_body(self) -> None:
         """Tell a client that waits for it to send its body, once its turn to be told has come."""
-        x = self.reading
-        if x is not None and x.expects and self.queue and self.queue[0] is x and self.transport is not None:
-            x.expects = False
+        exchange = self.reading
+        if (
+            exchange is not None
+            and exchange.expects
+            and self.queue
+            and self.queue[0] is exchange
+            and self.transport is not None
+        ):
+            exchange.expects = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
-    def _settled(self, x: Exchange) -> None:
-        if x.timer is not None and (x.answer is None or x.answer.whole):
-            x.timer.cancel()
-            x.timer = None
-        if x.gone or self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
-            if x.answer is not None and x.answer.stream is not None:
-                x.answer.stream.abort("the client is gone")
-            self._end(x)
+    def _settled(self, exchange: Exchange) -> None:
+        if exchange.timer is not None and (exchange.answer is None or exchange.answer.whole):
+            exchange.timer.cancel()
+            exchange.timer = None
+        if exchange.gone or self.state in (ConnectionState.LINGER, ConnectionState.CLOSED):
+            if exchange.answer is not None and exchange.answer.stream is not None:
+                exchange.answer.stream.abort("the client is gone")
+            self._end(exchange)
             return
-        if x is self.reading and x.body_gone:
+        if exchange is self.reading and exchange.body_gone:
             self._shut()  # answered before its body was read
         self._write()
 
@@ -161,10 +169,10 @@
             return
         self._shut()
         self._to(ConnectionState.LINGER)
-        for x in self.queue:  # read behind the last answer: counts as not read
-            x.leave()
-            if x.stage not in (Stage.RUNNING, Stage.DONE):
-                self._end(x)
+        for exchange in self.queue:  # read behind the last answer: counts as not read
+            exchange.leave()
+            if exchange.stage not in (Stage.RUNNING, Stage.DONE):
+                self._end(exchange)
         self.queue.clear()
         self.holds.clear()
         self.touched = self.front.clock()
@@ -183,8 +191,8 @@
 class Passage:
     """Passes a streamed answer on to the client."""
 
-    def __init__(self, client: AnswerWriter, x: Exchange, chunked: bool):
-        self.client, self.x, self.chunked = client, x, chunked
+    def __init__(self, client: AnswerWriter, exchange: Exchange, chunked: bool):
+        self.client, self.x, self.chunked = client, exchange, chunked
 
     def data(self, data: bytes) -> None:
         """A piece of the body came from the node."""
@@ -196,12 +204,12 @@
 
     def ended(self) -> None:
         """The answer is whole."""
-        client, x = self.client, self.x
-        if client.state is ConnectionState.CLOSED or x.stage is not Stage.WRITING:
+        client, exchange = self.client, self.x
+        if client.state is ConnectionState.CLOSED or exchange.stage is not Stage.WRITING:
             return
         if self.chunked and client.transport is not None:
             client.transport.write(b"0\r\n\r\n")
-        client._next(x)
+        client._next(exchange)
         client._write()
 
     def cut(self, why: str) -> None:
--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -106,12 +106,12 @@
     def _abandon(self, kept: int) -> None:
         """Nobody waits for the answers any more, but for the first `kept` of them."""
         while len(self.queue) > kept:
-            x = self.queue.pop()
-            x.leave()
-            if x.answer is not None and x.answer.stream is not None:
-                x.answer.stream.abort("the client is gone")
-            if x.stage not in (Stage.RUNNING, Stage.DONE):
-                self._end(x)
+            exchange = self.queue.pop()
+            exchange.leave()
+            if exchange.answer is not None and exchange.answer.stream is not None:
+                exchange.answer.stream.abort("the client is gone")
+            if exchange.stage not in (Stage.RUNNING, Stage.DONE):
+                self._end(exchange)
 
     def eof_received(self) -> bool:
         """The client sends no more: it has closed, or still reads."""
--- a/knotwalk/edge/client_state.py
+++ b/knotwalk/edge/client_state.py
@@ -105,23 +105,23 @@
 
     def _start(self) -> None:
         """Carry what may be carried: repeatable requests side by side, others when all before them are answered."""
-        for at, x in enumerate(self.queue):
+        for at, exchange in enumerate(self.queue):
             if at >= DEPTH:
                 break
-            if x.stage is Stage.READY:
-                if at and not (x.route is not None and x.route.idempotent):
+            if exchange.stage is Stage.READY:
+                if at and not (exchange.route is not None and exchange.route.idempotent):
                     break
-                x.to(Stage.RUNNING)
-                self.front.carry(x)
-            elif x.stage is Stage.RUNNING and not (x.route is not None and x.route.idempotent):
+                exchange.to(Stage.RUNNING)
+                self.front.carry(exchange)
+            elif exchange.stage is Stage.RUNNING and not (exchange.route is not None and exchange.route.idempotent):
                 break
 
-    def _end(self, x: Exchange) -> None:
-        if x.timer is not None:
-            x.timer.cancel()
-            x.timer = None
-        x.to(Stage.DONE)
-        self.front.ended(x)
+    def _end(self, exchange: Exchange) -> None:
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+            exchange.timer = None
+        exchange.to(Stage.DONE)
+        self.front.ended(exchange)
 
     def quiet(self) -> bool:
         """Whether nothing of a request has come that is not answered."""
--- a/knotwalk/edge/clients_port.py
+++ b/knotwalk/edge/clients_port.py
@@ -40,11 +40,11 @@
     def left(self, client: asyncio.Protocol) -> None:
         """A connection has ended, or is about to."""
 
-    def begin(self, x: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
+    def begin(self, exchange: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
         """A request's head was read: find its route and its deadline."""
 
-    def carry(self, x: Exchange) -> None:
+    def carry(self, exchange: Exchange) -> None:
         """Carry a request; it tells when its answer is known."""
 
-    def ended(self, x: Exchange) -> None:
+    def ended(self, exchange: Exchange) -> None:
         """A request has got its answer, or nobody waits for it."""
--- a/knotwalk/edge/forwarding_state.py
+++ b/knotwalk/edge/forwarding_state.py
@@ -55,7 +55,7 @@
         found = configuration.services.get(name) if configuration is not None else None
         return found or Service(name)
 
-    def pictured(self, changed: set[str]) -> None:
+    def view_changed(self, changed: set[str]) -> None:
         """The cluster view changed: requests that wait look again, connections to nodes that are gone end."""
         if "nodes" in changed:
             now = self.clock()
@@ -111,27 +111,27 @@
 
     # -- waiting
 
-    async def _waited(self, x: Exchange, among: set[asyncio.Future], until: float) -> bool:
+    async def _waited(self, exchange: Exchange, among: set[asyncio.Future], until: float) -> bool:
         """Wait among others to be woken, until a time; False if that has come, or nobody waits for the answer."""
         now = self.clock()
-        if now >= until or x.gone or x.expired:
+        if now >= until or exchange.gone or exchange.expired:
             return False
-        x.waiter = asyncio.get_running_loop().create_future()
-        among.add(x.waiter)
-        timer = asyncio.get_running_loop().call_later(until - now, _wake, x.waiter)
+        exchange.waiter = asyncio.get_running_loop().create_future()
+        among.add(exchange.waiter)
+        timer = asyncio.get_running_loop().call_later(until - now, _wake, exchange.waiter)
         try:
-            await x.waiter
+            await exchange.waiter
         finally:
             timer.cancel()
-            among.discard(x.waiter)
-            x.waiter = None
+            among.discard(exchange.waiter)
+            exchange.waiter = None
         return True
 
 
-def waits_until(x: Exchange, since: float) -> float:
+def waits_until(exchange: Exchange, since: float) -> float:
     """When a request that waits for a node since then is refused at the latest."""
-    assert x.route is not None
-    return since + max(0.0, x.route.target_latency * WAIT_PART - CLIENT_WAY)
+    assert exchange.route is not None
+    return since + max(0.0, exchange.route.target_latency * WAIT_PART - CLIENT_WAY)
 
 
 def _wake(future: asyncio.Future) -> None:
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -231,9 +231,9 @@
         """What was met with since the last call; see the forwarder."""
         return self.forwarder.report()
 
-    def pictured(self, changed: set[str]) -> None:
+    def view_changed(self, changed: set[str]) -> None:
         """The cluster view changed."""
-        self.forwarder.pictured(changed)
+        self.forwarder.view_changed(changed)
         if not self.started and self.view.whole:
             self.started = True
             for client in list(self.clients):
@@ -253,19 +253,19 @@
         if self._shut_until is not None and not self.crowded:
             self._reopen()
 
-    def begin(self, x: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
+    def begin(self, exchange: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
         """A request's head was read: find its route and its deadline."""
         self.open += 1
         index = self.view.index
         if index is None:
-            x.own(503, "not ready", 0.2)
+            exchange.own(503, "not ready", 0.2)
             return
         route = index.find(host.decode("latin-1"), target.decode("latin-1"))
         if route is None:
             self.counts["no route"] += 1
-            x.own(404, "no route")
+            exchange.own(404, "no route")
             return
-        mistake = self.forwarder.routed(x, route, key)
+        mistake = self.forwarder.routed(exchange, route, key)
         left = route.timeout
         if deadline is not None:
             try:
@@ -276,31 +276,31 @@
                 mistake = mistake or "Deadline-Ms must be a number"
         if mistake:
             self.counts["mistake"] += 1
-            x.own(400, mistake)
+            exchange.own(400, mistake)
             return
-        x.until = x.begun + left
-        x.timer = asyncio.get_running_loop().call_later(left, x.expire)
+        exchange.until = exchange.begun + left
+        exchange.timer = asyncio.get_running_loop().call_later(left, exchange.expire)
 
-    def carry(self, x: Exchange) -> None:
+    def carry(self, exchange: Exchange) -> None:
         """Carry a request; it tells when its answer is known."""
-        self._spawn(self._carry(x))
+        self._spawn(self._carry(exchange))
 
     def _spawn(self, work: Coroutine) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _carry(self, x: Exchange) -> None:
+    async def _carry(self, exchange: Exchange) -> None:
         try:
-            await self.forwarder.carry(x)
+            await self.forwarder.carry(exchange)
         except Exception:
-            log_exception("carrying a request failed", attempt=x.attempt.decode("latin-1"))
-            if x.stage is Stage.RUNNING:
-                x.own(502, "trouble of the edge")
+            log_exception("carrying a request failed", attempt=exchange.attempt.decode("latin-1"))
+            if exchange.stage is Stage.RUNNING:
+                exchange.own(502, "trouble of the edge")
 
-    def ended(self, x: Exchange) -> None:
+    def ended(self, exchange: Exchange) -> None:
         """A request has got its answer, or nobody waits for it."""
-        if x.attempt:
+        if exchange.attempt:
             self.open -= 1
         if not self.open:
             self._calm.set()
--- a/knotwalk/edge/node_selection.py
+++ b/knotwalk/edge/node_selection.py
@@ -17,26 +17,36 @@
 class NodeSelection(ForwardingState):
     """Finds the node for a request."""
 
-    async def _node(self, x: Exchange, tried: set[str], may_have_run: bool, offered: bool) -> tuple[Node | None, str]:
+    async def _node(
+        self, exchange: Exchange, tried: set[str], may_have_run: bool, offered: bool
+    ) -> tuple[Node | None, str]:
         """The node to offer the request to, waiting briefly if there is none; or None and the cause. `offered`: whether
         a node has had it already; only then does a further wait begin."""
-        hold = min(waits_until(x, self.clock() if offered else x.begun), x.until - TOO_LATE, x.offer_until)
+        hold = min(
+            waits_until(exchange, self.clock() if offered else exchange.begun),
+            exchange.until - TOO_LATE,
+            exchange.offer_until,
+        )
         while True:
             now = self.clock()
-            if x.until - now <= TOO_LATE:
+            if exchange.until - now <= TOO_LATE:
                 return None, "no time left"
-            if x.gone or now > x.offer_until:
+            if exchange.gone or now > exchange.offer_until:
                 return None, "the client is gone"
-            node, why = self._owner(x, tried, now) if x.key >= 0 else self._best(x, tried, now, may_have_run)
+            node, why = (
+                self._owner(exchange, tried, now)
+                if exchange.key >= 0
+                else self._best(exchange, tried, now, may_have_run)
+            )
             if node is not None:
                 return node, ""
-            if why == "full" or not await self._waited(x, self.waiting, hold):
+            if why == "full" or not await self._waited(exchange, self.waiting, hold):
                 return None, why
 
-    def _owner(self, x: Exchange, tried: set[str], now: float) -> tuple[Node | None, str]:
-        sharding = self.view.shardings.get(x.service)
-        line = sharding.line(x.key) if sharding is not None else None
-        if line is None or line.node is None or not line.open or line.node.service != x.service:
+    def _owner(self, exchange: Exchange, tried: set[str], now: float) -> tuple[Node | None, str]:
+        sharding = self.view.shardings.get(exchange.service)
+        line = sharding.line(exchange.key) if sharding is not None else None
+        if line is None or line.node is None or not line.open or line.node.service != exchange.service:
             return None, "keys change hands"
         node = line.node
         known = seen(node)
@@ -48,20 +58,20 @@
             return None, "its owner is silent"
         if not self._stays(node, now):
             return None, "its owner leaves"
-        return (node, "") if self._worth(x, node, now) else (None, "full")
+        return (node, "") if self._worth(exchange, node, now) else (None, "full")
 
     def _stays(self, node: Node, now: float) -> bool:
         """Whether the node may still get requests, if nobody else can take them: it isn't draining, or not for long."""
         since = seen(node).draining_since
         return since is None or now - since < self.settings.bounds.drain_timeout * DRAIN_PART
 
-    def _best(self, x: Exchange, tried: set[str], now: float, may_have_run: bool) -> tuple[Node | None, str]:
-        nodes = self.view.by_service.get(x.service, [])
-        size = max(x.length or 0, x.size)
+    def _best(self, exchange: Exchange, tried: set[str], now: float, may_have_run: bool) -> tuple[Node | None, str]:
+        nodes = self.view.by_service.get(exchange.service, [])
+        size = max(exchange.length or 0, exchange.size)
         node = pick(nodes, now, self.settings.zone, self.luck, tried, size)
         if node is None:
-            assert x.route is not None
-            if x.route.idempotent and may_have_run:
+            assert exchange.route is not None
+            if exchange.route.idempotent and may_have_run:
                 node = pick(nodes, now, self.settings.zone, self.luck, (), size)
             if node is None and not tried:
                 node = min(
@@ -69,24 +79,24 @@
                 )
             if node is None:
                 return None, "full" if tried else "no node"
-        if self._worth(x, node, now):
+        if self._worth(exchange, node, now):
             return node, ""
         for node in sorted((n for n in nodes if not n.draining and n.id not in tried), key=lambda n: load(n, now)):
-            if seen(node).shunned_until <= now and not seen(node).silent(now) and self._worth(x, node, now):
+            if seen(node).shunned_until <= now and not seen(node).silent(now) and self._worth(exchange, node, now):
                 return node, ""
         return None, "full"
 
-    def _worth(self, x: Exchange, node: Node, now: float) -> bool:
-        assert x.route is not None
+    def _worth(self, exchange: Exchange, node: Node, now: float) -> bool:
+        assert exchange.route is not None
         known = seen(node)
-        in_hand = known.usually(now) if yields(x.route.priority) else known.in_hand(now)
+        in_hand = known.usually(now) if yields(exchange.route.priority) else known.in_hand(now)
         return worth_offering(
             in_hand,
             node.capacity,
             now < node.cold_until,
             known.work,
-            x.until - now,
-            x.route.priority,
-            not x.route.idempotent,
-            x.route.target_latency,
+            exchange.until - now,
+            exchange.route.priority,
+            not exchange.route.idempotent,
+            exchange.route.target_latency,
         )
--- a/knotwalk/edge/node_try.py
+++ b/knotwalk/edge/node_try.py
@@ -28,26 +28,26 @@
 class NodeTry(NodeSelection):
     """Offers a request to one node."""
 
-    async def _try(self, x: Exchange, node: Node, fresh: bool) -> tuple[Answer, bool]:
+    async def _try(self, exchange: Exchange, node: Node, fresh: bool) -> tuple[Answer, bool]:
         """Offer the request to a node: how that ended, and whether a byte was sent."""
-        assert x.route is not None
+        assert exchange.route is not None
         known = seen(node)
         pool = self._pool(node)
-        connection = None if fresh else pool.reuse(not x.route.idempotent, x.attempt)
+        connection = None if fresh else pool.reuse(not exchange.route.idempotent, exchange.attempt)
         if connection is None:
             bound = max(LEAST_CONNECTIONS, self.service(node.service).max_connections // max(1, self.edges))
             if len(pool.all) >= bound and not pool.shed():
                 return Answer(End.UNREACHED, "full"), False
-            if not await self._have_slot(x):
+            if not await self._have_slot(exchange):
                 return Answer(End.UNREACHED, "full"), False
-            patience = max(CONNECT_LEAST, waits_until(x, x.begun) - self.clock())
+            patience = max(CONNECT_LEAST, waits_until(exchange, exchange.begun) - self.clock())
             try:
-                connection = await pool.open(min(CONNECT, patience, max(0.0, x.until - self.clock())))
+                connection = await pool.open(min(CONNECT, patience, max(0.0, exchange.until - self.clock())))
             except PeerError:
                 self.counts["not connected"] += 1
                 return Answer(End.UNREACHED, "not connected"), False
             self.counts["opened"] += 1
-            if x.expired or x.gone:
+            if exchange.expired or exchange.gone:
                 pool.put_back(connection)
                 return Answer(End.UNREACHED, "too late"), False
             if not connection.ready(False):  # the node has ended it, or spoken unasked: nothing was sent
@@ -56,10 +56,10 @@
                 return Answer(End.UNREACHED, "not connected"), False
         now = self.clock()
         quiet = known.in_hand(now) < node.capacity
-        x.way = self._way(x, fresh, now, now < node.cold_until, quiet)
+        exchange.way = self._way(exchange, fresh, now, now < node.cold_until, quiet)
         self.counts["sent"] += 1
         known.sent(now)
-        answer = await x.sent_on(connection, max(1, int((x.until - now) * 1000)), node.id)
+        answer = await exchange.sent_on(connection, max(1, int((exchange.until - now) * 1000)), node.id)
         took = self.clock() - now
         known.came_back(now + took)
         if answer.load is not None:
@@ -69,7 +69,7 @@
             if quiet:
                 known.worked(took)
         if answer.whole:
-            x.connection = None
+            exchange.connection = None
         return answer, True
 
     def _pool(self, node: Node) -> Pool:
@@ -81,10 +81,10 @@
             pool = self.pools[node.id] = Pool(node, self.clock, self.connection_slots)
         return pool
 
-    async def _have_slot(self, x: Exchange) -> bool:
+    async def _have_slot(self, exchange: Exchange) -> bool:
         """Have a descriptor for one more connection to a node: an idle one's, the one that has idled longest, or one
         that comes free while the request may wait."""
-        assert x.route is not None
+        assert exchange.route is not None
         while self.connection_slots.full:
             idle = min(
                 (pool.idle[0] for pool in self.pools.values() if pool.idle), key=lambda c: c.idle_since, default=None
@@ -92,17 +92,19 @@
             if idle is not None:
                 idle.abort("room for another")
                 await asyncio.sleep(0)  # its descriptor is free after a turn of the loop
-            elif not await self._waited(x, self.connection_slots.waiting, min(waits_until(x, x.begun), x.until)):
+            elif not await self._waited(
+                exchange, self.connection_slots.waiting, min(waits_until(exchange, exchange.begun), exchange.until)
+            ):
                 return False
         return True
 
     @staticmethod
-    def _way(x: Exchange, again: bool, now: float, cold: bool, quiet: bool) -> str:
+    def _way(exchange: Exchange, again: bool, now: float, cold: bool, quiet: bool) -> str:
         """What a request met with on its way to a node: the first of these that holds says most of why it is late."""
-        assert x.route is not None
+        assert exchange.route is not None
         if again:
             return "tried again"
-        if now - x.begun > x.route.target_latency * HELD_PART:
+        if now - exchange.begun > exchange.route.target_latency * HELD_PART:
             return "waited at the edge"
         if cold:
             return "a cold node"
--- a/knotwalk/edge/request_reader.py
+++ b/knotwalk/edge/request_reader.py
@@ -72,9 +72,9 @@
         version = self.parser.get_http_version()
         if version not in ("1.1", "1.0"):
             self._stop(400, "the version is not spoken here")
-        x = Exchange(now, self.parser.get_method(), self._settled)
-        x.modern = version == "1.1"
-        x.keep = self.parser.should_keep_alive()
+        exchange = Exchange(now, self.parser.get_method(), self._settled)
+        exchange.modern = version == "1.1"
+        exchange.keep = self.parser.should_keep_alive()
         if self.parser.should_upgrade():
             self._stop(400, "nothing else is spoken here")  # the parser would take its body for another protocol's
         if not self._target.startswith(b"/"):
@@ -83,7 +83,7 @@
         for name, value in self._headers:
             if name.lower() == b"connection":
                 names = names | ({token.strip().lower() for token in value.split(b",")} - KEPT)
-        lines = [x.method, b" ", self._target, b" HTTP/1.1\r\n"]
+        lines = [exchange.method, b" ", self._target, b" HTTP/1.1\r\n"]
         for name, value in self._headers:
             low = name.lower()
             if low == b"host":
@@ -91,67 +91,69 @@
                     self._stop(400, "two hosts")
                 host = value.strip()
             elif low == b"attempt-id":
-                if x.attempt:
+                if exchange.attempt:
                     self._stop(400, "two ids")
-                x.attempt = value.strip()
+                exchange.attempt = value.strip()
             elif low == b"shard-key":
                 key = value.strip() if key is None else b""
             elif low == b"deadline-ms":
                 deadline = value.strip() if deadline is None else b""
             elif low == b"content-length":
-                x.length = int(value)
+                exchange.length = int(value)
             elif low == b"transfer-encoding":
-                if value.strip().lower() != b"chunked" or not x.modern:
+                if value.strip().lower() != b"chunked" or not exchange.modern:
                     self._stop(400, "a coding that is not spoken here")
-                x.chunked = True
+                exchange.chunked = True
             elif low == b"expect":
-                x.expects = x.modern and value.strip().lower() == b"100-continue"
+                exchange.expects = exchange.modern and value.strip().lower() == b"100-continue"
             if low not in names:
                 lines += (name, b": ", value, b"\r\n")
-        x.head = b"".join(lines)
+        exchange.head = b"".join(lines)
         if host is None:
             self._stop(400, "no Host")
             return
-        if not x.attempt:
+        if not exchange.attempt:
             self._stop(400, "no Attempt-Id")
-        if (x.length or 0) > front.limits.max_body_bytes:
+        if (exchange.length or 0) > front.limits.max_body_bytes:
             self._stop(413, "the body is too large")
-        self.queue.append(x)
-        self.reading = x
+        self.queue.append(exchange)
+        self.reading = exchange
         if len(self.queue) >= DEPTH:
             self._hold("depth", True)
-        front.begin(x, host, self._target, key, deadline)
-        if x.stage is Stage.ANSWERED and (x.chunked or x.expects or (x.length or 0) > GATHER):
+        front.begin(exchange, host, self._target, key, deadline)
+        if exchange.stage is Stage.ANSWERED and (
+            exchange.chunked or exchange.expects or (exchange.length or 0) > GATHER
+        ):
             self._shut()  # refused without its body: nothing behind it is read
-        elif x.expects and x.stage is Stage.READING and (x.chunked or x.length):
+        elif exchange.expects and exchange.stage is Stage.READING and (exchange.chunked or exchange.length):
             self._ask_body()
 
     def on_body(self, data: bytes) -> None:
         """A piece of the body was read: gather it, or pass it on."""
-        x = self.reading
-        if x is None:
+        exchange = self.reading
+        if exchange is None:
             return
-        x.expects = False
-        x.size += len(data)
-        if x.size > self.front.limits.max_body_bytes:
+        exchange.expects = False
+        exchange.size += len(data)
+        if exchange.size > self.front.limits.max_body_bytes:
             self._stop(413, "the body is too large")
-        x.arrived(data)
-        if x.stage is Stage.READING and len(x.body) > GATHER:
-            x.starve = self._starve
-            x.to(Stage.READY)
+        exchange.arrived(data)
+        if exchange.stage is Stage.READING and len(exchange.body) > GATHER:
+            exchange.starve = self._starve
+            exchange.to(Stage.READY)
             self._starve(True)
             self._start()
 
     def on_message_complete(self) -> None:
         """The request was read to its end."""
-        x, self.reading = self.reading, None
-        if x is None:
+        exchange, self.reading = self.reading, None
+        if exchange is None:
             return
         self._starve(False)
-        x.ended()
-        if x.stage is Stage.READING:
-            x.to(Stage.READY)
-        if not x.keep and self.state is ConnectionState.OPEN:
+        exchange.ended()
+        if exchange.stage is Stage.READING:
+            exchange.to(Stage.READY)
+        if not exchange.keep and self.state is ConnectionState.OPEN:
             self._to(ConnectionState.LAST)
         self._start()
 
@@ -170,18 +172,18 @@
     def _refuse(self, status: int, text: str) -> None:
         """Bytes that can't be read as a request: answer, behind what is due before, and read no more."""
         self._shut()
-        x = self.reading
+        exchange = self.reading
         self.reading = None
         self._starve(False)
-        if x is None or x.stage is Stage.DONE:
-            x = Exchange(self.front.clock(), b"GET", self._settled)
-            self.queue.append(x)
-        x.keep = False
+        if exchange is None or exchange.stage is Stage.DONE:
+            exchange = Exchange(self.front.clock(), b"GET", self._settled)
+            self.queue.append(exchange)
+        exchange.keep = False
         self.front.counts[f"unread {status}"] += 1
-        if x.stage in (Stage.READING, Stage.READY):
-            x.own(status, text)
-        elif x.stage is Stage.RUNNING:  # its body was being passed on
-            x.own(status, text)
-            x.leave()
-        elif x.stage is Stage.WRITING:
+        if exchange.stage in (Stage.READING, Stage.READY):
+            exchange.own(status, text)
+        elif exchange.stage is Stage.RUNNING:  # its body was being passed on
+            exchange.own(status, text)
+            exchange.leave()
+        elif exchange.stage is Stage.WRITING:
             self.abort()
--- /dev/null
+++ b/tests/system/edge_case.py
@@ -0,0 +1,94 @@
+"""An edge's front over scripted nodes on loopback, and clients of it: what its tests are built on."""
+
+import asyncio
+import time
+import unittest
+
+from standins.nodes import RawClient, StandIn, front, routes, view
+
+from knotwalk.edge.choose import seen
+
+# Seconds that an answer may take on a machine with much other work; who waits so long has failed.
+PATIENCE = 60
+
+
+async def wait_for(met):
+    """Give the loop turns until the condition is met."""
+    end = time.monotonic() + PATIENCE
+    while not met():
+        if time.monotonic() > end:
+            raise AssertionError("the condition was not met")
+        await asyncio.sleep(0)
+
+
+async def within(awaitable):
+    """What it gives, come within the machine's PATIENCE, also while the loop's time stands."""
+    task = asyncio.ensure_future(awaitable)
+    try:
+        await wait_for(task.done)
+        return await task
+    finally:
+        task.cancel()
+
+
+async def turns(count=100):
+    """Give the loop turns: timers that are due go off, and what was sent is read."""
+    for _ in range(count):
+        await asyncio.sleep(0)
+
+
+class EdgeCase(unittest.IsolatedAsyncioTestCase):
+    """A front, started by `begin`, and its clients; nothing may be left of an error at the end."""
+
+    async def asyncSetUp(self):
+        self.loop = asyncio.get_running_loop()
+        self.errors = []
+        self.loop.set_exception_handler(lambda loop, context: self.errors.append(context))
+        self.nodes = [await StandIn(f"i-{at}").start() for at in range(2)]
+        self.clients = []
+        self.front = None
+
+    async def asyncTearDown(self):
+        await self.end()
+        for _ in range(3):
+            await asyncio.sleep(0)
+        self.assertEqual(self.errors, [])
+
+    async def end(self):
+        """End clients, nodes and the front, if there is one."""
+        for client in self.clients:
+            client.close()
+        for node in self.nodes:
+            node.stop()
+        if self.front is not None:
+            self.front.drain()
+            await self.front.finished(0)
+            self.front._sweep.cancel()
+
+    async def begin(self, nodes=1, service="s", limits=None, capacity=4, table=None, **raw):
+        """A front over some of the stand-ins."""
+        self.view = view(
+            [node.node(service, capacity=capacity) for node in self.nodes[:nodes]], table or routes(), limits
+        )
+        self.front = await front(self.view, **raw)
+        return self.front
+
+    async def client(self):
+        client = await RawClient.to(self.front.port)
+        self.clients.append(client)
+        return client
+
+    async def ask(self, *args, **fields):
+        client = await self.client()
+        client.ask(*args, **fields)
+        return await within(client.answer())
+
+    def runs(self):
+        return sum(len(node.seen) for node in self.nodes)
+
+    def reset(self, *script):
+        for node in self.nodes:
+            node.seen.clear()
+            node.script = list(script)
+        for node in self.view.nodes.values():
+            seen(node).well()
--- a/tests/system/test_client_leaves.py
+++ b/tests/system/test_client_leaves.py
@@ -15,6 +15,7 @@
 from knotwalk.discovery.view_types import Line
 from knotwalk.edge.client_connection import Hearing
 from knotwalk.edge.client_state import DEPTH
+from tests.system.edge_case import EdgeCase
 
 LONG = 60.0  # seconds of deadline and route time: none of them ends work here
 BOUND = 10.0  # seconds in which a calm or busy machine gets to what the edge should do within some tenths
@@ -53,33 +54,15 @@
         return answer(request, extra="Keep-Alive: timeout=60\r\n")
 
 
-class LeavesCase(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.nodes, self.clients = [], []
-        self.front = None
-
-    async def begin(self, kind=Holding, count=1, limits=None, **raw):
+class LeavesCase(EdgeCase):
+    async def begin(self, kind=Holding, count=1):
+        """A front over nodes of a kind, each in both services, with time for everything."""
+        await self.end()
         self.nodes = [await kind(f"i-{at}").start() for at in range(count)]
         nodes = [node.node(service, capacity=40) for service in ("s", "k") for node in self.nodes]
-        for at, node in enumerate(nodes):
+        for node in nodes:
             node.id = f"{node.id}-{node.service}"
-        self.front = await front(view(nodes, routes(timeout=LONG, aim=LONG), limits), **raw)
-
-    async def asyncTearDown(self):
-        for client in self.clients:
-            client.close()
-        for node in self.nodes:
-            node.stop()
-        if self.front is not None:
-            self.front.drain()
-            await self.front.finished(0)
-            self.front._sweep.cancel()
-        for _ in range(3):
-            await asyncio.sleep(0)
-
-    async def client(self):
-        self.clients.append(await RawClient.to(self.front.port))
-        return self.clients[-1]
+        self.front = await front(view(nodes, routes(timeout=LONG, aim=LONG)))
 
     def working(self):
         return [attempt for node in self.nodes for attempt in node.working]
@@ -113,7 +96,7 @@
                 await until(lambda: len(self.working()) == DEPTH, "all at work")
                 leave(client)
                 await self.idle()
-        await self.begin_deaf()
+        await self.begin(Deaf)
         for leave in (RawClient.close, RawClient.reset):
             with self.subTest("body", leave=leave.__name__):
                 client = await self.client()
@@ -123,13 +106,6 @@
                 leave(client)
                 await until(lambda: not self.front.open, "given up")
 
-    async def begin_deaf(self):
-        """A front before a node that takes connections and reads nothing."""
-        self.front.drain()
-        await self.front.finished(0)
-        self.front._sweep.cancel()
-        await self.begin(Deaf)
-
     async def test_nothing_is_begun_or_goes_on_whenever_it_leaves(self):
         """Over seeds: pipelines of both kinds left at any turn of the loop, by either way, before nodes that hold, shed
         or answer. In the end nobody works, nothing is open, and nothing that must not be repeated ran twice."""
@@ -222,7 +198,7 @@
                 client.reset()
                 await self.idle()
                 owners.lines = lines
-                self.front.pictured({"lines"})
+                self.front.view_changed({"lines"})
                 for _ in range(20):
                     await asyncio.sleep(0)
                 self.assertEqual(self.nodes[0].seen, [])
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -8,18 +8,18 @@
 import random
 import select
 import socket
-import time
 import unittest
 from unittest import mock
 
 from standins.jumps import Held
-from standins.nodes import ELSEWHERE, SHED, RawClient, StandIn, answer, front, routes, show, view
+from standins.nodes import ELSEWHERE, SHED, RawClient, answer, front, routes, show, view
 
 from knotwalk.admission.connection_budget import ConnectionBudget
 from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.view_types import WIDTH, Line
 from knotwalk.edge import connection_pool
 from knotwalk.edge.choose import seen
+from tests.system.edge_case import PATIENCE, EdgeCase, turns, wait_for, within
 
 BOTH = (("/i/", True), ("/n/", False))
 CUT = (asyncio.IncompleteReadError, ConnectionError)
@@ -56,86 +56,6 @@
     return act
 
 
-# Seconds that an answer may take on a machine with much other work; who waits so long has failed.
-PATIENCE = 60
-
-
-async def wait_for(met):
-    """Give the loop turns until the condition is met."""
-    end = time.monotonic() + PATIENCE
-    while not met():
-        if time.monotonic() > end:
-            raise AssertionError("the condition was not met")
-        await asyncio.sleep(0)
-
-
-async def within(awaitable):
-    """What it gives, come within the machine's PATIENCE, also while the loop's time stands."""
-    task = asyncio.ensure_future(awaitable)
-    try:
-        await wait_for(task.done)
-        return await task
-    finally:
-        task.cancel()
-
-
-async def turns(count=100):
-    """Give the loop turns: timers that are due go off, and what was sent is read."""
-    for _ in range(count):
-        await asyncio.sleep(0)
-
-
-class EdgeCase(unittest.IsolatedAsyncioTestCase):
-    async def asyncSetUp(self):
-        self.loop = asyncio.get_running_loop()
-        self.errors = []
-        self.loop.set_exception_handler(lambda loop, context: self.errors.append(context))
-        self.nodes = [await StandIn(f"i-{at}").start() for at in range(2)]
-        self.clients = []
-        self.front = None
-
-    async def asyncTearDown(self):
-        for client in self.clients:
-            client.close()
-        for node in self.nodes:
-            node.stop()
-        if self.front is not None:
-            self.front.drain()
-            await self.front.finished(0)
-            self.front._sweep.cancel()
-        for _ in range(3):
-            await asyncio.sleep(0)
-        self.assertEqual(self.errors, [])
-
-    async def begin(self, nodes=1, service="s", limits=None, capacity=4, table=None, **raw):
-        """A front over some of the stand-ins."""
-        self.view = view(
-            [node.node(service, capacity=capacity) for node in self.nodes[:nodes]], table or routes(), limits
-        )
-        self.front = await front(self.view, **raw)
-        return self.front
-
-    async def client(self):
-        client = await RawClient.to(self.front.port)
-        self.clients.append(client)
-        return client
-
-    async def ask(self, *args, **fields):
-        client = await self.client()
-        client.ask(*args, **fields)
-        return await within(client.answer())
-
-    def runs(self):
-        return sum(len(node.seen) for node in self.nodes)
-
-    def reset(self, *script):
-        for node in self.nodes:
-            node.seen.clear()
-            node.script = list(script)
-        for node in self.view.nodes.values():
-            seen(node).well()
-
-
 class TriesCase(EdgeCase):
     """What becomes of a try, for requests that may be repeated and for those that may not."""
 
@@ -350,7 +270,7 @@
             await asyncio.sleep(0)
         other = self.view.nodes["i-1"]
         line.node, line.owner, line.open = other, other.id, True
-        self.front.pictured({"lines"})
+        self.front.view_changed({"lines"})
         self.assertEqual((await client.answer())[0], 200)
         self.assertEqual(len(self.nodes[1].seen), 1)
 
@@ -397,7 +317,7 @@
             await asyncio.sleep(0)
         other = self.view.nodes["i-1"]
         line.node, line.owner = other, other.id
-        self.front.pictured({"lines"})
+        self.front.view_changed({"lines"})
         self.assertEqual((await client.answer())[0], 200)
         self.assertEqual([len(node.seen) for node in self.nodes], [1, 1])
 
@@ -422,7 +342,7 @@
         await self.begin(1, "k", table=routes(aim=0.1), now=held.now)
         node = self.view.nodes["i-0"]
         node.draining = True
-        self.front.pictured({"nodes"})
+        self.front.view_changed({"nodes"})
         self.assertEqual((await self.ask("/kn/", headers=self.key(0)))[0], 200)
         seen(node).draining_since -= 2.0
         refused = self.loop.create_task(self.ask("/kn/", headers=self.key(0)))
@@ -457,7 +377,7 @@
         await self.begin(2, table=routes(aim=1.0), now=held.now)
         for node in self.view.nodes.values():
             node.draining = True
-        self.front.pictured({"nodes"})
+        self.front.view_changed({"nodes"})
         self.assertEqual((await self.ask("/n/"))[0], 200)
         for node in self.view.nodes.values():
             seen(node).draining_since -= 2.0
@@ -471,7 +391,7 @@
         self.nodes[0].script = [lambda r, w: answer(r, extra="Keep-Alive: timeout=9\r\n")]
         await self.ask("/kn/", headers=self.key(0))
         del self.view.nodes["i-0"]
-        self.front.pictured({"nodes"})
+        self.front.view_changed({"nodes"})
         await asyncio.wait_for(self.nodes[0].left.wait(), PATIENCE)
 
     async def test_report(self):
@@ -1150,7 +1070,7 @@
         await wait_for(lambda: any(c.holds for c in self.front.clients))
         self.assertEqual(self.runs(), 0)
         self.view.configuration = table
-        self.front.pictured({"config"})
+        self.front.view_changed({"config"})
         self.assertEqual((await asyncio.wait_for(client.answer(), PATIENCE))[0], 200)
 
     async def test_a_client_of_an_edge_without_a_picture_is_let_go_unread(self):
