--- a/tests/simulation/connections.py
+++ b/tests/simulation/connections.py
@@ -2,7 +2,8 @@
 
 Each call bears a number and its answer bears it too, so a judge that knows only calls and answers sees whether any is
 given to another's caller. A peer answers late, twice, unasked, in part, not at all, or ends the connection at any byte.
-Calls to nodes are carried by the real `Forwarder` over its pools; half of them must not run twice.
+Calls to nodes are carried by the real `Forwarder` over its pools; half of them must not run twice. Some clients leave
+meanwhile: nothing of theirs begins after that.
 """
 
 from __future__ import annotations
@@ -10,6 +11,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import random
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, field
@@ -20,8 +22,9 @@
 from knotwalk.configuration.objects import Route
 from knotwalk.discovery.cluster_view import ClusterView, Node
 from knotwalk.edge import caller, connection_pool, node_connection, node_connection_state
-from knotwalk.edge.exchange import Exchange, Stage
+from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import Forwarder
+from knotwalk.edge.stages import Stage
 from knotwalk.runtime.errors import PeerError
 from tests.simulation.loop import Process, VirtualLoop, clock
 from tests.simulation.programs import settings
@@ -32,6 +35,7 @@
 WAY = 0.001  # seconds one way
 UNREAD = 0.004  # seconds at most between the coming of bytes and their reading: a busy loop
 PORT = 9000
+LEAVES_PART = 0.25  # of the clients, before they have their answer
 
 
 Answering = Callable[[int, bytes], bytes]  # the answer to a call, from its number and its bytes
@@ -45,6 +49,7 @@
     ran: dict[int, int] = field(default_factory=dict)  # how often each has run
     careful: set[int] = field(default_factory=set)  # those that must not run twice
     broken: list[str] = field(default_factory=list)
+    left: dict[int, float] = field(default_factory=dict)  # when the client of each that left did so
 
     def says(self, number: int, why: str) -> None:
         """Something is wrong with a call."""
@@ -143,6 +148,8 @@
         if chance < 0.06 and number in self.calls.careful:
             self._send(transport, REFUSED % number, wait)
             return
+        if self.calls.loop.now - self.calls.left.get(number, math.inf) > WAY + UNREAD:
+            self.calls.says(number, "begins after its client has left")
         self.calls.ran[number] = self.calls.ran.get(number, 0) + 1
         if self.calls.ran[number] > 1 and number in self.calls.careful:
             self.calls.says(number, "must not run twice, and does")
@@ -237,25 +244,35 @@
             calls.says(number, f"is answered by {told}")
 
 
+def _leave(calls: Calls, number: int, exchange: Exchange) -> None:
+    """The client of a call is gone."""
+    calls.left[number] = calls.loop.now
+    exchange.leave()
+
+
 async def _to_nodes(calls: Calls, forwarder: Forwarder, chance: random.Random, first: int) -> None:
     """One client's requests, one after the other."""
     for number in range(first, first + CALLS):
         careful = chance.random() < 0.5
         if careful:
             calls.careful.add(number)
-        x = Exchange(clock(), b"POST", lambda x: None)
-        x.head = b"POST /x HTTP/1.1\r\nAttempt-Id: a%d\r\n" % number
-        x.attempt, x.length, x.body_whole = b"a%d" % number, 0, True
-        x.until = clock() + 0.5
-        forwarder.routed(x, Route("r", "h", "/", not careful, 0.5, 0.3, 1, (("s", 1.0),), 3), None)
-        x.to(Stage.READY)
-        x.to(Stage.RUNNING)
-        timer = asyncio.get_running_loop().call_later(chance.choice((0.03, 0.1, 0.5)), x.expire)
-        await forwarder.carry(x)
-        timer.cancel()
-        if x.answer is not None and x.answer.status == 200 and x.answer.body != b"%08d" % number:
-            calls.says(number, f"is answered by {x.answer.body!r}")
-        if x.status == 503 and calls.ran.get(number):
+        exchange = Exchange(clock(), b"POST", lambda exchange: None)
+        exchange.head = b"POST /x HTTP/1.1\r\nAttempt-Id: a%d\r\n" % number
+        exchange.attempt, exchange.length, exchange.body_whole = b"a%d" % number, 0, True
+        exchange.until = clock() + 0.5
+        forwarder.routed(exchange, Route("r", "h", "/", not careful, 0.5, 0.3, 1, (("s", 1.0),), 3), None)
+        exchange.to(Stage.READY)
+        exchange.to(Stage.RUNNING)
+        later = asyncio.get_running_loop().call_later
+        timers = [later(chance.choice((0.03, 0.1, 0.5)), exchange.expire)]
+        if chance.random() < LEAVES_PART:
+            timers.append(later(chance.choice((0.0, 0.002, 0.01, 0.05)), _leave, calls, number, exchange))
+        await forwarder.carry(exchange)
+        for timer in timers:
+            timer.cancel()
+        if exchange.answer is not None and exchange.answer.status == 200 and exchange.answer.body != b"%08d" % number:
+            calls.says(number, f"is answered by {exchange.answer.body!r}")
+        if exchange.status == 503 and calls.ran.get(number):
             calls.says(number, "is told to come back, and has run")
         await asyncio.sleep(chance.choice((0.0, 0.002, 0.03)))
 
