--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -176,9 +176,13 @@
         if self.settings.platform.address is None:
             return {}
         if self.own_list is None or clock() - self.own_list_at >= POLL:
-            self.own_list, self.own_list_at = asyncio.get_running_loop().create_task(self.read()), clock()
+            self.own_list, self.own_list_at = asyncio.get_running_loop().create_task(self._nodes_read()), clock()
+        return await asyncio.shield(self.own_list)
+
+    async def _nodes_read(self) -> dict[str, Node]:
+        """The list's nodes; empty if it can't be read, which nobody may be left to hear: edges don't wait for ever."""
         try:
-            return (await asyncio.shield(self.own_list)).nodes
+            return (await self.read()).nodes
         except (PeerError, Unusable):
             return {}
 
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -1,6 +1,7 @@
 """The core program's rooms wired together in one process: three agreements over a wire and disks in memory."""
 
 import asyncio
+import gc
 import json
 import random
 import shutil
@@ -603,6 +604,36 @@
         )  # the second was like the first
         self.assertTrue(list_poller.board.nodes["i-1"].draining)
 
+    async def test_a_reading_that_fails_when_its_callers_have_left_is_no_fault(self):
+        """An edge gives its call up before the list does; nobody is left to take the reading's error."""
+        faults, failing = [], asyncio.Event()
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: faults.append(context["message"]))
+
+        class Silent:
+            async def send(self, *_):
+                await failing.wait()
+                raise PeerError("list", "h:1", "no answer within 1 s")
+
+        settings = SimpleNamespace(platform=SimpleNamespace(address=("h", 1)))
+        list_poller = ListPoller(settings, SimpleNamespace(), Board("b"), Silent(), "me")
+        left, stays = (asyncio.ensure_future(list_poller.own_nodes()) for _ in range(2))
+        await asyncio.sleep(0)
+        left.cancel()
+        failing.set()
+        self.assertEqual(await stays, {})
+        failing.clear()
+        list_poller.own_list_at = float("-inf")
+        left = asyncio.ensure_future(list_poller.own_nodes())
+        await asyncio.sleep(0)
+        left.cancel()
+        await asyncio.wait([left])
+        failing.set()
+        await asyncio.wait([list_poller.own_list])
+        list_poller.own_list = None
+        gc.collect()
+        await asyncio.sleep(0)
+        self.assertEqual(faults, [])
+
 
 class LanesCase(unittest.IsolatedAsyncioTestCase):
     async def test_a_few_grants_at_once_to_a_node_and_none_begun_past_its_lease(self):
