--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -14,6 +14,7 @@
     CUT = "cut"  # the connection ended with no whole answer
     BEHIND = "behind"  # sent behind an answer that closed the connection: counts as not read
     LEFT = "left"  # the client left first
+    SILENT = "silent"  # neither answer nor end came, well past its deadline
 
 
 class Death(Enum):
@@ -60,6 +61,7 @@
     death: Death | None = None
     asked_to_end: float | None = None
     code: int | None = None
+    outlived: bool = False  # it was killed since it had not ended within its grace
     frozen: list[tuple[float, float]] = field(default_factory=list)
 
     def stood_still(self, first: float, last: float) -> bool:
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -56,6 +56,7 @@
             "cut by a kill": ([], [self.asked(False, End.CUT, life=killed)], [whole]),
             "cut unread": ([], [self.asked(False, End.CUT)], []),
             "cut late, read": (["LOST"], [served, self.asked(False, End.CUT, life=life)], []),
+            "no end": (["SILENT"], [self.asked(True, End.SILENT)], []),
             "cut as it closed": ([], [served, self.asked(False, End.CUT, at=1.2, life=life)], []),
         }
         for name, (wanted, asked, runs) in table.items():
@@ -69,6 +70,7 @@
             "later": (["END"], Life("core", 0.0, 3.2, Death.TERM, 3.1, -15)),
             "past its grace": (["END"], Life("edge", 0.0, 12.0, Death.TERM, 2.0, 0)),
             "by itself": (["END"], Life("edge", 0.0, 5.0, Death.ITSELF, None, 1)),
+            "killed at its grace's end": (["END"], Life("edge", 0.0, 9.0, Death.KILL, 2.0, -9, outlived=True)),
             "killed": ([], Life("edge", 0.0, 5.0, Death.KILL, 5.0, -9)),
         }
         for name, (wanted, life) in table.items():
