--- a/tests/soak/drive.py
+++ b/tests/soak/drive.py
@@ -124,11 +124,12 @@
     def _born(self, program: Program) -> None:
         life = program.life = Life(program.settings["node_name"], clock())
         self.ledger.lives.append(life)
-        self._spawn(self._await_end(program, life, program.process))
+        self._spawn(self._await_end(program, life, program.process, program.log.stat().st_size))
 
-    async def _await_end(self, program: Program, life: Life, process) -> None:
+    async def _await_end(self, program: Program, life: Life, process, said_before: int) -> None:
         while process.poll() is None:
             await asyncio.sleep(PROGRAMS_WAIT)
+        life.spoke = program.log.stat().st_size > said_before
         life.ended, life.code = clock(), process.returncode
         if life.death is None and not self.ending:
             life.death = Death.ITSELF
--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -15,7 +15,6 @@
 WORK_AFTER_LEAVING = 0.5  # seconds after a client has left in which a repeatable request may still run
 LATE_CUT = 0.2  # seconds after its last byte from which a request whose connection ends counts as read
 TELLS = 1.5  # seconds of slack up to which a timer of the run's own says something of the programs
-STARTING = 0.5  # seconds within which a program's handlers of signals are there
 GRACE_MORE = 2.0  # seconds past the grace in which a program that was asked to end must have
 
 
@@ -106,7 +105,7 @@
         took = life.ended - life.asked_to_end
         late = took > self.grace + GRACE_MORE + self.slack and not life.frozen
         # Before its handlers are there a signal ends a program as it does any other: it had not begun to serve.
-        as_any_other = life.code in (-SIGTERM, -SIGHUP) and life.asked_to_end - life.begun < STARTING + self.slack
+        as_any_other = life.code in (-SIGTERM, -SIGHUP) and not life.spoke
         wrong = life.code != 0 and not as_any_other
         return [f"END {life.name} took {took:.1f} s, exit code {life.code}"] if late or wrong else []
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -61,6 +61,7 @@
     death: Death | None = None
     asked_to_end: float | None = None
     code: int | None = None
+    spoke: bool = True  # it has written to its log: its handlers of signals are there by then
     outlived: bool = False  # it was killed since it had not ended within its grace
     frozen: list[tuple[float, float]] = field(default_factory=list)
 
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -66,7 +66,7 @@
     def test_ends_of_programs(self):
         table = {
             "in order": ([], Life("edge", 0.0, 5.0, Death.TERM, 2.0, 0)),
-            "before it began": ([], Life("core", 0.0, 0.2, Death.TERM, 0.1, -15)),
+            "before it began": ([], Life("core", 0.0, 0.2, Death.TERM, 0.1, -15, spoke=False)),
             "later": (["END"], Life("core", 0.0, 3.2, Death.TERM, 3.1, -15)),
             "past its grace": (["END"], Life("edge", 0.0, 12.0, Death.TERM, 2.0, 0)),
             "by itself": (["END"], Life("edge", 0.0, 5.0, Death.ITSELF, None, 1)),
