--- a/tests/system/edge_case.py
+++ b/tests/system/edge_case.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from standins.nodes import RawClient, StandIn, front, routes, view
+from standins.nodes import RawClient, StandIn, answer, front, routes, view
 
 from knotwalk.edge.choose import seen
 
@@ -92,3 +92,38 @@
             node.script = list(script)
         for node in self.view.nodes.values():
             seen(node).well()
+
+
+BOTH = (("/i/", True), ("/n/", False))
+CUT = (asyncio.IncompleteReadError, ConnectionError)
+
+
+def chunked(request, *pieces, end=b"0\r\n\r\n"):
+    head = f"HTTP/1.1 200 OK\r\nAttempt-Id: {request.attempt}\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head.encode() + b"".join(b"%x\r\n%b\r\n" % (len(p), p) for p in pieces) + end
+
+
+def cut(data):
+    """Send this and close."""
+
+    def act(request, writer):
+        writer.write(data(request) if callable(data) else data)
+        writer.close()
+
+    return act
+
+
+def twice(request, writer):
+    """The answer, and once more in the same breath."""
+    return answer(request) + answer(request, b"again")
+
+
+def late_extra(body):
+    """The whole answer, and once more when the connection's next request has come, ahead of its answer."""
+
+    def act(request, writer):
+        before = getattr(writer, "extra", b"")
+        writer.extra = answer(request, b"late")
+        return before + answer(request, body(request), extra="Keep-Alive: timeout=9\r\n")
+
+    return act
