--- a/knotwalk/configuration/objects.py
+++ b/knotwalk/configuration/objects.py
@@ -16,6 +16,8 @@
     priority: int
     splits: tuple[tuple[str, float], ...]
     retry_count: int
+    keyed: bool = False  # its requests bear an `Operation-Key`: all tries with one key are one operation
+    public: bool = False  # its requests need no tenant's key
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +29,20 @@
     max_connections: int = 100
     sharded: bool = False
     prewarm: float = 0.0
+    deduplicates: bool = False  # its nodes keep a record of operations of their own (`idempotent` on the wire)
+
+
+@dataclass(frozen=True, slots=True)
+class Tenant:
+    """Whose requests bear one of `api_keys`. `priority` goes before that of a route; None: the route's holds.
+
+    Over all machines it may send `rate_per_s` requests a second and `burst_size` beyond; a rate of 0 is no limit."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst_size: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,3 +64,4 @@
     services: dict[str, Service]
     limits: Limits
     items: dict[tuple[str, str], dict] = field(repr=False, default_factory=dict)
+    tenants: dict[str, Tenant] = field(default_factory=dict)
--- a/knotwalk/edge/exchange.py
+++ b/knotwalk/edge/exchange.py
@@ -49,6 +49,9 @@
         "task",
         "text",
         "way",
+        "tenant",
+        "operation",
+        "priority",
     )
 
     def __init__(self, begun: float, method: bytes, settled: Callable[[Exchange], None]):
@@ -70,6 +73,9 @@
         self.task: asyncio.Task | None = None
         self.status, self.retry_after, self.text = 0, 0.0, ""
         self.way = ""  # what its last try met with, one of those of `NodeTry._way`
+        self.tenant = ""  # whose key it bears
+        self.operation = ""  # its `Operation-Key`, on a route whose requests bear one
+        self.priority = 0  # its rank, 0 is highest: its tenant's, or its route's
         self.answer: Answer | None = None
         self.settled = settled
         self.keep, self.modern, self.expects = True, True, False
--- a/knotwalk/runtime/settings.py
+++ b/knotwalk/runtime/settings.py
@@ -66,6 +66,12 @@
     recovery: float = 15.0
     max_hold: float = 10.0
     thaw_slack: float = 0.3
+    global_revocation: bool = False  # whether machines out of touch are bound by `revoke_timeout` too
+    revoke_timeout: float = 5.0
+    key_period: float = 60.0
+    quota_window: float = 5.0
+    quota_overage: float = 0.1
+    quota_slack: float = 20.0
 
 
 @dataclass(frozen=True)
@@ -101,6 +107,7 @@
     bounds: Bounds = Bounds()
     platform: Platform = Platform()
     mark: Mark | None = None  # of the file that this was read from
+    contracts: list[str] = field(default_factory=list)  # names of the parts of the rules that are in force
     metrics_port: int | None = None  # of the program's arguments, not of the file: see `runtime.life`
 
     def at(self, name: str) -> Address:
@@ -145,8 +152,8 @@
         raise SettingsError(where, error) from None
 
 
-RATIOS = frozenset({"retry_budget_ratio", "retry_budget_slack"})
-TIMES = frozenset(f.name for f in fields(Bounds)) - RATIOS
+COUNTS = frozenset({"retry_budget_ratio", "retry_budget_slack", "quota_overage", "quota_slack", "global_revocation"})
+TIMES = frozenset(f.name for f in fields(Bounds)) - COUNTS
 
 
 def parse(raw: object) -> Settings:
@@ -193,6 +200,7 @@
         cloud = {**cloud, "address": address(cloud["address"], "cloud_api.address")}
     built = {
         **plain,
+        "contracts": raw.get("active_contracts", []),
         "listen": {name: address(at, f"listen_addresses.{name}") for name, at in listen.items()},
         "ports": tuple(ports),
         "seeds": [address(at, f"seed_nodes[{k}]") for k, at in enumerate(seeds)],
