--- /dev/null
+++ b/knotwalk/control_plane/admissions.py
@@ -0,0 +1,166 @@
+"""Admission at a core machine: what edges ask for in one call, and the answers of operations that are kept here.
+
+An ask takes of its tenant's allowance, then claims its operation. A claim that is not granted gives the allowance back.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+from sanic import HTTPResponse, Request
+
+from knotwalk.runtime.call import Caller
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.serve import answer, body
+from knotwalk.shared_state.answers import Answers, Found, Phase
+from knotwalk.shared_state.claims import ClaimResult, Outcome
+from knotwalk.shared_state.messages import (
+    Admission,
+    AdmissionAsk,
+    AdmissionTold,
+    Claim,
+    EdgeBatch,
+    Ending,
+    Holder,
+    OperationEnd,
+)
+
+# Seconds that an ask waits for its tenant's allowance, and for its claim. What isn't known then can be asked again.
+ALLOWANCE_PATIENCE = 0.03
+CLAIM_PATIENCE = 0.06
+# Seconds for another core's word of an operation that it keeps.
+ANSWER_PATIENCE = 0.05
+
+UNAVAILABLE = AdmissionTold(Admission.UNAVAILABLE)
+RUN = AdmissionTold(Admission.RUN)
+# What a try of an operation is told that another try holds. A freed one is about to be free for the next ask.
+TOLD_BY_PHASE = {
+    Phase.RUNNING: Admission.IN_WORK,
+    Phase.FREED: Admission.IN_WORK,
+    Phase.ANSWERED: Admission.ANSWERED,
+    Phase.UNKNOWN: Admission.UNKNOWN,
+}
+
+
+class Allowances(Protocol):
+    """What tenants may still send."""
+
+    async def take(self, tenant: str, patience: float) -> AdmissionTold:
+        """Take one request's allowance: RUN, OVER_LIMIT or UNAVAILABLE."""
+
+    def give_back(self, tenant: str) -> None:
+        """A request that had taken its allowance does not run."""
+
+
+class ClaimGroups(Protocol):
+    """Who runs which operation, agreed on by the core machines."""
+
+    async def claim(self, claim: Claim, patience: float) -> ClaimResult:
+        """Have a claim agreed on; UNAVAILABLE if that is not known in time: it may be granted yet."""
+
+    def release(self, claim: Claim) -> None:
+        """Have a claim given back whose holder surely never ran it, and never will."""
+
+
+class Admissions:
+    """Answers `POST /admissions` of edges and `POST /answers` of other cores. `me` is this core's peer address."""
+
+    def __init__(
+        self,
+        me: str,
+        allowances: Allowances,
+        claims: ClaimGroups | None,
+        answers: Answers,
+        caller: Caller,
+        clock: Callable[[], float],
+    ):
+        self.me, self.allowances, self.claims, self.answers = me, allowances, claims, answers
+        self.caller, self.clock = caller, clock
+        self.told: Counter[Admission] = Counter()
+        self.ended: Counter[Ending] = Counter()
+
+    async def admissions(self, request: Request) -> HTTPResponse:
+        """An edge's asks, told one by one; its ends are taken before."""
+        return answer({"told": [one.to_json() for one in await self.admit(EdgeBatch.from_json(body(request)))]})
+
+    async def kept(self, request: Request) -> HTTPResponse:
+        """Another core asks how operations stand that are kept here."""
+        now = self.clock()
+        asked = [(operation, Holder(*holder)) for operation, holder in body(request)]
+        return answer([self.answers.find(now, operation, holder).to_json() for operation, holder in asked])
+
+    async def admit(self, batch: EdgeBatch) -> list[AdmissionTold]:
+        """The ends of a call are taken, then its asks told, side by side."""
+        for end in batch.ends:
+            self._end(batch.life, end)
+        told = list(await asyncio.gather(*(self._ask(batch.life, ask) for ask in batch.asks)))
+        self.told.update(one.admission for one in told)
+        return told
+
+    # -- asks
+
+    async def _ask(self, life: str, ask: AdmissionAsk) -> AdmissionTold:
+        holder = Holder(self.me, life, ask.attempt)
+        if ask.operation and (told := self._known(ask.operation, holder)) is not None:
+            return told
+        if ask.tenant:
+            taken = await self.allowances.take(ask.tenant, ALLOWANCE_PATIENCE)
+            if taken.admission is not Admission.RUN:
+                return taken
+        told = await self._claim(ask.operation, holder) if ask.operation else RUN
+        if ask.tenant and told.admission is not Admission.RUN:
+            self.allowances.give_back(ask.tenant)
+        return told
+
+    def _known(self, operation: str, holder: Holder) -> AdmissionTold | None:
+        """What can be told of an operation that this core has let run; None if the claim must be asked for."""
+        other = self.answers.holder_of(operation)
+        if other is None:
+            return None
+        found = self.answers.find(self.clock(), operation, other)
+        if (other.life, other.attempt) == (holder.life, holder.attempt):
+            return None if found.phase is Phase.RUNNING else UNAVAILABLE  # its end came: late, or a second time
+        if found.phase in (Phase.RUNNING, Phase.ANSWERED):
+            return AdmissionTold(TOLD_BY_PHASE[found.phase], answer=found.answer)
+        return None
+
+    async def _claim(self, operation: str, holder: Holder) -> AdmissionTold:
+        if self.claims is None:
+            return UNAVAILABLE
+        result = await self.claims.claim(Claim(operation, holder), CLAIM_PATIENCE)
+        if result.outcome is Outcome.UNAVAILABLE:
+            return UNAVAILABLE
+        holds = holder if result.outcome is Outcome.GRANTED else result.holder
+        assert holds is not None
+        if (holds.life, holds.attempt) == (holder.life, holder.attempt):  # perhaps by another core, its answer lost
+            return RUN if self.answers.begun(self.clock(), operation, holds) else UNAVAILABLE
+        if holds.core == self.me:
+            found = self.answers.find(self.clock(), operation, holds)
+        else:
+            asked = await self._ask_keeper(operation, holds)
+            if asked is None:
+                return UNAVAILABLE
+            found = asked
+        return AdmissionTold(TOLD_BY_PHASE[found.phase], answer=found.answer)
+
+    async def _ask_keeper(self, operation: str, holder: Holder) -> Found | None:
+        """What the core that keeps an operation's answer knows of it; None if it does not answer."""
+        asked = [[operation, holder.to_json()]]
+        try:
+            told = await self.caller.json("POST", f"http://{holder.core}/answers", asked, ANSWER_PATIENCE, "answers")
+            return Found.from_json(told[0])
+        except (PeerError, IndexError, TypeError, ValueError):
+            return None
+
+    # -- ends
+
+    def _end(self, life: str, end: OperationEnd) -> None:
+        """Note how a run ended; one that surely never ran gives its claim back."""
+        self.ended[end.ending] += 1
+        told = Holder(self.me, life, end.attempt)
+        holder = self.answers.ended(self.clock(), end.operation, told, end.ending, end.answer)
+        if end.ending is Ending.NEVER_RAN and self.claims is not None:
+            self.claims.release(Claim(end.operation, holder, True))
--- /dev/null
+++ b/knotwalk/edge/admission_calls.py
@@ -0,0 +1,186 @@
+"""An edge's asks to its core for requests that a limit or an `Operation-Key` binds, and its word of how runs ended.
+
+What comes while a call is under way goes together in the next one. Asks may be sent twice, to any core: an attempt's
+claim is granted again. Ends go to the core that let the run begin, again and again until it has taken them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from knotwalk.admission.connection_budget import ASK_LANES
+from knotwalk.edge.caller import Caller
+from knotwalk.edge.operation_steps import UntoldEnds
+from knotwalk.runtime.errors import PeerError
+from knotwalk.runtime.logs import log_warning
+from knotwalk.shared_state.messages import (
+    Admission,
+    AdmissionAsk,
+    AdmissionTold,
+    EdgeBatch,
+    Ending,
+    OperationEnd,
+)
+
+# Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then.
+PATIENCE = 0.25
+# Seconds that an end waits for asks to travel with.
+GATHER = 0.02
+# Asks and ends that one call takes.
+MOST = 200
+# Seconds in which a core that failed is asked only if no other is known.
+AVOID = 2.0
+NOT_TOLD = AdmissionTold(Admission.UNAVAILABLE)
+
+
+@dataclass(slots=True)
+class Waiting:
+    """An ask that waits to be told; `cores` holds those that were asked, the last one last."""
+
+    ask: AdmissionAsk
+    until: float
+    told: asyncio.Future[AdmissionTold]
+    cores: list[str] = field(default_factory=list)
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """What was told; `cores`: those that granted the ask, or may have."""
+
+    told: AdmissionTold
+    cores: tuple[str, ...] = ()
+
+
+class AdmissionCalls:
+    """Calls `POST /admissions`. `cores` gives the addresses to ask, the best first; `life` names this life of the
+    edge."""
+
+    def __init__(
+        self,
+        edge: str,
+        life: str,
+        cores: Callable[[], list[str]],
+        clock: Callable[[], float],
+        window: float,
+        counts: Callable[[], Counter[str]],
+    ):
+        self.edge, self.life, self.cores, self.clock, self.counts = edge, life, cores, clock, counts
+        self.lanes = [Caller() for _ in range(ASK_LANES)]
+        self.idle = list(self.lanes)
+        self.asks: list[Waiting] = []
+        self.ends = UntoldEnds(window)
+        self.failed: dict[str, float] = {}  # cores that failed, and when
+        self.waits = Counter[str]()  # asks, and the seconds that they took in all
+        self._timer: asyncio.TimerHandle | None = None
+        self._calls: set[asyncio.Task] = set()
+
+    async def ask(self, ask: AdmissionAsk, until: float) -> Asked:
+        """Ask until told, or the steady clock shows `until`: UNAVAILABLE, and `cores` may have granted it."""
+        begun = self.clock()
+        waiting = Waiting(ask, until, asyncio.get_running_loop().create_future())
+        self.asks.append(waiting)
+        self._start_calls()
+        timer = asyncio.get_running_loop().call_later(max(0.0, until - begun), _not_told, waiting.told)
+        try:
+            told = await waiting.told
+        finally:
+            timer.cancel()
+            if waiting in self.asks:
+                self.asks.remove(waiting)
+        self.waits["asks"] += 1
+        self.waits["seconds"] += self.clock() - begun
+        definite = told.admission not in (Admission.RUN, Admission.UNAVAILABLE)
+        return Asked(told, tuple(dict.fromkeys(waiting.cores[:-1] if definite else waiting.cores)))
+
+    def end(self, cores: tuple[str, ...], operation: str, attempt: str, ending: Ending, answer=None) -> None:
+        """Tell these cores how the run of an operation ended."""
+        told = OperationEnd(operation, attempt, ending, answer)
+        for core in cores:
+            self.ends.add(self.clock(), core, told)
+        self._start_later(GATHER)
+
+    async def finish(self, by: float) -> None:
+        """Tell what is untold until the steady clock shows `by`; then end all connections."""
+        while self.ends.waiting and self.clock() < by:
+            self._start_calls()
+            await asyncio.sleep(GATHER)
+        if self._timer is not None:
+            self._timer.cancel()
+        for call in list(self._calls):
+            call.cancel()
+        for lane in self.lanes:
+            await lane.close()
+
+    # -- calls
+
+    def _start_later(self, pause: float) -> None:
+        if self._timer is None:
+            self._timer = asyncio.get_running_loop().call_later(pause, self._timed)
+
+    def _timed(self) -> None:
+        self._timer = None
+        self._start_calls()
+
+    def _start_calls(self) -> None:
+        """Begin calls while there is something to tell and a lane is free."""
+        while self.idle:
+            now = self.clock()
+            core = self._core(now) if self.asks else None
+            if core is None:
+                due = self.ends.due(now)
+                if not due:
+                    break
+                core = due[0].to
+            batch, self.asks = (self.asks[:MOST], self.asks[MOST:]) if self.asks else ([], [])
+            ends = [one.end for one in self.ends.due(now, core)[:MOST]]
+            self.ends.sent(now, core, ends)
+            for waiting in batch:
+                waiting.cores.append(core)
+            task = asyncio.get_running_loop().create_task(self._call(self.idle.pop(), core, batch, ends))
+            self._calls.add(task)
+            task.add_done_callback(self._calls.discard)
+        if self.idle and (next_due := self.ends.next_due()) is not None:
+            self._start_later(max(GATHER, next_due - self.clock()))
+
+    def _core(self, now: float) -> str | None:
+        """The core to ask: the best of those that did not fail lately."""
+        known = self.cores()
+        return next(
+            (core for core in known if now - self.failed.get(core, -AVOID) >= AVOID), known[0] if known else None
+        )
+
+    async def _call(self, lane: Caller, core: str, batch: list[Waiting], ends: list[OperationEnd]) -> None:
+        message = EdgeBatch(self.edge, self.life, [one.ask for one in batch], ends).to_json()
+        try:
+            raw = await lane.json("POST", f"http://{core}/admissions", message, PATIENCE, "admissions")
+            told = [AdmissionTold.from_json(one) for one in raw["told"]]
+            if len(told) != len(batch):
+                raise ValueError("another number of answers than asks")
+        except (PeerError, KeyError, TypeError, ValueError) as error:
+            self._lost(core, batch, error)
+        else:
+            self.failed.pop(core, None)
+            self.ends.done(core, ends)
+            for waiting, one in zip(batch, told, strict=True):
+                if not waiting.told.done():
+                    waiting.told.set_result(one)
+        finally:
+            self.idle.append(lane)
+        self._start_calls()
+
+    def _lost(self, core: str, batch: list[Waiting], error: Exception) -> None:
+        """A call has no answer: its asks go on to another core while they may."""
+        now = self.clock()
+        self.counts()["asks lost"] += 1
+        if now - self.failed.get(core, -AVOID) >= AVOID:
+            log_warning("core does not admit", core=core, why=str(error))
+        self.failed[core] = now
+        self.asks[:0] = [one for one in batch if not one.told.done() and one.until > now]
+
+
+def _not_told(told: asyncio.Future) -> None:
+    if not told.done():
+        told.set_result(NOT_TOLD)
--- a/knotwalk/edge/forwarder.py
+++ b/knotwalk/edge/forwarder.py
@@ -41,12 +41,15 @@
         self.demand.setdefault(exchange.service, Counts())[exchange.key // WIDTH if exchange.key >= 0 else 0] += 1
         return ""
 
-    async def carry(self, exchange: Exchange) -> None:
-        """Carry a request to its answer, which `exchange` is told. Never fails."""
+    async def carry(self, exchange: Exchange, deduplicated: bool = False) -> tuple[Move, Answer | None]:
+        """Carry a request to its answer, which `exchange` is told: how that came about, and the last node's answer.
+
+        `deduplicated`: its nodes keep a record of operations, so that a broken-off run may be followed by another.
+        Never fails."""
         assert exchange.route is not None
         tried: set[str] = set()
         arrivals = misses = 0
-        may_have_run = False
+        may_have_run = repeatable = False
         end, answer, why = End.UNREACHED, None, "nothing"
         while True:
             node, why = await self._node(exchange, tried, may_have_run, arrivals > 0)
@@ -61,7 +64,6 @@
                 answer.stream.abort("tried again")
             answer, sent = await self._try(exchange, node, arrivals > 0)
             end, why = answer.end, answer.why or answer.end.value
-            known = seen(node)
             tried.add(node.id)
             if sent:
                 arrivals += 1
@@ -74,32 +76,28 @@
             if exchange.gone and (answer.end is End.LOST or not sent):
                 self.counts["gone"] += 1
                 exchange.own(502, "the client is gone")
-                return
+                return (Move.UNKNOWN if arrivals else Move.COME_BACK), None
             if why != "full" and why != "too late":
-                self._learn(known, end, answer.for_nothing, SHUN_OWNER if exchange.key >= 0 else SHUN_LAST)
-            allowed = (
-                arrivals < exchange.route.retry_count
-                and misses <= MISSES
-                and not exchange.body_gone
-                and exchange.until - self.clock() > TOO_LATE
-                and not exchange.expired
-            )
-            if exchange.key >= 0 and (why == "full" or end is End.TURNED_AWAY and answer.status != 421):
-                allowed = False  # the only node that may run it is full
+                self._learn(seen(node), end, answer.for_nothing, SHUN_OWNER if exchange.key >= 0 else SHUN_LAST)
+            allowed = arrivals < exchange.route.retry_count and misses <= MISSES and self._may_go_on(exchange, answer)
             if exchange.key >= 0 and PROOFS[end] is not Proof.NEVER_RAN:
                 tried.discard(node.id)  # the only node that may run it
-            if move(end, exchange.route.idempotent, may_have_run, allowed, answer.status) is not Move.AGAIN:
+            repeatable = exchange.route.idempotent or deduplicated and end is not End.FAILED
+            if move(end, repeatable, may_have_run, allowed, answer.status) is not Move.AGAIN:
                 break
             may_have_run = may_have_run or PROOFS[end] is Proof.MAY_HAVE_RUN
             self.counts["again"] += 1
-        self._settle(
-            exchange,
-            move(end, exchange.route.idempotent, may_have_run, False, answer.status if answer else 0),
-            answer,
-            why,
-        )
+        follows = move(end, repeatable, may_have_run, False, answer.status if answer else 0)
+        self._settle(exchange, follows, answer, why)
+        return follows, answer
+
+    def _may_go_on(self, exchange: Exchange, answer: Answer) -> bool:
+        """Whether there is time, and another node that may run it, for one more try after one that ended so."""
+        if exchange.key >= 0 and (answer.why == "full" or answer.end is End.TURNED_AWAY and answer.status != 421):
+            return False  # the only node that may run it is full
+        return not exchange.body_gone and exchange.until - self.clock() > TOO_LATE and not exchange.expired
 
-    def _note(self, exchange: Exchange, cause: str) -> None:
+    def note(self, exchange: Exchange, cause: str) -> None:
         """Count how a request ended, by the rank of its route."""
         assert exchange.route is not None
         self.counts[f"{cause}, rank {exchange.route.priority}"] += 1
@@ -109,23 +107,23 @@
         if what is Move.PASS_ON:
             assert answer is not None
             if answer.end is not End.ANSWERED:
-                self._note(exchange, f"failed at a node: {answer.status}")
+                self.note(exchange, f"failed at a node: {answer.status}")
             elif self.clock() - exchange.begun <= exchange.route.target_latency:
-                self._note(exchange, "in time")
+                self.note(exchange, "in time")
             else:
-                self._note(exchange, f"after its aim: {exchange.way}")
+                self.note(exchange, f"after its aim: {exchange.way}")
             exchange.passed_on(answer)
             return
         if answer is not None and answer.stream is not None:
             answer.stream.abort("not passed on")
         if what is Move.COME_BACK:
-            self._note(exchange, f"refused: {why}")
+            self.note(exchange, f"refused: {why}")
             exchange.own(503, why, come_back(self._wait(exchange) if why in FULL else HANDS_WAIT, self.luck.random()))
         elif what is Move.LATE:
-            self._note(exchange, f"no answer by the deadline: {exchange.way}")
+            self.note(exchange, f"no answer by the deadline: {exchange.way}")
             exchange.own(504, "the deadline passed")
         else:
-            self._note(exchange, f"unknown: {why}")
+            self.note(exchange, f"unknown: {why}")
             exchange.own(502, why or "the node's answer was lost")
 
     def _wait(self, exchange: Exchange) -> float:
--- a/knotwalk/edge/forwarding_state.py
+++ b/knotwalk/edge/forwarding_state.py
@@ -33,7 +33,8 @@
         self.began = clock()
         self.budgets: dict[str, Budget] = {}
         self.pools: dict[str, Pool] = {}
-        self.connection_slots = ConnectionSlots(shared(settings.machine.file_descriptors).nodes)
+        budget = shared(settings.machine.file_descriptors, settings.contracts)
+        self.connection_slots = ConnectionSlots(budget.nodes)
         self.waiting: set[asyncio.Future] = set()
         self.counts: Counts[str] = Counts()  # since they were last told in the log
         self.totals: Counts[str] = Counts()  # of this life, without `counts`
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -16,6 +16,7 @@
 from knotwalk.edge.client_connection import CROWD_LOOK, ClientConnection, unread
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import Forwarder
+from knotwalk.edge.operations import Operations
 from knotwalk.edge.stages import Stage
 from knotwalk.runtime.logs import log_exception, log_info
 from knotwalk.runtime.loop_delay import LoopDelay
@@ -38,8 +39,9 @@
     def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
         self.settings, self.view, self.clock = settings, view, clock
         self.forwarder = Forwarder(settings, view, clock, seed)
+        self.operations: Operations | None = None  # set where limits and operations are asked for
         self.clients: set[ClientConnection] = set()
-        self.connection_budget = shared(settings.machine.file_descriptors)
+        self.connection_budget = shared(settings.machine.file_descriptors, settings.contracts)
         self.coming = 0  # connections accepted that have not entered yet
         self.draining = False
         self.started = view.whole
@@ -292,7 +294,10 @@
 
     async def _carry(self, exchange: Exchange) -> None:
         try:
-            await self.forwarder.carry(exchange)
+            if self.operations is not None:
+                await self.operations.carry(exchange)
+            else:
+                await self.forwarder.carry(exchange)
         except Exception:
             log_exception("carrying a request failed", attempt=exchange.attempt.decode("latin-1"))
             if exchange.stage is Stage.RUNNING:
--- a/knotwalk/edge/node_try.py
+++ b/knotwalk/edge/node_try.py
@@ -55,6 +55,9 @@
                 self.counts["not connected"] += 1
                 return Answer(End.UNREACHED, "not connected"), False
         now = self.clock()
+        if now >= min(exchange.until, exchange.offer_until):  # this process stood still since the node was chosen
+            pool.put_back(connection)
+            return Answer(End.UNREACHED, "too late"), False
         quiet = known.in_hand(now) < node.capacity
         exchange.way = self._way(exchange, fresh, now, now < node.cold_until, quiet)
         self.counts["sent"] += 1
--- /dev/null
+++ b/knotwalk/edge/operation_steps.py
@@ -0,0 +1,160 @@
+"""What an edge does with a core's answer to an ask, how a run's end is told, and which ends wait to be told. Pure."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from knotwalk.admission.outcome import End, Move
+from knotwalk.edge.node_answer import Answer
+from knotwalk.shared_state.messages import Admission, AdmissionTold, Ending, OperationEnd, StoredAnswer
+
+# Seconds between asks for an operation that another try runs, and between asks while it can't be told.
+REPEAT_LEAST, REPEAT_MOST = 0.05, 0.1
+AGAIN = 0.01
+# Seconds before a request's deadline at which a repeat is told that the first try still runs: the way to the client.
+CONFLICT_BEFORE = 0.04
+# Seconds until an end that no core took is told again: at first, growing to the most.
+TELL_AGAIN, TELL_AGAIN_MOST = 0.5, 3.0
+# Ends that wait to be told, and bytes of their answers: beyond it the oldest go, and are unknown from then on.
+MOST_ENDS, MOST_BYTES = 2000, 8 * 1024 * 1024
+
+
+class Step(Enum):
+    """What follows a core's answer to a request's ask."""
+
+    CARRY = "carry"  # pass it on to a node
+    LIMITED = "limited"  # 429
+    WAIT = "wait"  # ask again
+    ANSWER = "answer"  # the stored answer
+    FAIL = "fail"  # 502: its operation may have run, its answer can't be had
+    COME_BACK = "come back"  # 503: not told in time
+    CONFLICT = "conflict"  # 409: its operation is in work
+
+
+AT_ONCE = {
+    Admission.RUN: Step.CARRY,
+    Admission.OVER_LIMIT: Step.LIMITED,
+    Admission.ANSWERED: Step.ANSWER,
+    Admission.UNKNOWN: Step.FAIL,
+}
+
+
+def step(admission: Admission, in_work: bool, now: float, patient: float, until: float) -> Step:
+    """What follows. `in_work`: whether its operation was in work at an earlier ask; `patient`: when a request that is
+    not told anything is refused; `until`: its deadline.
+
+    >>> step(Admission.IN_WORK, False, 1.0, 1.1, 2.0), step(Admission.IN_WORK, True, 1.98, 1.1, 2.0)
+    (<Step.WAIT: 'wait'>, <Step.CONFLICT: 'conflict'>)
+    >>> step(Admission.UNAVAILABLE, False, 1.2, 1.1, 2.0), step(Admission.UNAVAILABLE, True, 1.2, 1.1, 2.0)
+    (<Step.COME_BACK: 'come back'>, <Step.WAIT: 'wait'>)
+    """
+    if admission in AT_ONCE:
+        return AT_ONCE[admission]
+    if admission is Admission.IN_WORK or in_work:
+        return Step.WAIT if now < until - CONFLICT_BEFORE else Step.CONFLICT
+    return Step.WAIT if now < patient else Step.COME_BACK
+
+
+def stored(answer: Answer) -> StoredAnswer:
+    """A node's whole answer as it is kept for repeats."""
+    headers = tuple((name.decode("latin-1"), value.decode("latin-1")) for name, value in answer.headers)
+    return StoredAnswer(answer.status, headers, answer.body)
+
+
+def repeated(kept: StoredAnswer, attempt: bytes) -> Answer:
+    """A stored answer as that to the repeat with this `Attempt-Id`, by which its client knows it as its own."""
+    answer = Answer(End.ANSWERED)
+    answer.status, answer.body = kept.status, kept.body
+    answer.length = len(kept.body) if kept.body else None
+    pairs = [(name.encode("latin-1"), value.encode("latin-1")) for name, value in kept.headers]
+    answer.headers = [(name, attempt if name.lower() == b"attempt-id" else value) for name, value in pairs]
+    return answer
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnd:
+    """How the run of an operation ended here; `answer` where it is ANSWERED."""
+
+    ending: Ending
+    answer: StoredAnswer | None = None
+
+    def as_told(self) -> AdmissionTold | None:
+        """What a repeat that waited here for this end is told; None if its operation is free again."""
+        if self.ending is Ending.NEVER_RAN:
+            return None
+        admission = Admission.ANSWERED if self.ending is Ending.ANSWERED else Admission.UNKNOWN
+        return AdmissionTold(admission, answer=self.answer)
+
+
+def run_end(move: Move, answer: Answer | None) -> RunEnd:
+    """How a run ended whose last try led to `move`; an answer too large to be gathered is not kept."""
+    if move is Move.COME_BACK:
+        return RunEnd(Ending.NEVER_RAN)
+    if move is Move.PASS_ON and answer is not None and answer.whole:
+        return RunEnd(Ending.ANSWERED, stored(answer))
+    return RunEnd(Ending.UNKNOWN)
+
+
+@dataclass(slots=True)
+class Untold:
+    """An end that no core took yet: for the core `to`, due at `due`, again after `pause`, dropped at `last`."""
+
+    to: str
+    end: OperationEnd
+    due: float
+    last: float
+    pause: float = TELL_AGAIN
+
+    @property
+    def size(self) -> int:
+        """Bytes of its answer."""
+        return len(self.end.answer.body) if self.end.answer else 0
+
+
+class UntoldEnds:
+    """Ends on their way to the cores that they are for; times by the steady clock."""
+
+    def __init__(self, window: float):
+        self.window = window  # seconds after which nobody asks for an operation any more
+        self.waiting: OrderedDict[tuple[str, str, str], Untold] = OrderedDict()
+        self.size = 0
+
+    def add(self, now: float, to: str, end: OperationEnd) -> None:
+        """An end is to be told."""
+        untold = Untold(to, end, now, now + self.window)
+        self.done(to, [end])
+        self.waiting[to, end.operation, end.attempt] = untold
+        self.size += untold.size
+        while len(self.waiting) > MOST_ENDS or self.size > MOST_BYTES:
+            _, oldest = self.waiting.popitem(last=False)
+            self.size -= oldest.size
+
+    def due(self, now: float, to: str | None = None) -> list[Untold]:
+        """Those that may be told now (to one core); they are not due again before their pause."""
+        for key, untold in list(self.waiting.items()):
+            if now >= untold.last:
+                self.size -= untold.size
+                del self.waiting[key]
+        found = [one for one in self.waiting.values() if now >= one.due and to in (None, one.to)]
+        return found
+
+    def sent(self, now: float, to: str, ends: list[OperationEnd]) -> None:
+        """These are being told."""
+        for end in ends:
+            untold = self.waiting.get((to, end.operation, end.attempt))
+            if untold is not None:
+                untold.due = now + untold.pause
+                untold.pause = min(TELL_AGAIN_MOST, 2 * untold.pause)
+
+    def done(self, to: str, ends: list[OperationEnd]) -> None:
+        """The core took these."""
+        for end in ends:
+            untold = self.waiting.pop((to, end.operation, end.attempt), None)
+            if untold is not None:
+                self.size -= untold.size
+
+    def next_due(self) -> float | None:
+        """When the next one is due, None if there is none."""
+        return min((one.due for one in self.waiting.values()), default=None)
--- /dev/null
+++ b/tests/system/operations_case.py
@@ -0,0 +1,122 @@
+"""Edges over scripted nodes and cores in memory, for the tests of operations."""
+
+import asyncio
+import re
+
+from standins.cores import Cores
+from standins.nodes import RawClient, answer, front, routes, view
+
+from knotwalk.configuration.objects import Route, Service
+from knotwalk.edge.admission_calls import AdmissionCalls
+from knotwalk.edge.operations import Operations
+from knotwalk.runtime.logs import clock
+from tests.system.edge_case import EdgeCase, wait_for, within
+
+KEY = re.compile(rb"^Operation-Key: (.*?)\r$", re.M)
+TENANT = re.compile(rb"^Test-Tenant: (.*?)\r$", re.M)
+
+
+class NeverRefused:
+    """Refusals without any; notes what is told."""
+
+    def __init__(self):
+        self.noted = []
+
+    def refused(self, now, tenant):
+        return None
+
+    def note(self, now, tenant, retry_after):
+        self.noted.append((tenant, retry_after))
+
+
+class Edge:
+    """A front with operations; `now` may be moved ahead by a test."""
+
+    def __init__(self, cores, order):
+        self.cores, self.order = cores, order
+        self.lives = 0
+
+    async def start(self, seen, contracts=("keys",)):
+        self.lives += 1
+        self.front = await front(seen, active_contracts=list(contracts))
+        self.calls = AdmissionCalls(
+            "e", f"{id(self)}.{self.lives}", lambda: self.order, clock, 60.0, lambda: self.front.counts
+        )
+        self.calls.lanes = [self.cores, self.cores]
+        self.calls.idle = list(self.calls.lanes)
+        self.refusals = NeverRefused()
+        self.front.operations = Operations(
+            self.front.settings, self.front.forwarder, self.calls, lambda configuration, tenant: True, self.refusals
+        )
+        self.front.carry = self._carry
+        return self
+
+    def _carry(self, exchange):
+        """The key and the tenant as a client sent them, where the head's reader does not tell them."""
+        if found := KEY.search(exchange.head):
+            exchange.operation = found[1].decode()
+        found = TENANT.search(exchange.head)
+        exchange.tenant = found[1].decode() if found else "t"
+        type(self.front).carry(self.front, exchange)
+
+    async def end(self):
+        self.front.drain()
+        await self.front.finished(0)
+        self.front._sweep.cancel()
+        await self.calls.finish(0)
+
+
+class OperationsCase(EdgeCase):
+    """Two edges, each with a core that it prefers."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.edges = []
+
+    async def begin(self, nodes=1, cores=2, edges=2, aim=2.0, deduplicates=False, capacity=8, most=1 << 20, **raw):
+        table = [*routes(aim=aim), Route("/o/", "h", "/o/", False, 5.0, aim, 0, (("s", 1.0),), 2, keyed=True)]
+        self.view = view([node.node("s", capacity=capacity) for node in self.nodes[:nodes]], table)
+        self.view.configuration.services["s"] = Service("s", deduplicates=deduplicates)
+        self.cores = Cores(clock, cores, most=most)
+        known = list(self.cores.all)
+        for at in range(edges):
+            order = known[at % cores :] + known[: at % cores]
+            self.edges.append(await Edge(self.cores, order).start(self.view, **raw))
+
+    async def end(self):
+        for client in self.clients:
+            client.close()
+        for node in self.nodes:
+            node.stop()
+        for edge in self.edges:
+            await edge.end()
+
+    async def client(self, edge=0):
+        client = await RawClient.to(self.edges[edge].front.port)
+        self.clients.append(client)
+        return client
+
+    async def ask(self, id, edge=0, key="k", tenant="t", path="/o/x", **fields):
+        return await within((await self.send(id, edge, key, tenant, path, **fields)).answer())
+
+    async def send(self, id, edge=0, key="k", tenant="t", path="/o/x", **fields):
+        client = await self.client(edge)
+        headers = f"Test-Tenant: {tenant}\r\n" + (f"Operation-Key: {key}\r\n" if key else "")
+        client.ask(path, id, method="POST", headers=headers, body=b"x", **fields)
+        return client
+
+    async def told(self):
+        """All ends are with the cores, all claims that are to be given back are."""
+        await wait_for(lambda: all(not edge.calls.ends.waiting for edge in self.edges))
+        await wait_for(lambda: all(task.done() for task in self.cores.group.releasing))
+
+    def holding(self):
+        """Make the first node hold its next request: what ends the holding."""
+        go = asyncio.Event()
+
+        async def act(request, writer):
+            await go.wait()
+            return answer(request, b"first")
+
+        self.nodes[0].script = [*[None] * len(self.nodes[0].seen), act]
+        return go
--- /dev/null
+++ b/tests/system/test_operations.py
@@ -0,0 +1,330 @@
+"""Operations over several edges and cores: one run a key, the first answer for repeats, and true refusals."""
+
+import asyncio
+from unittest import mock
+
+from standins.nodes import SHED, answer
+
+from knotwalk.shared_state.messages import Ending
+from tests.system.edge_case import wait_for, within
+from tests.system.operations_case import Edge, OperationsCase
+
+
+class RepeatTest(OperationsCase):
+    async def test_a_repeat_gets_the_first_answer_at_any_edge(self):
+        await self.begin()
+        self.nodes[0].script = [lambda request, writer: answer(request, b"first", extra="Color: red\r\n")]
+        status, headers, body = await self.ask("a1")
+        self.assertEqual((status, headers["attempt-id"], body), (200, "a1", b"first"))
+        await self.told()
+        for edge in (0, 1):
+            again, second, bytes_ = await self.ask(f"a2{edge}", edge)
+            self.assertEqual((again, bytes_), (200, b"first"))
+            self.assertEqual(second["attempt-id"], f"a2{edge}")
+            self.assertEqual((second["server-seal"], second["color"]), ("s", "red"))
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_repeat_elsewhere_waits_for_the_first_ones_answer(self):
+        await self.begin()
+        go = self.holding()
+        first = await self.send("a1")
+        await wait_for(lambda: self.runs() == 1)
+        second, third = await self.send("a2", 1), await self.send("a3", 0)
+        await asyncio.sleep(0.2)
+        go.set()
+        for client, id in ((first, "a1"), (second, "a2"), (third, "a3")):
+            status, headers, body = await within(client.answer())
+            self.assertEqual((status, headers["attempt-id"], body), (200, id, b"first"))
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_repeat_whose_time_ends_while_the_first_runs_is_a_conflict(self):
+        await self.begin()
+        go = self.holding()
+        first = await self.send("a1")
+        await wait_for(lambda: self.runs() == 1)
+        for edge in (0, 1):
+            status, headers, _ = await self.ask(f"a2{edge}", edge, deadline=300)
+            self.assertEqual(status, 409)
+        go.set()
+        self.assertEqual((await within(first.answer()))[0], 200)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_repeats_at_once_run_once(self):
+        await self.begin()
+        clients = [await self.send(f"a{at}", at % 2) for at in range(8)]
+        for client in clients:
+            self.assertEqual((await within(client.answer()))[0], 200)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_one_id_sent_twice_is_two_tries_of_one_operation(self):
+        await self.begin()
+        clients = [await self.send("same", at % 2) for at in range(4)]
+        for client in clients:
+            self.assertEqual((await within(client.answer()))[0], 200)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_key_of_two_tenants_is_two_operations(self):
+        await self.begin()
+        for tenant, key in (("t", "k"), ("u", "k"), ("t", "l")):
+            self.assertEqual((await self.ask(f"{tenant}{key}", 0, key, tenant))[0], 200)
+        self.assertEqual(self.runs(), 3)
+
+    async def test_a_nodes_failure_is_the_answer_of_repeats_too(self):
+        await self.begin()
+        self.nodes[0].script = [lambda request, writer: answer(request, b"bad", "500 Internal Server Error")]
+        self.assertEqual((await self.ask("a1"))[0], 500)
+        await self.told()
+        status, headers, body = await self.ask("a2", 1)
+        self.assertEqual((status, body, headers["attempt-id"]), (500, b"bad", "a2"))
+        self.assertEqual(self.runs(), 1)
+
+    async def test_without_the_contract_a_keyed_request_is_one_that_must_not_be_repeated(self):
+        await self.begin(contracts=("base",))
+        self.edges[0].front.operations.needs_ask = lambda configuration, tenant: False
+        self.nodes[0].script = [None]
+        self.assertEqual((await self.ask("a1"))[0], 502)
+        self.assertEqual((await self.ask("a2"))[0], 200)
+        self.assertEqual(self.cores[0].calls, 0)
+
+
+class UnknownTest(OperationsCase):
+    async def test_an_unknown_end_never_runs_again(self):
+        await self.begin()
+        self.nodes[0].script = [None]
+        self.assertEqual((await self.ask("a1"))[0], 502)
+        await self.told()
+        for edge in (0, 1):
+            self.assertEqual((await self.ask(f"a2{edge}", edge))[0], 502)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_service_with_a_record_is_offered_a_broken_off_run_again(self):
+        await self.begin(nodes=2, deduplicates=True)
+        for node in self.nodes:
+            node.script = [None]
+        with mock.patch("knotwalk.admission.budget.Budget.take", return_value=True):
+            status, _, _ = await self.ask("a1")
+        self.assertEqual((status, self.runs()), (502, 2))
+        for node in self.nodes:
+            node.seen.clear()
+        self.nodes[0].script = [None, lambda request, writer: answer(request, b"bad", "500 Oops")]
+        with mock.patch("knotwalk.admission.budget.Budget.take", return_value=True):
+            self.assertIn((await self.ask("b1", key="other"))[0], (200, 502))
+        self.assertLessEqual(self.runs(), 2)
+
+    async def test_a_node_that_answers_with_trouble_is_not_followed_by_another_run(self):
+        await self.begin(nodes=2, deduplicates=True)
+        for node in self.nodes:
+            node.script = [lambda request, writer: answer(request, b"bad", "500 Oops")]
+        self.assertEqual((await self.ask("a1"))[0], 500)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_an_answer_over_the_bound_is_passed_on_and_fails_for_repeats(self):
+        await self.begin()
+        large = b"x" * 200_000
+        self.nodes[0].script = [lambda request, writer: answer(request, large)]
+        status, _, body = await self.ask("a1")
+        self.assertEqual((status, body), (200, large))
+        await self.told()
+        self.assertEqual((await self.ask("a2", 1))[0], 502)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_core_keeps_no_more_bytes_than_it_may(self):
+        await self.begin(most=40_000)
+        body = b"x" * 10_000
+        for at in range(8):
+            self.nodes[0].script = [None] * at + [lambda request, writer: answer(request, body)]
+            self.assertEqual((await self.ask(f"a{at}", key=f"k{at}"))[0], 200)
+        await self.told()
+        self.assertLessEqual(self.cores[0].answers.size, 40_000)
+        self.assertEqual((await self.ask("b7", key="k7"))[0], 200)
+        self.assertEqual((await self.ask("b0", key="k0"))[0], 502)
+        self.assertEqual(self.runs(), 8)
+
+    async def test_the_answer_that_went_with_its_core_is_a_failure(self):
+        await self.begin()
+        self.assertEqual((await self.ask("a1"))[0], 200)
+        await self.told()
+        self.cores[0].restart()
+        for edge in (0, 1):
+            self.assertEqual((await self.ask(f"a2{edge}", edge))[0], 502)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_core_that_can_not_be_asked_for_the_answer_lets_nobody_run(self):
+        await self.begin(aim=0.4)
+        self.assertEqual((await self.ask("a1"))[0], 200)
+        await self.told()
+        self.cores[0].dead = True
+        status, headers, _ = await self.ask("a2", 1)
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_core_restarted_while_the_run_goes_on_learns_its_answer(self):
+        await self.begin()
+        go = self.holding()
+        first = await self.send("a1")
+        await wait_for(lambda: self.runs() == 1)
+        self.cores[0].restart()
+        go.set()
+        self.assertEqual((await within(first.answer()))[0], 200)
+        await self.told()
+        self.assertEqual((await self.ask("a2", 1))[2], b"first")
+
+    async def test_another_life_of_the_edge_does_not_run_it_again(self):
+        await self.begin()
+        go = self.holding()
+        await self.send("a1")
+        await wait_for(lambda: self.runs() == 1)
+        await self.edges[0].end()
+        self.edges[0] = await Edge(self.cores, self.edges[0].order).start(self.view)
+        self.assertEqual((await self.ask("a1", deadline=300))[0], 409)
+        self.assertEqual((await self.ask("a2", 1, deadline=300))[0], 409)
+        self.cores.longest = self.cores[0].answers.longest = 0.0
+        self.assertEqual((await self.ask("a3"))[0], 502)
+        self.assertEqual((await self.ask("a4", 1))[0], 502)
+        go.set()
+        self.assertEqual(self.runs(), 1)
+
+
+class GivenBackTest(OperationsCase):
+    async def test_a_run_that_never_was_is_free_for_a_repeat(self):
+        await self.begin(aim=0.4)
+        self.nodes[0].script = [SHED, SHED]
+        status, headers, _ = await self.ask("a1")
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        self.nodes[0].script = []
+        status, _, _ = await self.ask("a2", 1)
+        self.assertEqual(status, 200)
+        await self.told()
+        self.assertEqual(self.cores[0].admissions.ended[Ending.NEVER_RAN], 1)
+
+    async def test_a_lost_answer_is_asked_for_again(self):
+        await self.begin()
+        self.cores[0].lose_answers = 1
+        self.assertEqual((await self.ask("a1"))[0], 200)
+        await self.told()
+        self.assertEqual(self.runs(), 1)
+        for edge in (0, 1):
+            self.assertEqual((await self.ask(f"a2{edge}", edge))[0], 200)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_lost_answers_to_the_end_give_a_true_refusal(self):
+        await self.begin(aim=0.4)
+        self.cores[0].lose_answers = self.cores[1].lose_answers = 1000
+        status, headers, _ = await self.ask("a1")
+        self.assertEqual((status, self.runs()), (503, 0))
+        self.assertIn("retry-after", headers)
+        self.cores[0].lose_answers = self.cores[1].lose_answers = 0
+        self.assertEqual((await self.ask("a2", 1))[0], 200)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_refusal_comes_within_a_quarter_of_the_aim(self):
+        await self.begin(aim=0.8)
+        for trouble in ("no agreement", "silent cores", "dead cores"):
+            with self.subTest(trouble):
+                self.cores.group.down = trouble == "no agreement"
+                for core in self.cores.all.values():
+                    core.pause = 5.0 if trouble == "silent cores" else 0.0
+                    core.dead = trouble == "dead cores"
+                began = self.loop.time()
+                self.assertEqual((await self.ask(trouble.replace(" ", ""), key=trouble))[0], 503)
+                self.assertLess(self.loop.time() - began, 0.25)
+        self.assertEqual(self.runs(), 0)
+
+    async def test_a_claim_that_comes_late_is_given_back(self):
+        """The edge gave up while the claim was under way: it must not stay taken, and the try must not run."""
+        await self.begin(aim=0.4)
+        self.cores.group.pause = 0.3
+        self.assertEqual((await self.ask("a1"))[0], 503)
+        self.cores.group.pause = 0.0
+        await self.told()
+        await asyncio.sleep(0.35)
+        self.assertEqual((await self.ask("a2", 1))[0], 200)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_an_edge_frozen_between_claim_and_sending_sends_nothing(self):
+        await self.begin()
+        forwarder = self.edges[0].front.forwarder
+        chosen = forwarder._node
+
+        async def frozen(exchange, *rest):
+            node = await chosen(exchange, *rest)
+            exchange.until = forwarder.clock() - 1  # the deadline passed while the process stood still
+            return node
+
+        with mock.patch.object(forwarder, "_node", frozen):
+            self.assertEqual((await self.ask("a1"))[0], 503)
+        await self.told()
+        self.assertEqual(self.runs(), 0)
+        self.assertEqual((await self.ask("a2", 1))[0], 200)
+
+    async def test_a_claim_is_not_used_long_after_it_was_asked_for(self):
+        await self.begin()
+        with mock.patch("knotwalk.edge.operations.SEND_WITHIN", -1.0):
+            self.assertEqual((await self.ask("a1"))[0], 503)
+        await self.told()
+        self.assertEqual((await self.ask("a2", 1))[0], 200)
+        self.assertEqual(self.runs(), 1)
+
+
+class ClientLeavesTest(OperationsCase):
+    async def test_the_run_goes_on_and_its_answer_is_kept(self):
+        await self.begin()
+        go = self.holding()
+        first = await self.send("a1")
+        await wait_for(lambda: self.runs() == 1)
+        first.reset()
+        await asyncio.sleep(0.05)
+        second = await self.send("a2", 1)
+        await asyncio.sleep(0.1)
+        go.set()
+        self.assertEqual((await within(second.answer()))[2], b"first")
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_client_that_leaves_before_the_run_frees_its_key(self):
+        await self.begin()
+        self.cores[0].pause = 0.1
+        first = await self.send("a1")
+        await wait_for(lambda: self.edges[0].calls.idle == [self.cores])
+        first.reset()
+        await wait_for(lambda: not self.edges[0].front.open)
+        self.cores[0].pause = 0.0
+        await self.told()
+        self.assertEqual(self.runs(), 0)
+        self.assertEqual((await self.ask("a2", 1))[0], 200)
+
+
+class LimitTest(OperationsCase):
+    async def test_over_the_limit_is_told_at_once_and_noted(self):
+        await self.begin()
+        self.cores.limits.left["t"] = 1
+        self.assertEqual((await self.ask("a1", path="/i/x", key=""))[0], 200)
+        status, headers, _ = await self.ask("a2", path="/i/x", key="")
+        self.assertEqual((status, headers["retry-after"]), (429, "0.200"))
+        self.assertEqual(self.edges[0].refusals.noted, [("t", 0.2)])
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_repeat_takes_no_allowance(self):
+        await self.begin()
+        self.cores.limits.left["t"] = 1
+        self.assertEqual((await self.ask("a1"))[0], 200)
+        await self.told()
+        self.assertEqual((await self.ask("a2"))[0], 200)
+        self.assertEqual((await self.ask("a3", key="other"))[0], 429)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_claim_that_is_not_granted_gives_the_allowance_back(self):
+        await self.begin(aim=0.4)
+        self.cores.limits.left["t"] = 1
+        self.cores.group.down = True
+        self.assertEqual((await self.ask("a1"))[0], 503)
+        self.cores.group.down = False
+        self.assertEqual((await self.ask("a2"))[0], 200)
+        self.assertEqual(self.runs(), 1)
+
+    async def test_a_tenant_that_is_refused_is_not_asked_for(self):
+        await self.begin()
+        with mock.patch.object(self.edges[0].refusals, "refused", lambda now, tenant: 0.3):
+            status, headers, _ = await self.ask("a1")
+        self.assertEqual((status, headers["retry-after"], self.cores[0].calls), (429, "0.300", 0))
