--- a/knotwalk/control_plane/figures.py
+++ b/knotwalk/control_plane/figures.py
@@ -8,9 +8,11 @@
 
 from knotwalk.leases.slice_tenure import State
 from knotwalk.runtime.metrics import Figure, Kind, gauge, loop_delay
+from knotwalk.shared_state.messages import Admission, Ending
 
 if TYPE_CHECKING:
     from knotwalk.control_plane.__main__ import ControlPlane
+    from knotwalk.control_plane.admissions import Admissions
 
 
 def counter(name: str, meaning: str, counts: Mapping[tuple[str, ...], float], *labels: str) -> Figure:
@@ -45,6 +47,18 @@
     return Figure("knotwalk_core_nodes", Kind.GAUGE, "nodes, by what this core knows of them", samples, ("state",))
 
 
+def operations(admissions: Admissions) -> Iterator[Figure]:
+    """What edges asked for, and what is kept of operations."""
+    answers = admissions.answers
+    told: dict[tuple[str, ...], float] = {(one.value,): admissions.told[one] for one in Admission}
+    ended: dict[tuple[str, ...], float] = {(one.value,): admissions.ended[one] for one in Ending}
+    kept: dict[tuple[str, ...], float] = {(phase.value,): count for phase, count in answers.counts().items()}
+    yield counter("knotwalk_core_asks", "edges' asks by what was told", told, "told")
+    yield counter("knotwalk_core_ends", "ends of operations that edges told", ended, "ending")
+    yield Figure("knotwalk_core_operations", Kind.GAUGE, "operations kept here, by phase", kept, ("phase",))
+    yield gauge("knotwalk_core_operation_bytes", "bytes that they take", answers.size)
+
+
 def figures(now: float, plane: ControlPlane) -> Iterator[Figure]:
     """All figures of a core machine."""
     machine, state, manager = plane.consensus.machine, plane.consensus.state, plane.conductor
@@ -76,6 +90,7 @@
         "method",
         "status",
     )
+    yield from operations(plane.admissions)
     sent = {(step, "sent"): count for step, count in plane.caller.sent.items()}
     got = {(step, "received"): count for step, count in plane.caller.received.items()}
     yield counter("knotwalk_core_call_bytes", "bytes of bodies of calls to peers", sent | got, "step", "direction")
--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -33,6 +33,8 @@
 MOST = 200
 # Seconds in which a core that failed is asked only if no other is known.
 AVOID = 2.0
+# Seconds by which asks are counted.
+STEPS = (0.005, 0.01, 0.02, 0.04)
 NOT_TOLD = AdmissionTold(Admission.UNAVAILABLE)
 
 
@@ -73,7 +75,7 @@
         self.asks: list[Waiting] = []
         self.ends = UntoldEnds(window)
         self.failed: dict[str, float] = {}  # cores that failed, and when
-        self.waits = Counter[str]()  # asks, and the seconds that they took in all
+        self.waited = 0.0  # seconds that asks took in all
         self._timer: asyncio.TimerHandle | None = None
         self._calls: set[asyncio.Task] = set()
 
@@ -90,8 +92,7 @@
             timer.cancel()
             if waiting in self.asks:
                 self.asks.remove(waiting)
-        self.waits["asks"] += 1
-        self.waits["seconds"] += self.clock() - begun
+        self._note(told, self.clock() - begun)
         definite = told.admission not in (Admission.RUN, Admission.UNAVAILABLE)
         return Asked(told, tuple(dict.fromkeys(waiting.cores[:-1] if definite else waiting.cores)))
 
@@ -114,6 +115,13 @@
         for lane in self.lanes:
             await lane.close()
 
+    def _note(self, told: AdmissionTold, took: float) -> None:
+        """Count an ask by how long it took."""
+        self.waited += took
+        step = next((step for step in STEPS if took <= step), None)
+        within = f"within {step * 1000:g} ms" if step is not None else f"over {STEPS[-1] * 1000:g} ms"
+        self.counts()[f"asked, {'not told' if told is NOT_TOLD else within}"] += 1
+
     # -- calls
 
     def _start_later(self, pause: float) -> None:
--- a/knotwalk/edge/figures.py
+++ b/knotwalk/edge/figures.py
@@ -73,4 +73,12 @@
         {(direction,): count for direction, count in link.caller.bytes.items()},
         ("direction",),
     )
+    if front.operations is not None:
+        calls = front.operations.calls
+        meaning = "what requests waited for asks to cores, in all"
+        yield Figure("knotwalk_edge_ask_seconds", Kind.COUNTER, meaning, {(): calls.waited})
+        yield gauge(
+            "knotwalk_edge_operations_running", "operations that run by this edge", len(front.operations.running)
+        )
+        yield gauge("knotwalk_edge_ends_untold", "ends of operations that no core took yet", len(calls.ends.waiting))
     yield loop_delay(front.delay)
--- /dev/null
+++ b/tests/system/test_admission_calls.py
@@ -0,0 +1,223 @@
+"""An edge's calls for admission over the wire, and the parts of operations that decide without any."""
+
+import asyncio
+import json
+import socket
+import unittest
+from collections import Counter
+from unittest import mock
+
+from hypothesis import given, strategies as st
+from standins.cores import Cores
+
+from knotwalk.admission.outcome import End, Move
+from knotwalk.edge import operation_steps
+from knotwalk.edge.admission_calls import AdmissionCalls
+from knotwalk.edge.node_answer import Answer
+from knotwalk.edge.operation_steps import Step, UntoldEnds, repeated, run_end, step, stored
+from knotwalk.runtime.logs import clock
+from knotwalk.runtime.serve import Listener, app
+from knotwalk.shared_state.answers import OVERHEAD, Answers, Phase, size_of
+from knotwalk.shared_state.messages import (
+    Admission,
+    AdmissionAsk,
+    AdmissionTold,
+    EdgeBatch,
+    Ending,
+    Holder,
+    OperationEnd,
+    StoredAnswer,
+    operation_id,
+)
+
+KEPT = StoredAnswer(201, (("Attempt-Id", "a1"), ("Server-Seal", "\xfe"), ("Attempt-ID", "a1")), b"\x00\xff" * 9)
+OPERATION = operation_id("t", "k")
+
+
+class StepTest(unittest.TestCase):
+    def test_each_told_has_what_follows(self):
+        early, late = (1.0, 1.1, 2.0), (1.5, 1.1, 2.0)
+        for admission in Admission:
+            for in_work in (False, True):
+                with self.subTest(admission, in_work=in_work):
+                    follows = step(admission, in_work, *early)
+                    if admission in (Admission.IN_WORK, Admission.UNAVAILABLE):
+                        self.assertIs(follows, Step.WAIT)
+                        held = in_work or admission is Admission.IN_WORK
+                        self.assertIs(step(admission, in_work, *late), Step.WAIT if held else Step.COME_BACK)
+                        end = step(admission, in_work, 1.99, 1.1, 2.0)
+                        self.assertIs(end, Step.CONFLICT if held else Step.COME_BACK)
+                    else:
+                        self.assertIs(follows, step(admission, in_work, *late))
+
+    def test_only_what_surely_never_ran_is_given_back(self):
+        whole, streamed = Answer(End.ANSWERED), Answer(End.ANSWERED)
+        whole.status, whole.body, streamed.whole = 200, b"x", False
+        for move in Move:
+            for answer in (None, whole, streamed):
+                with self.subTest(move, answer=answer):
+                    ended = run_end(move, answer)
+                    self.assertEqual(ended.ending is Ending.NEVER_RAN, move is Move.COME_BACK)
+                    self.assertEqual(ended.ending is Ending.ANSWERED, move is Move.PASS_ON and answer is whole)
+
+    def test_a_repeat_gets_the_answer_under_its_own_id(self):
+        answer = repeated(KEPT, b"a2")
+        self.assertEqual([value for name, value in answer.headers if name.lower() == b"attempt-id"], [b"a2", b"a2"])
+        self.assertEqual((answer.status, answer.body), (KEPT.status, KEPT.body))
+        self.assertEqual(stored(repeated(KEPT, b"a1")), KEPT)
+
+
+class UntoldEndsTest(unittest.TestCase):
+    def test_an_end_is_due_again_later_and_later_until_its_window_is_over(self):
+        ends, end, due = UntoldEnds(60.0), OperationEnd(OPERATION, "a1", Ending.ANSWERED, KEPT), []
+        ends.add(0.0, "core", end)
+        for now in range(0, 6100):
+            if found := ends.due(now / 100, "core"):
+                due.append(now / 100)
+                ends.sent(now / 100, "core", [one.end for one in found])
+        self.assertEqual(due[:4], [0.0, 0.5, 1.5, 3.5])
+        self.assertLess(due[-1], 60.0)
+        self.assertEqual((len(ends.waiting), ends.size), (0, 0))
+
+    @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 40), st.booleans())))
+    def test_bytes_and_number_are_bounded(self, steps):
+        with mock.patch.multiple(operation_steps, MOST_ENDS=5, MOST_BYTES=90):
+            ends = UntoldEnds(60.0)
+            for number, size, done in steps:
+                end = OperationEnd(str(number), "a", Ending.ANSWERED, StoredAnswer(200, (), b"x" * size))
+                if done:
+                    ends.done("core", [end])
+                else:
+                    ends.add(0.0, "core", end)
+                self.assertEqual(ends.size, sum(one.size for one in ends.waiting.values()))
+                self.assertTrue(len(ends.waiting) <= 5 and ends.size <= 90)
+
+
+class AnswersTest(unittest.TestCase):
+    def setUp(self):
+        self.answers = Answers(20_000, 60.0, 15.0)
+        self.holder = Holder("core", "life", "a1")
+
+    def phase(self, now, holder=None):
+        return self.answers.find(now, OPERATION, holder or self.holder).phase
+
+    def test_what_is_not_known_is_unknown(self):
+        self.assertIs(self.phase(0), Phase.UNKNOWN)
+        self.answers.begun(0, OPERATION, self.holder)
+        self.assertIs(self.phase(1), Phase.RUNNING)
+        self.assertIs(self.phase(1, Holder("core", "life", "a2")), Phase.UNKNOWN)
+        self.assertIs(self.phase(15.1), Phase.UNKNOWN)
+
+    def test_a_late_word_is_the_truth_and_the_first_one_stands(self):
+        self.answers.begun(0, OPERATION, self.holder)
+        self.assertIs(self.phase(16), Phase.UNKNOWN)
+        self.answers.ended(17, OPERATION, self.holder, Ending.ANSWERED, KEPT)
+        self.assertEqual(self.answers.find(17, OPERATION, self.holder).answer, KEPT)
+        size = self.answers.size
+        for ending in (Ending.UNKNOWN, Ending.NEVER_RAN):
+            self.answers.ended(18, OPERATION, self.holder, ending)
+        self.answers.ended(18, OPERATION, self.holder, Ending.ANSWERED, StoredAnswer(200, (), b"other"))
+        self.assertEqual(self.answers.find(19, OPERATION, self.holder).answer, KEPT)
+        self.assertEqual((self.answers.size, size), (OVERHEAD + size_of(KEPT),) * 2)
+
+    def test_who_has_ended_is_not_let_run(self):
+        for ending in Ending:
+            with self.subTest(ending):
+                answers = Answers(20_000, 60.0, 15.0)
+                answers.ended(0, OPERATION, self.holder, ending, KEPT if ending is Ending.ANSWERED else None)
+                self.assertFalse(answers.begun(1, OPERATION, self.holder))
+                self.assertTrue(answers.begun(1, OPERATION, Holder("core", "life", "a2")))
+
+    def test_a_word_of_one_who_was_followed_changes_nothing(self):
+        later = Holder("core", "life", "a2")
+        self.answers.begun(0, OPERATION, self.holder)
+        self.answers.begun(1, OPERATION, later)
+        for ending in Ending:
+            self.answers.ended(2, OPERATION, self.holder, ending, KEPT if ending is Ending.ANSWERED else None)
+        self.assertIs(self.phase(3, later), Phase.RUNNING)
+
+    def test_the_holder_is_told_as_its_claim_names_it(self):
+        self.answers.begun(0, OPERATION, Holder("another", "life", "a1"))
+        found = self.answers.ended(1, OPERATION, self.holder, Ending.NEVER_RAN)
+        self.assertEqual(found.core, "another")
+
+    @given(st.lists(st.tuples(st.integers(0, 9), st.integers(0, 3000), st.sampled_from(list(Ending))), max_size=60))
+    def test_bytes_and_times_are_bounded(self, steps):
+        answers = Answers(12_000, 60.0, 15.0)
+        for now, (number, size, ending) in enumerate(steps):
+            holder = Holder("core", "life", f"a{now}")
+            answers.begun(now * 5, str(number), holder)
+            answer = StoredAnswer(200, (), b"x" * size) if ending is Ending.ANSWERED else None
+            answers.ended(now * 5, str(number), holder, ending, answer)
+            self.assertLessEqual(answers.size, 12_000)
+            self.assertEqual(answers.size, sum(one.size for one in answers.kept.values()))
+            self.assertTrue(all(now * 5 - one.since <= 65 for one in answers.kept.values()))
+
+
+class WireTest(unittest.IsolatedAsyncioTestCase):
+    """Asks and ends between a real edge's caller and a real port."""
+
+    async def asyncSetUp(self):
+        self.cores = Cores(clock, 1)
+        self.core = self.cores[0]
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.port = free.getsockname()[1]
+        made = app(f"admissions{self.port}")
+        made.add_route(self.taken, "/admissions", methods=["POST"], error_format="text")
+        self.listener, self.batches, self.gate = Listener(made), [], asyncio.Event()
+        self.gate.set()
+        await self.listener.start("127.0.0.1", self.port)
+        self.known = [f"127.0.0.1:{self.port}"]
+        self.calls = AdmissionCalls("e", "life", lambda: self.known, clock, 60.0, Counter)
+
+    async def asyncTearDown(self):
+        await self.calls.finish(0)
+        await self.listener.close()
+
+    async def taken(self, request):
+        self.batches.append(EdgeBatch.from_json(json.loads(request.body)))
+        await self.gate.wait()
+        return await self.core.admissions.admissions(request)
+
+    def ask(self, attempt, key="k"):
+        return self.calls.ask(AdmissionAsk("t", operation_id("t", key), attempt), clock() + 60)
+
+    async def test_an_answer_comes_back_as_it_was_told(self):
+        asked = await self.ask("a1")
+        self.assertEqual((asked.told, asked.cores), (AdmissionTold(Admission.RUN), tuple(self.known)))
+        self.calls.end(asked.cores, OPERATION, "a1", Ending.ANSWERED, KEPT)
+        while self.calls.ends.waiting:
+            await asyncio.sleep(0.01)
+        asked = await self.ask("a2")
+        self.assertEqual((asked.told.answer, asked.cores), (KEPT, ()))
+
+    async def test_asks_that_come_while_calls_are_under_way_go_together(self):
+        self.gate.clear()
+        with mock.patch("knotwalk.edge.admission_calls.PATIENCE", 60.0):
+            asks = [asyncio.ensure_future(self.ask(f"a{at}", str(at))) for at in range(2)]
+            while len(self.batches) < 2:
+                await asyncio.sleep(0.001)
+            asks += [asyncio.ensure_future(self.ask(f"a{at}", str(at))) for at in range(2, 12)]
+            await asyncio.sleep(0.02)
+            self.gate.set()
+            for asked in await asyncio.gather(*asks):
+                self.assertIs(asked.told.admission, Admission.RUN)
+        self.assertEqual(sorted(len(batch.asks) for batch in self.batches), [1, 1, 10])
+
+    async def test_a_core_that_refuses_is_left_for_another(self):
+        self.known.insert(0, "127.0.0.1:9")
+        for at in range(3):
+            asked = await self.ask(f"a{at}", str(at))
+            self.assertIs(asked.told.admission, Admission.RUN)
+        self.assertEqual(asked.cores, (self.known[1],))  # it was asked alone, the other is left for a while
+
+    async def test_an_answer_that_makes_no_sense_is_none(self):
+        for told in ({}, {"told": []}, {"told": [["walk", 0, None]]}, {"told": [["run", 0]]}, []):
+            with self.subTest(told):
+                lane = mock.AsyncMock()
+                lane.json.return_value = told
+                with mock.patch.object(self.calls, "idle", [lane]):
+                    ask = AdmissionAsk("t", OPERATION, "a1")
+                    asked = await self.calls.ask(ask, clock() + 0.02)
+                self.assertIs(asked.told.admission, Admission.UNAVAILABLE)
+                self.assertTrue(asked.cores)
