--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -12,6 +12,7 @@
 
 from sanic import HTTPResponse, Request
 
+from knotwalk.configuration.objects import Configuration
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.serve import answer, body
@@ -31,6 +32,8 @@
 # Seconds that an ask waits for its tenant's allowance, and for its claim. What isn't known then can be asked again.
 ALLOWANCE_PATIENCE = 0.03
 CLAIM_PATIENCE = 0.06
+# Seconds past the longest time of a keyed route within which an edge has told how a run ended, or is gone.
+TELLING = 5.0
 # Seconds for another core's word of an operation that it keeps.
 ANSWER_PATIENCE = 0.05
 
@@ -92,6 +95,11 @@
         asked = [(operation, Holder(*holder)) for operation, holder in body(request)]
         return answer([self.answers.find(now, operation, holder).to_json() for operation, holder in asked])
 
+    def configured(self, configuration: Configuration) -> None:
+        """Another configuration is in force: it says how long a run may take."""
+        longest = max((route.timeout for route in configuration.routes.values() if route.keyed), default=0.0)
+        self.answers.longest = longest + TELLING
+
     async def admit(self, batch: EdgeBatch) -> list[AdmissionTold]:
         """The ends of a call are taken, then its asks told, side by side."""
         for end in batch.ends:
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -14,15 +14,22 @@
 import os
 from zlib import crc32
 
+from knotwalk.admission.connection_budget import ASKED_FOR
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge import ready
+from knotwalk.edge.admission_calls import AdmissionCalls
 from knotwalk.edge.caller import Caller
 from knotwalk.edge.front import Front
+from knotwalk.edge.limits import Refusals, needs_ask
 from knotwalk.edge.link import Link
+from knotwalk.edge.operations import Operations
 from knotwalk.runtime.life import FIGURES_AFTER, Ending, live
 from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.settings import Settings
 
+# Seconds at the end for telling how operations ended that no core took yet.
+LAST_ENDS = 0.3
+
 
 class Edge:
     """The rooms of an edge, wired together. Ready once a fresh core gave it a whole cluster view, until it must end."""
@@ -45,9 +52,23 @@
             lambda: self.front.report(clock()),
             self.news,
         )
+        life = os.urandom(8).hex()
+        self.admission_calls = AdmissionCalls(
+            settings.node_name, life, self.cores, clock, settings.bounds.key_period, lambda: self.front.counts
+        )
+        if ASKED_FOR.intersection(settings.contracts):
+            self.front.operations = Operations(
+                settings, self.front.forwarder, self.admission_calls, needs_ask, Refusals()
+            )
         self.ready = False
         self.ending = Ending(self.reload, settings.mark)
 
+    def cores(self) -> list[str]:
+        """Addresses of cores to ask for admission: the one that is heard, then others, those of this zone first."""
+        link, zone = self.link, self.settings.zone
+        others = sorted(self.view.cores, key=lambda core: (core in link.left, link.zones.get(core, zone) != zone))
+        return list(dict.fromkeys([*filter(None, (link.core,)), *others]))
+
     def news(self, changed: set[str], edges: int) -> None:
         """Topics of the cluster view changed; so many `edges` share the budgets."""
         if edges > 1:
@@ -70,6 +91,7 @@
         self.front.drain()
         # What was read is finished while the cluster view is still kept up; the rest of the grace is for last bytes.
         await self.front.finished(clock() + self.settings.bounds.grace_period - 0.5)
+        await self.admission_calls.finish(clock() + LAST_ENDS)
         link.cancel()
         readiness.close()
         told.cancel()
--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -162,6 +162,7 @@
 
     async def _call(self, lane: Caller, core: str, batch: list[Waiting], ends: list[OperationEnd]) -> None:
         message = EdgeBatch(self.edge, self.life, [one.ask for one in batch], ends).to_json()
+        lane.keep_only(core)
         try:
             raw = await lane.json("POST", f"http://{core}/admissions", message, PATIENCE, "admissions")
             told = [AdmissionTold.from_json(one) for one in raw["told"]]
--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -245,6 +245,12 @@
         self.allowed.pop(at, None)
         return connection
 
+    def keep_only(self, address: str) -> None:
+        """End the connections kept to other cores than the one at `ip:port`: descriptors may be few."""
+        parts = urlsplit(f"//{address}")
+        for at in [at for at in self.kept if at != (parts.hostname, parts.port)]:
+            self.kept.pop(at).end("another core is called")
+
     async def close(self) -> None:
         """End all connections."""
         for connection in self.kept.values():
--- a/tests/standins/cores.py
+++ b/tests/standins/cores.py
@@ -116,5 +116,8 @@
             raise PeerError(step, url, "the connection ended before the answer")
         return told
 
+    def keep_only(self, address: str) -> None:
+        """As a caller's."""
+
     async def close(self) -> None:
         """As a caller's."""
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -211,11 +211,18 @@
             self.assertIs(asked.told.admission, Admission.RUN)
         self.assertEqual(asked.cores, (self.known[1],))  # it was asked alone, the other is left for a while
 
+    async def test_a_lane_keeps_one_connection(self):
+        await self.ask("a1")
+        lane = next(lane for lane in self.calls.lanes if lane.kept)
+        lane.keep_only(self.known[0])
+        (kept,) = lane.kept.values()
+        lane.keep_only("127.0.0.1:9")
+        self.assertEqual((lane.kept, kept.transport.is_closing()), ({}, True))
+
     async def test_an_answer_that_makes_no_sense_is_none(self):
         for told in ({}, {"told": []}, {"told": [["walk", 0, None]]}, {"told": [["run", 0]]}, []):
             with self.subTest(told):
-                lane = mock.AsyncMock()
-                lane.json.return_value = told
+                lane = mock.Mock(json=mock.AsyncMock(return_value=told))
                 with mock.patch.object(self.calls, "idle", [lane]):
                     ask = AdmissionAsk("t", OPERATION, "a1")
                     asked = await self.calls.ask(ask, clock() + 0.02)
