--- a/knotwalk/shared_state/answers.py
+++ b/knotwalk/shared_state/answers.py
@@ -16,7 +16,7 @@
 # Bytes that an operation takes beside its answer's body, its headers counted as their letters.
 OVERHEAD = 1200
 # Seconds past the window (`key_period`) until an operation is forgotten here: its claim must have ended by then.
-WINDOW_MARGIN = 5.0
+WINDOW_MARGIN = 12.0
 
 
 class Phase(Enum):
