--- a/benchmarks/added_time.py
+++ b/benchmarks/added_time.py
@@ -20,8 +20,9 @@
 import time
 from dataclasses import dataclass, field
 
+from tests.standins.documents import FIRST, HOST
 from tests.standins.nodes import RawClient
-from tests.standins.village import FIRST, HOST, Program, Village
+from tests.standins.village import Program, Village
 
 BUSY = 0.7  # of a core: what loaders bring the edge to
 LOADERS = 2  # processes
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -7,8 +7,8 @@
 
 from knotwalk.runtime.logs import clock
 from tests.soak.ledger import Asked, End, Ledger, Life
+from tests.standins.documents import HOST
 from tests.standins.nodes import RawClient
-from tests.standins.village import HOST
 
 DEADLINE = 5.0  # seconds that a client waits for its answer
 PATHS = (("/frames/", "GET", True), ("/signup/", "POST", False), ("/desk/", "GET", True))
--- a/tests/standins/holders.py
+++ b/tests/standins/holders.py
@@ -56,6 +56,7 @@
     place: tuple[str, int] = ("", 0)
     longest: float = 0.0
     released: int = 0
+    runs: int = 0  # begun
 
     def __post_init__(self) -> None:
         self.gate.set()
@@ -104,10 +105,16 @@
         self.watch.begins(self, request, key)
         return self._work
 
+    def seal(self) -> str:
+        """The stamp of a run that begins: no other run has it."""
+        self.runs += 1
+        return f"{self.id}.{self.runs}"
+
     async def _work(self, request: Request, writer: asyncio.StreamWriter) -> bytes:
         done = asyncio.Event()
         work = (int(request.headers.get("shard-key", 0)), done)
         self.running.append(work)
+        seal = self.seal()
         try:
             await self.gate.wait()
         finally:
@@ -116,6 +123,7 @@
         return answer(
             request,
             f"{self.id} {request.line}".encode(),
+            seal=seal,
             extra=f"Server-Load: {len(self.running)},0,{self.capacity}\r\n",
         )
 
--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -30,18 +30,33 @@
     def attempt(self) -> str:
         return self.headers.get("attempt-id", "")
 
+    @property
+    def tenant(self) -> str:
+        """Whose request it is, by what the system says."""
+        return self.headers.get("tenant", "")
+
+    @property
+    def operation(self) -> str:
+        return self.headers.get("operation-key", "")
+
+    @property
+    def showed_key(self) -> bool:
+        """Whether the tenant's key itself came along."""
+        return "authorization" in self.headers
+
 
 def answer(
     request: Request,
     body: bytes = b"bytes",
     status: str = "200 OK",
-    seal: bool = True,
+    seal: bool | str = True,
     extra: str = "",
     id: str | None = None,
 ) -> bytes:
-    """A whole answer."""
+    """A whole answer. `seal`: that of the run, or whether it has one."""
     head = f"HTTP/1.1 {status}\r\nAttempt-Id: {request.attempt if id is None else id}\r\n"
-    head += f"Content-Length: {len(body)}\r\n" + ("Server-Seal: s\r\n" if seal else "") + extra + "\r\n"
+    stamp = f"Server-Seal: {'s' if seal is True else seal}\r\n" if seal else ""
+    head += f"Content-Length: {len(body)}\r\n{stamp}{extra}\r\n"
     return head.encode() + body
 
 
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -25,12 +25,12 @@
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 
+from .documents import BASE, FIRST, HOST, SHARED, TENANT_CONTRACTS, key_header
 from .holders import HoldingNode, Watch
 from .nodes import RawClient
 
 ROOT = Path(__file__).parents[2]
 CORES = ("127.0.0.1", "127.0.0.2", "127.0.0.3")
-HOST = "tiles.example"
 PAGE = 4  # nodes on a page of the list
 SHM = "/dev/shm"
 BOUND = 90.0  # seconds that anything may take; a calm machine needs a few
@@ -41,55 +41,6 @@
     return f"127.0.{1 + number // 200}.{4 + number % 200}"
 
 
-def route(name: str, prefix: str, service: str, kind: str = "idempotent", **more: Any) -> dict:
-    """A route as operators send it."""
-    return {
-        "object_kind": "routes",
-        "metadata": {"name": name},
-        "specification": {
-            "hostname": HOST,
-            "path_prefix": prefix,
-            "route_type": kind,
-            "timeout": "60s",
-            "target_latency": "20s",
-            "priority": 1,
-            "service": service,
-            "retry_count": 2,
-            **more,
-        },
-    }
-
-
-def service(name: str, **more: Any) -> dict:
-    return {
-        "object_kind": "services",
-        "metadata": {"name": name},
-        "specification": {"health_check": "/health", "max_connections": 130, "protocol": "h1", "tls": False, **more},
-    }
-
-
-FIRST = {
-    "config_version": "r3",
-    "objects": [
-        route("frames", "/frames/", "tiles"),
-        route("signup", "/signup/", "tiles", "non_idempotent"),
-        route("desk", "/desk/", "desk"),
-        service("tiles", sharded=True, prewarm="1s", grants="call"),
-        service("desk"),
-        {
-            "object_kind": "limits",
-            "metadata": {},
-            "specification": {
-                "max_header_bytes": 16384,
-                "max_body_bytes": 1 << 20,
-                "header_timeout": "3000ms",
-                "idle_timeout": "15000ms",
-            },
-        },
-    ],
-}
-
-
 class Ports:
     """Ports that stay ours: each is bound, not listened at, so that nobody else is given it meanwhile."""
 
@@ -229,14 +180,17 @@
         desk: int = 2,
         edges: int = 2,
         kind: type[HoldingNode] = HoldingNode,
-        bounds: dict[str, str] | None = None,
+        bounds: dict[str, Any] | None = None,
+        contracts: tuple[str, ...] = (),
     ):
+        """`contracts`: beside the plain ones, those that the programs' settings name."""
         # In memory where that can be had: a disk that stalls would cost cores their leadership, as it should.
         self.folder = Path(tempfile.mkdtemp(prefix="village-", dir=SHM if os.access(SHM, os.W_OK) else None))
         self.ports, self.watch = Ports(), Watch()
         self.nodes = [kind(f"i-t{n}", watch=self.watch, service="tiles") for n in range(tiles)]
         self.nodes += [kind(f"i-d{n}", watch=self.watch, service="desk", sharded=False) for n in range(desk)]
         self.edge_addresses = [edge_address(number) for number in range(edges)]
+        self.contracts = [*BASE, *contracts]
         self.bounds = {"drain_timeout": "2500ms", "grace_period": "60s", "max_hold": "10000ms", **(bounds or {})}
         self.platform = Platform(self.nodes)
         self.internal, self.control = self.ports.take(*CORES), self.ports.take(*CORES)
@@ -316,6 +270,7 @@
             "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
             "grants": "call",
             "a field to skip": 1,
+            "active_contracts": self.contracts,
             "timing_bounds": self.bounds,
             "cloud_api": {
                 "address": f"127.0.0.1:{self.platform.port}",
@@ -403,14 +358,14 @@
         host, _, port = edge.settings["listen_addresses"]["data_plane"].rpartition(":")
         return await RawClient.to(int(port), host)
 
-    def ask(self, client: RawClient, path: str, key: int = 0, method: str = "GET") -> str:
-        """Send a request; its Attempt-Id."""
+    def ask(self, client: RawClient, path: str, key: int = 0, method: str = "GET", headers: str = "") -> str:
+        """Send a request, with whole lines of `headers` beside the usual ones; its Attempt-Id."""
         self.attempts += 1
         id = f"a{self.attempts}"
         client.writer.write(
             (
                 f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nAttempt-Id: {id}\r\nDeadline-Ms: 50000\r\n"
-                f"Shard-Key: {key}\r\n\r\n"
+                f"Shard-Key: {key}\r\n{headers}\r\n"
             ).encode()
         )
         return id
@@ -421,30 +376,55 @@
             return await client.answer()
 
     async def get(
-        self, edge: Program, path: str, key: int = 0, method: str = "GET"
+        self, edge: Program, path: str, key: int = 0, method: str = "GET", headers: str = ""
     ) -> tuple[int, dict[str, str], bytes]:
         """One request on a connection of its own: status, headers, body."""
         client = await self.client(edge)
         try:
-            self.ask(client, path, key, method)
+            self.ask(client, path, key, method, headers)
             return await self.answer(client)
         finally:
             client.close()
 
 
+SMALL = key_header("k-cedar-1")  # a key of a tenant with a small limit
+
+
+async def show(village: Village, number: int, method: str, path: str, headers: str = "") -> int:
+    """Send a request through an edge and print what came back; its status."""
+    edge = village.edges[number]
+    status, heads, body = await village.get(edge, path, method=method, headers=headers)
+    print(
+        f"client: {method} {path} at {edge.settings['node_name']} -> {status}, Server-Seal "
+        f"{heads.get('server-seal')}, {body.decode()!r}"
+    )
+    return status
+
+
 async def main() -> int:
-    """A village, the first configuration, and a request through each edge."""
-    village = await Village().start()
+    """A village, a configuration without tenants and one with them, and requests through both edges."""
+    village = await Village(contracts=TENANT_CONTRACTS).start()
     try:
-        status, said = await village.operator.send("PUT", FIRST, "0")
-        print(f"operator: PUT /configuration -> {status} {json.dumps(said)}")
-        await village.calm()
-        for number, (edge, path) in enumerate(zip(village.edges, ("/frames/7/12.png", "/desk/today"))):
-            status, heads, body = await village.get(edge, path, key=40000 * number)
-            print(
-                f"client: GET {path} at {edge.settings['node_name']} -> {status}, Server-Seal "
-                f"{heads.get('server-seal')}, by {body.decode()!r}"
-            )
+        for document, base in ((FIRST, "0"), (SHARED, "r3")):
+            status, said = await village.operator.send("PUT", document, base)
+            print(f"operator: PUT /configuration -> {status} {json.dumps(said)}")
+            await village.calm()
+            if document is FIRST:
+                await show(village, 0, "GET", "/frames/7/12.png")
+                await show(village, 1, "GET", "/desk/today")
+        operation = key_header("k-alder-1") + "Operation-Key: k-5512\r\n"
+        await show(village, 0, "POST", "/pay/1", operation)
+        await show(village, 1, "POST", "/pay/1", operation)
+        await show(village, 0, "GET", "/open/today")
+        await show(village, 0, "GET", "/desk/today", key_header("k-nobody"))
+        passed = 0  # until a tenant's limit is reached
+        while passed < 60 and (await village.get(village.edges[passed % 2], "/desk/today", headers=SMALL))[0] == 200:
+            passed += 1
+        await show(village, passed % 2, "GET", f"/desk/after-{passed}", SMALL)
+        for node in village.nodes:
+            for request in (one for one in node.seen if one.operation):
+                told = f"Tenant {request.tenant}, Operation-Key {request.operation}, key {request.showed_key}"
+                print(f"node {node.id}: {request.line}, {told}")
         return 0
     finally:
         await village.stop()
--- a/tests/system/test_cli.py
+++ b/tests/system/test_cli.py
@@ -27,7 +27,7 @@
 from knotwalk.discovery.view_types import WIDTH, Node
 from knotwalk.leases.ledger import SLICES
 from knotwalk.runtime.errors import PeerError
-from tests.standins.village import FIRST, route, service
+from tests.standins.documents import FIRST, route, service
 
 STATIONS = pathlib.Path(__file__).parents[2] / "openapi" / "peers.yaml"
 SETTINGS = {
--- a/tests/system/test_village.py
+++ b/tests/system/test_village.py
@@ -16,7 +16,8 @@
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock
 from knotwalk.runtime.metrics import complete_modules
-from tests.standins.village import FIRST, Village, route
+from tests.standins.documents import FIRST, route
+from tests.standins.village import Village
 
 SOON = 5.0  # seconds in which requests come to nodes if none is kept back; far below their deadline of 50 s
 
@@ -84,7 +85,9 @@
     async def served(self, edge, path="/frames/1", key=0, **more):
         """A request is answered by the node that ran it, whole."""
         status, headers, body = await self.village.get(edge, path, key, **more)
-        self.assertEqual((status, headers.get("server-seal")), (200, "s"), (path, key, body))
+        seal = rf"^{body.split()[0].decode()}\.\d+$"
+        self.assertEqual(status, 200, (path, key, body))
+        self.assertRegex(headers.get("server-seal", ""), seal, (path, key, body))
         node = next(node for node in self.village.nodes if node.id == body.split()[0].decode())
         self.assertIn(node.id, self.village.watch.begun[headers["attempt-id"]])
         return node
