--- a/tests/simulation/operators.py
+++ b/tests/simulation/operators.py
@@ -34,14 +34,14 @@
     body: bytes
 
 
-def document(content: Content, sharded: bool) -> dict:
+def document(content: Content, sharded: bool, tenants: list[dict]) -> dict:
     """A configuration whose one route bears the mark as its host."""
     service = {
         "object_kind": "services",
         "metadata": {"name": "s"},
         "specification": {"health_check": "/h", "sharded": sharded},
     }
-    return {"config_version": f"r{content.version}", "objects": [service, route(content.mark)]}
+    return {"config_version": f"r{content.version}", "objects": [service, route(content.mark), *tenants]}
 
 
 def route(mark: str) -> dict:
@@ -125,11 +125,13 @@
         """A new order on what is known, sent until it is answered, most of the time; whether it was taken."""
         base, self.marks = self.known, self.marks + 1
         content = Content(base + self.random.choice((1, 1, 1, 2)), base, f"m{self.marks}.example")
+        tenants = self.world.tenants(content)
         if base and self.random.random() < 0.4:
-            body = {"config_version": f"r{content.version}", "upsert": {"objects": [route(content.mark)]}}
+            changed = [route(content.mark), *tenants]
+            body = {"config_version": f"r{content.version}", "upsert": {"objects": changed}}
             order = Order("PATCH", content, json.dumps(body).encode())
         else:
-            order = Order("PUT", content, json.dumps(document(content, self.world.sharded)).encode())
+            order = Order("PUT", content, json.dumps(document(content, self.world.sharded, tenants)).encode())
         self.sent.append(order)
         for _ in range(self.random.choice((1, REPEATS, REPEATS))):
             if (status := await self.send(order)) in (200, 400, 412):
--- a/tests/simulation/walk.py
+++ b/tests/simulation/walk.py
@@ -102,6 +102,7 @@
     if not task.done() or not task.result():
         world.judge.says("no order is taken after all faults have ended")
         return
+    world.keys.settled()
     newest = world.register.known(world.loop.now)
     for name, process in world.edge_processes.items():
         configuration = process.link.view.configuration  # type: ignore[attr-defined]
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -14,12 +14,13 @@
 from knotwalk.edge.link import Link
 from knotwalk.runtime.errors import value
 from knotwalk.runtime.units import seconds
+from tests.simulation import keys_judge
 from tests.simulation.disk import Disk
 from tests.simulation.judges import Edges, Judge, Letters
 from tests.simulation.loop import Process, VirtualLoop
 from tests.simulation.operators import Operators
 from tests.simulation.programs import PEERS, PLATFORM, CoreProcess, settings
-from tests.simulation.register import Register
+from tests.simulation.register import Content, Register
 from tests.simulation.wire import Caller, Wire
 from tests.system.test_leases import OwnerChecker
 
@@ -62,6 +63,7 @@
         self.register = Register()
         self.owners = OwnerChecker()
         self.edges = Edges(self.judge, self.loop, self.register)
+        self.keys = keys_judge.KeysJudge(self)
         self.edge_processes: dict[str, Process] = {}
         self.nodes: dict[str, NodeProgram] = {}
         self.hosts = 0
@@ -93,6 +95,11 @@
         for n in range(EDGES):
             self.start_edge(f"e{n}")
         self.operators.start()
+        self.loop.world.spawn(self.keys.watch())
+
+    def tenants(self, content: Content) -> list[dict]:
+        """The tenants of a content, as they are sent."""
+        return keys_judge.tenants(content)
 
     def start_core(self, place: Place) -> None:
         """Start the program of a place from what its disk holds."""
@@ -181,6 +188,7 @@
             "z",
             dict,
             lambda changed, edges: self.edges.news(process.name, view),
+            keys_judge.freshness(),
         )
         process.link = link  # type: ignore[attr-defined]
         process.spawn(link.run())
