Tenants, keyed and public routes are read; an unknown route_type no longer refuses a configuration

Callers saw: no request served, no edge ever ready. Cause: `route_type` "keyed" was not known, and one word that was not known refused the whole first configuration. Ruled out: programs that do not start (all edges listen and find a core), an edge that can't take what a core took (none was taken).

An unknown type is now taken as the worst, one run at most; a missing one, or no text, stays invalid. `tenants` are read, patched, told apart; two that share a key are refused. No text of ours shows a key.

--- a/knotwalk/cli/check.py
+++ b/knotwalk/cli/check.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from knotwalk.cli.words import count
-from knotwalk.configuration.read import Invalid, read_configuration, shown
+from knotwalk.configuration.read import NAMED, Invalid, read_configuration, shown
 from knotwalk.runtime.errors import SettingsError
 from knotwalk.runtime.settings import Settings, parse
 
@@ -110,7 +110,7 @@
 def _named(item: dict) -> str:
     """An item as the reader names it: `route "x"`."""
     kind, metadata = item.get("object_kind"), item.get("metadata")
-    if kind not in ("routes", "services") or not isinstance(metadata, dict):
+    if kind not in NAMED or not isinstance(metadata, dict):
         return ""
     return f"{kind[:-1]} {shown(metadata.get('name'))}"
 
@@ -120,9 +120,10 @@
     if isinstance(raw, dict) and ("objects" in raw or "config_version" in raw):
         configuration(raw)
         read = read_configuration(raw)
+        tenants = f", {count(len(read.tenants), 'tenant')}" if read.tenants else ""
         return (
             f"configuration {raw['config_version']}: {count(len(read.routes), 'route')}, "
-            f"{count(len(read.services), 'service')}"
+            f"{count(len(read.services), 'service')}{tenants}"
         )
     read = settings(raw)
     return f"settings of {read.node_name}: {read.role or 'no role'}, at {read.ip_address}"
--- a/knotwalk/cli/compare.py
+++ b/knotwalk/cli/compare.py
@@ -9,17 +9,19 @@
 from dataclasses import fields
 from typing import NamedTuple
 
-from knotwalk.cli.words import shares, span
+from knotwalk.cli.words import count, shares, span
 from knotwalk.configuration.index import canonical_host
-from knotwalk.configuration.objects import Configuration, Route
+from knotwalk.configuration.objects import Configuration, Route, Tenant
 
 TIMES = {"timeout", "target_latency", "header_timeout", "idle_timeout", "prewarm"}
+WRITTEN = {"deduplicates": "idempotent"}  # fields whose name in configurations is another one
+KINDS = ("route", "service", "tenant", "limits")
 
 
 class Difference(NamedTuple):
     """One thing that differs: `what` is added, removed, renamed, moved, split, timeouts or changed."""
 
-    kind: str  # route, service or limits
+    kind: str  # one of KINDS
     name: str
     what: str
     detail: str
@@ -65,12 +67,14 @@
     ]
     for name in old.services.keys() | new.services.keys():
         found += _fields("service", name, old.services.get(name), new.services.get(name))
-    found[len(found) :] = _fields("limits", "", old.limits, new.limits)
-    return sorted(found, key=lambda one: ("route service limits".index(one.kind), one.name, one.what))
+    for name in old.tenants.keys() | new.tenants.keys():
+        found += _tenant(name, old.tenants.get(name), new.tenants.get(name))
+    found += _fields("limits", "", old.limits, new.limits)
+    return sorted(found, key=lambda one: (KINDS.index(one.kind), one.name, one.what))
 
 
 def _shown(route: Route) -> str:
-    kind = "idempotent" if route.idempotent else "non_idempotent"
+    kind = route.route_type + (", public" if route.public else "")
     return f"{route.hostname}{route.path_prefix} -> {shares(route.splits)} ({kind}, timeout {span(route.timeout)})"
 
 
@@ -97,24 +101,61 @@
         note("timeouts", ", ".join(times))
     if old.idempotent != new.idempotent:
         note("changed", "may be repeated" if new.idempotent else "may not be repeated any more")
+    if old.keyed != new.keyed:
+        note("changed", "runs once for an Operation-Key" if new.keyed else "no Operation-Key is heeded any more")
+    if old.public != new.public:
+        note("changed", "needs no tenant's key" if new.public else "needs a tenant's key")
     for name in ("priority", "retry_count"):
         if (a := getattr(old, name)) != (b := getattr(new, name)):
             note("changed", f"{name} {a} -> {b}")
     return found
 
 
+def _tenant(name: str, old: Tenant | None, new: Tenant | None) -> list[Difference]:
+    """What differs of a tenant; of its keys only how many, since they are secret."""
+    if old is None or new is None:
+        one = old or new
+        detail = ", ".join([count(len(one.api_keys), "key"), *(f"{n} {v}" for n, v in _terms(one).items())])
+        return [Difference("tenant", name, "removed" if new is None else "added", detail)]
+    found = []
+    gone, come = set(old.api_keys) - set(new.api_keys), set(new.api_keys) - set(old.api_keys)
+    if gone or come:
+        found.append(Difference("tenant", name, "changed", f"keys: {len(come)} added, {len(gone)} removed"))
+    before, after = _terms(old), _terms(new)
+    return found + [
+        Difference("tenant", name, "changed", f"{term} {before[term]} -> {after[term]}")
+        for term in before
+        if before[term] != after[term]
+    ]
+
+
+def _terms(tenant: Tenant) -> dict[str, str]:
+    """What is told of a tenant beside its keys."""
+    return {
+        "priority": "of the route" if tenant.priority is None else str(tenant.priority),
+        "rate_per_s": f"{tenant.rate_per_s:g}" if tenant.rate_per_s else "no limit",
+        "burst_size": f"{tenant.burst_size:g}",
+    }
+
+
 def _fields(kind: str, name: str, old: object, new: object) -> list[Difference]:
     """Field by field; of something that is on one side only, that."""
     if old is None or new is None:
         one = old or new
-        detail = ", ".join(f"{f.name} {_value(f.name, getattr(one, f.name))}" for f in fields(one) if f.name != "name")
+        detail = ", ".join(
+            f"{_written(f.name)} {_value(f.name, getattr(one, f.name))}" for f in fields(one) if f.name != "name"
+        )
         return [Difference(kind, name, "removed" if new is None else "added", detail)]
     return [
-        Difference(kind, name, "changed", f"{f.name} {_value(f.name, a)} -> {_value(f.name, b)}")
+        Difference(kind, name, "changed", f"{_written(f.name)} {_value(f.name, a)} -> {_value(f.name, b)}")
         for f in fields(old)
         if (a := getattr(old, f.name)) != (b := getattr(new, f.name))
     ]
 
 
+def _written(name: str) -> str:
+    return WRITTEN.get(name, name)
+
+
 def _value(name: str, value: object) -> str:
     return span(value) if name in TIMES else str(value).lower()
--- a/knotwalk/cli/show.py
+++ b/knotwalk/cli/show.py
@@ -18,6 +18,8 @@
         + (f", entry {told['config_order']}" if told["config_version"] else ""),
         f"nodes: {told['nodes']['count']}, {told['nodes']['draining']} draining, list {told['nodes']['order']}",
     ]
+    if tenants := told.get("tenants"):
+        lines.append(f"tenants: {tenants}")
     if ailing := told["nodes"]["ailing"]:
         lines.append(f"ailing: {', '.join(ailing)}")
     lines += [f"member {id} at {address}" for id, address in sorted(told["members"].items())]
@@ -52,7 +54,7 @@
     parts = shares((one["service"], one["weight"]) for one in told["services"])
     lines = [
         f"{version}: route {route['name']} ({route['hostname']}{route['path_prefix']}) -> {parts}",
-        f"{'idempotent' if route['idempotent'] else 'non_idempotent'}, timeout {span(route['timeout'])}, "
+        f"{_kind(route)}, timeout {span(route['timeout'])}, "
         f"target_latency {span(route['target_latency'])}, at most {count(route['retry_count'], 'node')} a try",
     ]
     for one in told["services"]:
@@ -68,6 +70,12 @@
     return lines
 
 
+def _kind(route: dict[str, Any]) -> str:
+    """What becomes of further tries, and whether a key is needed; cores of an older version tell less."""
+    kind = route.get("route_type") or ("idempotent" if route["idempotent"] else "non_idempotent")
+    return kind + (", needs a tenant's key" if route.get("needs_key") else "")
+
+
 def _line(line: dict[str, Any]) -> list[str]:
     node = line["node"]
     state = "open" if line["open"] else "changes hands: requests wait, then 503"
--- a/knotwalk/configuration/objects.py
+++ b/knotwalk/configuration/objects.py
@@ -19,6 +19,13 @@
     keyed: bool = False  # its requests bear an `Operation-Key`: all tries with one key are one operation
     public: bool = False  # its requests need no tenant's key
 
+    @property
+    def route_type(self) -> str:
+        """What becomes of further tries, by the word that configurations have for it."""
+        if self.keyed:
+            return "keyed"
+        return "idempotent" if self.idempotent else "non_idempotent"
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
@@ -39,7 +46,7 @@
     Over all machines it may send `rate_per_s` requests a second and `burst_size` beyond; a rate of 0 is no limit."""
 
     name: str
-    api_keys: tuple[str, ...] = ()
+    api_keys: tuple[str, ...] = field(default=(), repr=False)  # secret: in no log, figure or account
     priority: int | None = None
     rate_per_s: float = 0.0
     burst_size: float = 0.0
@@ -64,4 +71,4 @@
     services: dict[str, Service]
     limits: Limits
     items: dict[tuple[str, str], dict] = field(repr=False, default_factory=dict)
-    tenants: dict[str, Tenant] = field(default_factory=dict)
+    tenants: dict[str, Tenant] = field(default_factory=dict)  # by name; no two share a key
--- a/knotwalk/configuration/read.py
+++ b/knotwalk/configuration/read.py
@@ -8,25 +8,19 @@
 from __future__ import annotations
 
 import json
-import math
 import re
 from collections.abc import Iterable
 
+from knotwalk.configuration.fields import Mistake, shown
 from knotwalk.configuration.index import canonical_host
-from knotwalk.configuration.objects import Configuration, Limits, Route, Service
-from knotwalk.runtime.units import seconds
-
-# Bounds that the operator's protocol gives, in seconds.
-LONGEST_TIMEOUT = 600.0
-TARGET_OVER_TIMEOUT = 60.0
-# The largest whole number that every reader of JSON keeps exactly.
-LARGEST = 2**53
+from knotwalk.configuration.items import limits_of, named_services, route_of, service_of, tenant_of
+from knotwalk.configuration.objects import Configuration, Limits, Route, Service, Tenant
 
 # Fields beside `config_version` and `objects` are kept under this key of `Configuration.items`; no kind is empty.
 REST = ("", "")
 LIMITS = ("limits", "")
 
-IDEMPOTENT = {"idempotent": True, "non_idempotent": False}
+NAMED = ("routes", "services", "tenants")
 # A version has at most 18 digits: it then fits 64 bits in whatever reads it.
 VERSION = re.compile(r"r(\d{1,18})", re.ASCII)
 
@@ -44,20 +38,6 @@
         return f"{self.where}: {self.mistake}"
 
 
-def shown(value: object) -> str:
-    """A sent value as one short plain line.
-
-    >>> shown("a"), shown([1]), shown(None)
-    ('"a"', 'a list', 'null')
-    """
-    if isinstance(value, dict):
-        return "an object"
-    if isinstance(value, list):
-        return "a list"
-    text = json.dumps(value)
-    return text if len(text) <= 80 else text[:77] + "..."
-
-
 def version_number(text: object) -> int:
     """The number of a version such as `r12`; ValueError if it is none."""
     if not isinstance(text, str) or not (found := VERSION.fullmatch(text)):
@@ -81,140 +61,6 @@
         raise Invalid("config_version", str(error)) from None
 
 
-class _Mistake(Exception):
-    """A mistake whose place the caller adds."""
-
-
-def _text(fields: dict, name: str) -> str:
-    value = fields.get(name)
-    if type(value) is not str or not value:
-        raise _Mistake(f"{name} must be a text, not {shown(value)}" if name in fields else f"{name} is missing")
-    return value
-
-
-def _whole(fields: dict, name: str, default: int | None = None, least: int | None = 0) -> int:
-    """A whole number; 2.0 is one as well. No `least`: any sign."""
-    value = fields.get(name)
-    if type(value) is not int:
-        if value is None and name not in fields:
-            if default is None:
-                raise _Mistake(f"{name} is missing")
-            return default
-        if type(value) is not float or not value.is_integer():
-            raise _Mistake(f"{name} must be a whole number, not {shown(value)}")
-        value = int(value)
-    if least is not None and value < least:
-        raise _Mistake(f"{name} must be at least {least}, not {shown(value)}")
-    if abs(value) > LARGEST:
-        raise _Mistake(f"{name} is out of range: {shown(value)}")
-    return value
-
-
-def _time(fields: dict, name: str, default: float | None = None) -> float:
-    value = fields.get(name)
-    if value is None and name not in fields:
-        if default is None:
-            raise _Mistake(f"{name} is missing")
-        return default
-    try:
-        span = seconds(value)
-    except ValueError:
-        raise _Mistake(f"{name} must be a time with ms or s, not {shown(value)}") from None
-    if not math.isfinite(span):
-        raise _Mistake(f"{name} is beyond any time")
-    return span
-
-
-def _splits(fields: dict) -> tuple[tuple[str, float], ...]:
-    """Services and weights. Weight 0 is left out, so nobody can pick it; `_named` reads it from the item."""
-    service, sent = fields.get("service"), fields.get("traffic_split")
-    if service is not None:
-        if sent:
-            raise _Mistake("service and traffic_split stand side by side")
-        if sent is not None and sent != []:
-            raise _Mistake(f"traffic_split must be a list, not {shown(sent)}")
-        return ((_text(fields, "service"), 1.0),)
-    if sent is None:
-        raise _Mistake("service is missing, and so is traffic_split")
-    if type(sent) is not list:
-        raise _Mistake(f"traffic_split must be a list, not {shown(sent)}")
-    splits, total = [], 0.0
-    for part in sent:
-        if type(part) is not dict:
-            raise _Mistake(f"a part of traffic_split must be an object, not {shown(part)}")
-        service, weight = _text(part, "service"), part.get("weight")
-        if type(weight) not in (int, float):
-            raise _Mistake(f"weight of {shown(service)} must be a number, not {shown(weight)}")
-        if not 0 <= weight < 1e18:
-            raise _Mistake(f"weight of {shown(service)} is out of range: {shown(weight)}")
-        if weight:
-            splits.append((service, float(weight)))
-            total += weight
-    if total <= 0:
-        raise _Mistake("the weights add up to 0")
-    return tuple(splits)
-
-
-def _named(fields: dict) -> list[str]:
-    """All services that a route's checked item names."""
-    return [part["service"] for part in fields.get("traffic_split") or ()] or [fields["service"]]
-
-
-def _route(name: str, fields: dict) -> Route:
-    hostname, prefix = _text(fields, "hostname"), _text(fields, "path_prefix")
-    if prefix[0] != "/" or prefix[-1] != "/":
-        raise _Mistake(f"path_prefix must start and end with a slash: {shown(prefix)}")
-    kind = _text(fields, "route_type")
-    if kind not in IDEMPOTENT:
-        raise _Mistake(f"route_type must be idempotent or non_idempotent, not {shown(kind)}")
-    timeout, target = _time(fields, "timeout"), _time(fields, "target_latency")
-    if timeout <= 0:
-        raise _Mistake("timeout is 0")
-    if timeout > LONGEST_TIMEOUT:
-        raise _Mistake(f"timeout is over ten minutes: {shown(fields['timeout'])}")
-    # Rounded, since 60.3 - 0.3 in binary falls short of 60.
-    if round(target - timeout, 9) >= TARGET_OVER_TIMEOUT:
-        raise _Mistake(f"target_latency lies a minute or more over the timeout: {shown(fields['target_latency'])}")
-    return Route(
-        name,
-        hostname,
-        prefix,
-        IDEMPOTENT[kind],
-        timeout,
-        target,
-        _whole(fields, "priority", least=None),
-        _splits(fields),
-        _whole(fields, "retry_count"),
-    )
-
-
-def _service(name: str, fields: dict) -> Service:
-    base = Service(name)
-    health = _text(fields, "health_check") if "health_check" in fields else base.health_check
-    if health[0] != "/":
-        raise _Mistake(f"health_check must start with a slash: {shown(health)}")
-    sharded = fields.get("sharded", base.sharded)
-    if type(sharded) is not bool:
-        raise _Mistake(f"sharded must be true or false, not {shown(sharded)}")
-    return Service(
-        name,
-        health,
-        _whole(fields, "max_connections", base.max_connections),
-        sharded,
-        _time(fields, "prewarm", base.prewarm),
-    )
-
-
-def _limits(fields: dict) -> Limits:
-    base = Limits()
-    return Limits(
-        _whole(fields, "max_header_bytes", base.max_header_bytes),
-        _whole(fields, "max_body_bytes", base.max_body_bytes),
-        _time(fields, "header_timeout", base.header_timeout),
-        _time(fields, "idle_timeout", base.idle_timeout),
-    )
-
-
 def key(item: dict) -> Key:
     """Kind and name of an item that was checked once; there is one limits object, whatever its name."""
     kind = item["object_kind"]
@@ -236,9 +82,9 @@
         if type(metadata) is not dict:
             raise Invalid(f"{where}[{place}]", f"metadata must be an object, not {shown(metadata)}")
         name = metadata.get("name", "")
-        if type(name) is not str or not name and kind in ("routes", "services"):
+        if type(name) is not str or not name and kind in NAMED:
             raise Invalid(f"{where}[{place}]", "metadata must carry a name")
-        if kind in ("routes", "services", "limits") and type(item.get("specification")) is not dict:
+        if kind in (*NAMED, "limits") and type(item.get("specification")) is not dict:
             raise Invalid(
                 f"{where}[{place}]", f"specification must be an object, not {shown(item.get('specification'))}"
             )
@@ -256,6 +102,7 @@
     """The checked whole; what `base` made from the very same item, or what comes out equal to it, is taken over."""
     routes: dict[str, Route] = {}
     services: dict[str, Service] = {}
+    tenants: dict[str, Tenant] = {}
     limits = Limits()
     before = base.items if base else {}
     for which, item in items.items():
@@ -263,25 +110,42 @@
         same = base is not None and before.get(which) is item
         try:
             if kind == "routes":
-                route = base.routes[name] if same else _route(name, item["specification"])
+                route = base.routes[name] if same else route_of(name, item["specification"])
                 if base is not None and not same and (old := base.routes.get(name)) == route:
                     route = old
                 routes[name] = route
             elif kind == "services":
-                services[name] = base.services[name] if same else _service(name, item["specification"])
+                services[name] = base.services[name] if same else service_of(name, item["specification"])
+            elif kind == "tenants":
+                tenants[name] = base.tenants[name] if same else tenant_of(name, item["specification"])
             elif kind == "limits":
-                limits = base.limits if same else _limits(item["specification"])
-        except _Mistake as mistake:
+                limits = base.limits if same else limits_of(item["specification"])
+        except Mistake as mistake:
             raise Invalid("limits" if kind == "limits" else f"{kind[:-1]} {shown(name)}", str(mistake)) from None
+    _check_routes(routes, services, items)
+    _check_tenants(tenants)
+    return Configuration(version, routes, services, limits, items, tenants)
+
+
+def _check_routes(routes: dict[str, Route], services: dict[str, Service], items: dict[Key, dict]) -> None:
+    """Invalid where a route names no service, or stands where another does."""
     taken: dict[tuple[str, str], str] = {}
     for name, route in routes.items():
-        for service in _named(items["routes", name]["specification"]):
+        for service in named_services(items["routes", name]["specification"]):
             if service not in services:
                 raise Invalid(f"route {shown(name)}", f"names the unknown service {shown(service)}")
         place = (canonical_host(route.hostname), route.path_prefix)
         if (other := taken.setdefault(place, name)) != name:
             raise Invalid(f"route {shown(name)}", f"has the host and path_prefix of route {shown(other)}")
-    return Configuration(version, routes, services, limits, items)
+
+
+def _check_tenants(tenants: dict[str, Tenant]) -> None:
+    """Invalid where two tenants share a key, which is not shown."""
+    held: dict[str, str] = {}
+    for name, tenant in tenants.items():
+        for api_key in tenant.api_keys:
+            if (other := held.setdefault(api_key, name)) != name:
+                raise Invalid(f"tenant {shown(name)}", f"has a key of tenant {shown(other)}")
 
 
 def read_configuration(document: object) -> Configuration:
--- /dev/null
+++ b/knotwalk/configuration/tenants.py
@@ -0,0 +1,40 @@
+"""Whose a key is: the tenants of one configuration, found by the SHA-256 of their keys."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from hashlib import sha256
+from hmac import compare_digest
+
+from knotwalk.configuration.objects import Tenant
+
+
+class TenantKeys:
+    """Look-up from a key to its tenant; it is never changed after it was built, and holds no key.
+
+    It is looked up by digest, so that the time it takes tells nothing of the keys that are held."""
+
+    __slots__ = ("_held", "tenants")
+
+    def __init__(self, tenants: Mapping[str, Tenant]):
+        self.tenants = tenants
+        self._held: dict[bytes, tuple[bytes, Tenant]] = {}
+        for tenant in tenants.values():
+            for key in tenant.api_keys:
+                digest = sha256(key.encode("utf-8", "surrogatepass")).digest()
+                self._held[digest] = digest, tenant
+
+    def find(self, key: bytes) -> Tenant | None:
+        """The tenant that holds a key, as it stands in a request; None if nobody does."""
+        digest = sha256(key).digest()
+        held = self._held.get(digest)
+        if held is None or not compare_digest(held[0], digest):
+            return None
+        return held[1]
+
+
+def tenant_keys(tenants: Mapping[str, Tenant], before: TenantKeys | None = None) -> TenantKeys:
+    """The look-up for `tenants`; the one `before` where nothing about them has changed."""
+    if before is not None and before.tenants == tenants:
+        return before
+    return TenantKeys(tenants)
--- a/knotwalk/control_plane/account.py
+++ b/knotwalk/control_plane/account.py
@@ -54,6 +54,7 @@
         "last": machine.log.last,
         "config_version": version_text(state.version) if state.configuration else None,
         "config_order": state.order,
+        "tenants": len(state.configuration.tenants) if state.configuration else 0,
         "nodes": {
             "order": list(board.nodes_order),
             "count": len(board.nodes),
@@ -107,6 +108,8 @@
             "hostname": route.hostname,
             "path_prefix": route.path_prefix,
             "idempotent": route.idempotent,
+            "route_type": route.route_type,
+            "needs_key": bool(state.configuration.tenants) and not route.public,
             "timeout": route.timeout,
             "target_latency": route.target_latency,
             "priority": route.priority,
