Edge: keys of tenants are checked, withheld from nodes, and bound by a freshness lease

Where the configuration holds tenants, a request on a route that isn't public needs `Authorization: Token KEY`. The header and a client's own `Tenant` go to no node; `Tenant` is set from the key. 401 only while the configuration is known as the newest, else 503 with Retry-After and a closed connection. A core's answer tells when it last proved that it had every acknowledged configuration; the lease runs from there by the edge's steady clock.

The rank of a request is its tenant's, or its route's.

--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -17,8 +17,8 @@
 from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.reachability import unreached_nodes
-from knotwalk.discovery.view_types import KEYS
-from knotwalk.leases.tenure import ASK
+from knotwalk.discovery.view_types import FRESH, KEYS
+from knotwalk.leases.tenure import ASK, PROOF
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_warning
@@ -26,7 +26,6 @@
 
 Handler = Callable[[Request], Awaitable[HTTPResponse]]
 
-FRESH = 1.2  # a core that heard the leader's word longer ago than this sends its edges elsewhere
 GATHER = 0.004  # news that come together go together
 STALE_WAIT = 0.25  # an edge's call waits so long for a core that is about to be fresh, as after a start of all
 WAIT_MOST = 5.0
@@ -178,6 +177,7 @@
         now = clock()
         self.loads.heard(now, asked["edge"])
         self.asked[asked["edge"]] = now, asked["epoch"], asked["at"]
+        arrived = now
         if asked.get("report"):
             self.loads.add(now, asked["report"], True)
         until, patient = now + min(WAIT_MOST, asked.get("wait", 0.0)), now + STALE_WAIT
@@ -196,6 +196,8 @@
             except TimeoutError:
                 pass
         told = {"fresh": fresh, "zone": self.list_poller.settings.zone, "edges": self.loads.count(now)}
+        if fresh:
+            told["proven"] = round(self.fresh_until - FRESH - PROOF - arrived, 3)
         if message:
             told["news"] = message
         elif provisional and not fresh and self.alone():
--- a/knotwalk/discovery/cluster_view.py
+++ b/knotwalk/discovery/cluster_view.py
@@ -12,8 +12,11 @@
 from knotwalk.configuration.index import Index
 from knotwalk.configuration.objects import Configuration
 from knotwalk.configuration.read import Invalid, patched, read_configuration
+from knotwalk.configuration.tenants import TenantKeys, tenant_keys
 from knotwalk.discovery.view_types import Node, Sharding, node_of
 
+NO_TENANTS = TenantKeys({})
+
 
 class ClusterView:
     """What one edge knows. `apply` takes a core's message; `changed` tells what it changed."""
@@ -21,6 +24,7 @@
     def __init__(self) -> None:
         self.configuration: Configuration | None = None
         self.index: Index | None = None
+        self.tenant_keys: TenantKeys = NO_TENANTS
         self.nodes: dict[str, Node] = {}
         self.by_service: dict[str, list[Node]] = {}
         self.shardings: dict[str, Sharding] = {}
@@ -63,6 +67,7 @@
         if not made.whole:
             raise ValueError(made.fault or "a provisional cluster view that is not whole")
         self.configuration, self.index, self.shardings = made.configuration, made.index, made.shardings
+        self.tenant_keys = made.tenant_keys
         self.nodes, self.by_service, self.cores = made.nodes, made.by_service, made.cores or self.cores
         self.config_order, self.provisional = made.config_order, True
         return changed
@@ -123,8 +128,9 @@
             fresh = self.configuration
             for change in topic["changes"]:
                 fresh = patched(fresh, change)  # for one route of 1,000: 1.4 ms, read anew 8.7, the index 0.5
-        index = Index(fresh)
+        index, keys = Index(fresh), tenant_keys(fresh.tenants, self.tenant_keys)
         self.configuration, self.index, self.config_order = fresh, index, topic["order"]
+        self.tenant_keys = keys
 
     def _nodes(self, now: float, topic: dict) -> None:
         gone = set(self.nodes) - set(topic["set"]) if topic["full"] else set(topic["gone"])
--- a/knotwalk/discovery/view_types.py
+++ b/knotwalk/discovery/view_types.py
@@ -10,6 +10,8 @@
 # nothing.
 SLICES = 2048
 WIDTH = KEYS // SLICES
+# Seconds: a core that heard the leader's word longer ago than this sends its edges elsewhere.
+FRESH = 1.2
 
 
 @dataclass(eq=False)
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -44,6 +44,7 @@
             settings.zone,
             lambda: self.front.report(clock()),
             self.news,
+            self.front.freshness,
         )
         self.ready = False
         self.ending = Ending(self.reload, settings.mark)
--- a/knotwalk/edge/client_state.py
+++ b/knotwalk/edge/client_state.py
@@ -15,6 +15,7 @@
 
 from knotwalk.edge.clients_port import ClientsPort
 from knotwalk.edge.exchange import Exchange
+from knotwalk.edge.request_head import Refusal
 from knotwalk.edge.stages import Stage
 from knotwalk.runtime.errors import PeerError
 
@@ -39,14 +40,6 @@
 }
 
 
-class Refusal(Exception):
-    """A request that is not read on: the status that says so."""
-
-    def __init__(self, status: int, text: str):
-        super().__init__(text)
-        self.status, self.text = status, text
-
-
 class ClientState(asyncio.Protocol):
     """What is known of one client's connection; reading, writing and the loop's calls are built on it."""
 
--- a/knotwalk/edge/forwarder.py
+++ b/knotwalk/edge/forwarder.py
@@ -100,9 +100,8 @@
         )
 
     def _note(self, exchange: Exchange, cause: str) -> None:
-        """Count how a request ended, by the rank of its route."""
-        assert exchange.route is not None
-        self.counts[f"{cause}, rank {exchange.route.priority}"] += 1
+        """Count how a request ended, by its rank."""
+        self.counts[f"{cause}, rank {exchange.priority}"] += 1
 
     def _settle(self, exchange: Exchange, what: Move, answer: Answer | None, why: str) -> None:
         assert exchange.route is not None
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -10,13 +10,17 @@
 import struct
 from collections.abc import Callable, Coroutine
 
+from knotwalk.admission.admission import come_back
 from knotwalk.admission.connection_budget import shared
-from knotwalk.configuration.objects import Limits
+from knotwalk.configuration.objects import Limits, Route
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.client_connection import CROWD_LOOK, ClientConnection, unread
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import Forwarder
+from knotwalk.edge.freshness import Freshness
+from knotwalk.edge.request_head import RequestHead
 from knotwalk.edge.stages import Stage
+from knotwalk.edge.tenant_check import UNAUTHORIZED, UNAVAILABLE, WITHHELD, check_key
 from knotwalk.runtime.logs import log_exception, log_info
 from knotwalk.runtime.loop_delay import LoopDelay
 from knotwalk.runtime.settings import Settings
@@ -30,6 +34,9 @@
 CROWD_LOOKS = 3
 # Connections that wait to be accepted.
 BACKLOG = 1024
+# Seconds after which a client that was refused since keys can't be judged comes back, by then to another edge.
+KEYS_WAIT = 0.1
+NOTHING_WITHHELD: frozenset[bytes] = frozenset()
 
 
 class Front:
@@ -37,6 +44,7 @@
 
     def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
         self.settings, self.view, self.clock = settings, view, clock
+        self.freshness = Freshness(settings.bounds.revoke_timeout, settings.bounds.global_revocation)
         self.forwarder = Forwarder(settings, view, clock, seed)
         self.clients: set[ClientConnection] = set()
         self.connection_budget = shared(settings.machine.file_descriptors)
@@ -253,23 +261,31 @@
         if self._shut_until is not None and not self.crowded:
             self._reopen()
 
-    def begin(self, exchange: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
-        """A request's head was read: find its route and its deadline."""
+    @property
+    def withheld(self) -> frozenset[bytes]:
+        """Headers of clients that go to no node."""
+        return WITHHELD if self.view.tenant_keys.tenants else NOTHING_WITHHELD
+
+    def begin(self, exchange: Exchange, head: RequestHead) -> None:
+        """A request's head was read: find its route, whose it is, and its deadline."""
         self.open += 1
         index = self.view.index
         if index is None:
             exchange.own(503, "not ready", 0.2)
             return
-        route = index.find(host.decode("latin-1"), target.decode("latin-1"))
+        assert head.host is not None
+        route = index.find(head.host.decode("latin-1"), head.target.decode("latin-1"))
         if route is None:
             self.counts["no route"] += 1
             exchange.own(404, "no route")
             return
-        mistake = self.forwarder.routed(exchange, route, key)
+        if not self._admit(exchange, route, head):
+            return
+        mistake = self.forwarder.routed(exchange, route, head.shard_key)
         left = route.timeout
-        if deadline is not None:
+        if head.deadline is not None:
             try:
-                left = min(left, float(deadline) / 1000)
+                left = min(left, float(head.deadline) / 1000)
             except ValueError:
                 mistake = mistake or "Deadline-Ms must be a number"
             if not left >= 0:
@@ -281,6 +297,32 @@
         exchange.until = exchange.begun + left
         exchange.timer = asyncio.get_running_loop().call_later(left, exchange.expire)
 
+    def _admit(self, exchange: Exchange, route: Route, head: RequestHead) -> bool:
+        """Note whose the request is and its operation; False if its key refuses it, which it was told."""
+        found = check_key(route, self.view.tenant_keys, head.authorization or b"", self.freshness, self.clock())
+        if found.status == UNAUTHORIZED:
+            self.counts["no key, or one that nobody holds"] += 1
+            exchange.own(UNAUTHORIZED, "a key of a tenant is needed")
+            return False
+        if found.status:
+            self.refuse_keys(exchange)
+            return False
+        exchange.priority = route.priority
+        if found.tenant is not None:
+            exchange.tenant = found.tenant.name
+            exchange.head += b"Tenant: %b\r\n" % found.tenant.name.encode()
+            if found.tenant.priority is not None:
+                exchange.priority = found.tenant.priority
+        if route.keyed:
+            exchange.operation = head.operation.decode("latin-1")
+        return True
+
+    def refuse_keys(self, exchange: Exchange) -> None:
+        """No key can be judged here for now: the client is to come back, on another connection."""
+        self.counts["keys can't be judged"] += 1
+        exchange.keep = False
+        exchange.own(UNAVAILABLE, "not sure of the keys in force", come_back(KEYS_WAIT, self.forwarder.luck.random()))
+
     def carry(self, exchange: Exchange) -> None:
         """Carry a request; it tells when its answer is known."""
         self._spawn(self._carry(exchange))
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 from collections.abc import Callable
 
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.caller import Caller
+from knotwalk.edge.freshness import Freshness
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_info, log_warning
 
@@ -21,7 +23,7 @@
 
 
 class Link:
-    """Keeps `cluster view` up to date. `report` gives what to tell; `on_news` hears which topics changed."""
+    """Keeps `cluster view` and `freshness` up to date. `report` gives what to tell; `on_news` hears of topics."""
 
     def __init__(
         self,
@@ -33,9 +35,11 @@
         zone: str,
         report: Callable[[], dict],
         on_news: Callable[[set[str], int], None],
+        freshness: Freshness | None = None,
     ):
         self.edge, self.view, self.caller, self.seeds = edge, view, caller, seeds
         self.report, self.on_news = report, on_news
+        self.freshness = freshness or Freshness(math.inf, False)
         self.random = random.Random(seed)
         self.zone = zone
         self.zones: dict[str, str] = {}  # of cores that have answered: bytes between zones are priced
@@ -96,7 +100,7 @@
     async def turn(self, core: str) -> bool:
         """One call; whether the core is fit to be asked again."""
         now = clock()
-        wait = WAIT if core == self.known else FIRST_WAIT
+        wait = self.freshness.wait(WAIT) if core == self.known else FIRST_WAIT
         self.known = None
         asked = {"edge": self.edge, "wait": wait, **self.view.ask()}
         if now - self.reported_at >= 0.9 * WAIT:
@@ -109,7 +113,7 @@
             if self.core is not None and self.heard_at > now - 5:
                 log_warning("core left", core=core, why=str(error))
             return False
-        now = clock()
+        asked_at, now = now, clock()
         self.zones[core] = told.get("zone", "")
         self.left = {at: when for at, when in self.left.items() if now - when < AVOID}
         if not told["fresh"]:
@@ -123,6 +127,8 @@
             except (KeyError, TypeError, ValueError) as error:
                 log_warning("news not understood", core=core, why=f"{type(error).__name__} {error}")
                 return False
+        if not self.view.fault:
+            self.freshness.proven(asked_at, told.get("proven"))
         first = self.heard_at == float("-inf")
         self.heard_at, self.edges = now, told["edges"]
         if changed or first:
--- a/knotwalk/edge/node_selection.py
+++ b/knotwalk/edge/node_selection.py
@@ -89,14 +89,14 @@
     def _worth(self, exchange: Exchange, node: Node, now: float) -> bool:
         assert exchange.route is not None
         known = seen(node)
-        in_hand = known.usually(now) if yields(exchange.route.priority) else known.in_hand(now)
+        in_hand = known.usually(now) if yields(exchange.priority) else known.in_hand(now)
         return worth_offering(
             in_hand,
             node.capacity,
             now < node.cold_until,
             known.work,
             exchange.until - now,
-            exchange.route.priority,
+            exchange.priority,
             not exchange.route.idempotent,
             exchange.route.target_latency,
         )
--- a/knotwalk/edge/request_reader.py
+++ b/knotwalk/edge/request_reader.py
@@ -1,24 +1,23 @@
 """Requests read from a client: their heads, the framing of their bodies, and what is refused unread.
 
-Parsing is httptools', strict; what it leaves open (versions, codings, doubled hosts, sizes) is checked here.
+Parsing is httptools', strict; what it leaves open is checked here (versions, sizes) and in `request_head`.
 """
 
 from __future__ import annotations
 
+from typing import NoReturn
+
 import httptools
 
 from knotwalk.edge.answer_writer import AnswerWriter
-from knotwalk.edge.client_state import DEPTH, ConnectionState, Refusal
+from knotwalk.edge.client_state import DEPTH, ConnectionState
 from knotwalk.edge.exchange import Exchange
-from knotwalk.edge.node_answer import HOP
+from knotwalk.edge.request_head import Refusal, read_head
 from knotwalk.edge.stages import Stage
 
 # A request's body up to this size (bytes) is gathered before it is offered to a node; a longer one streams.
 GATHER = 64 * 1024
 
-OURS = HOP | {b"content-length", b"deadline-ms", b"target-instance", b"expect"}
-KEPT = frozenset({b"host", b"attempt-id", b"shard-key"})  # no Connection header takes these away
-
 
 class RequestReader(AnswerWriter):
     """A client's connection as its requests are read."""
@@ -72,55 +71,25 @@
         version = self.parser.get_http_version()
         if version not in ("1.1", "1.0"):
             self._stop(400, "the version is not spoken here")
-        exchange = Exchange(now, self.parser.get_method(), self._settled)
-        exchange.modern = version == "1.1"
-        exchange.keep = self.parser.should_keep_alive()
         if self.parser.should_upgrade():
             self._stop(400, "nothing else is spoken here")  # the parser would take its body for another protocol's
-        if not self._target.startswith(b"/"):
-            self._stop(400, "the target is no path")
-        host, key, deadline, names = None, None, None, OURS
-        for name, value in self._headers:
-            if name.lower() == b"connection":
-                names = names | ({token.strip().lower() for token in value.split(b",")} - KEPT)
-        lines = [exchange.method, b" ", self._target, b" HTTP/1.1\r\n"]
-        for name, value in self._headers:
-            low = name.lower()
-            if low == b"host":
-                if host is not None:
-                    self._stop(400, "two hosts")
-                host = value.strip()
-            elif low == b"attempt-id":
-                if exchange.attempt:
-                    self._stop(400, "two ids")
-                exchange.attempt = value.strip()
-            elif low == b"shard-key":
-                key = value.strip() if key is None else b""
-            elif low == b"deadline-ms":
-                deadline = value.strip() if deadline is None else b""
-            elif low == b"content-length":
-                exchange.length = int(value)
-            elif low == b"transfer-encoding":
-                if value.strip().lower() != b"chunked" or not exchange.modern:
-                    self._stop(400, "a coding that is not spoken here")
-                exchange.chunked = True
-            elif low == b"expect":
-                exchange.expects = exchange.modern and value.strip().lower() == b"100-continue"
-            if low not in names:
-                lines += (name, b": ", value, b"\r\n")
-        exchange.head = b"".join(lines)
-        if host is None:
-            self._stop(400, "no Host")
-            return
-        if not exchange.attempt:
-            self._stop(400, "no Attempt-Id")
+        method = self.parser.get_method()
+        try:
+            head = read_head(method, self._target, self._headers, version == "1.1", front.withheld)
+        except Refusal as refusal:
+            self._stop(refusal.status, refusal.text)
+        exchange = Exchange(now, method, self._settled)
+        exchange.modern = head.modern
+        exchange.keep = self.parser.should_keep_alive()
+        exchange.attempt, exchange.head = head.attempt, b"".join(head.lines)
+        exchange.length, exchange.chunked, exchange.expects = head.length, head.chunked, head.expects
         if (exchange.length or 0) > front.limits.max_body_bytes:
             self._stop(413, "the body is too large")
         self.queue.append(exchange)
         self.reading = exchange
         if len(self.queue) >= DEPTH:
             self._hold("depth", True)
-        front.begin(exchange, host, self._target, key, deadline)
+        front.begin(exchange, head)
         if exchange.stage is Stage.ANSWERED and (
             exchange.chunked or exchange.expects or (exchange.length or 0) > GATHER
         ):
@@ -164,7 +133,7 @@
         if self._size > self.front.limits.max_header_bytes:
             self._stop(431, "the head is too large")
 
-    def _stop(self, status: int, text: str) -> None:
+    def _stop(self, status: int, text: str) -> NoReturn:
         """Stop the parser: nothing behind this is read."""
         self.refusal = Refusal(status, text)
         raise self.refusal
