Claims of operations: a group of core machines for each part agrees who runs one

Nothing told edges which of two tries of an operation may run. A table (operation, holder, the group's time) is built alike from an agreed log; a claim is answered once a majority has it on disk. The driver of the agreement takes any agreed state and any way for its messages; the configuration's group is as it was. A follower's word that entries are kept goes back with the answer to the call that brought them, and commits are told with the next entries.

Found while testing: acknowledgements of several groups replaced each other in one answer, which deposed a new leader.

--- a/knotwalk/consensus/leading.py
+++ b/knotwalk/consensus/leading.py
@@ -196,7 +196,7 @@
         if index > self.commit and self.log.term_at(index) == self.term:
             self._advance(index)
             for peer in self._peers.values():
-                self._feed(now, peer, True)
+                self._feed(now, peer, self.pace.tells_commits)
             self._serve_reads(now)
 
     def _serve_reads(self, now: float) -> None:
--- a/knotwalk/consensus/machine_state.py
+++ b/knotwalk/consensus/machine_state.py
@@ -140,6 +140,11 @@
         """The address of a leader of any term, as far as is known here or was told by others; it may lead no more."""
         return self._known()
 
+    @property
+    def unkept(self) -> bool:
+        """Whether something is on its way to the disk, so that an answer or a vote may be waiting for it."""
+        return self._flight is not None
+
     @property
     def heard_at(self) -> float:
         """When a leader was last heard; for a leader `majority_at`."""
--- a/knotwalk/consensus/orders.py
+++ b/knotwalk/consensus/orders.py
@@ -19,6 +19,7 @@
     forget: float = 2.0  # unheard of for so long, a voter past the target is left out: with an election before it,
     #                      within the time after which a newcomer counts (sync_time, 4 s), while a stall never lasts so
     target: int = 3  # members wanted: 2 * f + 1
+    tells_commits: bool = True  # at once; else with the next entries or heartbeat, where only the leader's state counts
 
 
 @dataclass(frozen=True)
--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -18,6 +18,8 @@
 from knotwalk.configuration.read import document
 from knotwalk.consensus.orders import Pace
 from knotwalk.consensus.store import Store, StoreBroken
+from knotwalk.control_plane.claim_group import CONTRACT, Home, configuration_disk_mb
+from knotwalk.control_plane.claim_groups import ClaimGroups
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
 from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.list_poller import ListPoller
@@ -49,7 +51,7 @@
         port = settings.ports[0]
         own = f"{settings.ip_address}:{port}"
         founders = {f"{ip}:{port}#founder": f"{ip}:{port}" for ip, _ in settings.seeds}
-        self.store = Store(settings.machine.disk_mb or 64)
+        self.store = Store(configuration_disk_mb(settings))
         saved = opened(self.store, settings.data_dir, settings.initial_boot, own, founders)
         self.me = saved.me
         self.caller = Caller()
@@ -59,6 +61,10 @@
         )
         self.consensus.machine.address = own
         self.consensus.machine.contacts = [at for at in founders.values() if at != own]
+        self.claims: ClaimGroups | None = None
+        if CONTRACT in settings.contracts:
+            self.claims = ClaimGroups(Home(settings, own, founders, self.caller, seed, BORN, Store))
+            self.claims.on_damage = lambda: os._exit(1)
         self.board = Board(os.urandom(6).hex())
         self.loads = Loads()
         self.list_poller = ListPoller(settings, self.consensus, self.board, self.caller, self.me)
@@ -75,7 +81,7 @@
             settings.zone,
         )
         self.peer_api = PeerApi(
-            self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads, self.caller
+            self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads, self.caller, self.claims
         )
         self.control = Control(self.consensus, settings.at("control")[1])
         self.consensus.on_config = self.configured
@@ -135,6 +141,8 @@
         await control.start(*self.settings.at("control"))
         self.restored()
         self.consensus.start()
+        if self.claims is not None:
+            self.claims.start()
         works = [
             asyncio.get_running_loop().create_task(work)
             for work in (
@@ -155,12 +163,16 @@
         await self.peer_api.leave()
         self.consensus.machine.leave(logs.clock())
         self.consensus.carry_out()
+        if self.claims is not None:
+            self.claims.leave(logs.clock())
         await self.let_go()
         for work in works:
             work.cancel()
         await control.close()
         await peer_api.close()
         await self.consensus.close()
+        if self.claims is not None:
+            await self.claims.close()
         await self.caller.close()
         await self.granter.close()
 
@@ -169,9 +181,13 @@
         it is counted on until its removal is committed: gone before, with another lost, it would leave no majority."""
         grace, begun = self.settings.bounds.grace_period, logs.clock()
         least, most = min(LEAVE_LEAST, grace / 4), grace - LEAVE_SPARE
-        while (waited := logs.clock() - begun) < least or waited < most and not self.consensus.machine.may_end:
+        while (waited := logs.clock() - begun) < least or waited < most and not self.may_end():
             await asyncio.sleep(LEAVE_LOOK)
 
+    def may_end(self) -> bool:
+        """Whether no group counts on this machine any more."""
+        return self.consensus.machine.may_end and (self.claims is None or self.claims.may_end)
+
     async def watch_members(self) -> None:
         """Tell the edges which cores there are, as members change."""
         while True:
@@ -196,7 +212,9 @@
         """The settings file changed: seeds and the platform's address are taken up; the rest wants a start."""
         self.settings = self.list_poller.settings = fresh
         port, own = fresh.ports[0], fresh.ip_address
-        self.consensus.machine.contacts = [f"{ip}:{port}" for ip, _ in fresh.seeds if ip != own]
+        contacts = self.consensus.machine.contacts = [f"{ip}:{port}" for ip, _ in fresh.seeds if ip != own]
+        if self.claims is not None:
+            self.claims.reach(contacts)
 
 
 if __name__ == "__main__":
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -7,22 +7,19 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from typing import Any
 
 from knotwalk.consensus.machine import Machine
 from knotwalk.consensus.orders import Answer, Apply, Pace, Restore, Role, Save, Send
 from knotwalk.consensus.store import Damaged, Refused, Store
+from knotwalk.control_plane.agreed_state import AgreedState
 from knotwalk.control_plane.compaction import Compaction
+from knotwalk.control_plane.peer_lanes import PATIENCE as PATIENCE, PeerLanes
 from knotwalk.control_plane.replicated_state import ReplicatedState
-from knotwalk.leases.ledger import Change
 from knotwalk.runtime.call import Caller
-from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_exception, log_info, log_warning
 
 HANG = 0.6  # a write that takes longer costs leadership: others serve meanwhile
-PATIENCE = 0.6  # for a peer: a lost message is repeated by the machine's own pace
-WAITING_MOST = 256  # messages for a peer that does not answer; the machine repeats what matters
 
 
 def opened(
@@ -53,15 +50,6 @@
             pause = min(1.0, 2 * pause)
 
 
-@dataclass(frozen=True)
-class Lane:
-    """What goes to one peer in order, a call at a time. Parts of long contents have a lane of their own, so that no
-    heartbeat waits until one has arrived."""
-
-    address: str
-    long: bool
-
-
 class Lost(Exception):
     """What became of the entry is not known here: it may be in force or not."""
 
@@ -75,31 +63,55 @@
 
 
 class ConsensusDriver:
-    """One core machine's part. `on_change` hears owner lines, `on_config` and `on_role` what their names say."""
-
-    def __init__(self, store: Store, saved: Any, caller: Caller, pace: Pace, seed: int, born: float):
-        self.store, self.caller = store, caller
+    """One core machine's part in one group, whose agreed state is of `kind`. `on_change` hears what each entry changed,
+    `on_config` once of all entries that came together and call for news, `on_role` and `on_kept` what their names say.
+
+    Messages go to the path /consensus of peers, or by `post` where a group has a way of its own."""
+
+    def __init__(
+        self,
+        store: Store,
+        saved: Any,
+        caller: Caller,
+        pace: Pace,
+        seed: int,
+        born: float,
+        kind: type[AgreedState] = ReplicatedState,
+        post: Callable[[str, dict], None] | None = None,
+    ):
+        self.store, self.kind = store, kind
         self.machine = Machine(saved, pace, seed, clock(), born)
-        self.state = ReplicatedState.from_dict(saved.snapshot) if saved.snapshot else ReplicatedState()
+        self.state: Any = kind.from_dict(saved.snapshot) if saved.snapshot else kind()
         self.tickets: dict[int, asyncio.Future] = {}
-        self.results: dict[int, str] = {}  # index -> what applying it said, for those who wait
+        self.results: dict[int, Any] = {}  # index -> what applying it said, for those who wait
         self.next_ticket = 0
         self.writer = ThreadPoolExecutor(1, "consensus")
         self.saves: asyncio.Queue[Save] = asyncio.Queue()
-        self.outbox: dict[Lane, list[dict]] = {}
-        self.posting: set[Lane] = set()
+        self.lanes = PeerLanes(caller, "/consensus", "agreement", self.receive)
+        self.outbox = self.lanes.outbox
+        self.post = post or self.lanes.post
         self.tasks: set[asyncio.Task] = set()
-        self.on_change: Callable[[int, list[Change]], None] = lambda index, changes: None
+        self.on_change: Callable[[int, Any], None] = lambda index, changes: None
         self.on_config: Callable[[], None] = lambda: None
         self.on_role: Callable[[Role], None] = lambda role: None
         self.on_restore: Callable[[], None] = lambda: None
         self.on_damage: Callable[[], None] = lambda: None
+        self.on_kept: Callable[[], None] = lambda: None
         self.timer: asyncio.TimerHandle | None = None
         self.hung = False
         self.compaction = Compaction(store.disk_mb, saved.me)
-        self.configured = False  # a configuration was applied, and not told yet
+        self.news = False  # an entry that calls for news was applied, and not told yet
         self.closing = False
 
+    @property
+    def caller(self) -> Caller:
+        """Who carries calls to peers."""
+        return self.lanes.caller
+
+    @caller.setter
+    def caller(self, caller: Caller) -> None:
+        self.lanes.caller = caller
+
     def start(self) -> None:
         """Begin to write, and let the machine see the time."""
         self._spawn(self._write())
@@ -127,20 +139,20 @@
                     case Save():
                         self.saves.put_nowait(order)
                     case Send(address, message):
-                        self._post(address, message)
+                        self.post(address, message)
                     case Apply(entry):
                         self._apply(entry)
                     case Answer(ticket, outcome, value):
                         if (future := self.tickets.pop(ticket, None)) and not future.done():
                             future.set_result((outcome, value))
                     case Restore(state, _):
-                        self.state, self.configured = ReplicatedState.from_dict(state), False
+                        self.state, self.news = self.kind.from_dict(state), False
                         self.on_restore()
                     case Role():
                         log_info("role", role=order.role, term=order.term, leader=order.leader_address)
                         self.on_role(order)
-        if self.configured:  # once for all that came together: a start replays hundreds
-            self.configured = False
+        if self.news:  # once for all that came together: a start replays hundreds
+            self.news = False
             self.on_config()
         if self.timer is not None:
             self.timer.cancel()
@@ -152,10 +164,9 @@
         self.results[entry.index] = said
         while len(self.results) > 2000:
             del self.results[next(iter(self.results))]
-        configures = entry.body.get("do") == "configure"
-        self.configured |= configures and said == "done"
+        self.news |= self.state.calls_for_news(entry.body, said)
         self.on_change(entry.index, changes)
-        work = self.state.items if configures else 0
+        work = self.state.work_of(entry.body)
         if self.compaction.due(len(json.dumps(entry.body)), work):
             self.machine.compact(entry.index, self.state.to_dict())
 
@@ -193,6 +204,7 @@
                 log_info("disk answers again")
             self.machine.kept(clock(), save.number)
             self.carry_out()
+            self.on_kept()
 
     def _fail(self, why: str) -> None:
         if not self.hung:
@@ -203,31 +215,6 @@
 
     # --- peers ---------------------------------------------------------------------------------------
 
-    def _post(self, address: str, message: dict) -> None:
-        lane = Lane(address, message["type"] == "part")
-        waiting = self.outbox.setdefault(lane, [])
-        if lane.long:
-            waiting.clear()  # a part sent again takes the place of the one before
-        waiting.append(message)
-        if len(waiting) > WAITING_MOST:
-            del waiting[: WAITING_MOST // 2]
-        if lane not in self.posting:
-            self.posting.add(lane)
-            self._spawn(self._deliver(lane))
-
-    async def _deliver(self, lane: Lane) -> None:
-        try:
-            while messages := self.outbox.pop(lane, None):
-                try:
-                    answers = await self.caller.json(
-                        "POST", f"http://{lane.address}/consensus", messages, PATIENCE, "agreement"
-                    )
-                except PeerError:
-                    continue
-                self.receive(answers)
-        finally:
-            self.posting.discard(lane)
-
     def receive(self, messages: list[dict]) -> None:
         """Messages of a peer, as answers to ours."""
         now = clock()
@@ -253,7 +240,7 @@
 
     # --- what others ask -----------------------------------------------------------------------------
 
-    async def _wait(self, ask: Callable[[float, int], None], patience: float) -> tuple[str, Any]:
+    async def _wait(self, ask: Callable[[float, int], None], patience: float | None) -> tuple[str, Any]:
         self.next_ticket += 1
         ticket = self.next_ticket
         future = self.tickets[ticket] = asyncio.get_running_loop().create_future()
@@ -266,7 +253,7 @@
         finally:
             self.tickets.pop(ticket, None)
 
-    async def propose(self, command: dict, patience: float = 4.0) -> str:
+    async def propose(self, command: dict, patience: float | None = 4.0) -> Any:
         """Have a command agreed on, durably: what applying it said. NotLeader, or Lost if the outcome is unknown."""
         outcome, value = await self._wait(lambda now, ticket: self.machine.propose(now, command, ticket), patience)
         if outcome == "not_leader":
@@ -293,6 +280,7 @@
         self.closing = True
         if self.timer is not None:
             self.timer.cancel()
+        self.lanes.close()
         for task in list(self.tasks):
             task.cancel()
         self.writer.shutdown(wait=False)
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -11,6 +11,7 @@
 
 from knotwalk.consensus.orders import OUTSIDER
 from knotwalk.control_plane import account
+from knotwalk.control_plane.claim_groups import CLAIMS, MESSAGES, ClaimGroups
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.slice_manager import SliceManager
@@ -48,7 +49,9 @@
         board: Board,
         loads: Loads,
         caller: Caller,
+        claims: ClaimGroups | None = None,
     ):
+        self.claims = claims
         self.me, self.consensus, self.list_poller, self.conductor = me, consensus, list_poller, conductor
         self.board, self.loads, self.caller = board, loads, caller
         self.news = asyncio.Event()
@@ -70,6 +73,7 @@
             ("/loads", self.share),
             ("/status", self.status),
             ("/explain", self.explain),
+            *(((MESSAGES, self.group_messages), (CLAIMS, self.claimed)) if self.claims else ()),
         ):
             made.add_route(self.counted(path, handler), path, methods=["POST"], error_format="text")
         return made
@@ -91,6 +95,16 @@
         """Messages of the agreement, answered by those that go back."""
         return answer(self.consensus.exchange(body(request)))
 
+    async def group_messages(self, request: Request) -> HTTPResponse:
+        """Messages of the groups that agree on claims."""
+        assert self.claims is not None
+        return answer(await self.claims.exchange(body(request)))
+
+    async def claimed(self, request: Request) -> HTTPResponse:
+        """Claims that another core asks of this one, as the leader of their groups."""
+        assert self.claims is not None
+        return answer(await self.claims.taken(body(request)))
+
     async def proposal(self, request: Request) -> HTTPResponse:
         """A conductor's command for the log, taken by the leader only."""
         try:
--- a/knotwalk/control_plane/replicated_state.py
+++ b/knotwalk/control_plane/replicated_state.py
@@ -69,10 +69,13 @@
             return patched(self.configuration, command["difference"])
         return read_configuration(command["document"])
 
-    @property
-    def items(self) -> int:
-        """How many items a change goes through."""
-        return len(self.configuration.items) if self.configuration else 0
+    def calls_for_news(self, command: dict, said: str) -> bool:
+        """Whether the entry has put another configuration in force."""
+        return command.get("do") == "configure" and said == DONE
+
+    def work_of(self, command: dict) -> int:
+        """How many items the entry went through: a change of configuration goes through all that there are."""
+        return len(self.configuration.items) if self.configuration and command.get("do") == "configure" else 0
 
     def to_dict(self) -> dict:
         """A snapshot, JSON-able."""
--- a/tests/simulation/disk.py
+++ b/tests/simulation/disk.py
@@ -22,15 +22,22 @@
 
 
 class Disk:
-    """One machine's disk; empty until a program opens it."""
+    """One machine's disk; empty until a program opens it. Other folders' files are parts of it, that share its ills."""
 
     def __init__(self, loop: VirtualLoop, name: str, seed: int):
-        self.loop, self.name, self.random = loop, name, random.Random(f"disk {name} {seed}")
+        self.loop, self.name, self.seed, self.random = loop, name, seed, random.Random(f"disk {name} {seed}")
+        self.folders: dict[str, Disk] = {}
         self.kept: Kept | None = None
         self.slow = 0.0
         self.hangs_until = self.refuses_until = 0.0
         self.under_way: tuple[Process, Callable[[], None]] | None = None
 
+    def folder(self, name: str) -> Disk:
+        """The part that a group's folder makes."""
+        if name not in self.folders:
+            self.folders[name] = FolderDisk(self, name)
+        return self.folders[name]
+
     def work(self, process: Process, future: asyncio.Future, act: Callable, given: tuple) -> None:
         """Carry out a write, some time later; its process may be gone by then."""
         wait = WRITE + self.random.uniform(0, self.slow) + max(0.0, self.hangs_until - self.loop.now)
@@ -61,11 +68,25 @@
 
     def power_lost(self) -> None:
         """What was under way is on the disk or is not; no one was told."""
+        for one in self.folders.values():
+            one.power_lost()
         work, self.under_way = self.under_way, None
         if work is not None and self.loop.now >= self.refuses_until and self.random.random() < 0.4:
             work[1]()
 
 
+class FolderDisk(Disk):
+    """A folder of a disk: slow, hanging or refusing whenever the disk is."""
+
+    slow = property(lambda self: self.whole.slow, lambda self, value: None)
+    hangs_until = property(lambda self: self.whole.hangs_until, lambda self, value: None)
+    refuses_until = property(lambda self: self.whole.refuses_until, lambda self, value: None)
+
+    def __init__(self, whole: Disk, name: str):
+        self.whole = whole
+        super().__init__(whole.loop, f"{whole.name}/{name}", whole.seed)
+
+
 class Store:
     """In place of `consensus.store.Store`, on such a disk."""
 
@@ -73,6 +94,8 @@
         self.disk, self.disk_mb = disk, disk_mb
 
     def open(self, data_dir: str, first_start: bool, address: str, founders: dict[str, str]) -> Saved:
+        if (name := Path(data_dir).name).startswith("claims-"):
+            self.disk = self.disk.folder(name)
         disk = self.disk
         if disk.kept is None:
             me, members = f"{address}#founder", dict(founders)
--- a/tests/simulation/programs.py
+++ b/tests/simulation/programs.py
@@ -10,7 +10,16 @@
 from unittest import mock
 
 from knotwalk.consensus import machine as consensus_machine
-from knotwalk.control_plane import __main__ as program, consensus_driver, control, list_poller, peer_api, slice_manager
+from knotwalk.control_plane import (
+    __main__ as program,
+    claim_group,
+    claim_groups,
+    consensus_driver,
+    control,
+    list_poller,
+    peer_api,
+    slice_manager,
+)
 from knotwalk.control_plane.compaction import Compaction
 from knotwalk.edge import link
 from knotwalk.runtime import life, logs
@@ -22,7 +31,17 @@
 PEERS, CONTROL = 7660, 8080  # ports of a core
 PLATFORM = ("10.9.0.1", 80)
 SAYS = ("log_info", "log_warning", "log_exception")
-ROOMS = (program, consensus_driver, control, list_poller, peer_api, slice_manager, link)
+ROOMS = (
+    program,
+    claim_group,
+    claim_groups,
+    consensus_driver,
+    control,
+    list_poller,
+    peer_api,
+    slice_manager,
+    link,
+)
 
 
 class Exited(Exception):
@@ -70,7 +89,7 @@
         yield
 
 
-def settings(host: str, seeds: list[str], first_start: bool, machines: int) -> Settings:
+def settings(host: str, seeds: list[str], first_start: bool, machines: int, keyed: bool = False) -> Settings:
     """A core's settings file."""
     return Settings(
         node_name=host,
@@ -84,6 +103,7 @@
         machine=Machine(disk_mb=64),
         tolerance=Tolerance(machines=machines),
         platform=Platform(address=PLATFORM),
+        contracts=["keys"] if keyed else [],
     )
 
 
@@ -114,3 +134,7 @@
     def machine(self) -> Any:
         """The consensus machine, None before it is made."""
         return self.plane.consensus.machine if self.plane else None
+
+    def member(self, group: int | None) -> Any:
+        """Its consensus machine of the configuration's group, or of one for claims."""
+        return self.machine if group is None else self.plane.claims.groups[group].machine
--- a/tests/simulation/wire.py
+++ b/tests/simulation/wire.py
@@ -17,7 +17,9 @@
 from tests.simulation.loop import PROCESS, Process, VirtualLoop
 
 DELAY = 0.0014  # seconds one way
-DOUBLED = frozenset({"/consensus", "/lease", "/cluster-view", "/configuration"})  # what may come twice without harm
+DOUBLED = frozenset(
+    {"/consensus", "/lease", "/cluster-view", "/configuration", "/claim-groups", "/claims"}
+)  # what may come twice without harm
 CANCELS = 0.5  # share of the calls given up whose handler is cancelled by the end of its connection
 
 
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -14,6 +14,7 @@
 from knotwalk.edge.link import Link
 from knotwalk.runtime.errors import value
 from knotwalk.runtime.units import seconds
+from knotwalk.shared_state.messages import PARTS
 from tests.simulation.disk import Disk
 from tests.simulation.judges import Edges, Judge, Letters
 from tests.simulation.loop import Process, VirtualLoop
@@ -48,6 +49,7 @@
     seed: int
     cores: int = 3
     sharded: bool = False
+    keyed: bool = False  # whether operations run once, so that the core machines have groups for claims
     places: dict[str, Place] = field(default_factory=dict)
     said: deque = field(default_factory=lambda: deque(maxlen=LINES_KEPT))
 
@@ -55,7 +57,7 @@
         self.random = random.Random(f"world {self.seed}")
         self.loop = VirtualLoop(self.seed)
         self.wire = Wire(self.loop, self.seed)
-        self.loop.disk = lambda process, future, act, given: process.disk.work(process, future, act, given)  # type: ignore
+        self.loop.disk = lambda process, future, act, given: act.__self__.disk.work(process, future, act, given)  # type: ignore
         self.judge = Judge()
         self.letters = Letters(self.judge, self.loop)
         self.wire.heard = self.letters.heard
@@ -101,7 +103,7 @@
         place.process = CoreProcess(
             self.loop, f"{place.host}/{self.loop.serial}", place.host, place.disk, place.offset, place.rate
         )
-        place.process.begin(settings(place.host, place.seeds, place.first_start, self.cores // 2))
+        place.process.begin(settings(place.host, place.seeds, place.first_start, self.cores // 2, self.keyed))
 
     def crash(self, place: Place) -> None:
         """The program ends in the midst of whatever it does; what its disk was writing is kept or is not."""
@@ -141,26 +143,35 @@
 
     def whole(self) -> bool:
         """Whether all members run and hold all that is committed, so that the core bears the loss of any one."""
-        leader = self.leader()
-        if leader is None:
+        groups = range(PARTS) if self.keyed else ()
+        return self._whole(None) and all(self._whole(group) for group in groups)
+
+    def _whole(self, group: int | None) -> bool:
+        """The same of the configuration's group, or of one for claims."""
+        running = [(place.process, place.process.member(group)) for place in self.running()]
+        leads = [machine for _, machine in running if machine.role == "leader"]
+        machine = max(leads, key=lambda one: one.term, default=None)
+        if machine is None:
             return False
-        machine = leader.process.machine
-        homes = {place.process.machine.me: place.process for place in self.running() if not place.process.frozen}
+        homes = {one.me: (process, one) for process, one in running if not process.frozen}
         # The loss of a disk is borne once what is *kept* elsewhere needs it no more: by the disks, not by the programs.
         return (
             machine.settled
             and machine.commit == machine.log.last
             and len(machine.members) >= self.cores
             and all(id in homes for id in machine.members)
-            and all(self._holds(homes[id], machine) for id in machine.members)
+            and all(self._holds(*homes[id], machine, group) for id in machine.members)
         )
 
-    def _holds(self, process: CoreProcess, leader: Any) -> bool:
-        saved = process.disk.kept.saved if process.disk.kept else None
-        if saved is None or process.machine.leaving:
+    def _holds(self, process: CoreProcess, machine: Any, leader: Any, group: int | None) -> bool:
+        disk = process.disk if group is None else process.disk.folder(f"claims-{group}")
+        saved = disk.kept.saved if disk.kept else None
+        if saved is None or machine.leaving:
             return False
         last = saved.entries[-1].index if saved.entries else saved.snapshot_index
-        return saved.term == leader.term and last >= leader.commit and process.machine.applied >= leader.commit
+        # A group's followers hear of a commit with the next entries: there, what is kept is enough.
+        applied = group is not None or machine.applied >= leader.commit
+        return saved.term == leader.term and last >= leader.commit and applied
 
     # -- edges
 
--- /dev/null
+++ b/tests/system/test_claims.py
@@ -0,0 +1,219 @@
+"""The table of claims and the group's time, by themselves and against a plain model."""
+
+import json
+import random
+import tracemalloc
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+from knotwalk.shared_state import claims
+from knotwalk.shared_state.claims import (
+    AGREED_WITHIN,
+    GRANTED,
+    UNAVAILABLE,
+    ClaimResult,
+    ClaimTable,
+    GroupClock,
+    Outcome,
+    command,
+)
+from knotwalk.shared_state.messages import Claim, Holder, operation_id
+
+HOLD = 70.0
+ONE, OTHER = Holder("10.0.0.1:7660", "life 1", "a"), Holder("10.0.0.2:7660", "life 2", "b")
+HELD_BY_ONE = ClaimResult(Outcome.HELD, ONE)
+
+
+def claim(key: str, holder: Holder, release: bool = False) -> Claim:
+    return Claim(operation_id("tenant", key), holder, release)
+
+
+class Log:
+    """A table fed with entries, in order."""
+
+    def __init__(self) -> None:
+        self.table, self.entries = ClaimTable(), []
+
+    def put(self, now: float, *asked: Claim, hold: float = HOLD) -> list[ClaimResult]:
+        self.entries.append(json.loads(json.dumps(command(now, hold, list(asked)))))
+        return self.table.apply(len(self.entries), self.entries[-1])[0]
+
+
+class TableTest(unittest.TestCase):
+    def test_the_first_claim_wins_and_its_holder_may_ask_again(self):
+        log = Log()
+        self.assertEqual(log.put(1.0, claim("k", ONE), claim("k", OTHER)), [GRANTED, HELD_BY_ONE])
+        self.assertEqual(log.put(2.0, claim("k", ONE), claim("other", OTHER)), [GRANTED, GRANTED])
+        again = replace(ONE, attempt="c")
+        self.assertEqual(log.put(3.0, claim("k", again)), [HELD_BY_ONE])
+
+    def test_a_release_by_the_holder_frees_and_by_another_does_not(self):
+        log = Log()
+        log.put(1.0, claim("k", ONE))
+        log.put(2.0, claim("k", OTHER, release=True))
+        self.assertEqual(log.put(3.0, claim("k", replace(OTHER, attempt="c"))), [HELD_BY_ONE])
+        log.put(4.0, claim("k", ONE, release=True))
+        self.assertEqual(log.put(5.0, claim("k", replace(OTHER, attempt="c"))), [GRANTED])
+
+    def test_who_has_released_is_never_granted_again_whenever_the_release_came(self):
+        log = Log()
+        log.put(1.0, claim("k", ONE, release=True))  # overtook the claim
+        self.assertEqual(log.put(2.0, claim("k", ONE)), [UNAVAILABLE])
+        self.assertEqual(log.put(3.0, claim("k", OTHER)), [GRANTED])
+        log.put(4.0, claim("k", ONE, release=True))  # once more
+        self.assertEqual(log.put(5.0, claim("k", replace(ONE, attempt="c"))), [ClaimResult(Outcome.HELD, OTHER)])
+
+    def test_a_claim_holds_up_to_the_edge_of_its_time_and_not_past_it(self):
+        log = Log()
+        log.put(1.0, claim("k", ONE))
+        self.assertEqual(log.put(1.0 + HOLD - 0.001, claim("k", OTHER)), [HELD_BY_ONE])
+        self.assertEqual(log.put(1.0 + HOLD, claim("k", OTHER)), [GRANTED])
+
+    def test_asked_again_a_claim_holds_from_then_on(self):
+        log = Log()
+        log.put(1.0, claim("k", ONE), claim("l", ONE))
+        log.put(60.0, claim("k", ONE))
+        self.assertEqual(log.put(1.0 + HOLD, claim("k", OTHER), claim("l", OTHER)), [HELD_BY_ONE, GRANTED])
+
+    def test_time_never_goes_back(self):
+        log = Log()
+        log.put(100.0, claim("k", ONE))
+        log.put(50.0, claim("l", ONE))
+        self.assertEqual(log.table.time, 100.0)
+        self.assertEqual(log.put(100.0 + HOLD - 1, claim("l", OTHER)), [HELD_BY_ONE])
+
+    def test_a_full_table_takes_no_more_until_something_has_gone(self):
+        with mock.patch.object(claims, "CLAIMS_MOST", 3):
+            log = Log()
+            self.assertEqual(log.put(0.0, *(claim(k, ONE) for k in "abcd")), [GRANTED] * 3 + [UNAVAILABLE])
+            self.assertEqual(log.put(1.0, claim("a", ONE), claim("a", OTHER)), [GRANTED, HELD_BY_ONE])
+            self.assertEqual(log.put(HOLD, claim("d", OTHER)), [GRANTED])
+
+    def test_entries_of_the_agreement_itself_change_nothing(self):
+        table = ClaimTable()
+        self.assertEqual(table.apply(1, {}), ([], None))
+        self.assertEqual((table.applied, table.time, len(table.claims)), (1, 0.0, 0))
+
+    def test_a_snapshot_of_a_later_program_is_refused(self):
+        with self.assertRaises(ValueError):
+            ClaimTable.from_dict({**ClaimTable().to_dict(), "format": claims.FORMAT + 1})
+
+    def test_memory_and_snapshot_of_a_minute_at_300_a_second(self):
+        """What the design note states: bytes of a claim in memory and in a snapshot."""
+        count = 300 * int(HOLD)
+        tracemalloc.start()
+        try:
+            table = ClaimTable()
+            for n in range(count):
+                holder = Holder("10.120.30.4:7660", "5f0c2a91b7d3e846", f"{n:016x}")
+                entry = json.loads(json.dumps(command(n / 300, HOLD, [claim(f"k-{n}", holder)])))
+                table.apply(n + 1, entry)
+                del entry
+            used = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        self.assertEqual(len(table.claims), count)
+        self.assertLess(used / count, 500)
+        self.assertLess(len(json.dumps(table.to_dict())) / count, 140)
+
+
+class Model:
+    """The same by a plain list, gone through whole each time."""
+
+    def __init__(self) -> None:
+        self.time, self.claims, self.released = 0.0, {}, {}
+
+    def put(self, now: float, asked: list[Claim], hold: float) -> list[ClaimResult]:
+        self.time = max(self.time, now)
+        for found in (self.claims, self.released):
+            for key in [key for key, value in found.items() if value[0] <= self.time - hold]:
+                del found[key]
+        return [self.one(one) for one in asked]
+
+    def one(self, asked: Claim) -> ClaimResult:
+        has = self.claims.get(asked.operation, (0, None))[1]
+        if asked.release:
+            if has == asked.holder:
+                del self.claims[asked.operation]
+            self.released.setdefault((asked.operation, asked.holder), (self.time,))
+            return GRANTED
+        if has not in (None, asked.holder):
+            return ClaimResult(Outcome.HELD, has)
+        if (asked.operation, asked.holder) in self.released:
+            return UNAVAILABLE
+        self.claims[asked.operation] = self.time, asked.holder
+        return GRANTED
+
+
+class RandomTest(unittest.TestCase):
+    def test_it_says_what_a_plain_model_says_and_snapshots_and_replays_alike(self):
+        for seed in range(40):
+            chance, log, model, now = random.Random(seed), Log(), Model(), 0.0
+            snapshot, at = ClaimTable().to_dict(), 0
+            for _ in range(150):
+                now += chance.choice((0.0, 0.01, 1.0, 30.0))
+                asked = [
+                    claim(
+                        chance.choice("abcdef"),
+                        Holder(chance.choice("xy"), 'a "life" \n of more', chance.choice("pq r")),
+                        chance.random() < 0.2,
+                    )
+                    for _ in range(chance.randrange(4))
+                ]
+                with self.subTest(seed=seed):
+                    told = log.put(now - chance.choice((0.0, 0.0, 5.0)), *asked)
+                    self.assertEqual(told, model.put(log.entries[-1]["now"], asked, HOLD))
+                if chance.random() < 0.05:
+                    snapshot, at = json.loads(json.dumps(log.table.to_dict())), len(log.entries)
+            again = ClaimTable.from_dict(snapshot)
+            for index, entry in enumerate(log.entries[at:], at + 1):
+                again.apply(index, entry)
+            self.assertEqual(again.to_dict(), log.table.to_dict())
+            self.assertEqual(list(again.claims.items()), list(log.table.claims.items()))
+
+
+class GroupClockTest(unittest.TestCase):
+    def test_a_leader_counts_what_passed_since_its_own_entry_was_proposed(self):
+        table, group = ClaimTable(), GroupClock(1000.0)
+        table.time = 7.0
+        group.proposed(1000.0)
+        group.applied(1000.008)
+        self.assertAlmostEqual(group.time(table, 1002.0), 9.0, 2)
+
+    def test_of_an_entry_that_was_agreed_on_late_it_counts_a_bounded_part(self):
+        table, group = ClaimTable(), GroupClock(0.0)
+        group.proposed(10.0)
+        group.applied(40.0)
+        self.assertAlmostEqual(group.time(table, 41.0), 1.0 + AGREED_WITHIN, 2)
+
+    def test_a_new_leader_counts_from_when_it_leads(self):
+        table, group = ClaimTable(), GroupClock(0.0)
+        group.applied(10.0)
+        group.restart(25.0)
+        self.assertAlmostEqual(group.time(table, 26.0), 1.0, 2)
+
+    def test_it_never_counts_more_than_has_passed_over_changes_of_leaders(self):
+        for seed in range(200):
+            chance = random.Random(seed)
+            true, table, granted = 0.0, ClaimTable(), None
+            clocks = [GroupClock(100.0 * n) for n in range(3)]  # each machine's steady clock has its own beginning
+            leader = 0
+            for index in range(1, 60):
+                true += chance.choice((0.001, 0.5, 4.0))
+                if chance.random() < 0.2:
+                    leader = chance.randrange(3)
+                    clocks[leader].restart(100.0 * leader + true)
+                now = clocks[leader].time(table, 100.0 * leader + true)
+                clocks[leader].proposed(100.0 * leader + true)
+                true += chance.choice((0.005, 0.3))
+                if granted is None:
+                    granted = true, now
+                self.assertLessEqual(now - granted[1], true - granted[0] + AGREED_WITHIN + 1e-9)
+                table.apply(index, command(now, HOLD, []))
+                for n, clock in enumerate(clocks):
+                    clock.applied(100.0 * n + true + (0 if n == leader else chance.choice((0.01, 0.4))))
+
+
+if __name__ == "__main__":
+    unittest.main()
