--- a/tests/simulation/keys_judge.py
+++ b/tests/simulation/keys_judge.py
@@ -5,10 +5,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from knotwalk.configuration.objects import Route
 from knotwalk.edge.freshness import Freshness
 from knotwalk.edge.tenant_check import UNAUTHORIZED, check_key
-
-from knotwalk.configuration.objects import Route
 from tests.simulation.loop import Process
 from tests.simulation.register import Content
 from tests.standins.documents import tenant
