--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -20,9 +20,8 @@
 from knotwalk.edge.admission_calls import AdmissionCalls
 from knotwalk.edge.caller import Caller
 from knotwalk.edge.front import Front
-from knotwalk.edge.limits import Refusals, needs_ask
 from knotwalk.edge.link import Link
-from knotwalk.edge.operations import Operations
+from knotwalk.edge.operations import NeverRefused, Operations, no_limit
 from knotwalk.runtime.life import FIGURES_AFTER, Ending, live
 from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.settings import Settings
@@ -51,6 +50,7 @@
             settings.zone,
             lambda: self.front.report(clock()),
             self.news,
+            self.front.freshness,
         )
         life = os.urandom(8).hex()
         self.admission_calls = AdmissionCalls(
@@ -58,7 +58,7 @@
         )
         if ASKED_FOR.intersection(settings.contracts):
             self.front.operations = Operations(
-                settings, self.front.forwarder, self.admission_calls, needs_ask, Refusals()
+                settings, self.front.forwarder, self.admission_calls, no_limit, NeverRefused()
             )
         self.ready = False
         self.ending = Ending(self.reload, settings.mark)
--- a/knotwalk/shared_state/answers.py
+++ b/knotwalk/shared_state/answers.py
@@ -82,10 +82,10 @@
 class Answers:
     """Operations by their id, the oldest first; `most` bytes at most, each for `window` seconds.
 
-    A run whose edge has said nothing for `longest` seconds counts as unknown."""
+    A run whose edge has said nothing for `longest` seconds, the whole window at first, counts as unknown."""
 
-    def __init__(self, most: int, window: float, longest: float):
-        self.most, self.window, self.longest = most, window + WINDOW_MARGIN, longest
+    def __init__(self, most: int, window: float):
+        self.most, self.window, self.longest = most, window + WINDOW_MARGIN, window
         self.kept: OrderedDict[str, Kept] = OrderedDict()
         self.size = 0
 
