--- a/knotwalk/edge/operations.py
+++ b/knotwalk/edge/operations.py
@@ -91,14 +91,14 @@
     def ask_of(self, exchange: Exchange) -> AdmissionAsk | None:
         """What must be asked before the request may run, None if nothing binds it.
 
-        An attempt gets a number of this life: a client's id may come twice, and each request that bears it is a try of
+        The attempt is a number of this life: a client's id may come twice, and each request that bears it is a try of
         its own."""
         configuration = self.forwarder.view.configuration
         limited = configuration is not None and bool(exchange.tenant) and self.needs_ask(configuration, exchange.tenant)
         keyed = self.keyed and bool(exchange.operation) and exchange.route is not None and exchange.route.keyed
         if not limited and not keyed:
             return None
-        attempt = f"{exchange.attempt.decode('latin-1')}.{next(self._number)}"
+        attempt = str(next(self._number))
         operation = operation_id(exchange.tenant, exchange.operation) if keyed else ""
         return AdmissionAsk(exchange.tenant if limited else "", operation, attempt)
 
--- a/knotwalk/shared_state/messages.py
+++ b/knotwalk/shared_state/messages.py
@@ -37,7 +37,7 @@
     IN_WORK = "in work"  # another try of the operation runs; ask again
     ANSWERED = "answered"  # the operation has run: its answer
     UNKNOWN = "unknown"  # the operation may have run, and its answer can't be had
-    UNAVAILABLE = "unavailable"  # it can't be told now; nothing was taken that the asker must give back
+    UNAVAILABLE = "unavailable"  # it can't be told now; a claim may be granted yet, so who gives up gives it back
 
 
 class Ending(Enum):
@@ -71,7 +71,8 @@
 class AdmissionAsk:
     """One request's ask. `tenant` is empty where no limit binds it, `operation` where it bears no `Operation-Key`.
 
-    `attempt` is the request's `Attempt-Id`: the same ask sent again after a lost answer is the same claim."""
+    `attempt` names the request within the edge's life, and no other of it: the same ask sent again after a lost answer
+    is the same claim."""
 
     tenant: str
     operation: str
