--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -46,7 +46,7 @@
             self.news,
             self.front.freshness,
         )
-        self.ready = False
+        self.readiness = ready.Readiness(self.front)
         self.ending = Ending(self.reload, settings.mark)
 
     def news(self, changed: set[str], edges: int) -> None:
@@ -54,20 +54,19 @@
         if edges > 1:
             self.front.edges = edges
         self.front.view_changed(changed)
-        if not self.ready and self.view.whole and not self.ending.asked:
-            self.ready = True
-            log_info("ready", version=self.view.configuration.version, nodes=len(self.view.nodes))
+        if self.view.whole and not self.ending.asked:
+            self.readiness.begin(clock())
 
     async def run(self) -> None:
         """Serve until the end is asked for, then finish what was read."""
         self.ending.listen()
-        readiness = await ready.listen(*self.settings.at("readiness"), lambda: self.ready)
+        readiness = await ready.listen(*self.settings.at("readiness"), lambda: self.readiness.at(clock()))
         await self.front.start()
         told = asyncio.get_running_loop().create_task(self.tell_figures())
         link = asyncio.get_running_loop().create_task(self.link.run())
         await self.ending.wait(link)
         log_info("leaving")
-        self.ready = False
+        self.readiness.end()
         self.front.drain()
         # What was read is finished while the cluster view is still kept up; the rest of the grace is for last bytes.
         await self.front.finished(clock() + self.settings.bounds.grace_period - 0.5)
@@ -88,7 +87,7 @@
         await metrics.listen(
             self.settings.ip_address,
             self.settings.metrics_port,
-            lambda: figures(clock(), self.ready, self.front, self.link),
+            lambda: figures(clock(), self.readiness.at(clock()), self.front, self.link),
         )
 
     def reload(self, fresh: Settings) -> None:
--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -65,7 +65,7 @@
         self.transport = transport
         transport.set_write_buffer_limits(HIGH, LOW)
         self.front.entered(self)
-        if not self.front.view.whole:
+        if not self.front.started:
             # Just started: what is not read may be sent elsewhere, whatever its kind; what is refused is a try lost.
             self._hold(STARTING, True)
             asyncio.get_running_loop().call_later(STARTING_MOST, self._give_up)
--- a/knotwalk/edge/clients_port.py
+++ b/knotwalk/edge/clients_port.py
@@ -11,6 +11,7 @@
 from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.exchange import Exchange
+from knotwalk.edge.request_head import RequestHead
 
 
 class ClientsPort(Protocol):
@@ -18,6 +19,7 @@
 
     clock: Callable[[], float]
     view: ClusterView
+    started: bool  # whether there was enough to serve by
     draining: bool
     clients: set
     connection_budget: ConnectionBudget
@@ -40,8 +42,12 @@
     def left(self, client: asyncio.Protocol) -> None:
         """A connection has ended, or is about to."""
 
-    def begin(self, exchange: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
-        """A request's head was read: find its route and its deadline."""
+    @property
+    def withheld(self) -> frozenset[bytes]:
+        """Headers of clients, in lower case, that go to no node."""
+
+    def begin(self, exchange: Exchange, head: RequestHead) -> None:
+        """A request's head was read: find its route, whose it is, and its deadline."""
 
     def carry(self, exchange: Exchange) -> None:
         """Carry a request; it tells when its answer is known."""
--- a/knotwalk/edge/forwarding_state.py
+++ b/knotwalk/edge/forwarding_state.py
@@ -15,6 +15,7 @@
 from knotwalk.edge.choose import seen
 from knotwalk.edge.connection_pool import ConnectionSlots, Pool
 from knotwalk.edge.exchange import Exchange
+from knotwalk.edge.freshness import Freshness
 from knotwalk.runtime.settings import Settings
 
 # Of the aim, how long a request may wait without being offered to a node, as its client sees it: later refusals are
@@ -22,6 +23,8 @@
 # back takes: nobody tells it; ten each way, as far as a region is wide.
 WAIT_PART, CLIENT_WAY = 0.25, 0.02
 
+KEYS_UNSURE = "not sure of the keys in force"  # of a request that bears a key, or lacks one; also a count
+
 
 class ForwardingState:
     """What an edge knows of its services, nodes and tries; choosing a node and trying it are built on it."""
@@ -29,6 +32,7 @@
     def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
         self.settings, self.view, self.clock = settings, view, clock
         self.luck = Random(seed)
+        self.freshness = Freshness(settings.bounds.revoke_timeout, settings.bounds.global_revocation)
         self.edges = 16
         self.began = clock()
         self.budgets: dict[str, Budget] = {}
@@ -109,6 +113,16 @@
         for pool in self.pools.values():
             pool.age()
 
+    def key_lapsed(self, exchange: Exchange, now: float) -> bool:
+        """Whether a request may leave for no node at `now`, since the key that it bears may have been taken away.
+
+        Its client then goes on by another connection, to an edge that knows."""
+        if not exchange.tenant or self.freshness.accepts(now):
+            return False
+        self.counts[KEYS_UNSURE] += 1
+        exchange.keep = False
+        return True
+
     # -- waiting
 
     async def _waited(self, exchange: Exchange, among: set[asyncio.Future], until: float) -> bool:
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -10,17 +10,15 @@
 import struct
 from collections.abc import Callable, Coroutine
 
-from knotwalk.admission.admission import come_back
 from knotwalk.admission.connection_budget import shared
-from knotwalk.configuration.objects import Limits, Route
+from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.client_connection import CROWD_LOOK, ClientConnection, unread
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import Forwarder
-from knotwalk.edge.freshness import Freshness
+from knotwalk.edge.intake import Intake
 from knotwalk.edge.request_head import RequestHead
 from knotwalk.edge.stages import Stage
-from knotwalk.edge.tenant_check import UNAUTHORIZED, UNAVAILABLE, WITHHELD, check_key
 from knotwalk.runtime.logs import log_exception, log_info
 from knotwalk.runtime.loop_delay import LoopDelay
 from knotwalk.runtime.settings import Settings
@@ -34,9 +32,6 @@
 CROWD_LOOKS = 3
 # Connections that wait to be accepted.
 BACKLOG = 1024
-# Seconds after which a client that was refused since keys can't be judged comes back, by then to another edge.
-KEYS_WAIT = 0.1
-NOTHING_WITHHELD: frozenset[bytes] = frozenset()
 
 
 class Front:
@@ -44,13 +39,13 @@
 
     def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
         self.settings, self.view, self.clock = settings, view, clock
-        self.freshness = Freshness(settings.bounds.revoke_timeout, settings.bounds.global_revocation)
         self.forwarder = Forwarder(settings, view, clock, seed)
         self.clients: set[ClientConnection] = set()
         self.connection_budget = shared(settings.machine.file_descriptors)
         self.coming = 0  # connections accepted that have not entered yet
         self.draining = False
-        self.started = view.whole
+        self.intake = Intake(self.forwarder)
+        self.started = self.serves
         self.open = 0  # requests read and not answered
         self.gate: socket.socket | None = None  # where connections wait to be accepted
         self._shut_until: asyncio.TimerHandle | None = None  # while none is accepted
@@ -67,6 +62,11 @@
         configuration = self.view.configuration
         return configuration.limits if configuration is not None else DEFAULT_LIMITS
 
+    @property
+    def serves(self) -> bool:
+        """Whether there is enough to serve by, of what cores have told."""
+        return self.view.whole and self.intake.judges_keys(self.clock())
+
     @property
     def counts(self) -> dict:
         """What was met with, by its name; told with the tally."""
@@ -242,7 +242,7 @@
     def view_changed(self, changed: set[str]) -> None:
         """The cluster view changed."""
         self.forwarder.view_changed(changed)
-        if not self.started and self.view.whole:
+        if not self.started and self.serves:
             self.started = True
             for client in list(self.clients):
                 client.begun()
@@ -263,65 +263,13 @@
 
     @property
     def withheld(self) -> frozenset[bytes]:
-        """Headers of clients that go to no node."""
-        return WITHHELD if self.view.tenant_keys.tenants else NOTHING_WITHHELD
+        """Headers of clients, in lower case, that go to no node."""
+        return self.intake.withheld
 
     def begin(self, exchange: Exchange, head: RequestHead) -> None:
         """A request's head was read: find its route, whose it is, and its deadline."""
         self.open += 1
-        index = self.view.index
-        if index is None:
-            exchange.own(503, "not ready", 0.2)
-            return
-        assert head.host is not None
-        route = index.find(head.host.decode("latin-1"), head.target.decode("latin-1"))
-        if route is None:
-            self.counts["no route"] += 1
-            exchange.own(404, "no route")
-            return
-        if not self._admit(exchange, route, head):
-            return
-        mistake = self.forwarder.routed(exchange, route, head.shard_key)
-        left = route.timeout
-        if head.deadline is not None:
-            try:
-                left = min(left, float(head.deadline) / 1000)
-            except ValueError:
-                mistake = mistake or "Deadline-Ms must be a number"
-            if not left >= 0:
-                mistake = mistake or "Deadline-Ms must be a number"
-        if mistake:
-            self.counts["mistake"] += 1
-            exchange.own(400, mistake)
-            return
-        exchange.until = exchange.begun + left
-        exchange.timer = asyncio.get_running_loop().call_later(left, exchange.expire)
-
-    def _admit(self, exchange: Exchange, route: Route, head: RequestHead) -> bool:
-        """Note whose the request is and its operation; False if its key refuses it, which it was told."""
-        found = check_key(route, self.view.tenant_keys, head.authorization or b"", self.freshness, self.clock())
-        if found.status == UNAUTHORIZED:
-            self.counts["no key, or one that nobody holds"] += 1
-            exchange.own(UNAUTHORIZED, "a key of a tenant is needed")
-            return False
-        if found.status:
-            self.refuse_keys(exchange)
-            return False
-        exchange.priority = route.priority
-        if found.tenant is not None:
-            exchange.tenant = found.tenant.name
-            exchange.head += b"Tenant: %b\r\n" % found.tenant.name.encode()
-            if found.tenant.priority is not None:
-                exchange.priority = found.tenant.priority
-        if route.keyed:
-            exchange.operation = head.operation.decode("latin-1")
-        return True
-
-    def refuse_keys(self, exchange: Exchange) -> None:
-        """No key can be judged here for now: the client is to come back, on another connection."""
-        self.counts["keys can't be judged"] += 1
-        exchange.keep = False
-        exchange.own(UNAVAILABLE, "not sure of the keys in force", come_back(KEYS_WAIT, self.forwarder.luck.random()))
+        self.intake.begin(exchange, head)
 
     def carry(self, exchange: Exchange) -> None:
         """Carry a request; it tells when its answer is known."""
--- /dev/null
+++ b/knotwalk/edge/intake.py
@@ -0,0 +1,86 @@
+"""The beginning of a request at an edge: its route, whose it is, its operation and its deadline; or what refuses it."""
+
+from __future__ import annotations
+
+import asyncio
+
+from knotwalk.admission.admission import come_back
+from knotwalk.configuration.objects import Route
+from knotwalk.edge.exchange import Exchange
+from knotwalk.edge.forwarder import Forwarder
+from knotwalk.edge.forwarding_state import KEYS_UNSURE
+from knotwalk.edge.request_head import RequestHead
+from knotwalk.edge.tenant_check import UNAUTHORIZED, WITHHELD, check_key
+
+# Seconds after which a client that was refused since keys can't be judged comes back, by then to another edge.
+KEYS_WAIT = 0.1
+NOTHING_WITHHELD: frozenset[bytes] = frozenset()
+
+
+class Intake:
+    """Takes in requests whose head was read, by the view, clock and lease that the forwarder has."""
+
+    def __init__(self, forwarder: Forwarder):
+        self.forwarder = forwarder
+        self.view, self.clock, self.freshness = forwarder.view, forwarder.clock, forwarder.freshness
+
+    @property
+    def withheld(self) -> frozenset[bytes]:
+        """Headers of clients, in lower case, that go to no node."""
+        return WITHHELD if self.view.tenant_keys.tenants else NOTHING_WITHHELD
+
+    def judges_keys(self, now: float) -> bool:
+        """Whether requests that need a key can be taken; true where none needs one."""
+        return not self.view.tenant_keys.tenants or self.freshness.accepts(now)
+
+    def begin(self, exchange: Exchange, head: RequestHead) -> None:
+        """Find a request's route, whose it is, and its deadline; what can't be served is told so at once."""
+        index = self.view.index
+        if index is None:
+            exchange.own(503, "not ready", 0.2)
+            return
+        assert head.host is not None
+        route = index.find(head.host.decode("latin-1"), head.target.decode("latin-1"))
+        if route is None:
+            self.forwarder.counts["no route"] += 1
+            exchange.own(404, "no route")
+            return
+        if not self._admit(exchange, route, head):
+            return
+        mistake = self.forwarder.routed(exchange, route, head.shard_key)
+        left = route.timeout
+        if head.deadline is not None:
+            try:
+                left = min(left, float(head.deadline) / 1000)
+            except ValueError:
+                mistake = mistake or "Deadline-Ms must be a number"
+            if not left >= 0:
+                mistake = mistake or "Deadline-Ms must be a number"
+        if mistake:
+            self.forwarder.counts["mistake"] += 1
+            exchange.own(400, mistake)
+            return
+        exchange.until = exchange.begun + left
+        exchange.timer = asyncio.get_running_loop().call_later(left, exchange.expire)
+
+    def _admit(self, exchange: Exchange, route: Route, head: RequestHead) -> bool:
+        """Note whose a request is and its operation; False if it was refused for its key, or for the lack of one."""
+        found = check_key(route, self.view.tenant_keys, head.authorization or b"", self.freshness, self.clock())
+        if found.status == UNAUTHORIZED:
+            self.forwarder.counts["no key, or one that nobody holds"] += 1
+            exchange.own(UNAUTHORIZED, "a key of a tenant is needed")
+            return False
+        if found.status:
+            self.forwarder.counts[KEYS_UNSURE] += 1
+            exchange.keep = False  # its client goes on by another connection, to an edge that knows
+            exchange.own(found.status, KEYS_UNSURE, come_back(KEYS_WAIT, self.forwarder.luck.random()))
+            return False
+        exchange.priority = route.priority
+        if found.tenant is not None:
+            exchange.tenant = found.tenant.name
+            exchange.head += b"Tenant: %b\r\n" % found.tenant.name.encode()
+            if found.tenant.priority is not None:
+                exchange.priority = found.tenant.priority
+        if route.keyed:
+            exchange.operation = head.operation.decode("latin-1")
+        return True
--- a/knotwalk/edge/node_selection.py
+++ b/knotwalk/edge/node_selection.py
@@ -6,7 +6,7 @@
 from knotwalk.discovery.view_types import Node
 from knotwalk.edge.choose import load, pick, seen
 from knotwalk.edge.exchange import Exchange
-from knotwalk.edge.forwarding_state import ForwardingState, waits_until
+from knotwalk.edge.forwarding_state import KEYS_UNSURE, ForwardingState, waits_until
 
 # Seconds left below which a request is not offered any more: less than a trip to a node.
 TOO_LATE = 0.004
@@ -33,6 +33,8 @@
                 return None, "no time left"
             if exchange.gone or now > exchange.offer_until:
                 return None, "the client is gone"
+            if self.key_lapsed(exchange, now):
+                return None, KEYS_UNSURE
             node, why = (
                 self._owner(exchange, tried, now)
                 if exchange.key >= 0
--- a/knotwalk/edge/node_try.py
+++ b/knotwalk/edge/node_try.py
@@ -47,7 +47,7 @@
                 self.counts["not connected"] += 1
                 return Answer(End.UNREACHED, "not connected"), False
             self.counts["opened"] += 1
-            if exchange.expired or exchange.gone:
+            if exchange.expired or exchange.gone or self.key_lapsed(exchange, self.clock()):
                 pool.put_back(connection)
                 return Answer(End.UNREACHED, "too late"), False
             if not connection.ready(False):  # the node has ended it, or spoken unasked: nothing was sent
