--- a/knotwalk/cli/__main__.py
+++ b/knotwalk/cli/__main__.py
@@ -132,8 +132,8 @@
             )
         end(int(bool(found)), *([one.line() for one in found] or ["the same in meaning"]))
 
-    def export(self, data_dir: str, json: bool = False) -> None:
-        """Print the whole configuration that a core's data folder holds, as it can be PUT again.
+    def export(self, data_dir: str, keys: bool = False, json: bool = False) -> None:
+        """Print the whole configuration that a core's data folder holds; with --keys, as it can be PUT again.
 
         Give it a copy of the folder, or the folder of a core that does not run. It is never written to. Standard error
         says how far the log goes: its last entries may not have been agreed on; compare the folders of two cores.
@@ -141,11 +141,12 @@
 
         Args:
             data_dir: the folder.
+            keys: print the keys of tenants, which are secret. Else they stand there as null, and `import` refuses that.
             json: print it within {"me", "config_version", "sure", "last", "last_term", ..., "history", "configuration"}
                 instead; `history` has each version whose whole text is there. `import` reads that file, too.
         """
         try:
-            told = past.export(data_dir)
+            told = past.export(data_dir, keys)
         except (StoreBroken, ValueError, KeyError) as error:
             end(2, trouble=str(error))
         if json:
@@ -315,7 +316,7 @@
     >>> arguments(["explain", "--json", "10.0.0.1:7660", "1.10", "/a/", "--key", "7"])
     ['explain', "'10.0.0.1:7660'", "'1.10'", "'/a/'", '--key', "'7'", '--json']
     """
-    flags = [one for one in ("--json", "--apply", "--history") if one in given]
+    flags = [one for one in ("--json", "--apply", "--history", "--keys") if one in given]
     plain = [one if one.startswith("-") else repr(one) for one in given[1:] if one not in flags]
     return given[:1] + plain + flags
 
--- a/knotwalk/cli/past.py
+++ b/knotwalk/cli/past.py
@@ -4,32 +4,39 @@
 
 from typing import Any
 
+from knotwalk.configuration.objects import Configuration
 from knotwalk.configuration.read import document
+from knotwalk.configuration.tenants import without_keys
 from knotwalk.consensus.store import read
 from knotwalk.control_plane.replicated_state import ReplicatedState
 
 
-def export(data_dir: str) -> dict[str, Any]:
+def export(data_dir: str, keys: bool = False) -> dict[str, Any]:
     """The configuration, whole, and where it stands; StoreBroken, or ValueError for a later format.
 
     A disk does not tell of its last entries which were agreed on. `sure` is the version that certainly was: the one as
     of the snapshot, or of the last entry known then as committed; a configuration from a later entry was acknowledged
     if a majority of the cores' disks has that entry.
     `history` has the versions whose whole text is here, oldest first: that of the snapshot and those after it. Of
-    earlier ones the system keeps no text, and none of when a version was taken or by whom.
+    earlier ones the system keeps no text, and none of when a version was taken or by whom. Keys of tenants are withheld
+    unless asked for with `keys`.
     """
     saved = read(data_dir)
     state = ReplicatedState.from_dict(saved.snapshot) if saved.snapshot else ReplicatedState()
     sure = state.version
     history: list[dict[str, Any]] = []
 
+    def text(configuration: Configuration) -> dict[str, Any]:
+        whole = document(configuration)
+        return whole if keys else without_keys(whole)
+
     def note() -> None:
         if state.configuration and (not history or history[-1]["config_order"] != state.order):
             history.append(
                 {
                     "config_version": f"r{state.version}",
                     "config_order": state.order,
-                    "configuration": document(state.configuration),
+                    "configuration": text(state.configuration),
                 }
             )
 
@@ -49,5 +56,5 @@
         "last_term": last.term if last else saved.snapshot_term,
         "term": saved.term,
         "history": history,
-        "configuration": document(state.configuration) if state.configuration else None,
+        "configuration": text(state.configuration) if state.configuration else None,
     }
--- a/knotwalk/configuration/control.py
+++ b/knotwalk/configuration/control.py
@@ -37,6 +37,7 @@
 MOST_DEEP = 32
 
 IF_MATCH = re.compile(r'("?)r?(\d{1,18})\1', re.ASCII)
+PLACE = re.compile(r"[A-Za-z_.-]+(?=[:\[ ])", re.ASCII)
 
 # Of an order that can no longer be told from a taken one: what to do instead, since sending it again won't help.
 UNKNOWN = "too old to be told from an order that was taken: read the configuration and build on that"
@@ -49,6 +50,16 @@
     """A call, or the JSON of its body, that is not as it should be; the text says where."""
 
 
+def refused_place(message: str) -> str:
+    """Where an order that was refused with 400 is wrong: a field, or the kind of an object, without any name.
+
+    >>> refused_place('route "r": timeout is 0'), refused_place("objects[7]: must be an object, not 7")
+    ('route', 'objects')
+    """
+    found = PLACE.match(message)
+    return found[0] if found else "other"
+
+
 @dataclass(frozen=True)
 class Verdict:
     """The answer to a call, and with a 200 that is not `same` the change to propose.
--- a/knotwalk/configuration/tenants.py
+++ b/knotwalk/configuration/tenants.py
@@ -33,6 +33,17 @@
         return held[1]
 
 
+def without_keys(document: dict) -> dict:
+    """A configuration as it is sent, for showing: `api_keys` of its tenants are null, which no configuration may be."""
+
+    def shown(item: dict) -> dict:
+        if item.get("object_kind") != "tenants":
+            return item
+        return {**item, "specification": {**item["specification"], "api_keys": None}}
+
+    return {**document, "objects": [shown(item) for item in document["objects"]]}
+
+
 def tenant_keys(tenants: Mapping[str, Tenant], before: TenantKeys | None = None) -> TenantKeys:
     """The look-up for `tenants`; the one `before` where nothing about them has changed."""
     if before is not None and before.tenants == tenants:
--- a/knotwalk/control_plane/control.py
+++ b/knotwalk/control_plane/control.py
@@ -7,16 +7,18 @@
 
 from sanic import HTTPResponse, Request, Sanic
 
-from knotwalk.configuration.control import DISK_PART, MOST_BYTES, UNKNOWN, judge, reading
+from knotwalk.configuration.control import DISK_PART, MOST_BYTES, UNKNOWN, judge, reading, refused_place
 from knotwalk.configuration.read import difference, document, version_text
+from knotwalk.configuration.unknown import unknown_words
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
 from knotwalk.control_plane.replicated_state import DONE
-from knotwalk.runtime.logs import clock, log_info
+from knotwalk.runtime.logs import clock, log_info, log_warning
 from knotwalk.runtime.serve import answer, app
 
 PATIENCE = 4.0  # for an agreement; a core that lost its majority says so instead of holding the operator
 LATER = {"Retry-After": "60"}  # s; of an order too old to be told, which another try won't change
 WAIT_LEADER = 0.8  # an election is over in about this time; the caller moves on after a second of silence
+WORDS_MOST = 10  # words that are not known, in one line of the log
 LOOK = 0.02  # seconds between looks for a leader's word: a sixth of a heartbeat
 
 
@@ -27,6 +29,7 @@
         self.consensus, self.port = consensus, port
         self.most_kept = min(MOST_BYTES, int(consensus.store.disk_mb * 1e6 * DISK_PART))
         self.answers: Counter[tuple[str, str]] = Counter()  # by method and status
+        self.refused: Counter[tuple[str]] = Counter()  # orders that are wrong, by the place of their mistake
         self.taking = asyncio.Lock()  # one change at a time is judged and agreed on
 
     def app(self) -> Sanic:
@@ -107,6 +110,8 @@
                     request.body,
                     self.most_kept,
                 )
+                if verdict.status == 400:
+                    self.refused[(refused_place(verdict.message),)] += 1
                 if verdict.status != 200 or verdict.same:
                     log_info(
                         "change", method=request.method, status=verdict.status, why=verdict.message, same=verdict.same
@@ -126,6 +131,8 @@
         except Lost:
             return answer({"error": "not known whether it was agreed on; send it again"}, 503, {"Retry-After": "0.3"})
         log_info("change", method=request.method, said=said, version=self.consensus.state.version)
+        if said == DONE and (words := unknown_words(verdict.configuration.items)):
+            log_warning("words not known", words=words[:WORDS_MOST], of=len(words))
         if said == UNKNOWN:
             return answer({"error": said}, 503, LATER)
         if said != DONE:
--- a/knotwalk/control_plane/figures.py
+++ b/knotwalk/control_plane/figures.py
@@ -76,6 +76,12 @@
         "method",
         "status",
     )
+    yield counter(
+        "knotwalk_core_orders_refused",
+        "orders that were wrong, by the place of their mistake",
+        dict(plane.control.refused),
+        "place",
+    )
     sent = {(step, "sent"): count for step, count in plane.caller.sent.items()}
     got = {(step, "received"): count for step, count in plane.caller.received.items()}
     yield counter("knotwalk_core_call_bytes", "bytes of bodies of calls to peers", sent | got, "step", "direction")
--- a/knotwalk/edge/figures.py
+++ b/knotwalk/edge/figures.py
@@ -56,6 +56,15 @@
         view.configuration.version if view.configuration else 0,
     )
     yield gauge("knotwalk_edge_core_heard_seconds", "since a fresh core last answered", now - link.heard_at)
+    yield Figure(
+        "knotwalk_edge_configurations_not_taken",
+        Kind.COUNTER,
+        "configurations of a core that can't be read here",
+        {(): link.not_taken},
+    )
+    yield gauge(
+        "knotwalk_edge_keys_judged", "1 while requests that need a key can be taken", front.intake.judges_keys(now)
+    )
     yield gauge("knotwalk_edge_requests_open", "requests read and not answered", front.open)
     yield gauge("knotwalk_edge_requests_waiting", "requests that wait for a node", len(forwarder.waiting))
     yield gauge("knotwalk_edge_clients", "connections of clients", len(front.clients))
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -50,6 +50,7 @@
         self.heard_at = float("-inf")  # when a fresh core last answered
         self.reported_at = float("-inf")
         self.edges = 0
+        self.not_taken = 0  # configurations that a core told and that could not be taken here
 
     def next_core(self) -> str | None:
         """Another core than those tried in this round, those that failed us lately last; a new round when all were."""
@@ -134,6 +135,7 @@
         if changed or first:
             self.on_news(changed, self.edges)
         if self.view.fault:
+            self.not_taken += 1
             log_warning("configuration not taken", core=core, why=self.view.fault)
             self.left[core] = now
             return False
--- a/knotwalk/runtime/life.py
+++ b/knotwalk/runtime/life.py
@@ -105,7 +105,10 @@
 
     async def whole() -> int:
         try:
-            program = make(replace(settings_file.load(), metrics_port=metrics_port(sys.argv[1:])))
+            settings = replace(settings_file.load(), metrics_port=metrics_port(sys.argv[1:]))
+            if unknown := settings_file.unknown_contracts(settings):
+                logs.log_warning("contracts not known", names=unknown)
+            program = make(settings)
         except (SettingsError, *unusable) as error:
             print(f"{name}: {error}", file=sys.stderr)
             return UNUSABLE
--- a/knotwalk/runtime/settings.py
+++ b/knotwalk/runtime/settings.py
@@ -1,6 +1,7 @@
 """The settings file that the platform writes for a process: read, checked, and turned into plain values.
 
-Fields that are not known are skipped; a field with a wrong value is one line naming it. Source: the deployment's page.
+Fields that are not known, or are null, are skipped; a field with a wrong value is one line naming it. Source: the
+deployment's page.
 """
 
 import json
@@ -117,6 +118,17 @@
         return self.listen[name]
 
 
+# Names of the parts of the rules that this text was written for.
+KNOWN_CONTRACTS = frozenset(
+    ("base", "drain", "config", "cost", "retry", "recover", "health", "pool", "tenants", "keys", "quota", "own")
+)
+
+
+def unknown_contracts(settings: Settings) -> list[str]:
+    """Contracts in force that are not known here: the program goes on, and can't promise what they ask."""
+    return sorted(set(settings.contracts) - KNOWN_CONTRACTS)
+
+
 def address(value: object, where: str) -> Address:
     """Host and port of `10.0.0.1:8080`; SettingsError naming `where` otherwise."""
     host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
@@ -137,7 +149,8 @@
     if not isinstance(raw, dict):
         raise SettingsError(where, "not an object")
     known = {f.name for f in fields(kind)}
-    data = {k: _span(v, f"{where}.{k}") if k in spans else v for k, v in raw.items() if k in known}
+    given = {k: v for k, v in raw.items() if k in known and v is not None}
+    data = {k: _span(v, f"{where}.{k}") if k in spans else v for k, v in given.items()}
     data = {
         k: float(v) if isinstance(v, int) and not isinstance(v, bool) and kind.__annotations__[k] is float else v
         for k, v in data.items()
@@ -177,7 +190,7 @@
             "quorum_member",
             "data_dir",
         )
-        if k in raw
+        if raw.get(k) is not None
     }
     listen = raw.get("listen_addresses", {})
     if not isinstance(listen, dict):
@@ -200,7 +213,7 @@
         cloud = {**cloud, "address": address(cloud["address"], "cloud_api.address")}
     built = {
         **plain,
-        "contracts": raw.get("active_contracts", []),
+        "contracts": [name for name in raw.get("active_contracts") or () if isinstance(name, str)],
         "listen": {name: address(at, f"listen_addresses.{name}") for name, at in listen.items()},
         "ports": tuple(ports),
         "seeds": [address(at, f"seed_nodes[{k}]") for k, at in enumerate(seeds)],
