--- a/tests/system/test_unknown_words.py
+++ b/tests/system/test_unknown_words.py
@@ -51,6 +51,11 @@
         raw = {"node_name": "n", "active_contracts": ["base", "moons", "keys"], "moon": {"deep": 1}}
         self.assertEqual(unknown_contracts(parse(raw)), ["moons"])
 
+    def test_null_in_place_of_a_field_is_as_none(self):
+        plain = parse({"node_name": "n", "limits": {}, "timing_bounds": {}})
+        raw = {"node_name": "n", "zone": None, "region": None, "active_contracts": None, "role": None}
+        self.assertEqual(parse(raw | {"limits": {"cpu_share": None}, "timing_bounds": {"contact": None}}), plain)
+
     def test_a_route_type_that_is_missing_or_no_text_is_invalid(self):
         for wrong in (..., None, 7, "", ["idempotent"], True):
             with self.subTest(wrong), self.assertRaises(Invalid):
