--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -50,7 +50,7 @@
             settings.zone,
             lambda: self.front.report(clock()),
             self.news,
-            self.front.freshness,
+            self.front.forwarder.freshness,
         )
         life = os.urandom(8).hex()
         self.admission_calls = AdmissionCalls(
