--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -44,7 +44,7 @@
             settings.zone,
             lambda: self.front.report(clock()),
             self.news,
-            self.front.freshness,
+            self.front.forwarder.freshness,
         )
         self.readiness = ready.Readiness(self.front)
         self.ending = Ending(self.reload, settings.mark)
