Edge's figures of asks and operations are told everywhere, 0 where nothing is asked for

test_village holds that each program tells all names of the guide; an edge without the contracts told three fewer. Names of figures must not come and go with settings, or whoever watches them sees gaps.

--- a/knotwalk/edge/figures.py
+++ b/knotwalk/edge/figures.py
@@ -82,12 +82,19 @@
         {(direction,): count for direction, count in link.caller.bytes.items()},
         ("direction",),
     )
-    if front.operations is not None:
-        calls = front.operations.calls
-        meaning = "what requests waited for asks to cores, in all"
-        yield Figure("knotwalk_edge_ask_seconds", Kind.COUNTER, meaning, {(): calls.waited})
-        yield gauge(
-            "knotwalk_edge_operations_running", "operations that run by this edge", len(front.operations.running)
-        )
-        yield gauge("knotwalk_edge_ends_untold", "ends of operations that no core took yet", len(calls.ends.waiting))
+    yield from admission(front)
     yield loop_delay(front.delay)
+
+
+def admission(front: Front) -> Iterator[Figure]:
+    """Figures of asks and operations; all 0 where nothing is asked for."""
+    operations = front.operations
+    waited, running, untold = 0.0, 0, 0
+    if operations is not None:
+        waited = operations.calls.waited
+        running = len(operations.running)
+        untold = len(operations.calls.ends.waiting)
+    meaning = "what requests waited for asks to cores, in all"
+    yield Figure("knotwalk_edge_ask_seconds", Kind.COUNTER, meaning, {(): waited})
+    yield gauge("knotwalk_edge_operations_running", "operations that run by this edge", running)
+    yield gauge("knotwalk_edge_ends_untold", "ends of operations that no core took yet", untold)
