--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -18,6 +18,7 @@
 from knotwalk.configuration.read import document
 from knotwalk.consensus.orders import Pace
 from knotwalk.consensus.store import Store, StoreBroken
+from knotwalk.control_plane.allowances import Allowances
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
 from knotwalk.control_plane.control import Control
 from knotwalk.control_plane.list_poller import ListPoller
@@ -74,13 +75,15 @@
             self.propose,
             settings.zone,
         )
+        self.allowances = Allowances(self.me, settings, self.consensus, self.list_poller, self.caller)
         self.peer_api = PeerApi(
             self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads, self.caller
         )
+        self.peer_api.parts["/allowances"] = self.allowances.asked
         self.control = Control(self.consensus, settings.at("control")[1])
         self.consensus.on_config = self.configured
         self.consensus.on_change = self.lines_changed
-        self.consensus.on_role = lambda role: self.list_poller.role(role.role == "leader")
+        self.consensus.on_role = lambda role: self.leads(role.role == "leader")
         self.consensus.on_restore = self.restored
         self.consensus.on_damage = lambda: os._exit(1)  # nothing more is promised, no leave: the disk may be whole
         self.list_poller.on_nodes = self.listed
@@ -91,6 +94,11 @@
         """Have a command of this core's conductor agreed on; see `PeerApi.propose`."""
         return await self.peer_api.propose(command)
 
+    def leads(self, leads: bool) -> None:
+        """This machine leads from now on, or does no more."""
+        self.list_poller.role(leads)
+        self.allowances.role(leads)
+
     # --- what the agreed log and the list bring -----------------------------------------------------
 
     def configured(self) -> None:
@@ -145,6 +153,7 @@
                 self.conductor.place(),
                 self.watch_members(),
                 self.tell_figures(),
+                self.allowances.keep_asking(),
             )
         ]
         log_info(
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -56,6 +56,7 @@
         self.started = clock()
         self.leaving = False
         self.told: Counter[str] = Counter()  # bytes of bodies answered, by path
+        self.parts: dict[str, Handler] = {}  # calls answered by other parts of this core, by path; set before `app`
         self.asked: dict[str, tuple[float, str, int]] = {}  # by edge: when it called here, and what it had then
 
     def app(self) -> Sanic:
@@ -70,6 +71,7 @@
             ("/loads", self.share),
             ("/status", self.status),
             ("/explain", self.explain),
+            *self.parts.items(),
         ):
             made.add_route(self.counted(path, handler), path, methods=["POST"], error_format="text")
         return made
--- a/knotwalk/shared_state/messages.py
+++ b/knotwalk/shared_state/messages.py
@@ -180,7 +180,9 @@
 
 @dataclass(frozen=True, slots=True)
 class AllowanceWant:
-    """What a core asks the leader for: requests that it wants to let pass, and those that it holds and has not used."""
+    """What a core asks the leader for: requests that it wants to let pass, and those that it holds and has not used.
+
+    `wanted` below 0: it gives as many back, and holds `unused` without them."""
 
     tenant: str
     wanted: int
