--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -18,7 +18,8 @@
 from knotwalk.configuration.read import document
 from knotwalk.consensus.orders import Pace
 from knotwalk.consensus.store import Store, StoreBroken
-from knotwalk.control_plane.admissions import Admissions, Unlimited
+from knotwalk.control_plane.admissions import Admissions
+from knotwalk.control_plane.allowances import Allowances
 from knotwalk.control_plane.claim_group import CONTRACT, Home, configuration_disk_mb
 from knotwalk.control_plane.claim_groups import ClaimGroups
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
@@ -82,18 +83,20 @@
             self.propose,
             settings.zone,
         )
+        self.allowances = Allowances(self.me, settings, self.consensus, self.list_poller, self.caller)
         self.peer_api = PeerApi(
             self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads, self.caller, self.claims
         )
         memory = int(settings.machine.memory_mb * 1024 * 1024 * MEMORY_PART)
         self.admissions = Admissions(
-            own, Unlimited(), self.claims, Answers(memory, settings.bounds.key_period), self.caller, logs.clock
+            own, self.allowances, self.claims, Answers(memory, settings.bounds.key_period), self.caller, logs.clock
         )
         self.peer_api.parts |= {"/admissions": self.admissions.admissions, "/answers": self.admissions.kept}
+        self.peer_api.parts["/allowances"] = self.allowances.asked
         self.control = Control(self.consensus, settings.at("control")[1])
         self.consensus.on_config = self.configured
         self.consensus.on_change = self.lines_changed
-        self.consensus.on_role = lambda role: self.list_poller.role(role.role == "leader")
+        self.consensus.on_role = lambda role: self.leads(role.role == "leader")
         self.consensus.on_restore = self.restored
         self.consensus.on_damage = lambda: os._exit(1)  # nothing more is promised, no leave: the disk may be whole
         self.list_poller.on_nodes = self.listed
@@ -104,6 +107,11 @@
         """Have a command of this core's conductor agreed on; see `PeerApi.propose`."""
         return await self.peer_api.propose(command)
 
+    def leads(self, leads: bool) -> None:
+        """This machine leads from now on, or does no more."""
+        self.list_poller.role(leads)
+        self.allowances.role(leads)
+
     # --- what the agreed log and the list bring -----------------------------------------------------
 
     def configured(self) -> None:
@@ -161,6 +169,7 @@
                 self.conductor.place(),
                 self.watch_members(),
                 self.tell_figures(),
+                self.allowances.keep_asking(),
             )
         ]
         log_info(
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -20,8 +20,9 @@
 from knotwalk.edge.admission_calls import AdmissionCalls
 from knotwalk.edge.caller import Caller
 from knotwalk.edge.front import Front
+from knotwalk.edge.limits import Refusals, needs_ask
 from knotwalk.edge.link import Link
-from knotwalk.edge.operations import NeverRefused, Operations, no_limit
+from knotwalk.edge.operations import Operations
 from knotwalk.runtime.life import FIGURES_AFTER, Ending, live
 from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.settings import Settings
@@ -58,7 +59,7 @@
         )
         if ASKED_FOR.intersection(settings.contracts):
             self.front.operations = Operations(
-                settings, self.front.forwarder, self.admission_calls, no_limit, NeverRefused()
+                settings, self.front.forwarder, self.admission_calls, needs_ask, Refusals()
             )
         self.readiness = ready.Readiness(self.front)
         self.ending = Ending(self.reload, settings.mark)
