Asks: word on its way is waited for up to half of the aim, a group without a leader is told of

The claim is sought on at the core while its edge asks again; a part with no answer for 150 ms counts as leaderless, and its asks are refused early as before. An edge gives a call 0.1 s, then asks another core, and longer after failures.

--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -17,7 +17,7 @@
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.serve import answer, body
 from knotwalk.shared_state.answers import Answers, Found, Phase
-from knotwalk.shared_state.claims import ClaimResult, Outcome
+from knotwalk.shared_state.claims import UNAVAILABLE as CLAIMS_UNAVAILABLE, ClaimResult, Outcome
 from knotwalk.shared_state.messages import (
     Admission,
     AdmissionAsk,
@@ -27,17 +27,25 @@
     Ending,
     Holder,
     OperationEnd,
+    part_of,
 )
 
-# Seconds that an ask waits for its tenant's allowance, and for its claim. What isn't known then can be asked again.
+# Seconds that an ask waits for its tenant's allowance, and for its claim; asked again, it waits for the same claim.
 ALLOWANCE_PATIENCE = 0.03
-CLAIM_PATIENCE = 0.06
+CLAIM_WAIT = 0.04
+# Seconds for which a claim is sought; past STUCK without an answer its group is taken to have no leader.
+CLAIM_PATIENCE, STUCK = 0.5, 0.15
+# Seconds for which the answer to a claim is kept for who asks again.
+ANSWER_KEPT = 0.2
+# Seconds after which a client may come back where a group has no leader.
+STUCK_PAUSE = 0.2
 # Seconds past the longest time of a keyed route within which an edge has told how a run ended, or is gone.
 TELLING = 5.0
 # Seconds for another core's word of an operation that it keeps.
 ANSWER_PATIENCE = 0.05
 
-UNAVAILABLE = AdmissionTold(Admission.UNAVAILABLE)
+UNAVAILABLE = AdmissionTold(Admission.UNAVAILABLE, STUCK_PAUSE)
+NOT_YET = AdmissionTold(Admission.UNAVAILABLE)
 RUN = AdmissionTold(Admission.RUN)
 # What a try of an operation is told that another try holds. A freed one is about to be free for the next ask.
 TOLD_BY_PHASE = {
@@ -82,6 +90,8 @@
     ):
         self.me, self.allowances, self.claims, self.answers = me, allowances, claims, answers
         self.caller, self.clock = caller, clock
+        self.seeking: dict[Claim, asyncio.Task[ClaimResult]] = {}  # claims that are sought, or were answered just now
+        self.stuck: set[int] = set()  # parts of which a claim has had no answer for long, and none has had one since
         self.told: Counter[Admission] = Counter()
         self.ended: Counter[Ending] = Counter()
 
@@ -136,11 +146,9 @@
         return None
 
     async def _claim(self, operation: str, holder: Holder) -> AdmissionTold:
-        if self.claims is None:
-            return UNAVAILABLE
-        result = await self.claims.claim(Claim(operation, holder), CLAIM_PATIENCE)
-        if result.outcome is Outcome.UNAVAILABLE:
-            return UNAVAILABLE
+        result = await self._sought(Claim(operation, holder))
+        if result is None or result.outcome is Outcome.UNAVAILABLE:
+            return UNAVAILABLE if result is not None or part_of(operation) in self.stuck else NOT_YET
         holds = holder if result.outcome is Outcome.GRANTED else result.holder
         assert holds is not None
         if (holds.life, holds.attempt) == (holder.life, holder.attempt):  # perhaps by another core, its answer lost
@@ -154,6 +162,31 @@
             found = asked
         return AdmissionTold(TOLD_BY_PHASE[found.phase], answer=found.answer)
 
+    async def _sought(self, claim: Claim) -> ClaimResult | None:
+        """The answer to a claim; None if there is none yet: the claim is sought on, for who asks again."""
+        if self.claims is None:
+            return CLAIMS_UNAVAILABLE
+        seeking = self.seeking.get(claim)
+        if seeking is None:
+            seeking = self.seeking[claim] = asyncio.get_running_loop().create_task(self._seek(claim))
+        await asyncio.wait([seeking], timeout=CLAIM_WAIT)
+        return seeking.result() if seeking.done() else None
+
+    async def _seek(self, claim: Claim) -> ClaimResult:
+        assert self.claims is not None
+        part = part_of(claim.operation)
+        late = asyncio.get_running_loop().call_later(STUCK, self.stuck.add, part)
+        try:
+            result = await self.claims.claim(claim, CLAIM_PATIENCE)
+        finally:
+            late.cancel()
+        if result.outcome is Outcome.UNAVAILABLE:
+            del self.seeking[claim]
+        else:
+            self.stuck.discard(part)
+            asyncio.get_running_loop().call_later(ANSWER_KEPT, self.seeking.pop, claim, None)
+        return result
+
     async def _ask_keeper(self, operation: str, holder: Holder) -> Found | None:
         """What the core that keeps an operation's answer knows of it; None if it does not answer."""
         asked = [[operation, holder.to_json()]]
--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -25,8 +25,9 @@
     OperationEnd,
 )
 
-# Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then.
-PATIENCE = 0.25
+# Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then. Doubled, up to the
+# most, with each call in a row that had none: behind a squeezed link cores are slow to answer, and there all the same.
+PATIENCE, PATIENCE_MOST = 0.1, 0.8
 # Seconds that an end waits for asks to travel with.
 GATHER = 0.02
 # Asks and ends that one call takes.
@@ -34,18 +35,19 @@
 # Seconds in which a core that failed is asked only if no other is known.
 AVOID = 2.0
 # Seconds by which asks are counted.
-STEPS = (0.005, 0.01, 0.02, 0.04)
+STEPS = (0.01, 0.02, 0.04, 0.08)
 NOT_TOLD = AdmissionTold(Admission.UNAVAILABLE)
 
 
 @dataclass(slots=True)
 class Waiting:
-    """An ask that waits to be told; `cores` holds those that were asked, the last one last."""
+    """An ask that waits to be told; `cores` holds those that were asked, `by` is the one that told."""
 
     ask: AdmissionAsk
     until: float
     told: asyncio.Future[AdmissionTold]
     cores: list[str] = field(default_factory=list)
+    by: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +77,7 @@
         self.asks: list[Waiting] = []
         self.ends = UntoldEnds(window)
         self.failed: dict[str, float] = {}  # cores that failed, and when
+        self.patience = PATIENCE
         self.waited = 0.0  # seconds that asks took in all
         self._timer: asyncio.TimerHandle | None = None
         self._calls: set[asyncio.Task] = set()
@@ -93,8 +96,8 @@
             if waiting in self.asks:
                 self.asks.remove(waiting)
         self._note(told, self.clock() - begun)
-        definite = told.admission not in (Admission.RUN, Admission.UNAVAILABLE)
-        return Asked(told, tuple(dict.fromkeys(waiting.cores[:-1] if definite else waiting.cores)))
+        refused_by = "" if told.admission in (Admission.RUN, Admission.UNAVAILABLE) else waiting.by
+        return Asked(told, tuple(core for core in dict.fromkeys(waiting.cores) if core != refused_by))
 
     def end(self, cores: tuple[str, ...], operation: str, attempt: str, ending: Ending, answer=None) -> None:
         """Tell these cores how the run of an operation ended."""
@@ -164,7 +167,7 @@
         message = EdgeBatch(self.edge, self.life, [one.ask for one in batch], ends).to_json()
         lane.keep_only(core)
         try:
-            raw = await lane.json("POST", f"http://{core}/admissions", message, PATIENCE, "admissions")
+            raw = await lane.json("POST", f"http://{core}/admissions", message, self.patience, "admissions")
             told = [AdmissionTold.from_json(one) for one in raw["told"]]
             if len(told) != len(batch):
                 raise ValueError("another number of answers than asks")
@@ -172,9 +175,11 @@
             self._lost(core, batch, error)
         else:
             self.failed.pop(core, None)
+            self.patience = PATIENCE
             self.ends.done(core, ends)
             for waiting, one in zip(batch, told, strict=True):
                 if not waiting.told.done():
+                    waiting.by = core
                     waiting.told.set_result(one)
         finally:
             self.idle.append(lane)
@@ -187,6 +192,7 @@
         if now - self.failed.get(core, -AVOID) >= AVOID:
             log_warning("core does not admit", core=core, why=str(error))
         self.failed[core] = now
+        self.patience = min(PATIENCE_MOST, 2 * self.patience)
         self.asks[:0] = [one for one in batch if not one.told.done() and one.until > now]
 
 
--- a/knotwalk/edge/operation_steps.py
+++ b/knotwalk/edge/operation_steps.py
@@ -12,7 +12,10 @@
 
 # Seconds between asks for an operation that another try runs, and between asks while it can't be told.
 REPEAT_LEAST, REPEAT_MOST = 0.05, 0.1
-AGAIN = 0.01
+AGAIN = 0.005
+# Of the aim: how long a request may wait for word that is on its way. Longer than it may wait where there is none: most
+# of what is late by this is told soon, and run in time.
+LATE_PART = 0.5
 # Seconds before a request's deadline at which a repeat is told that the first try still runs: the way to the client.
 CONFLICT_BEFORE = 0.04
 # Seconds until an end that no core took is told again: at first, growing to the most.
@@ -41,20 +44,32 @@
 }
 
 
-def step(admission: Admission, in_work: bool, now: float, patient: float, until: float) -> Step:
-    """What follows. `in_work`: whether its operation was in work at an earlier ask; `patient`: when a request that is
-    not told anything is refused; `until`: its deadline.
+@dataclass(frozen=True, slots=True)
+class Patience:
+    """Times of a request by the steady clock: refused by `early` if nobody can tell, by `late` if it is not told in
+    time, and answered by `until` whatever there is."""
+
+    early: float
+    late: float
+    until: float
+
+
+def step(told: AdmissionTold, in_work: bool, now: float, patience: Patience) -> Step:
+    """What follows. `in_work`: whether its operation was in work at an earlier ask.
+
+    UNAVAILABLE without a time to come back says that the core waits for others' word.
 
-    >>> step(Admission.IN_WORK, False, 1.0, 1.1, 2.0), step(Admission.IN_WORK, True, 1.98, 1.1, 2.0)
-    (<Step.WAIT: 'wait'>, <Step.CONFLICT: 'conflict'>)
-    >>> step(Admission.UNAVAILABLE, False, 1.2, 1.1, 2.0), step(Admission.UNAVAILABLE, True, 1.2, 1.1, 2.0)
-    (<Step.COME_BACK: 'come back'>, <Step.WAIT: 'wait'>)
+    >>> times = Patience(1.1, 1.3, 2.0)
+    >>> step(AdmissionTold(Admission.IN_WORK), False, 1.0, times)
+    <Step.WAIT: 'wait'>
+    >>> [step(AdmissionTold(Admission.UNAVAILABLE, wait), False, 1.2, times) for wait in (0.0, 0.2)]
+    [<Step.WAIT: 'wait'>, <Step.COME_BACK: 'come back'>]
     """
-    if admission in AT_ONCE:
-        return AT_ONCE[admission]
-    if admission is Admission.IN_WORK or in_work:
-        return Step.WAIT if now < until - CONFLICT_BEFORE else Step.CONFLICT
-    return Step.WAIT if now < patient else Step.COME_BACK
+    if told.admission in AT_ONCE:
+        return AT_ONCE[told.admission]
+    if told.admission is Admission.IN_WORK or in_work:
+        return Step.WAIT if now < patience.until else Step.CONFLICT
+    return Step.WAIT if now < (patience.early if told.retry_after else patience.late) else Step.COME_BACK
 
 
 def stored(answer: Answer) -> StoredAnswer:
--- a/knotwalk/edge/operations.py
+++ b/knotwalk/edge/operations.py
@@ -15,12 +15,14 @@
 from knotwalk.edge.admission_calls import AdmissionCalls, Asked
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import HANDS_WAIT, Forwarder
-from knotwalk.edge.forwarding_state import waits_until
+from knotwalk.edge.forwarding_state import CLIENT_WAY, waits_until
 from knotwalk.edge.operation_steps import (
     AGAIN,
     CONFLICT_BEFORE,
+    LATE_PART,
     REPEAT_LEAST,
     REPEAT_MOST,
+    Patience,
     RunEnd,
     Step,
     repeated,
@@ -102,13 +104,14 @@
         """Ask until something follows."""
         cores: tuple[str, ...] = ()  # that may have granted the ask
         in_work = False
+        patience = _patience(exchange)
         since = self.forwarder.clock()  # of the asks that may have been granted, the first
         while True:
-            asked = await self._ask(exchange, ask, in_work)
+            asked = await self._ask(ask, in_work, patience)
             cores = tuple(dict.fromkeys((*cores, *asked.cores)))
             in_work = in_work or asked.told.admission is Admission.IN_WORK
             now = self.forwarder.clock()
-            follows = step(asked.told.admission, in_work, now, _patient(exchange), exchange.until)
+            follows = step(asked.told, in_work, now, patience)
             if exchange.gone and follows in (Step.WAIT, Step.CARRY):
                 follows = Step.COME_BACK
             if follows is Step.CARRY and ask.operation in self.running:
@@ -129,20 +132,20 @@
                 self.calls.end(cores, ask.operation, ask.attempt, Ending.NEVER_RAN)
             self._settle(exchange, ask, follows, asked.told)
 
-    async def _ask(self, exchange: Exchange, ask: AdmissionAsk, in_work: bool) -> Asked:
+    async def _ask(self, ask: AdmissionAsk, in_work: bool, patience: Patience) -> Asked:
         """One ask; a repeat of what runs at this edge waits for its end instead."""
         running = self.running.get(ask.operation) if ask.operation else None
         now = self.forwarder.clock()
         if running is not None:
             try:
-                async with asyncio.timeout(max(0.0, exchange.until - CONFLICT_BEFORE - now)):
+                async with asyncio.timeout(max(0.0, patience.until - now)):
                     ended = await asyncio.shield(running.ended)
             except TimeoutError:
                 return Asked(AdmissionTold(Admission.IN_WORK))
             if (told := ended.as_told()) is not None:
                 return Asked(told)
             now = self.forwarder.clock()
-        until = min(now + ASK_IN_WORK, exchange.until) if in_work else _patient(exchange)
+        until = min(now + ASK_IN_WORK, patience.until) if in_work else patience.late
         return await self.calls.ask(ask, until)
 
     async def _run(self, exchange: Exchange, ask: AdmissionAsk, cores: tuple[str, ...]) -> None:
@@ -184,6 +187,9 @@
             exchange.own(429, "over the limit", wait)
 
 
-def _patient(exchange: Exchange) -> float:
-    """When a request of which nothing is told is refused: early enough that its client's next try may be in time."""
-    return min(waits_until(exchange, exchange.begun), exchange.until - CONFLICT_BEFORE)
+def _patience(exchange: Exchange) -> Patience:
+    """How long a request may wait to be admitted, as its client sees it."""
+    assert exchange.route is not None
+    until = exchange.until - CONFLICT_BEFORE
+    late = exchange.begun + max(0.0, exchange.route.target_latency * LATE_PART - CLIENT_WAY)
+    return Patience(min(waits_until(exchange, exchange.begun), until), min(late, until), until)
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -15,11 +15,12 @@
 from knotwalk.edge.__main__ import Edge
 from knotwalk.edge.admission_calls import AdmissionCalls
 from knotwalk.edge.node_answer import Answer
-from knotwalk.edge.operation_steps import Step, UntoldEnds, repeated, run_end, step, stored
+from knotwalk.edge.operation_steps import AT_ONCE, Patience, Step, UntoldEnds, repeated, run_end, step, stored
 from knotwalk.runtime.logs import clock
 from knotwalk.runtime.serve import Listener, app
 from knotwalk.runtime.settings import parse
 from knotwalk.shared_state.answers import OVERHEAD, Answers, Phase, size_of
+from knotwalk.shared_state.claims import GRANTED, UNAVAILABLE as CLAIMS_UNAVAILABLE
 from knotwalk.shared_state.messages import (
     Admission,
     AdmissionAsk,
@@ -38,19 +39,27 @@
 
 class StepTest(unittest.TestCase):
     def test_each_told_has_what_follows(self):
-        early, late = (1.0, 1.1, 2.0), (1.5, 1.1, 2.0)
+        times = Patience(early=1.1, late=1.3, until=2.0)
+        moments = (1.0, 1.2, 1.4, 2.0)
+        waits = {
+            (Admission.IN_WORK, False): (Step.WAIT, Step.WAIT, Step.WAIT, Step.CONFLICT),
+            (Admission.IN_WORK, True): (Step.WAIT, Step.WAIT, Step.WAIT, Step.CONFLICT),
+            (Admission.UNAVAILABLE, True): (Step.WAIT, Step.WAIT, Step.WAIT, Step.CONFLICT),
+        }
+        hopeless = (Step.WAIT, Step.COME_BACK, Step.COME_BACK, Step.COME_BACK)
+        on_its_way = (Step.WAIT, Step.WAIT, Step.COME_BACK, Step.COME_BACK)
         for admission in Admission:
             for in_work in (False, True):
-                with self.subTest(admission, in_work=in_work):
-                    follows = step(admission, in_work, *early)
-                    if admission in (Admission.IN_WORK, Admission.UNAVAILABLE):
-                        self.assertIs(follows, Step.WAIT)
-                        held = in_work or admission is Admission.IN_WORK
-                        self.assertIs(step(admission, in_work, *late), Step.WAIT if held else Step.COME_BACK)
-                        end = step(admission, in_work, 1.99, 1.1, 2.0)
-                        self.assertIs(end, Step.CONFLICT if held else Step.COME_BACK)
-                    else:
-                        self.assertIs(follows, step(admission, in_work, *late))
+                for wait in (0.0, 0.2):
+                    with self.subTest(admission, in_work=in_work, wait=wait):
+                        told = AdmissionTold(admission, wait)
+                        follows = tuple(step(told, in_work, now, times) for now in moments)
+                        if (admission, in_work) == (Admission.UNAVAILABLE, False):
+                            self.assertEqual(follows, hopeless if wait else on_its_way)
+                        elif admission in AT_ONCE:
+                            self.assertEqual(set(follows), {AT_ONCE[admission]})
+                        else:
+                            self.assertEqual(follows, waits[admission, in_work])
 
     def test_only_what_surely_never_ran_is_given_back(self):
         whole, streamed = Answer(End.ANSWERED), Answer(End.ANSWERED)
@@ -185,11 +194,57 @@
         self.assertNotEqual(*(self.edge("keys").admission_calls.life for _ in range(2)))
 
 
+class SeekingTest(unittest.IsolatedAsyncioTestCase):
+    """Claims that are not answered at once."""
+
+    async def asyncSetUp(self):
+        self.cores = Cores(clock, 1)
+        self.admissions = self.cores[0].admissions
+        self.batch = EdgeBatch("e", "life", [AdmissionAsk("t", OPERATION, "1")])
+        self.answered = asyncio.Event()
+        self.cores.group.claim = self.claim
+        self.claims, self.outcome = [], GRANTED
+
+    async def claim(self, claim, patience):
+        self.claims.append(claim)
+        await self.answered.wait()
+        return self.outcome
+
+    async def ask(self):
+        (told,) = await self.admissions.admit(self.batch)
+        return told
+
+    async def test_who_asks_again_waits_for_the_same_claim(self):
+        self.assertEqual(await self.ask(), AdmissionTold(Admission.UNAVAILABLE, 0.0))
+        self.assertEqual(await self.ask(), AdmissionTold(Admission.UNAVAILABLE, 0.0))
+        self.answered.set()
+        await asyncio.sleep(0)  # it is answered while nobody asks
+        self.assertEqual([(await self.ask()).admission for _ in range(2)], [Admission.RUN] * 2)
+        self.assertEqual(len(self.claims), 1)
+
+    async def test_a_group_that_does_not_answer_is_told_of_until_it_does(self):
+        with mock.patch("knotwalk.control_plane.admissions.STUCK", 0.01):
+            self.assertGreater((await self.ask()).retry_after, 0)
+        self.assertGreater((await self.ask()).retry_after, 0)
+        self.answered.set()
+        self.assertIs((await self.ask()).admission, Admission.RUN)
+        self.answered.clear()
+        self.batch.asks[0] = AdmissionAsk("t", OPERATION[:-1] + "x", "2")  # of the same part
+        self.assertEqual(await self.ask(), AdmissionTold(Admission.UNAVAILABLE, 0.0))
+
+    async def test_a_claim_without_an_outcome_is_asked_for_anew(self):
+        self.outcome = CLAIMS_UNAVAILABLE
+        self.answered.set()
+        for _ in range(3):
+            self.assertGreater((await self.ask()).retry_after, 0)
+        self.assertEqual(len(self.claims), 3)
+
+
 class WireTest(unittest.IsolatedAsyncioTestCase):
     """Asks and ends between a real edge's caller and a real port."""
 
     async def asyncSetUp(self):
-        for bound in ("edge.admission_calls.PATIENCE", "control_plane.admissions.CLAIM_PATIENCE"):
+        for bound in ("edge.admission_calls.PATIENCE", "control_plane.admissions.CLAIM_WAIT"):
             patched = mock.patch(f"knotwalk.{bound}", 60.0)  # a busy machine may stall a test for longer
             patched.start()
             self.addCleanup(patched.stop)
