--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -26,12 +26,14 @@
 )
 
 # Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then. Doubled, up to the
-# most, with each call in a row that had none: behind a squeezed link cores are slow to answer, and there all the same.
+# most, with each call in a row that has none in time: behind a squeezed link cores are slow to answer, and there all the same.
 PATIENCE, PATIENCE_MOST = 0.1, 0.8
 # Seconds that an end waits for asks to travel with.
 GATHER = 0.02
 # Asks and ends that one call takes.
 MOST = 200
+# Seconds between calls while no core is known that did not fail lately: a port that refuses answers at once.
+PAUSE = 0.02
 # Seconds in which a core that failed is asked only if no other is known.
 AVOID = 2.0
 # Seconds by which asks are counted.
@@ -139,7 +141,7 @@
         """Begin calls while there is something to tell and a lane is free."""
         while self.idle:
             now = self.clock()
-            core = self._core(now) if self.asks else None
+            core = self._core() if self.asks else None
             if core is None:
                 due = self.ends.due(now)
                 if not due:
@@ -156,23 +158,25 @@
         if self.idle and (next_due := self.ends.next_due()) is not None:
             self._start_later(max(GATHER, next_due - self.clock()))
 
-    def _core(self, now: float) -> str | None:
-        """The core to ask: the best of those that did not fail lately."""
-        known = self.cores()
-        return next(
-            (core for core in known if now - self.failed.get(core, -AVOID) >= AVOID), known[0] if known else None
-        )
+    def _core(self) -> str | None:
+        """The core to ask: the best of those that did not fail lately, else the best of all."""
+        return min(self.cores(), key=self._avoided, default=None)
+
+    def _avoided(self, core: str) -> bool:
+        """Whether a core failed lately."""
+        return self.clock() - self.failed.get(core, -AVOID) < AVOID
 
     async def _call(self, lane: Caller, core: str, batch: list[Waiting], ends: list[OperationEnd]) -> None:
         message = EdgeBatch(self.edge, self.life, [one.ask for one in batch], ends).to_json()
         lane.keep_only(core)
+        begun = self.clock()
         try:
             raw = await lane.json("POST", f"http://{core}/admissions", message, self.patience, "admissions")
             told = [AdmissionTold.from_json(one) for one in raw["told"]]
             if len(told) != len(batch):
                 raise ValueError("another number of answers than asks")
         except (PeerError, KeyError, TypeError, ValueError) as error:
-            self._lost(core, batch, error)
+            self._lost(core, batch, error, self.clock() - begun)
         else:
             self.failed.pop(core, None)
             self.patience = PATIENCE
@@ -183,16 +187,20 @@
                     waiting.told.set_result(one)
         finally:
             self.idle.append(lane)
-        self._start_calls()
+        if all(self._avoided(one) for one in self.cores()):
+            self._start_later(PAUSE)
+        else:
+            self._start_calls()
 
-    def _lost(self, core: str, batch: list[Waiting], error: Exception) -> None:
+    def _lost(self, core: str, batch: list[Waiting], error: Exception, took: float) -> None:
         """A call has no answer: its asks go on to another core while they may."""
         now = self.clock()
         self.counts()["asks lost"] += 1
-        if now - self.failed.get(core, -AVOID) >= AVOID:
+        if not self._avoided(core):
             log_warning("core does not admit", core=core, why=str(error))
         self.failed[core] = now
-        self.patience = min(PATIENCE_MOST, 2 * self.patience)
+        if took >= self.patience:
+            self.patience = min(PATIENCE_MOST, 2 * self.patience)
         self.asks[:0] = [one for one in batch if not one.told.done() and one.until > now]
 
 
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -300,6 +300,14 @@
             self.assertIs(asked.told.admission, Admission.RUN)
         self.assertEqual(asked.cores, (self.known[1],))  # it was asked alone, the other is left for a while
 
+    async def test_cores_that_refuse_are_not_called_without_a_pause(self):
+        self.known = ["127.0.0.1:9", "127.0.0.1:10"]
+        asked = await self.calls.ask(AdmissionAsk("t", OPERATION, "a1"), clock() + 0.3)
+        self.assertIs(asked.told.admission, Admission.UNAVAILABLE)
+        calls = sum(lane.calls for lane in self.calls.lanes)
+        self.assertTrue(2 <= calls <= 20, calls)
+        self.assertEqual(set(asked.cores), set(self.known))
+
     async def test_a_lane_keeps_one_connection(self):
         await self.ask("a1")
         lane = next(lane for lane in self.calls.lanes if lane.kept)
