Keys of tenants: the look-up takes over what did not change; an edge starts by settings it doesn't know whole

A test starts an edge's program by settings with unknown contracts, fields, listeners and nulls: the program's wiring was under no test of the edge alone, and broke once.

--- a/knotwalk/configuration/tenants.py
+++ b/knotwalk/configuration/tenants.py
@@ -9,20 +9,31 @@
 from knotwalk.configuration.objects import Tenant
 
 
+def digests(tenant: Tenant) -> list[bytes]:
+    """The SHA-256 of each of a tenant's keys."""
+    return [sha256(key.encode("utf-8", "surrogatepass")).digest() for key in tenant.api_keys]
+
+
 class TenantKeys:
     """Look-up from a key to its tenant; it is never changed after it was built, and holds no key.
 
-    It is looked up by digest, so that the time it takes tells nothing of the keys that are held."""
+    It is looked up by digest, so that the time it takes tells nothing of the keys that are held. What `before` has of
+    tenants that are the same is taken over: a change of one among many thousands must not hold up requests."""
 
     __slots__ = ("_held", "tenants")
 
-    def __init__(self, tenants: Mapping[str, Tenant]):
+    def __init__(self, tenants: Mapping[str, Tenant], before: TenantKeys | None = None):
         self.tenants = tenants
-        self._held: dict[bytes, tuple[bytes, Tenant]] = {}
-        for tenant in tenants.values():
-            for key in tenant.api_keys:
-                digest = sha256(key.encode("utf-8", "surrogatepass")).digest()
-                self._held[digest] = digest, tenant
+        known: Mapping[str, Tenant] = before.tenants if before else {}
+        self._held: dict[bytes, tuple[bytes, Tenant]] = dict(before._held) if before else {}
+        for name, tenant in known.items():
+            if (now := tenants.get(name)) is not tenant and now != tenant:
+                for digest in digests(tenant):
+                    del self._held[digest]
+        for name, tenant in tenants.items():
+            if (then := known.get(name)) is not tenant and then != tenant:
+                for digest in digests(tenant):
+                    self._held[digest] = digest, tenant
 
     def find(self, key: bytes) -> Tenant | None:
         """The tenant that holds a key, as it stands in a request; None if nobody does."""
@@ -48,4 +59,4 @@
     """The look-up for `tenants`; the one `before` where nothing about them has changed."""
     if before is not None and before.tenants == tenants:
         return before
-    return TenantKeys(tenants)
+    return TenantKeys(tenants, before)
--- a/tests/system/test_tenants.py
+++ b/tests/system/test_tenants.py
@@ -3,6 +3,8 @@
 import json
 import unittest
 
+from hypothesis import given, settings, strategies as some
+
 from knotwalk.configuration.objects import Tenant
 from knotwalk.configuration.read import Invalid, difference, document, patched, read_configuration
 from knotwalk.configuration.tenants import TenantKeys, tenant_keys
@@ -15,6 +17,18 @@
     return {"object_kind": "tenants", "metadata": {"name": name}, "specification": {"api_keys": list(keys), **fields}}
 
 
+def _table(owners):
+    """Tenants that share no key, from the owner of each key; a name stands for its rate as well."""
+    names = sorted({name for name in owners.values() if name})
+    return {
+        name: Tenant(name, tuple(key for key, owner in owners.items() if owner == name), None, len(name))
+        for name in names
+    }
+
+
+TABLES = some.dictionaries(some.sampled_from("abcdefgh"), some.sampled_from(["", "one", "two", "three"])).map(_table)
+
+
 class ReadingCase(unittest.TestCase):
     def test_a_tenant_and_what_it_is_by_default(self):
         sent = tenant("a", "k1", "k2", "k1", priority=1, rate_per_s=102, burst_size=0.5), tenant("b", "k3")
@@ -96,6 +110,13 @@
             with self.subTest(key):
                 self.assertIsNone(keys.find(key))
 
+    @given(TABLES, TABLES)
+    @settings(max_examples=200, deadline=None, database=None)
+    def test_a_look_up_made_of_the_one_before_is_as_one_made_anew(self, old, new):
+        keys = tenant_keys(new, tenant_keys(old))
+        found = {key: keys.find(key.encode()) for key in "abcdefgh"}
+        self.assertEqual(found, {key: next((t for t in new.values() if key in t.api_keys), None) for key in "abcdefgh"})
+
     def test_the_look_up_is_built_anew_only_where_tenants_changed(self):
         base = read_configuration(whole(tenant("a", "k1"), route("r")))
         keys = tenant_keys(base.tenants)
--- a/tests/system/test_unknown_words.py
+++ b/tests/system/test_unknown_words.py
@@ -1,12 +1,19 @@
 """Words, fields and kinds that a program does not know: it goes on with what it knows, and serves."""
 
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
 import unittest
 
 from knotwalk.configuration.control import refused_place
 from knotwalk.configuration.index import Index
 from knotwalk.configuration.read import Invalid, read_configuration
 from knotwalk.configuration.unknown import unknown_words
-from knotwalk.runtime.settings import parse, unknown_contracts
+from knotwalk.runtime.settings import VARIABLE, parse, unknown_contracts
 from tests.system.test_configuration import route, service
 
 
@@ -14,6 +21,15 @@
     return {"config_version": "r1", "objects": [service("calm"), *items]}
 
 
+def free_ports(count):
+    """Addresses on loopback that nobody has now."""
+    made = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    found = ["{}:{}".format(*one.getsockname()) for one in made]
+    for one in made:
+        one.close()
+    return found
+
+
 class NoRequestServedCase(unittest.TestCase):
     """One unknown word refused the whole first configuration, and no edge was ever ready."""
 
@@ -56,6 +72,30 @@
         raw = {"node_name": "n", "zone": None, "region": None, "active_contracts": None, "role": None}
         self.assertEqual(parse(raw | {"limits": {"cpu_share": None}, "timing_bounds": {"contact": None}}), plain)
 
+    def test_an_edge_starts_by_settings_that_hold_what_it_does_not_know(self):
+        raw = {
+            "node_name": "e",
+            "moon": {"deep": [1]},
+            "region": None,
+            "active_contracts": ["base", "tenants", "moons"],
+            "timing_bounds": {"global_revocation": True, "moon_phase": True},
+            "listen_addresses": {"data_plane": "127.0.0.1:1", "readiness": "127.0.0.1:1", "moon": "127.0.0.1:1"},
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "node.json")
+            ports = free_ports(2)
+            raw["listen_addresses"] |= dict(zip(("data_plane", "readiness"), ports, strict=True))
+            path.write_text(json.dumps(raw))
+            command = [sys.executable, "-m", "knotwalk.edge"]
+            with subprocess.Popen(command, env=os.environ | {VARIABLE: str(path)}, stderr=subprocess.PIPE) as edge:
+                lines = []
+                while not lines or json.loads(lines[-1])["event"] not in ("listening", "ended by an error"):
+                    lines.append(edge.stderr.readline())
+                edge.terminate()
+                lines += edge.stderr.readlines()
+        events = [json.loads(line)["event"] for line in lines]
+        self.assertEqual((events[0], events[-1], edge.returncode), ("contracts not known", "ended", 0))
+
     def test_a_route_type_that_is_missing_or_no_text_is_invalid(self):
         for wrong in (..., None, 7, "", ["idempotent"], True):
             with self.subTest(wrong), self.assertRaises(Invalid):
