--- a/knotwalk/configuration/read.py
+++ b/knotwalk/configuration/read.py
@@ -85,9 +85,8 @@
         if type(name) is not str or not name and kind in NAMED:
             raise Invalid(f"{where}[{place}]", "metadata must carry a name")
         if kind in (*NAMED, "limits") and type(item.get("specification")) is not dict:
-            raise Invalid(
-                f"{where}[{place}]", f"specification must be an object, not {shown(item.get('specification'))}"
-            )
+            sent = "" if kind == "tenants" else f", not {shown(item.get('specification'))}"  # it may hold a key
+            raise Invalid(f"{where}[{place}]", f"specification must be an object{sent}")
         which = LIMITS if kind == "limits" else (kind, name)
         if which in items:
             raise Invalid(
--- a/tests/system/test_tenants.py
+++ b/tests/system/test_tenants.py
@@ -5,6 +5,8 @@
 
 from hypothesis import given, settings, strategies as some
 
+from knotwalk.configuration.control import judge
+from knotwalk.configuration.history import History
 from knotwalk.configuration.objects import Tenant
 from knotwalk.configuration.read import Invalid, difference, document, patched, read_configuration
 from knotwalk.configuration.tenants import TenantKeys, tenant_keys
@@ -49,6 +51,7 @@
 
     def test_what_is_wrong_has_one_line_that_shows_no_key(self):
         for specification, line in (
+            (SECRET, "objects[0]: specification must be an object"),
             ({"api_keys": SECRET}, 'tenant "a": api_keys must be a list of texts'),
             ({"api_keys": [SECRET, 7]}, 'tenant "a": api_keys must be a list of texts'),
             ({"api_keys": [SECRET, ""]}, 'tenant "a": api_keys must be a list of texts'),
@@ -100,6 +103,13 @@
         self.assertEqual([tenant("a", "k3")], less["upsert"]["objects"])
         self.assertEqual(made, patched(self.base, json.loads(json.dumps(less))))
 
+    def test_an_order_that_has_two_tenants_share_a_key_is_refused_as_invalid(self):
+        body = json.dumps({"config_version": "r2", "upsert": {"objects": [tenant("c", "x", "k2")]}}).encode()
+        verdict = judge(self.base, History(), "PATCH", "r1", body)
+        self.assertEqual((verdict.status, verdict.message), (400, 'tenant "c": has a key of tenant "b"'))
+        body = json.dumps(whole(tenant("a", "k"), tenant("b", "k"), version="r2")).encode()
+        self.assertEqual(judge(self.base, History(), "PUT", "r1", body).status, 400)
+
 
 class KeysCase(unittest.TestCase):
     def test_a_key_is_found_whole_or_not_at_all(self):
