--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -32,7 +32,7 @@
 
 # Seconds that an ask waits for its tenant's allowance, and for its claim; asked again, it waits for the same claim.
 ALLOWANCE_PATIENCE = 0.03
-CLAIM_WAIT = 0.04
+CLAIM_WAIT = 0.03
 # Seconds for which a claim is sought; past STUCK without an answer its group is taken to have no leader.
 CLAIM_PATIENCE, STUCK = 0.5, 0.15
 # Seconds for which the answer to a claim is kept for who asks again.
@@ -42,7 +42,7 @@
 # Seconds past the longest time of a keyed route within which an edge has told how a run ended, or is gone.
 TELLING = 5.0
 # Seconds for another core's word of an operation that it keeps.
-ANSWER_PATIENCE = 0.05
+ANSWER_PATIENCE = 0.03
 
 UNAVAILABLE = AdmissionTold(Admission.UNAVAILABLE, STUCK_PAUSE)
 NOT_YET = AdmissionTold(Admission.UNAVAILABLE)
--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -27,7 +27,7 @@
 
 # Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then. Doubled, up to the
 # most, with each call in a row that has none in time: behind a squeezed link cores are slow, and there all the same.
-PATIENCE, PATIENCE_MOST = 0.1, 0.8
+PATIENCE, PATIENCE_MOST = 0.15, 0.8
 # Seconds that an end waits for asks to travel with.
 GATHER = 0.02
 # Asks and ends that one call takes.
