Core: a claim is begun while the tenant's allowance is waited for; a late allowance is no lack of a leader

A claim that was begun and is over the limit is given back by the core, since its edge refuses the request for good. Ruled out: claims for all tenants at once, since a storm would claim for nothing; one that is over its limit at once claims nothing.

--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable
 from typing import Protocol
@@ -92,6 +93,7 @@
         self.caller, self.clock = caller, clock
         self.seeking: dict[Claim, asyncio.Task[ClaimResult]] = {}  # claims that are sought, or were answered just now
         self.stuck: set[int] = set()  # parts of which a claim has had no answer for long, and none has had one since
+        self.taken_at = -math.inf  # when an allowance was told of last
         self.told: Counter[Admission] = Counter()
         self.ended: Counter[Ending] = Counter()
 
@@ -124,14 +126,36 @@
         holder = Holder(self.me, life, ask.attempt)
         if ask.operation and (told := self._known(ask.operation, holder)) is not None:
             return told
-        if ask.tenant:
-            taken = await self.allowances.take(ask.tenant, ALLOWANCE_PATIENCE)
-            if taken.admission is not Admission.RUN:
-                return taken
-        told = await self._claim(ask.operation, holder) if ask.operation else RUN
-        if ask.tenant and told.admission is not Admission.RUN:
-            self.allowances.give_back(ask.tenant)
-        return told
+        if not ask.operation:
+            return await self._take(ask.tenant)
+        if not ask.tenant:
+            return await self._claim(ask.operation, holder)
+        return await self._take_and_claim(ask, holder)
+
+    async def _take_and_claim(self, ask: AdmissionAsk, holder: Holder) -> AdmissionTold:
+        """Take of the allowance and claim the operation; the claim is begun while the allowance is waited for."""
+        taking = asyncio.get_running_loop().create_task(self._take(ask.tenant))
+        await asyncio.sleep(0)  # what is at hand is given in this turn
+        if taking.done() and taking.result().admission is not Admission.RUN:
+            return taking.result()
+        told, taken = await asyncio.gather(self._claim(ask.operation, holder), taking)
+        if taken.admission is Admission.RUN:
+            if told.admission is not Admission.RUN:
+                self.allowances.give_back(ask.tenant)
+            return told
+        if told.admission in (Admission.IN_WORK, Admission.ANSWERED, Admission.UNKNOWN):
+            return told  # it needs no allowance
+        if taken.admission is Admission.OVER_LIMIT:  # the edge refuses it for good
+            self._end(holder.life, OperationEnd(ask.operation, ask.attempt, Ending.NEVER_RAN))
+        return taken
+
+    async def _take(self, tenant: str) -> AdmissionTold:
+        """Take one request's allowance; where others had theirs just now, it is only late."""
+        taken = await self.allowances.take(tenant, ALLOWANCE_PATIENCE)
+        now = self.clock()
+        if taken.admission is not Admission.UNAVAILABLE:
+            self.taken_at = now
+        return NOT_YET if taken.admission is Admission.UNAVAILABLE and now - self.taken_at < STUCK else taken
 
     def _known(self, operation: str, holder: Holder) -> AdmissionTold | None:
         """What can be told of an operation that this core has let run; None if the claim must be asked for."""
--- a/tests/standins/cores.py
+++ b/tests/standins/cores.py
@@ -50,8 +50,11 @@
 
     def __init__(self) -> None:
         self.left: dict[str, int] = {}
+        self.pause = 0.0
 
     async def take(self, tenant: str, patience: float) -> AdmissionTold:
+        if self.pause:
+            await asyncio.sleep(self.pause)
         left = self.left.get(tenant)
         if left is None:
             return AdmissionTold(Admission.RUN)
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -232,6 +232,18 @@
         self.batch.asks[0] = AdmissionAsk("t", OPERATION[:-1] + "x", "2")  # of the same part
         self.assertEqual(await self.ask(), AdmissionTold(Admission.UNAVAILABLE, 0.0))
 
+    async def test_an_allowance_is_late_while_others_have_theirs_and_else_not_to_be_had(self):
+        late = AdmissionTold(Admission.UNAVAILABLE, 0.2)
+        self.batch.asks[0] = AdmissionAsk("t", "", "1")
+        limits = self.cores.limits
+        with mock.patch.object(limits, "take", return_value=late):
+            self.assertEqual(await self.ask(), late)
+        self.assertIs((await self.ask()).admission, Admission.RUN)
+        with mock.patch.object(limits, "take", return_value=late):
+            self.assertEqual(await self.ask(), AdmissionTold(Admission.UNAVAILABLE, 0.0))
+            self.admissions.taken_at -= 1.0
+            self.assertEqual(await self.ask(), late)
+
     async def test_a_claim_without_an_outcome_is_asked_for_anew(self):
         self.outcome = CLAIMS_UNAVAILABLE
         self.answered.set()
--- a/tests/system/test_operations.py
+++ b/tests/system/test_operations.py
@@ -366,6 +366,24 @@
         self.assertEqual((await self.ask("a3", key="other"))[0], 429)
         self.assertEqual(self.runs(), 1)
 
+    async def test_a_claim_begun_while_the_limit_was_asked_for_is_given_back(self):
+        await self.begin()
+        self.cores.limits.left["t"] = 0
+        self.cores.limits.pause = 0.03
+        self.assertEqual((await self.ask("a1"))[0], 429)
+        self.cores.limits.left["t"] = 1
+        self.assertEqual((await self.ask("a2", 1))[0], 200)
+        await self.told()
+        self.assertEqual(self.cores.limits.left["t"], 0)
+        self.assertEqual((await self.ask("a3"))[0], 200)  # a repeat, which needs no allowance
+        self.assertEqual(self.runs(), 1)
+
+    async def test_over_the_limit_at_once_claims_nothing(self):
+        await self.begin()
+        self.cores.limits.left["t"] = 0
+        self.assertEqual((await self.ask("a1"))[0], 429)
+        self.assertEqual(self.cores.group.claiming, [])
+
     async def test_a_claim_that_is_not_granted_gives_the_allowance_back(self):
         await self.begin(aim=0.4)
         self.cores.limits.left["t"] = 1
