--- a/knotwalk/control_plane/claim_groups.py
+++ b/knotwalk/control_plane/claim_groups.py
@@ -20,7 +20,7 @@
 MESSAGES, CLAIMS = "/claim-groups", "/claims"  # paths of the peers' port
 KEPT_WAIT = 0.02  # seconds that the answer to messages waits for what they brought to be kept
 BACK = frozenset({"appended", "taken", "voted", "prevoted", "redirect", "gone"})  # messages that answer others
-GATHER = 0.004  # seconds for which claims gather before they are proposed together
+GATHER = 0.008  # seconds for which claims gather before they are proposed together, or asked of their leader
 BATCH = 500  # claims of one entry
 CALL_PATIENCE = 0.5  # seconds for a call that asks a leader
 TAKEN_PATIENCE = 0.4  # seconds for a peer's claims: less than it waits
@@ -133,6 +133,7 @@
 
     async def _ask(self, leader: str) -> None:
         """Ask a peer for all claims whose groups it leads; what stays open is asked again later."""
+        await asyncio.sleep(GATHER)
         batch = [
             one for group in self.groups if group.machine.leader == leader for one in group.waiting.take(clock(), BATCH)
         ]
--- a/knotwalk/shared_state/claims.py
+++ b/knotwalk/shared_state/claims.py
@@ -14,7 +14,7 @@
 from knotwalk.shared_state.messages import Claim, Holder
 
 FORMAT = 1  # of snapshots
-CLAIMS_MOST = 60_000  # claims of one group; past it none is taken until older ones are dropped
+CLAIMS_MOST = 100_000  # claims of one group; past it none is taken until older ones are dropped
 # Seconds past `key_period` that a claim holds. A holder must not send its request later than this after it asked for
 # the claim, less the drift of two steady clocks within the period.
 MARGIN = 10.0
--- a/knotwalk/shared_state/messages.py
+++ b/knotwalk/shared_state/messages.py
@@ -12,7 +12,7 @@
 from enum import Enum
 
 # Parts of the operations, each agreed on by a group of its own. All machines of a cluster must hold the same number.
-PARTS = 3
+PARTS = 1
 
 
 def operation_id(tenant: str, key: str) -> str:
