--- a/tests/simulation/programs.py
+++ b/tests/simulation/programs.py
@@ -23,13 +23,15 @@
 from knotwalk.control_plane.compaction import Compaction
 from knotwalk.edge import link
 from knotwalk.runtime import life, logs
-from knotwalk.runtime.settings import Machine, Platform, Settings, Tolerance
+from knotwalk.runtime.settings import Bounds, Machine, Platform, Settings, Tolerance
+from knotwalk.shared_state import messages
 from tests.simulation.disk import Disk, Store
 from tests.simulation.loop import PROCESS, Process, clock
 from tests.simulation.wire import App, Caller, Listener, Wire
 
 PEERS, CONTROL = 7660, 8080  # ports of a core
 PLATFORM = ("10.9.0.1", 80)
+KEY_PERIOD, MARGIN = 4.0, 0.5  # seconds, of walks: so short that claims end within them
 SAYS = ("log_info", "log_warning", "log_exception")
 ROOMS = (
     program,
@@ -60,8 +62,9 @@
 
 
 @contextlib.contextmanager
-def in_place(wire: Wire, seed: int, say: Any, compact: int, trail: int) -> Iterator[None]:
-    """The rooms of core and edge, with a world's clocks, wire, disks and chance. `say` hears their log."""
+def in_place(wire: Wire, seed: int, say: Any, compact: int, trail: int, parts: int = 1) -> Iterator[None]:
+    """The rooms of core and edge, with a world's clocks, wire, disks and chance. `say` hears their log. Operations have
+    `parts`, each with a group of its own."""
     chance = random.Random(f"programs {seed}")
 
     def told(event: str, **fields: object) -> None:
@@ -86,6 +89,9 @@
         put(life.Ending, "listen", lambda ending: None)
         put(Compaction, "due", lambda made, *worth: _due(made, compact))
         put(consensus_machine, "TRAIL", trail)
+        for room in (messages, claim_group, claim_groups):
+            put(room, "PARTS", parts)
+        put(claim_group, "MARGIN", MARGIN)
         yield
 
 
@@ -104,6 +110,7 @@
         tolerance=Tolerance(machines=machines),
         platform=Platform(address=PLATFORM),
         contracts=["keys"] if keyed else [],
+        bounds=Bounds(key_period=KEY_PERIOD),
     )
 
 
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -14,7 +14,7 @@
 from knotwalk.edge.link import Link
 from knotwalk.runtime.errors import value
 from knotwalk.runtime.units import seconds
-from knotwalk.shared_state.messages import PARTS
+from knotwalk.shared_state import messages
 from tests.simulation import keys_judge
 from tests.simulation.disk import Disk
 from tests.simulation.judges import Edges, Judge, Letters
@@ -150,7 +150,7 @@
 
     def whole(self) -> bool:
         """Whether all members run and hold all that is committed, so that the core bears the loss of any one."""
-        groups = range(PARTS) if self.keyed else ()
+        groups = range(messages.PARTS) if self.keyed else ()
         return self._whole(None) and all(self._whole(group) for group in groups)
 
     def _whole(self, group: int | None) -> bool:
