Claims: walks with claimants, their judge and seeded mistakes; one part of the operations

Who runs an operation was tested by single stories only. Walks now have claimants that ask for the same operations through several machines while these crash, freeze, are cut and lose disks; a judge by the world's true time tells an operation that is granted to two holders within its window.

--- a/knotwalk/control_plane/claim_groups.py
+++ b/knotwalk/control_plane/claim_groups.py
@@ -129,7 +129,7 @@
                 self._settle(batch, results)
         finally:
             group.proposing = False
-            self.pump()
+        self.pump()
 
     async def _ask(self, leader: str) -> None:
         """Ask a peer for all claims whose groups it leads; what stays open is asked again later."""
--- /dev/null
+++ b/tests/system/test_claims_simulation.py
@@ -0,0 +1,73 @@
+"""A fixed set of walks with claimants, and the mistakes in the groups for claims that such walks must find."""
+
+import unittest
+
+from knotwalk.shared_state.claims import GRANTED, ClaimResult, Outcome
+from knotwalk.shared_state.messages import Claim, Holder
+from tests.simulation.claims_judge import Claims
+from tests.simulation.claims_mistakes import MISTAKES
+from tests.simulation.claims_walk import find, walk
+from tests.simulation.judges import Judge
+from tests.simulation.loop import VirtualLoop
+
+WALKS = 3
+
+
+class WalksTest(unittest.TestCase):
+    def test_no_operation_is_granted_to_two_on_walks(self):
+        for seed in range(WALKS):
+            with self.subTest(seed=seed):
+                found = walk(seed)
+                self.assertEqual(found.broken, [])
+                self.assertGreater(found.changes, 50)  # claims granted
+
+    def test_each_mistake_is_found(self):
+        for name, mistake in MISTAKES.items():
+            with self.subTest(name):
+                found = find(mistake)
+                self.assertIsNotNone(found, f"not found in {mistake.within} walks")
+                self.assertNotRegex(found.broken[0], "TypeError|AttributeError|NameError")
+                self.assertRegex(found.broken[0], "granted")
+
+
+class JudgeTest(unittest.TestCase):
+    """The judge by itself."""
+
+    def setUp(self):
+        self.judge, self.loop = Judge(), VirtualLoop(0)
+        self.claims = Claims(self.judge, self.loop, 4.0)
+
+    def granted(self, at, holder):
+        self.loop.now = at
+        self.claims.answered(self.claim(holder), GRANTED)
+
+    def claim(self, holder):
+        return Claim("o" * 32, Holder("core", "life", holder))
+
+    def test_two_holders_within_the_window_are_told(self):
+        self.granted(1.0, "a")
+        self.granted(4.9, "b")
+        self.assertEqual(len(self.judge.broken), 1)
+
+    def test_a_second_holder_after_the_window_or_after_a_release_is_none(self):
+        self.granted(1.0, "a")
+        self.granted(5.0, "b")
+        self.claims.releases(self.claim("b"))
+        self.granted(5.1, "c")
+        self.assertEqual(self.judge.broken, [])
+
+    def test_a_grant_after_a_release_counts(self):
+        self.granted(1.0, "a")
+        self.claims.releases(self.claim("a"))
+        self.granted(2.0, "a")
+        self.granted(3.0, "b")
+        self.assertEqual(len(self.judge.broken), 1)
+
+    def test_who_is_told_to_be_held_off_by_itself_is_told(self):
+        one = self.claim("a")
+        self.claims.answered(one, ClaimResult(Outcome.HELD, one.holder))
+        self.assertEqual(len(self.judge.broken), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
