--- a/knotwalk/control_plane/claim_groups.py
+++ b/knotwalk/control_plane/claim_groups.py
@@ -11,6 +11,7 @@
 from knotwalk.control_plane.claim_group import Group, Home
 from knotwalk.control_plane.claim_queue import Waiting
 from knotwalk.control_plane.consensus_driver import Lost, NotLeader
+from knotwalk.control_plane.message_packing import pack, unpack
 from knotwalk.control_plane.peer_lanes import PeerLanes
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_warning
@@ -32,7 +33,7 @@
 
     def __init__(self, home: Home):
         self.caller, self.key_period = home.caller, home.settings.bounds.key_period
-        self.lanes = PeerLanes(home.caller, MESSAGES, "claim groups", self._answered)
+        self.lanes = PeerLanes(home.caller, MESSAGES, "claim groups", self._answered, pack)
         self.collecting: dict[str, list[dict]] = {}  # by peer: answers that go back with the one to its call
         self.kept = asyncio.Event()
         self.asking: set[str] = set()  # peers that a call with claims is under way to
@@ -186,8 +187,11 @@
             back[:] = [one for one in back if (one["type"], one["group"], one["to"]) != same]
         back.append(message)
 
-    def _answered(self, messages: list[dict]) -> None:
+    def _answered(self, messages: list) -> None:
         """Messages that came back with the answer to a call."""
+        self._receive([unpack(message) for message in messages])
+
+    def _receive(self, messages: list[dict]) -> None:
         now, touched = clock(), set()
         for message in messages:
             part = message.get("group", 0)
@@ -197,13 +201,14 @@
         for part in touched:
             self.groups[part].driver.carry_out()
 
-    async def exchange(self, messages: list[dict]) -> list[dict]:
+    async def exchange(self, packed: list) -> list:
         """A peer's messages. What answers them goes back with the answer, also what waits for the disk for a while."""
+        messages = [unpack(message) for message in packed]
         origin = messages[0].get("at", "") if messages else ""
         back = self.collecting[origin] = []
         until = clock() + KEPT_WAIT
         try:
-            self._answered(messages)
+            self._receive(messages)
             while any(group.machine.unkept for group in self.groups) and (left := until - clock()) > 0:
                 self.kept.clear()
                 try:
@@ -213,7 +218,7 @@
         finally:
             if self.collecting.get(origin) is back:
                 del self.collecting[origin]
-        return back
+        return [pack(message) for message in back]
 
     # --- the end ----------------------------------------------------------------------------------
 
--- a/knotwalk/control_plane/peer_lanes.py
+++ b/knotwalk/control_plane/peer_lanes.py
@@ -24,10 +24,18 @@
 
 
 class PeerLanes:
-    """All lanes of one path of the peers' port. `receive` hears the messages that come back with an answer."""
+    """All lanes of one path of the peers' port. `receive` hears the messages that come back with an answer; `pack` says
+    how a message goes over the wire."""
 
-    def __init__(self, caller: Caller, path: str, step: str, receive: Callable[[list[dict]], None]):
-        self.caller, self.path, self.step, self.receive = caller, path, step, receive
+    def __init__(
+        self,
+        caller: Caller,
+        path: str,
+        step: str,
+        receive: Callable[[list], None],
+        pack: Callable[[dict], Any] = lambda message: message,
+    ):
+        self.caller, self.path, self.step, self.receive, self.pack = caller, path, step, receive, pack
         self.outbox: dict[Lane, list[dict]] = {}
         self.posting: set[Lane] = set()
         self.tasks: set[asyncio.Task] = set()
@@ -54,8 +62,9 @@
         try:
             while messages := self.outbox.pop(lane, None):
                 try:
+                    packed = [self.pack(message) for message in messages]
                     answers = await self.caller.json(
-                        "POST", f"http://{lane.address}{self.path}", messages, PATIENCE, self.step
+                        "POST", f"http://{lane.address}{self.path}", packed, PATIENCE, self.step
                     )
                 except PeerError:
                     continue
--- a/tests/simulation/claims_walk.py
+++ b/tests/simulation/claims_walk.py
@@ -11,6 +11,7 @@
 import random
 import time
 
+from knotwalk.control_plane.message_packing import unpack
 from tests.simulation import faults, programs
 from tests.simulation.claimants import Claimants
 from tests.simulation.claims_mistakes import MISTAKES
@@ -32,7 +33,7 @@
         """A message is on its way."""
         self.others(sender, to, path, body)
         if path.endswith("/claim-groups"):
-            messages = json.loads(body)
+            messages = [unpack(one) for one in json.loads(body)]
             for part, letters in enumerate(self.groups):
                 found = [one for one in messages if one["group"] == part]
                 letters.heard(sender, to, "/consensus", json.dumps(found).encode())
--- a/tests/system/test_claims.py
+++ b/tests/system/test_claims.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from unittest import mock
 
+from knotwalk.control_plane.message_packing import pack, unpack
 from knotwalk.shared_state import claims
 from knotwalk.shared_state.claims import (
     AGREED_WITHIN,
@@ -173,6 +174,28 @@
             self.assertEqual(list(again.claims.items()), list(log.table.claims.items()))
 
 
+class PackingTest(unittest.TestCase):
+    def test_messages_come_out_as_they_went_in(self):
+        head = {"from": "1.2.3.4:7#founder", "at": "1.2.3.4:7", "to": "1.2.3.5:7#0f", "term": 3, "group": 1}
+        append = {"prev": 4, "prev_term": 2, "entries": [[5, 3, "noop", {}]], "commit": 4, "stamp": 1.5, "round": 0}
+        appended = {"ok": True, "match": 4, "have": 5, "stamp": 1.5, "round": 0}
+        refused = {"ok": False, "prev": 4, "conflict_term": None, "conflict": 2, "stamp": 1.5, "round": 0}
+        for kind, rest in (
+            ("append", append),
+            ("appended", appended),
+            ("appended", refused),
+            ("appended", {"ok": False, "prev": -1}),
+            ("vote", {"last": 1}),
+        ):
+            for sender in (head["from"], "another:7#1"):
+                message = {"type": kind, **head, **rest, "from": sender}
+                with self.subTest(message):
+                    self.assertEqual(unpack(json.loads(json.dumps(pack(message)))), message)
+        self.assertIsInstance(pack({"type": "append", **head, **append}), list)
+        with self.assertRaises(ValueError):
+            unpack([0, 1, "a", "#b", "c"])
+
+
 class GroupClockTest(unittest.TestCase):
     def test_a_leader_counts_what_passed_since_its_own_entry_was_proposed(self):
         table, group = ClaimTable(), GroupClock(1000.0)
