--- a/knotwalk/control_plane/claim_group.py
+++ b/knotwalk/control_plane/claim_group.py
@@ -53,10 +53,14 @@
 
     def __init__(self, home: Home, part: int, post: Callable[[str, dict], None], on_role: Callable[[], None]):
         settings, made = home.settings, home.store(group_disk_mb(home.settings))
-        folder = str(Path(settings.data_dir or ".") / f"claims-{part}")
-        saved = opened(made, folder, settings.initial_boot, home.address, home.founders)
+        name = f"claims-{part}"
+        saved = opened(
+            made, str(Path(settings.data_dir or ".") / name), settings.initial_boot, home.address, home.founders
+        )
         pace = Pace(target=settings.tolerance.members, tells_commits=False)
-        self.driver = ConsensusDriver(made, saved, home.caller, pace, home.seed + part, home.born, ClaimTable, post)
+        self.driver = ConsensusDriver(
+            made, saved, home.caller, pace, home.seed + part, home.born, ClaimTable, post, name
+        )
         self.part, self.on_role = part, on_role
         self.hold = settings.bounds.key_period + MARGIN
         self.machine = self.driver.machine
--- a/knotwalk/control_plane/claim_groups.py
+++ b/knotwalk/control_plane/claim_groups.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -39,6 +40,7 @@
         self.asking: set[str] = set()  # peers that a call with claims is under way to
         self.tasks: set[asyncio.Task] = set()
         self.pumping: asyncio.TimerHandle | None = None
+        self.told: Counter[Outcome] = Counter()
         self.on_damage: Callable[[], None] = lambda: None
         self.groups = [Group(home, part, functools.partial(self._post, part), self.pump) for part in range(PARTS)]
         for group in self.groups:
@@ -62,6 +64,11 @@
 
         Who is granted an operation must send its request within `claims.MARGIN` of this call, or not at all, and one
         that has released it is never granted it again."""
+        result = await self._claimed(claim, patience)
+        self.told[result.outcome] += 1
+        return result
+
+    async def _claimed(self, claim: Claim, patience: float) -> ClaimResult:
         waiting = Waiting(claim, asyncio.get_running_loop().create_future(), clock() + patience)
         self._wait(waiting)
         try:
@@ -172,7 +179,7 @@
     async def _taken(self, claim: Claim) -> ClaimResult:
         if not self.groups[part_of(claim.operation)].leads:
             return UNAVAILABLE
-        return await self.claim(claim, TAKEN_PATIENCE)
+        return await self._claimed(claim, TAKEN_PATIENCE)
 
     # --- the groups' messages ---------------------------------------------------------------------
 
--- a/knotwalk/control_plane/figures.py
+++ b/knotwalk/control_plane/figures.py
@@ -8,9 +8,12 @@
 
 from knotwalk.leases.slice_tenure import State
 from knotwalk.runtime.metrics import Figure, Kind, gauge, loop_delay
+from knotwalk.shared_state.messages import Admission, Ending
 
 if TYPE_CHECKING:
     from knotwalk.control_plane.__main__ import ControlPlane
+    from knotwalk.control_plane.admissions import Admissions
+    from knotwalk.control_plane.claim_groups import ClaimGroups
 
 
 def counter(name: str, meaning: str, counts: Mapping[tuple[str, ...], float], *labels: str) -> Figure:
@@ -45,6 +48,62 @@
     return Figure("knotwalk_core_nodes", Kind.GAUGE, "nodes, by what this core knows of them", samples, ("state",))
 
 
+def operations(admissions: Admissions) -> Iterator[Figure]:
+    """What edges asked for, and what is kept of operations."""
+    answers = admissions.answers
+    told: dict[tuple[str, ...], float] = {(one.value,): admissions.told[one] for one in Admission}
+    ended: dict[tuple[str, ...], float] = {(one.value,): admissions.ended[one] for one in Ending}
+    kept: dict[tuple[str, ...], float] = {(phase.value,): count for phase, count in answers.counts().items()}
+    yield counter("knotwalk_core_asks", "edges' asks by what was told", told, "told")
+    yield counter("knotwalk_core_ends", "ends of operations that edges told", ended, "ending")
+    yield Figure("knotwalk_core_operations", Kind.GAUGE, "operations kept here, by phase", kept, ("phase",))
+    yield gauge("knotwalk_core_operation_bytes", "bytes that they take", answers.size)
+
+
+def allowances(plane: ControlPlane) -> Iterator[Figure]:
+    """How asks of tenants' allowance ended here."""
+    kept = plane.allowances
+    yield counter(
+        "knotwalk_core_allowances",
+        "tokens asked for by edges and given back, by how that ended",
+        dict(kept.told),
+        "outcome",
+        "how",
+    )
+    yield counter(
+        "knotwalk_core_over_limit",
+        "requests refused over their limits; the tenants met first are named",
+        {(tenant,): count for tenant, count in kept.refused.items()},
+        "tenant",
+    )
+    yield counter(
+        "knotwalk_core_allowance_calls",
+        "calls for allowance to the leader, by how they ended",
+        {(outcome,): count for outcome, count in kept.calls.items()},
+        "outcome",
+    )
+    yield gauge("knotwalk_core_tenants_held", "tenants of which this core holds allowance", len(kept.escrow.holdings))
+    buckets = len(kept.buckets.buckets) if kept.buckets is not None else 0
+    yield gauge("knotwalk_core_buckets", "tenants whose limits this core keeps as the leader", buckets)
+
+
+def claims(groups: ClaimGroups) -> Iterator[Figure]:
+    """What the groups that agree on claims of operations know and did."""
+    leads: dict[tuple[str, ...], float] = {}
+    held: dict[tuple[str, ...], float] = {}
+    waiting: dict[tuple[str, ...], float] = {}
+    for group in groups.groups:
+        part = (str(group.part),)
+        leads[part], waiting[part] = group.leads, len(group.waiting)
+        held[part] = len(group.driver.state.claims)
+    labels = ("part",)
+    yield Figure("knotwalk_core_claims_leader", Kind.GAUGE, "1 while this core leads a part's group", leads, labels)
+    yield Figure("knotwalk_core_claims_held", Kind.GAUGE, "operations of a part that have a holder", held, labels)
+    yield Figure("knotwalk_core_claims_waiting", Kind.GAUGE, "claims of a part that wait here", waiting, labels)
+    told: dict[tuple[str, ...], float] = {(one.value,): count for one, count in groups.told.items()}
+    yield counter("knotwalk_core_claims", "claims asked by this core, by their outcome", told, "outcome")
+
+
 def figures(now: float, plane: ControlPlane) -> Iterator[Figure]:
     """All figures of a core machine."""
     machine, state, manager = plane.consensus.machine, plane.consensus.state, plane.conductor
@@ -76,9 +135,19 @@
         "method",
         "status",
     )
+    yield counter(
+        "knotwalk_core_orders_refused",
+        "orders that were wrong, by the place of their mistake",
+        dict(plane.control.refused),
+        "place",
+    )
+    yield from operations(plane.admissions)
     sent = {(step, "sent"): count for step, count in plane.caller.sent.items()}
     got = {(step, "received"): count for step, count in plane.caller.received.items()}
     yield counter("knotwalk_core_call_bytes", "bytes of bodies of calls to peers", sent | got, "step", "direction")
     told: dict[tuple[str, ...], float] = {(path,): count for path, count in plane.peer_api.told.items()}
     yield counter("knotwalk_core_answer_bytes", "bytes of bodies told to edges and cores", told, "path")
+    yield from allowances(plane)
+    if plane.claims is not None:
+        yield from claims(plane.claims)
     yield loop_delay(plane.delay)
--- a/knotwalk/edge/figures.py
+++ b/knotwalk/edge/figures.py
@@ -56,6 +56,15 @@
         view.configuration.version if view.configuration else 0,
     )
     yield gauge("knotwalk_edge_core_heard_seconds", "since a fresh core last answered", now - link.heard_at)
+    yield Figure(
+        "knotwalk_edge_configurations_not_taken",
+        Kind.COUNTER,
+        "configurations of a core that can't be read here",
+        {(): link.not_taken},
+    )
+    yield gauge(
+        "knotwalk_edge_keys_judged", "1 while requests that need a key can be taken", front.intake.judges_keys(now)
+    )
     yield gauge("knotwalk_edge_requests_open", "requests read and not answered", front.open)
     yield gauge("knotwalk_edge_requests_waiting", "requests that wait for a node", len(forwarder.waiting))
     yield gauge("knotwalk_edge_clients", "connections of clients", len(front.clients))
@@ -73,4 +82,19 @@
         {(direction,): count for direction, count in link.caller.bytes.items()},
         ("direction",),
     )
+    yield from admission(front)
     yield loop_delay(front.delay)
+
+
+def admission(front: Front) -> Iterator[Figure]:
+    """Figures of asks and operations; all 0 where nothing is asked for."""
+    operations = front.operations
+    waited, running, untold = 0.0, 0, 0
+    if operations is not None:
+        waited = operations.calls.waited
+        running = len(operations.running)
+        untold = len(operations.calls.ends.waiting)
+    meaning = "what requests waited for asks to cores, in all"
+    yield Figure("knotwalk_edge_ask_seconds", Kind.COUNTER, meaning, {(): waited})
+    yield gauge("knotwalk_edge_operations_running", "operations that run by this edge", running)
+    yield gauge("knotwalk_edge_ends_untold", "ends of operations that no core took yet", untold)
--- a/tests/system/test_unknown_words.py
+++ b/tests/system/test_unknown_words.py
@@ -1,9 +1,19 @@
 """Words, fields and kinds that a program does not know: it goes on with what it knows, and serves."""
 
+import json
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import tempfile
 import unittest
 
+from knotwalk.configuration.control import refused_place
 from knotwalk.configuration.index import Index
 from knotwalk.configuration.read import Invalid, read_configuration
+from knotwalk.configuration.unknown import unknown_words
+from knotwalk.runtime.settings import VARIABLE, parse, unknown_contracts
 from tests.system.test_configuration import route, service
 
 
@@ -11,6 +21,15 @@
     return {"config_version": "r1", "objects": [service("calm"), *items]}
 
 
+def free_ports(count):
+    """Addresses on loopback that nobody has now."""
+    made = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    found = ["{}:{}".format(*one.getsockname()) for one in made]
+    for one in made:
+        one.close()
+    return found
+
+
 class NoRequestServedCase(unittest.TestCase):
     """One unknown word refused the whole first configuration, and no edge was ever ready."""
 
@@ -27,6 +46,56 @@
             with self.subTest(path):
                 self.assertFalse(index.find("one.example", path).idempotent)
 
+    def test_what_is_not_known_is_told(self):
+        items = route("plain"), route("new", "/c/", route_type="maybe"), route("x", "/d/", route_type="maybe")
+        made = read_configuration(configuration({"object_kind": "moons"}, *items))
+        self.assertEqual(unknown_words(made.items), ["object_kind moons", "route_type maybe"])
+        self.assertEqual(unknown_words(read_configuration(configuration(route("k", route_type="keyed"))).items), [])
+
+    def test_the_place_of_a_mistake_names_nothing_of_the_operator_s(self):
+        for message, place in (
+            ('route "r: x": timeout is 0', "route"),
+            ('tenant "a": has a key of tenant "b"', "tenant"),
+            ("objects[0]: must be an object, not 7", "objects"),
+            ("If-Match: is missing", "If-Match"),
+            ("upsert.objects[1]: x", "upsert.objects"),
+            ("", "other"),
+        ):
+            self.assertEqual(refused_place(message), place)
+
+    def test_a_contract_that_is_not_known_ends_no_program(self):
+        raw = {"node_name": "n", "active_contracts": ["base", "moons", "keys"], "moon": {"deep": 1}}
+        self.assertEqual(unknown_contracts(parse(raw)), ["moons"])
+
+    def test_null_in_place_of_a_field_is_as_none(self):
+        plain = parse({"node_name": "n", "limits": {}, "timing_bounds": {}})
+        raw = {"node_name": "n", "zone": None, "region": None, "active_contracts": None, "role": None}
+        self.assertEqual(parse(raw | {"limits": {"cpu_share": None}, "timing_bounds": {"contact": None}}), plain)
+
+    def test_an_edge_starts_by_settings_that_hold_what_it_does_not_know(self):
+        raw = {
+            "node_name": "e",
+            "moon": {"deep": [1]},
+            "region": None,
+            "active_contracts": ["base", "tenants", "moons"],
+            "timing_bounds": {"global_revocation": True, "moon_phase": True},
+            "listen_addresses": {"data_plane": "127.0.0.1:1", "readiness": "127.0.0.1:1", "moon": "127.0.0.1:1"},
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "node.json")
+            ports = free_ports(2)
+            raw["listen_addresses"] |= dict(zip(("data_plane", "readiness"), ports, strict=True))
+            path.write_text(json.dumps(raw))
+            command = [sys.executable, "-m", "knotwalk.edge"]
+            with subprocess.Popen(command, env=os.environ | {VARIABLE: str(path)}, stderr=subprocess.PIPE) as edge:
+                lines = []
+                while not lines or json.loads(lines[-1])["event"] not in ("listening", "ended by an error"):
+                    lines.append(edge.stderr.readline())
+                edge.terminate()
+                lines += edge.stderr.readlines()
+        events = [json.loads(line)["event"] for line in lines]
+        self.assertEqual((events[0], events[-1], edge.returncode), ("contracts not known", "ended", 0))
+
     def test_a_route_type_that_is_missing_or_no_text_is_invalid(self):
         for wrong in (..., None, 7, "", ["idempotent"], True):
             with self.subTest(wrong), self.assertRaises(Invalid):
