--- a/knotwalk/control_plane/figures.py
+++ b/knotwalk/control_plane/figures.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from knotwalk.control_plane.__main__ import ControlPlane
     from knotwalk.control_plane.admissions import Admissions
+    from knotwalk.control_plane.claim_groups import ClaimGroups
 
 
 def counter(name: str, meaning: str, counts: Mapping[tuple[str, ...], float], *labels: str) -> Figure:
@@ -86,6 +87,23 @@
     yield gauge("knotwalk_core_buckets", "tenants whose limits this core keeps as the leader", buckets)
 
 
+def claims(groups: ClaimGroups) -> Iterator[Figure]:
+    """What the groups that agree on claims of operations know and did."""
+    leads: dict[tuple[str, ...], float] = {}
+    held: dict[tuple[str, ...], float] = {}
+    waiting: dict[tuple[str, ...], float] = {}
+    for group in groups.groups:
+        part = (str(group.part),)
+        leads[part], waiting[part] = group.leads, len(group.waiting)
+        held[part] = len(group.driver.state.claims)
+    labels = ("part",)
+    yield Figure("knotwalk_core_claims_leader", Kind.GAUGE, "1 while this core leads a part's group", leads, labels)
+    yield Figure("knotwalk_core_claims_held", Kind.GAUGE, "operations of a part that have a holder", held, labels)
+    yield Figure("knotwalk_core_claims_waiting", Kind.GAUGE, "claims of a part that wait here", waiting, labels)
+    told: dict[tuple[str, ...], float] = {(one.value,): count for one, count in groups.told.items()}
+    yield counter("knotwalk_core_claims", "claims asked by this core, by their outcome", told, "outcome")
+
+
 def figures(now: float, plane: ControlPlane) -> Iterator[Figure]:
     """All figures of a core machine."""
     machine, state, manager = plane.consensus.machine, plane.consensus.state, plane.conductor
@@ -130,4 +148,6 @@
     told: dict[tuple[str, ...], float] = {(path,): count for path, count in plane.peer_api.told.items()}
     yield counter("knotwalk_core_answer_bytes", "bytes of bodies told to edges and cores", told, "path")
     yield from allowances(plane)
+    if plane.claims is not None:
+        yield from claims(plane.claims)
     yield loop_delay(plane.delay)
--- a/tests/system/test_claims.py
+++ b/tests/system/test_claims.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from unittest import mock
 
+from knotwalk.control_plane.message_packing import pack, unpack
 from knotwalk.shared_state import claims
 from knotwalk.shared_state.claims import (
     AGREED_WITHIN,
@@ -48,6 +49,16 @@
         again = replace(ONE, attempt="c")
         self.assertEqual(log.put(3.0, claim("k", again)), [HELD_BY_ONE])
 
+    def test_a_holder_that_asks_by_another_core_has_its_answer_kept_there(self):
+        log = Log()
+        log.put(1.0, claim("k", ONE))
+        elsewhere = replace(ONE, core="10.0.0.9:7660")
+        self.assertEqual(
+            log.put(2.0, claim("k", elsewhere), claim("k", OTHER)), [GRANTED, ClaimResult(Outcome.HELD, elsewhere)]
+        )
+        log.put(3.0, claim("k", ONE, release=True))
+        self.assertEqual(log.put(4.0, claim("k", elsewhere), claim("k", OTHER)), [UNAVAILABLE, GRANTED])
+
     def test_a_release_by_the_holder_frees_and_by_another_does_not(self):
         log = Log()
         log.put(1.0, claim("k", ONE))
@@ -133,14 +144,16 @@
 
     def one(self, asked: Claim) -> ClaimResult:
         has = self.claims.get(asked.operation, (0, None))[1]
+        same = has is not None and (has.life, has.attempt) == (asked.holder.life, asked.holder.attempt)
+        key = asked.operation, asked.holder.life, asked.holder.attempt
         if asked.release:
-            if has == asked.holder:
+            if same:
                 del self.claims[asked.operation]
-            self.released.setdefault((asked.operation, asked.holder), (self.time,))
+            self.released.setdefault(key, (self.time,))
             return GRANTED
-        if has not in (None, asked.holder):
+        if has is not None and not same:
             return ClaimResult(Outcome.HELD, has)
-        if (asked.operation, asked.holder) in self.released:
+        if key in self.released:
             return UNAVAILABLE
         self.claims[asked.operation] = self.time, asked.holder
         return GRANTED
@@ -173,6 +186,28 @@
             self.assertEqual(list(again.claims.items()), list(log.table.claims.items()))
 
 
+class PackingTest(unittest.TestCase):
+    def test_messages_come_out_as_they_went_in(self):
+        head = {"from": "1.2.3.4:7#founder", "at": "1.2.3.4:7", "to": "1.2.3.5:7#0f", "term": 3, "group": 1}
+        append = {"prev": 4, "prev_term": 2, "entries": [[5, 3, "noop", {}]], "commit": 4, "stamp": 1.5, "round": 0}
+        appended = {"ok": True, "match": 4, "have": 5, "stamp": 1.5, "round": 0}
+        refused = {"ok": False, "prev": 4, "conflict_term": None, "conflict": 2, "stamp": 1.5, "round": 0}
+        for kind, rest in (
+            ("append", append),
+            ("appended", appended),
+            ("appended", refused),
+            ("appended", {"ok": False, "prev": -1}),
+            ("vote", {"last": 1}),
+        ):
+            for sender in (head["from"], "another:7#1"):
+                message = {"type": kind, **head, **rest, "from": sender}
+                with self.subTest(message):
+                    self.assertEqual(unpack(json.loads(json.dumps(pack(message)))), message)
+        self.assertIsInstance(pack({"type": "append", **head, **append}), list)
+        with self.assertRaises(ValueError):
+            unpack([0, 1, "a", "#b", "c"])
+
+
 class GroupClockTest(unittest.TestCase):
     def test_a_leader_counts_what_passed_since_its_own_entry_was_proposed(self):
         table, group = ClaimTable(), GroupClock(1000.0)
