--- a/tests/simulation/keys_judge.py
+++ b/tests/simulation/keys_judge.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from itertools import islice
 from typing import TYPE_CHECKING
 
 from knotwalk.edge.freshness import Freshness
@@ -19,6 +20,7 @@
 REVOKE_TIMEOUT = 5.0  # seconds for which a key that was taken away may still be accepted, anywhere
 STAYS = "stays"  # a key of every configuration
 LOOK = 0.05  # seconds between looks
+GONE = 3  # keys that were taken away last and are tried
 ROUTE = Route("r", "h", "/a/", True, 1.0, 0.3, 1, (("s", 1.0),), 2)
 
 
@@ -68,6 +70,10 @@
         known = register.known(now - REVOKE_TIMEOUT)
         if has < known:
             self.world.judge.says(f"{now:.3f} {edge} takes keys by r{has}; r{known} was told {REVOKE_TIMEOUT:g} s ago")
+        gone = (content.mark for content in reversed(register.first) if content.version < known)
+        for mark in islice(gone, GONE):
+            if self.status(process, mark) == 0:
+                self.world.judge.says(f"{now:.3f} {edge} takes the key of {mark}; r{known} has none such")
 
     def settled(self) -> None:
         """Every fault has ended: all edges take the key that stays."""
--- a/tests/simulation/mistakes.py
+++ b/tests/simulation/mistakes.py
@@ -27,6 +27,9 @@
 from knotwalk.leases.orders import REFUSED
 
 
+KEYS, QUOTA = 6, 7  # of docs/design/shared-state.md, counted on: keys of tenants, quotas
+
+
 @dataclass(frozen=True)
 class Mistake:
     """A mistake: of which point, its patches (room, name, made), and within how many walks it shows."""
--- a/tests/simulation/programs.py
+++ b/tests/simulation/programs.py
@@ -12,6 +12,7 @@
 from knotwalk.consensus import machine as consensus_machine
 from knotwalk.control_plane import (
     __main__ as program,
+    allowances,
     claim_group,
     claim_groups,
     consensus_driver,
@@ -33,6 +34,7 @@
 SAYS = ("log_info", "log_warning", "log_exception")
 ROOMS = (
     program,
+    allowances,
     claim_group,
     claim_groups,
     consensus_driver,
--- a/tests/simulation/walk.py
+++ b/tests/simulation/walk.py
@@ -17,7 +17,7 @@
 
 from tests.simulation import connections, faults, programs
 from tests.simulation.faults import Fault
-from tests.simulation.mistakes import MISTAKES, Mistake
+from tests.simulation.mistakes import MISTAKES, QUOTA, Mistake
 from tests.simulation.world import World
 
 SPAN = 20.0  # seconds of faults
@@ -41,10 +41,12 @@
     said: list = field(default_factory=list)
 
 
-def walk(seed: int, plan: list[Fault] | None = None, span: float = SPAN, early: bool = False) -> Outcome:
+def walk(
+    seed: int, plan: list[Fault] | None = None, span: float = SPAN, early: bool = False, limited: bool = False
+) -> Outcome:
     """One walk; with a `plan`, with those faults alone. With `early` it ends a second after something broke."""
     chance = random.Random(f"walk {seed}")
-    world = World(seed, chance.choice((3, 3, 3, 5)), chance.random() < SHARDED)
+    world = World(seed, chance.choice((3, 3, 3, 5)), chance.random() < SHARDED, limited=limited)
     plan = faults.plan(seed, span) if plan is None else plan
     compact, trail = chance.choice((8, 40, 4000)), chance.choice((2, 512))
     with programs.in_place(world.wire, seed, world.say, compact, trail):
@@ -91,6 +93,8 @@
                 break
         else:
             return False
+        if world.quota is not None:
+            await world.quota.settled()
         until, answered = world.loop.now + CONTACT, False
         while world.loop.now < until:  # again and again, at any core; each answer is judged
             answered |= await world.operators.read()
@@ -135,7 +139,7 @@
             if mistake.point == 5:
                 found = Outcome(seed, connections.walk(seed), [])
             else:
-                found = walk(seed, early=True)
+                found = walk(seed, early=True, limited=mistake.point == QUOTA)
             gc.collect()
             if found.broken:
                 return found
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -15,7 +15,7 @@
 from knotwalk.runtime.errors import value
 from knotwalk.runtime.units import seconds
 from knotwalk.shared_state.messages import PARTS
-from tests.simulation import keys_judge
+from tests.simulation import keys_judge, quota_judge
 from tests.simulation.disk import Disk
 from tests.simulation.judges import Edges, Judge, Letters
 from tests.simulation.loop import Process, VirtualLoop
@@ -51,6 +51,7 @@
     cores: int = 3
     sharded: bool = False
     keyed: bool = False  # whether operations run once, so that the core machines have groups for claims
+    limited: bool = False  # whether requests of tenants with limits are sent
     places: dict[str, Place] = field(default_factory=dict)
     said: deque = field(default_factory=lambda: deque(maxlen=LINES_KEPT))
 
@@ -66,6 +67,7 @@
         self.owners = OwnerChecker()
         self.edges = Edges(self.judge, self.loop, self.register)
         self.keys = keys_judge.KeysJudge(self)
+        self.quota = quota_judge.QuotaJudge(self) if self.limited else None
         self.edge_processes: dict[str, Process] = {}
         self.nodes: dict[str, NodeProgram] = {}
         self.hosts = 0
@@ -98,10 +100,12 @@
             self.start_edge(f"e{n}")
         self.operators.start()
         self.loop.world.spawn(self.keys.watch())
+        if self.quota is not None:
+            self.loop.world.spawn(self.quota.load())
 
     def tenants(self, content: Content) -> list[dict]:
         """The tenants of a content, as they are sent."""
-        return keys_judge.tenants(content)
+        return keys_judge.tenants(content) + (quota_judge.tenants(content) if self.limited else [])
 
     def start_core(self, place: Place) -> None:
         """Start the program of a place from what its disk holds."""
