--- a/tests/simulation/mistakes.py
+++ b/tests/simulation/mistakes.py
@@ -26,7 +26,6 @@
 from knotwalk.leases.keeper import Keeper
 from knotwalk.leases.orders import REFUSED
 
-
 KEYS, QUOTA = 6, 7  # of docs/design/shared-state.md, counted on: keys of tenants, quotas
 
 
--- a/tests/simulation/shared_mistakes.py
+++ b/tests/simulation/shared_mistakes.py
@@ -5,11 +5,12 @@
 from dataclasses import replace
 from typing import Any
 
+from knotwalk.shared_state.buckets import Bucket, Buckets
+from knotwalk.shared_state.escrow import Escrow
+
 from knotwalk.control_plane import allowances, peer_api
 from knotwalk.discovery import cluster_view
 from knotwalk.edge.freshness import Freshness
-from knotwalk.shared_state.buckets import Bucket, Buckets
-from knotwalk.shared_state.escrow import Escrow
 from tests.simulation.mistakes import KEYS, QUOTA, Mistake, _one
 
 
