--- a/tests/simulation/faults.py
+++ b/tests/simulation/faults.py
@@ -48,7 +48,7 @@
         length = chance.choice((0.05, 0.3, 0.8, 2.0, 5.0, 20.0)[: 4 if every < 0.3 else 6])
         found.append(Fault(round(at, 3), sort, min(length, span - at), chance.random(), chance.random()))
         at += chance.expovariate(1 / every)
-    found += _unreached_nodes(seed, span) + [Fault(*one) for one in drawn(seed, span)]
+    found += _unreached_nodes(seed, span) + _edges_alone(seed, span) + [Fault(*one) for one in drawn(seed, span)]
     return sorted(found, key=lambda fault: fault.at)
 
 
@@ -62,6 +62,15 @@
     ]
 
 
+def _edges_alone(seed: int, span: float) -> list[Fault]:
+    """Cuts between an edge and all cores, some longer than it may go by the keys that it holds; drawn apart as well."""
+    chance = random.Random(f"edges {seed}")
+    times = [chance.uniform(0.0, span) for _ in range(int(span / 10))]
+    return [
+        Fault(round(at, 3), "edge alone", chance.choice((3.0, 9.0)), chance.random(), chance.random()) for at in times
+    ]
+
+
 def _aimed(seed: int, span: float) -> list[Fault]:
     """Faults of one sort, aimed at a moment, each after what the one before did is over: others would disturb them."""
     chance = random.Random(f"aimed {seed}")
@@ -305,7 +314,16 @@
 }
 
 
-NODES: dict[str, Callable[[World, Fault, Place], None]] = {"nodes unreached": _nodes_unreached}
+def _edge_alone(world: World, fault: Fault, place: Place) -> None:
+    """An edge can't reach any core; operators can."""
+    name = list(world.edge_processes)[int(fault.who * 97) % len(world.edge_processes)]
+    _between(world, _hosts(world), [name], fault, True)
+
+
+DRAWN_APART: dict[str, Callable[[World, Fault, Place], None]] = {
+    "nodes unreached": _nodes_unreached,
+    "edge alone": _edge_alone,
+}
 
 
 def meet(world: World, fault: Fault) -> None:
@@ -313,7 +331,7 @@
     place = _pick(world, fault.who)
     if place is not None:
         world.said.append((round(world.loop.now, 4), "FAULT", fault.sort, {"at": place.host, "fault": fault}))
-        (SORTS | AIMED | NODES | WIDE)[fault.sort](world, fault, place)
+        (SORTS | AIMED | DRAWN_APART | WIDE)[fault.sort](world, fault, place)
 
 
 def heal(world: World) -> None:
--- a/tests/simulation/programs.py
+++ b/tests/simulation/programs.py
@@ -24,7 +24,7 @@
 from knotwalk.control_plane.compaction import Compaction
 from knotwalk.edge import link
 from knotwalk.runtime import life, logs
-from knotwalk.runtime.settings import Machine, Platform, Settings, Tolerance
+from knotwalk.runtime.settings import Bounds, Machine, Platform, Settings, Tolerance
 from tests.simulation.disk import Disk, Store
 from tests.simulation.loop import PROCESS, Process, clock
 from tests.simulation.wire import App, Caller, Listener, Wire
@@ -91,7 +91,9 @@
         yield
 
 
-def settings(host: str, seeds: list[str], first_start: bool, machines: int, keyed: bool = False) -> Settings:
+def settings(
+    host: str, seeds: list[str], first_start: bool, machines: int, keyed: bool = False, bounds: Bounds = Bounds()
+) -> Settings:
     """A core's settings file."""
     return Settings(
         node_name=host,
@@ -106,6 +108,7 @@
         tolerance=Tolerance(machines=machines),
         platform=Platform(address=PLATFORM),
         contracts=["keys"] if keyed else [],
+        bounds=bounds,
     )
 
 
--- a/tests/simulation/quota_judge.py
+++ b/tests/simulation/quota_judge.py
@@ -19,14 +19,19 @@
 if TYPE_CHECKING:
     from tests.simulation.world import World
 
-BOUNDS = Bounds()
+BOUNDS = Bounds(quota_window=3.0, quota_overage=0.1, quota_slack=8.0)
 # Requests a second, and beyond: of each tenant in turn, so many versions long.
-ERAS = {"lean": ((0.5, 1.0), (2.0, 0.0)), "usual": ((8.0, 8.0), (2.0, 2.0), (20.0, 5.0)), "large": ((60.0, 60.0),)}
+ERAS = {
+    "lean": ((0.5, 1.0), (2.0, 0.0)),
+    "usual": ((8.0, 8.0), (2.0, 2.0), (20.0, 5.0)),
+    "bursty": ((2.0, 40.0),),
+    "large": ((60.0, 60.0),),
+}
 ERA = 40
 BEFORE = BOUNDS.quota_window + BOUNDS.config_apply  # seconds for which an older limit may still be in force
 PATIENCE = 0.1  # seconds that a request waits for its allowance
-BURSTS = (1, 1, 1, 5, 60)
-PAUSES = (0.01, 0.03, 0.1, 1.0)
+BURSTS = (1, 2, 10, 60)
+PAUSES = (0.01, 0.03, 0.1, 0.5)
 GIVEN_BACK = 0.08  # share of what was let pass that does not run
 TRIES = 30  # in the end, until a request of each tenant is let pass
 
@@ -55,11 +60,10 @@
         """Send until the operators rest."""
         while not self.world.operators.resting:
             await asyncio.sleep(self.random.choice(PAUSES))
-            if places := self.world.running():
+            places, name = self.world.running(), self.random.choice(list(ERAS))
+            for _ in range(self.random.choice(BURSTS) if places else 0):
                 process = self.random.choice(places).process
-                name = self.random.choice(list(ERAS))
-                for _ in range(self.random.choice(BURSTS)):
-                    process.spawn(self._send(process, name, self.random.random() < GIVEN_BACK))
+                process.spawn(self._send(process, name, self.random.random() < GIVEN_BACK))
 
     async def _send(self, process: Process, name: str, gives_back: bool) -> bool:
         """One request at a core machine, in its own program; whether it was let pass."""
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -13,6 +13,7 @@
 from knotwalk.discovery.view_types import SLICES, WIDTH
 from knotwalk.edge.link import Link
 from knotwalk.runtime.errors import value
+from knotwalk.runtime.settings import Bounds
 from knotwalk.runtime.units import seconds
 from knotwalk.shared_state.messages import PARTS
 from tests.simulation import keys_judge, quota_judge
@@ -114,7 +115,8 @@
         place.process = CoreProcess(
             self.loop, f"{place.host}/{self.loop.serial}", place.host, place.disk, place.offset, place.rate
         )
-        place.process.begin(settings(place.host, place.seeds, place.first_start, self.cores // 2, self.keyed))
+        bounds = quota_judge.BOUNDS if self.limited else Bounds()
+        place.process.begin(settings(place.host, place.seeds, place.first_start, self.cores // 2, self.keyed, bounds))
 
     def crash(self, place: Place) -> None:
         """The program ends in the midst of whatever it does; what its disk was writing is kept or is not."""
