--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -18,6 +18,7 @@
 from knotwalk.configuration.read import document
 from knotwalk.consensus.orders import Pace
 from knotwalk.consensus.store import Store, StoreBroken
+from knotwalk.control_plane.admissions import Admissions, Unlimited
 from knotwalk.control_plane.claim_group import CONTRACT, Home, configuration_disk_mb
 from knotwalk.control_plane.claim_groups import ClaimGroups
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, opened
@@ -35,6 +36,7 @@
 from knotwalk.runtime.loop_delay import LoopDelay
 from knotwalk.runtime.serve import Listener
 from knotwalk.runtime.settings import Settings
+from knotwalk.shared_state.answers import MEMORY_PART, Answers
 
 LEAVE_LEAST = 1.0  # seconds from SIGTERM to the end: calls under way are answered, leadership is handed over
 LEAVE_SPARE = 1.5  # seconds before the platform's SIGKILL in which the listeners are closed
@@ -83,6 +85,11 @@
         self.peer_api = PeerApi(
             self.me, self.consensus, self.list_poller, self.conductor, self.board, self.loads, self.caller, self.claims
         )
+        memory = int(settings.machine.memory_mb * 1024 * 1024 * MEMORY_PART)
+        self.admissions = Admissions(
+            own, Unlimited(), self.claims, Answers(memory, settings.bounds.key_period), self.caller, logs.clock
+        )
+        self.peer_api.parts |= {"/admissions": self.admissions.admissions, "/answers": self.admissions.kept}
         self.control = Control(self.consensus, settings.at("control")[1])
         self.consensus.on_config = self.configured
         self.consensus.on_change = self.lines_changed
@@ -103,6 +110,7 @@
         """The configuration in force is another: edges are told."""
         state = self.consensus.state
         self.board.set_config(state.order, document(state.configuration))
+        self.admissions.configured(state.configuration)
         self.peer_api.changed()
 
     def lines_changed(self, index: int, changes: list) -> None:
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -17,6 +17,7 @@
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import Forwarder
 from knotwalk.edge.intake import Intake
+from knotwalk.edge.operations import Operations
 from knotwalk.edge.request_head import RequestHead
 from knotwalk.edge.stages import Stage
 from knotwalk.runtime.logs import log_exception, log_info
@@ -40,8 +41,9 @@
     def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
         self.settings, self.view, self.clock = settings, view, clock
         self.forwarder = Forwarder(settings, view, clock, seed)
+        self.operations: Operations | None = None  # set where limits and operations are asked for
         self.clients: set[ClientConnection] = set()
-        self.connection_budget = shared(settings.machine.file_descriptors)
+        self.connection_budget = shared(settings.machine.file_descriptors, settings.contracts)
         self.coming = 0  # connections accepted that have not entered yet
         self.draining = False
         self.intake = Intake(self.forwarder)
@@ -282,7 +284,10 @@
 
     async def _carry(self, exchange: Exchange) -> None:
         try:
-            await self.forwarder.carry(exchange)
+            if self.operations is not None:
+                await self.operations.carry(exchange)
+            else:
+                await self.forwarder.carry(exchange)
         except Exception:
             log_exception("carrying a request failed", attempt=exchange.attempt.decode("latin-1"))
             if exchange.stage is Stage.RUNNING:
