--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -58,17 +58,6 @@
         """A request that had taken its allowance does not run."""
 
 
-class Unlimited:
-    """Allowances without any limit."""
-
-    async def take(self, tenant: str, patience: float) -> AdmissionTold:
-        """Any request may run."""
-        return RUN
-
-    def give_back(self, tenant: str) -> None:
-        """Nothing was taken."""
-
-
 class ClaimGroups(Protocol):
     """Who runs which operation, agreed on by the core machines."""
 
--- a/knotwalk/edge/operations.py
+++ b/knotwalk/edge/operations.py
@@ -48,22 +48,6 @@
         """A core told that the tenant is over its limit."""
 
 
-class NeverRefused:
-    """No tenant is over its limit."""
-
-    def refused(self, now: float, tenant: str) -> float | None:
-        """None of them."""
-        return None
-
-    def note(self, now: float, tenant: str, retry_after: float) -> None:
-        """Told by a core that knows a limit; the next request asks again."""
-
-
-def no_limit(configuration: Configuration, tenant: str) -> bool:
-    """No limit binds any tenant."""
-    return False
-
-
 class Running:
     """The run of an operation at this edge; repeats that come here wait for its end."""
 
--- a/tests/system/test_tenants.py
+++ b/tests/system/test_tenants.py
@@ -3,6 +3,10 @@
 import json
 import unittest
 
+from hypothesis import given, settings, strategies as some
+
+from knotwalk.configuration.control import judge
+from knotwalk.configuration.history import History
 from knotwalk.configuration.objects import Tenant
 from knotwalk.configuration.read import Invalid, difference, document, patched, read_configuration
 from knotwalk.configuration.tenants import TenantKeys, tenant_keys
@@ -15,6 +19,18 @@
     return {"object_kind": "tenants", "metadata": {"name": name}, "specification": {"api_keys": list(keys), **fields}}
 
 
+def _table(owners):
+    """Tenants that share no key, from the owner of each key; a name stands for its rate as well."""
+    names = sorted({name for name in owners.values() if name})
+    return {
+        name: Tenant(name, tuple(key for key, owner in owners.items() if owner == name), None, len(name))
+        for name in names
+    }
+
+
+TABLES = some.dictionaries(some.sampled_from("abcdefgh"), some.sampled_from(["", "one", "two", "three"])).map(_table)
+
+
 class ReadingCase(unittest.TestCase):
     def test_a_tenant_and_what_it_is_by_default(self):
         sent = tenant("a", "k1", "k2", "k1", priority=1, rate_per_s=102, burst_size=0.5), tenant("b", "k3")
@@ -35,6 +51,7 @@
 
     def test_what_is_wrong_has_one_line_that_shows_no_key(self):
         for specification, line in (
+            (SECRET, "objects[0]: specification must be an object"),
             ({"api_keys": SECRET}, 'tenant "a": api_keys must be a list of texts'),
             ({"api_keys": [SECRET, 7]}, 'tenant "a": api_keys must be a list of texts'),
             ({"api_keys": [SECRET, ""]}, 'tenant "a": api_keys must be a list of texts'),
@@ -86,6 +103,13 @@
         self.assertEqual([tenant("a", "k3")], less["upsert"]["objects"])
         self.assertEqual(made, patched(self.base, json.loads(json.dumps(less))))
 
+    def test_an_order_that_has_two_tenants_share_a_key_is_refused_as_invalid(self):
+        body = json.dumps({"config_version": "r2", "upsert": {"objects": [tenant("c", "x", "k2")]}}).encode()
+        verdict = judge(self.base, History(), "PATCH", "r1", body)
+        self.assertEqual((verdict.status, verdict.message), (400, 'tenant "c": has a key of tenant "b"'))
+        body = json.dumps(whole(tenant("a", "k"), tenant("b", "k"), version="r2")).encode()
+        self.assertEqual(judge(self.base, History(), "PUT", "r1", body).status, 400)
+
 
 class KeysCase(unittest.TestCase):
     def test_a_key_is_found_whole_or_not_at_all(self):
@@ -96,6 +120,13 @@
             with self.subTest(key):
                 self.assertIsNone(keys.find(key))
 
+    @given(TABLES, TABLES)
+    @settings(max_examples=200, deadline=None, database=None)
+    def test_a_look_up_made_of_the_one_before_is_as_one_made_anew(self, old, new):
+        keys = tenant_keys(new, tenant_keys(old))
+        found = {key: keys.find(key.encode()) for key in "abcdefgh"}
+        self.assertEqual(found, {key: next((t for t in new.values() if key in t.api_keys), None) for key in "abcdefgh"})
+
     def test_the_look_up_is_built_anew_only_where_tenants_changed(self):
         base = read_configuration(whole(tenant("a", "k1"), route("r")))
         keys = tenant_keys(base.tenants)
