--- a/knotwalk/control_plane/claim_groups.py
+++ b/knotwalk/control_plane/claim_groups.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import replace
 from typing import Any
@@ -11,6 +12,7 @@
 from knotwalk.control_plane.claim_group import Group, Home
 from knotwalk.control_plane.claim_queue import Waiting
 from knotwalk.control_plane.consensus_driver import Lost, NotLeader
+from knotwalk.control_plane.message_packing import pack, unpack
 from knotwalk.control_plane.peer_lanes import PeerLanes
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_warning
@@ -20,7 +22,7 @@
 MESSAGES, CLAIMS = "/claim-groups", "/claims"  # paths of the peers' port
 KEPT_WAIT = 0.02  # seconds that the answer to messages waits for what they brought to be kept
 BACK = frozenset({"appended", "taken", "voted", "prevoted", "redirect", "gone"})  # messages that answer others
-GATHER = 0.004  # seconds for which claims gather before they are proposed together
+GATHER = 0.008  # seconds for which claims gather before they are proposed together, or asked of their leader
 BATCH = 500  # claims of one entry
 CALL_PATIENCE = 0.5  # seconds for a call that asks a leader
 TAKEN_PATIENCE = 0.4  # seconds for a peer's claims: less than it waits
@@ -32,12 +34,13 @@
 
     def __init__(self, home: Home):
         self.caller, self.key_period = home.caller, home.settings.bounds.key_period
-        self.lanes = PeerLanes(home.caller, MESSAGES, "claim groups", self._answered)
+        self.lanes = PeerLanes(home.caller, MESSAGES, "claim groups", self._answered, pack)
         self.collecting: dict[str, list[dict]] = {}  # by peer: answers that go back with the one to its call
         self.kept = asyncio.Event()
         self.asking: set[str] = set()  # peers that a call with claims is under way to
         self.tasks: set[asyncio.Task] = set()
         self.pumping: asyncio.TimerHandle | None = None
+        self.told: Counter[Outcome] = Counter()
         self.on_damage: Callable[[], None] = lambda: None
         self.groups = [Group(home, part, functools.partial(self._post, part), self.pump) for part in range(PARTS)]
         for group in self.groups:
@@ -61,6 +64,11 @@
 
         Who is granted an operation must send its request within `claims.MARGIN` of this call, or not at all, and one
         that has released it is never granted it again."""
+        result = await self._claimed(claim, patience)
+        self.told[result.outcome] += 1
+        return result
+
+    async def _claimed(self, claim: Claim, patience: float) -> ClaimResult:
         waiting = Waiting(claim, asyncio.get_running_loop().create_future(), clock() + patience)
         self._wait(waiting)
         try:
@@ -129,10 +137,11 @@
                 self._settle(batch, results)
         finally:
             group.proposing = False
-            self.pump()
+        self.pump()
 
     async def _ask(self, leader: str) -> None:
         """Ask a peer for all claims whose groups it leads; what stays open is asked again later."""
+        await asyncio.sleep(GATHER)
         batch = [
             one for group in self.groups if group.machine.leader == leader for one in group.waiting.take(clock(), BATCH)
         ]
@@ -170,7 +179,7 @@
     async def _taken(self, claim: Claim) -> ClaimResult:
         if not self.groups[part_of(claim.operation)].leads:
             return UNAVAILABLE
-        return await self.claim(claim, TAKEN_PATIENCE)
+        return await self._claimed(claim, TAKEN_PATIENCE)
 
     # --- the groups' messages ---------------------------------------------------------------------
 
@@ -185,8 +194,11 @@
             back[:] = [one for one in back if (one["type"], one["group"], one["to"]) != same]
         back.append(message)
 
-    def _answered(self, messages: list[dict]) -> None:
+    def _answered(self, messages: list) -> None:
         """Messages that came back with the answer to a call."""
+        self._receive([unpack(message) for message in messages])
+
+    def _receive(self, messages: list[dict]) -> None:
         now, touched = clock(), set()
         for message in messages:
             part = message.get("group", 0)
@@ -196,13 +208,14 @@
         for part in touched:
             self.groups[part].driver.carry_out()
 
-    async def exchange(self, messages: list[dict]) -> list[dict]:
+    async def exchange(self, packed: list) -> list:
         """A peer's messages. What answers them goes back with the answer, also what waits for the disk for a while."""
+        messages = [unpack(message) for message in packed]
         origin = messages[0].get("at", "") if messages else ""
         back = self.collecting[origin] = []
         until = clock() + KEPT_WAIT
         try:
-            self._answered(messages)
+            self._receive(messages)
             while any(group.machine.unkept for group in self.groups) and (left := until - clock()) > 0:
                 self.kept.clear()
                 try:
@@ -212,7 +225,7 @@
         finally:
             if self.collecting.get(origin) is back:
                 del self.collecting[origin]
-        return back
+        return [pack(message) for message in back]
 
     # --- the end ----------------------------------------------------------------------------------
 
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -78,8 +78,9 @@
         born: float,
         kind: type[AgreedState] = ReplicatedState,
         post: Callable[[str, dict], None] | None = None,
+        group: str = "configuration",
     ):
-        self.store, self.kind = store, kind
+        self.store, self.kind, self.group = store, kind, group
         self.machine = Machine(saved, pace, seed, clock(), born)
         self.state: Any = kind.from_dict(saved.snapshot) if saved.snapshot else kind()
         self.tickets: dict[int, asyncio.Future] = {}
@@ -149,7 +150,9 @@
                         self.state, self.news = self.kind.from_dict(state), False
                         self.on_restore()
                     case Role():
-                        log_info("role", role=order.role, term=order.term, leader=order.leader_address)
+                        log_info(
+                            "role", group=self.group, role=order.role, term=order.term, leader=order.leader_address
+                        )
                         self.on_role(order)
         if self.news:  # once for all that came together: a start replays hundreds
             self.news = False
@@ -209,7 +212,7 @@
     def _fail(self, why: str) -> None:
         if not self.hung:
             self.hung = True
-            log_warning("disk", why=why)
+            log_warning("disk", group=self.group, why=why)
         self.machine.failed(clock())
         self.carry_out()
 
--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -25,27 +25,31 @@
     OperationEnd,
 )
 
-# Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then.
-PATIENCE = 0.25
+# Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then. Doubled, up to the
+# most, with each call in a row that has none in time: behind a squeezed link cores are slow, and there all the same.
+PATIENCE, PATIENCE_MOST = 0.15, 0.8
 # Seconds that an end waits for asks to travel with.
 GATHER = 0.02
 # Asks and ends that one call takes.
 MOST = 200
+# Seconds between calls while no core is known that did not fail lately: a port that refuses answers at once.
+PAUSE = 0.02
 # Seconds in which a core that failed is asked only if no other is known.
 AVOID = 2.0
 # Seconds by which asks are counted.
-STEPS = (0.005, 0.01, 0.02, 0.04)
+STEPS = (0.01, 0.02, 0.04, 0.08)
 NOT_TOLD = AdmissionTold(Admission.UNAVAILABLE)
 
 
 @dataclass(slots=True)
 class Waiting:
-    """An ask that waits to be told; `cores` holds those that were asked, the last one last."""
+    """An ask that waits to be told; `cores` holds those that were asked, `by` is the one that told."""
 
     ask: AdmissionAsk
     until: float
     told: asyncio.Future[AdmissionTold]
     cores: list[str] = field(default_factory=list)
+    by: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,6 +79,7 @@
         self.asks: list[Waiting] = []
         self.ends = UntoldEnds(window)
         self.failed: dict[str, float] = {}  # cores that failed, and when
+        self.patience = PATIENCE
         self.waited = 0.0  # seconds that asks took in all
         self._timer: asyncio.TimerHandle | None = None
         self._calls: set[asyncio.Task] = set()
@@ -93,8 +98,8 @@
             if waiting in self.asks:
                 self.asks.remove(waiting)
         self._note(told, self.clock() - begun)
-        definite = told.admission not in (Admission.RUN, Admission.UNAVAILABLE)
-        return Asked(told, tuple(dict.fromkeys(waiting.cores[:-1] if definite else waiting.cores)))
+        refused_by = "" if told.admission in (Admission.RUN, Admission.UNAVAILABLE) else waiting.by
+        return Asked(told, tuple(core for core in dict.fromkeys(waiting.cores) if core != refused_by))
 
     def end(self, cores: tuple[str, ...], operation: str, attempt: str, ending: Ending, answer=None) -> None:
         """Tell these cores how the run of an operation ended."""
@@ -136,7 +141,7 @@
         """Begin calls while there is something to tell and a lane is free."""
         while self.idle:
             now = self.clock()
-            core = self._core(now) if self.asks else None
+            core = self._core() if self.asks else None
             if core is None:
                 due = self.ends.due(now)
                 if not due:
@@ -153,40 +158,49 @@
         if self.idle and (next_due := self.ends.next_due()) is not None:
             self._start_later(max(GATHER, next_due - self.clock()))
 
-    def _core(self, now: float) -> str | None:
-        """The core to ask: the best of those that did not fail lately."""
-        known = self.cores()
-        return next(
-            (core for core in known if now - self.failed.get(core, -AVOID) >= AVOID), known[0] if known else None
-        )
+    def _core(self) -> str | None:
+        """The core to ask: the best of those that did not fail lately, else the best of all."""
+        return min(self.cores(), key=self._avoided, default=None)
+
+    def _avoided(self, core: str) -> bool:
+        """Whether a core failed lately."""
+        return self.clock() - self.failed.get(core, -AVOID) < AVOID
 
     async def _call(self, lane: Caller, core: str, batch: list[Waiting], ends: list[OperationEnd]) -> None:
         message = EdgeBatch(self.edge, self.life, [one.ask for one in batch], ends).to_json()
         lane.keep_only(core)
+        begun = self.clock()
         try:
-            raw = await lane.json("POST", f"http://{core}/admissions", message, PATIENCE, "admissions")
+            raw = await lane.json("POST", f"http://{core}/admissions", message, self.patience, "admissions")
             told = [AdmissionTold.from_json(one) for one in raw["told"]]
             if len(told) != len(batch):
                 raise ValueError("another number of answers than asks")
         except (PeerError, KeyError, TypeError, ValueError) as error:
-            self._lost(core, batch, error)
+            self._lost(core, batch, error, self.clock() - begun)
         else:
             self.failed.pop(core, None)
+            self.patience = PATIENCE
             self.ends.done(core, ends)
             for waiting, one in zip(batch, told, strict=True):
                 if not waiting.told.done():
+                    waiting.by = core
                     waiting.told.set_result(one)
         finally:
             self.idle.append(lane)
-        self._start_calls()
+        if all(self._avoided(one) for one in self.cores()):
+            self._start_later(PAUSE)
+        else:
+            self._start_calls()
 
-    def _lost(self, core: str, batch: list[Waiting], error: Exception) -> None:
+    def _lost(self, core: str, batch: list[Waiting], error: Exception, took: float) -> None:
         """A call has no answer: its asks go on to another core while they may."""
         now = self.clock()
         self.counts()["asks lost"] += 1
-        if now - self.failed.get(core, -AVOID) >= AVOID:
+        if not self._avoided(core):
             log_warning("core does not admit", core=core, why=str(error))
         self.failed[core] = now
+        if took >= self.patience:
+            self.patience = min(PATIENCE_MOST, 2 * self.patience)
         self.asks[:0] = [one for one in batch if not one.told.done() and one.until > now]
 
 
--- a/knotwalk/shared_state/claims.py
+++ b/knotwalk/shared_state/claims.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import sys
 from collections import OrderedDict
 from dataclasses import dataclass
 from enum import Enum
@@ -14,7 +15,7 @@
 from knotwalk.shared_state.messages import Claim, Holder
 
 FORMAT = 1  # of snapshots
-CLAIMS_MOST = 60_000  # claims of one group; past it none is taken until older ones are dropped
+CLAIMS_MOST = 100_000  # claims of one group; past it none is taken until older ones are dropped
 # Seconds past `key_period` that a claim holds. A holder must not send its request later than this after it asked for
 # the claim, less the drift of two steady clocks within the period.
 MARGIN = 10.0
@@ -56,22 +57,38 @@
     return {"do": "claims", "now": now, "hold": hold, "claims": [claim.to_json() for claim in claims]}
 
 
-def _text(holder: Holder) -> str:
-    return json.dumps(holder.to_json(), separators=(",", ":"))
+def _who(holder: Holder) -> str:
+    """What tells a holder from another one: the edge's life and the attempt, wherever it asks."""
+    return json.dumps([holder.life, holder.attempt], separators=(",", ":"))
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A claim in force: when it was granted last by the group's time, the core that keeps the answer, who has it."""
+
+    at: float
+    core: str
+    who: str
+
+    @property
+    def holder(self) -> Holder:
+        """Its holder."""
+        return Holder(self.core, *json.loads(self.who))
 
 
 class ClaimTable:
     """The claims of one part of the operations, in the order of their times.
 
-    `time` is the group's, in seconds; `applied` the index of the last entry. A holder that has released an operation
-    is never granted it again while the release is remembered: a release may come twice, and late.
+    `time` is the group's, in seconds; `applied` the index of the last entry. A holder that asks again by another core
+    has its answer kept there. One that has released an operation is never granted it again while the release is
+    remembered: a release may come twice, and late.
     """
 
     def __init__(self) -> None:
         self.applied = 0
         self.time = 0.0
-        self.claims: OrderedDict[str, tuple[float, str]] = OrderedDict()  # operation -> time, holder as a text
-        self.released: OrderedDict[tuple[str, str], float] = OrderedDict()  # operation and holder -> time
+        self.claims: OrderedDict[str, Held] = OrderedDict()  # by operation
+        self.released: OrderedDict[tuple[str, str], float] = OrderedDict()  # operation and who -> the group's time
 
     def apply(self, index: int, entry: dict) -> tuple[list[ClaimResult], None]:
         """Take the entry `index`: a result for each of its claims; none for an entry of another kind."""
@@ -83,29 +100,30 @@
         return [self._take(Claim.from_json(raw)) for raw in entry["claims"]], None
 
     def _take(self, claim: Claim) -> ClaimResult:
-        holder, found = _text(claim.holder), self.claims.get(claim.operation)
+        who, found = _who(claim.holder), self.claims.get(claim.operation)
         if claim.release:
-            self._release(claim.operation, holder)
+            self._release(claim.operation, who)
             return GRANTED
-        if found is not None and found[1] != holder:
-            return ClaimResult(Outcome.HELD, Holder(*json.loads(found[1])))
+        if found is not None and found.who != who:
+            return ClaimResult(Outcome.HELD, found.holder)
         full = found is None and len(self.claims) + len(self.released) >= CLAIMS_MOST
-        if full or (claim.operation, holder) in self.released:
+        if full or (claim.operation, who) in self.released:
             return UNAVAILABLE
-        self.claims[claim.operation] = self.time, holder  # again, too: the request may be sent after this answer
+        core = sys.intern("".join(claim.holder.core.split()))  # the same few for all; no blank, as snapshots need it
+        self.claims[claim.operation] = Held(self.time, core, who)  # again, too: its request may be sent after this
         self.claims.move_to_end(claim.operation)
         return GRANTED
 
-    def _release(self, operation: str, holder: str) -> None:
+    def _release(self, operation: str, who: str) -> None:
         found = self.claims.get(operation)
-        if found is not None and found[1] == holder:
+        if found is not None and found.who == who:
             del self.claims[operation]
         if len(self.claims) + len(self.released) < CLAIMS_MOST:
-            self.released.setdefault((operation, holder), self.time)
+            self.released.setdefault((operation, who), self.time)
 
     def _drop(self, until: float) -> None:
         """Forget what is of the time `until` or before."""
-        while self.claims and next(iter(self.claims.values()))[0] <= until:
+        while self.claims and next(iter(self.claims.values())).at <= until:
             self.claims.popitem(last=False)
         while self.released and next(iter(self.released.values())) <= until:
             self.released.popitem(last=False)
@@ -126,8 +144,8 @@
             "format": FORMAT,
             "applied": self.applied,
             "time": self.time,
-            "claims": "\n".join(f"{operation} {at!r} {holder}" for operation, (at, holder) in self.claims.items()),
-            "released": "\n".join(f"{operation} {at!r} {holder}" for (operation, holder), at in self.released.items()),
+            "claims": "\n".join(f"{key} {one.at!r} {one.core} {one.who}" for key, one in self.claims.items()),
+            "released": "\n".join(f"{key} {at!r} {who}" for (key, who), at in self.released.items()),
         }
 
     @classmethod
@@ -137,19 +155,17 @@
             raise ValueError(f"the snapshot has format {raw['format']}, this program reads up to {FORMAT}")
         made = cls()
         made.applied, made.time = raw["applied"], raw["time"]
-        for operation, at, holder in _lines(raw["claims"]):
-            made.claims[operation] = at, holder
-        for operation, at, holder in _lines(raw["released"]):
-            made.released[operation, holder] = at
+        for line in _lines(raw["claims"]):
+            operation, at, core, who = line.split(" ", 3)
+            made.claims[operation] = Held(float(at), sys.intern(core), who)
+        for line in _lines(raw["released"]):
+            operation, at, who = line.split(" ", 2)
+            made.released[operation, who] = float(at)
         return made
 
 
-def _lines(text: str) -> list[tuple[str, float, str]]:
-    found = []
-    for line in text.split("\n") if text else []:
-        operation, at, holder = line.split(" ", 2)
-        found.append((operation, float(at), holder))
-    return found
+def _lines(text: str) -> list[str]:
+    return text.split("\n") if text else []
 
 
 class GroupClock:
