--- a/tests/simulation/programs.py
+++ b/tests/simulation/programs.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 from collections.abc import Iterator
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
@@ -12,6 +13,7 @@
 from knotwalk.consensus import machine as consensus_machine
 from knotwalk.control_plane import (
     __main__ as program,
+    allowances,
     claim_group,
     claim_groups,
     consensus_driver,
@@ -35,6 +37,7 @@
 SAYS = ("log_info", "log_warning", "log_exception")
 ROOMS = (
     program,
+    allowances,
     claim_group,
     claim_groups,
     consensus_driver,
@@ -95,7 +98,9 @@
         yield
 
 
-def settings(host: str, seeds: list[str], first_start: bool, machines: int, keyed: bool = False) -> Settings:
+def settings(
+    host: str, seeds: list[str], first_start: bool, machines: int, keyed: bool = False, bounds: Bounds = Bounds()
+) -> Settings:
     """A core's settings file."""
     return Settings(
         node_name=host,
@@ -110,7 +115,7 @@
         tolerance=Tolerance(machines=machines),
         platform=Platform(address=PLATFORM),
         contracts=["keys"] if keyed else [],
-        bounds=Bounds(key_period=KEY_PERIOD),
+        bounds=replace(bounds, key_period=KEY_PERIOD),
     )
 
 
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -13,9 +13,10 @@
 from knotwalk.discovery.view_types import SLICES, WIDTH
 from knotwalk.edge.link import Link
 from knotwalk.runtime.errors import value
+from knotwalk.runtime.settings import Bounds
 from knotwalk.runtime.units import seconds
 from knotwalk.shared_state import messages
-from tests.simulation import keys_judge
+from tests.simulation import keys_judge, quota_judge
 from tests.simulation.disk import Disk
 from tests.simulation.judges import Edges, Judge, Letters
 from tests.simulation.loop import Process, VirtualLoop
@@ -51,6 +52,7 @@
     cores: int = 3
     sharded: bool = False
     keyed: bool = False  # whether operations run once, so that the core machines have groups for claims
+    limited: bool = False  # whether requests of tenants with limits are sent
     places: dict[str, Place] = field(default_factory=dict)
     said: deque = field(default_factory=lambda: deque(maxlen=LINES_KEPT))
 
@@ -66,6 +68,7 @@
         self.owners = OwnerChecker()
         self.edges = Edges(self.judge, self.loop, self.register)
         self.keys = keys_judge.KeysJudge(self)
+        self.quota = quota_judge.QuotaJudge(self) if self.limited else None
         self.edge_processes: dict[str, Process] = {}
         self.nodes: dict[str, NodeProgram] = {}
         self.hosts = 0
@@ -98,10 +101,12 @@
             self.start_edge(f"e{n}")
         self.operators.start()
         self.loop.world.spawn(self.keys.watch())
+        if self.quota is not None:
+            self.loop.world.spawn(self.quota.load())
 
     def tenants(self, content: Content) -> list[dict]:
         """The tenants of a content, as they are sent."""
-        return keys_judge.tenants(content)
+        return keys_judge.tenants(content) + (quota_judge.tenants(content) if self.limited else [])
 
     def start_core(self, place: Place) -> None:
         """Start the program of a place from what its disk holds."""
@@ -110,7 +115,8 @@
         place.process = CoreProcess(
             self.loop, f"{place.host}/{self.loop.serial}", place.host, place.disk, place.offset, place.rate
         )
-        place.process.begin(settings(place.host, place.seeds, place.first_start, self.cores // 2, self.keyed))
+        bounds = quota_judge.BOUNDS if self.limited else Bounds()
+        place.process.begin(settings(place.host, place.seeds, place.first_start, self.cores // 2, self.keyed, bounds))
 
     def crash(self, place: Place) -> None:
         """The program ends in the midst of whatever it does; what its disk was writing is kept or is not."""
