--- a/tests/simulation/shared_mistakes.py
+++ b/tests/simulation/shared_mistakes.py
@@ -4,12 +4,11 @@
 
 from typing import Any
 
-from knotwalk.shared_state.buckets import Bucket, Buckets
-from knotwalk.shared_state.escrow import Escrow, Taken
-
 from knotwalk.control_plane import allowances, peer_api
 from knotwalk.discovery import cluster_view
 from knotwalk.edge.freshness import Freshness
+from knotwalk.shared_state.buckets import Bucket, Buckets
+from knotwalk.shared_state.escrow import Escrow, Taken
 from tests.simulation.mistakes import KEYS, QUOTA, Mistake, _one
 
 
