--- a/tests/simulation/programs.py
+++ b/tests/simulation/programs.py
@@ -5,6 +5,7 @@
 import contextlib
 import random
 from collections.abc import Iterator
+from dataclasses import replace
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
@@ -12,6 +13,7 @@
 from knotwalk.consensus import machine as consensus_machine
 from knotwalk.control_plane import (
     __main__ as program,
+    allowances,
     claim_group,
     claim_groups,
     consensus_driver,
@@ -23,16 +25,19 @@
 from knotwalk.control_plane.compaction import Compaction
 from knotwalk.edge import link
 from knotwalk.runtime import life, logs
-from knotwalk.runtime.settings import Machine, Platform, Settings, Tolerance
+from knotwalk.runtime.settings import Bounds, Machine, Platform, Settings, Tolerance
+from knotwalk.shared_state import messages
 from tests.simulation.disk import Disk, Store
 from tests.simulation.loop import PROCESS, Process, clock
 from tests.simulation.wire import App, Caller, Listener, Wire
 
 PEERS, CONTROL = 7660, 8080  # ports of a core
 PLATFORM = ("10.9.0.1", 80)
+KEY_PERIOD, MARGIN = 4.0, 0.5  # seconds, of walks: so short that claims end within them
 SAYS = ("log_info", "log_warning", "log_exception")
 ROOMS = (
     program,
+    allowances,
     claim_group,
     claim_groups,
     consensus_driver,
@@ -60,8 +65,9 @@
 
 
 @contextlib.contextmanager
-def in_place(wire: Wire, seed: int, say: Any, compact: int, trail: int) -> Iterator[None]:
-    """The rooms of core and edge, with a world's clocks, wire, disks and chance. `say` hears their log."""
+def in_place(wire: Wire, seed: int, say: Any, compact: int, trail: int, parts: int = 1) -> Iterator[None]:
+    """The rooms of core and edge, with a world's clocks, wire, disks and chance. `say` hears their log. Operations have
+    `parts`, each with a group of its own."""
     chance = random.Random(f"programs {seed}")
 
     def told(event: str, **fields: object) -> None:
@@ -86,10 +92,15 @@
         put(life.Ending, "listen", lambda ending: None)
         put(Compaction, "due", lambda made, *worth: _due(made, compact))
         put(consensus_machine, "TRAIL", trail)
+        for room in (messages, claim_group, claim_groups):
+            put(room, "PARTS", parts)
+        put(claim_group, "MARGIN", MARGIN)
         yield
 
 
-def settings(host: str, seeds: list[str], first_start: bool, machines: int, keyed: bool = False) -> Settings:
+def settings(
+    host: str, seeds: list[str], first_start: bool, machines: int, keyed: bool = False, bounds: Bounds = Bounds()
+) -> Settings:
     """A core's settings file."""
     return Settings(
         node_name=host,
@@ -104,6 +115,7 @@
         tolerance=Tolerance(machines=machines),
         platform=Platform(address=PLATFORM),
         contracts=["keys"] if keyed else [],
+        bounds=replace(bounds, key_period=KEY_PERIOD),
     )
 
 
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -14,7 +14,7 @@
 from tests.soak.shared_judge import SharedJudge
 
 SEEDS = (101, 102)
-SHORT = Shape(edges=3, clients=12, length=12.0, series=7, contracts="")
+SHORT = Shape(edges=3, clients=12, length=12.0, series=7)
 GRACE = 6.0
 
 
