--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -11,14 +11,15 @@
 
 from knotwalk.consensus.orders import OUTSIDER
 from knotwalk.control_plane import account
+from knotwalk.control_plane.claim_groups import CLAIMS, MESSAGES, ClaimGroups
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, Lost, NotLeader
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.slice_manager import SliceManager
 from knotwalk.discovery.board import Board
 from knotwalk.discovery.loads import Loads
 from knotwalk.discovery.reachability import unreached_nodes
-from knotwalk.discovery.view_types import KEYS
-from knotwalk.leases.tenure import ASK
+from knotwalk.discovery.view_types import FRESH, KEYS
+from knotwalk.leases.tenure import ASK, PROOF
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_warning
@@ -26,7 +27,6 @@
 
 Handler = Callable[[Request], Awaitable[HTTPResponse]]
 
-FRESH = 1.2  # a core that heard the leader's word longer ago than this sends its edges elsewhere
 GATHER = 0.004  # news that come together go together
 STALE_WAIT = 0.25  # an edge's call waits so long for a core that is about to be fresh, as after a start of all
 WAIT_MOST = 5.0
@@ -48,7 +48,9 @@
         board: Board,
         loads: Loads,
         caller: Caller,
+        claims: ClaimGroups | None = None,
     ):
+        self.claims = claims
         self.me, self.consensus, self.list_poller, self.conductor = me, consensus, list_poller, conductor
         self.board, self.loads, self.caller = board, loads, caller
         self.news = asyncio.Event()
@@ -72,6 +74,7 @@
             ("/status", self.status),
             ("/explain", self.explain),
             *self.parts.items(),
+            *(((MESSAGES, self.group_messages), (CLAIMS, self.claimed)) if self.claims else ()),
         ):
             made.add_route(self.counted(path, handler), path, methods=["POST"], error_format="text")
         return made
@@ -93,6 +96,16 @@
         """Messages of the agreement, answered by those that go back."""
         return answer(self.consensus.exchange(body(request)))
 
+    async def group_messages(self, request: Request) -> HTTPResponse:
+        """Messages of the groups that agree on claims."""
+        assert self.claims is not None
+        return answer(await self.claims.exchange(body(request)))
+
+    async def claimed(self, request: Request) -> HTTPResponse:
+        """Claims that another core asks of this one, as the leader of their groups."""
+        assert self.claims is not None
+        return answer(await self.claims.taken(body(request)))
+
     async def proposal(self, request: Request) -> HTTPResponse:
         """A conductor's command for the log, taken by the leader only."""
         try:
@@ -180,6 +193,7 @@
         now = clock()
         self.loads.heard(now, asked["edge"])
         self.asked[asked["edge"]] = now, asked["epoch"], asked["at"]
+        arrived = now
         if asked.get("report"):
             self.loads.add(now, asked["report"], True)
         until, patient = now + min(WAIT_MOST, asked.get("wait", 0.0)), now + STALE_WAIT
@@ -198,6 +212,8 @@
             except TimeoutError:
                 pass
         told = {"fresh": fresh, "zone": self.list_poller.settings.zone, "edges": self.loads.count(now)}
+        if fresh:
+            told["proven"] = round(self.fresh_until - FRESH - PROOF - arrived, 3)
         if message:
             told["news"] = message
         elif provisional and not fresh and self.alone():
--- a/knotwalk/edge/front.py
+++ b/knotwalk/edge/front.py
@@ -16,6 +16,8 @@
 from knotwalk.edge.client_connection import CROWD_LOOK, ClientConnection, unread
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import Forwarder
+from knotwalk.edge.intake import Intake
+from knotwalk.edge.request_head import RequestHead
 from knotwalk.edge.stages import Stage
 from knotwalk.runtime.logs import log_exception, log_info
 from knotwalk.runtime.loop_delay import LoopDelay
@@ -42,7 +44,8 @@
         self.connection_budget = shared(settings.machine.file_descriptors)
         self.coming = 0  # connections accepted that have not entered yet
         self.draining = False
-        self.started = view.whole
+        self.intake = Intake(self.forwarder)
+        self.started = self.serves
         self.open = 0  # requests read and not answered
         self.gate: socket.socket | None = None  # where connections wait to be accepted
         self._shut_until: asyncio.TimerHandle | None = None  # while none is accepted
@@ -59,6 +62,11 @@
         configuration = self.view.configuration
         return configuration.limits if configuration is not None else DEFAULT_LIMITS
 
+    @property
+    def serves(self) -> bool:
+        """Whether there is enough to serve by, of what cores have told."""
+        return self.view.whole and self.intake.judges_keys(self.clock())
+
     @property
     def counts(self) -> dict:
         """What was met with, by its name; told with the tally."""
@@ -234,7 +242,7 @@
     def view_changed(self, changed: set[str]) -> None:
         """The cluster view changed."""
         self.forwarder.view_changed(changed)
-        if not self.started and self.view.whole:
+        if not self.started and self.serves:
             self.started = True
             for client in list(self.clients):
                 client.begun()
@@ -253,33 +261,15 @@
         if self._shut_until is not None and not self.crowded:
             self._reopen()
 
-    def begin(self, exchange: Exchange, host: bytes, target: bytes, key: bytes | None, deadline: bytes | None) -> None:
-        """A request's head was read: find its route and its deadline."""
+    @property
+    def withheld(self) -> frozenset[bytes]:
+        """Headers of clients, in lower case, that go to no node."""
+        return self.intake.withheld
+
+    def begin(self, exchange: Exchange, head: RequestHead) -> None:
+        """A request's head was read: find its route, whose it is, and its deadline."""
         self.open += 1
-        index = self.view.index
-        if index is None:
-            exchange.own(503, "not ready", 0.2)
-            return
-        route = index.find(host.decode("latin-1"), target.decode("latin-1"))
-        if route is None:
-            self.counts["no route"] += 1
-            exchange.own(404, "no route")
-            return
-        mistake = self.forwarder.routed(exchange, route, key)
-        left = route.timeout
-        if deadline is not None:
-            try:
-                left = min(left, float(deadline) / 1000)
-            except ValueError:
-                mistake = mistake or "Deadline-Ms must be a number"
-            if not left >= 0:
-                mistake = mistake or "Deadline-Ms must be a number"
-        if mistake:
-            self.counts["mistake"] += 1
-            exchange.own(400, mistake)
-            return
-        exchange.until = exchange.begun + left
-        exchange.timer = asyncio.get_running_loop().call_later(left, exchange.expire)
+        self.intake.begin(exchange, head)
 
     def carry(self, exchange: Exchange) -> None:
         """Carry a request; it tells when its answer is known."""
--- a/tests/system/test_cli.py
+++ b/tests/system/test_cli.py
@@ -27,7 +27,7 @@
 from knotwalk.discovery.view_types import WIDTH, Node
 from knotwalk.leases.ledger import SLICES
 from knotwalk.runtime.errors import PeerError
-from tests.standins.village import FIRST, route, service
+from tests.standins.documents import FIRST, route, service
 
 STATIONS = pathlib.Path(__file__).parents[2] / "openapi" / "peers.yaml"
 SETTINGS = {
@@ -177,7 +177,8 @@
                     "~ route signup changed: may be repeated",
                     "~ route signup moved: tiles -> desk",
                     "~ route signup timeouts: timeout 60s -> 900ms",
-                    "+ service third added: health_check /health, max_connections 130, sharded false, prewarm 0ms",
+                    "+ service third added: health_check /health, max_connections 130, sharded false, prewarm 0ms, "
+                    "idempotent false",
                     "~ service tiles changed: max_connections 130 -> 7",
                     "~ limits changed: idle_timeout 15s -> 9s",
                 ],
