--- a/knotwalk/edge/operation_steps.py
+++ b/knotwalk/edge/operation_steps.py
@@ -13,6 +13,8 @@
 # Seconds between asks for an operation that another try runs, and between asks while it can't be told.
 REPEAT_LEAST, REPEAT_MOST = 0.05, 0.1
 AGAIN = 0.005
+# Seconds for which a core's word that an operation is in work holds.
+IN_WORK_HOLDS = 0.4
 # Of the aim: how long a request may wait for word that is on its way. Longer than it may wait where there is none: most
 # of what is late by this is told soon, and run in time.
 LATE_PART = 0.5
@@ -54,22 +56,26 @@
     until: float
 
 
-def step(told: AdmissionTold, in_work: bool, now: float, patience: Patience) -> Step:
-    """What follows. `in_work`: whether its operation was in work at an earlier ask.
+def step(told: AdmissionTold, in_work_at: float | None, now: float, patience: Patience) -> Step:
+    """What follows. `in_work_at`: when a core told last that its operation is in work, None if none did.
 
     UNAVAILABLE without a time to come back says that the core waits for others' word.
 
     >>> times = Patience(1.1, 1.3, 2.0)
-    >>> step(AdmissionTold(Admission.IN_WORK), False, 1.0, times)
+    >>> step(AdmissionTold(Admission.IN_WORK), None, 1.0, times)
     <Step.WAIT: 'wait'>
-    >>> [step(AdmissionTold(Admission.UNAVAILABLE, wait), False, 1.2, times) for wait in (0.0, 0.2)]
+    >>> [step(AdmissionTold(Admission.UNAVAILABLE, wait), None, 1.2, times) for wait in (0.0, 0.2)]
     [<Step.WAIT: 'wait'>, <Step.COME_BACK: 'come back'>]
     """
     if told.admission in AT_ONCE:
         return AT_ONCE[told.admission]
-    if told.admission is Admission.IN_WORK or in_work:
+    if told.admission is Admission.IN_WORK:
         return Step.WAIT if now < patience.until else Step.CONFLICT
-    return Step.WAIT if now < (patience.early if told.retry_after else patience.late) else Step.COME_BACK
+    if in_work_at is None:
+        return Step.WAIT if now < (patience.early if told.retry_after else patience.late) else Step.COME_BACK
+    if now < patience.until:
+        return Step.WAIT
+    return Step.CONFLICT if now - in_work_at <= IN_WORK_HOLDS else Step.COME_BACK
 
 
 def stored(answer: Answer) -> StoredAnswer:
--- a/knotwalk/edge/operations.py
+++ b/knotwalk/edge/operations.py
@@ -103,22 +103,23 @@
     async def _admit(self, exchange: Exchange, ask: AdmissionAsk) -> None:
         """Ask until something follows."""
         cores: tuple[str, ...] = ()  # that may have granted the ask
-        in_work = False
+        in_work_at: float | None = None
         patience = _patience(exchange)
         since = self.forwarder.clock()  # of the asks that may have been granted, the first
         while True:
-            asked = await self._ask(ask, in_work, patience)
+            asked = await self._ask(ask, in_work_at is not None, patience)
             cores = tuple(dict.fromkeys((*cores, *asked.cores)))
-            in_work = in_work or asked.told.admission is Admission.IN_WORK
             now = self.forwarder.clock()
-            follows = step(asked.told, in_work, now, patience)
+            if asked.told.admission is Admission.IN_WORK:
+                in_work_at = now
+            follows = step(asked.told, in_work_at, now, patience)
             if exchange.gone and follows in (Step.WAIT, Step.CARRY):
                 follows = Step.COME_BACK
             if follows is Step.CARRY and ask.operation in self.running:
                 follows = Step.WAIT  # two tries asked side by side, and the other one runs here: it has the claim
             if follows is not Step.WAIT:
                 break
-            pause = self.forwarder.luck.uniform(REPEAT_LEAST, REPEAT_MOST) if in_work else AGAIN
+            pause = self.forwarder.luck.uniform(REPEAT_LEAST, REPEAT_MOST) if in_work_at is not None else AGAIN
             await asyncio.sleep(max(0.0, min(pause, exchange.until - now)))
             if not cores:
                 since = self.forwarder.clock()
