Core: one token an attempt, whatever it asks; in work is told only of edges that were heard

Now a token whose claim is not known stays with its attempt (shared_state/held_tokens), one that is taken for an ask counts as held unused until it is spent or given back, so giving back needs no bound of its own and limit.returns is gone. Ruled out: claim first, then take: a storm would write claims for nothing.

--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -91,6 +91,7 @@
         self.admissions = Admissions(
             own, self.allowances, self.claims, Answers(memory, settings.bounds.key_period), self.caller, logs.clock
         )
+        self.peer_api.on_life = self.admissions.heard
         self.peer_api.parts |= {"/admissions": self.admissions.admissions, "/answers": self.admissions.kept}
         self.peer_api.parts["/allowances"] = self.allowances.asked
         self.control = Control(self.consensus, settings.at("control")[1])
--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -1,13 +1,14 @@
 """Admission at a core machine: what edges ask for in one call, and the answers of operations that are kept here.
 
-An ask takes of its tenant's allowance, then claims its operation. A claim that is not granted gives the allowance back.
+An ask takes a token of its tenant's allowance and claims its operation. A claim that another try holds gives the token
+back; one that is not known yet keeps it for the next ask of the attempt.
 """
 
 from __future__ import annotations
 
 import asyncio
 import math
-from collections import Counter
+from collections import Counter, OrderedDict
 from collections.abc import Callable
 from typing import Protocol
 
@@ -17,8 +18,9 @@
 from knotwalk.runtime.call import Caller
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.serve import answer, body
-from knotwalk.shared_state.answers import Answers, Found, Phase
+from knotwalk.shared_state.answers import Answers, Phase
 from knotwalk.shared_state.claims import UNAVAILABLE as CLAIMS_UNAVAILABLE, ClaimResult, Outcome
+from knotwalk.shared_state.held_tokens import Attempt, HeldTokens
 from knotwalk.shared_state.messages import (
     Admission,
     AdmissionAsk,
@@ -48,13 +50,10 @@
 UNAVAILABLE = AdmissionTold(Admission.UNAVAILABLE, STUCK_PAUSE)
 NOT_YET = AdmissionTold(Admission.UNAVAILABLE)
 RUN = AdmissionTold(Admission.RUN)
-# What a try of an operation is told that another try holds. A freed one is about to be free for the next ask.
-TOLD_BY_PHASE = {
-    Phase.RUNNING: Admission.IN_WORK,
-    Phase.FREED: Admission.IN_WORK,
-    Phase.ANSWERED: Admission.ANSWERED,
-    Phase.UNKNOWN: Admission.UNKNOWN,
-}
+# Seconds since a call of an edge's life in which what it runs is told as in work; an edge calls each second at least.
+HEARD_WITHIN = 1.6
+# Lives that are remembered.
+LIVES_MOST = 5000
 
 
 class Allowances(Protocol):
@@ -63,6 +62,9 @@
     async def take(self, tenant: str, patience: float) -> AdmissionTold:
         """Take one request's allowance: RUN, OVER_LIMIT or UNAVAILABLE."""
 
+    def spend(self, tenant: str) -> None:
+        """A request that had taken its allowance runs."""
+
     def give_back(self, tenant: str) -> None:
         """A request that had taken its allowance does not run."""
 
@@ -94,6 +96,8 @@
         self.seeking: dict[Claim, asyncio.Task[ClaimResult]] = {}  # claims that are sought, or were answered just now
         self.stuck: set[int] = set()  # parts of which a claim has had no answer for long, and none has had one since
         self.taken_at = -math.inf  # when an allowance was told of last
+        self.tokens = HeldTokens()
+        self.lives: OrderedDict[str, float] = OrderedDict()  # edges' lives, and when each one called last
         self.told: Counter[Admission] = Counter()
         self.ended: Counter[Ending] = Counter()
 
@@ -103,9 +107,18 @@
 
     async def kept(self, request: Request) -> HTTPResponse:
         """Another core asks how operations stand that are kept here."""
-        now = self.clock()
-        asked = [(operation, Holder(*holder)) for operation, holder in body(request)]
-        return answer([self.answers.find(now, operation, holder).to_json() for operation, holder in asked])
+        return answer(self.kept_of(body(request)))
+
+    def kept_of(self, asked: list) -> list:
+        """What a try of each operation is told that its holder runs or has run, as plain values."""
+        return [self._held_told(operation, Holder(*holder)).to_json() for operation, holder in asked]
+
+    def heard(self, life: str) -> None:
+        """An edge's program called this core."""
+        self.lives[life] = self.clock()
+        self.lives.move_to_end(life)
+        if len(self.lives) > LIVES_MOST:
+            self.lives.popitem(last=False)
 
     def configured(self, configuration: Configuration) -> None:
         """Another configuration is in force: it says how long a run may take."""
@@ -114,6 +127,9 @@
 
     async def admit(self, batch: EdgeBatch) -> list[AdmissionTold]:
         """The ends of a call are taken, then its asks told, side by side."""
+        self.heard(batch.life)
+        for tenant in self.tokens.ended(self.clock()):
+            self.allowances.give_back(tenant)
         for end in batch.ends:
             self._end(batch.life, end)
         told = list(await asyncio.gather(*(self._ask(batch.life, ask) for ask in batch.asks)))
@@ -127,28 +143,42 @@
         if ask.operation and (told := self._known(ask.operation, holder)) is not None:
             return told
         if not ask.operation:
-            return await self._take(ask.tenant)
+            taken = await self._take(ask.tenant)
+            if taken.admission is Admission.RUN:
+                self.allowances.spend(ask.tenant)
+            return taken
         if not ask.tenant:
             return await self._claim(ask.operation, holder)
         return await self._take_and_claim(ask, holder)
 
     async def _take_and_claim(self, ask: AdmissionAsk, holder: Holder) -> AdmissionTold:
         """Take of the allowance and claim the operation; the claim is begun while the allowance is waited for."""
+        attempt = Attempt(holder.life, holder.attempt)
+        if self.tokens.use(attempt) is not None:
+            return self._settled(ask, attempt, await self._claim(ask.operation, holder))
         taking = asyncio.get_running_loop().create_task(self._take(ask.tenant))
         await asyncio.sleep(0)  # what is at hand is given in this turn
         if taking.done() and taking.result().admission is not Admission.RUN:
             return taking.result()
         told, taken = await asyncio.gather(self._claim(ask.operation, holder), taking)
         if taken.admission is Admission.RUN:
-            if told.admission is not Admission.RUN:
-                self.allowances.give_back(ask.tenant)
-            return told
+            return self._settled(ask, attempt, told)
         if told.admission in (Admission.IN_WORK, Admission.ANSWERED, Admission.UNKNOWN):
             return told  # it needs no allowance
         if taken.admission is Admission.OVER_LIMIT:  # the edge refuses it for good
             self._end(holder.life, OperationEnd(ask.operation, ask.attempt, Ending.NEVER_RAN))
         return taken
 
+    def _settled(self, ask: AdmissionAsk, attempt: Attempt, told: AdmissionTold) -> AdmissionTold:
+        """What becomes of an attempt's token by what it is told of its claim."""
+        if told.admission is Admission.RUN:
+            self.allowances.spend(ask.tenant)
+        elif told.admission is Admission.UNAVAILABLE:
+            self.tokens.hold(self.clock(), attempt, ask.tenant)
+        else:
+            self.allowances.give_back(ask.tenant)
+        return told
+
     async def _take(self, tenant: str) -> AdmissionTold:
         """Take one request's allowance; where others had theirs just now, it is only late."""
         taken = await self.allowances.take(tenant, ALLOWANCE_PATIENCE)
@@ -165,9 +195,20 @@
         found = self.answers.find(self.clock(), operation, other)
         if (other.life, other.attempt) == (holder.life, holder.attempt):
             return None if found.phase is Phase.RUNNING else UNAVAILABLE  # its end came: late, or a second time
-        if found.phase in (Phase.RUNNING, Phase.ANSWERED):
-            return AdmissionTold(TOLD_BY_PHASE[found.phase], answer=found.answer)
-        return None
+        return self._held_told(operation, other) if found.phase in (Phase.RUNNING, Phase.ANSWERED) else None
+
+    def _held_told(self, operation: str, holder: Holder) -> AdmissionTold:
+        """What another try is told of an operation that is kept here, and whose claim `holder` has."""
+        now = self.clock()
+        found = self.answers.find(now, operation, holder)
+        if found.phase is Phase.ANSWERED:
+            return AdmissionTold(Admission.ANSWERED, answer=found.answer)
+        if found.phase is Phase.RUNNING:
+            heard = now - self.lives.get(holder.life, -math.inf) <= HEARD_WITHIN
+            return AdmissionTold(Admission.IN_WORK) if heard else NOT_YET
+        if found.phase is Phase.FREED or Claim(operation, holder) in self.seeking:
+            return NOT_YET  # about to be free, or about to run
+        return AdmissionTold(Admission.UNKNOWN)
 
     async def _claim(self, operation: str, holder: Holder) -> AdmissionTold:
         result = await self._sought(Claim(operation, holder))
@@ -178,13 +219,8 @@
         if (holds.life, holds.attempt) == (holder.life, holder.attempt):  # perhaps by another core, its answer lost
             return RUN if self.answers.begun(self.clock(), operation, holds) else UNAVAILABLE
         if holds.core == self.me:
-            found = self.answers.find(self.clock(), operation, holds)
-        else:
-            asked = await self._ask_keeper(operation, holds)
-            if asked is None:
-                return UNAVAILABLE
-            found = asked
-        return AdmissionTold(TOLD_BY_PHASE[found.phase], answer=found.answer)
+            return self._held_told(operation, holds)
+        return await self._ask_keeper(operation, holds)
 
     async def _sought(self, claim: Claim) -> ClaimResult | None:
         """The answer to a claim; None if there is none yet: the claim is sought on, for who asks again."""
@@ -211,20 +247,22 @@
             asyncio.get_running_loop().call_later(ANSWER_KEPT, self.seeking.pop, claim, None)
         return result
 
-    async def _ask_keeper(self, operation: str, holder: Holder) -> Found | None:
-        """What the core that keeps an operation's answer knows of it; None if it does not answer."""
+    async def _ask_keeper(self, operation: str, holder: Holder) -> AdmissionTold:
+        """What the core that keeps an operation's answer tells of it; UNAVAILABLE if it does not answer."""
         asked = [[operation, holder.to_json()]]
         try:
             told = await self.caller.json("POST", f"http://{holder.core}/answers", asked, ANSWER_PATIENCE, "answers")
-            return Found.from_json(told[0])
+            return AdmissionTold.from_json(told[0])
         except (PeerError, IndexError, TypeError, ValueError):
-            return None
+            return UNAVAILABLE
 
     # -- ends
 
     def _end(self, life: str, end: OperationEnd) -> None:
         """Note how a run ended; one that surely never ran gives its claim back."""
         self.ended[end.ending] += 1
+        if (tenant := self.tokens.use(Attempt(life, end.attempt))) is not None:
+            self.allowances.give_back(tenant)
         told = Holder(self.me, life, end.attempt)
         holder = self.answers.ended(self.clock(), end.operation, told, end.ending, end.answer)
         if end.ending is Ending.NEVER_RAN and self.claims is not None:
--- a/knotwalk/control_plane/allowances.py
+++ b/knotwalk/control_plane/allowances.py
@@ -86,7 +86,9 @@
     # --- requests
 
     async def take(self, tenant: str, patience: float) -> AdmissionTold:
-        """Take a token for one request: RUN, OVER_LIMIT, or UNAVAILABLE after `patience` seconds without a leader."""
+        """Take a token for one request: RUN, OVER_LIMIT, or UNAVAILABLE after `patience` seconds without a leader.
+
+        After RUN `spend` or `give_back` must be called, once: until then the token counts as held here."""
         now, due = clock(), self.escrow.due
         taken = self.escrow.take(now, tenant)
         how = "at once"
@@ -98,8 +100,14 @@
         self.told[taken.value, how] += 1
         if taken is Taken.OVER_LIMIT:
             self._note_refused(tenant)
+        elif taken is Taken.GRANTED:
+            self.escrow.reserve(tenant)
         return TOLD[taken]
 
+    def spend(self, tenant: str) -> None:
+        """A request that had taken a token runs."""
+        self.escrow.spend(tenant)
+
     def give_back(self, tenant: str) -> None:
         """A request that had taken a token does not run."""
         taken_back = self.escrow.give_back(clock(), tenant)
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -57,6 +57,7 @@
         self.fresh_until = 0.0
         self.started = clock()
         self.leaving = False
+        self.on_life: Callable[[str], None] = lambda life: None  # hears of each edge's program that calls
         self.told: Counter[str] = Counter()  # bytes of bodies answered, by path
         self.parts: dict[str, Handler] = {}  # calls answered by other parts of this core, by path; set before `app`
         self.asked: dict[str, tuple[float, str, int]] = {}  # by edge: when it called here, and what it had then
@@ -192,6 +193,7 @@
         asked = body(request)
         now = clock()
         self.loads.heard(now, asked["edge"])
+        self.on_life(asked.get("life", ""))
         self.asked[asked["edge"]] = now, asked["epoch"], asked["at"]
         arrived = now
         if asked.get("report"):
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -53,7 +53,7 @@
             self.news,
             self.front.forwarder.freshness,
         )
-        life = os.urandom(8).hex()
+        life = self.link.life = os.urandom(8).hex()
         self.admission_calls = AdmissionCalls(
             settings.node_name, life, self.cores, clock, settings.bounds.key_period, lambda: self.front.counts
         )
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -40,6 +40,7 @@
         self.edge, self.view, self.caller, self.seeds = edge, view, caller, seeds
         self.report, self.on_news = report, on_news
         self.freshness = freshness or Freshness(math.inf, False)
+        self.life = ""  # of this program, as its asks for admission name it
         self.random = random.Random(seed)
         self.zone = zone
         self.zones: dict[str, str] = {}  # of cores that have answered: bytes between zones are priced
@@ -103,7 +104,7 @@
         now = clock()
         wait = self.freshness.wait(WAIT) if core == self.known else FIRST_WAIT
         self.known = None
-        asked = {"edge": self.edge, "wait": wait, **self.view.ask()}
+        asked = {"edge": self.edge, "life": self.life, "wait": wait, **self.view.ask()}
         if now - self.reported_at >= 0.9 * WAIT:
             self.reported_at = now
             asked["report"] = self.report()
--- a/knotwalk/shared_state/answers.py
+++ b/knotwalk/shared_state/answers.py
@@ -63,16 +63,6 @@
     phase: Phase
     answer: StoredAnswer | None = None
 
-    def to_json(self) -> list:
-        """As a list of plain values."""
-        return [self.phase.value, self.answer.to_json() if self.answer else None]
-
-    @classmethod
-    def from_json(cls, raw: list) -> Found:
-        """From what `to_json` made; ValueError or TypeError for anything else."""
-        phase, answer = raw
-        return cls(Phase(phase), StoredAnswer.from_json(answer) if answer else None)
-
 
 def size_of(answer: StoredAnswer) -> int:
     """Bytes that an answer takes."""
--- a/knotwalk/shared_state/escrow.py
+++ b/knotwalk/shared_state/escrow.py
@@ -44,8 +44,7 @@
     waiting: int = 0
     empty_until: float = -math.inf
     unlimited_until: float = -math.inf
-    returned: int = 0  # tokens taken back since `returns_at`
-    returns_at: float = -math.inf
+    reserved: int = 0  # tokens taken whose requests may yet not run: they count as held, and may come back
 
     def note_use(self, now: float) -> None:
         """One more request came."""
@@ -101,19 +100,25 @@
         if holding is not None:
             holding.waiting = max(0, holding.waiting - 1)
 
-    def give_back(self, now: float, tenant: str) -> bool:
-        """An edge did not use a token; whether it may be used by another request here.
+    def reserve(self, tenant: str) -> None:
+        """A token that was taken may yet come back: it is told as unused until it is spent or given back."""
+        self.holdings.setdefault(tenant, Holding()).reserved += 1
 
-        Only so many within a holding's time: one that was taken in the window before is counted in neither."""
+    def spend(self, tenant: str) -> None:
+        """The request of a reserved token runs."""
+        holding = self.holdings.get(tenant)
+        if holding is not None:
+            holding.reserved = max(0, holding.reserved - 1)
+
+    def give_back(self, now: float, tenant: str) -> bool:
+        """The request of a reserved token does not run; whether another one here may have the token."""
         limit, holding = self.limit_of(tenant), self.holdings.get(tenant)
-        if limit is None or holding is None or now >= holding.ends:
+        if holding is None or holding.reserved == 0:
             return False
-        if now >= holding.returns_at + limit.lasts:
-            holding.returned, holding.returns_at = 0, now
-        if holding.held >= limit.share or holding.returned >= limit.returns:
+        holding.reserved -= 1
+        if limit is None or now >= holding.ends or holding.held >= limit.share:
             return False
         holding.held += 1
-        holding.returned += 1
         return True
 
     def _look(self, now: float, tenant: str, holding: Holding) -> None:
@@ -137,7 +142,7 @@
             want = self._want(now, tenant, holding, limit)
             if want is not None:
                 found.append(want)
-            elif not holding.held and not holding.waiting and now - holding.used_at >= IDLE:
+            elif not holding.held and not holding.reserved and not holding.waiting and now - holding.used_at >= IDLE:
                 del self.holdings[tenant]
             elif holding.held:
                 self.due = min(self.due, self._renewal(holding, limit))
@@ -161,7 +166,7 @@
         wanted = holding.waiting + target - holding.held
         if wanted < 0:
             holding.held = target
-        return AllowanceWant(tenant, wanted, holding.held)
+        return AllowanceWant(tenant, wanted, holding.held + holding.reserved)
 
     def _renewal(self, holding: Holding, limit: Limit | None) -> float:
         return holding.ends - RENEW * limit.lasts if limit is not None else holding.ends
--- a/tests/system/operations_case.py
+++ b/tests/system/operations_case.py
@@ -43,6 +43,7 @@
         self.calls = AdmissionCalls(
             "e", f"{id(self)}.{self.lives}", lambda: self.order, clock, 60.0, lambda: self.front.counts
         )
+        self.cores.living.add(self.calls.life)
         self.calls.lanes = [self.cores, self.cores]
         self.calls.idle = list(self.calls.lanes)
         self.refusals = NeverRefused()
@@ -61,6 +62,7 @@
         type(self.front).carry(self.front, exchange)
 
     async def end(self):
+        self.cores.living.discard(self.calls.life)
         self.front.drain()
         await self.front.finished(0)
         self.front._sweep.cancel()
