Ends travel with the next ask, or after a quarter of a second; a freed operation's after 20 ms

Each run made a call of its own for its end. Test: an end goes with a call that is made anyway, or by itself when due.

--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -28,8 +28,9 @@
 # Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then. Doubled, up to the
 # most, with each call in a row that has none in time: behind a squeezed link cores are slow, and there all the same.
 PATIENCE, PATIENCE_MOST = 0.15, 0.8
-# Seconds that an end waits for asks to travel with.
-GATHER = 0.02
+# Seconds that an end waits for an ask to travel with: one that frees its operation, for which a client was told to come
+# back soon, and any other.
+GATHER_FREED, GATHER = 0.02, 0.25
 # Asks and ends that one call takes.
 MOST = 200
 # Seconds between calls while no core is known that did not fail lately: a port that refuses answers at once.
@@ -104,15 +105,18 @@
     def end(self, cores: tuple[str, ...], operation: str, attempt: str, ending: Ending, answer=None) -> None:
         """Tell these cores how the run of an operation ended."""
         told = OperationEnd(operation, attempt, ending, answer)
+        now = self.clock()
+        due = now + (GATHER_FREED if ending is Ending.NEVER_RAN else GATHER)
         for core in cores:
-            self.ends.add(self.clock(), core, told)
-        self._start_later(GATHER)
+            self.ends.add(now, core, told, due)
+        self._start_later(due - now)
 
     async def finish(self, by: float) -> None:
         """Tell what is untold until the steady clock shows `by`; then end all connections."""
+        self.ends.hurry()
         while self.ends.waiting and self.clock() < by:
             self._start_calls()
-            await asyncio.sleep(GATHER)
+            await asyncio.sleep(GATHER_FREED)
         if self._timer is not None:
             self._timer.cancel()
         for call in list(self._calls):
@@ -130,8 +134,12 @@
     # -- calls
 
     def _start_later(self, pause: float) -> None:
-        if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(pause, self._timed)
+        loop = asyncio.get_running_loop()
+        if self._timer is not None:
+            if self._timer.when() <= loop.time() + pause:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_later(pause, self._timed)
 
     def _timed(self) -> None:
         self._timer = None
@@ -148,7 +156,7 @@
                     break
                 core = due[0].to
             batch, self.asks = (self.asks[:MOST], self.asks[MOST:]) if self.asks else ([], [])
-            ends = [one.end for one in self.ends.due(now, core)[:MOST]]
+            ends = [one.end for one in self.ends.ready(now, core)[:MOST]]
             self.ends.sent(now, core, ends)
             for waiting in batch:
                 waiting.cores.append(core)
@@ -156,7 +164,7 @@
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
         if self.idle and (next_due := self.ends.next_due()) is not None:
-            self._start_later(max(GATHER, next_due - self.clock()))
+            self._start_later(max(GATHER_FREED, next_due - self.clock()))
 
     def _core(self) -> str | None:
         """The core to ask: the best of those that did not fail lately, else the best of all."""
--- a/knotwalk/edge/operation_steps.py
+++ b/knotwalk/edge/operation_steps.py
@@ -114,13 +114,16 @@
 
 @dataclass(slots=True)
 class Untold:
-    """An end that no core took yet: for the core `to`, due at `due`, again after `pause`, dropped at `last`."""
+    """An end that no core took yet: for the core `to`, due at `due`, again after `pause`, dropped at `last`.
+
+    `fresh` until it is told first; it may then go before it is due, with a call that is made anyway."""
 
     to: str
     end: OperationEnd
     due: float
     last: float
     pause: float = TELL_AGAIN
+    fresh: bool = True
 
     @property
     def size(self) -> int:
@@ -136,9 +139,9 @@
         self.waiting: OrderedDict[tuple[str, str, str], Untold] = OrderedDict()
         self.size = 0
 
-    def add(self, now: float, to: str, end: OperationEnd) -> None:
-        """An end is to be told."""
-        untold = Untold(to, end, now, now + self.window)
+    def add(self, now: float, to: str, end: OperationEnd, due: float) -> None:
+        """An end is to be told, by a call of its own at `due`."""
+        untold = Untold(to, end, due, now + self.window)
         self.done(to, [end])
         self.waiting[to, end.operation, end.attempt] = untold
         self.size += untold.size
@@ -146,20 +149,30 @@
             _, oldest = self.waiting.popitem(last=False)
             self.size -= oldest.size
 
-    def due(self, now: float, to: str | None = None) -> list[Untold]:
-        """Those that may be told now (to one core); they are not due again before their pause."""
+    def due(self, now: float) -> list[Untold]:
+        """Those that want a call now; they are not due again before their pause."""
         for key, untold in list(self.waiting.items()):
             if now >= untold.last:
                 self.size -= untold.size
                 del self.waiting[key]
-        found = [one for one in self.waiting.values() if now >= one.due and to in (None, one.to)]
-        return found
+        return [one for one in self.waiting.values() if now >= one.due]
+
+    def ready(self, now: float, to: str) -> list[Untold]:
+        """Those that may go with a call to this core."""
+        return [one for one in self.waiting.values() if one.to == to and (one.fresh or now >= one.due)]
+
+    def hurry(self) -> None:
+        """All that were not told yet are due."""
+        for untold in self.waiting.values():
+            if untold.fresh:
+                untold.due = 0.0
 
     def sent(self, now: float, to: str, ends: list[OperationEnd]) -> None:
         """These are being told."""
         for end in ends:
             untold = self.waiting.get((to, end.operation, end.attempt))
             if untold is not None:
+                untold.fresh = False
                 untold.due = now + untold.pause
                 untold.pause = min(TELL_AGAIN_MOST, 2 * untold.pause)
 
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -81,15 +81,28 @@
 class UntoldEndsTest(unittest.TestCase):
     def test_an_end_is_due_again_later_and_later_until_its_window_is_over(self):
         ends, end, due = UntoldEnds(60.0), OperationEnd(OPERATION, "a1", Ending.ANSWERED, KEPT), []
-        ends.add(0.0, "core", end)
+        ends.add(0.0, "core", end, 0.0)
         for now in range(0, 6100):
-            if found := ends.due(now / 100, "core"):
+            if found := ends.due(now / 100):
                 due.append(now / 100)
                 ends.sent(now / 100, "core", [one.end for one in found])
         self.assertEqual(due[:4], [0.0, 0.5, 1.5, 3.5])
         self.assertLess(due[-1], 60.0)
         self.assertEqual((len(ends.waiting), ends.size), (0, 0))
 
+    def test_an_end_goes_with_a_call_that_is_made_anyway_or_by_itself_when_it_is_due(self):
+        ends, end = UntoldEnds(60.0), OperationEnd(OPERATION, "a1", Ending.ANSWERED, KEPT)
+        ends.add(0.0, "core", end, 0.25)
+        self.assertEqual((ends.due(0.1), ends.ready(0.1, "another")), ([], []))
+        self.assertEqual([one.end for one in ends.ready(0.1, "core")], [end])
+        self.assertEqual([one.end for one in ends.due(0.25)], [end])
+        ends.sent(0.1, "core", [end])
+        self.assertEqual((ends.due(0.3), ends.ready(0.3, "core")), ([], []))  # it is on its way
+        self.assertEqual([one.end for one in ends.due(0.6)], [end])
+        ends.add(1.0, "core", end, 1.25)
+        ends.hurry()
+        self.assertEqual([one.end for one in ends.due(1.0)], [end])
+
     @given(st.lists(st.tuples(st.integers(0, 3), st.integers(0, 40), st.booleans())))
     def test_bytes_and_number_are_bounded(self, steps):
         with mock.patch.multiple(operation_steps, MOST_ENDS=5, MOST_BYTES=90):
@@ -99,7 +112,7 @@
                 if done:
                     ends.done("core", [end])
                 else:
-                    ends.add(0.0, "core", end)
+                    ends.add(0.0, "core", end, 0.0)
                 self.assertEqual(ends.size, sum(one.size for one in ends.waiting.values()))
                 self.assertTrue(len(ends.waiting) <= 5 and ends.size <= 90)
 
