--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -119,6 +119,8 @@
         state = self.consensus.state
         self.board.set_config(state.order, document(state.configuration))
         self.admissions.configured(state.configuration)
+        if self.claims is not None:
+            self.claims.configured(state.configuration)
         self.peer_api.changed()
 
     def lines_changed(self, index: int, changes: list) -> None:
--- a/knotwalk/control_plane/claim_group.py
+++ b/knotwalk/control_plane/claim_group.py
@@ -62,7 +62,7 @@
             made, saved, home.caller, pace, home.seed + part, home.born, ClaimTable, post, name
         )
         self.part, self.on_role = part, on_role
-        self.hold = settings.bounds.key_period + MARGIN
+        self.hold = settings.bounds.key_period + MARGIN  # seconds
         self.machine = self.driver.machine
         self.machine.address = home.address
         self.machine.contacts = [at for at in home.founders.values() if at != home.address]
--- a/knotwalk/control_plane/claim_groups.py
+++ b/knotwalk/control_plane/claim_groups.py
@@ -9,6 +9,7 @@
 from dataclasses import replace
 from typing import Any
 
+from knotwalk.configuration.objects import Configuration
 from knotwalk.control_plane.claim_group import Group, Home
 from knotwalk.control_plane.claim_queue import Waiting
 from knotwalk.control_plane.consensus_driver import Lost, NotLeader
@@ -17,7 +18,7 @@
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_warning
 from knotwalk.shared_state.claim_packing import pack_claim, unpack_claim
-from knotwalk.shared_state.claims import UNAVAILABLE, ClaimResult, Outcome
+from knotwalk.shared_state.claims import MARGIN, UNAVAILABLE, ClaimResult, Outcome
 from knotwalk.shared_state.messages import PARTS, Claim, part_of
 
 MESSAGES, CLAIMS = "/claim-groups", "/claims"  # paths of the peers' port
@@ -56,6 +57,12 @@
         for group in self.groups:
             group.driver.start()
 
+    def configured(self, configuration: Configuration) -> None:
+        """Another configuration is in force: it says how long a run may take, and be sent again by its holder."""
+        longest = max((route.timeout for route in configuration.routes.values() if route.keyed), default=0.0)
+        for group in self.groups:
+            group.hold = self.key_period + MARGIN + longest
+
     def reach(self, contacts: list[str]) -> None:
         """The seeds named by the settings file are others."""
         for group in self.groups:
--- a/knotwalk/shared_state/claims.py
+++ b/knotwalk/shared_state/claims.py
@@ -17,8 +17,8 @@
 
 FORMAT = 1  # of snapshots
 CLAIMS_MOST = 100_000  # claims of one group; past it none is taken until older ones are dropped
-# Seconds past `key_period` that a claim holds. A holder must not send its request later than this after it asked for
-# the claim, less the drift of two steady clocks within the period.
+# Seconds past `key_period` and the longest time that a run may take, for which a claim holds. A holder must not send its
+# request for the first time later than this after it asked for the claim, less the drift of two steady clocks.
 MARGIN = 10.0
 AGREED_WITHIN = 0.1  # seconds; see GroupClock
 
@@ -65,9 +65,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Held:
-    """A claim in force: when it was granted last by the group's time, the core that keeps the answer, who has it."""
+    """A claim in force: until when of the group's time, the core that keeps the answer, and who has it."""
 
-    at: float
+    until: float
     core: str
     who: str
 
@@ -89,7 +89,7 @@
         self.applied = 0
         self.time = 0.0
         self.claims: OrderedDict[str, Held] = OrderedDict()  # by operation
-        self.released: OrderedDict[tuple[str, str], float] = OrderedDict()  # operation and who -> the group's time
+        self.released: OrderedDict[tuple[str, str], float] = OrderedDict()  # operation and who -> until when
 
     def apply(self, index: int, entry: dict) -> tuple[list[ClaimResult], None]:
         """Take the entry `index`: a result for each of its claims; none for an entry of another kind."""
@@ -97,13 +97,14 @@
         if entry.get("do") != "claims":
             return [], None
         self.time = max(self.time, entry["now"])
-        self._drop(self.time - entry["hold"])
-        return [self._take(unpack_claim(raw)) for raw in entry["claims"]], None
+        self._drop()
+        until = self.time + entry["hold"]
+        return [self._take(unpack_claim(raw), until) for raw in entry["claims"]], None
 
-    def _take(self, claim: Claim) -> ClaimResult:
+    def _take(self, claim: Claim, until: float) -> ClaimResult:
         who, found = _who(claim.holder), self.claims.get(claim.operation)
         if claim.release:
-            self._release(claim.operation, who)
+            self._release(claim.operation, who, until)
             return GRANTED
         if found is not None and found.who != who:
             return ClaimResult(Outcome.HELD, found.holder)
@@ -111,22 +112,22 @@
         if full or (claim.operation, who) in self.released:
             return UNAVAILABLE
         core = sys.intern("".join(claim.holder.core.split()))  # the same few for all; no blank, as snapshots need it
-        self.claims[claim.operation] = Held(self.time, core, who)  # again, too: its request may be sent after this
+        self.claims[claim.operation] = Held(until, core, who)  # again, too: its request may be sent after this
         self.claims.move_to_end(claim.operation)
         return GRANTED
 
-    def _release(self, operation: str, who: str) -> None:
+    def _release(self, operation: str, who: str, until: float) -> None:
         found = self.claims.get(operation)
         if found is not None and found.who == who:
             del self.claims[operation]
         if len(self.claims) + len(self.released) < CLAIMS_MOST:
-            self.released.setdefault((operation, who), self.time)
+            self.released.setdefault((operation, who), until)
 
-    def _drop(self, until: float) -> None:
-        """Forget what is of the time `until` or before."""
-        while self.claims and next(iter(self.claims.values())).at <= until:
+    def _drop(self) -> None:
+        """Forget what has ended, oldest first; one that holds longer keeps those behind it."""
+        while self.claims and next(iter(self.claims.values())).until <= self.time:
             self.claims.popitem(last=False)
-        while self.released and next(iter(self.released.values())) <= until:
+        while self.released and next(iter(self.released.values())) <= self.time:
             self.released.popitem(last=False)
 
     # --- what the driver of an agreement asks of a state
@@ -145,8 +146,8 @@
             "format": FORMAT,
             "applied": self.applied,
             "time": self.time,
-            "claims": "\n".join(f"{key} {one.at!r} {one.core} {one.who}" for key, one in self.claims.items()),
-            "released": "\n".join(f"{key} {at!r} {who}" for (key, who), at in self.released.items()),
+            "claims": "\n".join(f"{key} {one.until!r} {one.core} {one.who}" for key, one in self.claims.items()),
+            "released": "\n".join(f"{key} {until!r} {who}" for (key, who), until in self.released.items()),
         }
 
     @classmethod
@@ -157,11 +158,11 @@
         made = cls()
         made.applied, made.time = raw["applied"], raw["time"]
         for line in _lines(raw["claims"]):
-            operation, at, core, who = line.split(" ", 3)
-            made.claims[operation] = Held(float(at), sys.intern(core), who)
+            operation, until, core, who = line.split(" ", 3)
+            made.claims[operation] = Held(float(until), sys.intern(core), who)
         for line in _lines(raw["released"]):
-            operation, at, who = line.split(" ", 2)
-            made.released[operation, who] = float(at)
+            operation, until, who = line.split(" ", 2)
+            made.released[operation, who] = float(until)
         return made
 
 
--- a/tests/simulation/claims_mistakes.py
+++ b/tests/simulation/claims_mistakes.py
@@ -41,12 +41,12 @@
     clock.proposed_at = None
 
 
-def _frees_any(table: ClaimTable, operation: str, holder: str) -> None:
+def _frees_any(table: ClaimTable, operation: str, holder: str, until: float) -> None:
     """Takes a release by whomever."""
     table.claims.pop(operation, None)
 
 
-def _forgets_release(table: ClaimTable, operation: str, holder: str) -> None:
+def _forgets_release(table: ClaimTable, operation: str, holder: str, until: float) -> None:
     """Frees for the holder, and remembers nothing of it."""
     found = table.claims.get(operation)
     if found is not None and found.who == holder:
--- a/tests/system/test_claims.py
+++ b/tests/system/test_claims.py
@@ -88,6 +88,13 @@
         log.put(60.0, claim("k", ONE))
         self.assertEqual(log.put(1.0 + HOLD, claim("k", OTHER), claim("l", OTHER)), [HELD_BY_ONE, GRANTED])
 
+    def test_a_shorter_hold_later_on_ends_no_claim_sooner(self):
+        log = Log()
+        log.put(1.0, claim("k", ONE), hold=600.0)
+        log.put(2.0, claim("l", ONE), hold=10.0)
+        self.assertEqual(log.put(600.0, claim("k", OTHER), hold=10.0), [HELD_BY_ONE])
+        self.assertEqual(log.put(601.0, claim("k", OTHER), claim("l", OTHER), hold=10.0), [GRANTED, GRANTED])
+
     def test_time_never_goes_back(self):
         log = Log()
         log.put(100.0, claim("k", ONE))
