Core: nothing is posted to peers once their lanes are closed

The groups for claims close the lanes first and their drivers after; a driver that still had an order posted it, which began a delivery that nobody ended, on a session that was closed by then. Not the caller's doing: its own end is the last step. A closed set of lanes now drops what is posted, whoever posts it, for the configuration's group as well.

--- a/knotwalk/control_plane/peer_lanes.py
+++ b/knotwalk/control_plane/peer_lanes.py
@@ -39,9 +39,12 @@
         self.outbox: dict[Lane, list[dict]] = {}
         self.posting: set[Lane] = set()
         self.tasks: set[asyncio.Task] = set()
+        self.closed = False
 
     def post(self, address: str, message: dict) -> None:
-        """Send a message to a peer; it may be lost."""
+        """Send a message to a peer; it may be lost, and is once the lanes are closed."""
+        if self.closed:
+            return
         lane = Lane(address, message["type"] == "part")
         waiting = self.outbox.setdefault(lane, [])
         if lane.long:
@@ -73,6 +76,7 @@
             self.posting.discard(lane)
 
     def close(self) -> None:
-        """End all calls."""
+        """End all calls; nothing is sent any more."""
+        self.closed = True
         for task in list(self.tasks):
             task.cancel()
