Store: the names of folders made for a file last before the file is there

A group's folder was made by mkdir and never synced into the folder above it, so a loss of power might take it away with all that was promised in it, on all machines at once: the group would not form again.

Each level made is synced into the one above before the file is opened; where a life ended in between, the next opening of a new file syncs the lowest level there was. An existing file costs no further sync.

tests.system.test_consensus_store.TestFolder, over a stand-in that notes which folders' names last, failed before (3 failures) and passes; the module passes (20 tests).

--- a/knotwalk/consensus/store.py
+++ b/knotwalk/consensus/store.py
@@ -95,6 +95,29 @@
     return head[:3] == b"\x37\x7f\x06" and struct.pack(">2I", one, two) == head[24:]
 
 
+def _sync(folder: Path) -> None:
+    """Make the names in a folder last."""
+    descriptor = os.open(folder, os.O_RDONLY)
+    try:
+        os.fsync(descriptor)
+    finally:
+        os.close(descriptor)
+
+
+def _make_folder(folder: Path) -> None:
+    """Make a folder, and those above it that are missing, and make their names last.
+
+    A life that ended between a making and its sync left the lowest one there without: its name is synced as well, but
+    where the folder that holds it may not be read, since then it was made by others."""
+    if folder.is_dir():
+        with contextlib.suppress(PermissionError):
+            _sync(folder.parent)
+        return
+    _make_folder(folder.parent)
+    folder.mkdir(exist_ok=True)
+    _sync(folder.parent)
+
+
 def _text(value: Any) -> str:
     return json.dumps(value, separators=(",", ":"), ensure_ascii=False)
 
@@ -131,7 +154,8 @@
         folder = Path(data_dir)
         self.path = folder / NAME
         try:
-            folder.mkdir(parents=True, exist_ok=True)
+            if not self.path.exists():
+                _make_folder(folder)
             first_start = first_start and not any(folder.glob(ASIDE + "*"))
             self._connect()
             if not self._connection.execute("SELECT count(*) FROM sqlite_master").fetchone()[0]:
@@ -277,11 +301,7 @@
         self._sync_folder()
 
     def _sync_folder(self) -> None:
-        descriptor = os.open(self.path.parent, os.O_RDONLY)
-        try:
-            os.fsync(descriptor)
-        finally:
-            os.close(descriptor)
+        _sync(self.path.parent)
 
     # ---- reading
 
--- a/tests/standins/disk.py
+++ b/tests/standins/disk.py
@@ -255,6 +255,45 @@
                 content[start : start + len(part)] = part
 
 
+class FolderNames:
+    """Real folders whose names last once the folder above was synced; the syncs with these numbers are refused."""
+
+    def __init__(self, refused: frozenset[int] = frozenset()) -> None:
+        self.refused, self.syncs = refused, 0
+        self.made: dict[Path, bool] = {}  # folders made here, and whether a loss of power leaves their names
+
+    def __enter__(self) -> "FolderNames":
+        self.patches = [
+            mock.patch.object(os, "mkdir", self._made(os.mkdir)),
+            mock.patch.object(os, "fsync", self._sync),
+        ]
+        for patch in self.patches:
+            patch.start()
+        return self
+
+    def __exit__(self, *_: Any) -> None:
+        for patch in self.patches:
+            patch.stop()
+
+    def _made(self, mkdir: Callable) -> Callable:
+        def made(path: Any, *given: Any, **named: Any) -> None:
+            mkdir(path, *given, **named)
+            self.made[Path(path)] = False
+
+        return made
+
+    def _sync(self, descriptor: int) -> None:
+        self.syncs += 1
+        if self.syncs - 1 in self.refused:
+            raise OSError(5, "refused")
+        folder = Path(os.readlink(f"/proc/self/fd/{descriptor}"))
+        self.made.update({one: True for one in self.made if one.parent == folder})
+
+    def lost(self) -> list[str]:
+        """Folders that a loss of power now may take away, with all that is in them."""
+        return [one.name for one, lasts in self.made.items() if not lasts]
+
+
 @atexit.register
 def _close() -> None:
     for disk in KEPT:
--- a/tests/system/test_consensus_store.py
+++ b/tests/system/test_consensus_store.py
@@ -14,11 +14,12 @@
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
+from unittest import mock
 
 from knotwalk.configuration.control import DISK_PART
 from knotwalk.consensus.orders import Entry, Save, Saved
 from knotwalk.consensus.store import ASIDE, NAME, Damaged, Refused, Store, StoreBroken
-from tests.standins.disk import FULL, REFUSED, FaultyDisk
+from tests.standins.disk import FULL, REFUSED, FaultyDisk, FolderNames
 
 FOUNDERS = {"10.1.0.15#founder": "10.1.0.15:7101", "10.1.0.16#founder": "10.1.0.16:7101"}
 SECTOR = 512
@@ -263,6 +264,30 @@
                     self.holds(disk.left(cut, chance, chance.random() < 0.3), acts, acts + 1)
 
 
+class TestFolder(StoreCase):
+    """Folders that the store makes, as a group's are."""
+
+    def test_each_folder_made_has_its_name_synced_before_the_file_is_there(self) -> None:
+        with FolderNames() as names:
+            connect = sqlite3.connect
+            lost: list[list[str]] = []
+            with mock.patch.object(
+                sqlite3, "connect", lambda *a, **b: (lost.append(names.lost()), connect(*a, **b))[1]
+            ):
+                self.open(self.folder / "data" / "claims-0")[0].close()
+            self.assertEqual([one.name for one in names.made], ["data", "claims-0"])
+            self.assertEqual(lost, [[]])
+
+    def test_a_folder_whose_sync_was_refused_is_synced_by_the_next_opening(self) -> None:
+        for refused in (1, 2):
+            with self.subTest(refused), FolderNames(frozenset({refused})) as names:
+                folder = self.folder / str(refused) / "claims-0"
+                with self.assertRaises(Refused):
+                    self.open(folder)
+                self.open(folder)[0].close()
+                self.assertEqual(names.lost(), [])
+
+
 class TestFile(StoreCase):
     """What the file holds, and refuses."""
 
