Core: a claim whose seeking failed is asked for anew

An exception other than an outcome of UNAVAILABLE left the failed task among those being sought for good: who asked again got the same exception. It is now taken out in a finally.

tests.system.test_admission_calls.SeekingTest.test_a_claim_that_fails_in_whatever_way_is_asked_for_anew failed before; the module passes.

--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -176,16 +176,19 @@
         assert self.claims is not None
         part = part_of(claim.operation)
         late = asyncio.get_running_loop().call_later(STUCK, self.stuck.add, part)
+        kept = 0.0  # seconds for which who asks again gets the same result
         try:
             result = await self.claims.claim(claim, CLAIM_PATIENCE)
+            if result.outcome is not Outcome.UNAVAILABLE:
+                self.stuck.discard(part)
+                kept = ANSWER_KEPT
+            return result
         finally:
             late.cancel()
-        if result.outcome is Outcome.UNAVAILABLE:
-            del self.seeking[claim]
-        else:
-            self.stuck.discard(part)
-            asyncio.get_running_loop().call_later(ANSWER_KEPT, self.seeking.pop, claim, None)
-        return result
+            if kept:
+                asyncio.get_running_loop().call_later(kept, self.seeking.pop, claim, None)
+            else:
+                self.seeking.pop(claim, None)
 
     async def _ask_keeper(self, operation: str, holder: Holder) -> Found | None:
         """What the core that keeps an operation's answer knows of it; None if it does not answer."""
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -1,6 +1,7 @@
 """An edge's calls for admission over the wire, and the parts of operations that decide without any."""
 
 import asyncio
+import contextlib
 import json
 import socket
 import unittest
@@ -239,6 +240,15 @@
             self.assertGreater((await self.ask()).retry_after, 0)
         self.assertEqual(len(self.claims), 3)
 
+    async def test_a_claim_that_fails_in_whatever_way_is_asked_for_anew(self):
+        self.answered.set()
+        with mock.patch.object(self.cores.group, "claim", mock.AsyncMock(side_effect=OSError("no disk"))) as failing:
+            for count in (1, 2):
+                with contextlib.suppress(OSError):
+                    await self.ask()
+                self.assertEqual((failing.await_count, self.admissions.seeking), (count, {}))
+        self.assertIs((await self.ask()).admission, Admission.RUN)
+
 
 class WireTest(unittest.IsolatedAsyncioTestCase):
     """Asks and ends between a real edge's caller and a real port."""
