Edge: the first answer that renews a lapsed lease begins the serving

An edge that stood still between its first call and its answer had a whole view and a lease that was over, so it did not begin; later answers renewed the lease and brought no news, and only news were told of. It said ready and aborted each client. The link now also tells of an answer that turns the lease from lapsed to held.

tests.system.test_edge_tenants.ReadyCase.test_an_edge_that_took_its_first_answer_past_its_lease_serves_from_the_next failed before; the module passes.

--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -128,11 +128,13 @@
             except (KeyError, TypeError, ValueError) as error:
                 log_warning("news not understood", core=core, why=f"{type(error).__name__} {error}")
                 return False
+        lapsed = not self.freshness.accepts(clock())
         if not self.view.fault:
             self.freshness.proven(asked_at, told.get("proven"))
+        renewed = lapsed and self.freshness.accepts(clock())  # an edge that only this kept from serving begins
         first = self.heard_at == float("-inf")
         self.heard_at, self.edges = now, told["edges"]
-        if changed or first:
+        if changed or first or renewed:
             self.on_news(changed, self.edges)
         if self.view.fault:
             self.not_taken += 1
--- a/tests/system/test_edge_tenants.py
+++ b/tests/system/test_edge_tenants.py
@@ -10,6 +10,7 @@
 from knotwalk.configuration.objects import Configuration, Limits, Service, Tenant
 from knotwalk.configuration.tenants import TenantKeys
 from knotwalk.edge.connection_pool import Pool
+from knotwalk.edge.link import Link
 from knotwalk.edge.ready import Readiness
 from tests.system.edge_case import EdgeCase, turns, wait_for
 
@@ -281,3 +282,23 @@
             self.held.moment += 100.0
             self.assertTrue(readiness.at(self.held.now()))
             self.front.drain()
+
+    async def test_an_edge_that_took_its_first_answer_past_its_lease_serves_from_the_next(self):
+        front = await self.begin(proven=False)
+        stood = [5.0, 0.0]  # seconds between a call and its answer
+
+        async def json(*_):
+            self.held.moment += stood.pop(0)
+            return {"fresh": True, "zone": "z", "edges": 1, "proven": -0.1}
+
+        told = mock.Mock(side_effect=lambda changed, _: front.view_changed(changed))
+        link = Link("e", self.view, mock.Mock(json=json), [], 1, "z", dict, told, front.forwarder.freshness)
+        with mock.patch("knotwalk.edge.link.clock", self.held.now):
+            self.assertTrue(await link.turn("core"))
+            self.assertFalse(front.started)
+            asked = self.loop.create_task(self.status(headers=token("k1")))
+            await turns()
+            self.assertFalse(asked.done())
+            self.assertTrue(await link.turn("core"))
+        self.assertTrue(front.started)
+        self.assertEqual((await asked, told.call_count), (200, 2))
