Edge: a connection to a core frees its descriptor before the next one is opened

An aborted connection closes its socket in the next turn of the loop, and the new one was opened in the same turn: for a moment each lane had one descriptor more than it is given, which is EMFILE where an edge has twenty. The loop turns once in between, after the end of connections to other cores and of one that idled for long.

tests.system.test_admission_calls.WireTest.test_a_lane_frees_its_descriptor_before_it_takes_another failed before (the old socket was open at the next opening); the module and test_caller pass.

--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -168,9 +168,10 @@
 
     async def _call(self, lane: Caller, core: str, batch: list[Waiting], ends: list[OperationEnd]) -> None:
         message = EdgeBatch(self.edge, self.life, [one.ask for one in batch], ends).to_json()
-        lane.keep_only(core)
         begun = self.clock()
         try:
+            if lane.keep_only(core):
+                await asyncio.sleep(0)  # only then the descriptor is free that the next connection takes
             raw = await lane.json("POST", f"http://{core}/admissions", message, self.patience, "admissions")
             told = [AdmissionTold.from_json(one) for one in raw["told"]]
             if len(told) != len(batch):
--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -235,6 +235,7 @@
             if kept.fit():
                 return kept
             kept.end("idle for long")
+            await asyncio.sleep(0)  # only then its descriptor is free
         allowed = self.allowed.get(at, CONNECT)
         try:
             async with asyncio.timeout(allowed):
@@ -245,11 +246,15 @@
         self.allowed.pop(at, None)
         return connection
 
-    def keep_only(self, address: str) -> None:
-        """End the connections kept to other cores than the one at `ip:port`: descriptors may be few."""
+    def keep_only(self, address: str) -> bool:
+        """End the connections kept to other cores than the one at `ip:port`: descriptors may be few.
+
+        Whether there were any: theirs are free after a turn of the loop."""
         parts = urlsplit(f"//{address}")
-        for at in [at for at in self.kept if at != (parts.hostname, parts.port)]:
+        others = [at for at in self.kept if at != (parts.hostname, parts.port)]
+        for at in others:
             self.kept.pop(at).end("another core is called")
+        return bool(others)
 
     async def close(self) -> None:
         """End all connections."""
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -338,6 +338,28 @@
         lane.keep_only("127.0.0.1:9")
         self.assertEqual((lane.kept, kept.transport.is_closing()), ({}, True))
 
+    async def test_a_lane_frees_its_descriptor_before_it_takes_another(self):
+        await self.ask("a1")
+        lane = next(lane for lane in self.calls.lanes if lane.kept)
+        self.calls.idle = [lane]
+        found = []
+        for end in (lambda: setattr(self, "known", ["127.0.0.1:9"]), lambda: None):
+            (kept,) = lane.kept.values()
+            before = kept.transport.get_extra_info("socket")
+            end()
+
+            async def refused(*_, before=before):
+                found.append(before.fileno())
+                raise ConnectionRefusedError
+
+            loop = asyncio.get_running_loop()
+            with mock.patch.object(loop, "create_connection", refused), mock.patch("knotwalk.edge.caller.IDLE", -1.0):
+                await self.calls.ask(AdmissionAsk("t", OPERATION, "a2"), clock() + 0.02)
+            self.known = [f"127.0.0.1:{self.port}"]
+            self.calls.failed.clear()
+            await self.ask("a3")
+        self.assertEqual(set(found), {-1})
+
     async def test_an_answer_that_makes_no_sense_is_none(self):
         for told in ({}, {"told": []}, {"told": [["walk", 0, None]]}, {"told": [["run", 0]]}, []):
             with self.subTest(told):
