Quotas: what lies in the bucket and what is held share one bound; a share is twice as large

Half of M was kept in the bucket for tokens that lie with other cores. Now bucket and parts together stay within b + M, so each core may hold M/(n+1), and a tenant within its limit still finds a token. The bucket fills only as far as what was held at its last ask leaves room; a seeded mistake that looks at what is held now is found. A core holds five seconds' use, within its share.

--- a/knotwalk/shared_state/buckets.py
+++ b/knotwalk/shared_state/buckets.py
@@ -1,8 +1,8 @@
 """The leader's buckets, one for each busy tenant: what is left of its limit, and what core machines hold of it.
 
 A bucket that is full again and of which nobody holds anything is dropped. One made anew counts as filled since the
-leader began, with nothing in it then: what a leader before it gave out is not known. Pure; only the proven leader may
-call `grant`, so that no two give out at once. Bound: `limit`.
+leader began, with nothing in it then: what a leader before it gave out is not known, and may still be held. Pure; only
+the proven leader may call `grant`, so that no two give out at once. Bound: `limit`.
 """
 
 from __future__ import annotations
@@ -37,19 +37,30 @@
     at: float
     parts: dict[str, Part] = field(default_factory=dict)
 
-    def fill(self, now: float, limit: Limit) -> None:
-        """Let it fill up to `now`; a changed limit counts from now on, and at the lower rate before."""
+    def fill(self, now: float, limit: Limit, known_from: float) -> None:
+        """Let it fill up to `now`, as far as what was held meanwhile leaves room: called before what is held changes.
+
+        A changed limit counts from now on, and at the lower rate before. Before `known_from`, parts that a leader
+        before this one gave out may be held."""
         rate = min(self.limit.rate, limit.rate)
-        self.level = min(limit.capacity, self.level + rate * max(0.0, now - self.at))
+        held = limit.outstanding if self.at < known_from else self.outstanding(self.at, "")
+        room = max(1.0, limit.most - held)
+        self.level = min(room, self.level + rate * max(0.0, now - self.at))
         self.at, self.limit = max(now, self.at), limit
 
     def outstanding(self, now: float, core: str) -> int:
         """What all core machines but `core` may hold."""
         return sum(part.held for holder, part in self.parts.items() if holder != core and part.ends > now)
 
+    def hold(self, now: float, core: str, held: int) -> None:
+        """A core machine holds so many from now on."""
+        self.parts.pop(core, None)
+        if held:
+            self.parts[core] = Part(held, now + self.limit.lasts * DRIFT)
+
     def idle(self, now: float) -> bool:
         """Whether it is full and nobody holds anything, so that it can be made anew."""
-        full = self.level + self.limit.rate * (now - self.at) >= self.limit.capacity
+        full = self.level + self.limit.rate * (now - self.at) >= self.limit.most
         return full and not self.outstanding(now, "")
 
 
@@ -73,13 +84,12 @@
             self.buckets.pop(want.tenant, None)
             return AllowanceGrant(want.tenant, 0, UNLIMITED_LASTS, unlimited=True)
         bucket = self._bucket(now, want.tenant, limit)
-        returned = max(0, -want.wanted)
-        bucket.level = min(limit.capacity, bucket.level + returned)
+        bucket.hold(now, core, want.unused)
+        bucket.level += max(0, -want.wanted)
+        bucket.fill(now, limit, self._known_from(limit))
         granted = self._take(now, core, want, bucket)
         held = want.unused + granted
-        bucket.parts.pop(core, None)
-        if held:
-            bucket.parts[core] = Part(held, now + limit.lasts * DRIFT)
+        bucket.hold(now, core, held)
         lasts = limit.lasts if held <= limit.share else 0.0
         empty = granted < want.wanted and bucket.level < 1 and self._sure(now, limit)
         return AllowanceGrant(want.tenant, granted, lasts, empty)
@@ -93,16 +103,22 @@
         return granted
 
     def _bucket(self, now: float, tenant: str, limit: Limit) -> Bucket:
+        """A tenant's bucket, filled up to `now`."""
+        known_from = self._known_from(limit)
         bucket = self.buckets.get(tenant)
         if bucket is None:
-            filled = min(limit.capacity, limit.rate * max(0.0, now - self.since))
-            bucket = self.buckets[tenant] = Bucket(limit, filled, now)
-        bucket.fill(now, limit)
+            bucket = self.buckets[tenant] = Bucket(limit, 0.0, self.since)
+            bucket.fill(min(now, known_from), limit, known_from)
+        bucket.fill(now, limit, known_from)
         return bucket
 
+    def _known_from(self, limit: Limit) -> float:
+        """From when on nothing is held any more that a leader before this one gave out, and that nobody told here."""
+        return self.since + limit.lasts * DRIFT
+
     def _sure(self, now: float, limit: Limit) -> bool:
         """Whether an empty bucket means that the tenant used it up, and not that this leader is new."""
-        return now >= self.since + min(BEGINNING, limit.capacity / limit.rate)
+        return now >= self.since + min(BEGINNING, limit.most / limit.rate)
 
     def _sweep(self, now: float) -> None:
         self._swept = now
--- a/knotwalk/shared_state/escrow.py
+++ b/knotwalk/shared_state/escrow.py
@@ -15,8 +15,9 @@
 from knotwalk.shared_state.limit import Limit
 from knotwalk.shared_state.messages import AllowanceGrant, AllowanceWant
 
-AHEAD = 1.0  # seconds of use that are held
-MEMORY = 2.0  # seconds: use that is older counts less than a third (1/e)
+# Seconds of use that are held, as far as a core's share allows; older use counts less than a third (1/e). Clients of a
+# tenant send some requests at once, so what is held at a low rate is more than a second's use.
+MEMORY = 5.0
 IDLE = 10.0  # seconds without use after which nothing is held
 SPACING = 0.1  # seconds between calls that no request waits for
 RETRY = 0.02  # seconds after a call that brought nothing to requests that wait
@@ -56,8 +57,8 @@
         """How many tokens to hold."""
         if now - self.used_at >= IDLE:
             return 0
-        rate = self.used * math.exp(min(0.0, self.used_at - now) / MEMORY) / MEMORY
-        return min(limit.share, max(1, math.ceil(rate * AHEAD)))
+        used = self.used * math.exp(min(0.0, self.used_at - now) / MEMORY)
+        return min(limit.share, max(1, math.ceil(used)))
 
 
 class Escrow:
