--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -62,8 +62,8 @@
     async def take(self, tenant: str, patience: float) -> AdmissionTold:
         """Take one request's allowance: RUN, OVER_LIMIT or UNAVAILABLE."""
 
-    def spend(self, tenant: str) -> None:
-        """A request that had taken its allowance runs."""
+    def spend(self, tenant: str) -> bool:
+        """A request that had taken its allowance is to run; whether it may, since allowance ends."""
 
     def give_back(self, tenant: str) -> None:
         """A request that had taken its allowance does not run."""
@@ -144,9 +144,7 @@
             return told
         if not ask.operation:
             taken = await self._take(ask.tenant)
-            if taken.admission is Admission.RUN:
-                self.allowances.spend(ask.tenant)
-            return taken
+            return self._spent(ask, taken) if taken.admission is Admission.RUN else taken
         if not ask.tenant:
             return await self._claim(ask.operation, holder)
         return await self._take_and_claim(ask, holder)
@@ -172,13 +170,17 @@
     def _settled(self, ask: AdmissionAsk, attempt: Attempt, told: AdmissionTold) -> AdmissionTold:
         """What becomes of an attempt's token by what it is told of its claim."""
         if told.admission is Admission.RUN:
-            self.allowances.spend(ask.tenant)
-        elif told.admission is Admission.UNAVAILABLE:
+            return self._spent(ask, told)
+        if told.admission is Admission.UNAVAILABLE:
             self.tokens.hold(self.clock(), attempt, ask.tenant)
         else:
             self.allowances.give_back(ask.tenant)
         return told
 
+    def _spent(self, ask: AdmissionAsk, told: AdmissionTold) -> AdmissionTold:
+        """The request runs, if its token has not ended meanwhile: then the next ask takes another."""
+        return told if self.allowances.spend(ask.tenant) else NOT_YET
+
     async def _take(self, tenant: str) -> AdmissionTold:
         """Take one request's allowance; where others had theirs just now, it is only late."""
         taken = await self.allowances.take(tenant, ALLOWANCE_PATIENCE)
--- a/knotwalk/control_plane/allowances.py
+++ b/knotwalk/control_plane/allowances.py
@@ -104,9 +104,9 @@
             self.escrow.reserve(tenant)
         return TOLD[taken]
 
-    def spend(self, tenant: str) -> None:
-        """A request that had taken a token runs."""
-        self.escrow.spend(tenant)
+    def spend(self, tenant: str) -> bool:
+        """A request that had taken a token is to run; whether it may, since tokens end."""
+        return self.escrow.spend(clock(), tenant)
 
     def give_back(self, tenant: str) -> None:
         """A request that had taken a token does not run."""
--- a/knotwalk/shared_state/escrow.py
+++ b/knotwalk/shared_state/escrow.py
@@ -15,8 +15,9 @@
 from knotwalk.shared_state.limit import Limit
 from knotwalk.shared_state.messages import AllowanceGrant, AllowanceWant
 
-AHEAD = 1.0  # seconds of use that are held
-MEMORY = 2.0  # seconds: use that is older counts less than a third (1/e)
+# Seconds of use that are held, as far as a core's share allows; older use counts less than a third (1/e). Clients of a
+# tenant send some requests at once, so what is held at a low rate is more than a second's use.
+MEMORY = 5.0
 IDLE = 10.0  # seconds without use after which nothing is held
 SPACING = 0.1  # seconds between calls that no request waits for
 RETRY = 0.02  # seconds after a call that brought nothing to requests that wait
@@ -55,8 +56,8 @@
         """How many tokens to hold."""
         if now - self.used_at >= IDLE:
             return 0
-        rate = self.used * math.exp(min(0.0, self.used_at - now) / MEMORY) / MEMORY
-        return min(limit.share, max(1, math.ceil(rate * AHEAD)))
+        used = self.used * math.exp(min(0.0, self.used_at - now) / MEMORY)
+        return min(limit.share, max(1, math.ceil(used)))
 
 
 class Escrow:
@@ -104,11 +105,13 @@
         """A token that was taken may yet come back: it is told as unused until it is spent or given back."""
         self.holdings.setdefault(tenant, Holding()).reserved += 1
 
-    def spend(self, tenant: str) -> None:
-        """The request of a reserved token runs."""
+    def spend(self, now: float, tenant: str) -> bool:
+        """The request of a reserved token is to run; whether it may: a token ends with the holding that it is of."""
         holding = self.holdings.get(tenant)
-        if holding is not None:
-            holding.reserved = max(0, holding.reserved - 1)
+        if holding is None or holding.reserved == 0:
+            return True  # it was let pass without a limit
+        holding.reserved -= 1
+        return now < holding.ends
 
     def give_back(self, now: float, tenant: str) -> bool:
         """The request of a reserved token does not run; whether another one here may have the token."""
--- a/tests/simulation/quota_judge.py
+++ b/tests/simulation/quota_judge.py
@@ -73,7 +73,7 @@
             return False
         if gives_back:
             allowances.give_back(name)
-        else:
+        elif allowances.spend(name):
             self.passes(self.world.loop.now, name)
         return True
 
--- a/tests/standins/cores.py
+++ b/tests/standins/cores.py
@@ -64,8 +64,9 @@
         self.left[tenant] = left - 1
         return AdmissionTold(Admission.RUN)
 
-    def spend(self, tenant: str) -> None:
+    def spend(self, tenant: str) -> bool:
         self.spent[tenant] += 1
+        return True
 
     def give_back(self, tenant: str) -> None:
         if tenant in self.left:
