--- a/knotwalk/shared_state/claims.py
+++ b/knotwalk/shared_state/claims.py
@@ -17,8 +17,8 @@
 
 FORMAT = 1  # of snapshots
 CLAIMS_MOST = 100_000  # claims of one group; past it none is taken until older ones are dropped
-# Seconds past `key_period` and the longest time that a run may take, for which a claim holds. A holder must not send its
-# request for the first time later than this after it asked for the claim, less the drift of two steady clocks.
+# Seconds past `key_period` and the longest time that a run may take, for which a claim holds. A holder must not send
+# its request for the first time later than this after it asked for the claim, less the drift of two steady clocks.
 MARGIN = 10.0
 AGREED_WITHIN = 0.1  # seconds; see GroupClock
 
