Edge: ends of a call are bounded in bytes, and large ones keep apart from asks

A call to a core took up to 200 ends with their answers, up to 8 MB, together with asks that clients wait for, and was given up after 0.15 to 0.8 s: on an edge's link of 2 Mbit/s a backlog might never get through and took the asks along.

A call takes 16 KB of ends, or one larger end; beside asks some 2 KB. What doesn't fit goes by itself, one such call at a time, so that asks always have a lane, and is not held up by asks that keep coming. A call's patience grows by its bytes over half of the machine's link. Ends for a core that failed lately come after those for others. The choice is pure (edge/end_batches.py).

--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -55,7 +55,13 @@
         )
         life = os.urandom(8).hex()
         self.admission_calls = AdmissionCalls(
-            settings.node_name, life, self.cores, clock, settings.bounds.key_period, lambda: self.front.counts
+            settings.node_name,
+            life,
+            self.cores,
+            clock,
+            settings.bounds.key_period,
+            lambda: self.front.counts,
+            settings.machine.link_mbps,
         )
         if ASKED_FOR.intersection(settings.contracts):
             self.front.operations = Operations(
--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -1,6 +1,7 @@
 """An edge's asks to its core for requests that a limit or an `Operation-Key` binds, and its word of how runs ended.
 
-What comes while a call is under way goes together in the next one. Asks may be sent twice, to any core: an attempt's
+What comes while a call is under way goes together in the next one, ends bounded in bytes: those that are large go by
+themselves, in one call at a time, so that asks always have another. Asks may be sent twice, to any core: an attempt's
 claim is granted again. Ends go to the core that let the run begin, again and again until it has taken them.
 """
 
@@ -12,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from knotwalk.admission.connection_budget import ASK_LANES
+from knotwalk.edge import end_batches
 from knotwalk.edge.caller import Caller
 from knotwalk.edge.operation_steps import UntoldEnds
 from knotwalk.runtime.errors import PeerError
@@ -27,10 +29,11 @@
 
 # Seconds for an answer to a call: a core tells within some tens of ms, whatever it knows by then. Doubled, up to the
 # most, with each call in a row that has none in time: behind a squeezed link cores are slow, and there all the same.
+# The time that the call's bytes take on the link comes on top.
 PATIENCE, PATIENCE_MOST = 0.15, 0.8
 # Seconds that an end waits for asks to travel with.
 GATHER = 0.02
-# Asks and ends that one call takes.
+# Asks that one call takes.
 MOST = 200
 # Seconds between calls while no core is known that did not fail lately: a port that refuses answers at once.
 PAUSE = 0.02
@@ -52,6 +55,15 @@
     by: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class Call:
+    """What goes to a core in one call."""
+
+    core: str
+    asks: list[Waiting]
+    ends: list[OperationEnd]
+
+
 @dataclass(frozen=True, slots=True)
 class Asked:
     """What was told; `cores`: those that granted the ask, or may have."""
@@ -72,7 +84,9 @@
         clock: Callable[[], float],
         window: float,
         counts: Callable[[], Counter[str]],
+        link_mbps: float = 1000.0,
     ):
+        self.link_mbps = link_mbps  # megabits a second of this machine
         self.edge, self.life, self.cores, self.clock, self.counts = edge, life, cores, clock, counts
         self.lanes = [Caller() for _ in range(ASK_LANES)]
         self.idle = list(self.lanes)
@@ -80,6 +94,7 @@
         self.ends = UntoldEnds(window)
         self.failed: dict[str, float] = {}  # cores that failed, and when
         self.patience = PATIENCE
+        self.telling = False  # a call that bears ends alone is under way
         self.waited = 0.0  # seconds that asks took in all
         self._timer: asyncio.TimerHandle | None = None
         self._calls: set[asyncio.Task] = set()
@@ -139,25 +154,32 @@
 
     def _start_calls(self) -> None:
         """Begin calls while there is something to tell and a lane is free."""
-        while self.idle:
-            now = self.clock()
-            core = self._core() if self.asks else None
-            if core is None:
-                due = self.ends.due(now)
-                if not due:
-                    break
-                core = due[0].to
-            batch, self.asks = (self.asks[:MOST], self.asks[MOST:]) if self.asks else ([], [])
-            ends = [one.end for one in self.ends.due(now, core)[:MOST]]
-            self.ends.sent(now, core, ends)
-            for waiting in batch:
-                waiting.cores.append(core)
-            task = asyncio.get_running_loop().create_task(self._call(self.idle.pop(), core, batch, ends))
+        while self.idle and (call := self._next_call(self.clock())) is not None:
+            self.ends.sent(self.clock(), call.core, call.ends)
+            for waiting in call.asks:
+                waiting.cores.append(call.core)
+            self.telling = self.telling or not call.asks
+            task = asyncio.get_running_loop().create_task(self._call(self.idle.pop(), call))
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
-        if self.idle and (next_due := self.ends.next_due()) is not None:
+        if self.idle and not self.telling and (next_due := self.ends.next_due()) is not None:
             self._start_later(max(GATHER, next_due - self.clock()))
 
+    def _next_call(self, now: float) -> Call | None:
+        """What to tell next, and whom. Ends that can't go with asks have one lane at most; where asks hold the other
+        one, it is theirs."""
+        due = self.ends.due(now)
+        core = self._core() if self.asks else None
+        if core is not None:
+            beside = end_batches.beside_asks([one.end for one in due if one.to == core])
+            if self.telling or len(beside) == len(due) or len(self.idle) == len(self.lanes):
+                batch, self.asks = self.asks[:MOST], self.asks[MOST:]
+                return Call(core, batch, beside)
+        if self.telling or not due:
+            return None
+        to = min(due, key=lambda one: self._avoided(one.to)).to
+        return Call(to, [], end_batches.alone([one.end for one in due if one.to == to]))
+
     def _core(self) -> str | None:
         """The core to ask: the best of those that did not fail lately, else the best of all."""
         return min(self.cores(), key=self._avoided, default=None)
@@ -166,18 +188,20 @@
         """Whether a core failed lately."""
         return self.clock() - self.failed.get(core, -AVOID) < AVOID
 
-    async def _call(self, lane: Caller, core: str, batch: list[Waiting], ends: list[OperationEnd]) -> None:
+    async def _call(self, lane: Caller, call: Call) -> None:
+        core, batch, ends = call.core, call.asks, call.ends
         message = EdgeBatch(self.edge, self.life, [one.ask for one in batch], ends).to_json()
+        patience = self.patience + end_batches.carrying(len(batch), ends, self.link_mbps)
         begun = self.clock()
         try:
             if lane.keep_only(core):
                 await asyncio.sleep(0)  # only then the descriptor is free that the next connection takes
-            raw = await lane.json("POST", f"http://{core}/admissions", message, self.patience, "admissions")
+            raw = await lane.json("POST", f"http://{core}/admissions", message, patience, "admissions")
             told = [AdmissionTold.from_json(one) for one in raw["told"]]
             if len(told) != len(batch):
                 raise ValueError("another number of answers than asks")
         except (PeerError, KeyError, TypeError, ValueError) as error:
-            self._lost(core, batch, error, self.clock() - begun)
+            self._lost(core, batch, error, self.clock() - begun >= patience)
         else:
             self.failed.pop(core, None)
             self.patience = PATIENCE
@@ -188,19 +212,20 @@
                     waiting.told.set_result(one)
         finally:
             self.idle.append(lane)
+            self.telling = self.telling and bool(batch)
         if all(self._avoided(one) for one in self.cores()):
             self._start_later(PAUSE)
         else:
             self._start_calls()
 
-    def _lost(self, core: str, batch: list[Waiting], error: Exception, took: float) -> None:
-        """A call has no answer: its asks go on to another core while they may."""
+    def _lost(self, core: str, batch: list[Waiting], error: Exception, too_slow: bool) -> None:
+        """A call has no answer, in its time where it was `too_slow`: its asks go on to another core while they may."""
         now = self.clock()
         self.counts()["asks lost"] += 1
         if not self._avoided(core):
             log_warning("core does not admit", core=core, why=str(error))
         self.failed[core] = now
-        if took >= self.patience:
+        if too_slow:
             self.patience = min(PATIENCE_MOST, 2 * self.patience)
         self.asks[:0] = [one for one in batch if not one.told.done() and one.until > now]
 
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -360,6 +360,52 @@
             await self.ask("a3")
         self.assertEqual(set(found), {-1})
 
+    async def told(self, ends, asks=0):
+        """The batches of a core by which these ends are told, and this many asks that come at the same time."""
+        for number, end in enumerate(ends):
+            self.calls.end(tuple(self.known), OPERATION, f"e{number}", *end)
+        asked = [asyncio.ensure_future(self.ask(f"a{number}", f"k{number}")) for number in range(asks)]
+        while self.calls.ends.waiting:
+            await asyncio.sleep(0.001)
+        await asyncio.gather(*asked)
+        return self.batches
+
+    async def test_ends_of_a_call_are_bounded_in_bytes_and_asks_go_without_them(self):
+        large = Ending.ANSWERED, StoredAnswer(200, (), bytes(9000))
+        batches = await self.told([large] * 5 + [(Ending.ANSWERED, StoredAnswer(200, (), bytes(40_000)))], asks=3)
+        self.assertEqual(sum(len(batch.ends) for batch in batches), 6)
+        for batch in batches:
+            self.assertLess(len(json.dumps(batch.to_json())), 17_000 if len(batch.ends) > 1 else 54_000)
+            self.assertFalse(batch.asks and batch.ends)
+
+    async def test_small_ends_go_with_asks(self):
+        batches = await self.told([(Ending.ANSWERED, KEPT), (Ending.UNKNOWN, None)], asks=1)
+        self.assertEqual([(len(batch.asks), len(batch.ends)) for batch in batches], [(1, 2)])
+
+    async def test_large_ends_hold_one_lane_and_are_not_held_up_by_asks(self):
+        self.gate.clear()
+        for number in range(3):
+            end = StoredAnswer(200, (), bytes(20_000))
+            self.calls.end(tuple(self.known), OPERATION, f"e{number}", Ending.ANSWERED, end)
+        asks = [asyncio.ensure_future(self.ask("a0", "0"))]
+        while len(self.batches) < 2:
+            await asyncio.sleep(0.001)
+        self.assertEqual(sorted((len(one.asks), len(one.ends)) for one in self.batches), [(0, 1), (1, 0)])
+        asks.append(asyncio.ensure_future(self.ask("a1", "1")))
+        self.gate.set()
+        await asyncio.gather(*asks)
+        while self.calls.ends.waiting:
+            await asyncio.sleep(0.001)
+
+    async def test_a_call_is_waited_for_as_long_as_its_bytes_are_on_their_way(self):
+        self.calls.link_mbps, waited = 2.0, []
+        lane = mock.Mock(json=mock.AsyncMock(side_effect=lambda *given: waited.append(given[3]) or {"told": []}))
+        with mock.patch.object(self.calls, "idle", [lane]):
+            self.calls.end(tuple(self.known), OPERATION, "e", Ending.ANSWERED, StoredAnswer(200, (), bytes(40_000)))
+            while self.calls.ends.waiting:
+                await asyncio.sleep(0.001)
+        self.assertGreater(waited[0] - self.calls.patience, 40_000 * 8 / 2e6)
+
     async def test_an_answer_that_makes_no_sense_is_none(self):
         for told in ({}, {"told": []}, {"told": [["walk", 0, None]]}, {"told": [["run", 0]]}, []):
             with self.subTest(told):
