Edge: a key is refused only while the configuration is proven within config_apply

401 followed from the lease of revoke_timeout (4.7 s of 5), but a key that was added may be refused only up to config_apply past the acknowledgement: an edge that is slow to hear refused new keys for some seconds too long. A refusal (401, and on a public route an unknown key that counts for nobody) now needs a proof younger than config_apply less 0.02 s; else 503 with Retry-After and a close. The margin covers clocks that run unlike: a request was sent before it is looked at, so a stall can't make a refusal late.

A test asked for 401 at 4.6 s without a proof, which the rule forbids where config_apply is 2 s. It now asks for 401 at 1.9 s and for 503 at 2.0 and 4.6 s, for the same requests, and for known keys as before.

What remains: a core that is behind, or a trouble without a leader, turns 401 into 503 earlier than before; with a config_apply under some 1.8 s unknown keys get 503 for a part of each wait; and a key that was dropped is still accepted until revoke_timeout by an edge in touch that is slow to hear.

--- a/knotwalk/edge/forwarding_state.py
+++ b/knotwalk/edge/forwarding_state.py
@@ -32,7 +32,8 @@
     def __init__(self, settings: Settings, view: ClusterView, clock: Callable[[], float], seed: int):
         self.settings, self.view, self.clock = settings, view, clock
         self.luck = Random(seed)
-        self.freshness = Freshness(settings.bounds.revoke_timeout, settings.bounds.global_revocation)
+        bounds = settings.bounds
+        self.freshness = Freshness(bounds.revoke_timeout, bounds.global_revocation, bounds.config_apply)
         self.edges = 16
         self.began = clock()
         self.budgets: dict[str, Budget] = {}
--- a/knotwalk/edge/freshness.py
+++ b/knotwalk/edge/freshness.py
@@ -16,17 +16,24 @@
 # Seconds of `revoke_timeout` that the lease leaves out: steady clocks that run unlike, and a stall between the last
 # look at the lease and the sending.
 MARGIN = 0.3
+# Seconds of `config_apply` that refusals leave out: steady clocks that run unlike. What is refused was sent before it
+# was looked at, so no stall counts.
+REFUSAL_MARGIN = 0.02
 # Parts of the lease that a waiting call may take: the lease of the one before must last until it is answered, and until
 # another core was found where it is not.
 CALLS = 4
 
 
 class Freshness:
-    """The lease of one edge. `revoke_timeout` in seconds; `bound`: whether it binds machines out of touch too."""
+    """The lease of one edge. `revoke_timeout` in seconds; `bound`: whether it binds machines out of touch too.
 
-    def __init__(self, revoke_timeout: float, bound: bool):
+    A request that comes `config_apply` seconds after a configuration was acknowledged may not be refused by an older
+    one."""
+
+    def __init__(self, revoke_timeout: float, bound: bool, config_apply: float = math.inf):
         self.bound = bound
         self.length = max(0.0, revoke_timeout - MARGIN)
+        self.refusing = max(0.0, min(self.length, config_apply - REFUSAL_MARGIN))
         self.proven_at = -math.inf  # every configuration acknowledged by then is known here
 
     def proven(self, asked_at: float, after: float | None) -> None:
@@ -44,6 +51,11 @@
         """Whether a key that the configuration here holds may be accepted."""
         return not self.bound or self.holds(now)
 
+    def refuses(self, now: float) -> bool:
+        """Whether a key may be refused that the configuration here does not hold: no request that comes now was sent
+        `config_apply` after one was acknowledged that is missing here."""
+        return now < self.proven_at + self.refusing
+
     def wait(self, usual: float) -> float:
         """Seconds that a call to a core may wait for news, so that the lease is kept in calm times."""
         return min(usual, self.length / CALLS) if self.bound else usual
--- a/knotwalk/edge/tenant_check.py
+++ b/knotwalk/edge/tenant_check.py
@@ -40,8 +40,9 @@
 def check_key(route: Route, keys: TenantKeys, authorization: bytes, freshness: Freshness, now: float) -> KeyCheck:
     """Whether a request with this `Authorization` (empty without one) may be carried on its route at `now`.
 
-    A key is refused only by a configuration that can be taken for the newest, since another may hold it, and accepted
-    only by one, since another may have dropped it; on a public route, too, where it says whose the request is."""
+    A key is refused only by a configuration that no newer one was acknowledged after in time for this request, since
+    that may hold it, and accepted only within the lease, since a newer one may have dropped it; on a public route, too,
+    where it says whose the request is."""
     if not keys.tenants:
         return ALLOWED
     key = key_of(authorization)
@@ -50,6 +51,6 @@
     tenant = keys.find(key) if key else None
     if tenant is not None:
         return KeyCheck(tenant) if freshness.accepts(now) else KeyCheck(status=UNAVAILABLE)
-    if not freshness.holds(now):
+    if not freshness.refuses(now):
         return KeyCheck(status=UNAVAILABLE)
     return ALLOWED if route.public else KeyCheck(status=UNAUTHORIZED)
--- a/tests/simulation/shared_mistakes.py
+++ b/tests/simulation/shared_mistakes.py
@@ -17,8 +17,8 @@
     return True
 
 
-def _twice_as_long(freshness: Freshness, revoke_timeout: float, bound: bool) -> None:
-    FRESHNESS(freshness, revoke_timeout * 2, bound)
+def _twice_as_long(freshness: Freshness, revoke_timeout: float, bound: bool, *more: float) -> None:
+    FRESHNESS(freshness, revoke_timeout * 2, bound, *more)
 
 
 def _first_keys(tenants: dict, before: Any) -> Any:
--- a/tests/system/test_edge_tenants.py
+++ b/tests/system/test_edge_tenants.py
@@ -154,20 +154,27 @@
     """An edge that has not heard a fresh core for long."""
 
     async def test_past_its_lease_no_request_that_needs_a_key_is_taken_and_clients_go_elsewhere(self):
+        """Past `config_apply` no request is refused for a key that a newer configuration may hold."""
         front = await self.begin()
-        for moved, held in ((4.6, True), (0.2, False), (100.0, False)):
+        for moved, refuses, held in (
+            (1.9, True, True),
+            (0.1, False, True),
+            (2.6, False, True),
+            (0.2, False, False),
+            (100.0, False, False),
+        ):
             self.held.moment += moved
-            for path, headers, known in (
-                ("/i/", token("k1"), 200),
-                ("/i/", token("k4"), 401),
-                ("/i/", "", 401),
-                ("/p/", token("k1"), 200),
-                ("/p/", token("k4"), 200),
+            for path, headers, known, sure in (
+                ("/i/", token("k1"), 200, held),
+                ("/i/", token("k4"), 401, refuses),
+                ("/i/", "", 401, refuses),
+                ("/p/", token("k1"), 200, held),
+                ("/p/", token("k4"), 200, refuses),
             ):
                 with self.subTest(moved=moved, path=path, headers=headers):
                     status, told, runs = await self.asked(path, headers)
-                    self.assertEqual(status, known if held else 503)
-                    if not held:
+                    self.assertEqual(status, known if sure else 503)
+                    if not sure:
                         self.assertEqual((runs, told["connection"]), (0, "close"))
                         self.assertLess(float(told["retry-after"]), 0.3)
             self.assertEqual(await self.status("/p/"), 200)
@@ -193,6 +200,16 @@
         self.front.forwarder.freshness.proven(self.held.now(), 0.0)
         self.assertEqual(await self.status(headers=token("new")), 200)
 
+    async def test_a_key_is_refused_up_to_config_apply_only(self):
+        for bounds, length in ((BOUNDS, 2.0), (LOOSE, 2.0), (BOUNDS | {"config_apply": "1s"}, 1.0)):
+            front = await self.begin(bounds=bounds)
+            self.held.moment += length - 0.1
+            self.assertEqual(await self.status(headers=token("new")), 401)
+            self.held.moment += 0.1
+            self.assertEqual(await self.status(headers=token("new")), 503)
+            front.drain()
+            await front.finished(0)
+
     async def test_a_configuration_of_a_core_that_only_just_started_judges_no_key(self):
         await self.begin(proven=False)
         asked = [self.loop.create_task(self.status(headers=headers)) for headers in (token("k1"), token("k4"), "")]
--- a/tests/system/test_freshness.py
+++ b/tests/system/test_freshness.py
@@ -6,14 +6,14 @@
 
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.discovery.view_types import FRESH
-from knotwalk.edge.freshness import CALLS, MARGIN, Freshness
+from knotwalk.edge.freshness import CALLS, MARGIN, REFUSAL_MARGIN, Freshness
 from knotwalk.edge.link import WAIT, Link
 from knotwalk.leases.tenure import PROOF
 from tests.standins.jumps import clock
 from tests.system.test_control_plane import ADDRESSES
 from tests.system.test_cut_off import play, world_caller
 
-REVOKE = 5.0  # seconds, as settings may have it
+REVOKE, CONFIG_APPLY = 5.0, 2.0  # seconds, as settings may have them
 LOOK = 0.02  # seconds between looks at an edge
 
 
@@ -54,6 +54,7 @@
         self.running.set()
         self.caller = world_caller(world)
         self.looks: list[tuple[float, bool, int]] = []  # when, whether the lease held, the version in force here
+        self.ages: list[float] = []  # seconds since the configuration here was proven the newest, at each look
         seeds = list(ADDRESSES)
         self.link = Link("e", self.view, self, seeds, 1, "z", dict, lambda *told: None, self.lease)
         loop = asyncio.get_running_loop()
@@ -71,6 +72,8 @@
             await self.running.wait()
             version = self.view.configuration.version if self.view.configuration else 0
             self.looks.append((clock(), self.lease.holds(clock()), version))
+            if self.lease.proven_at > -1e9:
+                self.ages.append(clock() - self.lease.proven_at)
             await asyncio.sleep(LOOK)
 
     def end(self):
@@ -100,7 +103,7 @@
             found["over"] = clock()
             await world.until(lambda: edge.view.configuration.version == 7)
             await asyncio.sleep(3)
-            found["looks"] = edge.looks
+            found["looks"], found["ages"] = edge.looks, edge.ages
             edge.end()
 
         play(story)
@@ -160,6 +163,11 @@
                 begun = next(at for at, held, _ in found["looks"] if held)
                 self.assertTrue(all(held for at, held, _ in found["looks"] if at >= begun))
 
+    def test_in_calm_keys_can_be_refused_at_all_times(self):
+        found = self.through(lambda world, edge: lambda: None, lasts=30.0)
+        self.assertGreater(len(found["ages"]), 1000)
+        self.assertLess(max(found["ages"]), CONFIG_APPLY - REFUSAL_MARGIN)
+
     def test_a_proof_that_is_told_too_late_is_found(self):
         """The check itself: an edge that counts from an answer, and a little more."""
 
