Edge: where keys of tenants are in force, Authorization and Tenant go to no node

Whether they are withheld depended on the configuration that the edge held: one without tenants let a client's key, and a Tenant of its own making, through to nodes, also while a newer configuration had tenants. They are withheld as well where the contract tenants is in force; without it, and without tenants, headers go on as they came.

tests.system.test_edge_tenants.KeyCase.test_where_keys_are_in_force_headers_are_withheld_whatever_the_configuration_holds failed before; the module passes.

--- a/knotwalk/edge/intake.py
+++ b/knotwalk/edge/intake.py
@@ -14,6 +14,7 @@
 
 # Seconds after which a client that was refused since keys can't be judged comes back, by then to another edge.
 KEYS_WAIT = 0.1
+CONTRACT = "tenants"  # the part of the rules that keys of tenants belong to
 NOTHING_WITHHELD: frozenset[bytes] = frozenset()
 
 
@@ -23,11 +24,14 @@
     def __init__(self, forwarder: Forwarder):
         self.forwarder = forwarder
         self.view, self.clock, self.freshness = forwarder.view, forwarder.clock, forwarder.freshness
+        self.by_contract = CONTRACT in forwarder.settings.contracts
 
     @property
     def withheld(self) -> frozenset[bytes]:
-        """Headers of clients, in lower case, that go to no node."""
-        return WITHHELD if self.view.tenant_keys.tenants else NOTHING_WITHHELD
+        """Headers of clients, in lower case, that go to no node.
+
+        Where keys of tenants are in force, also while the configuration here holds no tenants: a newer one may."""
+        return WITHHELD if self.by_contract or self.view.tenant_keys.tenants else NOTHING_WITHHELD
 
     def judges_keys(self, now: float) -> bool:
         """Whether requests that need a key can be taken; true where none needs one."""
--- a/tests/system/test_edge_tenants.py
+++ b/tests/system/test_edge_tenants.py
@@ -111,6 +111,11 @@
         self.assertEqual(await self.status("/i/", token("k1") + "Tenant: mine\r\n"), 200)
         self.assertEqual((self.got()["authorization"], self.got()["tenant"]), ("Token k1", "mine"))
 
+    async def test_where_keys_are_in_force_headers_are_withheld_whatever_the_configuration_holds(self):
+        await self.begin(tenants={}, proven=False, active_contracts=["base", "tenants"])
+        self.assertEqual(await self.status("/i/", token("k1") + "Tenant: mine\r\n"), 200)
+        self.assertFalse({"authorization", "tenant"} & set(self.got()))
+
     async def test_a_key_ends_with_the_configuration_that_drops_it_and_begins_with_the_one_that_brings_it(self):
         await self.begin()
         self.assertEqual(await self.status(headers=token("k2")), 200)
