Settings and tenants: null parts count as left out, unknown listeners are skipped

null for limits, fault_tolerance, timing_bounds, listen_addresses, seed_nodes, heartbeat, internal_port_range or the platform's address ended a program's start, as did an address of a listener that no program here has where it is no host:port. They are skipped. active_contracts that is no list was a bare TypeError, and is one line that names it, as other wrong values are.

null for rate_per_s, burst_size and api_keys of a tenant refused a whole configuration; it counts as left out. An export without keys showed them as null so that it could not be put into force again: it now shows a word there, which stays invalid. The test of it asks for the word in place of null, and still that what is printed is refused.

--- a/knotwalk/configuration/fields.py
+++ b/knotwalk/configuration/fields.py
@@ -80,8 +80,8 @@
 
 
 def amount(fields: dict, name: str) -> float:
-    """A number that is not below 0; 0 where it is left out."""
-    value = fields.get(name, 0)
+    """A number that is not below 0; 0 where it is left out or null."""
+    value = 0 if fields.get(name) is None else fields[name]
     if type(value) not in (int, float):
         raise Mistake(f"{name} must be a number, not {shown(value)}")
     if not 0 <= value <= LARGEST:
--- a/knotwalk/configuration/items.py
+++ b/knotwalk/configuration/items.py
@@ -108,7 +108,7 @@
     """A tenant; Mistake, which never shows a key. Its name goes to nodes as a header's value."""
     if not name.isprintable() or name != name.strip():
         raise Mistake("its name must be printable, with no blank at either end")
-    keys = fields.get("api_keys", [])
+    keys = [] if fields.get("api_keys") is None else fields["api_keys"]
     if type(keys) is not list or not all(type(one) is str and one for one in keys):
         raise Mistake("api_keys must be a list of texts")
     priority = None if fields.get("priority") is None else whole(fields, "priority", least=None)
--- a/knotwalk/configuration/tenants.py
+++ b/knotwalk/configuration/tenants.py
@@ -45,12 +45,13 @@
 
 
 def without_keys(document: dict) -> dict:
-    """A configuration as it is sent, for showing: `api_keys` of its tenants are null, which no configuration may be."""
+    """A configuration as it is sent, for showing: `api_keys` of its tenants are a word, which no configuration may
+    have there, so that none is put into force without its keys."""
 
     def shown(item: dict) -> dict:
         if item.get("object_kind") != "tenants":
             return item
-        return {**item, "specification": {**item["specification"], "api_keys": None}}
+        return {**item, "specification": {**item["specification"], "api_keys": "withheld"}}
 
     return {**document, "objects": [shown(item) for item in document["objects"]]}
 
--- a/knotwalk/runtime/settings.py
+++ b/knotwalk/runtime/settings.py
@@ -1,7 +1,7 @@
 """The settings file that the platform writes for a process: read, checked, and turned into plain values.
 
-Fields that are not known, or are null, are skipped; a field with a wrong value is one line naming it. Source: the
-deployment's page.
+Fields that are not known, or are null, are skipped, as are listeners that no program here has; a field with a wrong
+value is one line naming it. Source: the deployment's page.
 """
 
 import json
@@ -169,35 +169,42 @@
 TIMES = frozenset(f.name for f in fields(Bounds)) - COUNTS
 
 
+# Fields that are taken as they are.
+PLAIN = (
+    "node_name",
+    "role",
+    "machine_class",
+    "serves",
+    "ip_address",
+    "zone",
+    "region",
+    "zones",
+    "initial_boot",
+    "quorum_member",
+    "data_dir",
+)
+LISTENERS = frozenset({"data_plane", "readiness", "control"})
+
+
+def _container(raw: dict, name: str, kind: type) -> Any:
+    """A field that holds an object or a list, empty where it is left out."""
+    value = raw.get(name, kind())
+    if not isinstance(value, kind):
+        raise SettingsError(name, "not an object" if kind is dict else "not a list")
+    return value
+
+
 def parse(raw: object) -> Settings:
     """The settings of a file's JSON value; SettingsError names the field and the mistake."""
     if not isinstance(raw, dict):
         raise SettingsError("", "the file holds no object")
+    raw = {name: value for name, value in raw.items() if value is not None}
     if not isinstance(raw.get("node_name"), str) or not raw["node_name"]:
         raise SettingsError("node_name", "missing or no text")
-    plain = {
-        k: raw[k]
-        for k in (
-            "node_name",
-            "role",
-            "machine_class",
-            "serves",
-            "ip_address",
-            "zone",
-            "region",
-            "zones",
-            "initial_boot",
-            "quorum_member",
-            "data_dir",
-        )
-        if raw.get(k) is not None
-    }
-    listen = raw.get("listen_addresses", {})
-    if not isinstance(listen, dict):
-        raise SettingsError("listen_addresses", "not an object")
-    seeds = raw.get("seed_nodes", [])
-    if not isinstance(seeds, list):
-        raise SettingsError("seed_nodes", "not a list")
+    plain = {name: raw[name] for name in PLAIN if name in raw}
+    listen = _container(raw, "listen_addresses", dict)
+    seeds = _container(raw, "seed_nodes", list)
+    contracts = _container(raw, "active_contracts", list)
     ports = raw.get("internal_port_range", [7660, 7675])
     if (
         not isinstance(ports, list)
@@ -206,17 +213,19 @@
         or ports[0] > ports[1]
     ):
         raise SettingsError("internal_port_range", f"two ports, the first not above the second, not {ports!r}")
-    cloud = raw.get("cloud_api") or {}
-    if not isinstance(cloud, dict):
-        raise SettingsError("cloud_api", "not an object")
-    if "address" in cloud:
+    cloud = _container(raw, "cloud_api", dict)
+    if cloud.get("address") is not None:
         cloud = {**cloud, "address": address(cloud["address"], "cloud_api.address")}
     built = {
         **plain,
-        "contracts": [name for name in raw.get("active_contracts") or () if isinstance(name, str)],
-        "listen": {name: address(at, f"listen_addresses.{name}") for name, at in listen.items()},
+        "contracts": [name for name in contracts if isinstance(name, str)],
+        "listen": {
+            name: address(at, f"listen_addresses.{name}")
+            for name, at in listen.items()
+            if name in LISTENERS and at is not None
+        },
         "ports": tuple(ports),
-        "seeds": [address(at, f"seed_nodes[{k}]") for k, at in enumerate(seeds)],
+        "seeds": [address(at, f"seed_nodes[{k}]") for k, at in enumerate(seeds) if at is not None],
         "machine": _part(Machine, raw.get("limits", {}), "limits"),
         "tolerance": _part(Tolerance, raw.get("fault_tolerance", {}), "fault_tolerance"),
         "bounds": _part(Bounds, raw.get("timing_bounds", {}), "timing_bounds", TIMES),
--- a/tests/system/test_runtime.py
+++ b/tests/system/test_runtime.py
@@ -39,6 +39,12 @@
     ({"timing_bounds": {"retry_budget_ratio": "2s"}}, "retry_budget_ratio"),
     ({"cloud_api": {"address": ":1"}}, "cloud_api.address"),
     ({"heartbeat": "1.5"}, "heartbeat"),
+    ({"active_contracts": 5}, "active_contracts"),
+    ({"active_contracts": "base"}, "active_contracts"),
+    ({"listen_addresses": 5}, "listen_addresses"),
+    ({"listen_addresses": {"readiness": "x"}}, "listen_addresses.readiness"),
+    ({"cloud_api": 5}, "cloud_api"),
+    ({"limits": 5}, "limits"),
     ({"initial_boot": "yes"}, "initial_boot"),
     ({"zones": ["a"]}, "zones"),
 ]
--- a/tests/system/test_tenants.py
+++ b/tests/system/test_tenants.py
@@ -53,6 +53,7 @@
         for specification, line in (
             (SECRET, "objects[0]: specification must be an object"),
             ({"api_keys": SECRET}, 'tenant "a": api_keys must be a list of texts'),
+            ({"api_keys": "withheld"}, 'tenant "a": api_keys must be a list of texts'),
             ({"api_keys": [SECRET, 7]}, 'tenant "a": api_keys must be a list of texts'),
             ({"api_keys": [SECRET, ""]}, 'tenant "a": api_keys must be a list of texts'),
             ({"priority": "1"}, 'tenant "a": priority must be a whole number, not "1"'),
--- a/tests/system/test_unknown_words.py
+++ b/tests/system/test_unknown_words.py
@@ -72,6 +72,41 @@
         raw = {"node_name": "n", "zone": None, "region": None, "active_contracts": None, "role": None}
         self.assertEqual(parse(raw | {"limits": {"cpu_share": None}, "timing_bounds": {"contact": None}}), plain)
 
+    def test_null_in_place_of_any_part_is_as_none(self):
+        plain = parse({"node_name": "n"})
+        for name in (
+            "limits",
+            "fault_tolerance",
+            "timing_bounds",
+            "listen_addresses",
+            "seed_nodes",
+            "heartbeat",
+            "internal_port_range",
+            "cloud_api",
+            "active_contracts",
+            "zones",
+            "serves",
+        ):
+            with self.subTest(name):
+                self.assertEqual(parse({"node_name": "n", name: None}), plain)
+        inner = {"cloud_api": {"address": None}, "listen_addresses": {"control": None}, "seed_nodes": [None]}
+        self.assertEqual(parse({"node_name": "n", **inner}), plain)
+
+    def test_a_listener_that_is_not_known_may_be_anything(self):
+        for value in ("/run/moon.sock", 5, None, {"port": 1}):
+            raw = {"node_name": "n", "listen_addresses": {"moon": value, "control": "127.0.0.1:1"}}
+            with self.subTest(value):
+                self.assertEqual(parse(raw).listen, {"control": ("127.0.0.1", 1)})
+
+    def test_null_in_a_tenant_s_fields_is_as_none(self):
+        def made(**fields):
+            one = {"object_kind": "tenants", "metadata": {"name": "t"}, "specification": fields}
+            return read_configuration(configuration(one)).tenants
+
+        for name in ("rate_per_s", "burst_size", "api_keys", "priority"):
+            with self.subTest(name):
+                self.assertEqual(made(**{name: None}), made())
+
     def test_an_edge_starts_by_settings_that_hold_what_it_does_not_know(self):
         raw = {
             "node_name": "e",
