--- a/tests/soak/judge.py
+++ b/tests/soak/judge.py
@@ -92,10 +92,10 @@
 
     def _silent(self, asked: Asked) -> list[str]:
         """No end at all. Where this process itself was so late, its clients' timers say nothing; nor do they of an
-        edge that stood still for as long as they wait past the deadline."""
+        edge that stood still at the deadline, for as long as they wait past it."""
         if asked.end is not End.SILENT or self.slack > TELLS:
             return []
-        if asked.life.stood_for(asked.sent, asked.at) >= HANGS:
+        if asked.life.stood_at(asked.at - HANGS, asked.sent, asked.at) >= HANGS:
             return []
         return [f"SILENT {asked.id}: nothing {asked.at - asked.sent:.1f} s after it was sent to {asked.life.name}"]
 
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -92,9 +92,10 @@
         """Whether it was frozen in some part of a span."""
         return any(begin <= last and end >= first for begin, end in self.frozen)
 
-    def stood_for(self, first: float, last: float) -> float:
-        """Seconds of a span for which it was frozen."""
-        return sum(max(0.0, min(end, last) - max(begin, first)) for begin, end in self.frozen)
+    def stood_at(self, moment: float, first: float, last: float) -> float:
+        """Seconds of a span for which it was frozen by the freeze that covers a moment of it; 0 without one."""
+        covering = [(begin, end) for begin, end in self.frozen if begin <= moment <= end]
+        return max((min(end, last) - max(begin, first) for begin, end in covering), default=0.0)
 
 
 @dataclass
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -7,7 +7,7 @@
 
 from knotwalk.runtime.settings import Bounds
 from tests.soak.drive import Soak
-from tests.soak.judge import Judge
+from tests.soak.judge import HANGS, Judge
 from tests.soak.ledger import Asked, Death, End, InForce, Ledger, Life, Run
 from tests.soak.plan import CALM, TAIL, Act, draw
 from tests.soak.shape import Shape
@@ -37,6 +37,10 @@
         life = life or Life("edge", 0.0)
         return Asked("a", life, repeatable, 1.0, end, at, status, **more)
 
+    def silent(self, *frozen):
+        """A request without an end, sent at 1 s with a deadline of 5 s, to an edge that was frozen."""
+        return self.asked(True, End.SILENT, at=1.0 + 5.0 + HANGS, life=Life("edge", 0.0, frozen=list(frozen)))
+
     def test_each_rule_is_found_broken_and_not_without_cause(self):
         whole, early = Run("a", "i-1", 1.1, 2.0, True), Run("a", "i-1", 1.1, 2.2, False)
         long = Run("a", "i-1", 1.1, 3.5, True)
@@ -62,6 +66,11 @@
             "cut unread": ([], [self.asked(False, End.CUT)], []),
             "cut late, read": (["LOST"], [served, self.asked(False, End.CUT, life=life)], []),
             "no end": (["SILENT"], [self.asked(True, End.SILENT)], []),
+            "no end, frozen at the deadline": ([], [self.silent((3.0, 7.5))], []),
+            "no end, frozen at the deadline for a moment": (["SILENT"], [self.silent((5.9, 6.1))], []),
+            "no end, frozen before the deadline": (["SILENT"], [self.silent((1.5, 5.5))], []),
+            "no end, frozen past the deadline": (["SILENT"], [self.silent((6.2, 9.5))], []),
+            "no end, frozen now and again": (["SILENT"], [self.silent((1.0, 3.0), (5.0, 6.5))], []),
             "cut as it closed": ([], [served, self.asked(False, End.CUT, at=1.2, life=life)], []),
         }
         for name, (wanted, asked, runs) in table.items():
