--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -31,8 +31,9 @@
 # most, with each call in a row that has none in time: behind a squeezed link cores are slow, and there all the same.
 # The time that the call's bytes take on the link comes on top.
 PATIENCE, PATIENCE_MOST = 0.15, 0.8
-# Seconds that an end waits for asks to travel with.
-GATHER = 0.02
+# Seconds that an end waits for an ask to travel with: one that frees its operation, for which a client was told to come
+# back soon, and any other.
+GATHER_FREED, GATHER = 0.02, 0.25
 # Asks that one call takes.
 MOST = 200
 # Seconds between calls while no core is known that did not fail lately: a port that refuses answers at once.
@@ -119,15 +120,18 @@
     def end(self, cores: tuple[str, ...], operation: str, attempt: str, ending: Ending, answer=None) -> None:
         """Tell these cores how the run of an operation ended."""
         told = OperationEnd(operation, attempt, ending, answer)
+        now = self.clock()
+        due = now + (GATHER_FREED if ending is Ending.NEVER_RAN else GATHER)
         for core in cores:
-            self.ends.add(self.clock(), core, told)
-        self._start_later(GATHER)
+            self.ends.add(now, core, told, due)
+        self._start_later(due - now)
 
     async def finish(self, by: float) -> None:
         """Tell what is untold until the steady clock shows `by`; then end all connections."""
+        self.ends.hurry()
         while self.ends.waiting and self.clock() < by:
             self._start_calls()
-            await asyncio.sleep(GATHER)
+            await asyncio.sleep(GATHER_FREED)
         if self._timer is not None:
             self._timer.cancel()
         for call in list(self._calls):
@@ -145,8 +149,12 @@
     # -- calls
 
     def _start_later(self, pause: float) -> None:
-        if self._timer is None:
-            self._timer = asyncio.get_running_loop().call_later(pause, self._timed)
+        loop = asyncio.get_running_loop()
+        if self._timer is not None:
+            if self._timer.when() <= loop.time() + pause:
+                return
+            self._timer.cancel()
+        self._timer = loop.call_later(pause, self._timed)
 
     def _timed(self) -> None:
         self._timer = None
@@ -163,7 +171,7 @@
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
         if self.idle and not self.telling and (next_due := self.ends.next_due()) is not None:
-            self._start_later(max(GATHER, next_due - self.clock()))
+            self._start_later(max(GATHER_FREED, next_due - self.clock()))
 
     def _next_call(self, now: float) -> Call | None:
         """What to tell next, and whom. Ends that can't go with asks have one lane at most; where asks hold the other
@@ -171,8 +179,8 @@
         due = self.ends.due(now)
         core = self._core() if self.asks else None
         if core is not None:
-            beside = end_batches.beside_asks([one.end for one in due if one.to == core])
-            if self.telling or len(beside) == len(due) or len(self.idle) == len(self.lanes):
+            beside = end_batches.beside_asks([one.end for one in self.ends.ready(now, core)])
+            if self.telling or all(one.end in beside for one in due) or len(self.idle) == len(self.lanes):
                 batch, self.asks = self.asks[:MOST], self.asks[MOST:]
                 return Call(core, batch, beside)
         if self.telling or not due:
--- a/knotwalk/edge/operation_steps.py
+++ b/knotwalk/edge/operation_steps.py
@@ -13,6 +13,8 @@
 # Seconds between asks for an operation that another try runs, and between asks while it can't be told.
 REPEAT_LEAST, REPEAT_MOST = 0.05, 0.1
 AGAIN = 0.005
+# Seconds for which a core's word that an operation is in work holds.
+IN_WORK_HOLDS = 0.4
 # Of the aim: how long a request may wait for word that is on its way. Longer than it may wait where there is none: most
 # of what is late by this is told soon, and run in time.
 LATE_PART = 0.5
@@ -54,22 +56,26 @@
     until: float
 
 
-def step(told: AdmissionTold, in_work: bool, now: float, patience: Patience) -> Step:
-    """What follows. `in_work`: whether its operation was in work at an earlier ask.
+def step(told: AdmissionTold, in_work_at: float | None, now: float, patience: Patience) -> Step:
+    """What follows. `in_work_at`: when a core told last that its operation is in work, None if none did.
 
     UNAVAILABLE without a time to come back says that the core waits for others' word.
 
     >>> times = Patience(1.1, 1.3, 2.0)
-    >>> step(AdmissionTold(Admission.IN_WORK), False, 1.0, times)
+    >>> step(AdmissionTold(Admission.IN_WORK), None, 1.0, times)
     <Step.WAIT: 'wait'>
-    >>> [step(AdmissionTold(Admission.UNAVAILABLE, wait), False, 1.2, times) for wait in (0.0, 0.2)]
+    >>> [step(AdmissionTold(Admission.UNAVAILABLE, wait), None, 1.2, times) for wait in (0.0, 0.2)]
     [<Step.WAIT: 'wait'>, <Step.COME_BACK: 'come back'>]
     """
     if told.admission in AT_ONCE:
         return AT_ONCE[told.admission]
-    if told.admission is Admission.IN_WORK or in_work:
+    if told.admission is Admission.IN_WORK:
         return Step.WAIT if now < patience.until else Step.CONFLICT
-    return Step.WAIT if now < (patience.early if told.retry_after else patience.late) else Step.COME_BACK
+    if in_work_at is None:
+        return Step.WAIT if now < (patience.early if told.retry_after else patience.late) else Step.COME_BACK
+    if now < patience.until:
+        return Step.WAIT
+    return Step.CONFLICT if now - in_work_at <= IN_WORK_HOLDS else Step.COME_BACK
 
 
 def stored(answer: Answer) -> StoredAnswer:
@@ -114,13 +120,16 @@
 
 @dataclass(slots=True)
 class Untold:
-    """An end that no core took yet: for the core `to`, due at `due`, again after `pause`, dropped at `last`."""
+    """An end that no core took yet: for the core `to`, due at `due`, again after `pause`, dropped at `last`.
+
+    `fresh` until it is told first; it may then go before it is due, with a call that is made anyway."""
 
     to: str
     end: OperationEnd
     due: float
     last: float
     pause: float = TELL_AGAIN
+    fresh: bool = True
 
     @property
     def size(self) -> int:
@@ -136,9 +145,9 @@
         self.waiting: OrderedDict[tuple[str, str, str], Untold] = OrderedDict()
         self.size = 0
 
-    def add(self, now: float, to: str, end: OperationEnd) -> None:
-        """An end is to be told."""
-        untold = Untold(to, end, now, now + self.window)
+    def add(self, now: float, to: str, end: OperationEnd, due: float) -> None:
+        """An end is to be told, by a call of its own at `due`."""
+        untold = Untold(to, end, due, now + self.window)
         self.done(to, [end])
         self.waiting[to, end.operation, end.attempt] = untold
         self.size += untold.size
@@ -146,20 +155,30 @@
             _, oldest = self.waiting.popitem(last=False)
             self.size -= oldest.size
 
-    def due(self, now: float, to: str | None = None) -> list[Untold]:
-        """Those that may be told now (to one core); they are not due again before their pause."""
+    def due(self, now: float) -> list[Untold]:
+        """Those that want a call now; they are not due again before their pause."""
         for key, untold in list(self.waiting.items()):
             if now >= untold.last:
                 self.size -= untold.size
                 del self.waiting[key]
-        found = [one for one in self.waiting.values() if now >= one.due and to in (None, one.to)]
-        return found
+        return [one for one in self.waiting.values() if now >= one.due]
+
+    def ready(self, now: float, to: str) -> list[Untold]:
+        """Those that may go with a call to this core."""
+        return [one for one in self.waiting.values() if one.to == to and (one.fresh or now >= one.due)]
+
+    def hurry(self) -> None:
+        """All that were not told yet are due."""
+        for untold in self.waiting.values():
+            if untold.fresh:
+                untold.due = 0.0
 
     def sent(self, now: float, to: str, ends: list[OperationEnd]) -> None:
         """These are being told."""
         for end in ends:
             untold = self.waiting.get((to, end.operation, end.attempt))
             if untold is not None:
+                untold.fresh = False
                 untold.due = now + untold.pause
                 untold.pause = min(TELL_AGAIN_MOST, 2 * untold.pause)
 
