--- a/knotwalk/shared_state/buckets.py
+++ b/knotwalk/shared_state/buckets.py
@@ -15,8 +15,8 @@
 
 DRIFT = 1.02  # steady clocks of two machines may run 2% apart
 SWEEP = 5.0  # seconds between looks for buckets that can be dropped
-# Seconds of a leader in which a bucket that has not filled yet is no proof that the limit is reached.
-BEGINNING = 2.0
+# Seconds of a leader, at most, in which a bucket that could not fill yet is no proof that the limit is reached.
+BEGINNING = 30.0
 UNLIMITED_LASTS = 2.0  # seconds for which a core machine may go by "no limit"
 
 
