--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -91,6 +91,7 @@
         self.admissions = Admissions(
             own, self.allowances, self.claims, Answers(memory, settings.bounds.key_period), self.caller, logs.clock
         )
+        self.peer_api.on_life = self.admissions.heard
         self.peer_api.parts |= {"/admissions": self.admissions.admissions, "/answers": self.admissions.kept}
         self.peer_api.parts["/allowances"] = self.allowances.asked
         self.control = Control(self.consensus, settings.at("control")[1])
@@ -119,6 +120,8 @@
         state = self.consensus.state
         self.board.set_config(state.order, document(state.configuration))
         self.admissions.configured(state.configuration)
+        if self.claims is not None:
+            self.claims.configured(state.configuration)
         self.peer_api.changed()
 
     def lines_changed(self, index: int, changes: list) -> None:
--- a/knotwalk/edge/link.py
+++ b/knotwalk/edge/link.py
@@ -40,6 +40,7 @@
         self.edge, self.view, self.caller, self.seeds = edge, view, caller, seeds
         self.report, self.on_news = report, on_news
         self.freshness = freshness or Freshness(math.inf, False)
+        self.life = ""  # of this program, as its asks for admission name it
         self.random = random.Random(seed)
         self.zone = zone
         self.zones: dict[str, str] = {}  # of cores that have answered: bytes between zones are priced
@@ -103,7 +104,7 @@
         now = clock()
         wait = self.freshness.wait(WAIT) if core == self.known else FIRST_WAIT
         self.known = None
-        asked = {"edge": self.edge, "wait": wait, **self.view.ask()}
+        asked = {"edge": self.edge, "life": self.life, "wait": wait, **self.view.ask()}
         if now - self.reported_at >= 0.9 * WAIT:
             self.reported_at = now
             asked["report"] = self.report()
@@ -128,11 +129,13 @@
             except (KeyError, TypeError, ValueError) as error:
                 log_warning("news not understood", core=core, why=f"{type(error).__name__} {error}")
                 return False
+        lapsed = not self.freshness.accepts(clock())
         if not self.view.fault:
             self.freshness.proven(asked_at, told.get("proven"))
+        renewed = lapsed and self.freshness.accepts(clock())  # an edge that only this kept from serving begins
         first = self.heard_at == float("-inf")
         self.heard_at, self.edges = now, told["edges"]
-        if changed or first:
+        if changed or first or renewed:
             self.on_news(changed, self.edges)
         if self.view.fault:
             self.not_taken += 1
