--- a/tests/soak/shared_judge.py
+++ b/tests/soak/shared_judge.py
@@ -166,8 +166,20 @@
                 run = self.seals.get(asked.seal)
                 told["repeats answered by the first run"] += run is not None and run.id != asked.id
         told["tries of operations"] = sum(len(tries) for tries in self.tries.values())
+        told["status 429 below the limit"] = sum(self._below(asked) for asked in self.ledger.asked.values())
         return told
 
+    def _below(self, asked: Asked) -> bool:
+        """Whether a request was refused though fewer of its tenant ran in the window before than its rate alone allows.
+
+        No rule forbids it: a new leader gives nothing out at first."""
+        if asked.end is not End.ANSWERED or asked.status != 429:
+            return False
+        first = asked.at - self.bounds.quota_window
+        ran = sum(first < at <= asked.at for at in self.arrivals[asked.tenant].values())
+        rates = [one.limits.get(asked.tenant, (0, 0))[0] for one in self._in_force(first, asked.at)]
+        return ran + 1 < min(rates) * self.bounds.quota_window
+
 
 def windows(times: list[float], length: float) -> list[tuple[float, int]]:
     """For the window that begins at each time: how many times lie in it. `times` are in order.
