--- a/knotwalk/shared_state/escrow.py
+++ b/knotwalk/shared_state/escrow.py
@@ -15,8 +15,9 @@
 from knotwalk.shared_state.limit import Limit
 from knotwalk.shared_state.messages import AllowanceGrant, AllowanceWant
 
-AHEAD = 1.0  # seconds of use that are held
-MEMORY = 2.0  # seconds: use that is older counts less than a third (1/e)
+# Seconds of use that are held, as far as a core's share allows; older use counts less than a third (1/e). Clients of a
+# tenant send some requests at once, so what is held at a low rate is more than a second's use.
+MEMORY = 5.0
 IDLE = 10.0  # seconds without use after which nothing is held
 SPACING = 0.1  # seconds between calls that no request waits for
 RETRY = 0.02  # seconds after a call that brought nothing to requests that wait
@@ -44,8 +45,7 @@
     waiting: int = 0
     empty_until: float = -math.inf
     unlimited_until: float = -math.inf
-    returned: int = 0  # tokens taken back since `returns_at`
-    returns_at: float = -math.inf
+    reserved: int = 0  # tokens taken whose requests may yet not run: they count as held, and may come back
 
     def note_use(self, now: float) -> None:
         """One more request came."""
@@ -56,8 +56,8 @@
         """How many tokens to hold."""
         if now - self.used_at >= IDLE:
             return 0
-        rate = self.used * math.exp(min(0.0, self.used_at - now) / MEMORY) / MEMORY
-        return min(limit.share, max(1, math.ceil(rate * AHEAD)))
+        used = self.used * math.exp(min(0.0, self.used_at - now) / MEMORY)
+        return min(limit.share, max(1, math.ceil(used)))
 
 
 class Escrow:
@@ -101,19 +101,27 @@
         if holding is not None:
             holding.waiting = max(0, holding.waiting - 1)
 
-    def give_back(self, now: float, tenant: str) -> bool:
-        """An edge did not use a token; whether it may be used by another request here.
+    def reserve(self, tenant: str) -> None:
+        """A token that was taken may yet come back: it is told as unused until it is spent or given back."""
+        self.holdings.setdefault(tenant, Holding()).reserved += 1
+
+    def spend(self, now: float, tenant: str) -> bool:
+        """The request of a reserved token is to run; whether it may: a token ends with the holding that it is of."""
+        holding = self.holdings.get(tenant)
+        if holding is None or holding.reserved == 0:
+            return True  # it was let pass without a limit
+        holding.reserved -= 1
+        return now < holding.ends
 
-        Only so many within a holding's time: one that was taken in the window before is counted in neither."""
+    def give_back(self, now: float, tenant: str) -> bool:
+        """The request of a reserved token does not run; whether another one here may have the token."""
         limit, holding = self.limit_of(tenant), self.holdings.get(tenant)
-        if limit is None or holding is None or now >= holding.ends:
+        if holding is None or holding.reserved == 0:
             return False
-        if now >= holding.returns_at + limit.lasts:
-            holding.returned, holding.returns_at = 0, now
-        if holding.held >= limit.share or holding.returned >= limit.returns:
+        holding.reserved -= 1
+        if limit is None or now >= holding.ends or holding.held >= limit.share:
             return False
         holding.held += 1
-        holding.returned += 1
         return True
 
     def _look(self, now: float, tenant: str, holding: Holding) -> None:
@@ -137,7 +145,7 @@
             want = self._want(now, tenant, holding, limit)
             if want is not None:
                 found.append(want)
-            elif not holding.held and not holding.waiting and now - holding.used_at >= IDLE:
+            elif not holding.held and not holding.reserved and not holding.waiting and now - holding.used_at >= IDLE:
                 del self.holdings[tenant]
             elif holding.held:
                 self.due = min(self.due, self._renewal(holding, limit))
@@ -161,7 +169,7 @@
         wanted = holding.waiting + target - holding.held
         if wanted < 0:
             holding.held = target
-        return AllowanceWant(tenant, wanted, holding.held)
+        return AllowanceWant(tenant, wanted, holding.held + holding.reserved)
 
     def _renewal(self, holding: Holding, limit: Limit | None) -> float:
         return holding.ends - RENEW * limit.lasts if limit is not None else holding.ends
