--- a/tests/simulation/shared_mistakes.py
+++ b/tests/simulation/shared_mistakes.py
@@ -36,10 +36,10 @@
     return max(0, min(want.wanted, bucket.limit.share - want.unused))
 
 
-def _fills_again(bucket: Bucket, now: float, limit: Any) -> None:
+def _fills_again(bucket: Bucket, now: float, limit: Any, *given: Any) -> None:
     """What has filled fills once more."""
     at = bucket.at
-    FILL(bucket, now, limit)
+    FILL(bucket, now, limit, *given)
     bucket.at = max(at, now - 0.5)
 
 
@@ -54,6 +54,7 @@
     """What is given back counts twice."""
     if (holding := escrow.holdings.get(tenant)) is None:
         return False
+    holding.reserved -= 1
     holding.held += 2
     return True
 
