--- a/knotwalk/control_plane/admissions.py
+++ b/knotwalk/control_plane/admissions.py
@@ -153,12 +153,22 @@
         """Take of the allowance and claim the operation; the claim is begun while the allowance is waited for."""
         attempt = Attempt(holder.life, holder.attempt)
         if self.tokens.use(attempt) is not None:
-            return self._settled(ask, attempt, await self._claim(ask.operation, holder))
+            told = NOT_YET  # of a call that is broken off before its claim is known
+            try:
+                told = await self._claim(ask.operation, holder)
+            finally:
+                told = self._settled(ask, attempt, told)
+            return told
         taking = asyncio.get_running_loop().create_task(self._take(ask.tenant))
         await asyncio.sleep(0)  # what is at hand is given in this turn
         if taking.done() and taking.result().admission is not Admission.RUN:
             return taking.result()
-        told, taken = await asyncio.gather(self._claim(ask.operation, holder), taking)
+        try:
+            told, taken = await asyncio.gather(self._claim(ask.operation, holder), taking)
+        except BaseException:  # the call is broken off: its token must not stay reserved
+            if taking.done() and not taking.cancelled() and taking.result().admission is Admission.RUN:
+                self.allowances.give_back(ask.tenant)
+            raise
         if taken.admission is Admission.RUN:
             return self._settled(ask, attempt, told)
         if told.admission in (Admission.IN_WORK, Admission.ANSWERED, Admission.UNKNOWN):
