Claimants keep to the claims' contract: who gives an operation back never asks for it again

No edge does so (an attempt is asked for once, and its end ends it), and release says now that a holder must not. Ruled out: a fault of the table, whose memory of releases is kept and tested against the plain model, now with both mistakes of releases put in. The walks' mistake 'release taken twice' rested on claimants outside the contract; the model finds it.

--- a/knotwalk/control_plane/claim_groups.py
+++ b/knotwalk/control_plane/claim_groups.py
@@ -89,7 +89,7 @@
 
     def release(self, claim: Claim) -> None:
         """Have an operation given back that surely never ran: sent in the background until it is taken, or the claim
-        has ended by itself."""
+        has ended by itself. Its holder must neither ask for it again nor run it by an answer that comes yet."""
         if not claim.release:
             claim = replace(claim, release=True)
         until = clock() + self.key_period
--- a/tests/system/test_claims.py
+++ b/tests/system/test_claims.py
@@ -167,7 +167,25 @@
         return GRANTED
 
 
+def forgets_release(table: ClaimTable, operation: str, who: str, until: float) -> None:
+    """A mistake: frees for the holder, and remembers nothing of it."""
+    found = table.claims.get(operation)
+    if found is not None and found.who == who:
+        del table.claims[operation]
+
+
+def frees_any(table: ClaimTable, operation: str, who: str, until: float) -> None:
+    """A mistake: takes a release by whomever."""
+    table.claims.pop(operation, None)
+
+
 class RandomTest(unittest.TestCase):
+    def test_mistakes_of_releases_are_found_by_the_model(self):
+        for mistake in (forgets_release, frees_any):
+            with mock.patch.object(ClaimTable, "_release", mistake), self.subTest(mistake.__name__):
+                found = RandomTest("test_it_says_what_a_plain_model_says_and_snapshots_and_replays_alike").run()
+                self.assertTrue(found.failures)
+
     def test_it_says_what_a_plain_model_says_and_snapshots_and_replays_alike(self):
         for seed in range(40):
             chance, log, model, now = random.Random(seed), Log(), Model(), 0.0
