--- a/knotwalk/control_plane/figures.py
+++ b/knotwalk/control_plane/figures.py
@@ -87,12 +87,12 @@
     yield gauge("knotwalk_core_buckets", "tenants whose limits this core keeps as the leader", buckets)
 
 
-def claims(groups: ClaimGroups) -> Iterator[Figure]:
-    """What the groups that agree on claims of operations know and did."""
+def claims(groups: ClaimGroups | None) -> Iterator[Figure]:
+    """What the groups that agree on claims of operations know and did; nothing is told of where there are none."""
     leads: dict[tuple[str, ...], float] = {}
     held: dict[tuple[str, ...], float] = {}
     waiting: dict[tuple[str, ...], float] = {}
-    for group in groups.groups:
+    for group in groups.groups if groups else ():
         part = (str(group.part),)
         leads[part], waiting[part] = group.leads, len(group.waiting)
         held[part] = len(group.driver.state.claims)
@@ -100,7 +100,7 @@
     yield Figure("knotwalk_core_claims_leader", Kind.GAUGE, "1 while this core leads a part's group", leads, labels)
     yield Figure("knotwalk_core_claims_held", Kind.GAUGE, "operations of a part that have a holder", held, labels)
     yield Figure("knotwalk_core_claims_waiting", Kind.GAUGE, "claims of a part that wait here", waiting, labels)
-    told: dict[tuple[str, ...], float] = {(one.value,): count for one, count in groups.told.items()}
+    told: dict[tuple[str, ...], float] = {(one.value,): count for one, count in (groups.told.items() if groups else ())}
     yield counter("knotwalk_core_claims", "claims asked by this core, by their outcome", told, "outcome")
 
 
@@ -148,6 +148,5 @@
     told: dict[tuple[str, ...], float] = {(path,): count for path, count in plane.peer_api.told.items()}
     yield counter("knotwalk_core_answer_bytes", "bytes of bodies told to edges and cores", told, "path")
     yield from allowances(plane)
-    if plane.claims is not None:
-        yield from claims(plane.claims)
+    yield from claims(plane.claims)
     yield loop_delay(plane.delay)
