--- a/knotwalk/admission/connection_budget.py
+++ b/knotwalk/admission/connection_budget.py
@@ -11,9 +11,8 @@
 FILES = 200
 # What a program holds itself: the loop's three, two ports, a question for readiness, calls to a core and to the next.
 OWN = 8
-# Beyond it, where limits or operations are asked for: the lanes of these asks to a core, a connection each; one where
-# fewer descriptors than FEW are left for clients and nodes.
-ASK_LANES, FEW = 2, 64
+# Beyond it, where limits or operations are asked for: the lanes of these asks to a core.
+ASK_LANES = 2
 ASKED_FOR = frozenset({"keys", "quota"})  # the parts of the rules that want asks
 # Of the rest, what clients' connections may take: over half, since one whose answer was written lies for a trip more.
 CLIENT_PART = 0.6
@@ -25,29 +24,22 @@
 
 @dataclass(frozen=True)
 class ConnectionBudget:
-    """Connections at most: of `clients`, to `nodes`, and to a core for asks (`lanes`); `kept`: with more clients than
-    that none is kept for later."""
+    """Connections at most: of `clients`, and to `nodes`; `kept`: with more clients than that none is kept for later."""
 
     clients: int
     kept: int
     nodes: int
-    lanes: int = 0
 
 
 def shared(descriptors: int, contracts: Collection[str] = ()) -> ConnectionBudget:
     """The shares of a machine with so many descriptors, where these parts of the rules are in force.
 
-    >>> shared(4100)
-    ConnectionBudget(clients=2335, kept=1167, nodes=1557, lanes=0)
-    >>> shared(220)
-    ConnectionBudget(clients=7, kept=3, nodes=5, lanes=0)
+    >>> shared(4100), shared(220)
+    (ConnectionBudget(clients=2335, kept=1167, nodes=1557), ConnectionBudget(clients=7, kept=3, nodes=5))
     >>> shared(220, ["base", "keys"])
-    ConnectionBudget(clients=6, kept=3, nodes=5, lanes=1)
+    ConnectionBudget(clients=6, kept=3, nodes=4)
     """
-    free = descriptors - FILES - OWN
-    lanes = 0
-    if ASKED_FOR.intersection(contracts):
-        lanes = ASK_LANES if free >= FEW else 1
-    free = max(2 * LEAST, free - lanes)
+    lanes = ASK_LANES if ASKED_FOR.intersection(contracts) else 0
+    free = max(2 * LEAST, descriptors - FILES - OWN - lanes)
     clients = int(free * CLIENT_PART)
-    return ConnectionBudget(clients, int(clients * KEPT_PART), free - clients, lanes)
+    return ConnectionBudget(clients, int(clients * KEPT_PART), free - clients)
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -62,7 +62,6 @@
             settings.bounds.key_period,
             lambda: self.front.counts,
             settings.machine.link_mbps,
-            self.front.connection_budget.lanes or 1,
         )
         if ASKED_FOR.intersection(settings.contracts):
             self.front.operations = Operations(
--- a/knotwalk/edge/admission_calls.py
+++ b/knotwalk/edge/admission_calls.py
@@ -86,18 +86,16 @@
         window: float,
         counts: Callable[[], Counter[str]],
         link_mbps: float = 1000.0,
-        lanes: int = ASK_LANES,
     ):
         self.link_mbps = link_mbps  # megabits a second of this machine
         self.edge, self.life, self.cores, self.clock, self.counts = edge, life, cores, clock, counts
-        self.lanes = [Caller() for _ in range(lanes)]
+        self.lanes = [Caller() for _ in range(ASK_LANES)]
         self.idle = list(self.lanes)
         self.asks: list[Waiting] = []
         self.ends = UntoldEnds(window)
         self.failed: dict[str, float] = {}  # cores that failed, and when
         self.patience = PATIENCE
         self.telling = False  # a call that bears ends alone is under way
-        self.asked_last = False  # the last call bore asks
         self.waited = 0.0  # seconds that asks took in all
         self._timer: asyncio.TimerHandle | None = None
         self._calls: set[asyncio.Task] = set()
@@ -169,7 +167,6 @@
             for waiting in call.asks:
                 waiting.cores.append(call.core)
             self.telling = self.telling or not call.asks
-            self.asked_last = bool(call.asks)
             task = asyncio.get_running_loop().create_task(self._call(self.idle.pop(), call))
             self._calls.add(task)
             task.add_done_callback(self._calls.discard)
@@ -178,13 +175,12 @@
 
     def _next_call(self, now: float) -> Call | None:
         """What to tell next, and whom. Ends that can't go with asks have one lane at most; where asks hold the other
-        one, it is theirs. On a single lane they take turns."""
+        one, it is theirs."""
         due = self.ends.due(now)
         core = self._core() if self.asks else None
         if core is not None:
             beside = end_batches.beside_asks([one.end for one in self.ends.ready(now, core)])
-            turn = not self.asked_last if len(self.lanes) == 1 else len(self.idle) == len(self.lanes)
-            if self.telling or turn or all(one.end in beside for one in due):
+            if self.telling or all(one.end in beside for one in due) or len(self.idle) == len(self.lanes):
                 batch, self.asks = self.asks[:MOST], self.asks[MOST:]
                 return Call(core, batch, beside)
         if self.telling or not due:
