--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,7 +1,7 @@
 """CONFIG: uploads that find no server are never answered, and their connections are never given up.
 
 Starts three cores and two edges as processes, and stand-ins for servers, platform, operator and clients (those of the
-project). Clients send requests with bodies of 200,000 bytes. One server of seven crashes and is gone. Judged is only
+project). Clients send requests with bodies of 200,000 bytes. One server of eight crashes and is gone. Judged is only
 what the clients saw: requests that were unanswered at their route's `timeout`, and half a second later.
 """
 
@@ -27,7 +27,7 @@
 
 FOLDER = Path(__file__).resolve().parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-SERVERS, WORK_S = 7, 0.05
+SERVERS, WORK_S = 8, 0.05
 LISTED_S = 3.0  # for which the platform still lists the crashed server
 TIMEOUT_S = 2.0  # the route's `timeout`
 SLACK_S = 0.5  # after it: by then most of the requests that were unanswered must have an answer
