Edge: log the requests that have no answer when a drain ends

Nothing in the logs told three explanations apart: requests are taken until the very end; requests taken early are given up too early; connections are kept after their last answer. The line has how many requests are left, how many of them are at a node, and when each was read.

No behaviour changes.

--- a/knotwalk/edge/client_server.py
+++ b/knotwalk/edge/client_server.py
@@ -20,7 +20,7 @@
 from knotwalk.edge.operations import Operations
 from knotwalk.edge.request_head import RequestHead
 from knotwalk.edge.stages import Stage
-from knotwalk.runtime.logs import log_exception, log_info
+from knotwalk.runtime.logs import log_exception, log_info, log_warning
 from knotwalk.runtime.loop_delay import LoopDelay
 from knotwalk.runtime.settings import Settings
 
@@ -46,6 +46,7 @@
         self.connection_budget = share_descriptors(settings.machine.file_descriptors, settings.contracts)
         self.accepting = 0  # accepted connections that are not set up yet
         self.draining = False
+        self._drain_began_at = 0.0
         self.intake = Intake(self.forwarder)
         self.view_ready = self.can_serve
         self.open_requests = 0  # requests read and not yet answered
@@ -215,6 +216,7 @@
         if self.draining:
             return
         self.draining = True
+        self._drain_began_at = self.clock()
         self._accept()
         self._close_listener()
         log_info("draining", clients=len(self.clients), requests=self.open_requests)
@@ -240,9 +242,23 @@
         if self._sweep is not None:
             self._sweep.cancel()
         self._log_counts(self.clock())
+        self._log_cut()
         for pool in list(self.forwarder.pools.values()):
             pool.close()
 
+    def _log_cut(self) -> None:
+        """Log the requests that end without an answer: when they were read, and which of them are at a node."""
+        cut = [exchange for client in self.clients for exchange in client.queue if exchange.stage is not Stage.DONE]
+        if not cut:
+            return
+        log_warning(
+            "requests cut at the end",
+            count=len(cut),
+            at_nodes=sum(exchange.sent_at is not None for exchange in cut),
+            answered=sum(exchange.stage is Stage.ANSWERED for exchange in cut),
+            read_after=sorted(round(exchange.started_at - self._drain_began_at, 2) for exchange in cut),
+        )
+
     def report(self, now: float) -> dict:
         """The load report since the previous call; see the forwarder."""
         return self.forwarder.report()
--- a/knotwalk/edge/exchange.py
+++ b/knotwalk/edge/exchange.py
@@ -37,6 +37,7 @@
         "expired",
         "client_gone",
         "offer_until",
+        "sent_at",
         "timer",
         "status",
         "retry_after",
@@ -69,6 +70,7 @@
         self.waiter: asyncio.Future | None = None
         self.expired = self.client_gone = False
         self.offer_until = math.inf  # monotonic clock; it is not offered to a node after that
+        self.sent_at: float | None = None  # when it was last sent to a node; None if never
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
         self.status, self.retry_after, self.text = 0, 0.0, ""
--- a/knotwalk/edge/node_try.py
+++ b/knotwalk/edge/node_try.py
@@ -64,6 +64,7 @@
         exchange.lateness_cause = self._lateness_cause(exchange, is_retry, now, now < node.cold_until, has_free_slot)
         self.counts["sent"] += 1
         stats.record_sent(now)
+        exchange.sent_at = now
         answer = await exchange.send_on(connection, max(1, int((exchange.deadline - now) * 1000)), node.id)
         seconds = self.clock() - now
         stats.record_end(now + seconds)
