Edge: a draining edge passes on only what ends before it does

Callers of an edge that got SIGTERM saw requests that can't be repeated, sent 4.3 to 5.5 s after it, run at their nodes and end without an answer.

Cause: a drain closed the listener and marked answers with Connection: close, and otherwise read and passed requests on as before until 0.5 s before the end of the grace.

Change: edge/drain_schedule (pure) sets until when any request is passed on (0.4 of the grace, 2.5 s at most) and when the last ones end; between the two only a request goes on whose own deadline ends it in time. Exchange.limit_offers carries the limit, which is looked at where a node is selected and in the step that sends, so it holds however a request waits. edge/drain takes the drain out of client_server and sees that each request read gets an answer: 503 if it was never sent, else 502.

--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -105,11 +105,11 @@
         await self.ending.wait_for_stop(polling)
         log_info("shutting down")
         self.readiness.stop()
-        self.client_server.drain()
-        # Requests that were read are finished while the cluster view is still updated; the last 0.5 s are for the last
-        # bytes.
-        await self.client_server.finished(clock() + self.settings.bounds.grace_period - 0.5)
+        ends_at = self.client_server.drain()
+        # Requests that were read are finished while the cluster view is still updated.
+        await self.client_server.finished(ends_at)
         await self.admission_calls.finish(clock() + LAST_ENDS_TIMEOUT_S)
+        self.client_server.answer_the_rest()
         polling.cancel()
         readiness_server.close()
         serving_metrics.cancel()
--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -183,6 +183,21 @@
             self._to(ConnectionState.CLOSED)
             self.transport.close()
 
+    def stop_reading_for_good(self) -> None:
+        """Read no more requests.
+
+        A connection with nothing to answer ends: its client may send what is unread to another edge."""
+        if self.state is not ConnectionState.OPEN or self.transport is None:
+            return
+        if self.queue:
+            self._stop_reading()
+            return
+        self._to(ConnectionState.CLOSED)
+        if self.transport.get_write_buffer_size():
+            self.transport.close()  # after the rest of the last answer
+        else:
+            self.abort()
+
     def close_if_idle(self, now: float) -> bool:
         """Close a connection without pending requests to free its descriptor; whether that was possible."""
         if self.state is ConnectionState.LINGER and self.transport is not None and not self.transport.is_closing():
--- a/knotwalk/edge/client_server.py
+++ b/knotwalk/edge/client_server.py
@@ -14,13 +14,15 @@
 from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.client_connection import CROWDED_POLL_S, ClientConnection, has_unread
+from knotwalk.edge.drain import Drain
+from knotwalk.edge.drain_schedule import DrainSchedule
 from knotwalk.edge.exchange import Exchange
 from knotwalk.edge.forwarder import Forwarder
 from knotwalk.edge.intake import Intake
 from knotwalk.edge.operations import Operations
 from knotwalk.edge.request_head import RequestHead
 from knotwalk.edge.stages import Stage
-from knotwalk.runtime.logs import log_exception, log_info, log_warning
+from knotwalk.runtime.logs import log_exception, log_info
 from knotwalk.runtime.loop_delay import LoopDelay
 from knotwalk.runtime.settings import Settings
 
@@ -46,7 +48,7 @@
         self.connection_budget = share_descriptors(settings.machine.file_descriptors, settings.contracts)
         self.accepting = 0  # accepted connections that are not set up yet
         self.draining = False
-        self._drain_began_at = 0.0
+        self._drain: Drain | None = None  # once it has begun
         self.intake = Intake(self.forwarder)
         self.view_ready = self.can_serve
         self.open_requests = 0  # requests read and not yet answered
@@ -57,7 +59,7 @@
         self._sweep_due = 0.0
         self._logged_at = clock()  # when the counts were last logged
         self._tasks: set[asyncio.Task] = set()
-        self._progress: asyncio.Event = asyncio.Event()
+        self.progress = asyncio.Event()  # set when a request or a connection has ended
 
     @property
     def limits(self) -> Limits:
@@ -208,56 +210,36 @@
         if counts := self.forwarder.take_counts():
             log_info("requests", seconds=seconds, counts=counts)
 
-    def drain(self) -> None:
-        """Accept no more connections, close connections after their answers, and finish the requests that were read.
+    def drain(self) -> float:
+        """Accept no more connections, and answer what was read; returns when the last requests end (monotonic clock).
 
         Connections that the kernel has established already are accepted first: closing the socket would reset them.
         """
-        if self.draining:
-            return
-        self.draining = True
-        self._drain_began_at = self.clock()
-        self._accept()
-        self._close_listener()
-        log_info("draining", clients=len(self.clients), requests=self.open_requests)
+        if self._drain is None:
+            schedule = DrainSchedule.begin(self.clock(), self.settings.bounds.grace_period)
+            self._drain = Drain(self, schedule)
+            self.draining = True
+            self._accept()
+            self._close_listener()
+            self._drain.begin()
+        return self._drain.schedule.ends_at
 
     async def finished(self, by: float) -> None:
-        """Wait until every request that was read is answered, or until `by` (monotonic); then close all connections."""
-        while (
-            self.open_requests or self.accepting or any(not client.is_quiet() for client in self.clients)
-        ) and self.clock() < by:
-            self._progress.clear()
-            try:
-                async with asyncio.timeout(min(SWEEP_INTERVAL_S, max(0.0, by - self.clock()))):
-                    await self._progress.wait()
-            except TimeoutError:
-                pass
-        for client in list(self.clients):
-            client.close_if_quiet()
-        while (
-            any(client.transport is not None and client.transport.get_write_buffer_size() for client in self.clients)
-            and self.clock() < by
-        ):
-            await asyncio.sleep(0.01)
+        """Wait until every request that was read is answered, or until `by` (monotonic); then read no more.
+
+        Requests that are still at nodes may be answered until `answer_the_rest`."""
+        assert self._drain is not None
+        await self._drain.wait(by)
         if self._sweep is not None:
             self._sweep.cancel()
         self._log_counts(self.clock())
-        self._log_cut()
         for pool in list(self.forwarder.pools.values()):
             pool.close()
 
-    def _log_cut(self) -> None:
-        """Log the requests that end without an answer: when they were read, and which of them are at a node."""
-        cut = [exchange for client in self.clients for exchange in client.queue if exchange.stage is not Stage.DONE]
-        if not cut:
-            return
-        log_warning(
-            "requests cut at the end",
-            count=len(cut),
-            at_nodes=sum(exchange.sent_at is not None for exchange in cut),
-            answered=sum(exchange.stage is Stage.ANSWERED for exchange in cut),
-            read_after=sorted(round(exchange.started_at - self._drain_began_at, 2) for exchange in cut),
-        )
+    def answer_the_rest(self) -> None:
+        """Answer the requests that are still at nodes; the process ends after that."""
+        assert self._drain is not None
+        self._drain.answer_the_rest()
 
     def report(self, now: float) -> dict:
         """The load report since the previous call; see the forwarder."""
@@ -281,7 +263,7 @@
     def on_disconnected(self, client: ClientConnection) -> None:
         """A connection has ended or is about to: its descriptor is free after this iteration of the event loop."""
         self.clients.discard(client)
-        self._progress.set()
+        self.progress.set()
         if self._accept_timer is not None and not self.is_full:
             self._resume_accepting()
 
@@ -294,6 +276,8 @@
         """A request's head was read: set its route, tenant and deadline."""
         self.open_requests += 1
         self.intake.begin(exchange, head)
+        if self._drain is not None:
+            self._drain.limit(exchange)
 
     def forward(self, exchange: Exchange) -> None:
         """Forward a request; its `on_answered` is called when the answer is known."""
@@ -320,7 +304,7 @@
         if exchange.attempt:
             self.open_requests -= 1
         if not self.open_requests:
-            self._progress.set()
+            self.progress.set()
 
 
 DEFAULT_LIMITS = Limits()
--- a/knotwalk/edge/client_state.py
+++ b/knotwalk/edge/client_state.py
@@ -116,6 +116,11 @@
         exchange.transition_to(Stage.DONE)
         self.client_server.on_request_done(exchange)
 
+    @property
+    def is_open(self) -> bool:
+        """Whether requests are read."""
+        return self.state is ConnectionState.OPEN and self.transport is not None and not self.transport.is_closing()
+
     def is_quiet(self) -> bool:
         """Whether no request, complete or partial, is unanswered."""
         return not self.queue and self.head_since is None
--- a/knotwalk/edge/exchange.py
+++ b/knotwalk/edge/exchange.py
@@ -37,6 +37,7 @@
         "expired",
         "client_gone",
         "offer_until",
+        "offer_end_cause",
         "sent_at",
         "timer",
         "status",
@@ -69,7 +70,8 @@
         self.connection: Connection | None = None
         self.waiter: asyncio.Future | None = None
         self.expired = self.client_gone = False
-        self.offer_until = math.inf  # monotonic clock; it is not offered to a node after that
+        self.offer_until = math.inf  # monotonic clock; it is not offered to a node from then on
+        self.offer_end_cause = ""  # why
         self.sent_at: float | None = None  # when it was last sent to a node; None if never
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
@@ -187,7 +189,17 @@
 
     def on_half_close(self, now: float) -> None:
         """The client has half-closed and may be gone: go on, but don't offer the request to a node much later."""
-        self.offer_until = now + OFFER_AFTER_HALF_CLOSE_S
+        self.limit_offers(now + OFFER_AFTER_HALF_CLOSE_S, "the client is gone")
+
+    def limit_offers(self, until: float, cause: str) -> None:
+        """Don't offer the request to a node from `until` (monotonic clock) on; never extends an earlier limit."""
+        if until < self.offer_until:
+            self.offer_until, self.offer_end_cause = until, cause
+
+    @property
+    def is_uploading(self) -> bool:
+        """Whether it is at a node that does not have its whole body yet."""
+        return self.stage is Stage.RUNNING and self.body_streaming and not self.body_complete
 
     def _abort(self, why: str) -> None:
         if self.connection is not None:
--- a/knotwalk/edge/forwarding_state.py
+++ b/knotwalk/edge/forwarding_state.py
@@ -77,8 +77,12 @@
                     del self.pools[id]
         if changed & {"nodes", "lines", "config"}:
             for future in self.waiting:
-                if not future.done():
-                    future.set_result(None)
+                _wake(future)
+
+    def wake_waiting(self) -> None:
+        """Have all requests that wait for a node or a descriptor check again whether they may be offered."""
+        for future in (*self.waiting, *self.connection_slots.waiting):
+            _wake(future)
 
     def report(self) -> dict:
         """Requests by service and slice, load of each node, and failed tries; since the previous call."""
--- a/knotwalk/edge/node_selection.py
+++ b/knotwalk/edge/node_selection.py
@@ -33,8 +33,10 @@
             now = self.clock()
             if exchange.deadline - now <= MIN_TIME_LEFT_S:
                 return None, "no time left"
-            if exchange.client_gone or now > exchange.offer_until:
+            if exchange.client_gone:
                 return None, "the client is gone"
+            if now >= exchange.offer_until:
+                return None, exchange.offer_end_cause
             if self.has_lapsed_key(exchange, now):
                 return None, KEYS_UNSURE
             node, cause = (
--- a/knotwalk/edge/node_try.py
+++ b/knotwalk/edge/node_try.py
@@ -42,9 +42,8 @@
                 return Answer(TryOutcome.UNREACHED, "full"), False
             connect_s = max(MIN_CONNECT_TIMEOUT_S, max_wait_until(exchange, exchange.started_at) - self.clock())
             try:
-                connection = await pool.open(
-                    min(CONNECT_TIMEOUT_S, connect_s, max(0.0, exchange.deadline - self.clock()))
-                )
+                last_offer_at = min(exchange.deadline, exchange.offer_until)
+                connection = await pool.open(min(CONNECT_TIMEOUT_S, connect_s, max(0.0, last_offer_at - self.clock())))
             except PeerError:
                 self.counts["not connected"] += 1
                 return Answer(TryOutcome.UNREACHED, "not connected"), False
@@ -102,7 +101,7 @@
             elif not await self._wait_for_change(
                 exchange,
                 self.connection_slots.waiting,
-                min(max_wait_until(exchange, exchange.started_at), exchange.deadline),
+                min(max_wait_until(exchange, exchange.started_at), exchange.deadline, exchange.offer_until),
             ):
                 return False
         return True
--- a/knotwalk/edge/operations.py
+++ b/knotwalk/edge/operations.py
@@ -92,7 +92,7 @@
     async def forward(self, exchange: Exchange) -> None:
         """Forward a request, after its admission if it needs one."""
         ask = self.ask_for(exchange)
-        if ask is None:
+        if ask is None or self.forwarder.clock() >= exchange.offer_until:
             await self.forwarder.forward(exchange)
             return
         now = self.forwarder.clock()
@@ -132,7 +132,7 @@
         if next_step is AdmissionStep.FORWARD and not ask.operation:
             await self.forwarder.forward(exchange)
         elif next_step is AdmissionStep.FORWARD:
-            exchange.offer_until = min(exchange.offer_until, first_asked_at + SEND_WITHIN_S)
+            exchange.limit_offers(first_asked_at + SEND_WITHIN_S, "its claim is too old")
             await self._run(exchange, ask, cores)
         else:
             if ask.operation and cores:
