Edge: log and count answers that are known and not written

Nothing told these explanations apart: the request still waits for a node; its answer is known and its connection isn't written to; the client doesn't read. New: the gauge knotwalk_edge_answers_held and, once a connection, the log line 'answer held back', both with what the answer waits for.

No behaviour changes.

--- a/knotwalk/edge/answer_writer.py
+++ b/knotwalk/edge/answer_writer.py
@@ -152,7 +152,19 @@
             exchange.expects_continue = False
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
+    def held_answer(self) -> tuple[Exchange, str] | None:
+        """The oldest request if its answer is known and not written, and what it waits for."""
+        if not self.queue or self.queue[0].stage is not Stage.ANSWERED:
+            return None
+        exchange = self.queue[0]
+        if self.write_paused:
+            return exchange, "its client does not read"
+        if exchange is not self.reading:
+            return exchange, "nothing"
+        return exchange, "its body, which is not read" if self.pause_reasons else "its body"
+
     def _on_answered(self, exchange: Exchange) -> None:
+        exchange.answered_at = self.client_server.clock()
         if exchange.timer is not None and (exchange.answer is None or exchange.answer.is_complete):
             exchange.timer.cancel()
             exchange.timer = None
--- a/knotwalk/edge/client_connection.py
+++ b/knotwalk/edge/client_connection.py
@@ -9,6 +9,7 @@
 from knotwalk.edge.client_state import ConnectionState
 from knotwalk.edge.request_reader import RequestReader
 from knotwalk.edge.stages import Stage, continues_after_half_close
+from knotwalk.runtime.logs import log_warning
 
 # Time for which a connection stays open after its last answer: closing with unread bytes would send a reset, which
 # could destroy the answer on its way.
@@ -24,6 +25,8 @@
 HALF_CLOSED_EVENT = "client ended its side, requests under way"
 RESET_EVENT = "client reset, requests under way"
 LEFT_WHILE_PAUSED_EVENT = "client left while reading paused"
+# Time after which an answer that is known and not written is logged.
+HELD_LOGGED_S = 1.0
 # Interval at which sockets with paused reading are polled for the end of their client.
 PAUSED_POLL_S = 0.15
 WRITE_BUFFER_LOW_BYTES, WRITE_BUFFER_HIGH_BYTES = (
@@ -61,6 +64,7 @@
     """One client connection."""
 
     _end_check: asyncio.TimerHandle | None = None  # the next poll for its end, while reading is paused
+    _held_logged = False  # an answer that was held back was logged
 
     # -- from the loop
 
@@ -230,6 +234,22 @@
             self._on_half_close()
         self._schedule_end_check()
 
+    def log_held_answer(self, now: float) -> None:
+        """Log an answer that has been known for a while and is not written, once for each connection."""
+        held = self.held_answer()
+        if held is None or self._held_logged or now - (held[0].answered_at or now) < HELD_LOGGED_S:
+            return
+        self._held_logged = True
+        exchange, cause = held
+        log_warning(
+            "answer held back",
+            attempt=exchange.attempt.decode("latin-1"),
+            status=exchange.status,
+            waits_for=cause,
+            read_bytes=exchange.size,
+            sent=exchange.sent_at is not None,
+        )
+
     def check_timeouts(self, now: float) -> None:
         """Enforce the limits on idle and slow connections."""
         limits = self.client_server.limits
--- a/knotwalk/edge/client_server.py
+++ b/knotwalk/edge/client_server.py
@@ -196,6 +196,7 @@
         self.loop_delay.note(now - self._sweep_due)
         for client in list(self.clients):
             client.check_timeouts(now)
+            client.log_held_answer(now)
         self.forwarder.close_idle()
         if now - self._logged_at >= LOG_COUNTS_INTERVAL_S:
             self._log_counts(now)
--- a/knotwalk/edge/edge_metrics.py
+++ b/knotwalk/edge/edge_metrics.py
@@ -47,6 +47,14 @@
     return Metric("knotwalk_edge_nodes", MetricType.GAUGE, "nodes of the cluster view", samples, ("state",))
 
 
+def held_answers_metric(client_server: ClientServer) -> Metric:
+    """Answers that are known and not written, by what they wait for."""
+    held = [client.held_answer() for client in client_server.clients]
+    counts = Counter(found[1] for found in held if found is not None)
+    samples: dict[tuple[str, ...], float] = {(cause,): count for cause, count in counts.items()}
+    return Metric("knotwalk_edge_answers_held", MetricType.GAUGE, "answers not written yet", samples, ("waits_for",))
+
+
 def edge_metrics(now: float, ready: bool, client_server: ClientServer, view_poller: ViewPoller) -> Iterator[Metric]:
     """All metrics of an edge."""
     view, forwarder = client_server.view, client_server.forwarder
@@ -70,6 +78,7 @@
         client_server.intake.can_check_keys(now),
     )
     yield gauge("knotwalk_edge_requests_open", "requests read and not answered", client_server.open_requests)
+    yield held_answers_metric(client_server)
     yield gauge("knotwalk_edge_requests_waiting", "requests that wait for a node", len(forwarder.waiting))
     yield gauge("knotwalk_edge_clients", "connections of clients", len(client_server.clients))
     yield nodes_metric(view)
--- a/knotwalk/edge/exchange.py
+++ b/knotwalk/edge/exchange.py
@@ -39,6 +39,7 @@
         "offer_until",
         "offer_end_cause",
         "sent_at",
+        "answered_at",
         "timer",
         "status",
         "retry_after",
@@ -73,6 +74,7 @@
         self.offer_until = math.inf  # monotonic clock; it is not offered to a node from then on
         self.offer_end_cause = ""  # why
         self.sent_at: float | None = None  # when it was last sent to a node; None if never
+        self.answered_at: float | None = None  # when its answer was known
         self.timer: asyncio.TimerHandle | None = None
         self.task: asyncio.Task | None = None
         self.status, self.retry_after, self.text = 0, 0.0, ""
