--- a/tests/system/test_drain.py
+++ b/tests/system/test_drain.py
@@ -14,7 +14,7 @@
 from knotwalk.discovery.view_types import Assignment
 from knotwalk.edge.connection_pool import Pool
 from knotwalk.runtime.errors import PeerError
-from tests.system.edge_case import turns
+from tests.system.edge_case import chunked, turns
 from tests.system.held_edge import LARGE_BODY, LONG_S, SHORT_S, STEP_S, TURNS, HeldEdgeCase, final_answer
 from tests.system.operations_case import OperationsCase
 
@@ -271,6 +271,22 @@
         status, headers, _ = await client.answer()
         self.assertEqual((status, headers["attempt-id"]), (200, "a1"))
 
+    async def test_an_answer_without_a_length_that_is_cut_does_not_look_complete(self):
+        """To a client of HTTP/1.0 the end of the connection is the end of the answer: it must be a reset."""
+        await self.prepare()
+
+        async def endless(request, writer):
+            writer.write(chunked(request, b"x" * LARGE_BODY, end=b""))
+
+        self.nodes[0].work = endless
+        client = await self.client()
+        client.writer.write(b"GET /n/ HTTP/1.0\r\nHost: h\r\nAttempt-Id: a0\r\nDeadline-Ms: 60000\r\n\r\n")
+        await turns(TURNS)
+        self.assertIn(b"200 OK", await client.reader.readuntil(b"\r\n\r\n"))
+        await self.drain()
+        with self.assertRaises(ConnectionError):
+            await client.reader.read()
+
     async def test_nothing_is_passed_on_between_the_last_answer_and_the_end_of_the_process(self):
         """An edge that has answered everything reports to cores for a while; what arrived then was passed on."""
         await self.prepare()
