Drain: the log line at the end counts what is at nodes only

'requests cut at the end' also counted a request whose answer was known and waited behind another; that one is answered. Seen by reading. Only the line's figures change; the tests of drains and waiting bodies pass as before.

--- a/knotwalk/edge/drain.py
+++ b/knotwalk/edge/drain.py
@@ -78,7 +78,7 @@
 
     def answer_the_rest(self) -> None:
         """Answer the requests that are still at nodes, and reset connections whose answer can't be completed."""
-        left = [exchange for exchange in self._pending() if exchange.sent_at is not None]
+        left = [exchange for exchange in self._pending() if exchange.is_at_node]
         if left:
             began_at = self.schedule.began_at
             read_after = sorted(round(exchange.started_at - began_at, 2) for exchange in left)
--- a/knotwalk/edge/exchange.py
+++ b/knotwalk/edge/exchange.py
@@ -200,6 +200,11 @@
         if until < self.offer_until:
             self.offer_until, self.offer_end_cause = until, cause
 
+    @property
+    def is_at_node(self) -> bool:
+        """Whether it was sent to a node and has no complete answer."""
+        return self.sent_at is not None and self.stage in (Stage.RUNNING, Stage.WRITING)
+
     @property
     def is_uploading(self) -> bool:
         """Whether it is at a node that does not have its whole body yet."""
