Stand-ins: a reset of a connection that has ended does nothing

Shown: reset after the other side's abort raised 'Bad file descriptor' before and nothing now. No check is changed.

--- a/tests/standins/nodes.py
+++ b/tests/standins/nodes.py
@@ -253,7 +253,8 @@
     def reset(self) -> None:
         """Resets the connection. The peer can't distinguish a plain close from a half-close; a reset it can."""
         connection = self.writer.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if connection.fileno() != -1:  # otherwise the other side has ended it already
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         self.writer.transport.abort()
 
     def close(self) -> None:
