--- a/tests/system/test_drain.py
+++ b/tests/system/test_drain.py
@@ -299,6 +299,31 @@
         self.client_server.answer_the_rest()
         self.assertEqual((self.play.read, [r.line for r in self.nodes[0].seen if r.attempt]), ({}, []))
 
+    async def test_a_request_that_is_unread_when_everything_is_answered_is_not_passed_on_and_cut(self):
+        """It has reached the socket and not the event loop: served while there is time, else left for another edge."""
+        for seconds_left, status in ((5.5, 200), (0.0, 0)):
+            with self.subTest(seconds_left=seconds_left):
+                await self.prepare()
+                self.nodes[0].work_s = 0.1
+                client = await self.client()
+                await self.until(0.0)
+                self.client_server.drain()
+                request = b"GET /n/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: a0\r\nDeadline-Ms: 60000\r\n\r\n"
+                client.writer.get_extra_info("socket")._sock.send(request)
+                sent = self.expect(client, "a0", LONG_S)
+                ending = asyncio.ensure_future(self.client_server.finished(self.held.moment + seconds_left))
+                await turns(TURNS)  # no time passes: this edge has nothing to wait for but that request
+                if not ending.done():
+                    await self.until(1.0)
+                    await turns(TURNS)
+                self.assertTrue(ending.done())
+                self.client_server.answer_the_rest()
+                for connection in list(self.client_server.clients):
+                    connection.transport.abort()
+                await turns(TURNS)
+                self.assertEqual(await sent.reply, status)
+                self.assertEqual([r.attempt for r in self.nodes[0].seen if r.attempt], ["a0"] if status else [])
+
     async def test_a_connection_that_is_not_in_use_is_closed_when_offers_end(self):
         await self.prepare()
         await self.keep_busy(0.1)
@@ -328,8 +353,11 @@
         client_server.drain()
         await client_server.finished(client_server.clock() + 0.05)
         client_server.answer_the_rest()
+        await turns(TURNS)
+        for connection in list(client_server.clients):  # the process ends: an answer that comes later is none
+            connection.transport.abort()
         for client in (repeat, waiting):
-            self.assertEqual((await client.answer())[0], 503)
+            self.assertEqual(await final_answer(client), 503)
         self.assertEqual([request.attempt for request in self.nodes[0].seen if request.attempt], ["first"])
         go.set()
         self.assertEqual((await first.answer())[0], 200)
--- a/tests/system/test_waiting_bodies.py
+++ b/tests/system/test_waiting_bodies.py
@@ -280,17 +280,20 @@
 
     async def test_a_request_after_a_large_refused_one_goes_elsewhere(self):
         """What follows on the connection is not read: its client sends it again on another."""
-        await self.prepare()
-        client = await self.client()
-        self.request(client, "/none/", body=b"b" * LARGE_BODY)
-        client.ask("/n/", "second")
-        self.assertEqual(await self.play.sent[0].reply, 404)
-        self.assertEqual(await client.rest(), b"")
-        await self.until(self.play.now + LINGER_S)
-        self.assertEqual((self.runs_of("a0") + self.runs_of("second"), self.client_server.open_requests), ([], 0))
-
-    async def test_the_last_chunk_that_fills_the_buffers_does_not_stop_the_next_request(self):
-        """A node answers a complete upload before it has read it; the connection's next request was not read."""
+        for prefix in ("/i/", "/n/"):
+            with self.subTest(prefix=prefix):
+                await self.prepare()
+                client = await self.client()
+                self.request(client, "/none/", body=b"b" * LARGE_BODY)
+                client.ask(prefix, "second")
+                self.assertEqual(await self.play.sent[0].reply, 404)
+                self.assertEqual(await client.rest(), b"")
+                await self.until(self.play.now + LINGER_S)
+                self.assertEqual(self.runs_of("a0") + self.runs_of("second"), [])
+                self.assertEqual(self.client_server.open_requests, 0)
+
+    async def test_full_buffers_behind_a_complete_body_do_not_pause_the_requests_after_it(self):
+        """The node's connection reports them by `writable`, called here; reading stood still until the answer ended."""
         await self.prepare(DeafNode)
         client = await self.client()
         client.ask("/i/", "a0", "POST", "Transfer-Encoding: chunked\r\n", deadline=60_000)
