--- a/knotwalk/leases/conductor_leases.py
+++ b/knotwalk/leases/conductor_leases.py
@@ -152,11 +152,14 @@
     if not counts or not all(leases.is_alive(now, conductor) for conductor in counts):
         return None
     shares = leases.shares(now, counts, len(slices))
-    giver, *_, receiver = sorted(shares, key=lambda conductor: (shares[conductor] - counts[conductor], conductor))
-    if shares[receiver] - counts[receiver] <= IMBALANCE_TOLERANCE * shares[receiver]:
+    missing = {conductor: share - counts[conductor] for conductor, share in shares.items()}
+    # A conductor that is alone is both of these, and lacks nothing.
+    giver = min(missing, key=lambda conductor: (missing[conductor], conductor))
+    receiver = max(missing, key=lambda conductor: (missing[conductor], conductor))
+    if missing[receiver] <= IMBALANCE_TOLERANCE * shares[receiver]:
         return None
     settled = [
         number for number, row in enumerate(slices) if row.conductor == giver and row.open and not row.previous_holders
     ]
-    count = min(MAX_HAND_OVER_SLICES, shares[receiver] - counts[receiver], counts[giver] - shares[giver])
+    count = min(MAX_HAND_OVER_SLICES, missing[receiver], -missing[giver])
     return (giver, receiver, ranges(settled[-count:])) if settled else None
--- a/tests/simulation/claims_walk.py
+++ b/tests/simulation/claims_walk.py
@@ -18,7 +18,7 @@
 from tests.simulation.faults import Fault
 from tests.simulation.judges import ConsensusJudge
 from tests.simulation.mistakes import Mistake
-from tests.simulation.walk import CALM_S, SPAN_S, Outcome, _run_until, _violations, shrink
+from tests.simulation.walk import CALM_S, SPAN_S, Outcome, _run_until, find_violations, shrink
 from tests.simulation.world import World
 
 
@@ -59,13 +59,13 @@
             if _run_until(world, span, early):
                 faults.end_all_faults(world)
                 _run_until(world, span + CALM_S, early)
-            if not (early and _violations(world)):
+            if not (early and find_violations(world)):
                 claimants.check_recovery()
         except AssertionError as error:
             world.judge.report(f"{world.loop.now:.3f} {type(error).__name__} {error}")
     claims = claimants.claims
     return Outcome(
-        seed, _violations(world), plan, world.loop.steps, claims.granted, claims.ended, list(world.log_lines)
+        seed, find_violations(world), plan, world.loop.steps, claims.granted, claims.ended, list(world.log_lines)
     )
 
 
--- a/tests/simulation/walk.py
+++ b/tests/simulation/walk.py
@@ -61,14 +61,14 @@
             if _run_until(world, span, early):
                 faults.end_all_faults(world)
                 _run_until(world, span + CALM_S, early)
-            if not (early and _violations(world)):
+            if not (early and find_violations(world)):
                 world.operators.stopped = True
                 world.loop.run(span + CALM_S + QUIET_S)
-                _check_recovery(world)
+                check_recovery(world)
         except AssertionError as error:
             world.judge.report(f"{world.loop.now:.3f} {type(error).__name__} {error}")
     committed = {call.content for call in world.register.calls if call.status == 200 and call.content}
-    violations = _violations(world)
+    violations = find_violations(world)
     call_count, let_pass = len(world.register.calls), world.quota.let_pass if world.quota else 0
     return Outcome(
         seed, violations, plan, world.loop.steps, len(committed), call_count, list(world.log_lines), let_pass
@@ -79,19 +79,19 @@
     """Run until a time; False if the walk is to end early because of a violation."""
     while early and world.loop.now < until - 1.0:
         world.loop.run(world.loop.now + 1.0)
-        if _violations(world):
+        if find_violations(world):
             return False
     world.loop.run(until)
     return True
 
 
-def _violations(world: World) -> list[str]:
+def find_violations(world: World) -> list[str]:
     """All violations of a walk, errors of its programs included."""
     register = world.register.find_violation()
     return [*world.judge.violations, *world.owners.broken, *world.loop.failed(), *([register] if register else [])]
 
 
-def _check_recovery(world: World) -> None:
+def check_recovery(world: World) -> None:
     """Check after all faults that a change is committed, a read is answered, and each edge has the newest version."""
 
     async def finish() -> bool:
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -26,7 +26,6 @@
 from tests.simulation.wire import Caller, Wire
 from tests.system.test_leases import OwnerChecker
 
-EDGE_COUNT = 2
 MAX_LOG_LINES = 400  # of the programs' log, for the report of a walk with violations
 
 
@@ -53,11 +52,15 @@
     sharded: bool = False
     keyed: bool = False  # whether operations run once, so that cores have consensus groups for claims
     limited: bool = False  # whether requests of tenants with limits are sent
+    tolerance: int | None = None  # machines that may be lost at once, as in the settings; None: just under half
+    node_count: int = 3
+    edge_count: int = 2
     core_machines: dict[str, CoreMachine] = field(default_factory=dict)
     log_lines: deque = field(default_factory=lambda: deque(maxlen=MAX_LOG_LINES))
 
     def __post_init__(self) -> None:
         self.random = random.Random(f"world {self.seed}")
+        self.tolerated = self.core_count // 2 if self.tolerance is None else self.tolerance
         self.loop = VirtualLoop(self.seed)
         self.wire = Wire(self.loop, self.seed)
         self.loop.disk = lambda process, future, act, given: act.__self__.disk.work(process, future, act, given)  # type: ignore
@@ -93,11 +96,11 @@
         """Start all programs."""
         platform = Process(self.loop, "platform", PLATFORM[0])
         self.wire.listening[f"{PLATFORM[0]}:{PLATFORM[1]}"] = platform, {"*": self._listed}
-        for n in range(3):
+        for _ in range(self.node_count):
             self.add_node()
         for core in list(self.core_machines.values()):
             self.start_core(core)
-        for n in range(EDGE_COUNT):
+        for n in range(self.edge_count):
             self.start_edge(f"e{n}")
         self.operators.start()
         self.loop.world.spawn(self.keys.watch())
@@ -116,7 +119,7 @@
             self.loop, f"{core.host}/{self.loop.serial}", core.host, core.disk, core.offset, core.rate
         )
         bounds = quota_judge.BOUNDS if self.limited else Bounds()
-        core.process.begin(settings(core.host, core.seeds, core.first_start, self.core_count // 2, self.keyed, bounds))
+        core.process.begin(settings(core.host, core.seeds, core.first_start, self.tolerated, self.keyed, bounds))
 
     def crash(self, core: CoreMachine) -> None:
         """Kill a core's program; its disk keeps or loses the write in progress."""
@@ -157,7 +160,11 @@
     def can_lose_a_core(self) -> bool:
         """Whether every group has all members running and up to date, so that any core may be lost."""
         groups = range(messages.PARTITION_COUNT) if self.keyed else ()
-        return self._can_lose_a_member(None) and all(self._can_lose_a_member(group) for group in groups)
+        return (
+            self.tolerated > 0
+            and self._can_lose_a_member(None)
+            and all(self._can_lose_a_member(group) for group in groups)
+        )
 
     def _can_lose_a_member(self, group: int | None) -> bool:
         """The same for one group: the configuration's (None), or one for claims."""
--- /dev/null
+++ b/tests/system/test_small_groups.py
@@ -0,0 +1,166 @@
+"""Core programs in groups of one and two members, by each way in which a group becomes that small."""
+
+import unittest
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from knotwalk.leases.conductor_leases import CALM_PERIOD_S, HAND_OVER_INTERVAL_S
+from tests.simulation import programs
+from tests.simulation.walk import check_recovery, find_violations
+from tests.simulation.world import CoreMachine, World
+
+SETTLE_S = 3.0  # for a first leader, its list of nodes and the first grants
+LEAVE_S = 8.0  # for a core to leave: longer than the grace period
+REMOVAL_S = 6.0  # for a silent member to be removed, an election before it included
+# Several checks for a hand-over after the last core came or went, the first of which is due after CALM_PERIOD_S.
+WATCH_S = CALM_PERIOD_S + 4 * HAND_OVER_INTERVAL_S
+
+
+class Scene:
+    """A world without other faults, in which cores come and go one at a time."""
+
+    def __init__(self, world: World):
+        self.world = world
+
+    def run(self, seconds: float) -> None:
+        self.world.loop.run(self.world.loop.now + seconds)
+
+    def follower(self) -> CoreMachine:
+        leader = self.world.leader()
+        return next(core for core in self.world.running() if core is not leader)
+
+    def leave(self, core: CoreMachine) -> None:
+        """Ask a core to end, which it does as soon as the others no longer count on it."""
+        core.process.plane.ending._stop_event.set()
+        self.run(LEAVE_S)
+        assert core.process.ended
+        self.world.crash(core)
+
+    def kill(self, core: CoreMachine) -> None:
+        self.world.crash(core)
+        self.run(REMOVAL_S)
+
+    def restart(self, core: CoreMachine) -> None:
+        core.first_start = False
+        self.world.start_core(core)
+        self.run(SETTLE_S)
+
+
+def founded(scene: Scene) -> None:
+    """Nothing happens after the start."""
+
+
+def restarted(scene: Scene) -> None:
+    core = scene.world.leader()
+    scene.kill(core)
+    scene.restart(core)
+
+
+def left_and_restarted(scene: Scene) -> None:
+    core = scene.world.leader()
+    scene.leave(core)
+    scene.restart(core)
+
+
+def follower_left(scene: Scene) -> None:
+    scene.leave(scene.follower())
+
+
+def leader_left(scene: Scene) -> None:
+    scene.leave(scene.world.leader())
+
+
+def all_others_left(scene: Scene) -> None:
+    scene.leave(scene.follower())
+    scene.leave(scene.world.leader())
+
+
+def killed_and_removed(scene: Scene) -> None:
+    scene.kill(scene.follower())
+
+
+def leader_killed_and_removed(scene: Scene) -> None:
+    scene.kill(scene.world.leader())
+
+
+def removed_then_left(scene: Scene) -> None:
+    scene.kill(scene.follower())
+    scene.leave(scene.follower())
+
+
+def left_then_came_back(scene: Scene) -> None:
+    core = scene.follower()
+    scene.leave(core)
+    scene.restart(core)
+
+
+def follower_killed_and_restarted(scene: Scene) -> None:
+    core = scene.follower()
+    scene.kill(core)
+    scene.restart(core)
+
+
+@dataclass(frozen=True)
+class Way:
+    """How a group comes to its size: `founders` cores, of which `tolerance` may be lost at once, and what happens."""
+
+    founders: int
+    tolerance: int
+    happens: Callable[[Scene], None]
+    members: int  # in the end
+    running: int  # in the end
+
+
+WAYS = {
+    "founded with one": Way(1, 0, founded, 1, 1),
+    "one, killed and restarted": Way(1, 0, restarted, 1, 1),
+    "one, ended and restarted": Way(1, 0, left_and_restarted, 1, 1),
+    "one follower of two left": Way(2, 0, follower_left, 1, 1),
+    "the leader of two left": Way(2, 0, leader_left, 1, 1),
+    "two of three left": Way(3, 0, all_others_left, 1, 1),
+    "of three one removed as unheard, one left": Way(3, 0, removed_then_left, 1, 1),
+    "founded with two": Way(2, 0, founded, 2, 2),
+    "founded with two of three that are wanted": Way(2, 1, founded, 2, 2),
+    "a follower of three removed as unheard": Way(3, 0, killed_and_removed, 2, 2),
+    "the leader of three removed as unheard": Way(3, 0, leader_killed_and_removed, 2, 2),
+    "a follower of three left": Way(3, 0, follower_left, 2, 2),
+    "one of two left and came back": Way(2, 0, left_then_came_back, 2, 2),
+    "one of two killed, which stops the group, and restarted": Way(2, 0, follower_killed_and_restarted, 2, 2),
+    "two of three run, one is down for long": Way(3, 1, killed_and_removed, 3, 2),
+}
+
+
+class SmallGroupTest(unittest.TestCase):
+    """Guards against a core that ends by itself, or stops its work, in a group of one or two (review/7, FAULT)."""
+
+    def play(self, way: Way) -> World:
+        world = World(7, way.founders, sharded=True, keyed=True, tolerance=way.tolerance)
+        with programs.in_place(world.wire, world.seed, world.log, compact=40, trail=512):
+            world.start()
+            scene = Scene(world)
+            scene.run(SETTLE_S)
+            way.happens(scene)
+            scene.run(WATCH_S)
+            world.operators.stopped = True
+            self.assertEqual(find_violations(world), [])
+            check_recovery(world)
+            self.assertEqual(find_violations(world), [])
+        return world
+
+    def check_end(self, world: World, way: Way) -> None:
+        running = {core.process.machine.me: core for core in world.running()}
+        self.assertEqual(len(running), way.running)
+        leader = world.leader().process
+        self.assertEqual(len(leader.machine.members), way.members)
+        self.assertLessEqual(running.keys(), leader.machine.members.keys())
+        slices = leader.plane.consensus.state.ledger.slices["s"]
+        self.assertEqual({row.conductor for row in slices}, set(running))
+        self.assertTrue(all(row.open for row in slices))
+        now = world.loop.now
+        for number, row in enumerate(slices):
+            self.assertGreater(world.nodes[row.owner].held_until[number], now)
+
+    def test_every_way_to_a_group_of_one_or_two(self):
+        for name, way in WAYS.items():
+            with self.subTest(name):
+                self.check_end(self.play(way), way)
