Edge: one that is alone learns it, and a changed number of edges is applied

What callers saw: an edge that is the only one of a deployment opened a sixteenth of the connections that a node takes (two of 12, eight of 130) and had a sixteenth of the retry budget's slack, as long as it ran; one that was left of two, a half. Further requests at the same node were refused as "full" though nobody else used it.

Cause: `Edge.on_view_update` dropped every count below two, since a core that has just started counts one edge before it has heard of the others; and `ViewPoller` passed a count on only together with some other change, so that in a quiet deployment an edge that joined or ended changed nothing at the others.

Ruled out: taking every count as it comes. After a restart of the cores the first edge of two hears "1" (the row "two, all cores restarted" of the new table, red on the text before), and would use a part of the budget that is another's.

Change: a core says whether it knows all edges: it does once it has been fresh for 3 s without a gap, in which every edge has called some core and every core has passed its callers on. Only such a count is used, also a 1, and as soon as it changes. Of the slack one that counts as alone takes a half, since another may serve on out of touch with all cores. An answer without the new field, of an earlier version, is read as before.

--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -15,7 +15,7 @@
 from knotwalk.control_plane.consensus_driver import ConsensusDriver, NotLeaderError, OutcomeUnknownError
 from knotwalk.control_plane.list_poller import ListPoller
 from knotwalk.control_plane.slice_manager import SliceManager
-from knotwalk.discovery.loads import LoadReports
+from knotwalk.discovery.loads import EDGES_KNOWN_AFTER_S, LoadReports
 from knotwalk.discovery.reachability import parse_unreached_nodes
 from knotwalk.discovery.view_publisher import ViewPublisher
 from knotwalk.discovery.view_types import KEY_COUNT, MAX_LEADER_SILENCE_S
@@ -56,6 +56,7 @@
         self.view_publisher, self.loads, self.http_client = view_publisher, loads, http_client
         self.update_event = asyncio.Event()
         self.fresh_until = 0.0
+        self.fresh_since = 0.0  # without a gap since then, if it is fresh now
         self.started_at = clock()
         self.leaving = False
         self.on_incarnation: Callable[[str], None] = lambda incarnation: None  # called for each edge that calls
@@ -167,6 +168,7 @@
                 for _ in range(20):
                     if machine.applied >= grant["commit"]:
                         if clock() >= self.fresh_until:
+                            self.fresh_since = clock()
                             self.wake_edges()
                         self.fresh_until = sent + MAX_LEADER_SILENCE_S
                         break
@@ -225,7 +227,12 @@
                     await asyncio.sleep(UPDATE_BATCH_DELAY_S)
             except TimeoutError:
                 pass
-        response = {"fresh": fresh, "zone": self.list_poller.settings.zone, "edges": self.loads.edge_count(now)}
+        response = {
+            "fresh": fresh,
+            "zone": self.list_poller.settings.zone,
+            "edges": self.loads.edge_count(now),
+            "edges_known": self.knows_all_edges(now),
+        }
         if fresh:
             response["proven"] = round(self.fresh_until - MAX_LEADER_SILENCE_S - LEADERSHIP_PROOF_S - arrived, 3)
         if update:
@@ -261,6 +268,10 @@
         """Whether edges may rely on this core's view."""
         return now < self.fresh_until and not self.leaving
 
+    def knows_all_edges(self, now: float) -> bool:
+        """Whether every edge has had the time to be counted here, by its own calls or by another core's report."""
+        return self.is_fresh(now) and now - self.fresh_since >= EDGES_KNOWN_AFTER_S
+
     def may_serve_provisional(self) -> bool:
         """Whether this core started a moment ago, is a member as far as its disk knows, was not fresh since its start,
         and knows of no leader, not even indirectly: then the cores that start with it know no more than it does."""
--- a/knotwalk/control_plane/status_report.py
+++ b/knotwalk/control_plane/status_report.py
@@ -12,12 +12,10 @@
 from knotwalk.configuration.index import RouteIndex
 from knotwalk.consensus.machine import Machine
 from knotwalk.control_plane.replicated_state import ReplicatedState
-from knotwalk.discovery.loads import LoadReports
+from knotwalk.discovery.loads import EDGE_EXPIRY_S, LoadReports
 from knotwalk.discovery.view_publisher import ViewPublisher
 from knotwalk.discovery.view_types import SLICE_WIDTH, node_to_wire
 
-EDGE_EXPIRY_S = 10.0  # an edge that was not heard of for this long counts as gone
-
 
 def status(
     now: float,
--- a/knotwalk/discovery/loads.py
+++ b/knotwalk/discovery/loads.py
@@ -14,6 +14,11 @@
 
 # An edge counts as connected to this core for so long after its last call; it calls at least once a second.
 CALLER_TIMEOUT_S = 3.0
+# An edge that was not heard of for this long counts as gone.
+EDGE_EXPIRY_S = 10.0
+# A core's count of edges is complete once it has been fresh for this long: edges call some core at least once a second,
+# and cores report their callers to each other once a second.
+EDGES_KNOWN_AFTER_S = 3.0
 ROUNDING_RESIDUE = 1e-6  # rounding error: less than any count, and than the duration of any request
 WINDOW_S = 4.0  # covers some tens of requests for a slice of a node, and two reports of each edge
 
@@ -99,8 +104,8 @@
             self.window.append((now, first))
 
     def edge_count(self, now: float) -> int:
-        """The number of edges that showed a sign of life in the last ten seconds."""
-        self.edges = {name: last_seen for name, last_seen in self.edges.items() if now - last_seen < 10.0}
+        """The number of edges that showed a sign of life within EDGE_EXPIRY_S."""
+        self.edges = {name: last_seen for name, last_seen in self.edges.items() if now - last_seen < EDGE_EXPIRY_S}
         return len(self.edges)
 
     def take_unsent(self, now: float) -> dict:
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -86,8 +86,8 @@
         return list(dict.fromkeys([*filter(None, (poller.core,)), *others]))
 
     def on_view_update(self, changed: set[str], edges: int) -> None:
-        """Apply changed topics of the cluster view; `edges` is how many edges share the retry budgets."""
-        if edges > 1:
+        """Apply changed topics of the cluster view; `edges` share retry budgets and connections, 0: not known."""
+        if edges:
             self.client_server.edges = edges
         self.client_server.view_changed(changed)
         if self.view.is_complete and not self.ending.stop_requested:
--- a/knotwalk/edge/edge_metrics.py
+++ b/knotwalk/edge/edge_metrics.py
@@ -85,7 +85,7 @@
     yield requests_metric(counts)
     yield events_metric(counts)
     available: dict[tuple[str, ...], float] = {
-        (name,): budget.available(now, client_server.edges) for name, budget in forwarder.budgets.items()
+        (name,): budget.available(now, forwarder.edges_sharing_slack) for name, budget in forwarder.budgets.items()
     }
     yield Metric(
         "knotwalk_edge_retry_room", MetricType.GAUGE, "further tries that may be made now", available, ("service",)
--- a/knotwalk/edge/forwarder.py
+++ b/knotwalk/edge/forwarder.py
@@ -27,7 +27,7 @@
 
 
 class Forwarder(NodeTry):
-    """Forwards requests by the cluster view. One per edge; `edges` is how many edges share the retry budgets."""
+    """Forwards requests by the cluster view. One per edge; `edges` is how many edges share budgets and connections."""
 
     def set_route(self, exchange: Exchange, route: Route, shard_key: bytes | None) -> str:
         """Set the request's route, service and shard key; returns the text of a client error, or an empty string."""
@@ -58,7 +58,7 @@
             node, cause = await self._select_node(exchange, tried, may_have_run, arrivals > 0)
             retry = node is not None
             if retry and arrivals:
-                retry = self.budget(exchange.service).take(self.clock(), self.edges)
+                retry = self.budget(exchange.service).take(self.clock(), self.edges_sharing_slack)
                 cause = "budget" if not retry else cause
             if not retry:
                 break
--- a/knotwalk/edge/forwarding_state.py
+++ b/knotwalk/edge/forwarding_state.py
@@ -23,6 +23,13 @@
 # round trip to the client is included and can't be measured here: 10 ms each way, the width of a region.
 MAX_WAIT_PART, CLIENT_ROUND_TRIP_S = 0.25, 0.02
 
+# How many edges are assumed to share budgets and connections before a core has counted them.
+EDGES_BEFORE_FIRST_COUNT = 16
+
+# An edge that is counted alone takes no more than half of the retry budget's slack: another one may be out of touch
+# with all cores, thus not counted, and serve on with its own share.
+MIN_EDGES_SHARING_SLACK = 2
+
 KEYS_UNSURE = "not sure of the keys in force"  # text of the answer, and name of the count
 
 
@@ -34,7 +41,7 @@
         self.rng = Random(seed)
         bounds = settings.bounds
         self.freshness = Freshness(bounds.revoke_timeout, bounds.global_revocation, bounds.config_apply)
-        self.edges = 16
+        self.edges = EDGES_BEFORE_FIRST_COUNT
         self.started_at = clock()
         self.budgets: dict[str, Budget] = {}
         self.pools: dict[str, Pool] = {}
@@ -45,6 +52,11 @@
         self.totals: Counter[str] = Counter()  # since the start, without `counts`
         self.demand: dict[str, Counter[int]] = {}
 
+    @property
+    def edges_sharing_slack(self) -> int:
+        """Among how many edges the slack of the retry budgets is divided."""
+        return max(MIN_EDGES_SHARING_SLACK, self.edges)
+
     def budget(self, service: str) -> Budget:
         """The retry budget of this edge for a service."""
         budget = self.budgets.get(service)
--- a/knotwalk/edge/node_try.py
+++ b/knotwalk/edge/node_try.py
@@ -28,6 +28,10 @@
 class NodeTry(NodeSelection):
     """Offers a request to one node."""
 
+    def connections_share(self, max_connections: int) -> int:
+        """This edge's share of the connections that a node of a service takes from all edges together."""
+        return max(MIN_CONNECTIONS, max_connections // max(1, self.edges))
+
     async def _try(self, exchange: Exchange, node: Node, is_retry: bool) -> tuple[Answer, bool]:
         """Offer the request to a node; returns the answer and whether anything was sent."""
         assert exchange.route is not None
@@ -35,7 +39,7 @@
         pool = self._pool(node)
         connection = None if is_retry else pool.reuse(not exchange.route.idempotent, exchange.attempt)
         if connection is None:
-            max_connections = max(MIN_CONNECTIONS, self.service(node.service).max_connections // max(1, self.edges))
+            max_connections = self.connections_share(self.service(node.service).max_connections)
             if len(pool.all) >= max_connections and not pool.close_oldest_idle():
                 return Answer(TryOutcome.UNREACHED, "full"), False
             if not await self._acquire_slot(exchange):
--- a/knotwalk/edge/view_poller.py
+++ b/knotwalk/edge/view_poller.py
@@ -31,7 +31,8 @@
 class ViewPoller:
     """Keeps `view` and `freshness` up to date.
 
-    `report` returns the load report to send; `on_update` gets the changed topics and the number of edges."""
+    `report` returns the load report to send; `on_update` gets the changed topics and the number of edges, 0 while it is
+    not known."""
 
     def __init__(
         self,
@@ -58,7 +59,7 @@
         self.failed_at: dict[str, float] = {}  # when cores failed; these are not preferred for their zone
         self.last_heard_at = float("-inf")  # when a fresh core last answered
         self.reported_at = float("-inf")
-        self.edges = 0
+        self.edges = 0  # as counted by a core that knows all of them; 0 before the first such count
         self.rejected_configurations = 0  # configurations received that could not be applied
 
     def next_core(self) -> str | None:
@@ -150,8 +151,12 @@
             clock()
         )  # an edge that only lacked the lease begins to serve
         is_first = self.last_heard_at == float("-inf")
-        self.last_heard_at, self.edges = now, response["edges"]
-        if changed or is_first or renewed:
+        self.last_heard_at = now
+        edges_before = self.edges
+        # Earlier versions don't say; there, a 1 may come from a core that has just started.
+        if response.get("edges_known", response["edges"] > 1):
+            self.edges = response["edges"]
+        if changed or is_first or renewed or self.edges != edges_before:
             self.on_update(changed, self.edges)
         if self.view.config_error:
             self.rejected_configurations += 1
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -203,6 +203,12 @@
         self.edge_processes[name] = process
         view = ClusterView()
         seeds = [f"{core.host}:{PEERS}" for core in self.core_machines.values() if not core.retired][:5]
+        process.edge_counts = []  # type: ignore[attr-defined]
+
+        def on_update(changed: set[str], edges: int) -> None:
+            process.edge_counts.append(edges)  # type: ignore[attr-defined]
+            self.edge_judge.on_update(process.name, view)
+
         view_poller = ViewPoller(
             name,
             view,
@@ -211,7 +217,7 @@
             self.random.randrange(1 << 30),
             "z",
             dict,
-            lambda changed, edges: self.edge_judge.on_update(process.name, view),
+            on_update,
             keys_judge.freshness(),
         )
         process.view_poller = view_poller  # type: ignore[attr-defined]
--- a/tests/system/test_admission_calls.py
+++ b/tests/system/test_admission_calls.py
@@ -229,6 +229,19 @@
             with self.subTest(contracts):
                 self.assertEqual(self.edge(*contracts).client_server.operations is not None, asks)
 
+    def test_a_lone_edge_uses_all_connections_that_a_node_takes(self):
+        """Guards against an edge that is alone and takes a sixteenth, or a half after another one ended.
+
+        Of the retry budget's slack it takes no more than half: one that cores don't hear of may serve on.
+        """
+        edge = self.edge()
+        forwarder = edge.client_server.forwarder
+        # A count of 0 is not known. (count, connections, edges that share the slack)
+        for edges, share, sharing in ((2, 6, 2), (1, 12, 2), (0, 12, 2), (2, 6, 2), (3, 4, 3), (0, 4, 3), (16, 2, 16)):
+            with self.subTest(edges=edges):
+                edge.on_view_update(set(), edges)
+                self.assertEqual((forwarder.connections_share(12), forwarder.edges_sharing_slack), (share, sharing))
+
     def test_the_connected_core_is_asked_first_then_healthy_and_near_ones(self):
         edge = self.edge("keys")
         self.assertEqual(edge.cores(), [])
--- a/tests/system/test_small_groups.py
+++ b/tests/system/test_small_groups.py
@@ -1,9 +1,11 @@
 """Core programs in groups of one and two members, by each way in which a group becomes that small."""
 
+import itertools
 import unittest
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from knotwalk.discovery.loads import EDGE_EXPIRY_S, EDGES_KNOWN_AFTER_S
 from knotwalk.leases.conductor_leases import CALM_PERIOD_S, HAND_OVER_INTERVAL_S
 from tests.simulation import programs
 from tests.simulation.walk import check_recovery, find_violations
@@ -130,6 +132,55 @@
 }
 
 
+def restart_all_cores(scene: Scene) -> None:
+    for core in list(scene.world.core_machines.values()):
+        scene.world.crash(core)
+    for core in scene.world.core_machines.values():
+        scene.restart(core)
+
+
+def end_first_edge(scene: Scene) -> None:
+    scene.world.edge_processes.pop("e0").kill()
+
+
+def add_edge(scene: Scene) -> None:
+    scene.world.start_edge("e9")
+
+
+class EdgeCountTest(unittest.TestCase):
+    """Guards against an edge that is alone and keeps the share of one of several, and against one that takes too much.
+
+    Retries and connections to nodes are divided among the edges that a core counts.
+    """
+
+    WAYS = {
+        "founded with one": (1, founded, 1),
+        "founded with two": (2, founded, 2),
+        "one of two ended": (2, end_first_edge, 1),
+        "one of three ended": (3, end_first_edge, 2),
+        "another joined one": (1, add_edge, 2),
+        "one, all cores restarted": (1, restart_all_cores, 1),
+        "two, all cores restarted": (2, restart_all_cores, 2),
+    }
+
+    def test_each_edge_learns_how_many_there_are(self):
+        for (name, (edges, happens, left)), cores in itertools.product(self.WAYS.items(), (1, 3)):
+            with self.subTest(name, cores=cores):
+                world = World(3, cores, edge_count=edges)
+                with programs.in_place(world.wire, world.seed, world.log, compact=40, trail=512):
+                    world.start()
+                    scene = Scene(world)
+                    scene.run(SETTLE_S + EDGES_KNOWN_AFTER_S)
+                    world.operators.stopped = True  # nothing else changes, so that only the count itself tells
+                    happens(scene)
+                    scene.run(EDGE_EXPIRY_S + EDGES_KNOWN_AFTER_S + 2.0)
+                for process in world.edge_processes.values():
+                    known = [count for count in process.edge_counts if count]
+                    self.assertEqual(known[-1:], [left])
+                    self.assertGreaterEqual(min(known), min(edges, left))  # never too few: they would take too much
+                self.assertEqual(len(world.edge_processes), left)
+
+
 class SmallGroupTest(unittest.TestCase):
     """Guards against a core that ends by itself, or stops its work, in a group of one or two (review/7, FAULT)."""
 
