Limits: tokens are divided among the cores that there are

What callers saw: in a group with more than one core machine beyond 2 x tolerance + 1 (three machines and a tolerance of none, five and a tolerance of one) a tenant within its limit was refused with 503 at some cores for as long as two others held all that may be held.

Cause: `TenantLimits` divided what may be held by the number of members that the settings' tolerance asks for, not by that of the members. With a tolerance of none each core could hold a half, and the third found nothing. Found by reading, while going through what the core divides among 0, 1 and 2; the module's text promises a token at any core.

Change: the greater of both numbers, looked up with each limit, so that it follows members that join and leave. A new leader that counts other cores than the one before must not count on its own division for what that one granted, since the two are rounded apart: it takes all that any division allows (`max_prior_outstanding`).

Tests, red before: `GroupSizeTest` (1, 2, 3 and 5 cores, tolerances 0 to 2, and members that come and go: 4 subtests). The bound holds as the number of cores changes, one core was just replaced and the leader is lost (64 subtests).

--- a/knotwalk/control_plane/allowances.py
+++ b/knotwalk/control_plane/allowances.py
@@ -44,21 +44,30 @@
     """The limits of the configuration in force here, each computed on first use."""
 
     def __init__(self, settings: Settings, consensus: ConsensusDriver):
-        bounds = settings.bounds
-        cores = settings.tolerance.members
-        self.quota_bounds = QuotaBounds(bounds.quota_window, bounds.quota_overage, bounds.quota_slack, cores)
-        self.consensus = consensus
-        self._configuration_index = -1
+        self.settings, self.consensus = settings, consensus
+        self._computed_for = (-1, 0)  # index of the configuration, number of cores
         self._limits: dict[str, Limit | None] = {}
 
+    def quota_bounds(self, cores: int) -> QuotaBounds:
+        """The bounds of all limits, enforced among so many core machines."""
+        bounds = self.settings.bounds
+        return QuotaBounds(bounds.quota_window, bounds.quota_overage, bounds.quota_slack, cores)
+
+    def core_count(self) -> int:
+        """Among how many core machines tokens are divided: the members, or as many as the tolerance asks for.
+
+        There may be more members than that: a deployment may have three machines and a tolerance of none."""
+        return max(self.settings.tolerance.members, len(self.consensus.machine.members))
+
     def of(self, tenant: str) -> Limit | None:
         """The limit of a tenant; None if it has none, or is not known."""
-        state = self.consensus.state
-        if state.configuration_index != self._configuration_index:
-            self._configuration_index, self._limits = state.configuration_index, {}
+        state, cores = self.consensus.state, self.core_count()
+        if (state.configuration_index, cores) != self._computed_for:
+            self._computed_for, self._limits = (state.configuration_index, cores), {}
         if tenant not in self._limits:
             known = state.configuration.tenants.get(tenant) if state.configuration is not None else None
-            self._limits[tenant] = limit_of(known.rate_per_s, known.burst_size, self.quota_bounds) if known else None
+            bounds = self.quota_bounds(cores)
+            self._limits[tenant] = limit_of(known.rate_per_s, known.burst_size, bounds) if known else None
         return self._limits[tenant]
 
 
--- a/knotwalk/shared_state/buckets.py
+++ b/knotwalk/shared_state/buckets.py
@@ -46,7 +46,8 @@
         A changed limit applies from now on; the time before counts at the lower of both rates. Before
         `prior_expired_at` cores may still hold tokens that an earlier leader granted."""
         rate = min(self.limit.rate, limit.rate)
-        held = limit.max_outstanding if self.updated_at < prior_expired_at else self.outstanding(self.updated_at, "")
+        is_prior_valid = self.updated_at < prior_expired_at
+        held = limit.max_prior_outstanding if is_prior_valid else self.outstanding(self.updated_at, "")
         available = max(1.0, limit.capacity - held)
         self.level = min(available, self.level + rate * max(0.0, now - self.updated_at))
         self.updated_at, self.limit = max(now, self.updated_at), limit
--- a/knotwalk/shared_state/limit.py
+++ b/knotwalk/shared_state/limit.py
@@ -36,12 +36,14 @@
 
     `capacity`: the most that its bucket and all holdings may contain together. `max_per_core`: the most that one core
     machine may hold unused. `max_outstanding`: the most that all may hold, including one core that was just replaced.
+    `max_prior_outstanding`: the most that all may hold of an earlier leader, which may have known other cores.
     """
 
     rate: float
     capacity: float
     max_per_core: int
     max_outstanding: int
+    max_prior_outstanding: int
     valid_for_s: float
 
 
@@ -52,7 +54,7 @@
     by as much.
 
     >>> limit_of(20.0, 0.0, QuotaBounds(window=5.0, overage=0.1, slack=20.0, cores=5))
-    Limit(rate=20.0, capacity=26.0, max_per_core=4, max_outstanding=24, valid_for_s=3.0)
+    Limit(rate=20.0, capacity=26.0, max_per_core=4, max_outstanding=24, max_prior_outstanding=26, valid_for_s=3.0)
     """
     if rate_per_s <= 0:
         return None
@@ -67,5 +69,6 @@
         capacity=burst_size + headroom,
         max_per_core=max_per_core,
         max_outstanding=max_outstanding,
+        max_prior_outstanding=max(max_outstanding, int(headroom)),
         valid_for_s=valid_for_s,
     )
--- a/tests/system/test_allowances.py
+++ b/tests/system/test_allowances.py
@@ -1,6 +1,7 @@
 """The driver of tenants' limits between core machines, and an edge's local refusals."""
 
 import asyncio
+import itertools
 import json
 import unittest
 from types import SimpleNamespace
@@ -11,7 +12,7 @@
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock
 from knotwalk.runtime.settings import Settings, Tolerance
-from knotwalk.shared_state.messages import Admission
+from knotwalk.shared_state.messages import Admission, AllowanceRequest
 
 TIMEOUT_S = 5.0  # far above what a busy machine needs
 
@@ -32,7 +33,8 @@
 class Cluster:
     """Cores with one configuration; calls reach the leader's real handler, or fail while it is cut off."""
 
-    def __init__(self, count, **rates):
+    def __init__(self, count, tolerance=2, **rates):
+        self.tolerance = tolerance
         self.state = SimpleNamespace(configuration=configuration(**rates), configuration_index=1)
         self.cut, self.is_proven, self.calls = False, True, 0
         self.members = {f"c{k}": f"host{k}" for k in range(count)}
@@ -43,7 +45,7 @@
     def make_core(self, k):
         machine = SimpleNamespace(role="follower", leader="host0", members=self.members)
         consensus = SimpleNamespace(machine=machine, state=self.state)
-        settings = Settings("n", tolerance=Tolerance(machines=2))
+        settings = Settings("n", tolerance=Tolerance(machines=self.tolerance))
         return Allowances(f"c{k}", settings, consensus, self, self)
 
     def lead(self, leader):
@@ -64,6 +66,33 @@
         return json.loads(response.body)
 
 
+class GroupSizeTest(unittest.TestCase):
+    """Guards against cores that find no token because fewer others, by the settings' tolerance, share them all."""
+
+    def granted(self, cluster):
+        """What each core is granted that wants as much as it may hold."""
+        limit = cluster.cores[0].limits.of("t")
+        request = AllowanceRequest("t", limit.max_per_core, 0)
+        return [grant.granted for id in cluster.members for grant in cluster.cores[0].grant(id, [request])]
+
+    def test_each_core_finds_tokens_whatever_the_others_hold(self):
+        for count, tolerance in itertools.product((1, 2, 3, 5), (0, 1, 2)):
+            with self.subTest(cores=count, tolerance=tolerance):
+                cluster = Cluster(count, tolerance, t=200.0)
+                limit = cluster.cores[0].limits.of("t")
+                self.assertEqual(self.granted(cluster), [limit.max_per_core] * count)
+
+    def test_cores_that_join_or_leave_later(self):
+        cluster = Cluster(3, 0, t=200.0)
+        for members in (("c0",), ("c0", "c1"), ("c0", "c1", "c2"), ("c0",)):
+            with self.subTest(members=members):
+                cluster.cores[0].buckets.buckets.clear()
+                cluster.members.clear()
+                cluster.members.update({id: f"host{id[1:]}" for id in members})
+                limit = cluster.cores[0].limits.of("t")
+                self.assertEqual(self.granted(cluster), [limit.max_per_core] * len(members))
+
+
 class Drivers(unittest.IsolatedAsyncioTestCase):
     def start_cluster(self, count=5, **rates):
         cluster = Cluster(count, **rates)
--- a/tests/system/test_quota.py
+++ b/tests/system/test_quota.py
@@ -1,5 +1,6 @@
 """Limits of tenants over all machines: the leader's buckets, the cores' holdings, and the bound on both together."""
 
+import itertools
 import random
 import unittest
 from dataclasses import replace
@@ -18,7 +19,7 @@
 from knotwalk.shared_state.escrow import IDLE_TIMEOUT_S, LIMIT_REACHED_PAUSE_S, Escrow, TakeResult
 from knotwalk.shared_state.limit import QuotaBounds, limit_of
 from knotwalk.shared_state.messages import AllowanceRequest
-from tests.system.quota_world import QUOTA_BOUNDS, World
+from tests.system.quota_world import QUOTA_BOUNDS, Core, World
 
 
 def full_bucket_world(rate=20.0, burst=20.0, quota_bounds=QUOTA_BOUNDS, **more):
@@ -78,6 +79,31 @@
                     if world.leader.leader_since < begun:
                         self.assertGreaterEqual(passed, spendable - limit.rate * 0.3 - 2)
 
+    def test_the_bound_holds_as_the_number_of_cores_changes_and_the_leader_is_lost(self):
+        """All tokens are outstanding among one number of cores; the next leader divides among another one."""
+        for before, after in itertools.product((1, 2, 3, 5), repeat=2):
+            for rate, overage, slack in ((20.0, 0.1, 20.0), (160.0, 0.1, 20.0), (20.0, 0.0, 11.0), (20.0, 0.0, 29.0)):
+                with self.subTest(before=before, after=after, rate=rate, slack=slack):
+                    bounds = replace(QUOTA_BOUNDS, overage=overage, slack=slack)
+                    burst = rate
+                    world = full_bucket_world(rate, burst, replace(bounds, cores=before))
+                    limit = world.limit("t")
+                    replaced = world.replace_core(0)
+                    holders = [replaced, *world.cores]
+                    for core in holders:
+                        grants = world.leader.grant(world.now, core.id, [AllowanceRequest("t", 1000, 0)])
+                        core.escrow.apply_grants(world.now, world.now, grants)
+                        world.leader.buckets["t"].level = limit.capacity
+                    world.limits["t"] = limit_of(rate, burst, replace(bounds, cores=after))
+                    world.replace_leader()
+                    world.cores = [Core(f"new{k}", world) for k in range(after)] + holders
+                    world.now += 0.9 * limit.valid_for_s  # what was outstanding is still valid, the bucket has filled
+                    begun = world.now
+                    while world.now < begun + 2 * QUOTA_BOUNDS.window:
+                        world.drain("t")
+                        self.assertLessEqual(world.counter.excess(world.now, "t"), 0)
+                        world.now += 0.05
+
     def test_a_limit_lowered_below_the_outstanding_tokens_holds_after_a_window(self):
         world = full_bucket_world(160.0, 160.0)
         for core in world.cores:
