--- a/tests/simulation/mistakes.py
+++ b/tests/simulation/mistakes.py
@@ -27,6 +27,7 @@
 from knotwalk.leases.grant_manager import GrantManager
 
 KEYS, QUOTA = 6, 7  # points of docs/design/shared-state.md, numbered on: tenants' keys, quotas
+SMALL_GROUPS = 8  # found by walks with few machines only
 
 
 @dataclass(frozen=True)
--- a/tests/simulation/walk.py
+++ b/tests/simulation/walk.py
@@ -1,6 +1,8 @@
 """Random walks: runs of the simulated system under random faults, replayable by seed and shrunk to the faults needed.
 
-python -m tests.simulation.walk [--first N] [--walks N] [--seconds S] [--mistakes] [--trace SEED] [--digest SEED]
+python -m tests.simulation.walk [--first N] [--walks N] [--seconds S] [--small] [--mistakes] [--trace N] [--digest N]
+
+With --small the groups have one to three cores, of which none may be lost, and one or two edges and nodes.
 """
 
 from __future__ import annotations
@@ -17,7 +19,7 @@
 
 from tests.simulation import connections, faults, programs
 from tests.simulation.faults import Fault
-from tests.simulation.mistakes import MISTAKES, QUOTA, Mistake
+from tests.simulation.mistakes import MISTAKES, QUOTA, SMALL_GROUPS, Mistake
 from tests.simulation.world import World
 
 SPAN_S = 20.0  # of faults
@@ -42,15 +44,39 @@
     let_pass: int = 0  # admitted requests of tenants with limits
 
 
+def make_small_world(seed: int, limited: bool) -> World:
+    """A world of few machines, none of which may be lost for good.
+
+    All faults end longer than the conductors' calm period before a walk does."""
+    chance = random.Random(f"small {seed}")
+    return World(
+        seed,
+        core_count=chance.choice((1, 1, 2, 3)),
+        sharded=True,
+        tolerance=0,
+        node_count=chance.choice((1, 2)),
+        edge_count=chance.choice((1, 2)),
+        limited=limited,
+    )
+
+
 def walk(
-    seed: int, plan: list[Fault] | None = None, span: float = SPAN_S, early: bool = False, limited: bool = False
+    seed: int,
+    plan: list[Fault] | None = None,
+    span: float = SPAN_S,
+    early: bool = False,
+    limited: bool = False,
+    small: bool = False,
 ) -> Outcome:
     """Run one walk, with the faults of `plan` or those drawn from the seed.
 
-    With `early` it ends within a second of the first violation; with `limited` tenants with limits send requests.
+    With `early` it ends within a second of the first violation; with `limited` tenants with limits send requests; with
+    `small` there are few machines.
     """
     chance = random.Random(f"walk {seed}")
     world = World(seed, chance.choice((3, 3, 3, 5)), chance.random() < SHARDED_SHARE, limited=limited)
+    if small:
+        world = make_small_world(seed, limited)
     plan = faults.plan(seed, span) if plan is None else plan
     compact, trail = chance.choice((8, 40, 4000)), chance.choice((2, 512))
     with programs.in_place(world.wire, seed, world.log, compact, trail):
@@ -146,19 +172,19 @@
             if mistake.point == 5:
                 outcome = Outcome(seed, connections.walk(seed), [])
             else:
-                outcome = walk(seed, early=True, limited=mistake.point == QUOTA)
+                outcome = walk(seed, early=True, limited=mistake.point == QUOTA, small=mistake.point == SMALL_GROUPS)
             gc.collect()
             if outcome.violations:
                 return outcome
     return None
 
 
-def walks(seeds: Iterable[int], until: float = float("inf")) -> Iterable[Outcome]:
+def walks(seeds: Iterable[int], until: float = float("inf"), small: bool = False) -> Iterable[Outcome]:
     """Run walks one after the other until a time by `time.monotonic`."""
     for seed in seeds:
         if time.monotonic() > until:
             return
-        yield walk(seed)
+        yield walk(seed, small=small)
         gc.collect()
 
 
@@ -178,14 +204,16 @@
     }
 
 
-def print_trace(seed: int) -> None:
+def print_trace(seed: int, small: bool) -> None:
     """Print a walk's log, faults and violations; if there are any, also a minimal plan that still causes one."""
-    outcome = walk(seed)
+    outcome = walk(seed, small=small)
     for line in outcome.log_lines:
         print(*line)
     print(*outcome.violations, sep="\n")
     if outcome.violations:
-        print(*shrink(outcome.faults, lambda fewer: bool(walk(seed, fewer, early=True).violations)), sep="\n")
+        print(
+            *shrink(outcome.faults, lambda fewer: bool(walk(seed, fewer, early=True, small=small).violations)), sep="\n"
+        )
 
 
 def main() -> None:
@@ -194,12 +222,13 @@
     parser.add_argument("--walks", type=int, default=100)
     parser.add_argument("--seconds", type=float, default=float("inf"))
     parser.add_argument("--mistakes", action="store_true")
+    parser.add_argument("--small", action="store_true")
     parser.add_argument("--trace", type=int)
     parser.add_argument("--digest", type=int)
     options = parser.parse_args()
     started_at = time.monotonic()
     if options.trace is not None:
-        print_trace(options.trace)
+        print_trace(options.trace, options.small)
         return
     if options.digest is not None:
         outcome = walk(options.digest, span=4.0)
@@ -211,7 +240,8 @@
             print(name, outcome and (outcome.seed, outcome.violations[0]), flush=True)
         return
     done = broken = changes = 0
-    for outcome in walks(range(options.first, options.first + options.walks), started_at + options.seconds):
+    seeds = range(options.first, options.first + options.walks)
+    for outcome in walks(seeds, started_at + options.seconds, options.small):
         done, changes = done + 1, changes + outcome.changes
         if outcome.violations:
             broken += 1
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,5 +1,5 @@
 """Usage: python -m tests.soak [--seeds 1-50] [--edges 4] [--clients 24] [--length 15] [--series 8] [--keep FOLDER]
-       [--contracts tenants,keys,quota]
+       [--cores 3] [--tolerance 1] [--contracts tenants,keys,quota]
 
 Runs the seeds one after the other and prints a line of JSON for each. Exits with 1 if any has a finding. --keep: the
 folder to which the process logs of runs with findings are copied.
@@ -47,7 +47,7 @@
     parser.add_argument("--keep", type=Path)
     arguments = parser.parse_args()
     first, _, last = arguments.seeds.partition("-")
-    shape = Shape(arguments.edges, arguments.clients, arguments.length, arguments.series, arguments.contracts)
+    shape = Shape(**{name: getattr(arguments, name) for name in vars(Shape())})
     seeds_with_findings = 0
     for seed in range(int(first), int(last or first) + 1):
         outcome = asyncio.run(soak(seed, shape, arguments.keep))
--- a/tests/soak/drive.py
+++ b/tests/soak/drive.py
@@ -36,7 +36,7 @@
         self.seed, self.shape, self.ledger = seed, shape, Ledger()
         self.outcome = Outcome(seed)
         contracts = tuple(shape.contracts.split(",")) if shape.has_tenants else ()
-        self.village = Village(6, 3, shape.edges, WorkingNode, BOUNDS, contracts)
+        self.village = Village(6, 3, shape.edges, WorkingNode, BOUNDS, contracts, shape.cores, shape.tolerance)
         self.tenancy = Tenancy.from_document() if shape.has_tenants else None
         self.rng = Random(f"{seed} operator")
         for index, node in enumerate(self.village.nodes):
--- a/tests/soak/shape.py
+++ b/tests/soak/shape.py
@@ -29,6 +29,8 @@
     clients: int = 24
     length: float = 15.0
     series: int = 8
+    cores: int = 3
+    tolerance: int = 1  # core machines that may be lost at once, as in the settings
     contracts: str = ",".join(TENANT_CONTRACTS)  # empty: no tenants, API keys or operation keys
 
     @property
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -152,7 +152,8 @@
         until, pause = loop.time() + within, 0.05
         while True:
             self.turn += 1
-            url = f"http://{CORES[self.turn % 3]}:{self.village.control}/configuration"
+            core_ips = self.village.core_ips
+            url = f"http://{core_ips[self.turn % len(core_ips)]}:{self.village.control}/configuration"
             for _ in range(3):
                 try:
                     status, heads, data = await self.village.caller.send(
@@ -182,8 +183,13 @@
         kind: type[HoldingNode] = HoldingNode,
         bounds: dict[str, Any] | None = None,
         contracts: tuple[str, ...] = (),
+        cores: int = len(CORES),
+        tolerance: int = 1,
     ):
-        """`contracts`: names added to `active_contracts` in the settings, beside BASE."""
+        """`contracts`: names added to `active_contracts` in the settings, beside BASE.
+
+        `tolerance`: how many core machines may be lost at once, as the settings say."""
+        self.core_ips, self.tolerance = CORES[:cores], tolerance
         # In memory where possible: a stalled disk would rightly cost a core its leadership and disturb the test.
         self.folder = Path(tempfile.mkdtemp(prefix="village-", dir=SHM if os.access(SHM, os.W_OK) else None))
         self.ports, self.watch = Ports(), Watch()
@@ -193,8 +199,8 @@
         self.contracts = [*BASE, *contracts]
         self.bounds = {"drain_timeout": "2500ms", "grace_period": "60s", "max_hold": "10000ms", **(bounds or {})}
         self.platform = Platform(self.nodes)
-        self.internal, self.control = self.ports.take(*CORES), self.ports.take(*CORES)
-        self.metrics = self.ports.take(*CORES, *self.edge_addresses)
+        self.internal, self.control = self.ports.take(*self.core_ips), self.ports.take(*self.core_ips)
+        self.metrics = self.ports.take(*self.core_ips, *self.edge_addresses)
         self.cores: list[Program] = []
         self.edges: list[Program] = []
         self.caller: HttpClient = None  # type: ignore[assignment]
@@ -206,7 +212,7 @@
         for node in self.nodes:
             await node.start()
         await self.platform.start()
-        for number, ip in enumerate(CORES, 1):
+        for number, ip in enumerate(self.core_ips, 1):
             (data := self.folder / f"core-{number}.d").mkdir()
             self.cores.append(
                 Program(
@@ -256,7 +262,7 @@
             "internal_port_range": [self.internal, self.internal],
             "initial_boot": True,
             "quorum_member": False,
-            "seed_nodes": [f"{ip}:{self.control}" for ip in CORES],
+            "seed_nodes": [f"{ip}:{self.control}" for ip in self.core_ips],
             "data_dir": None,
             "heartbeat": "1500ms",
             "limits": {
@@ -267,7 +273,7 @@
                 "link_mbps": 1000.0,
                 "disk_mb": 64 if kind == "core" else 0,
             },
-            "fault_tolerance": {"machines": 1, "zones": 0, "regions": 0},
+            "fault_tolerance": {"machines": self.tolerance, "zones": 0, "regions": 0},
             "grants": "call",
             "a field to skip": 1,
             "active_contracts": self.contracts,
--- a/tests/system/test_small_groups.py
+++ b/tests/system/test_small_groups.py
@@ -2,13 +2,16 @@
 
 import itertools
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
+from knotwalk.control_plane import list_poller
 from knotwalk.discovery.loads import EDGE_EXPIRY_S, EDGES_KNOWN_AFTER_S
-from knotwalk.leases.conductor_leases import CALM_PERIOD_S, HAND_OVER_INTERVAL_S
+from knotwalk.leases.conductor_leases import CALM_PERIOD_S, HAND_OVER_INTERVAL_S, ConductorLeases, hand_over
+from knotwalk.leases.ledger import Slice
 from tests.simulation import programs
-from tests.simulation.walk import check_recovery, find_violations
+from tests.simulation.mistakes import SMALL_GROUPS, Mistake
+from tests.simulation.walk import check_recovery, find, find_violations, make_small_world, walk
 from tests.simulation.world import CoreMachine, World
 
 SETTLE_S = 3.0  # for a first leader, its list of nodes and the first grants
@@ -181,6 +184,40 @@
                 self.assertEqual(len(world.edge_processes), left)
 
 
+def hand_over_between_two(leases: ConductorLeases, now: float, slices: Sequence[Slice]) -> object:
+    """The mistake of review/7: takes giver and receiver out of at least two conductors once it is calm."""
+    if now >= max(leases.since, leases.conductors_changed_at) + CALM_PERIOD_S:
+        giver, *_, receiver = sorted(name for name in leases.ends_at if leases.is_alive(now, name))
+    return hand_over(leases, now, slices)
+
+
+class SmallWalksTest(unittest.TestCase):
+    """Random faults in groups of one to three cores of which none may be lost, with one or two edges and nodes."""
+
+    SEEDS = (0, 1, 5)  # groups of one, three and two cores
+
+    def test_nothing_is_broken_on_walks(self):
+        sizes = set()
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(walk(seed, small=True).violations, [])
+            sizes.add(make_small_world(seed, False).core_count)
+        self.assertEqual(sizes, {1, 2, 3})
+
+    def test_no_limit_is_exceeded_on_walks(self):
+        for seed in self.SEEDS:
+            with self.subTest(seed=seed):
+                outcome = walk(seed, limited=True, small=True)
+                self.assertEqual(outcome.violations, [])
+                self.assertGreater(outcome.let_pass, 100)
+
+    def test_walks_find_the_mistake_of_review_7(self):
+        mistake = Mistake(SMALL_GROUPS, ((list_poller, "hand_over", hand_over_between_two),), within=3)
+        found = find(mistake, mistake.seeds())
+        self.assertIsNotNone(found)
+        self.assertRegex(found.violations[0], "ValueError not enough values to unpack")
+
+
 class SmallGroupTest(unittest.TestCase):
     """Guards against a core that ends by itself, or stops its work, in a group of one or two (review/7, FAULT)."""
 
--- a/tests/system/test_soak.py
+++ b/tests/system/test_soak.py
@@ -15,6 +15,8 @@
 
 SEEDS = (101, 102)
 SHORT_RUN = Shape(edges=3, clients=12, length=12.0, series=7)
+SMALL_SEED = 5  # its core runs without a restart for longer than the conductors' calm period
+SMALL_RUN = Shape(edges=1, clients=8, length=15.0, series=4, cores=1, tolerance=0)
 GRACE_S = 6.0
 
 
@@ -27,6 +29,12 @@
                 self.assertGreater(outcome.counts["answered"], 50)
                 self.assertGreater(outcome.counts["left"], 5)
 
+    def test_a_short_run_of_one_core_and_one_edge_has_no_findings(self):
+        """Guards against a core that ends by itself where it is alone (review/7, FAULT)."""
+        outcome = asyncio.run(Soak(SMALL_SEED, SMALL_RUN).run())
+        self.assertEqual(outcome.findings, [])
+        self.assertGreater(outcome.counts["answered"], 50)
+
 
 class JudgeTest(unittest.TestCase):
     def findings(self, requests=(), runs=(), incarnations=()):
