Core: no cancellation is lost at the end of a wait

Cause: `asyncio.wait_for` of Python 3.11 returns the result of what it waits for when a cancellation meets its end, and the cancellation is lost. `ConsensusDriver._write` then waited for the next save for ever.

Tests use `tests.standins.timing.bounded`, which waits as long.

--- a/knotwalk/control_plane/allowances.py
+++ b/knotwalk/control_plane/allowances.py
@@ -129,7 +129,8 @@
         self.escrow.start_waiting(clock(), tenant)
         self._wake_event.set()
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             return TakeResult.WAIT
         finally:
@@ -162,7 +163,6 @@
             if wait > 0:
                 self._wake_event.clear()
                 try:
-                    # Not `wait_for`, which may swallow a cancellation.
                     async with asyncio.timeout(min(wait, MAX_IDLE_WAIT_S)):
                         await self._wake_event.wait()
                 except TimeoutError:
--- a/knotwalk/control_plane/claim_groups.py
+++ b/knotwalk/control_plane/claim_groups.py
@@ -86,7 +86,8 @@
         pending = PendingClaim(claim, asyncio.get_running_loop().create_future(), clock() + timeout_s)
         self._enqueue(pending)
         try:
-            return await asyncio.wait_for(pending.future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await pending.future
         except TimeoutError:
             return UNAVAILABLE
 
@@ -239,7 +240,8 @@
             while any(group.machine.is_saving for group in self.groups) and (left := deadline - clock()) > 0:
                 self.persisted.clear()
                 try:
-                    await asyncio.wait_for(self.persisted.wait(), left)
+                    async with asyncio.timeout(left):
+                        await self.persisted.wait()
                 except TimeoutError:
                     break
         finally:
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -190,7 +190,8 @@
                 work = loop.run_in_executor(self.writer, self.store.write, save)
                 try:
                     try:
-                        await asyncio.wait_for(asyncio.shield(work), WRITE_TIMEOUT_S)
+                        async with asyncio.timeout(WRITE_TIMEOUT_S):
+                            await asyncio.shield(work)
                     except TimeoutError:
                         self._on_write_failure("a write hangs")
                         await work
@@ -257,7 +258,8 @@
         submit(clock(), ticket)
         self.perform_actions()
         try:
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             return "lost", None
         finally:
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -222,7 +222,8 @@
                 break
             update_event = self.update_event
             try:
-                await asyncio.wait_for(update_event.wait(), min(until, self.fresh_until if fresh else fresh_by) - now)
+                async with asyncio.timeout(min(until, self.fresh_until if fresh else fresh_by) - now):
+                    await update_event.wait()
                 if fresh:
                     await asyncio.sleep(UPDATE_BATCH_DELAY_S)
             except TimeoutError:
@@ -248,7 +249,8 @@
         if not self.has_newer_configuration(payload) or not self.may_serve_provisional():
             return None
         try:
-            nodes = await asyncio.wait_for(self.list_poller.own_nodes(), FRESH_WAIT_S)
+            async with asyncio.timeout(FRESH_WAIT_S):
+                nodes = await self.list_poller.own_nodes()
         except TimeoutError:
             return None
         if not self.may_serve_provisional():  # a leader was heard meanwhile, or this process was paused
--- a/tests/standins/cores.py
+++ b/tests/standins/cores.py
@@ -14,6 +14,8 @@
 from knotwalk.shared_state.claims import UNAVAILABLE, ClaimResult, ClaimTable, claims_command
 from knotwalk.shared_state.messages import Admission, AdmissionResponse, Claim, EdgeBatch
 
+from .timing import bounded
+
 
 class Group:
     """Stand-in for consensus: one claim table for all cores, to which each claim is applied after `pause` seconds."""
@@ -32,7 +34,7 @@
         task = asyncio.ensure_future(self.commit(claim))
         self.claiming.append(task)
         try:
-            return await asyncio.wait_for(asyncio.shield(task), timeout_s)
+            return await bounded(asyncio.shield(task), timeout_s)
         except TimeoutError:
             return UNAVAILABLE  # the claim is still applied later
 
--- a/tests/system/test_client_leaves.py
+++ b/tests/system/test_client_leaves.py
@@ -15,6 +15,7 @@
 from knotwalk.discovery.view_types import Assignment
 from knotwalk.edge.client_connection import PeerEnd
 from knotwalk.edge.client_state import MAX_PIPELINED
+from tests.standins.timing import bounded
 from tests.system.edge_case import EdgeCase
 
 LONG = 60.0  # seconds of deadlines and route timeouts, which never expire here
@@ -234,7 +235,7 @@
             await asyncio.sleep(0.002)
         self.assertEqual(self.working(), ["one"])
         self.nodes[0].go.set()
-        status, headers, _ = await asyncio.wait_for(client.answer(), BOUND)
+        status, headers, _ = await bounded(client.answer(), BOUND)
         self.assertEqual((status, headers["attempt-id"], headers["connection"]), (200, "one", "close"))
         self.assertEqual(await client.rest(), b"")
         await self.idle()
--- a/tests/system/test_control_plane.py
+++ b/tests/system/test_control_plane.py
@@ -184,6 +184,33 @@
         self.assertEqual(back.headers["location"], f"http://{fresh.machine.address.partition(':')[0]}:8/configuration")
 
 
+class CancelledAtItsEndCase(unittest.IsolatedAsyncioTestCase):
+    """Guards against tasks that outlive a cancellation which meets the end of what they wait for.
+
+    `asyncio.wait_for` of Python 3.11 returns the result then, and the cancellation is lost; the linter bans it.
+    """
+
+    async def test_the_writer_ends(self):
+        saved = StoredState("a:1#founder", members={"a:1#founder": "a:1"})
+        driver = ConsensusDriver(Disk(), saved, None, RaftSettings(), 1, float("-inf"))
+        writes = asyncio.Queue()
+
+        def begin(executor, function, *arguments):
+            write = asyncio.get_running_loop().create_future()
+            writes.put_nowait(write)
+            return write
+
+        with mock.patch.object(asyncio.get_running_loop(), "run_in_executor", begin):
+            driver.start()
+            (writer,) = driver.tasks
+            write = await writes.get()
+            write.set_result(None)
+            writer.cancel()
+            await asyncio.wait([writer], timeout=1.0)
+        self.assertTrue(writer.cancelled())
+        await driver.close()
+
+
 class DamageCase(JumpingCase):
     """Three machines with real files; one of them reads back other bytes than it wrote."""
 
--- a/tests/system/test_edge.py
+++ b/tests/system/test_edge.py
@@ -14,6 +14,7 @@
 
 from knotwalk.discovery.view_types import SLICE_WIDTH, Assignment
 from knotwalk.edge.choose import stats_of
+from tests.standins.timing import bounded
 from tests.system.edge_case import (
     BOTH,
     PATIENCE,
@@ -362,7 +363,7 @@
         await self.ask("/kn/", headers=self.key(0))
         del self.view.nodes["i-0"]
         self.client_server.view_changed({"nodes"})
-        await asyncio.wait_for(self.nodes[0].left.wait(), PATIENCE)
+        await bounded(self.nodes[0].left.wait(), PATIENCE)
 
     async def test_report(self):
         await self.begin(2, "k")
--- a/tests/system/test_edge_ends.py
+++ b/tests/system/test_edge_ends.py
@@ -14,6 +14,7 @@
 
 from knotwalk.admission.connection_budget import ConnectionBudget
 from knotwalk.edge import connection_pool
+from tests.standins.timing import bounded
 from tests.system.edge_case import (
     PATIENCE,
     EdgeCase,
@@ -45,7 +46,7 @@
         await self.begin()
         client = await self.held("/i/")
         client.reset()
-        await asyncio.wait_for(self.nodes[0].left.wait(), PATIENCE)
+        await bounded(self.nodes[0].left.wait(), PATIENCE)
         while self.client_server.open_requests:
             await asyncio.sleep(0)
         client = await self.held("/n/")
@@ -102,7 +103,7 @@
         self.go.set()
         status, headers, _ = await client.answer()
         self.assertEqual((status, headers["connection"]), (200, "close"))
-        await asyncio.wait_for(ending, PATIENCE)
+        await bounded(ending, PATIENCE)
         self.assertEqual(await client.rest(), b"")
         self.assertEqual(self.client_server.open_requests, 0)
 
@@ -119,9 +120,9 @@
             ending = asyncio.ensure_future(self.client_server.finished(self.client_server.clock() + PATIENCE))
             clients += [RawClient(*await asyncio.open_connection(sock=one)) for one in sockets]
             for at, client in enumerate(clients):
-                status, headers, _ = await asyncio.wait_for(client.answer(), PATIENCE)
+                status, headers, _ = await bounded(client.answer(), PATIENCE)
                 self.assertEqual((status, headers["attempt-id"], headers["connection"]), (200, f"w{at}", "close"))
-            await asyncio.wait_for(ending, PATIENCE)
+            await bounded(ending, PATIENCE)
         finally:
             for one in clients or sockets:
                 one.close()
@@ -148,7 +149,7 @@
         self.assertEqual(self.runs(), 0)
         self.view.configuration = table
         self.client_server.view_changed({"config"})
-        self.assertEqual((await asyncio.wait_for(client.answer(), PATIENCE))[0], 200)
+        self.assertEqual((await bounded(client.answer(), PATIENCE))[0], 200)
 
     async def test_a_client_of_an_edge_without_a_cluster_view_is_reset_unread(self):
         """Since the request was not read, it may be sent elsewhere, idempotent or not."""
@@ -160,7 +161,7 @@
         for held in list(self.client_server.clients):
             held._give_up()
         with self.assertRaises((ConnectionResetError, asyncio.IncompleteReadError)):
-            await asyncio.wait_for(client.answer(), PATIENCE)
+            await bounded(client.answer(), PATIENCE)
         self.assertEqual(self.runs(), 0)
 
     async def crowd(self, count, gates):
@@ -187,12 +188,12 @@
         second = await self.client()
         second.ask()
         with self.assertRaises((ConnectionResetError, asyncio.IncompleteReadError)):
-            await asyncio.wait_for(second.answer(), PATIENCE)
+            await bounded(second.answer(), PATIENCE)
         gate.set()
         self.assertEqual(((await first.answer())[0], self.runs()), (200, 1))
         third = await self.client()  # the first is answered and idle: it is closed to make room
         third.ask()
-        self.assertEqual((await asyncio.wait_for(third.answer(), PATIENCE))[0], 200)
+        self.assertEqual((await bounded(third.answer(), PATIENCE))[0], 200)
 
     async def test_few_descriptors_serve_many_clients(self):
         """Many clients on a machine with a dozen descriptors: no answer is lost, and idle connections are closed.
@@ -207,7 +208,7 @@
         clients, gate = await self.crowd(4, 2)
         await wait_for(lambda: self.runs() == 2 and len(self.client_server.forwarder.connection_slots.waiting) == 2)
         gate.set()  # two requests wait for a descriptor, not for a node, and go on as soon as one is free
-        heads = [(await asyncio.wait_for(client.answer(), PATIENCE))[:2] for client in clients]
+        heads = [(await bounded(client.answer(), PATIENCE))[:2] for client in clients]
         self.assertEqual([status for status, _ in heads], [200] * 4)
         self.assertIn(
             "close", [heads.get("connection") for _, heads in heads]
@@ -227,7 +228,7 @@
         client = await self.client()
         with mock.patch.object(connection_pool.socket, "socket", side_effect=OSError(24, "Too many open files")):
             client.ask(method="POST", path="/n/")
-            status, heads, _ = await asyncio.wait_for(client.answer(), PATIENCE)
+            status, heads, _ = await bounded(client.answer(), PATIENCE)
         self.assertEqual((status, "retry-after" in heads, self.runs()), (503, True, 0))
 
 
--- a/tests/system/test_edge_passing.py
+++ b/tests/system/test_edge_passing.py
@@ -12,6 +12,7 @@
 from standins.nodes import ELSEWHERE, SHED, answer, client_server, view
 
 from knotwalk.edge.choose import stats_of
+from tests.standins.timing import bounded
 from tests.system.edge_case import (
     BOTH,
     CUT,
@@ -102,7 +103,7 @@
                         )
                         + b"0\r\n\r\n"
                     )
-                status, _, body = await asyncio.wait_for(client.answer(), PATIENCE)
+                status, _, body = await bounded(client.answer(), PATIENCE)
                 self.assertEqual((status, body == data, self.nodes[0].seen[0].body == data), (200, True, True))
                 client.ask("/n/", "next")
                 self.reset()
@@ -167,7 +168,7 @@
             await asyncio.sleep(0)
         held.set()
         for at in range(6):
-            status, headers, body = await asyncio.wait_for(client.answer(), PATIENCE)
+            status, headers, body = await bounded(client.answer(), PATIENCE)
             self.assertEqual(
                 (status, headers["attempt-id"], set(body[a : a + 3] for a in range(0, len(body), 3))),
                 (200, f"id{at}", {b"id%d" % at}),
@@ -185,7 +186,7 @@
                 client = await self.client()
                 client.ask(prefix)
                 with self.assertRaises(CUT):
-                    await asyncio.wait_for(client.answer(), PATIENCE)
+                    await bounded(client.answer(), PATIENCE)
                 self.assertEqual(self.runs(), 1)
         self.reset(cut(in_chunks))
         client = await self.client()
--- a/tests/system/test_edge_reading.py
+++ b/tests/system/test_edge_reading.py
@@ -11,6 +11,7 @@
 from standins.nodes import answer
 
 from knotwalk.configuration.objects import Limits
+from tests.standins.timing import bounded
 from tests.system.edge_case import (
     PATIENCE,
     EdgeCase,
@@ -70,7 +71,7 @@
         for at in range(500):
             client.ask(f"/i/{at}", f"id{at}")
         for at in range(500):
-            self.assertEqual((await asyncio.wait_for(client.answer(), PATIENCE))[1]["attempt-id"], f"id{at}")
+            self.assertEqual((await bounded(client.answer(), PATIENCE))[1]["attempt-id"], f"id{at}")
         (pool,) = self.client_server.forwarder.pools.values()
         self.assertLessEqual(len(pool.all), 16)
 
--- a/tests/system/test_reuse.py
+++ b/tests/system/test_reuse.py
@@ -21,6 +21,7 @@
 from knotwalk.edge import caller as edge_caller, forwarder, node_connection
 from knotwalk.runtime import http_client as runtime_call
 from knotwalk.runtime.errors import PeerError
+from tests.standins.timing import bounded
 
 SHORT = 0.15  # timeout of calls in cases where the peer does not answer
 LONG = 30.0  # timeout of all other calls: a busy machine stalls
@@ -54,7 +55,7 @@
         client = await RawClient.to(self.client_server.port)
         try:
             client.ask(self.path, f"id{number}", deadline=int(min(patience, DEADLINE) * 1000))
-            status, headers, body = await asyncio.wait_for(client.answer(), LONG)
+            status, headers, body = await bounded(client.answer(), LONG)
         except (asyncio.IncompleteReadError, ConnectionError):
             return FAILED
         finally:
@@ -319,7 +320,7 @@
         for number in range(3):
             client = await RawClient.to(made.port)
             client.ask("/n/", f"id{number}")
-            self.assertEqual((await asyncio.wait_for(client.answer(), LONG))[0], 200)
+            self.assertEqual((await bounded(client.answer(), LONG))[0], 200)
             client.close()
             (connection,) = made.forwarder.pools["i-1"].all
             self.assertTrue(connection.transport.is_reading())
--- a/tests/system/test_waiting_bodies.py
+++ b/tests/system/test_waiting_bodies.py
@@ -11,6 +11,7 @@
 
 from knotwalk.configuration.objects import Limits
 from knotwalk.discovery.view_types import Assignment
+from tests.standins.timing import bounded
 from tests.system.edge_case import turns
 from tests.system.held_edge import LARGE_BODY, LONG_S, SHORT_S, STEP_S, TURNS, HeldEdgeCase, WorkingNode
 from tests.system.operations_case import OperationsCase
@@ -347,7 +348,7 @@
                     self.assertEqual((await self.ask("first"))[0], 502)
                     await self.reported()
                 client = await self.upload("second", deadline=1000)
-                found, headers, _ = await asyncio.wait_for(client.answer(), 60)
+                found, headers, _ = await bounded(client.answer(), 60)
                 self.assertEqual((found, headers["connection"]), (status, "close"))
                 self.assertNotIn("second", [r.attempt for node in self.nodes for r in node.seen])
                 if go is not None:
