--- a/knotwalk/discovery/outliers.py
+++ b/knotwalk/discovery/outliers.py
@@ -26,6 +26,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from knotwalk.discovery.binomial import binomial_tail
 from knotwalk.discovery.view_types import Node
 
 # The time in which a recorded attempt decays to 1/e of its weight. Edges report once a second, and two reports must
@@ -71,15 +72,6 @@
         self.load_sum, self.load_reports = self.load_sum * weight, self.load_reports * weight
 
 
-def binomial_tail(bad: int, tries: int, rate: float) -> float:
-    """The probability of `bad` or more bad ones among `tries`, each bad with probability `rate`.
-
-    >>> round(binomial_tail(0, 5, 0.1), 3), round(binomial_tail(1, 5, 0.1), 3), round(binomial_tail(5, 5, 0.1), 6)
-    (1.0, 0.41, 1e-05)
-    """
-    return sum(math.comb(tries, k) * rate**k * (1 - rate) ** (tries - k) for k in range(bad, tries + 1))
-
-
 class OutlierDetection:
     """One core's decision. `add_report` takes reports as they arrive, `evaluate` returns the ejected nodes."""
 
--- a/tests/system/test_outliers.py
+++ b/tests/system/test_outliers.py
@@ -1,8 +1,13 @@
 """Outlier detection by the reports of all edges: true and false positives, bounds, the way back, and its effects."""
 
+import itertools
+import math
 import random
 import unittest
+from decimal import Context, Decimal, localcontext
+from fractions import Fraction
 
+from knotwalk.discovery.binomial import binomial_tail
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.discovery.loads import WINDOW_S, LoadReports
 from knotwalk.discovery.outliers import (
@@ -18,6 +23,71 @@
 from tests.system.test_placement import Fleet
 
 
+def exact_tail(bad: int, tries: int, rate: float) -> Fraction:
+    """The sum of the distribution's terms in exact fractions."""
+    p = Fraction(rate)
+    return sum((math.comb(tries, k) * p**k * (1 - p) ** (tries - k) for k in range(bad, tries + 1)), Fraction(0))
+
+
+def precise_tail(bad: int, tries: int, rate: float) -> Decimal:
+    """The same to forty digits, for many tries: by the ratio of successive terms."""
+    with localcontext(Context(prec=60, Emin=-(10**9), Emax=10**9)):
+        p, total = Decimal(rate), Decimal(0)
+        term, odds = (1 - p) ** tries, p / (1 - p)
+        for k in range(tries + 1):
+            if k >= bad:
+                total += term
+                if k > tries * rate and term < total * Decimal("1e-30"):
+                    break
+            term = term * (tries - k) / (k + 1) * odds
+        return total
+
+
+class BinomialTailTest(unittest.TestCase):
+    """Guards against a test for outliers that ends the cores where one node has a thousand tries (review/2, FAULT)."""
+
+    MAX_RELATIVE_ERROR = 1e-7
+
+    def check(self, expected, *arguments):
+        found = binomial_tail(*arguments)
+        if expected > 1e-300:
+            self.assertLessEqual(abs(float(Fraction(found) / Fraction(expected)) - 1), self.MAX_RELATIVE_ERROR)
+        else:
+            self.assertLessEqual(found, 1e-299)
+
+    def test_against_exact_fractions(self):
+        for tries, rate in itertools.product((0, 1, 2, 3, 10, 41), (0.0, 1e-9, 0.015, 0.2, 0.5, 0.97, 1.0)):
+            for bad in range(tries + 2):
+                with self.subTest(bad=bad, tries=tries, rate=rate):
+                    self.check(exact_tail(bad, tries, rate), bad, tries, rate)
+
+    def test_with_many_tries(self):
+        for tries in (1029, 1030, 1031, 20_000):
+            for rate, part in itertools.product((0.015, 0.4, 0.9), (0.001, 0.014, 0.02, 0.39, 0.41, 0.6, 0.95, 1.0)):
+                with self.subTest(tries=tries, rate=rate, part=part):
+                    bad = round(part * tries)
+                    self.check(precise_tail(bad, tries, rate), bad, tries, rate)
+
+    def test_with_a_million_tries(self):
+        for bad, rate in ((15_400, 0.015), (400_900, 0.4), (399_000, 0.4), (1_000_000, 0.5), (0, 0.5)):
+            with self.subTest(bad=bad, rate=rate):
+                self.check(precise_tail(bad, 1_000_000, rate), bad, 1_000_000, rate)
+
+    def test_a_busy_node_that_fails_is_ejected_and_its_peers_are_not(self):
+        """What one core hears of seven nodes, one of which gets most requests and fails two in five."""
+        for rate in (400.0, 1_080.0, 45_000.0):
+            with self.subTest(requests_per_s=rate):
+                detection, nodes = (
+                    OutlierDetection(),
+                    {f"n{n}": Node(f"n{n}", "s", ("a", n), "z", 16) for n in range(7)},
+                )
+                for second in range(4):
+                    rows = {id: [0, 0, 16, 20, 0, 0, 1.0] for id in nodes} | {"n0": [0, 0, 16, rate, 0, 0, 9.0]}
+                    detection.add_report(second, {"nodes": rows, "bad": {"n0": [0.4 * rate, 0]}})
+                    ejected = detection.evaluate(second, nodes)
+                self.assertEqual(ejected, {"n0"})
+
+
 class ReportingEdges:
     """A service's nodes as `edges` edges see them: `rate` attempts a second at each, bad with probability `chances`."""
 
