Core, edge: a decision that raises is counted and passed over, not the end of the program

Cause: periodic tasks call the pure decisions directly, and a program ends with its first task. The other way round, an error in applying entries or in a step of the grants was in a timer or a task that nobody awaits: logged or not, the driver stood still or went on half-applied.

Change: `runtime/decision_guard`: nine decisions of core and edge whose state is whole after an exception are logged with the size of their input (when their number has doubled), counted in two new metrics, and keep their last good result.

--- a/knotwalk/control_plane/__main__.py
+++ b/knotwalk/control_plane/__main__.py
@@ -32,6 +32,7 @@
 from knotwalk.discovery.view_publisher import ViewPublisher
 from knotwalk.leases.actions import GrantTiming
 from knotwalk.runtime import logs
+from knotwalk.runtime.decision_guard import DecisionGuard
 from knotwalk.runtime.http_client import HttpClient
 from knotwalk.runtime.http_server import Listener
 from knotwalk.runtime.lifecycle import METRICS_DELAY_S, ProcessSignals, run_program
@@ -78,7 +79,10 @@
             self.claims.on_damage = lambda: os._exit(1)
         self.view_publisher = ViewPublisher(os.urandom(6).hex())
         self.loads = LoadReports()
-        self.list_poller = ListPoller(settings, self.consensus, self.view_publisher, self.http_client, self.me)
+        self.guard = DecisionGuard()
+        self.list_poller = ListPoller(
+            settings, self.consensus, self.view_publisher, self.http_client, self.me, self.guard
+        )
         self.node_caller = HttpClient(reset_on_close=True, with_call_ids=False)  # nodes don't repeat our call ids
         self.conductor = SliceManager(
             self.me,
@@ -90,8 +94,10 @@
             seed,
             self.propose,
             settings.zone,
+            self.guard,
         )
-        self.allowances = Allowances(self.me, settings, self.consensus, self.list_poller, self.http_client)
+        self.conductor.on_failure = lambda: os._exit(1)
+        self.allowances = Allowances(self.me, settings, self.consensus, self.list_poller, self.http_client, self.guard)
         self.peer_api = PeerApi(
             self.me,
             self.consensus,
@@ -101,6 +107,7 @@
             self.loads,
             self.http_client,
             self.claims,
+            self.guard,
         )
         memory = int(settings.machine.memory_mb * 1024 * 1024 * MEMORY_FRACTION)
         self.admissions = Admissions(
@@ -138,7 +145,12 @@
     def on_configuration(self) -> None:
         """Another configuration came into force: send it to the edges."""
         state = self.consensus.state
-        self.view_publisher.set_config(state.configuration_index, to_document(state.configuration))
+        document, is_set = to_document(state.configuration), False
+        with self.guard.protect("configuration difference", items=len(document["objects"])):
+            self.view_publisher.set_config(state.configuration_index, document)
+            is_set = True
+        if not is_set:
+            self.view_publisher.set_whole_config(state.configuration_index, document)
         self.admissions.on_configuration(state.configuration)
         if self.claims is not None:
             self.claims.on_configuration(state.configuration)
--- a/knotwalk/control_plane/allowances.py
+++ b/knotwalk/control_plane/allowances.py
@@ -13,6 +13,7 @@
 
 from knotwalk.control_plane.consensus_driver import ConsensusDriver
 from knotwalk.control_plane.list_poller import ListPoller
+from knotwalk.runtime.decision_guard import DecisionGuard
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.http_client import HttpClient
 from knotwalk.runtime.http_server import json_body, json_response
@@ -75,8 +76,15 @@
     """A core machine's tokens of tenants' limits, and, while this machine leads, the buckets that they come from."""
 
     def __init__(
-        self, me: str, settings: Settings, consensus: ConsensusDriver, list_poller: ListPoller, http_client: HttpClient
+        self,
+        me: str,
+        settings: Settings,
+        consensus: ConsensusDriver,
+        list_poller: ListPoller,
+        http_client: HttpClient,
+        guard: DecisionGuard | None = None,
     ):
+        self.guard = guard or DecisionGuard()
         self.me, self.consensus, self.list_poller, self.http_client = me, consensus, list_poller, http_client
         self.limits = TenantLimits(settings, consensus)
         self.escrow = Escrow(self.limits.of)
@@ -170,7 +178,8 @@
                 self._log_refusals()
                 continue
             await asyncio.sleep(BATCH_DELAY_S)
-            await self._refill()
+            with self.guard.protect("allowances", tenants=len(self.escrow.holdings)):
+                await self._refill()
 
     async def _refill(self) -> None:
         sent = clock()
--- a/knotwalk/control_plane/consensus_driver.py
+++ b/knotwalk/control_plane/consensus_driver.py
@@ -5,8 +5,9 @@
 import asyncio
 import json
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 from typing import Any
 
 from knotwalk.consensus.machine import Machine
@@ -69,7 +70,8 @@
 
     Callbacks: `on_change` gets what each entry changed; `on_configuration` is called once after a run of entries of
     which any requires notification; `on_role` when the role or the leader changes; `on_restore` when the state was
-    replaced; `on_persisted` after each write; `on_damage` when the log file is damaged.
+    replaced; `on_persisted` after each write; `on_damage` when the log file is damaged, or an error leaves the group's
+    state half-applied.
 
     Messages go to the path /consensus of peers, or through `send` if the group has its own way of sending."""
 
@@ -130,13 +132,28 @@
 
     # --- actions of the machine -------------------------------------------------------------------
 
+    @contextmanager
+    def _end_on_error(self) -> Iterator[None]:
+        """End the process if the block raises: with entries half-applied it could break what it has promised."""
+        try:
+            yield
+        except Exception:
+            log_exception("consensus failed", group=self.group, applied=self.machine.applied)
+            self.on_damage()
+            raise
+
     def tick(self) -> None:
         """Advance the machine to the current time, then perform its actions."""
-        self.machine.tick(clock())
-        self.perform_actions()
+        with self._end_on_error():
+            self.machine.tick(clock())
+            self._perform_actions()
 
     def perform_actions(self) -> None:
         """Perform the actions that the machine has queued, and set the timer for its next tick."""
+        with self._end_on_error():
+            self._perform_actions()
+
+    def _perform_actions(self) -> None:
         machine = self.machine
         while machine.actions:
             actions, machine.actions = machine.actions, []
@@ -213,9 +230,10 @@
             if self.disk_failing:
                 self.disk_failing = False
                 log_info("disk writes succeed again")
-            self.machine.on_saved(clock(), save.number)
-            self.perform_actions()
-            self.on_persisted()
+            with self._end_on_error():
+                self.machine.on_saved(clock(), save.number)
+                self._perform_actions()
+                self.on_persisted()
 
     def _on_write_failure(self, why: str) -> None:
         if not self.disk_failing:
--- a/knotwalk/control_plane/list_poller.py
+++ b/knotwalk/control_plane/list_poller.py
@@ -12,6 +12,7 @@
 from knotwalk.discovery.view_types import Node, node_from_wire, node_to_wire
 from knotwalk.leases.conductor_leases import LEADERSHIP_PROOF_S, ConductorLeases, hand_over, reassign
 from knotwalk.leases.ledger import ranges
+from knotwalk.runtime.decision_guard import DecisionGuard
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.http_client import HttpClient
 from knotwalk.runtime.logs import clock, log_info, log_warning
@@ -45,7 +46,9 @@
         view_publisher: ViewPublisher,
         http_client: HttpClient,
         me: str,
+        guard: DecisionGuard | None = None,
     ):
+        self.guard = guard or DecisionGuard()
         self.settings, self.consensus, self.view_publisher, self.http_client, self.me = (
             settings,
             consensus,
@@ -103,7 +106,8 @@
             self.grant_lease(self.me)
             conductor_leases = self.conductor_leases
             for service in list(self.consensus.state.ledger.slices):
-                await self.maintain_service(conductor_leases, service)
+                with self.guard.protect("lease balance", service=service, conductors=len(conductor_leases.ends_at)):
+                    await self.maintain_service(conductor_leases, service)
 
     def is_current(self, conductor_leases: ConductorLeases) -> bool:
         """Whether `conductor_leases` is still valid: this core has led since they began, and is confirmed."""
@@ -175,26 +179,34 @@
             if term == self.consensus.machine.term:
                 await asyncio.sleep(POLL_INTERVAL_S if not failing else min(2.0, 0.3 * failing))
             term = self.consensus.machine.term
-            try:
-                listing = await self.read()
-            except (PeerError, InvalidPageError) as error:
+            listing, why = None, "a page can't be parsed"
+            with self.guard.protect("platform list"):
+                try:
+                    listing = await self.read()
+                except (PeerError, InvalidPageError) as error:
+                    why = str(error)
+            if listing is None:
                 failing += 1
                 if failing in (1, 10, 100):
-                    log_warning("platform list can't be read", why=str(error), times=failing)
+                    log_warning("platform list can't be read", why=why, times=failing)
                 continue
             failing = 0
-            if not self.is_proven or term != self.consensus.machine.term:
-                continue
-            self.list_revision += 1
-            if self.view_publisher.set_nodes((term, self.list_revision), listing.nodes, True):
-                log_info(
-                    "list",
-                    order=self.view_publisher.nodes_order,
-                    nodes=len(listing.nodes),
-                    draining=sum(n.draining for n in listing.nodes.values()),
-                )
-                self.on_nodes()
-                asyncio.get_running_loop().create_task(self.send_list_to_cores())
+            if self.is_proven and term == self.consensus.machine.term:
+                self.publish(term, listing)
+
+    def publish(self, term: int, listing: NodeListing) -> None:
+        """Publish the list that this leader has read, if it has changed."""
+        self.list_revision += 1
+        if not self.view_publisher.set_nodes((term, self.list_revision), listing.nodes, True):
+            return
+        log_info(
+            "list",
+            order=self.view_publisher.nodes_order,
+            nodes=len(listing.nodes),
+            draining=sum(n.draining for n in listing.nodes.values()),
+        )
+        self.on_nodes()
+        asyncio.get_running_loop().create_task(self.send_list_to_cores())
 
     async def own_nodes(self) -> dict[str, Node]:
         """The list as this machine reads it itself, for edges that start while nobody leads; empty if it can't be read.
--- a/knotwalk/control_plane/metrics.py
+++ b/knotwalk/control_plane/metrics.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from knotwalk.leases.slice_lease import State
-from knotwalk.runtime.metrics import Metric, MetricType, gauge, loop_delay_metric
+from knotwalk.runtime.metrics import Metric, MetricType, decision_failures, gauge, loop_delay_metric
 from knotwalk.shared_state.messages import Admission, Ending
 
 if TYPE_CHECKING:
@@ -175,3 +175,4 @@
     yield from allowances(plane)
     yield from claims(plane.claims)
     yield loop_delay_metric(plane.loop_delay)
+    yield decision_failures("knotwalk_core_decision_failures", plane.guard)
--- a/knotwalk/control_plane/peer_api.py
+++ b/knotwalk/control_plane/peer_api.py
@@ -20,6 +20,7 @@
 from knotwalk.discovery.view_publisher import ViewPublisher
 from knotwalk.discovery.view_types import KEY_COUNT, MAX_LEADER_SILENCE_S
 from knotwalk.leases.conductor_leases import LEADERSHIP_PROOF_S, LEASE_REQUEST_INTERVAL_S
+from knotwalk.runtime.decision_guard import DecisionGuard
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.http_client import HttpClient
 from knotwalk.runtime.http_server import compressed_response, json_body, json_response, make_app
@@ -50,8 +51,9 @@
         loads: LoadReports,
         http_client: HttpClient,
         claims: ClaimGroups | None = None,
+        guard: DecisionGuard | None = None,
     ):
-        self.claims = claims
+        self.claims, self.guard = claims, guard or DecisionGuard()
         self.me, self.consensus, self.list_poller, self.conductor = me, consensus, list_poller, conductor
         self.view_publisher, self.loads, self.http_client = view_publisher, loads, http_client
         self.update_event = asyncio.Event()
@@ -210,8 +212,9 @@
         self.on_incarnation(payload.get("life", ""))
         self.edge_calls[payload["edge"]] = now, payload["epoch"], payload["at"]
         arrived = now
-        if payload.get("report"):
-            self.loads.add_report(now, payload["report"], True)
+        if report := payload.get("report"):
+            with self.guard.protect("load report", edge=payload["edge"], nodes=len(report.get("nodes", ()))):
+                self.loads.add_report(now, report, True)
         until, fresh_by = now + min(MAX_WAIT_S, payload.get("wait", 0.0)), now + FRESH_WAIT_S
         provisional = await self.provisional_view(payload)
         while True:
@@ -329,14 +332,16 @@
             self.conductor.peer_reachability.add_report(now, parse_unreached_nodes(unreached))
         for edge in payload.pop("edges", ()):
             self.loads.record_edge(now, edge, False)
-        self.loads.add_report(now, payload, False)
+        with self.guard.protect("load report", nodes=len(payload.get("nodes", ()))):
+            self.loads.add_report(now, payload, False)
         return json_response({})
 
     async def share_loads(self) -> None:
         """Every LOAD_SHARE_INTERVAL_S, report the loads seen here to the other cores."""
         while True:
             await asyncio.sleep(LOAD_SHARE_INTERVAL_S)
-            self.update_outliers()
+            with self.guard.protect("outliers", nodes=len(self.view_publisher.nodes)):
+                self.update_outliers()
             report = self.loads.take_unsent(clock())
             if unreached := self.conductor.unreached(clock()):
                 report["unreached"] = unreached.to_dict()
--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -15,6 +15,7 @@
 from knotwalk.leases.grant_manager import GrantManager
 from knotwalk.placement.capacity import LoadReport, utilizations_by_node
 from knotwalk.placement.placer import Placer
+from knotwalk.runtime.decision_guard import DecisionGuard
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.http_client import ConnectionRefusedPeerError, HttpClient
 from knotwalk.runtime.logs import clock, log_exception, log_info, log_warning
@@ -52,7 +53,9 @@
         seed: int,
         propose: Callable[[dict], Awaitable[str | None]],
         zone: str = "",
+        guard: DecisionGuard | None = None,
     ):
+        self.guard = guard or DecisionGuard()
         self.me, self.consensus, self.view_publisher, self.loads, self.http_client = (
             me,
             consensus,
@@ -68,31 +71,42 @@
         self.tasks: set[asyncio.Task] = set()
         self.call_slots: dict[tuple[tuple[str, int], str], asyncio.Semaphore] = {}  # by a node's address and call name
         self.stopped = False
+        self.on_failure: Callable[[], None] = lambda: None
         self.cleared_counts: Counter[Evidence] = Counter()  # slices whose former holder was cleared, by evidence
         self.call_counts: Counter[tuple[str, str]] = Counter()  # by call and outcome
 
+    def _advance(self, step: Callable[[], None]) -> None:
+        """Have the grant manager take one step, and perform its actions.
+
+        An error ends the process: half-applied, what is known of holders could let two nodes hold a key. The next
+        process takes every node that the ledger names for a holder."""
+        try:
+            step()
+            self.perform_actions()
+        except Exception:
+            log_exception("grants failed", slices=len(self.grant_manager.slice_leases))
+            self.on_failure()
+            raise
+
     def on_lease(self, until: float, index: int) -> None:
         """This core was granted a lease until `until`; the leader's log had reached `index` then."""
-        self.grant_manager.on_lease_proven(clock(), until, index)
-        self.perform_actions()
+        self._advance(lambda: self.grant_manager.on_lease_proven(clock(), until, index))
 
     def on_ledger_change(self, replaced: bool = False) -> None:
         """An entry of the replicated ledger was applied, or (`replaced`) the whole ledger was replaced."""
         ledger = self.consensus.state.ledger
-        self.grant_manager.on_ledger(clock(), ledger, None if replaced else ledger.changed)
-        self.perform_actions()
+        changed = None if replaced else ledger.changed
+        self._advance(lambda: self.grant_manager.on_ledger(clock(), ledger, changed))
 
     def on_nodes_changed(self) -> None:
         """The platform's list of nodes changed."""
-        self.grant_manager.on_nodes_listed(clock(), self.view_publisher.nodes)
         listed = {node.address for node in self.view_publisher.nodes.values()}
         self.call_slots = {key: slot for key, slot in self.call_slots.items() if key[0] in listed}
-        self.perform_actions()
+        self._advance(lambda: self.grant_manager.on_nodes_listed(clock(), self.view_publisher.nodes))
 
     def tick(self) -> None:
         """Advance the grant manager to the current time."""
-        self.grant_manager.tick(clock())
-        self.perform_actions()
+        self._advance(lambda: self.grant_manager.tick(clock()))
 
     def stop(self) -> None:
         """Stop: nothing is granted, renewed or released from now on."""
@@ -168,8 +182,7 @@
                 slot.release()
         self.call_counts[step, str(status or "silent")] += 1
         if not self.stopped:
-            self.grant_manager.on_call_ended(clock(), action, status, handover)
-            self.perform_actions()
+            self._advance(lambda: self.grant_manager.on_call_ended(clock(), action, status, handover))
 
     async def _send_call(
         self, action: Grant | Release, step: str, payload: dict
@@ -197,11 +210,9 @@
             now = clock()
             if now >= self.grant_manager.lease_until or not self.view_publisher.nodes:
                 continue
-            try:
+            moves: list[dict] = []
+            with self.guard.protect("placement", nodes=len(self.view_publisher.nodes)):
                 moves = self.plan_moves(now)
-            except Exception:  # a failing placement must not end the renewals of grants
-                log_exception("placement failed")
-                continue
             for command in moves:
                 log_info("moves", runs=len(command["moves"]), first=command["moves"][0])
                 await self.propose(command)
--- a/knotwalk/discovery/view_publisher.py
+++ b/knotwalk/discovery/view_publisher.py
@@ -79,6 +79,13 @@
         ):
             self.changes.popleft()
 
+    def set_whole_config(self, order: int, document: dict) -> None:
+        """The same without a difference from the previous configuration: edges get the document whole."""
+        self.config = order, document
+        self._next_revision()
+        self.changes.clear()
+        self.item_sizes.clear()
+
     def _document_size(self, document: dict) -> int:
         """Size of a document in bytes.
 
--- a/knotwalk/edge/__main__.py
+++ b/knotwalk/edge/__main__.py
@@ -25,6 +25,7 @@
 from knotwalk.edge.limits import Refusals, needs_ask
 from knotwalk.edge.operations import Operations
 from knotwalk.edge.view_poller import ViewPoller
+from knotwalk.runtime.decision_guard import DecisionGuard
 from knotwalk.runtime.lifecycle import METRICS_DELAY_S, ProcessSignals, run_program
 from knotwalk.runtime.logs import clock, log_info
 from knotwalk.runtime.settings import Settings
@@ -46,7 +47,7 @@
         )  # fails early if an address is missing
         seed = crc32(f"{settings.node_name}{os.getpid()}{os.urandom(4).hex()}".encode())
         self.view = ClusterView()
-        self.caller = Caller()
+        self.caller, self.guard = Caller(), DecisionGuard()
         self.client_server = ClientServer(settings, self.view, clock, seed)
         port = settings.ports[0]
         self.view_poller = ViewPoller(
@@ -59,6 +60,7 @@
             lambda: self.client_server.report(clock()),
             self.on_view_update,
             self.client_server.forwarder.freshness,
+            self.guard,
         )
         incarnation = self.view_poller.incarnation = os.urandom(8).hex()
         self.admission_calls = AdmissionCalls(
--- a/knotwalk/edge/edge_metrics.py
+++ b/knotwalk/edge/edge_metrics.py
@@ -8,7 +8,7 @@
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.client_server import ClientServer
 from knotwalk.edge.view_poller import ViewPoller
-from knotwalk.runtime.metrics import Metric, MetricType, gauge, loop_delay_metric
+from knotwalk.runtime.metrics import Metric, MetricType, decision_failures, gauge, loop_delay_metric
 
 PRIORITY_SEPARATOR = ", rank "  # separates the outcome from the route's priority in the name of a count
 
@@ -99,6 +99,7 @@
     )
     yield from admission_metrics(client_server)
     yield loop_delay_metric(client_server.loop_delay)
+    yield decision_failures("knotwalk_edge_decision_failures", view_poller.guard)
 
 
 def admission_metrics(client_server: ClientServer) -> Iterator[Metric]:
--- a/knotwalk/edge/view_poller.py
+++ b/knotwalk/edge/view_poller.py
@@ -10,6 +10,7 @@
 from knotwalk.discovery.cluster_view import ClusterView
 from knotwalk.edge.caller import Caller
 from knotwalk.edge.freshness import Freshness
+from knotwalk.runtime.decision_guard import DecisionGuard
 from knotwalk.runtime.errors import PeerError
 from knotwalk.runtime.logs import clock, log_info, log_warning
 
@@ -45,7 +46,9 @@
         report: Callable[[], dict],
         on_update: Callable[[set[str], int], None],
         freshness: Freshness | None = None,
+        guard: DecisionGuard | None = None,
     ):
+        self.guard = guard or DecisionGuard()
         self.edge, self.view, self.caller, self.seeds = edge, view, caller, seeds
         self.report, self.on_update = report, on_update
         self.freshness = freshness or Freshness(math.inf, False)
@@ -82,12 +85,17 @@
         while True:
             if self.core is None:
                 self.core = self.next_core()
-            if self.core is None or not await self.poll(self.core):
+            is_usable = False
+            if self.core is not None:
+                with self.guard.protect("cluster view", core=self.core, nodes=len(self.view.nodes)):
+                    is_usable = await self.poll(self.core)
+            if not is_usable:
                 self.core = None
                 await asyncio.sleep(pause * self.random.uniform(0.5, 1.0))
                 pause = min(MAX_RETRY_PAUSE_WITHOUT_VIEW_S if self.view.is_empty else MAX_RETRY_PAUSE_S, 1.5 * pause)
             else:
                 pause, self.tried_in_round = RETRY_PAUSE_S, []
+                assert self.core is not None
                 self.core = self.prefer_same_zone(self.core)
 
     def prefer_same_zone(self, core: str) -> str:
@@ -120,7 +128,8 @@
         request = {"edge": self.edge, "life": self.incarnation, "wait": wait, **self.view.positions()}
         if now - self.reported_at >= 0.9 * POLL_WAIT_S:
             self.reported_at = now
-            request["report"] = self.report()
+            with self.guard.protect("load report", nodes=len(self.view.nodes)):
+                request["report"] = self.report()
         try:
             response = await self.caller.json(
                 "POST", f"http://{core}/cluster-view", request, wait + POLL_TIMEOUT_S, "cluster view"
--- a/knotwalk/runtime/metrics.py
+++ b/knotwalk/runtime/metrics.py
@@ -18,6 +18,7 @@
 from enum import Enum
 
 from knotwalk.runtime import text_port
+from knotwalk.runtime.decision_guard import DecisionGuard
 from knotwalk.runtime.logs import log_exception, log_info, log_warning
 from knotwalk.runtime.loop_delay import LoopDelay
 
@@ -57,6 +58,17 @@
     )
 
 
+def decision_failures(name: str, guard: DecisionGuard) -> Metric:
+    """The metric of decisions that failed and were passed over, by decision."""
+    return Metric(
+        name,
+        MetricType.COUNTER,
+        "decisions that raised an error, by decision; the last good one stayed",
+        {(decision,): count for decision, count in guard.failures.items()},
+        ("decision",),
+    )
+
+
 def restore_tls_modules() -> None:
     """Restore parts of modules that were loaded without TLS and that the metrics library names but never uses.
 
--- a/tests/standins/village.py
+++ b/tests/standins/village.py
@@ -175,6 +175,8 @@
 class Village:
     """The whole system. `start` must run in the stand-ins' loop; `stop` ends all processes and deletes all files."""
 
+    core_module, edge_module = "knotwalk.control_plane", "knotwalk.edge"  # the programs' modules
+
     def __init__(
         self,
         tiles: int = 4,
@@ -217,7 +219,7 @@
             self.cores.append(
                 Program(
                     self.folder,
-                    "knotwalk.control_plane",
+                    self.core_module,
                     self.platform_settings(
                         f"core-{number}",
                         ip,
@@ -233,7 +235,7 @@
             self.edges.append(
                 Program(
                     self.folder,
-                    "knotwalk.edge",
+                    self.edge_module,
                     self.platform_settings(
                         f"edge-{number}",
                         ip,
