Walks: a decision that failed and was passed over is a violation

Cause: walks saw an exception of a decision as an error of its task, and the guard passes it over now; so the walks had become blind to it. The guard keeps the last error of each decision, and every walk reports those of all core and edge processes. The test asks for the same error, by the decision's name.

--- a/knotwalk/runtime/decision_guard.py
+++ b/knotwalk/runtime/decision_guard.py
@@ -15,10 +15,14 @@
 
 
 class DecisionGuard:
-    """Guards the decisions of one program. `failures` counts exceptions by the decision's name, for its metrics."""
+    """Guards the decisions of one program.
+
+    `failures` counts exceptions by the decision's name, for its metrics; `errors` has the last one of each as a text.
+    """
 
     def __init__(self) -> None:
         self.failures: Counter[str] = Counter()
+        self.errors: dict[str, str] = {}
 
     @contextmanager
     def protect(self, decision: str, **size: object) -> Iterator[None]:
@@ -27,8 +31,9 @@
         Of failures that repeat, those are logged at which their number has doubled."""
         try:
             yield
-        except Exception:
+        except Exception as error:
             self.failures[decision] += 1
+            self.errors[decision] = f"{type(error).__name__} {error}"
             times = self.failures[decision]
             if times & (times - 1) == 0:
                 log_exception("decision failed", decision=decision, times=times, **size)
--- a/tests/simulation/programs.py
+++ b/tests/simulation/programs.py
@@ -144,6 +144,11 @@
 
         self.spawn(live())
 
+    @property
+    def guard(self) -> Any:
+        """The guard of its decisions, None before it is made."""
+        return self.plane.guard if self.plane else None
+
     @property
     def machine(self) -> Any:
         """The consensus machine, None before it is made."""
--- a/tests/simulation/walk.py
+++ b/tests/simulation/walk.py
@@ -112,9 +112,10 @@
 
 
 def find_violations(world: World) -> list[str]:
-    """All violations of a walk, errors of its programs included."""
+    """All violations of a walk, errors of its programs included, also those of guarded decisions."""
     register = world.register.find_violation()
-    return [*world.judge.violations, *world.owners.broken, *world.loop.failed(), *([register] if register else [])]
+    errors = [*world.loop.failed(), *world.failed_decisions()]
+    return [*world.judge.violations, *world.owners.broken, *errors, *([register] if register else [])]
 
 
 def check_recovery(world: World) -> None:
--- a/tests/simulation/world.py
+++ b/tests/simulation/world.py
@@ -152,6 +152,16 @@
         self.crash(core)
         core.retired = True
 
+    def failed_decisions(self) -> list[str]:
+        """Errors of decisions that the programs have passed over."""
+        guards = [(process, getattr(process, "guard", None)) for process in self.loop.processes]
+        return [
+            f"{process.name}: {decision} failed: {error}"
+            for process, guard in guards
+            if guard is not None
+            for decision, error in guard.errors.items()
+        ]
+
     def running(self) -> list[CoreMachine]:
         return [core for core in self.core_machines.values() if core.process is not None and core.process.machine]
 
@@ -223,7 +233,7 @@
             on_update,
             keys_judge.freshness(),
         )
-        process.view_poller = view_poller  # type: ignore[attr-defined]
+        process.view_poller, process.guard = view_poller, view_poller.guard  # type: ignore[attr-defined]
         process.spawn(view_poller.run())
 
     # -- the platform and its nodes
--- a/tests/system/test_small_groups.py
+++ b/tests/system/test_small_groups.py
@@ -215,7 +215,7 @@
         mistake = Mistake(SMALL_GROUPS, ((list_poller, "hand_over", hand_over_between_two),), within=3)
         found = find(mistake, mistake.seeds())
         self.assertIsNotNone(found)
-        self.assertRegex(found.violations[0], "ValueError not enough values to unpack")
+        self.assertRegex(found.violations[0], "lease balance failed: ValueError not enough values to unpack")
 
 
 class SmallGroupTest(unittest.TestCase):
