--- a/knotwalk/edge/answer_reader.py
+++ b/knotwalk/edge/answer_reader.py
@@ -1,7 +1,7 @@
 """Reads a node's answers: whether one belongs to the pending request, its framing, and whether the connection is kept.
 
 An answer belongs to the pending request only if it has that request's id, or is the short form by which a node refuses
-a request. Unexpected bytes close the connection.
+a request. Unexpected bytes close the connection, and so does a head that was joined of two answers.
 
 The texts of ValueErrors become causes in metric labels.
 """
@@ -11,6 +11,7 @@
 from knotwalk.admission.outcome import TryOutcome, classify_answer
 from knotwalk.edge.node_answer import HOP_BY_HOP_HEADERS, Answer, Sink, read_load
 from knotwalk.edge.node_connection_state import NodeConnectionState, Phase
+from knotwalk.runtime.http_heads import holds_status_line
 
 # An answer up to this size is buffered completely before its head is passed on, so that after a truncated one the
 # request can be tried again.
@@ -26,16 +27,28 @@
     """The part of a node connection that reads answers."""
 
     _has_excess = False  # one read had bytes after a complete answer
+    _reason = b""  # the reason phrase of the answer being read, as far as it has arrived
 
     def on_message_begin(self) -> None:
         """An answer begins, perhaps an unexpected one."""
+        self._reason = b""
         if self._done:
             self._has_excess = True
 
+    def on_status(self, reason: bytes) -> None:
+        """Check a part of the reason phrase, with the end of the part before."""
+        if self._has_excess or self.phase is Phase.ANSWERING:
+            return
+        self._reason += reason
+        if holds_status_line(self._reason):
+            raise ValueError("two answers joined")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header, or drop a trailer."""
         if self._has_excess or self.phase is Phase.ANSWERING:
             return
+        if holds_status_line(value):
+            raise ValueError("two answers joined")
         self._headers.append((name, value))
         self._head_size += len(name) + len(value) + 4
         if self._head_size > MAX_HEAD_BYTES:
--- a/knotwalk/edge/caller.py
+++ b/knotwalk/edge/caller.py
@@ -18,6 +18,7 @@
 
 from knotwalk.runtime.compression import ENCODING, decompress
 from knotwalk.runtime.errors import PeerError, decode_json_response
+from knotwalk.runtime.http_heads import holds_status_line
 
 # Age at which an idle connection is not used again: less than half of the time for which a core keeps it open.
 MAX_IDLE_S = 8.0
@@ -64,6 +65,7 @@
         self.body: list[bytes] = []
         self.size = 0
         self.answered_id = b""  # id of the answered call, if the core sends it
+        self.reason = b""  # the reason phrase, as far as it has arrived
         self.packed = False
 
     def _to(self, state: CallState) -> None:
@@ -136,8 +138,16 @@
         if self.state is not CallState.WAITING:
             self.end("unexpected bytes outside of an answer")
 
+    def on_status(self, reason: bytes) -> None:
+        """Close the connection if the reason phrase holds the beginning of another answer."""
+        self.reason += reason
+        if holds_status_line(self.reason):
+            self.end("two answers joined")
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Read the call's id and whether the body is compressed."""
+        if holds_status_line(value):
+            self.end("two answers joined")
         match name.lower():
             case b"call-id":
                 self.answered_id = value.strip()
--- a/knotwalk/runtime/http_client.py
+++ b/knotwalk/runtime/http_client.py
@@ -26,6 +26,7 @@
     sys.modules["ssl"] = loaded_ssl
 
 from knotwalk.runtime.errors import PeerError, decode_json_response
+from knotwalk.runtime.http_heads import holds_status_line
 
 # A peer with a one-way delay of 1.4 ms answers within a few milliseconds; one that is stalled on a shared CPU needs a
 # few tenths of a second.
@@ -83,13 +84,19 @@
     return bool(poll.poll(0))
 
 
-class CallIdResponse(aiohttp.ClientResponse):
-    """A response that must repeat the call's id: one with another id fails the call and closes its connection."""
+class CheckedResponse(aiohttp.ClientResponse):
+    """A response whose head is one head, and repeats the call's id if it has one.
+
+    Any other fails the call and closes its connection."""
 
     async def start(self, connection: Any) -> Any:
-        """Read the head and check the call's id in it."""
+        """Read the head and check it."""
         protocol = connection.protocol
         await super().start(connection)
+        texts = ((self.reason or "").encode(errors="surrogateescape"), *(value for _, value in self.raw_headers))
+        if any(holds_status_line(text) for text in texts):
+            protocol.close()
+            raise aiohttp.ClientConnectionError("two responses joined")
         call_id = self.request_info.headers.get("Call-Id")
         if call_id is not None and self.headers.get("Call-Id", call_id) != call_id:
             protocol.close()  # a short response has already returned it to the pool
@@ -107,7 +114,7 @@
             socket_factory=make_reset_on_close_socket if reset_on_close else None,
             **({"keepalive_timeout": KEEPALIVE_TIMEOUT_S} if keep_connections else {"force_close": True}),
         ),
-        response_class=CallIdResponse,
+        response_class=CheckedResponse,
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=False,
         trust_env=False,
--- a/tests/system/test_reuse.py
+++ b/tests/system/test_reuse.py
@@ -361,7 +361,7 @@
                 await self.found((EdgeToNode,), (faulty_peer.stray,), (READ,))
         with mock.patch.object(edge_caller.Connection, "on_headers_complete", lambda self: None):
             self.assertTrue(await self.found((EdgeToCore,), (faulty_peer.stray,), (READ,)))
-        with mock.patch.object(runtime_call.CallIdResponse, "start", aiohttp.ClientResponse.start):
+        with mock.patch.object(runtime_call.CheckedResponse, "start", aiohttp.ClientResponse.start):
             self.assertTrue(await self.found((CoreToCore,), (faulty_peer.stray,), (READ,)))
 
     async def test_a_non_idempotent_request_sent_twice(self):
