--- a/tests/system/test_small_groups.py
+++ b/tests/system/test_small_groups.py
@@ -51,6 +51,16 @@
         self.run(SETTLE_S)
 
 
+def play(world: World, happens: Callable[[Scene], None], before_s: float, after_s: float) -> None:
+    """Start a world, have something happen, and let it run on."""
+    world.start()
+    scene = Scene(world)
+    scene.run(before_s)
+    happens(scene)
+    scene.run(after_s)
+    world.operators.stopped = True
+
+
 def founded(scene: Scene) -> None:
     """Nothing happens after the start."""
 
@@ -184,6 +194,64 @@
                 self.assertEqual(len(world.edge_processes), left)
 
 
+def lose_first_node(scene: Scene) -> None:
+    scene.world.lose_node(min(scene.world.nodes))
+
+
+def drain_first_node(scene: Scene) -> None:
+    """A node drains, as the list says, and ends after that."""
+    name = min(scene.world.nodes)
+    scene.world.nodes[name].state = "draining"
+    scene.run(SETTLE_S)
+    scene.world.lose_node(name)
+
+
+def lose_all_nodes(scene: Scene) -> None:
+    for name in list(scene.world.nodes):
+        scene.world.lose_node(name)
+
+
+def replace_all_nodes(scene: Scene) -> None:
+    lose_all_nodes(scene)
+    scene.run(SETTLE_S)
+    scene.world.add_node()
+
+
+def add_node(scene: Scene) -> None:
+    scene.world.add_node()
+
+
+class NodeCountTest(unittest.TestCase):
+    """Placement, grants and views where a service has no node, one or two, by each way to there, with one core."""
+
+    WAYS = {
+        "none": (0, founded, 0),
+        "one": (1, founded, 1),
+        "two": (2, founded, 2),
+        "the first one joins": (0, add_node, 1),
+        "another joins one": (1, add_node, 2),
+        "one of two lost": (2, lose_first_node, 1),
+        "one of two drained": (2, drain_first_node, 1),
+        "the only one lost": (1, lose_first_node, 0),
+        "the only one drained": (1, drain_first_node, 0),
+        "both lost": (2, lose_all_nodes, 0),
+        "both lost, another joins": (2, replace_all_nodes, 1),
+    }
+
+    def test_all_keys_are_held_by_the_nodes_that_are_left(self):
+        for name, (nodes, happens, left) in self.WAYS.items():
+            with self.subTest(name):
+                world = World(11, 1, sharded=True, tolerance=0, node_count=nodes)
+                with programs.in_place(world.wire, world.seed, world.log, compact=40, trail=512):
+                    play(world, happens, SETTLE_S, WATCH_S)
+                    check_recovery(world)
+                self.assertEqual(find_violations(world), [])
+                slices = world.leader().process.plane.consensus.state.ledger.slices["s"]
+                now = world.loop.now
+                held = [world.nodes[row.owner].held_until[k] > now for k, row in enumerate(slices) if left]
+                self.assertEqual((len(world.nodes), len(held), all(held)), (left, len(slices) if left else 0, True))
+
+
 def hand_over_between_two(leases: ConductorLeases, now: float, slices: Sequence[Slice]) -> object:
     """The mistake of review/7: takes giver and receiver out of at least two conductors once it is calm."""
     if now >= max(leases.since, leases.conductors_changed_at) + CALM_PERIOD_S:
@@ -224,12 +292,7 @@
     def play(self, way: Way) -> World:
         world = World(7, way.founders, sharded=True, keyed=True, tolerance=way.tolerance)
         with programs.in_place(world.wire, world.seed, world.log, compact=40, trail=512):
-            world.start()
-            scene = Scene(world)
-            scene.run(SETTLE_S)
-            way.happens(scene)
-            scene.run(WATCH_S)
-            world.operators.stopped = True
+            play(world, way.happens, SETTLE_S, WATCH_S)
             self.assertEqual(find_violations(world), [])
             check_recovery(world)
             self.assertEqual(find_violations(world), [])
