--- a/knotwalk/placement/placer.py
+++ b/knotwalk/placement/placer.py
@@ -18,13 +18,23 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, replace
+from collections.abc import Mapping
+from dataclasses import replace
 from typing import NamedTuple
 
 from knotwalk.discovery.view_types import Node
 from knotwalk.leases.ledger import Ledger, Slice
 from knotwalk.placement.capacity import CapacityEstimator, LoadReport
+from knotwalk.placement.node_loads import (
+    MIN_GAIN,
+    OWN_ZONE_MARGIN,
+    NodeLoad,
+    missing_load,
+    own_excess,
+    pass_targets,
+    preferred_targets,
+    target_score,
+)
 from knotwalk.placement.passes import place, strip, utilization
 
 PASS_PERIOD_S = 5.0  # between passes (the paper's 60 s are too long for load that changes within minutes)
@@ -39,8 +49,6 @@
 RAMP_S, RAMP_SHARE = 10.0, 0.5
 MOVE_REST_S = 4.0  # that a slice stays after a move: its new place is then measured twice
 BATCH_SHARE, BATCH_PAUSE_S = 0.1, 0.5  # the share of the own slices in a batch of ordinary moves; between batches
-MIN_EXCESS = 0.05  # of a node's capacity: a smaller excess is left, since a move costs keys and a wait
-MIN_SLICE_LOAD = 0.002  # of a node's capacity: a lighter slice is not worth a move; a mean one of 26 nodes' is 0.013
 IDLE_SLICE_SHARE = 0.05  # of the mean slice: the load that an idle slice counts as, so that idle ones spread too
 MOVE_TIMEOUT_S = 2.0  # until a proposed move that is not in the ledger counts as lost
 # Busy keys are close together: with each of three conductors laying out so many rounds, the busiest thirtieth of the
@@ -50,15 +58,11 @@
 # A first layout begins with the nodes of the own zone, each of which gets its share of the whole service at once. The
 # rest of the own slices goes this much later to where other conductors left capacity: theirs are in the ledger by then.
 REMAINDER_DELAY_S = 0.5
-# Renewals stay within a zone where conductor and node are in the same one, and are most of a conductor's bytes between
-# zones: a target of the own zone may be worse by so much (of utilization) than one of another.
-OWN_ZONE_MARGIN = 0.1
 # How full the rest of a service may be (of its capacity) for outliers to be emptied: the keys of a node that fails half
 # of its requests are better off elsewhere, but not where no node has capacity for them.
 MAX_FILL_FOR_OUTLIERS = 0.9
 LOAD_CHECK_PERIOD_S = 0.3  # between looks at loads alone: a third of SAMPLE_INTERVAL_S; each edge reports once a second
 GATHER_QUIET_S, MAX_GATHER_S = 1.0, 4.0  # without a new node, and in all, before the first layout
-MIN_GAIN = 1e-9  # of utilization: a slice moved for less would soon be moved back
 TIE_SPREAD = 0.02  # of utilization: random differences by which conductors with the same view choose apart
 
 
@@ -70,65 +74,6 @@
     target: str
 
 
-@dataclass(slots=True)
-class NodeLoad:
-    """A node, with the load that the passes have given it so far."""
-
-    id: str
-    capacity: float
-    load: float = 0.0
-    near: bool = False  # in the conductor's own zone
-    avoided: bool = False  # another core cannot reach it: not a target while there are others
-
-
-def missing_load(nodes: Mapping[str, NodeLoad], fleet: Mapping[str, NodeLoad], total: float) -> dict[str, float]:
-    """What each of `nodes` lacks of its share, by capacity in the fleet, of the total load."""
-    capacity = sum(x.capacity for x in fleet.values())
-    return {id: max(0.0, total * x.capacity / capacity - x.load) for id, x in nodes.items()}
-
-
-def own_excess(loads: Iterable[NodeLoad], threshold: float, own: Mapping[str, list[tuple[float, int]]]) -> Callable:
-    """`can_move` for one `strip`: it allows the part of each node's excess that the slices in `own` make up, and no
-    slice too heavy or too light for it. It counts what it has allowed, so it is for one use."""
-    remaining = {}
-    for node in loads:
-        excess = node.load - threshold * node.capacity
-        if excess >= MIN_EXCESS * node.capacity:
-            remaining[node.id] = excess * min(1.0, sum(load for load, _ in own.get(node.id, ())) / node.load)
-
-    def can_move(load: float, _: int, node: NodeLoad) -> bool:
-        part = remaining.get(node.id, 0.0)
-        if part <= 0 or not MIN_SLICE_LOAD * node.capacity <= load <= part + MIN_EXCESS * node.capacity:
-            return False
-        remaining[node.id] = part - load
-        return True
-
-    return can_move
-
-
-def target_score(node: NodeLoad, load: float) -> float:
-    """`score` for `place`: a target that is only as good as the source is rejected."""
-    return utilization(node, load) + MIN_GAIN
-
-
-def preferred_targets(loads: Iterable[NodeLoad]) -> list[NodeLoad]:
-    """The nodes that are not avoided, or all where all are."""
-    nodes = list(loads)
-    return [x for x in nodes if not x.avoided] or nodes
-
-
-def pass_targets(loads: Iterable[NodeLoad]) -> list[NodeLoad]:
-    """The nodes of the own zone, unless the best of them is much worse than the best of all."""
-    nodes = preferred_targets(loads)
-    near = [x for x in nodes if x.near]
-    return (
-        near
-        if near
-        and utilization(min(near, key=utilization)) <= utilization(min(nodes, key=utilization)) + OWN_ZONE_MARGIN
-        else nodes
-    )
-
-
 class Placer:
     """Placement by conductor `me`. Call `is_due` several times a second, and `place` when it is true."""
 
