--- a/knotwalk/control_plane/slice_manager.py
+++ b/knotwalk/control_plane/slice_manager.py
@@ -202,9 +202,7 @@
             return REFUSED, None
         except PeerError:
             return None, None
-        except (
-            Exception
-        ):  # the grant manager waits for the end of each call: without one its keys would stay with nobody
+        except Exception:  # without the end of this call its keys would stay with nobody
             log_exception("call failed", step=step, node=action.node)
             return None, None
 
